--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of two deployments and the demo."""
--- /dev/null
+++ b/examples/deployment.py
@@ -0,0 +1,251 @@
+"""Starts a deployment's processes on loopback, for the demo and the tests."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from poplarlug.keys import generate_caller_key, generate_key_files, hash_caller_key
+from poplarlug.settings import load_settings
+from poplarlug.topology import Topology
+
+EXAMPLES = Path(__file__).parent
+BIN = Path(sys.executable).parent
+START_SECONDS = 60.0
+STOP_SECONDS = 30.0
+POLL_SECONDS = 0.05
+
+Link = Callable[[str, str, str], str]
+"""Maps (source VM, target VM, address) to the address that the source uses."""
+
+
+class Deployment:
+    """
+    Processes of one example deployment with addresses of their own.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Where settings, keys, data and logs go.
+    entries_per_zone : int
+        How many of each zone's entries are started.
+    link : callable, optional
+        Puts a proxy between two processes.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        example: str = "cascara-verde",
+        entries_per_zone: int = 3,
+        link: Link | None = None,
+    ) -> None:
+        self.folder = folder
+        self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.commands_by_name: dict[str, list[str]] = {}
+        self.key, self.operator_key = generate_caller_key(), generate_caller_key()
+        self.ip = _own_ip()
+        listed = load_settings(EXAMPLES / example / "topology.jsonc", Topology).unwrap()
+        self.topology = self._with_own_addresses(listed, entries_per_zone)
+        self._link = link or (lambda source, target, address: address)
+        folder.mkdir(parents=True, exist_ok=True)
+        names = [vm.name for vm in (*self.topology.entries, *self.topology.control)]
+        generate_key_files(folder / "keys", names)
+        (folder / "keys" / "operators").write_text(hash_caller_key(self.operator_key))
+        (folder / "operator.key").write_text(self.operator_key)
+        self._write_settings()
+
+    def address(self) -> str:
+        """Return a free address of this deployment, from the OS."""
+        with socket.socket() as probe:
+            probe.bind((self.ip, 0))
+            return f"{self.ip}:{probe.getsockname()[1]}"
+
+    def start_control(self) -> None:
+        for vm in self.topology.control:
+            self.start(vm.name)
+
+    def start_entries(self) -> None:
+        for vm in self.topology.entries:
+            self.start(vm.name)
+
+    def start(self, name: str, *command: str) -> None:
+        """Start the process ``name``, with its former command by default."""
+        if command:
+            self.commands_by_name[name] = list(command)
+        program, *arguments = self.commands_by_name[name]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes_by_name[name] = subprocess.Popen(
+                [str(BIN / program), *arguments], stderr=log, stdout=log
+            )
+
+    def start_engine(self, name: str, zone: str, models: str, *options: str) -> str:
+        """Start a stand-in engine of ``zone`` and return its address."""
+        listen = self.address()
+        arguments = ["poplarlug-fake-engine", name, listen, self.entries_of(zone)]
+        self.start(name, *arguments, models, *options)
+        return listen
+
+    def start_service(self, name: str, zone: str, services: str, *options: str) -> Path:
+        """Start a stand-in service of ``zone`` and return its ledger's file."""
+        ledger = self.folder / f"{name}.ledger"
+        arguments = ["poplarlug-fake-service", name, self.address()]
+        arguments += [self.entries_of(zone), services, str(ledger)]
+        self.start(name, *arguments, *options)
+        return ledger
+
+    def entries_of(self, zone: str) -> str:
+        return ",".join(vm.http for vm in self.topology.entries_of_zone(zone))
+
+    def signal(self, name: str, number: int) -> None:
+        self.processes_by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a process at once and wait for its end."""
+        self.signal(name, signal.SIGKILL)
+        self.processes_by_name[name].wait()
+
+    def stop(self, name: str) -> int:
+        """Ask a process to stop gracefully and return its exit status."""
+        self.signal(name, signal.SIGTERM)
+        return self.processes_by_name[name].wait(STOP_SECONDS)
+
+    def close(self) -> None:
+        """End all processes of this deployment."""
+        for process in self.processes_by_name.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes_by_name.values():
+            process.wait()
+
+    def operate(self, *arguments: str, check: bool = True) -> Any:
+        """Run the operators' client and return its JSON output."""
+        done = subprocess.run(
+            [
+                str(BIN / "poplarlug"),
+                f"--servers={','.join(vm.grpc for vm in self.topology.control)}",
+                f"--key_file={self.folder / 'operator.key'}",
+                "--output=json",
+                *arguments,
+            ],
+            capture_output=True,
+            text=True,
+        )
+        if check and done.returncode:
+            raise AssertionError(f"{arguments}: {done.returncode} {done.stderr}")
+        return json.loads(done.stdout) if done.returncode == 0 else done.returncode
+
+    def configure(self) -> None:
+        """Create regions, ranks, a model, a service and an account."""
+        regions = {vm.region: vm.zone for vm in self.topology.entries}
+        for region, zone in regions.items():
+            self.operate("region", "put", region, f"--zones={zone}")
+        self.operate("rank", "put", "urgent", "--priority=0", "--target_seconds=10")
+        self.operate("rank", "put", "patient", "--priority=1", "--floor_share=0.1")
+        self.operate("model", "put", "corn-7b")
+        self.operate("model", "put", "secret-7b")
+        calls = "--non_repeatable=POST /bookings"
+        self.operate("service", "put", "depot", calls)
+        self.operate(
+            "account",
+            "put",
+            "verde",
+            f"--home_region={next(iter(regions))}",
+            f"--regions={','.join(regions)}",
+            "--models=corn-7b",
+            "--services=depot",
+            f"--key_hashes={hash_caller_key(self.key)}",
+        )
+
+    def wait_ready(self, names: Sequence[str] = ()) -> None:
+        """Wait until the given daemons, or all, answer ``/readyz`` with 200."""
+        vms = (*self.topology.entries, *self.topology.control)
+        for vm in vms:
+            if (not names or vm.name in names) and vm.name in self.processes_by_name:
+                wait_until(lambda vm=vm: is_ready(vm.http), f"{vm.name} is not ready")
+
+    def _with_own_addresses(self, listed: Topology, per_zone: int) -> Topology:
+        entries, seen = [], dict.fromkeys((vm.zone for vm in listed.entries), 0)
+        for vm in listed.entries:
+            seen[vm.zone] += 1
+            if seen[vm.zone] <= per_zone:
+                own = {"http": self.address(), "peers": self.address()}
+                entries.append(vm._replace(**own))
+        control = [
+            vm._replace(peers=self.address(), grpc=self.address(), http=self.address())
+            for vm in listed.control
+        ]
+        return Topology(listed.deployment, tuple(entries), tuple(control))
+
+    def _write_settings(self) -> None:
+        for vm in (*self.topology.entries, *self.topology.control):
+            topology_file = self.folder / f"{vm.name}.topology.json"
+            topology_file.write_text(json.dumps(self._topology_seen_by(vm.name)))
+            keys = self.folder / "keys"
+            settings: dict[str, Any] = {
+                "name": vm.name,
+                "topology_file": topology_file.name,
+                "keys": {
+                    "secret_file": str(keys / "secret" / f"{vm.name}.key_secret"),
+                    "peers_folder": str(keys / "public"),
+                },
+            }
+            program = "poplarlug-entry"
+            if self.topology.control_vm(vm.name) is not None:
+                program = "poplarlug-control"
+                settings["data_folder"] = f"data/{vm.name}"
+                settings["operator_key_hashes_file"] = str(keys / "operators")
+            settings_file = self.folder / f"{vm.name}.json"
+            settings_file.write_text(json.dumps(settings))
+            self.commands_by_name[vm.name] = [program, f"--settings={settings_file}"]
+
+    def _topology_seen_by(self, source: str) -> dict[str, Any]:
+        def seen(vm: Any) -> dict[str, Any]:
+            peers = vm.peers
+            if vm.name != source:
+                peers = self._link(source, vm.name, vm.peers)
+            return {**vm._asdict(), "peers": peers}
+
+        return {
+            "deployment": self.topology.deployment,
+            "entries": [seen(vm) for vm in self.topology.entries],
+            "control": [seen(vm) for vm in self.topology.control],
+        }
+
+
+def wait_until(
+    condition: Callable[[], Any], message: str, *, seconds: float = START_SECONDS
+) -> Any:
+    """Return the first true value of ``condition``; fail after ``seconds``."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(POLL_SECONDS)
+    raise AssertionError(f"{message} after {seconds} s")
+
+
+def is_ready(address: str) -> bool:
+    try:
+        with urllib.request.urlopen(f"http://{address}/readyz", timeout=2):
+            return True
+    except (urllib.error.URLError, OSError):
+        return False
+
+
+def _own_ip() -> str:
+    # An address of its own keeps each deployment's ports free of the others'.
+    rng = Random(os.urandom(8))
+    return f"127.{rng.randint(1, 250)}.{rng.randint(1, 250)}.{rng.randint(2, 250)}"
--- /dev/null
+++ b/poplarlug/__init__.py
@@ -0,0 +1,5 @@
+"""A multi-region inference gateway: entry and control daemons with a client."""
+
+__version__ = "0.1.0"
+
+__all__ = ["__version__"]
--- /dev/null
+++ b/poplarlug/admission/__init__.py
@@ -0,0 +1,1 @@
+"""admission package."""
--- /dev/null
+++ b/poplarlug/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP face: requests, directory, announcements."""
--- /dev/null
+++ b/poplarlug/claims/__init__.py
@@ -0,0 +1,1 @@
+"""claims package."""
--- /dev/null
+++ b/poplarlug/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control group: a replicated log of the configuration and its service."""
--- /dev/null
+++ b/poplarlug/control/main.py
@@ -0,0 +1,189 @@
+"""Entry point of ``poplarlug-control``."""
+
+import asyncio
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+import grpc
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from poplarlug.catalog import ChangeOutcome
+from poplarlug.control.operator_service import OperatorAuthentication, OperatorService
+from poplarlug.control.replicated_log import (
+    ProposeError,
+    ProposeErrorKind,
+    ReplicatedLog,
+)
+from poplarlug.control.single_log import SingleLog
+from poplarlug.control.state import ControlState, Deltas, DeltasAfter
+from poplarlug.daemon import (
+    EXIT_BAD_SETTINGS,
+    add_health_routes,
+    exit_with_errors,
+    run_daemon,
+    serve_http,
+    stop_event,
+)
+from poplarlug.logs import PartLog
+from poplarlug.schema.operators_pb2_grpc import add_OperatorsServicer_to_server
+from poplarlug.settings import load_settings
+from poplarlug.supervision import Supervisor
+from poplarlug.topology import KeyFiles, LogSettings, Topology
+from poplarlug.transport import Transport, ZmqTransport
+
+PROPOSE_TIMEOUT_SECONDS = 5.0
+GRPC_STOP_SECONDS = 5.0
+
+_log = PartLog(prefix="control")
+
+
+class ControlSettings(NamedTuple):
+    """
+    Settings of a control replica.
+
+    Parameters
+    ----------
+    name : str
+        Own name in the topology file.
+    data_folder : str
+        Where the log lives; taken from the settings file's folder.
+    operator_key_hashes_file : str
+        File with one hash of an operator's key a line.
+    """
+
+    name: str
+    topology_file: str
+    keys: KeyFiles
+    data_folder: str
+    operator_key_hashes_file: str
+    log: LogSettings = LogSettings()
+
+
+class Proposal(NamedTuple):
+    """A command on its way from another replica to the leader."""
+
+    command: bytes
+
+
+class ProposalOutcome(NamedTuple):
+    outcome: ChangeOutcome | None
+    error: str = ""
+    not_leader: bool = False
+
+
+class Control:
+    """One control replica: log, service to operators and to entries."""
+
+    def __init__(
+        self,
+        *,
+        settings: ControlSettings,
+        folder: Path,
+        topology: Topology,
+        transport: Transport,
+    ) -> None:
+        self._transport = transport
+        self._name = settings.name
+        self.state = ControlState()
+        self.log: ReplicatedLog = SingleLog(
+            name=settings.name,
+            leader=topology.control[0].name,
+            data_folder=folder / settings.data_folder,
+            state_machine=self.state,
+        )
+        transport.serve("control.propose", Proposal, self._serve_proposal)
+        transport.serve("control.deltas", DeltasAfter, self._serve_deltas)
+
+    async def propose(self, command: bytes) -> Result[ChangeOutcome, ProposeError]:
+        """Take ``command`` to the leader, here or over there."""
+        result = await self.log.propose(command)
+        leader = self.log.leader
+        if isinstance(result, Success) or leader in (None, self._name):
+            return result
+        assert leader is not None
+        return await self._propose_at(leader, command)
+
+    async def _propose_at(
+        self, leader: str, command: bytes
+    ) -> Result[ChangeOutcome, ProposeError]:
+        reply = await self._transport.request(
+            peer=leader,
+            topic="control.propose",
+            message=Proposal(command),
+            reply_type=ProposalOutcome,
+            timeout_seconds=PROPOSE_TIMEOUT_SECONDS,
+        )
+        if isinstance(reply, Failure):
+            return Failure(
+                ProposeError(ProposeErrorKind.UNKNOWN, reply.failure().message)
+            )
+        outcome, error, not_leader = reply.unwrap()
+        if outcome is not None:
+            return Success(outcome)
+        kind = ProposeErrorKind.NOT_LEADER if not_leader else ProposeErrorKind.UNKNOWN
+        return Failure(ProposeError(kind, error))
+
+    async def _serve_proposal(self, sender: str, message: Proposal) -> ProposalOutcome:
+        result = await self.log.propose(message.command)
+        if isinstance(result, Success):
+            return ProposalOutcome(result.unwrap())
+        error = result.failure()
+        return ProposalOutcome(
+            None, error.message, error.kind is ProposeErrorKind.NOT_LEADER
+        )
+
+    async def _serve_deltas(self, sender: str, message: DeltasAfter) -> Deltas:
+        return self.state.deltas_after(message.version)
+
+
+async def run_control(settings: ControlSettings, folder: Path) -> int:
+    """Run a control replica until SIGTERM; return the exit status."""
+    loaded = load_settings(folder / settings.topology_file, Topology)
+    if not isinstance(loaded, Success):
+        exit_with_errors(loaded.failure())
+    topology = loaded.unwrap()
+    vm = topology.control_vm(settings.name)
+    if vm is None:
+        _log.error("name is not in the topology file", name=settings.name)
+        return EXIT_BAD_SETTINGS
+    transport = ZmqTransport(
+        name=settings.name,
+        address=vm.peers,
+        addresses_by_name=topology.peer_addresses_by_name(),
+        keys=settings.keys.relative_to(folder),
+    )
+    control = Control(
+        settings=settings, folder=folder, topology=topology, transport=transport
+    )
+    key_hashes = (folder / settings.operator_key_hashes_file).read_text().split()
+    server = grpc.aio.server(
+        interceptors=[OperatorAuthentication(key_hashes=key_hashes)]
+    )
+    service = OperatorService(state=control.state, propose=control.propose)
+    add_OperatorsServicer_to_server(service, server)
+    server.add_insecure_port(vm.grpc)
+    app = web.Application()
+    add_health_routes(app, lambda: control.log.leader is not None)
+    runner = await serve_http(app, vm.http)
+    supervisor = Supervisor(name="control", rng=Random())
+    supervisor.add_child("transport", transport.run)
+    supervisor.add_child("log", control.log.run)
+    running = asyncio.ensure_future(supervisor.run())
+    await server.start()
+    _log.info("ready", name=settings.name, grpc=vm.grpc)
+    stopping = asyncio.ensure_future(stop_event().wait())
+    await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    _log.info("stopping", name=settings.name)
+    await server.stop(GRPC_STOP_SECONDS)
+    await runner.cleanup()
+    failed = running.done()
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    return 1 if failed else 0
+
+
+def main() -> None:
+    """Run ``poplarlug-control``."""
+    run_daemon(ControlSettings, run_control)
--- /dev/null
+++ b/poplarlug/daemon.py
@@ -0,0 +1,96 @@
+"""What all daemons share: settings from the command line, signals, health."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import NoReturn, TypeVar, cast
+
+import fire
+from aiohttp import web
+from returns.result import Success
+
+from poplarlug.logs import LogFormat, LogLevel, configure_logs
+from poplarlug.metrics import serve_metrics
+from poplarlug.settings import SettingsError, load_settings
+from poplarlug.topology import LogSettings
+
+T = TypeVar("T")
+
+EXIT_BAD_SETTINGS = 2
+
+
+def run_daemon(kind: type[T], main: Callable[[T, Path], Awaitable[int]]) -> None:
+    """
+    Read the command line ``--settings FILE [--check]`` and run ``main``.
+
+    Parameters
+    ----------
+    kind : type
+        ``NamedTuple`` class of the settings; its ``log`` field sets up logs.
+    main : callable
+        Gets the settings and their file's folder and returns the exit status.
+    """
+
+    def command(settings: str, check: bool = False) -> None:
+        """Run the daemon with the settings in a file of JSON with comments."""
+        path = Path(settings)
+        loaded = load_settings(path, kind)
+        if not isinstance(loaded, Success):
+            exit_with_errors(loaded.failure())
+        if check:
+            print(f"{settings}: no errors")
+            return
+        value = loaded.unwrap()
+        log = cast(LogSettings, getattr(value, "log", LogSettings()))
+        configure_logs(
+            log_format=cast(LogFormat, log.format), level=cast(LogLevel, log.level)
+        )
+        raise SystemExit(asyncio.run(_run(main(value, path.parent))))
+
+    fire.Fire(command)
+
+
+def exit_with_errors(errors: list[SettingsError]) -> NoReturn:
+    """Print all errors of a settings file and exit with status 2."""
+    for error in errors:
+        print(str(error), file=sys.stderr)
+    raise SystemExit(EXIT_BAD_SETTINGS)
+
+
+def stop_event() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    event = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, event.set)
+    return event
+
+
+def add_health_routes(app: web.Application, ready: Callable[[], bool]) -> None:
+    """Add ``/healthz``, ``/readyz`` and ``/metrics`` to ``app``."""
+
+    async def serve_health(request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok"})
+
+    async def serve_ready(request: web.Request) -> web.Response:
+        status = 200 if ready() else 503
+        return web.json_response({"ready": ready()}, status=status)
+
+    app.router.add_get("/healthz", serve_health)
+    app.router.add_get("/readyz", serve_ready)
+    app.router.add_get("/metrics", serve_metrics)
+
+
+async def serve_http(app: web.Application, address: str) -> web.AppRunner:
+    """Serve ``app`` at ``address`` and return its runner."""
+    host, _, port = address.rpartition(":")
+    runner = web.AppRunner(app, access_log=None, handle_signals=False)
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port)).start()
+    return runner
+
+
+async def _run(main: Awaitable[int]) -> int:
+    return await main
--- /dev/null
+++ b/poplarlug/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""How configuration reaches the entries and comes into force there."""
--- /dev/null
+++ b/poplarlug/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon."""
--- /dev/null
+++ b/poplarlug/errors.py
@@ -0,0 +1,94 @@
+"""Errors that reach a caller, as values with one JSON form."""
+
+from typing import NamedTuple, TypedDict
+
+import msgspec
+
+
+class GatewayError(NamedTuple):
+    """
+    Final outcome of a request that got no whole answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status for the caller.
+    type : str
+        Stable machine-readable name of the error.
+    message : str
+        What was got, what was expected and what to do.
+    ran : bool or None
+        Whether the request ran at an upstream; ``None`` when unknown.
+    retry_after_seconds : float or None
+        When to ask again; ``None`` when asking again won't help.
+    """
+
+    status: int
+    type: str
+    message: str
+    ran: bool | None = False
+    retry_after_seconds: float | None = None
+
+
+class ErrorDetail(TypedDict):
+    type: str
+    message: str
+    ran: bool | None
+    retry_after_seconds: float | None
+
+
+class ErrorBody(TypedDict):
+    error: ErrorDetail
+
+
+def to_body(error: GatewayError) -> bytes:
+    """Return the JSON body that a caller gets for ``error``."""
+    detail = ErrorDetail(
+        type=error.type,
+        message=error.message,
+        ran=error.ran,
+        retry_after_seconds=error.retry_after_seconds,
+    )
+    return msgspec.json.encode(ErrorBody(error=detail))
+
+
+def unknown_key() -> GatewayError:
+    return GatewayError(
+        401,
+        "unknown_key",
+        "The Authorization header names no account; send 'Bearer KEY' with a "
+        "key that an operator issued.",
+    )
+
+
+def model_not_allowed(account: str, model: str) -> GatewayError:
+    return GatewayError(
+        403,
+        "model_not_allowed",
+        f"Account {account!r} may not use model {model!r}; ask an operator to allow it.",
+    )
+
+
+def unknown_model(model: str) -> GatewayError:
+    return GatewayError(
+        404, "unknown_model", f"No model is named {model!r}; see GET /v1/models."
+    )
+
+
+def bad_request(message: str) -> GatewayError:
+    return GatewayError(400, "bad_request", message)
+
+
+def not_run(message: str, retry_after_seconds: float) -> GatewayError:
+    """Return the error of a request that no upstream was given."""
+    return GatewayError(503, "not_run", message, False, retry_after_seconds)
+
+
+def outcome_unknown(message: str) -> GatewayError:
+    """Return the error of a request that may or may not have run."""
+    return GatewayError(502, "outcome_unknown", message, None, None)
+
+
+def truncated_answer(message: str) -> GatewayError:
+    """Return the error of an answer that broke off before its end."""
+    return GatewayError(502, "truncated_answer", message, None, None)
--- /dev/null
+++ b/poplarlug/fakes/service.py
@@ -0,0 +1,77 @@
+"""A stand-in for a plain service that counts every run of a booking."""
+
+import asyncio
+from collections import Counter
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from aiohttp import web
+
+
+class ServiceOptions(NamedTuple):
+    """
+    Behaviour of a stand-in service.
+
+    Parameters
+    ----------
+    ledger_file : str
+        Each run of a booking appends its key here, one a line.
+    run_seconds : float
+        How long a booking takes.
+    """
+
+    upstream_id: str
+    services: tuple[str, ...]
+    ledger_file: str
+    run_seconds: float = 0.0
+
+
+class FakeService:
+    """Book what it is asked to, each time that it is asked."""
+
+    def __init__(self, *, options: ServiceOptions) -> None:
+        self._options = options
+        self.runs_by_key: Counter[str] = Counter()
+        self.running = 0
+
+    def application(self) -> web.Application:
+        app = web.Application()
+        app.router.add_post("/bookings", self.serve_booking)
+        app.router.add_get("/bins/{name}", self.serve_bin)
+        return app
+
+    def describe(self) -> dict[str, Any]:
+        return {
+            "id": self._options.upstream_id,
+            "kind": "service",
+            "services": list(self._options.services),
+            "running": self.running,
+        }
+
+    async def serve_booking(self, request: web.Request) -> web.Response:
+        key = request.headers.get("Idempotency-Key", "")
+        self.running += 1
+        try:
+            self._write_down(key)
+            if self._options.run_seconds > 0:
+                await asyncio.sleep(self._options.run_seconds)
+            return web.json_response(
+                {
+                    "booked": key,
+                    "runs": self.runs_by_key[key],
+                    "served_by": self._options.upstream_id,
+                }
+            )
+        finally:
+            self.running -= 1
+
+    async def serve_bin(self, request: web.Request) -> web.Response:
+        name = request.match_info["name"]
+        return web.json_response(
+            {"bin": name, "full": False, "served_by": self._options.upstream_id}
+        )
+
+    def _write_down(self, key: str) -> None:
+        self.runs_by_key[key] += 1
+        with Path(self._options.ledger_file).open("a") as ledger:
+            ledger.write(f"{key}\n")
--- /dev/null
+++ b/poplarlug/load/__init__.py
@@ -0,0 +1,1 @@
+"""load package."""
--- /dev/null
+++ b/poplarlug/logs.py
@@ -0,0 +1,51 @@
+"""Structured logs: short sentences with a fixed prefix for each part."""
+
+import logging
+import sys
+from typing import Any, Literal, TypeAlias
+
+import structlog
+
+LogFormat: TypeAlias = Literal["json", "console"]
+LogLevel: TypeAlias = Literal["debug", "info", "warning", "error"]
+
+
+def configure_logs(*, log_format: LogFormat, level: LogLevel) -> None:
+    """Send log lines to standard error, in ``log_format``, from ``level`` up."""
+    renderer: Any = structlog.processors.JSONRenderer()
+    if log_format == "console":
+        renderer = structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            getattr(logging, level.upper())
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+class PartLog:
+    """Logger whose sentences all start with the prefix of one part."""
+
+    def __init__(self, *, prefix: str) -> None:
+        self._prefix = prefix
+        self._logger = structlog.get_logger()
+
+    def debug(self, sentence: str, **fields: Any) -> None:
+        self._logger.debug(f"{self._prefix}: {sentence}", **fields)
+
+    def info(self, sentence: str, **fields: Any) -> None:
+        self._logger.info(f"{self._prefix}: {sentence}", **fields)
+
+    def warning(self, sentence: str, **fields: Any) -> None:
+        self._logger.warning(f"{self._prefix}: {sentence}", **fields)
+
+    def error(self, sentence: str, **fields: Any) -> None:
+        self._logger.error(f"{self._prefix}: {sentence}", **fields)
--- /dev/null
+++ b/poplarlug/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client."""
--- /dev/null
+++ b/poplarlug/reports/__init__.py
@@ -0,0 +1,1 @@
+"""reports package."""
--- /dev/null
+++ b/poplarlug/routing/base.py
@@ -0,0 +1,112 @@
+"""Interface of routing policies and the views that they decide on."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from typing import NamedTuple, TypeAlias
+
+from poplarlug.catalog import Account, Rank
+from poplarlug.membership.upstreams import Announcement
+from poplarlug.types import (
+    ModelName,
+    RegionName,
+    ServiceName,
+    UpstreamId,
+    VmName,
+    ZoneName,
+)
+
+
+class RouteRequest(NamedTuple):
+    """
+    What routing knows of a request.
+
+    Parameters
+    ----------
+    prompt_tokens, max_tokens : int
+        Estimated length of the prompt and upper bound of the answer.
+    prefix_hashes : tuple of int
+        Hashes of the prompt's prefixes, shortest first.
+    excluded : frozenset of UpstreamId
+        Upstreams that failed this request already.
+    may_forward : bool
+        Whether it may go to another zone; false for a forwarded request.
+    """
+
+    account: Account
+    rank: Rank
+    model: ModelName | None = None
+    service: ServiceName | None = None
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    prefix_hashes: tuple[int, ...] = ()
+    excluded: frozenset[UpstreamId] = frozenset()
+    may_forward: bool = True
+
+
+class ZoneView(NamedTuple):
+    """Another zone as its summary shows it."""
+
+    zone: ZoneName
+    region: RegionName
+    entries: tuple[VmName, ...]
+    models: tuple[ModelName, ...]
+    services: tuple[ServiceName, ...]
+    running: int
+
+
+class Fleet(NamedTuple):
+    """
+    All that a policy may send to.
+
+    Parameters
+    ----------
+    in_flight_by_id : mapping
+        Requests that this entry has in progress, by upstream.
+    """
+
+    upstreams: tuple[Announcement, ...]
+    in_flight_by_id: Mapping[UpstreamId, int]
+    zones: tuple[ZoneView, ...] = ()
+
+
+class LocalRoute(NamedTuple):
+    """Send to an upstream of the own zone."""
+
+    upstream: Announcement
+
+
+class ForwardRoute(NamedTuple):
+    """Send to an entry of another zone."""
+
+    zone: ZoneName
+    region: RegionName
+    entry: VmName
+
+
+Route: TypeAlias = LocalRoute | ForwardRoute
+
+
+class RoutingPolicy(ABC):
+    """Choose a route; no I/O, no await, work proportional to the candidates."""
+
+    @abstractmethod
+    def choose(self, request: RouteRequest, fleet: Fleet) -> Route | None:
+        """Return the route of ``request``, ``None`` when there is none."""
+
+
+def serves(request: RouteRequest, upstream: Announcement) -> bool:
+    """Return whether ``upstream`` holds what ``request`` asks for."""
+    if upstream.id in request.excluded:
+        return False
+    if request.service is not None:
+        return request.service in upstream.services
+    return request.model in upstream.models
+
+
+def zone_serves(request: RouteRequest, zone: ZoneView) -> bool:
+    """Return whether ``request`` may go to ``zone`` and finds its model there."""
+    if not request.may_forward or zone.region not in request.account.regions:
+        return False
+    if request.service is not None:
+        return request.service in zone.services
+    return request.model in zone.models
--- /dev/null
+++ b/poplarlug/routing/least_loaded.py
@@ -0,0 +1,29 @@
+"""Baseline policy: the upstream with the fewest requests in progress."""
+
+from poplarlug.routing.base import (
+    Fleet,
+    ForwardRoute,
+    LocalRoute,
+    Route,
+    RouteRequest,
+    RoutingPolicy,
+    serves,
+    zone_serves,
+)
+
+
+class LeastLoaded(RoutingPolicy):
+    """Stay in the zone while any of its upstreams serves the request."""
+
+    def choose(self, request: RouteRequest, fleet: Fleet) -> Route | None:
+        local = [u for u in fleet.upstreams if serves(request, u)]
+        if local:
+            in_flight = fleet.in_flight_by_id
+            return LocalRoute(
+                min(local, key=lambda u: u.running + in_flight.get(u.id, 0))
+            )
+        away = [zone for zone in fleet.zones if zone_serves(request, zone)]
+        if not away:
+            return None
+        zone = min(away, key=lambda view: view.running)
+        return ForwardRoute(zone.zone, zone.region, zone.entries[0])
--- /dev/null
+++ b/poplarlug/schema/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' schema and the code generated from it."""
--- /dev/null
+++ b/poplarlug/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request: attempts at upstreams, forwards, answers."""
--- /dev/null
+++ b/poplarlug/serving/answers.py
@@ -0,0 +1,40 @@
+"""Where an answer goes while it arrives."""
+
+from abc import ABC, abstractmethod
+from typing import NamedTuple
+
+
+class AnswerHead(NamedTuple):
+    """
+    What precedes an answer's body.
+
+    Parameters
+    ----------
+    content_length : int or None
+        Length of the body in bytes when it is known beforehand.
+    """
+
+    status: int
+    content_type: str
+    content_length: int | None = None
+    served_by: str = ""
+    zone: str = ""
+
+
+class AnswerSink(ABC):
+    """Takes one answer: :meth:`start`, then any :meth:`write`, :meth:`finish`."""
+
+    def __init__(self) -> None:
+        self.started = False
+
+    @abstractmethod
+    async def start(self, head: AnswerHead) -> None:
+        """Begin the answer; sets ``started``."""
+
+    @abstractmethod
+    async def write(self, data: bytes) -> None:
+        """Pass on a part of the body."""
+
+    @abstractmethod
+    async def finish(self) -> None:
+        """End the whole answer."""
--- /dev/null
+++ b/poplarlug/serving/forwarding.py
@@ -0,0 +1,115 @@
+"""Requests that one entry hands to an entry of another zone."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import msgspec
+from returns.result import Failure
+
+from poplarlug.errors import GatewayError, not_run, outcome_unknown, truncated_answer
+from poplarlug.serving.answers import AnswerHead, AnswerSink
+from poplarlug.serving.requests import GatewayRequest
+from poplarlug.transport import Transport, TransportErrorKind
+from poplarlug.types import VmName
+
+FORWARD_TOPIC = "serving.forward"
+QUEUED_CHUNKS = 64
+
+_HEAD = b"H"
+_BODY = b"B"
+_ERROR = b"E"
+
+Serve = Callable[[GatewayRequest, AnswerSink], Awaitable[GatewayError | None]]
+
+
+class Forwarder:
+    """Send requests to other entries and serve those that they send."""
+
+    def __init__(self, *, transport: Transport) -> None:
+        self._transport = transport
+        self._serve: Serve | None = None
+
+    def serve_by(self, serve: Serve) -> None:
+        """Answer other entries' forwarded requests by ``serve``."""
+        self._serve = serve
+        self._transport.serve_stream(FORWARD_TOPIC, GatewayRequest, self._serve_peer)
+
+    async def forward(
+        self, request: GatewayRequest, entry: VmName, sink: AnswerSink
+    ) -> GatewayError | None:
+        """Run ``request`` through ``entry`` and pass the answer to ``sink``."""
+        opened = self._transport.open_stream(
+            peer=entry,
+            topic=FORWARD_TOPIC,
+            message=request._replace(hops=request.hops + 1),
+        )
+        if isinstance(opened, Failure):
+            return not_run(opened.failure().message, 1.0)
+        stream = opened.unwrap()
+        try:
+            while True:
+                item = await stream.next_chunk()
+                if isinstance(item, Failure):
+                    error = item.failure()
+                    if error.kind is TransportErrorKind.REFUSED and not sink.started:
+                        return outcome_unknown(error.message)
+                    return truncated_answer(error.message)
+                chunk = item.unwrap()
+                if chunk is None:
+                    return None
+                failed = await _take_part(chunk, sink)
+                if failed is not None:
+                    return failed
+        finally:
+            stream.cancel()
+
+    async def _serve_peer(
+        self, sender: VmName, request: GatewayRequest
+    ) -> AsyncIterator[bytes]:
+        assert self._serve is not None
+        sink = _QueueSink()
+        serving = asyncio.ensure_future(self._serve_into(request, sink))
+        try:
+            while True:
+                part = await sink.parts.get()
+                if part is None:
+                    return
+                yield part
+        finally:
+            serving.cancel()
+
+    async def _serve_into(self, request: GatewayRequest, sink: "_QueueSink") -> None:
+        assert self._serve is not None
+        error = await self._serve(request, sink)
+        if error is not None:
+            await sink.parts.put(_ERROR + msgspec.msgpack.encode(error))
+        await sink.parts.put(None)
+
+
+class _QueueSink(AnswerSink):
+    """Holds an answer's parts until the stream to the peer takes them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.parts: asyncio.Queue[bytes | None] = asyncio.Queue(QUEUED_CHUNKS)
+
+    async def start(self, head: AnswerHead) -> None:
+        self.started = True
+        await self.parts.put(_HEAD + msgspec.msgpack.encode(head))
+
+    async def write(self, data: bytes) -> None:
+        await self.parts.put(_BODY + data)
+
+    async def finish(self) -> None:
+        pass
+
+
+async def _take_part(part: bytes, sink: AnswerSink) -> GatewayError | None:
+    tag, data = part[:1], part[1:]
+    if tag == _BODY:
+        await sink.write(data)
+    elif tag == _HEAD:
+        await sink.start(msgspec.msgpack.decode(data, type=AnswerHead))
+    else:
+        return msgspec.msgpack.decode(data, type=GatewayError)
+    return None
--- /dev/null
+++ b/poplarlug/serving/gateway.py
@@ -0,0 +1,185 @@
+"""Serves a request: checks, route, attempts, answer."""
+
+from collections import Counter
+
+from poplarlug.catalog import Account, Catalog, Rank
+from poplarlug.errors import (
+    GatewayError,
+    not_run,
+    outcome_unknown,
+    truncated_answer,
+)
+from poplarlug.latest import Latest
+from poplarlug.logs import PartLog
+from poplarlug.membership.sharing import Membership, ZoneSummary
+from poplarlug.routing import (
+    Fleet,
+    ForwardRoute,
+    LocalRoute,
+    RouteRequest,
+    RoutingPolicy,
+    ZoneView,
+)
+from poplarlug.serving.answers import AnswerSink
+from poplarlug.serving.attempts import AttemptStatus, UpstreamClient
+from poplarlug.serving.forwarding import Forwarder
+from poplarlug.serving.requests import GatewayRequest
+from poplarlug.types import UpstreamId
+
+MAX_ATTEMPTS = 3
+MAX_HOPS = 1
+RETRY_AFTER_SECONDS = 1.0
+DEFAULT_RANK = Rank("patient")
+
+_log = PartLog(prefix="serving")
+
+
+class Gateway:
+    """
+    Run requests at upstreams of the zone or through other zones' entries.
+
+    Parameters
+    ----------
+    catalog : Catalog
+        The configuration in force.
+    policy : RoutingPolicy
+        Chooses among the candidates.
+    """
+
+    def __init__(
+        self,
+        *,
+        catalog: Catalog,
+        membership: Membership,
+        policy: RoutingPolicy,
+        client: UpstreamClient,
+        forwarder: Forwarder,
+    ) -> None:
+        self._catalog = catalog
+        self._membership = membership
+        self._policy = policy
+        self._client = client
+        self._forwarder = forwarder
+        self._in_flight_by_id: Counter[UpstreamId] = Counter()
+        self.in_progress: Latest[int] = Latest(initial=0)
+        forwarder.serve_by(self.serve)
+
+    async def serve(
+        self, request: GatewayRequest, sink: AnswerSink
+    ) -> GatewayError | None:
+        """
+        Run ``request`` and pass its answer to ``sink``.
+
+        Returns
+        -------
+        GatewayError or None
+            ``None`` once the whole answer was passed on.
+        """
+        self.in_progress.set(self.in_progress.value + 1)
+        try:
+            account = self._catalog.account(request.account)
+            if account is None:
+                return GatewayError(403, "unknown_account", "the account is gone")
+            refused = self._check_borders(request, account)
+            if refused is not None:
+                return refused
+            return await self._attempt_all(request, account, sink)
+        finally:
+            self.in_progress.set(self.in_progress.value - 1)
+
+    def _check_borders(
+        self, request: GatewayRequest, account: Account
+    ) -> GatewayError | None:
+        region = self._membership.own.region
+        if region not in account.regions:
+            return GatewayError(
+                403,
+                "region_not_allowed",
+                f"Account {account.name!r} may not be served in region {region!r}; "
+                f"use one of {', '.join(account.regions)}.",
+            )
+        if request.hops > MAX_HOPS:
+            return GatewayError(
+                508, "forwarded_twice", "the request was forwarded twice"
+            )
+        return None
+
+    async def _attempt_all(
+        self, request: GatewayRequest, account: Account, sink: AnswerSink
+    ) -> GatewayError | None:
+        excluded: frozenset[UpstreamId] = frozenset()
+        rank = self._catalog.rank(request.rank) or DEFAULT_RANK
+        error = not_run("no upstream serves this now", RETRY_AFTER_SECONDS)
+        for _ in range(MAX_ATTEMPTS):
+            route_request = RouteRequest(
+                account=account,
+                rank=rank,
+                model=request.model,
+                service=request.service,
+                max_tokens=request.max_tokens,
+                excluded=excluded,
+                may_forward=request.hops < MAX_HOPS,
+            )
+            route = self._policy.choose(route_request, self._fleet())
+            if route is None:
+                return error
+            if isinstance(route, ForwardRoute):
+                return await self._forwarder.forward(request, route.entry, sink)
+            failed = await self._attempt_local(request, route, sink)
+            if failed is None:
+                return None
+            error = failed
+            if sink.started or (error.ran is not False and not request.repeatable):
+                return error
+            excluded |= {route.upstream.id}
+        return error
+
+    async def _attempt_local(
+        self, request: GatewayRequest, route: LocalRoute, sink: AnswerSink
+    ) -> GatewayError | None:
+        upstream = route.upstream
+        self._in_flight_by_id[upstream.id] += 1
+        try:
+            outcome = await self._client.attempt(
+                request=request, address=upstream.address, sink=sink
+            )
+        finally:
+            self._in_flight_by_id[upstream.id] -= 1
+        if outcome.status is AttemptStatus.DONE:
+            await sink.finish()
+            return None
+        _log.warning(
+            "attempt failed",
+            upstream=upstream.id,
+            status=outcome.status.value,
+            reason=outcome.message,
+        )
+        if outcome.status is AttemptStatus.NOT_SENT:
+            return not_run("no upstream was reached", RETRY_AFTER_SECONDS)
+        if sink.started:
+            return truncated_answer("the upstream broke off its answer")
+        return outcome_unknown("the upstream was lost before it answered")
+
+    def _fleet(self) -> Fleet:
+        return Fleet(
+            upstreams=self._membership.upstreams.serving.value,
+            in_flight_by_id=self._in_flight_by_id,
+            zones=_zone_views(self._membership.summaries()),
+        )
+
+
+def _zone_views(summaries: tuple[ZoneSummary, ...]) -> tuple[ZoneView, ...]:
+    summaries_by_zone: dict[str, list[ZoneSummary]] = {}
+    for summary in summaries:
+        summaries_by_zone.setdefault(summary.zone, []).append(summary)
+    return tuple(
+        ZoneView(
+            zone=zone,
+            region=held[0].region,
+            entries=tuple(summary.entry for summary in held),
+            models=held[0].models,
+            services=held[0].services,
+            running=held[0].running,
+        )
+        for zone, held in summaries_by_zone.items()
+    )
--- /dev/null
+++ b/poplarlug/serving/requests.py
@@ -0,0 +1,47 @@
+"""A caller's request on its way through the system."""
+
+from typing import NamedTuple
+
+from poplarlug.types import (
+    AccountName,
+    ModelName,
+    RankName,
+    RequestId,
+    ServiceName,
+    VmName,
+)
+
+
+class GatewayRequest(NamedTuple):
+    """
+    A checked request of one account.
+
+    Parameters
+    ----------
+    path : str
+        Path and query at the upstream.
+    repeatable : bool
+        Whether it may run more than once.
+    key : str
+        The caller's ``Idempotency-Key``, empty when there is none.
+    origin : VmName
+        Entry that took the request from its caller.
+    hops : int
+        How often it was forwarded.
+    """
+
+    id: RequestId
+    account: AccountName
+    rank: RankName
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    origin: VmName
+    model: ModelName | None = None
+    service: ServiceName | None = None
+    stream: bool = False
+    repeatable: bool = True
+    key: str = ""
+    max_tokens: int = 0
+    hops: int = 0
--- /dev/null
+++ b/poplarlug/settings.py
@@ -0,0 +1,106 @@
+"""Settings files: JSON with comments, checked as a whole."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple, TypeVar, get_args, get_origin, get_type_hints
+
+import json5
+import msgspec
+from returns.result import Failure, Result, Success
+
+T = TypeVar("T")
+
+_NO_VALUE = object()
+
+
+class SettingsError(NamedTuple):
+    """One wrong place in a settings file."""
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.message}"
+
+
+def load_settings(path: Path, kind: type[T]) -> Result[T, list[SettingsError]]:
+    """
+    Read the settings file at ``path`` as the ``NamedTuple`` class ``kind``.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        A file of JSON with comments.
+    kind : type
+        A ``NamedTuple`` class; its fields may be nested ones, tuples of them,
+        or anything that ``msgspec.convert`` takes.
+
+    Returns
+    -------
+    Success(T) or Failure(list of SettingsError)
+        All errors of the file at once, each with its path in the file.
+    """
+    try:
+        tree = json5.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        return Failure([SettingsError(str(path), f"can't be read: {error}")])
+    return check_settings(tree, kind)
+
+
+def check_settings(tree: Any, kind: type[T]) -> Result[T, list[SettingsError]]:
+    """Check a parsed settings tree; see :func:`load_settings`."""
+    errors: list[SettingsError] = []
+    value = _convert(tree, kind, "$", errors)
+    if errors:
+        return Failure(errors)
+    return Success(value)
+
+
+def _convert(value: Any, kind: Any, path: str, errors: list[SettingsError]) -> Any:
+    if _is_named_tuple(kind):
+        return _convert_named_tuple(value, kind, path, errors)
+    if get_origin(kind) is tuple and get_args(kind)[1:] == (Ellipsis,):
+        return _convert_list(value, get_args(kind)[0], path, errors)
+    try:
+        return msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        errors.append(SettingsError(path, f"got {value!r}: {error}"))
+        return _NO_VALUE
+
+
+def _convert_named_tuple(
+    value: Any, kind: Any, path: str, errors: list[SettingsError]
+) -> Any:
+    if not isinstance(value, Mapping):
+        errors.append(SettingsError(path, f"got {value!r}, expected an object"))
+        return _NO_VALUE
+    hints = get_type_hints(kind, include_extras=True)
+    for key in value:
+        if key not in hints:
+            known = ", ".join(hints)
+            errors.append(
+                SettingsError(f"{path}.{key}", f"unknown key; expected one of {known}")
+            )
+    fields = {}
+    for name, field_kind in hints.items():
+        if name in value:
+            fields[name] = _convert(value[name], field_kind, f"{path}.{name}", errors)
+        elif name not in kind._field_defaults:
+            errors.append(SettingsError(f"{path}.{name}", "missing; add this key"))
+    if errors:
+        return _NO_VALUE
+    return kind(**fields)
+
+
+def _convert_list(value: Any, kind: Any, path: str, errors: list[SettingsError]) -> Any:
+    if not isinstance(value, list):
+        errors.append(SettingsError(path, f"got {value!r}, expected an array"))
+        return _NO_VALUE
+    return tuple(
+        _convert(item, kind, f"{path}[{index}]", errors)
+        for index, item in enumerate(value)
+    )
+
+
+def _is_named_tuple(kind: Any) -> bool:
+    return isinstance(kind, type) and hasattr(kind, "_field_defaults")
--- /dev/null
+++ b/poplarlug/supervision.py
@@ -0,0 +1,121 @@
+"""Supervisor tree: restarts failed tasks with backoff and gives up upwards."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from poplarlug.logs import PartLog
+
+MAX_RESTARTS = 8
+RESTART_WINDOW_SECONDS = 60.0
+FIRST_BACKOFF_SECONDS = 0.05
+MAX_BACKOFF_SECONDS = 5.0
+
+ChildFactory = Callable[[], Awaitable[None]]
+
+_log = PartLog(prefix="supervision")
+
+
+class RestartsExhaustedError(Exception):
+    """A child failed too often within the window; its supervisor gives up."""
+
+
+class Supervisor:
+    """
+    Run named children, each in a task, and restart those that fail.
+
+    A child that returns is done. A child that raises is restarted after an
+    exponential delay with jitter. More than ``max_restarts`` failures of one
+    child in ``window_seconds`` end the supervisor with
+    :class:`RestartsExhaustedError`, which the supervisor above sees as a failure.
+
+    Parameters
+    ----------
+    name : str
+        Shown in logs.
+    rng : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        rng: Random,
+        max_restarts: int = MAX_RESTARTS,
+        window_seconds: float = RESTART_WINDOW_SECONDS,
+    ) -> None:
+        self._name = name
+        self._rng = rng
+        self._max_restarts = max_restarts
+        self._window_seconds = window_seconds
+        self._children_by_name: dict[str, ChildFactory] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._running = False
+
+    def add_child(self, name: str, factory: ChildFactory) -> None:
+        """Add a child; it starts at once when the supervisor runs already."""
+        self._children_by_name[name] = factory
+        if self._running:
+            self._start(name, factory)
+
+    async def run(self) -> None:
+        """
+        Run all children until they are done or one fails for good.
+
+        Raises
+        ------
+        RestartsExhaustedError
+            When a child failed too often.
+        """
+        self._running = True
+        for name, factory in self._children_by_name.items():
+            self._start(name, factory)
+        try:
+            while self._tasks:
+                done, _ = await asyncio.wait(
+                    self._tasks, return_when=asyncio.FIRST_COMPLETED
+                )
+                self._tasks -= done
+                for task in done:
+                    task.result()
+        finally:
+            self._running = False
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+            self._tasks.clear()
+
+    def _start(self, name: str, factory: ChildFactory) -> None:
+        task = asyncio.ensure_future(self._keep_running(name, factory))
+        self._tasks.add(task)
+
+    async def _keep_running(self, name: str, factory: ChildFactory) -> None:
+        loop = asyncio.get_running_loop()
+        failures: deque[float] = deque()
+        while True:
+            try:
+                await factory()
+                return
+            except Exception as error:
+                now = loop.time()
+                failures.append(now)
+                while failures and now - failures[0] > self._window_seconds:
+                    failures.popleft()
+                _log.error(
+                    "child failed",
+                    supervisor=self._name,
+                    child=name,
+                    error=repr(error),
+                    exc_info=True,
+                )
+                if len(failures) > self._max_restarts:
+                    raise RestartsExhaustedError(
+                        f"{self._name}/{name} failed {len(failures)} times"
+                    ) from error
+            await asyncio.sleep(self._backoff(len(failures)))
+
+    def _backoff(self, failures: int) -> float:
+        delay = FIRST_BACKOFF_SECONDS * 2 ** min(failures - 1, 10)
+        return min(delay, MAX_BACKOFF_SECONDS) * (0.5 + self._rng.random())
--- /dev/null
+++ b/poplarlug/transport/memory.py
@@ -0,0 +1,115 @@
+"""Transport in memory with delays, losses and cuts, for tests and trials."""
+
+import asyncio
+from random import Random
+from typing import Any, NamedTuple
+
+from poplarlug.transport.base import Transport
+from poplarlug.transport.frames import Header, encode_header
+from poplarlug.types import Seconds, VmName
+
+
+class LinkQuality(NamedTuple):
+    """Delay bounds in seconds and the share of frames lost or doubled."""
+
+    min_delay: Seconds = 0.0005
+    max_delay: Seconds = 0.001
+    loss: float = 0.0
+
+
+class _Route(NamedTuple):
+    peer: VmName
+    incarnation: int
+
+
+class MemoryNetwork:
+    """
+    Carry frames between the memory transports of one event loop.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of delays and losses, so that a seed gives the same run.
+    """
+
+    def __init__(self, *, rng: Random, quality: LinkQuality | None = None) -> None:
+        self.rng = rng
+        self.quality = quality or LinkQuality()
+        self.quality_by_link: dict[tuple[VmName, VmName], LinkQuality] = {}
+        self.cut_links: set[tuple[VmName, VmName]] = set()
+        self._transports_by_name: dict[VmName, MemoryTransport] = {}
+
+    def cut(self, source: VmName, target: VmName) -> None:
+        """Lose all frames from ``source`` to ``target``, one way."""
+        self.cut_links.add((source, target))
+
+    def heal(self) -> None:
+        """Carry frames on all links again."""
+        self.cut_links.clear()
+
+    def _attach(self, transport: "MemoryTransport") -> None:
+        self._transports_by_name[transport.name] = transport
+
+    def _detach(self, transport: "MemoryTransport") -> None:
+        if self._transports_by_name.get(transport.name) is transport:
+            del self._transports_by_name[transport.name]
+
+    def _carry(
+        self,
+        source: "MemoryTransport",
+        target: VmName,
+        incarnation: int | None,
+        header: Header,
+        payload: bytes,
+    ) -> None:
+        quality = self.quality_by_link.get((source.name, target), self.quality)
+        if self.rng.random() < quality.loss:
+            return
+        delay = self.rng.uniform(quality.min_delay, quality.max_delay)
+        asyncio.get_running_loop().call_later(
+            delay, self._deliver, source, target, incarnation, header, payload
+        )
+
+    def _deliver(
+        self,
+        source: "MemoryTransport",
+        target: VmName,
+        incarnation: int | None,
+        header: Header,
+        payload: bytes,
+    ) -> None:
+        receiver = self._transports_by_name.get(target)
+        if receiver is None or (source.name, target) in self.cut_links:
+            return
+        if incarnation is None:
+            route = _Route(source.name, source.incarnation)
+            receiver._receive_request(route, encode_header(header), payload)
+        elif receiver.incarnation == incarnation:
+            receiver._receive_reply(encode_header(header), payload)
+
+
+class MemoryTransport(Transport):
+    """Transport of one simulated process in a :class:`MemoryNetwork`."""
+
+    _incarnations = 0
+
+    def __init__(self, *, name: VmName, network: MemoryNetwork) -> None:
+        super().__init__(name=name)
+        MemoryTransport._incarnations += 1
+        self.incarnation = MemoryTransport._incarnations
+        self._network = network
+
+    async def run(self) -> None:
+        self._network._attach(self)
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            self._network._detach(self)
+            await self._stop_tasks()
+
+    def _send(self, peer: VmName, header: Header, payload: bytes) -> bool:
+        self._network._carry(self, peer, None, header, payload)
+        return True
+
+    def _reply(self, route: Any, header: Header, payload: bytes) -> None:
+        self._network._carry(self, route.peer, route.incarnation, header, payload)
--- /dev/null
+++ b/poplarlug/transport/zeromq.py
@@ -0,0 +1,173 @@
+"""Transport over ZeroMQ sockets with CURVE keys."""
+
+import asyncio
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import zmq
+import zmq.asyncio
+import zmq.auth
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from poplarlug.logs import PartLog
+from poplarlug.topology import KeyFiles
+from poplarlug.transport.base import MAX_MESSAGE_BYTES, Transport
+from poplarlug.transport.frames import Header, encode_header
+from poplarlug.types import Address, VmName
+
+SEND_QUEUE_MESSAGES = 1000
+HEARTBEAT_MILLISECONDS = 2000
+HEARTBEAT_TIMEOUT_MILLISECONDS = 6000
+FIRST_RECONNECT_MILLISECONDS = 50
+MAX_RECONNECT_MILLISECONDS = 1000
+HANDSHAKE_MILLISECONDS = 5000
+
+_log = PartLog(prefix="transport")
+
+
+class ZmqTransport(Transport):
+    """
+    Exchange frames over one listening socket and one socket a peer.
+
+    A peer whose public key is not in the peers folder gets nothing in. A frame
+    is handed over only while the link to the peer stands, so nothing waits in
+    a queue for a peer that is away.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    addresses_by_name : mapping
+        Addresses of the peers.
+    keys : KeyFiles
+        Own secret key and the folder of the peers' public keys.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: VmName,
+        address: Address,
+        addresses_by_name: Mapping[VmName, Address],
+        keys: KeyFiles,
+    ) -> None:
+        super().__init__(name=name)
+        self._address = address
+        self._addresses_by_name = addresses_by_name
+        self._keys = keys
+        self._public, self._secret = zmq.auth.load_certificate(keys.secret_file)
+        self._context: zmq.asyncio.Context | None = None
+        self._router: zmq.asyncio.Socket | None = None
+        self._dealers_by_name: dict[VmName, zmq.asyncio.Socket] = {}
+        self._receivers: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        self._context = zmq.asyncio.Context()
+        authenticator = AsyncioAuthenticator(self._context)
+        authenticator.start()
+        authenticator.configure_curve(domain="*", location=self._keys.peers_folder)
+        self._router = self._context.socket(zmq.ROUTER)
+        _set_limits(self._router)
+        self._router.curve_secretkey = self._secret
+        self._router.curve_publickey = self._public
+        self._router.curve_server = True
+        self._router.bind(f"tcp://{self._address}")
+        try:
+            while True:
+                frames = await self._router.recv_multipart()
+                if len(frames) == 3:
+                    self._receive_request(frames[0], frames[1], frames[2])
+        finally:
+            await self._close(authenticator)
+
+    def connect(self, peer: VmName) -> None:
+        """Open the link to ``peer`` ahead of its first message."""
+        if self._context is not None and peer not in self._dealers_by_name:
+            self._open_dealer(self._context, peer)
+
+    def _open_dealer(
+        self, context: zmq.asyncio.Context, peer: VmName
+    ) -> zmq.asyncio.Socket | None:
+        address = self._addresses_by_name.get(peer)
+        key_file = Path(self._keys.peers_folder) / f"{peer}.key"
+        if address is None or not key_file.exists():
+            _log.warning("no address or key of a peer", peer=peer)
+            return None
+        dealer = context.socket(zmq.DEALER)
+        _set_limits(dealer)
+        dealer.immediate = 1
+        dealer.reconnect_ivl = FIRST_RECONNECT_MILLISECONDS
+        dealer.reconnect_ivl_max = MAX_RECONNECT_MILLISECONDS
+        dealer.curve_secretkey = self._secret
+        dealer.curve_publickey = self._public
+        dealer.curve_serverkey, _ = zmq.auth.load_certificate(str(key_file))
+        dealer.connect(f"tcp://{address}")
+        self._dealers_by_name[peer] = dealer
+        task = asyncio.ensure_future(self._receive_from(dealer))
+        self._receivers.add(task)
+        return dealer
+
+    async def _receive_from(self, dealer: zmq.asyncio.Socket) -> None:
+        while True:
+            frames = await dealer.recv_multipart()
+            if len(frames) == 2:
+                self._receive_reply(frames[0], frames[1])
+
+    def _send(self, peer: VmName, header: Header, payload: bytes) -> bool:
+        if self._context is None:
+            return False
+        dealer = self._dealers_by_name.get(peer)
+        if dealer is None:
+            dealer = self._open_dealer(self._context, peer)
+        return dealer is not None and _send_now(
+            dealer, [encode_header(header), payload]
+        )
+
+    def _reply(self, route: Any, header: Header, payload: bytes) -> None:
+        if self._router is not None:
+            _send_now(self._router, [route, encode_header(header), payload])
+
+    async def _close(self, authenticator: AsyncioAuthenticator) -> None:
+        await self._stop_tasks()
+        for task in self._receivers:
+            task.cancel()
+        await asyncio.gather(*self._receivers, return_exceptions=True)
+        self._receivers.clear()
+        authenticator.stop()
+        for dealer in self._dealers_by_name.values():
+            dealer.close(linger=0)
+        self._dealers_by_name.clear()
+        if self._router is not None:
+            self._router.close(linger=200)
+            self._router = None
+        if self._context is not None:
+            self._context.destroy(linger=200)
+            self._context = None
+
+
+def _set_limits(socket: zmq.asyncio.Socket) -> None:
+    socket.sndhwm = SEND_QUEUE_MESSAGES
+    socket.rcvhwm = SEND_QUEUE_MESSAGES
+    socket.maxmsgsize = MAX_MESSAGE_BYTES
+    socket.heartbeat_ivl = HEARTBEAT_MILLISECONDS
+    socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MILLISECONDS
+    socket.handshake_ivl = HANDSHAKE_MILLISECONDS
+    socket.linger = 0
+
+
+def _send_now(socket: Any, frames: list[bytes]) -> bool:
+    # The asyncio socket's own send would wait in a queue of its own when the
+    # link is down; the plain socket below it says so at once.
+    try:
+        zmq.Socket.send_multipart(
+            socket._shadow_sock, frames, flags=zmq.DONTWAIT, copy=True
+        )
+    except zmq.Again:
+        return False
+    except zmq.ZMQError as error:
+        _log.warning("send failed", error=str(error))
+        return False
+    # A send may leave a received message unannounced on the descriptor.
+    socket._schedule_remaining_events()
+    return True
