--- a/poplarlug/transport/memory.py
+++ b/poplarlug/transport/memory.py
@@ -8,9 +8,11 @@
 from poplarlug.transport.frames import Header, encode_header
 from poplarlug.types import Seconds, VmName
 
+_SHORTEST_GAP_SECONDS = 1e-7
+
 
 class LinkQuality(NamedTuple):
-    """Delay bounds in seconds and the share of frames lost or doubled."""
+    """Delay bounds in seconds and the share of frames lost."""
 
     min_delay: Seconds = 0.0005
     max_delay: Seconds = 0.001
@@ -38,6 +40,7 @@
         self.quality_by_link: dict[tuple[VmName, VmName], LinkQuality] = {}
         self.cut_links: set[tuple[VmName, VmName]] = set()
         self._transports_by_name: dict[VmName, MemoryTransport] = {}
+        self._last_arrivals_by_link: dict[tuple[VmName, VmName], Seconds] = {}
 
     def cut(self, source: VmName, target: VmName) -> None:
         """Lose all frames from ``source`` to ``target``, one way."""
@@ -66,8 +69,14 @@
         if self.rng.random() < quality.loss:
             return
         delay = self.rng.uniform(quality.min_delay, quality.max_delay)
-        asyncio.get_running_loop().call_later(
-            delay, self._deliver, source, target, incarnation, header, payload
+        loop = asyncio.get_running_loop()
+        link = (source.name, target)
+        # One connection keeps its order, as TCP does.
+        last = self._last_arrivals_by_link.get(link, 0.0)
+        arrival = max(loop.time() + delay, last + _SHORTEST_GAP_SECONDS)
+        self._last_arrivals_by_link[link] = arrival
+        loop.call_at(
+            arrival, self._deliver, source, target, incarnation, header, payload
         )
 
     def _deliver(
--- /dev/null
+++ b/tests/processes/proxy.py
@@ -0,0 +1,199 @@
+"""A TCP proxy that injects faults on the links between processes."""
+
+import asyncio
+import socket
+import threading
+from collections.abc import Callable
+from enum import Enum
+from random import Random
+from types import TracebackType
+from typing import Any, NamedTuple
+
+CHUNK_BYTES = 65536
+
+
+class LinkMode(Enum):
+    """
+    What a link does.
+
+    ``REFUSE`` closes connections; ``SILENT`` keeps them and passes nothing in
+    either direction; ``LOSE_THERE`` and ``LOSE_BACK`` pass nothing one way.
+    """
+
+    PASS = "pass"
+    REFUSE = "refuse"
+    SILENT = "silent"
+    LOSE_THERE = "lose_there"
+    LOSE_BACK = "lose_back"
+
+
+class _Link(NamedTuple):
+    source: str
+    target: str
+    target_address: str
+    address: str
+
+
+_SILENT_THERE = (LinkMode.SILENT, LinkMode.LOSE_THERE)
+_SILENT_BACK = (LinkMode.SILENT, LinkMode.LOSE_BACK)
+
+
+class FaultProxy:
+    """
+    One listener a link, each with a mode and a delay that tests change.
+
+    Bytes that a silent link swallowed are lost for good: its connections are
+    closed when the link passes again, as a network would let them time out.
+    """
+
+    def __init__(self) -> None:
+        self._links_by_names: dict[tuple[str, str], _Link] = {}
+        self._modes_by_names: dict[tuple[str, str], LinkMode] = {}
+        self._delays_by_names: dict[tuple[str, str], float] = {}
+        self._tainted: set[asyncio.StreamWriter] = set()
+        self._writers_by_names: dict[tuple[str, str], set[asyncio.StreamWriter]] = {}
+        rng = Random()
+        self._ip = (
+            f"127.{rng.randint(1, 250)}.{rng.randint(1, 250)}.{rng.randint(2, 250)}"
+        )
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+
+    def __enter__(self) -> "FaultProxy":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def link(self, source: str, target: str, address: str) -> str:
+        """Return the address by which ``source`` reaches ``target``."""
+        names = (source, target)
+        if names not in self._links_by_names:
+            listener = socket.socket()
+            listener.bind((self._ip, 0))
+            own = f"{self._ip}:{listener.getsockname()[1]}"
+            self._links_by_names[names] = _Link(source, target, address, own)
+            self._modes_by_names[names] = LinkMode.PASS
+            self._writers_by_names[names] = set()
+            self._call(self._listen(names, listener))
+        return self._links_by_names[names].address
+
+    def set_mode(self, mode: LinkMode, *, matching: Callable[[str, str], bool]) -> None:
+        """Set the mode of the links whose (source, target) match."""
+        self._call(self._set_mode(mode, matching))
+
+    def set_delay(
+        self, seconds: float, *, matching: Callable[[str, str], bool]
+    ) -> None:
+        """Delay bytes one way by ``seconds`` on the links that match."""
+        for names in self._links_by_names:
+            if matching(*names):
+                self._delays_by_names[names] = seconds
+
+    def isolate(self, *names: str, mode: LinkMode = LinkMode.SILENT) -> None:
+        """Cut the processes ``names`` off from all others, both ways."""
+        inside = set(names)
+        self.set_mode(mode, matching=lambda s, t: (s in inside) != (t in inside))
+
+    def heal(self) -> None:
+        """Let all links pass."""
+        self.set_mode(LinkMode.PASS, matching=lambda source, target: True)
+
+    def close(self) -> None:
+        """Stop the proxy and its thread."""
+        self._call(self._cancel_all())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def _call(self, coroutine: Any) -> Any:
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(30)
+
+    async def _cancel_all(self) -> None:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _set_mode(
+        self, mode: LinkMode, matching: Callable[[str, str], bool]
+    ) -> None:
+        for names in self._links_by_names:
+            if not matching(*names):
+                continue
+            self._modes_by_names[names] = mode
+            for writer in list(self._writers_by_names[names]):
+                if mode is LinkMode.REFUSE or writer in self._tainted:
+                    self._tainted.discard(writer)
+                    writer.transport.abort()
+
+    async def _listen(self, names: tuple[str, str], listener: socket.socket) -> None:
+        async def accept(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._carry(names, reader, writer)
+
+        await asyncio.start_server(accept, sock=listener)
+
+    async def _carry(
+        self,
+        names: tuple[str, str],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if self._modes_by_names[names] is LinkMode.REFUSE:
+            writer.transport.abort()
+            return
+        host, _, port = self._links_by_names[names].target_address.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        writers = self._writers_by_names[names]
+        writers |= {writer, far_writer}
+        there = self._pump(names, reader, far_writer, writer, _SILENT_THERE)
+        back = self._pump(names, far_reader, writer, far_writer, _SILENT_BACK)
+        try:
+            await asyncio.gather(there, back)
+        finally:
+            writers -= {writer, far_writer}
+            writer.transport.abort()
+            far_writer.transport.abort()
+
+    async def _pump(
+        self,
+        names: tuple[str, str],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        other: asyncio.StreamWriter,
+        silent: tuple[LinkMode, ...],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self._modes_by_names[names] in silent:
+                    self._tainted |= {writer, other}
+                    continue
+                delay = self._delays_by_names.get(names, 0.0)
+                if delay:
+                    loop.call_later(delay, _write, writer, data)
+                else:
+                    _write(writer, data)
+                    await writer.drain()
+        except OSError:
+            pass
+        if self._modes_by_names[names] not in silent:
+            other.transport.abort()
+            loop.call_later(self._delays_by_names.get(names, 0.0), writer.close)
+
+
+def _write(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.transport.is_closing():
+        writer.write(data)
