--- a/tests/processes/proxy.py
+++ b/tests/processes/proxy.py
@@ -1,6 +1,7 @@
 """A TCP proxy that injects faults on the links between processes."""
 
 import asyncio
+import contextlib
 import socket
 import threading
 from collections.abc import Callable
@@ -137,7 +138,9 @@
         async def accept(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            await self._carry(names, reader, writer)
+            # The streams module logs a cancelled handler as an error.
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._carry(names, reader, writer)
 
         await asyncio.start_server(accept, sock=listener)
 
