--- a/poplarlug/control/replicated_log.py
+++ b/poplarlug/control/replicated_log.py
@@ -27,11 +27,28 @@
     leader: VmName | None = None
 
 
+class LogEntry(NamedTuple):
+    """
+    A committed command and its place in the log.
+
+    Parameters
+    ----------
+    term : int
+        Term of the leader that appended it.
+    index : int
+        Position in the log; the first entry has 1.
+    """
+
+    term: int
+    index: int
+    command: bytes
+
+
 class StateMachine(ABC):
     """State that is a function of the committed commands in their order."""
 
     @abstractmethod
-    def apply(self, command: bytes) -> Any:
+    def apply(self, entry: LogEntry) -> Any:
         """Apply the next committed command and return its outcome."""
 
     @abstractmethod
@@ -51,6 +68,12 @@
     def leader(self) -> VmName | None:
         """Name of the leader, ``None`` when none is known."""
 
+    @abstractmethod
+    @property
+    @abstractmethod
+    def is_leader(self) -> bool:
+        """Whether this replica rules now, within its lease."""
+
     @abstractmethod
     async def propose(self, command: bytes) -> Result[Any, ProposeError]:
         """Return the outcome of ``command`` after it was committed and applied."""
--- a/poplarlug/control/single_log.py
+++ b/poplarlug/control/single_log.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from poplarlug.control.replicated_log import (
+    LogEntry,
     ProposeError,
     ProposeErrorKind,
     ReplicatedLog,
@@ -36,14 +37,19 @@
         self._state_machine = state_machine
         data_folder.mkdir(parents=True, exist_ok=True)
         self._path = data_folder / "log"
+        self._last_index = 0
         for command in _read_records(self._path):
-            state_machine.apply(command)
+            self._apply(command)
         self._file = self._path.open("ab")
 
     @property
     def leader(self) -> VmName | None:
         return self._leader
 
+    @property
+    def is_leader(self) -> bool:
+        return self._leader == self._name
+
     async def propose(self, command: bytes) -> Result[Any, ProposeError]:
         if self._name != self._leader:
             return Failure(
@@ -57,7 +63,11 @@
         self._file.write(command)
         self._file.flush()
         os.fsync(self._file.fileno())
-        return Success(self._state_machine.apply(command))
+        return Success(self._apply(command))
+
+    def _apply(self, command: bytes) -> Any:
+        self._last_index += 1
+        return self._state_machine.apply(LogEntry(1, self._last_index, command))
 
     async def run(self) -> None:
         await asyncio.get_running_loop().create_future()
--- a/poplarlug/control/state.py
+++ b/poplarlug/control/state.py
@@ -14,7 +14,7 @@
     Delta,
     Snapshot,
 )
-from poplarlug.control.replicated_log import StateMachine
+from poplarlug.control.replicated_log import LogEntry, StateMachine
 from poplarlug.types import ConfigVersion
 
 MAX_OUTCOMES = 20_000
@@ -55,8 +55,8 @@
         self._outcomes_by_change_id: OrderedDict[str, ChangeOutcome] = OrderedDict()
         self._recent_deltas: deque[Delta] = deque(maxlen=MAX_RECENT_DELTAS)
 
-    def apply(self, command: bytes) -> ChangeOutcome:
-        change = msgspec.msgpack.decode(command, type=Change)
+    def apply(self, entry: LogEntry) -> ChangeOutcome:
+        change = msgspec.msgpack.decode(entry.command, type=Change)
         first = self._outcomes_by_change_id.get(change.change_id)
         if first is not None:
             return first
