--- a/poplarlug/control/replicated_log.py
+++ b/poplarlug/control/replicated_log.py
@@ -35,12 +35,12 @@
     ----------
     term : int
         Term of the leader that appended it.
-    index : int
+    log_index : int
         Position in the log; the first entry has 1.
     """
 
     term: int
-    index: int
+    log_index: int
     command: bytes
 
 
