--- a/poplarlug/control/replicated_log.py
+++ b/poplarlug/control/replicated_log.py
@@ -68,7 +68,6 @@
     def leader(self) -> VmName | None:
         """Name of the leader, ``None`` when none is known."""
 
-    @abstractmethod
     @property
     @abstractmethod
     def is_leader(self) -> bool:
