Emulate an engine's batch, memory, cache and reports

Cause: decisions under load can't be judged on an engine that only sleeps. Ruled out: one timer a token (too slow in virtual time); a closed formula (can't show priorities, cancel or a full KV cache). The stand-in engine process uses it for its timing. Announcements gain capacity, rates and cache events, all with defaults.

--- a/poplarlug/fakes/engine.py
+++ b/poplarlug/fakes/engine.py
@@ -1,15 +1,25 @@
 """A stand-in for a model engine behind HTTP."""
 
-import asyncio
 import hashlib
 import os
 from collections.abc import Iterator
+from random import Random
 from typing import Any, NamedTuple
 
 import msgspec
 from aiohttp import web
 
+from poplarlug.fakes.emulator import (
+    EngineEmulator,
+    EngineJob,
+    EngineProfile,
+    EngineStream,
+)
+from poplarlug.routing.prefix_hashes import shape_of_body
+
 CRASH_MARKER = "crash-the-engine"
+DEFAULT_MAX_TOKENS = 16
+UNLIMITED_BATCH = EngineProfile().batch_limit
 
 
 class EngineOptions(NamedTuple):
@@ -18,14 +28,14 @@
 
     Parameters
     ----------
-    token_seconds, first_token_seconds : float
-        Time to each further token and to the first one.
+    profile : EngineProfile
+        Size and speed of the emulated engine.
     """
 
     upstream_id: str
     models: tuple[str, ...]
-    token_seconds: float = 0.0
-    first_token_seconds: float = 0.0
+    profile: EngineProfile = EngineProfile()
+    seed: int = 0
 
 
 class FakeEngine:
@@ -38,6 +48,9 @@
 
     def __init__(self, *, options: EngineOptions) -> None:
         self._options = options
+        self._emulator = EngineEmulator(
+            profile=options.profile, rng=Random(options.seed), models=options.models
+        )
         self.running = 0
         self.served = 0
 
@@ -53,7 +66,7 @@
             "id": self._options.upstream_id,
             "kind": "engine",
             "models": list(self._options.models),
-            "running": self.running,
+            **self._load(),
         }
 
     async def serve_health(self, request: web.Request) -> web.Response:
@@ -67,15 +80,36 @@
         self.running += 1
         self.served += 1
         try:
-            if body.get("stream"):
-                return await self._stream(request, body)
-            await self._wait(self._options.first_token_seconds)
-            tokens = list(tokens_of(body))
-            await self._wait(self._options.token_seconds * len(tokens))
-            return web.json_response(self._whole(body, tokens))
+            sequence = self._emulator.submit(_job_of(request, data, body))
+            try:
+                if body.get("stream"):
+                    return await self._stream(request, body, sequence)
+                await sequence.finished()
+                return web.json_response(self._whole(body, list(tokens_of(body))))
+            finally:
+                sequence.cancel()
         finally:
             self.running -= 1
 
+    def _load(self) -> dict[str, Any]:
+        profile = self._options.profile
+        load = self._emulator.reported_load()
+        report: dict[str, Any] = {
+            "running": load.running,
+            "queued": load.queued,
+            "token_seconds": profile.token_seconds,
+        }
+        if profile.batch_limit < UNLIMITED_BATCH:
+            report["capacity"] = profile.batch_limit
+        if profile.prefill_tokens_per_second < float("inf"):
+            report["prefill_tokens_per_second"] = profile.prefill_tokens_per_second
+        events = self._emulator.publish_cache_events()
+        if events is not None:
+            report["cache_sequence"] = events.sequence
+            report["cache_stored"] = list(events.stored)
+            report["cache_removed"] = list(events.removed)
+        return report
+
     def _whole(self, body: dict[str, Any], tokens: list[str]) -> dict[str, Any]:
         message = {"role": "assistant", "content": " ".join(tokens)}
         return {
@@ -87,7 +121,7 @@
         }
 
     async def _stream(
-        self, request: web.Request, body: dict[str, Any]
+        self, request: web.Request, body: dict[str, Any], sequence: EngineStream
     ) -> web.StreamResponse:
         response = web.StreamResponse(
             headers={
@@ -96,21 +130,37 @@
             }
         )
         await response.prepare(request)
-        await self._wait(self._options.first_token_seconds)
-        skip = int(body.get("resume_from", 0))
-        for index, token in enumerate(tokens_of(body)):
-            if index < skip:
-                continue
-            await self._wait(self._options.token_seconds)
-            delta = {"index": 0, "delta": {"content": f"{token} "}}
-            event = {"object": "chat.completion.chunk", "choices": [delta]}
-            await response.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
+        tokens = list(tokens_of(body))
+        sent = sequence.job.resume_from
+        while sent < len(tokens):
+            ready = await sequence.next_tokens(sent)
+            if sequence.cancelled:
+                _abort(request)
+                return response
+            for token in tokens[sent:ready]:
+                delta = {"index": 0, "delta": {"content": f"{token} "}}
+                event = {"object": "chat.completion.chunk", "choices": [delta]}
+                await response.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
+            sent = max(sent, ready)
         await response.write(b"data: [DONE]\n\n")
         return response
 
-    async def _wait(self, seconds: float) -> None:
-        if seconds > 0:
-            await asyncio.sleep(seconds)
+
+def _abort(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def _job_of(request: web.Request, data: bytes, body: dict[str, Any]) -> EngineJob:
+    shape = shape_of_body(data)
+    max_tokens = max(1, int(body.get("max_tokens", DEFAULT_MAX_TOKENS)))
+    return EngineJob(
+        prompt_tokens=shape.tokens,
+        max_tokens=max_tokens,
+        prefix_hashes=shape.prefix_hashes,
+        priority=int(request.headers.get("X-Priority", 1)),
+        resume_from=min(int(body.get("resume_from", 0)), max_tokens),
+    )
 
 
 def tokens_of(body: dict[str, Any]) -> Iterator[str]:
@@ -118,5 +168,5 @@
     prompt = msgspec.json.encode(body.get("messages", body.get("prompt")))
     digest = hashlib.sha256(prompt).hexdigest()[:16]
     yield digest
-    for index in range(1, int(body.get("max_tokens", 16))):
+    for index in range(1, int(body.get("max_tokens", DEFAULT_MAX_TOKENS))):
         yield f"{digest[:4]}-{index}"
--- a/poplarlug/fakes/engine_main.py
+++ b/poplarlug/fakes/engine_main.py
@@ -5,6 +5,7 @@
 
 import fire
 
+from poplarlug.fakes.emulator import EngineProfile
 from poplarlug.fakes.engine import EngineOptions, FakeEngine
 from poplarlug.fakes.runner import run_fake
 
@@ -16,13 +17,32 @@
     models: Any,
     token_seconds: float = 0.0,
     first_token_seconds: float = 0.0,
+    batch_limit: int = EngineProfile().batch_limit,
+    kv_tokens: int = EngineProfile().kv_tokens,
+    cache_blocks: int = EngineProfile().cache_blocks,
+    prefill_tokens_per_second: float = 0.0,
+    token_seconds_per_sequence: float = 0.0,
+    load_lag_seconds: float = 0.0,
+    event_delay_seconds: float = 0.0,
+    event_loss: float = 0.0,
 ) -> None:
-    """Run a stand-in engine; lists are separated by commas."""
+    """Run a stand-in engine; lists are separated by commas, rate 0 is no limit."""
+    profile = EngineProfile(
+        batch_limit=batch_limit,
+        kv_tokens=kv_tokens,
+        cache_blocks=cache_blocks,
+        prefill_tokens_per_second=prefill_tokens_per_second or float("inf"),
+        token_seconds=token_seconds,
+        token_seconds_per_sequence=token_seconds_per_sequence,
+        first_token_seconds=first_token_seconds,
+        load_lag_seconds=load_lag_seconds,
+        event_delay_seconds=event_delay_seconds,
+        event_loss=event_loss,
+    )
     options = EngineOptions(
         upstream_id=upstream_id,
         models=split(models),
-        token_seconds=token_seconds,
-        first_token_seconds=first_token_seconds,
+        profile=profile,
     )
     engine = FakeEngine(options=options)
     asyncio.run(
--- /dev/null
+++ b/poplarlug/fakes/prefix_cache.py
@@ -0,0 +1,122 @@
+"""The prefix cache of an emulated engine and the events that it publishes."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Sequence
+from random import Random
+from typing import NamedTuple
+
+from poplarlug.types import Seconds
+
+MAX_EVENTS_HELD = 512
+MAX_HASHES_IN_BATCH = 256
+
+
+class CacheEvents(NamedTuple):
+    """
+    Changes of a cache since the batch before.
+
+    Parameters
+    ----------
+    sequence : int
+        Grows by one with every batch; a gap means that batches were lost.
+    """
+
+    sequence: int = 0
+    stored: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
+
+
+class _Change(NamedTuple):
+    at: Seconds
+    stored: bool
+    prefix_hash: int
+
+
+class PrefixCache:
+    """
+    Least-recently-used cache of prompt blocks by the hash of their prefix.
+
+    Parameters
+    ----------
+    blocks : int
+        How many blocks of ``BLOCK_TOKENS`` tokens fit.
+    event_delay_seconds : float
+        Age at which a change is published.
+    event_loss : float
+        Share of published batches, 0 to 1, that never reach a reader.
+    """
+
+    def __init__(
+        self,
+        *,
+        blocks: int,
+        event_delay_seconds: Seconds = 0.0,
+        event_loss: float = 0.0,
+        rng: Random,
+    ) -> None:
+        self._blocks = blocks
+        self._event_delay_seconds = event_delay_seconds
+        self._event_loss = event_loss
+        self._rng = rng
+        self._held: OrderedDict[int, None] = OrderedDict()
+        self._changes: deque[_Change] = deque(maxlen=MAX_EVENTS_HELD)
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def __contains__(self, prefix_hash: int) -> bool:
+        return prefix_hash in self._held
+
+    def hit_blocks(self, prefix_hashes: Sequence[int]) -> int:
+        """Return how many leading blocks are held; marks nothing as used."""
+        for index, prefix_hash in enumerate(prefix_hashes):
+            if prefix_hash not in self._held:
+                return index
+        return len(prefix_hashes)
+
+    def store(self, prefix_hashes: Sequence[int], now: Seconds) -> None:
+        """Hold the blocks of a prompt, the shortest prefixes the longest."""
+        for prefix_hash in reversed(prefix_hashes):
+            if prefix_hash in self._held:
+                self._held.move_to_end(prefix_hash)
+                continue
+            self._held[prefix_hash] = None
+            self._changes.append(_Change(now, True, prefix_hash))
+        while len(self._held) > self._blocks:
+            removed, _ = self._held.popitem(last=False)
+            self._changes.append(_Change(now, False, removed))
+
+    def clear(self, now: Seconds) -> None:
+        """Lose all blocks, as a restarted engine does."""
+        for prefix_hash in self._held:
+            self._changes.append(_Change(now, False, prefix_hash))
+        self._held.clear()
+
+    def export(self, prefix_hashes: Iterable[int]) -> tuple[int, ...]:
+        """Return those of ``prefix_hashes`` that are held."""
+        return tuple(item for item in prefix_hashes if item in self._held)
+
+    def publish(self, now: Seconds) -> CacheEvents | None:
+        """
+        Return the next batch of changes that are old enough.
+
+        Returns
+        -------
+        CacheEvents or None
+            ``None`` for a batch that was lost; its sequence is used up.
+        """
+        self._sequence += 1
+        stored: dict[int, None] = {}
+        removed: dict[int, None] = {}
+        oldest = now - self._event_delay_seconds
+        while self._changes and self._changes[0].at <= oldest:
+            if len(stored) + len(removed) >= MAX_HASHES_IN_BATCH:
+                break
+            change = self._changes.popleft()
+            gains, loses = (stored, removed) if change.stored else (removed, stored)
+            gains[change.prefix_hash] = None
+            loses.pop(change.prefix_hash, None)
+        if self._rng.random() < self._event_loss:
+            return None
+        return CacheEvents(self._sequence, tuple(stored), tuple(removed))
--- a/poplarlug/membership/upstreams.py
+++ b/poplarlug/membership/upstreams.py
@@ -28,6 +28,16 @@
         Larger ones replace smaller ones; a restart has a larger incarnation.
     running, queued : int
         Requests in progress and waiting, as the upstream counts them.
+    capacity : int
+        Requests that it runs at once; 0 when it doesn't say.
+    prefill_tokens_per_second : float
+        Rate of prefill; 0 when it doesn't say.
+    token_seconds : float
+        Time between the tokens of one answer; 0 when it doesn't say.
+    cache_sequence : int
+        Grows by one with every batch of cache events; a gap means lost batches.
+    cache_stored, cache_removed : tuple of int
+        Prefix hashes that its cache gained and lost since the batch before.
     """
 
     id: UpstreamId
@@ -40,6 +50,12 @@
     services: tuple[ServiceName, ...] = ()
     running: int = 0
     queued: int = 0
+    capacity: int = 0
+    prefill_tokens_per_second: float = 0.0
+    token_seconds: Seconds = 0.0
+    cache_sequence: int = 0
+    cache_stored: tuple[int, ...] = ()
+    cache_removed: tuple[int, ...] = ()
 
     def is_newer_than(self, other: "Announcement") -> bool:
         own = (self.incarnation, self.sequence)
