--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -40,6 +40,9 @@
         How many of each zone's entries are started.
     link : callable, optional
         Puts a proxy between two processes.
+    link_upstreams : bool
+        Whether ``link`` stands before the upstreams too; the source of such a
+        link is the upstream's zone.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         example: str = "cascara-verde",
         entries_per_zone: int = 3,
         link: Link | None = None,
+        link_upstreams: bool = False,
     ) -> None:
         self.folder = folder
         self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
@@ -58,6 +62,7 @@
         listed = load_settings(EXAMPLES / example / "topology.jsonc", Topology).unwrap()
         self.topology = self._with_own_addresses(listed, entries_per_zone)
         self._link = link or (lambda source, target, address: address)
+        self._link_upstreams = link_upstreams
         folder.mkdir(parents=True, exist_ok=True)
         names = [vm.name for vm in (*self.topology.entries, *self.topology.control)]
         generate_key_files(folder / "keys", names)
@@ -93,17 +98,26 @@
         """Start a stand-in engine of ``zone`` and return its address."""
         listen = self.address()
         arguments = ["poplarlug-fake-engine", name, listen, self.entries_of(zone)]
-        self.start(name, *arguments, models, *options)
+        arguments += [models, f"--announced={self._announced(name, zone, listen)}"]
+        arguments += [f"--ledger_file={self.requests_file(name)}"]
+        self.start(name, *arguments, *options)
         return listen
 
     def start_service(self, name: str, zone: str, services: str, *options: str) -> Path:
         """Start a stand-in service of ``zone`` and return its ledger's file."""
         ledger = self.folder / f"{name}.ledger"
-        arguments = ["poplarlug-fake-service", name, self.address()]
-        arguments += [self.entries_of(zone), services, str(ledger)]
+        listen = self.address()
+        arguments = ["poplarlug-fake-service", name, listen, self.entries_of(zone)]
+        arguments += [services, str(ledger)]
+        arguments += [f"--announced={self._announced(name, zone, listen)}"]
+        arguments += [f"--requests_file={self.requests_file(name)}"]
         self.start(name, *arguments, *options)
         return ledger
 
+    def requests_file(self, name: str) -> Path:
+        """Return where the upstream ``name`` writes down what it ran."""
+        return self.folder / f"{name}.requests"
+
     def entries_of(self, zone: str) -> str:
         return ",".join(vm.http for vm in self.topology.entries_of_zone(zone))
 
@@ -175,6 +189,9 @@
             if (not names or vm.name in names) and vm.name in self.processes_by_name:
                 wait_until(lambda vm=vm: is_ready(vm.http), f"{vm.name} is not ready")
 
+    def _announced(self, name: str, zone: str, listen: str) -> str:
+        return self._link(zone, name, listen) if self._link_upstreams else listen
+
     def _with_own_addresses(self, listed: Topology, per_zone: int) -> Topology:
         entries, seen = [], dict.fromkeys((vm.zone for vm in listed.entries), 0)
         for vm in listed.entries:
--- a/poplarlug/fakes/engine.py
+++ b/poplarlug/fakes/engine.py
@@ -15,10 +15,12 @@
     EngineProfile,
     EngineStream,
 )
+from poplarlug.fakes.ledger import RequestLedger
 from poplarlug.routing.prefix_hashes import shape_of_body
 
 CRASH_MARKER = "crash-the-engine"
 DEFAULT_MAX_TOKENS = 16
+MAX_NAME_CHARACTERS = 200
 UNLIMITED_BATCH = EngineProfile().batch_limit
 
 
@@ -30,12 +32,15 @@
     ----------
     profile : EngineProfile
         Size and speed of the emulated engine.
+    ledger_file : str
+        Each request that came appends a line here; empty for no ledger.
     """
 
     upstream_id: str
     models: tuple[str, ...]
     profile: EngineProfile = EngineProfile()
     seed: int = 0
+    ledger_file: str = ""
 
 
 class FakeEngine:
@@ -51,6 +56,7 @@
         self._emulator = EngineEmulator(
             profile=options.profile, rng=Random(options.seed), models=options.models
         )
+        self._ledger = RequestLedger(path=options.ledger_file)
         self.running = 0
         self.served = 0
 
@@ -74,9 +80,11 @@
 
     async def serve_chat(self, request: web.Request) -> web.StreamResponse:
         data = await request.read()
+        body = msgspec.json.decode(data)
+        request_id = request.headers.get("X-Request-Id", "")
+        self._ledger.write(request_id, _name_of(body))
         if CRASH_MARKER.encode() in data:
             os._exit(70)
-        body = msgspec.json.decode(data)
         self.running += 1
         self.served += 1
         try:
@@ -163,6 +171,11 @@
     )
 
 
+def _name_of(body: dict[str, Any]) -> str:
+    messages = body.get("messages") or [{"content": body.get("prompt")}]
+    return str(messages[-1].get("content"))[:MAX_NAME_CHARACTERS]
+
+
 def tokens_of(body: dict[str, Any]) -> Iterator[str]:
     """Yield the tokens that answer ``body``, the same ones each time."""
     prompt = msgspec.json.encode(body.get("messages", body.get("prompt")))
--- a/poplarlug/fakes/engine_main.py
+++ b/poplarlug/fakes/engine_main.py
@@ -25,6 +25,8 @@
     load_lag_seconds: float = 0.0,
     event_delay_seconds: float = 0.0,
     event_loss: float = 0.0,
+    ledger_file: str = "",
+    announced: str = "",
 ) -> None:
     """Run a stand-in engine; lists are separated by commas, rate 0 is no limit."""
     profile = EngineProfile(
@@ -43,6 +45,7 @@
         upstream_id=upstream_id,
         models=split(models),
         profile=profile,
+        ledger_file=ledger_file,
     )
     engine = FakeEngine(options=options)
     asyncio.run(
@@ -51,6 +54,7 @@
             listen=listen,
             entries=split(entries),
             describe=engine.describe,
+            announced=announced,
         )
     )
 
--- a/poplarlug/fakes/runner.py
+++ b/poplarlug/fakes/runner.py
@@ -19,12 +19,21 @@
     listen: str,
     entries: Sequence[str],
     describe: Callable[[], dict[str, Any]],
+    announced: str = "",
 ) -> None:
-    """Serve ``app`` and announce it until SIGTERM, then leave and drain."""
+    """
+    Serve ``app`` and announce it until SIGTERM, then leave and drain.
+
+    Parameters
+    ----------
+    announced : str
+        Address that entries are told, when it is not ``listen`` itself.
+    """
     configure_logs(log_format="json", level="warning")
     runner = await serve_http(app, listen)
     announcer = Announcer(
-        entries=entries, describe=lambda: {**describe(), "address": listen}
+        entries=entries,
+        describe=lambda: {**describe(), "address": announced or listen},
     )
     renewing = asyncio.ensure_future(announcer.run())
     await stop_event().wait()
--- a/poplarlug/fakes/service.py
+++ b/poplarlug/fakes/service.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from poplarlug.fakes.ledger import RequestLedger
+
 
 class ServiceOptions(NamedTuple):
     """
@@ -18,12 +20,15 @@
         Each run of a booking appends its key here, one a line.
     run_seconds : float
         How long a booking takes.
+    requests_file : str
+        Each run also appends its request id and key here; empty for none.
     """
 
     upstream_id: str
     services: tuple[str, ...]
     ledger_file: str
     run_seconds: float = 0.0
+    requests_file: str = ""
 
 
 class FakeService:
@@ -31,6 +36,7 @@
 
     def __init__(self, *, options: ServiceOptions) -> None:
         self._options = options
+        self._requests = RequestLedger(path=options.requests_file)
         self.runs_by_key: Counter[str] = Counter()
         self.running = 0
 
@@ -53,6 +59,7 @@
         self.running += 1
         try:
             self._write_down(key)
+            self._requests.write(request.headers.get("X-Request-Id", ""), key)
             if self._options.run_seconds > 0:
                 await asyncio.sleep(self._options.run_seconds)
             return web.json_response(
--- a/poplarlug/fakes/service_main.py
+++ b/poplarlug/fakes/service_main.py
@@ -17,6 +17,8 @@
     services: Any,
     ledger_file: str,
     run_seconds: float = 0.0,
+    requests_file: str = "",
+    announced: str = "",
 ) -> None:
     """Run a stand-in service; lists are separated by commas."""
     options = ServiceOptions(
@@ -24,6 +26,7 @@
         services=split(services),
         ledger_file=ledger_file,
         run_seconds=run_seconds,
+        requests_file=requests_file,
     )
     service = FakeService(options=options)
     asyncio.run(
@@ -32,6 +35,7 @@
             listen=listen,
             entries=split(entries),
             describe=service.describe,
+            announced=announced,
         )
     )
 
--- a/tests/processes/case.py
+++ b/tests/processes/case.py
@@ -5,6 +5,7 @@
 import urllib.error
 import urllib.request
 from collections.abc import Mapping
+from http.client import HTTPException
 from pathlib import Path
 from typing import Any, ClassVar, NamedTuple
 from unittest import TestCase
@@ -34,6 +35,7 @@
     """A deployment behind a fault-injecting proxy, one for all tests of a class."""
 
     entries_per_zone: ClassVar[int] = 1
+    link_upstreams: ClassVar[bool] = False
     deployment: ClassVar[Deployment]
     proxy: ClassVar[FaultProxy]
 
@@ -47,6 +49,7 @@
             folder=Path(cls._folder.name),
             entries_per_zone=cls.entries_per_zone,
             link=cls.proxy.link,
+            link_upstreams=cls.link_upstreams,
         )
         cls.addClassCleanup(cls.deployment.close)
         cls.deployment.start_control()
@@ -92,7 +95,7 @@
                 return Answer(response.status, response.read(), response.headers)
         except urllib.error.HTTPError as error:
             return Answer(error.code, error.read(), error.headers)
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, HTTPException) as error:
             return Answer(0, repr(error).encode(), {})
 
     def chat(self, entry: str, prompt: str, **fields: Any) -> Answer:
