--- a/tests/processes/case.py
+++ b/tests/processes/case.py
@@ -108,9 +108,9 @@
         }
         return self.call(entry, "/v1/chat/completions", body)
 
-    def book(self, entry: str, key: str, **arguments: Any) -> Answer:
-        """Book a pickup under the idempotency key ``key``."""
-        headers = {"Idempotency-Key": key}
+    def book(self, entry: str, booking: str, **arguments: Any) -> Answer:
+        """Book a pickup under the idempotency key ``booking``."""
+        headers = {"Idempotency-Key": booking}
         return self.call(
             entry, "/svc/depot/bookings", {"bin": "B7"}, headers=headers, **arguments
         )
