Route by expected finish and admit by rank

Cause: the entry sent everything to the least-loaded upstream of lagging reports, forwarded to one entry of a zone only, and refused nothing. Ruled out: a floor by slots in use alone (with few slots patient work took every freed slot of a one-slot pool); a ramp by the time between two looks at a zone (an idle entry mistook its own pause for a cut). Change: ExpectedFinish scores queue, prefill less the cached prefix and decode; own sends correct the reports; the prefix index is bounded, decays and forgets an upstream at a gap; links between regions are a budget; the account's profile sets the price of going away; forwards spread over a zone's entries and return by a ramp. RankAdmission starts urgent work first, owes each rank its floor over time, keeps headroom, shares slots among accounts and refuses at once with a Retry-After that spreads returns. Each upstream has an AIMD limit. The entry's gateway goes through both.

--- /dev/null
+++ b/poplarlug/admission/fair_queue.py
@@ -0,0 +1,111 @@
+"""A queue that shares work fairly among accounts."""
+
+import asyncio
+from collections import deque
+from typing import NamedTuple
+
+from poplarlug.types import AccountName, Seconds
+
+MAX_QUEUED = 512
+
+
+class Waiting(NamedTuple):
+    """A queued request; ``granted`` is set when it may start."""
+
+    account: AccountName
+    cost: Seconds
+    granted: asyncio.Future[None]
+
+
+class _AccountQueue:
+    __slots__ = ("items", "start_tag", "work")
+
+    def __init__(self, *, start_tag: float) -> None:
+        self.items: deque[Waiting] = deque()
+        self.start_tag = start_tag
+        self.work = 0.0
+
+
+class FairQueue:
+    """
+    Start-time fair queueing over accounts, first come first served in each.
+
+    An account may hold its share of the places alone, so that one account's
+    flood leaves places for the others.
+
+    Parameters
+    ----------
+    max_queued : int
+        Places of all accounts together.
+    """
+
+    def __init__(self, *, max_queued: int = MAX_QUEUED) -> None:
+        self._max_queued = max_queued
+        self._queues_by_account: dict[AccountName, _AccountQueue] = {}
+        self._virtual_time = 0.0
+        self._length = 0
+        self._work = 0.0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def has_place(self, account: AccountName) -> bool:
+        """Return whether ``account`` may queue one more request."""
+        if self._length >= self._max_queued:
+            return False
+        held = self._queues_by_account.get(account)
+        others = len(self._queues_by_account) - (held is not None)
+        share = self._max_queued // (others + 2)
+        return held is None or len(held.items) < max(1, share)
+
+    def work_ahead(self, account: AccountName) -> Seconds:
+        """Return the queued work that starts before a new request's."""
+        held = self._queues_by_account.get(account)
+        own = held.work if held is not None else 0.0
+        accounts = len(self._queues_by_account) + (held is None)
+        return min(self._work, own * accounts)
+
+    def push(self, waiting: Waiting) -> None:
+        """Queue a request."""
+        queue = self._queues_by_account.get(waiting.account)
+        if queue is None:
+            queue = _AccountQueue(start_tag=self._virtual_time)
+            self._queues_by_account[waiting.account] = queue
+        queue.items.append(waiting)
+        queue.work += waiting.cost
+        self._work += waiting.cost
+        self._length += 1
+
+    def pop(self) -> Waiting | None:
+        """Take the next request, from the account with the least service."""
+        while self._queues_by_account:
+            account = min(
+                self._queues_by_account,
+                key=lambda name: self._queues_by_account[name].start_tag,
+            )
+            queue = self._queues_by_account[account]
+            waiting = queue.items.popleft()
+            self._virtual_time = queue.start_tag
+            queue.start_tag += waiting.cost
+            self._take_off(account, queue, waiting)
+            if not waiting.granted.done():
+                return waiting
+        return None
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take out a request whose caller went away."""
+        queue = self._queues_by_account.get(waiting.account)
+        if queue is not None and waiting in queue.items:
+            queue.items.remove(waiting)
+            self._take_off(waiting.account, queue, waiting)
+
+    def _take_off(
+        self, account: AccountName, queue: _AccountQueue, waiting: Waiting
+    ) -> None:
+        queue.work -= waiting.cost
+        self._work -= waiting.cost
+        self._length -= 1
+        if not queue.items:
+            del self._queues_by_account[account]
+        if not self._length:
+            self._work = 0.0
--- /dev/null
+++ b/poplarlug/admission/rank_pool.py
@@ -0,0 +1,260 @@
+"""Slots of one model or service, shared among ranks."""
+
+import asyncio
+import math
+from collections.abc import Callable
+
+from poplarlug.admission.base import AdmissionRequest, Permit, Slots
+from poplarlug.admission.fair_queue import FairQueue, Waiting
+from poplarlug.catalog import Rank
+from poplarlug.types import RankName, Seconds
+
+AVERAGE_SECONDS = 30.0
+HEADROOM_DEVIATIONS = 2.0
+MAX_CREDIT_SECONDS = 30.0
+COST_RATIO_WEIGHT = 0.05
+MAX_RETRY_AFTER_SECONDS = 300.0
+
+
+class _RankState:
+    """Use and queue of one rank."""
+
+    def __init__(self, *, rank: Rank, now: Seconds) -> None:
+        self.rank = rank
+        self.queue = FairQueue()
+        self.in_use = 0
+        self.average_in_use = 0.0
+        self.average_at = now
+        self.cost_ratio = 1.0
+        self.retry_promised_at = now
+        self.floor_slots = 0.0
+        # Slot-seconds that the floor owes the rank while it has work queued.
+        self.credit_seconds = 0.0
+
+    def note_use(self, change: int, now: Seconds) -> None:
+        """Count a start or an end and move the average on to ``now``."""
+        elapsed = now - self.average_at
+        if len(self.queue):
+            owed = self.credit_seconds + (self.floor_slots - self.in_use) * elapsed
+            largest = MAX_CREDIT_SECONDS * max(1.0, self.floor_slots)
+            self.credit_seconds = max(-largest, min(largest, owed))
+        else:
+            self.credit_seconds = 0.0
+        decay = math.exp(-elapsed / AVERAGE_SECONDS)
+        self.average_in_use = self.in_use + (self.average_in_use - self.in_use) * decay
+        self.average_at = now
+        self.in_use += change
+
+    def is_below_floor(self) -> bool:
+        """Return whether the rank has had less than its floor of late."""
+        return self.credit_seconds > 0 and self.in_use < max(1.0, self.floor_slots)
+
+    def headroom(self, now: Seconds) -> float:
+        """Return the slots that lower ranks must leave free for this one."""
+        self.note_use(0, now)
+        mean = self.average_in_use
+        wanted = mean + HEADROOM_DEVIATIONS * math.sqrt(mean)
+        return max(0.0, math.ceil(wanted) - self.in_use)
+
+
+class RankPool:
+    """
+    Start the most urgent rank first, with a floor for each rank.
+
+    A rank with queued work is owed its ``floor_share`` of the slots over time and
+    goes before all others while it is owed any. Beyond its floor a rank leaves
+    headroom for more urgent ones: their average use and
+    ``HEADROOM_DEVIATIONS`` of its square root.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the loop's time in seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], Seconds]) -> None:
+        self._clock = clock
+        self._states_by_rank: dict[RankName, _RankState] = {}
+        self._slots: Callable[[], Slots] | None = None
+        self._unplaced = 0
+
+    def may_start(self, request: AdmissionRequest) -> bool:
+        """Return whether ``request`` may start now, before all that wait."""
+        state = self._state(request)
+        return not len(state.queue) and self._has_slot(state, self._open_slots())
+
+    def expected_wait(self, request: AdmissionRequest) -> Seconds:
+        """Return how long ``request`` would wait, from the present queue."""
+        if self.may_start(request):
+            return 0.0
+        state = self._state(request)
+        ahead = state.queue.work_ahead(request.account) + request.cost
+        return ahead * state.cost_ratio / self._share(state)
+
+    def service_seconds(self, request: AdmissionRequest) -> Seconds:
+        """Return how long ``request`` would hold its slot."""
+        return request.cost * self._state(request).cost_ratio
+
+    def retry_after(self, request: AdmissionRequest, allowed: Seconds) -> Seconds:
+        """Return when a place is expected that no refused request has yet."""
+        state = self._state(request)
+        now = self._clock()
+        excess = self.expected_wait(request) - allowed
+        gap = self.service_seconds(request) / self._share(state)
+        earliest = now + max(gap, excess)
+        state.retry_promised_at = max(state.retry_promised_at + gap, earliest)
+        latest = now + MAX_RETRY_AFTER_SECONDS
+        state.retry_promised_at = min(state.retry_promised_at, latest)
+        return state.retry_promised_at - now
+
+    def start(self, request: AdmissionRequest) -> Permit:
+        """Take a slot for ``request``."""
+        state = self._state(request)
+        self._take_slot(state)
+        return _PoolPermit(
+            pool=self, state=state, cost=request.cost, started=self._clock()
+        )
+
+    def has_place(self, request: AdmissionRequest) -> bool:
+        """Return whether ``request`` may queue."""
+        return self._state(request).queue.has_place(request.account)
+
+    def push(self, request: AdmissionRequest) -> Waiting:
+        """Queue ``request``; its future is set when it may start."""
+        granted = asyncio.get_running_loop().create_future()
+        waiting = Waiting(request.account, request.cost, granted)
+        state = self._state(request)
+        state.note_use(0, self._clock())
+        state.queue.push(waiting)
+        return waiting
+
+    def remove(self, request: AdmissionRequest, waiting: Waiting) -> None:
+        """Take ``waiting`` out of its queue."""
+        self._state(request).queue.remove(waiting)
+
+    def queued(self, rank: RankName) -> int:
+        state = self._states_by_rank.get(rank)
+        return len(state.queue) if state else 0
+
+    def in_use(self, rank: RankName) -> int:
+        state = self._states_by_rank.get(rank)
+        return state.in_use if state else 0
+
+    def is_idle(self) -> bool:
+        return not any(s.in_use or len(s.queue) for s in self._states_by_rank.values())
+
+    def wake(self) -> None:
+        """Grant slots to those that wait, as far as there are any."""
+        while True:
+            state = self._next(self._open_slots())
+            if state is None:
+                return
+            waiting = state.queue.pop()
+            if waiting is not None:
+                self._take_slot(state)
+                waiting.granted.set_result(None)
+
+    def granted_permit(self, request: AdmissionRequest) -> Permit:
+        """Return the permit of a request whose slot :meth:`wake` took."""
+        return _PoolPermit(
+            pool=self,
+            state=self._state(request),
+            cost=request.cost,
+            started=self._clock(),
+        )
+
+    def _take_slot(self, state: _RankState) -> None:
+        self._unplaced += 1
+        state.note_use(1, self._clock())
+
+    def _open_slots(self) -> Slots:
+        """Return the slots without those of requests on their way upstream."""
+        assert self._slots is not None
+        slots = self._slots()
+        return Slots(slots.free - self._unplaced, slots.total)
+
+    def _next(self, slots: Slots) -> _RankState | None:
+        waiting = [s for s in self._by_priority() if len(s.queue)]
+        now = self._clock()
+        for state in waiting:
+            state.floor_slots = state.rank.floor_share * slots.total
+            state.note_use(0, now)
+        for state in waiting:
+            if slots.free > 0 and state.is_below_floor():
+                return state
+        for state in waiting:
+            if self._has_slot(state, slots):
+                return state
+        return None
+
+    def _has_slot(self, state: _RankState, slots: Slots) -> bool:
+        if slots.free <= 0:
+            return False
+        if state.is_below_floor():
+            return True
+        now = self._clock()
+        kept = 0.0
+        for other in self._states_by_rank.values():
+            if other is state:
+                continue
+            if other.rank.priority < state.rank.priority:
+                kept += other.headroom(now)
+            elif other.is_below_floor():
+                kept += 1.0
+        return slots.free > min(kept, slots.total - 1)
+
+    def _share(self, state: _RankState) -> float:
+        """Return the slots that a rank can count on."""
+        total = max(1, self._open_slots().total)
+        now = self._clock()
+        higher, floors = 0.0, 0.0
+        for other in self._states_by_rank.values():
+            if other.rank.priority < state.rank.priority:
+                higher += other.in_use + other.headroom(now)
+            elif other is not state and (other.in_use or len(other.queue)):
+                floors += other.rank.floor_share * total
+        floor = state.rank.floor_share * total
+        return max(1.0, floor, total - higher - floors)
+
+    def _by_priority(self) -> list[_RankState]:
+        return sorted(self._states_by_rank.values(), key=lambda s: s.rank.priority)
+
+    def _state(self, request: AdmissionRequest) -> _RankState:
+        self._slots = request.slots
+        state = self._states_by_rank.get(request.rank.name)
+        if state is None:
+            state = _RankState(rank=request.rank, now=self._clock())
+            self._states_by_rank[request.rank.name] = state
+        state.rank = request.rank
+        return state
+
+    def _release(self, state: _RankState, cost: Seconds, held: Seconds) -> None:
+        state.note_use(-1, self._clock())
+        if cost > 0:
+            state.cost_ratio += COST_RATIO_WEIGHT * (held / cost - state.cost_ratio)
+        self.wake()
+
+
+class _PoolPermit(Permit):
+    def __init__(
+        self, *, pool: RankPool, state: _RankState, cost: Seconds, started: Seconds
+    ) -> None:
+        self._pool = pool
+        self._state = state
+        self._cost = cost
+        self._started = started
+        self._placed = False
+        self._released = False
+
+    def placed(self) -> None:
+        if not self._placed:
+            self._placed = True
+            self._pool._unplaced -= 1
+
+    def release(self) -> None:
+        if self._released:
+            return
+        self._released = True
+        self.placed()
+        held = self._pool._clock() - self._started
+        self._pool._release(self._state, self._cost, held)
--- a/poplarlug/entry/main.py
+++ b/poplarlug/entry/main.py
@@ -7,6 +7,7 @@
 
 from returns.result import Success
 
+from poplarlug.admission import RankAdmission
 from poplarlug.callers.application import CallerApplication
 from poplarlug.daemon import (
     EXIT_BAD_SETTINGS,
@@ -19,8 +20,16 @@
 from poplarlug.distribution.follower import ConfigFollower
 from poplarlug.logs import PartLog
 from poplarlug.membership.sharing import Membership
-from poplarlug.routing import LeastLoaded
+from poplarlug.routing import (
+    ExpectedFinish,
+    PrefixIndex,
+    UpstreamLoads,
+    WanBudget,
+    ZoneRamp,
+)
+from poplarlug.routing.wan_budget import FORWARDS_SHARE, LINK_BYTES_PER_SECOND
 from poplarlug.serving.attempts import UpstreamClient
+from poplarlug.serving.dispatcher import DispatchParts
 from poplarlug.serving.forwarding import Forwarder
 from poplarlug.serving.gateway import Gateway
 from poplarlug.settings import load_settings
@@ -75,10 +84,23 @@
             own=own, topology=topology, transport=self.transport, clock=clock
         )
         self.client = UpstreamClient(zone=own.zone)
+        entries = max(1, len(topology.entries_of_zone(own.zone)))
+        loads = UpstreamLoads()
+        self.admission = RankAdmission(clock=clock)
+        policy = ExpectedFinish(
+            loads=loads,
+            prefixes=PrefixIndex(clock=clock),
+            wan=WanBudget(
+                bytes_per_second=LINK_BYTES_PER_SECOND * FORWARDS_SHARE / entries,
+                clock=clock,
+            ),
+            ramp=ZoneRamp(clock=clock),
+            rng=rng,
+        )
         self.gateway = Gateway(
             catalog=self.follower.catalog,
             membership=self.membership,
-            policy=LeastLoaded(),
+            dispatch=DispatchParts(policy, self.admission, loads),
             client=self.client,
             forwarder=Forwarder(transport=self.transport),
         )
@@ -92,6 +114,7 @@
         self.supervisor.add_child("transport", self.transport.run)
         self.supervisor.add_child("follower", self.follower.run)
         self.supervisor.add_child("membership", self.membership.run)
+        self.supervisor.add_child("admission", self.admission.run)
 
     def accepts(self) -> bool:
         return not self.stopping and self.follower.version.value > 0
--- a/poplarlug/errors.py
+++ b/poplarlug/errors.py
@@ -92,3 +92,8 @@
 def truncated_answer(message: str) -> GatewayError:
     """Return the error of an answer that broke off before its end."""
     return GatewayError(502, "truncated_answer", message, None, None)
+
+
+def overloaded(message: str, retry_after_seconds: float) -> GatewayError:
+    """Return the error of a request that was refused for lack of capacity."""
+    return GatewayError(429, "overloaded", message, False, retry_after_seconds)
--- a/poplarlug/routing/base.py
+++ b/poplarlug/routing/base.py
@@ -9,6 +9,7 @@
 from poplarlug.types import (
     ModelName,
     RegionName,
+    Seconds,
     ServiceName,
     UpstreamId,
     VmName,
@@ -30,6 +31,10 @@
         Upstreams that failed this request already.
     may_forward : bool
         Whether it may go to another zone; false for a forwarded request.
+    body_bytes : int
+        Size of its body, for the links between regions.
+    local_wait_seconds : float
+        Expected wait for admission in the own zone.
     """
 
     account: Account
@@ -41,10 +46,19 @@
     prefix_hashes: tuple[int, ...] = ()
     excluded: frozenset[UpstreamId] = frozenset()
     may_forward: bool = True
+    body_bytes: int = 0
+    local_wait_seconds: Seconds = 0.0
 
 
 class ZoneView(NamedTuple):
-    """Another zone as its summary shows it."""
+    """
+    Another zone as its summary shows it.
+
+    Parameters
+    ----------
+    running, queued, capacity : int
+        Of all its upstreams; capacity is 0 when it doesn't say.
+    """
 
     zone: ZoneName
     region: RegionName
@@ -52,6 +66,8 @@
     models: tuple[ModelName, ...]
     services: tuple[ServiceName, ...]
     running: int
+    queued: int = 0
+    capacity: int = 0
 
 
 class Fleet(NamedTuple):
@@ -93,6 +109,9 @@
     def choose(self, request: RouteRequest, fleet: Fleet) -> Route | None:
         """Return the route of ``request``, ``None`` when there is none."""
 
+    def sent(self, request: RouteRequest, route: Route) -> None:  # noqa: B027
+        """Take note that ``request`` went along ``route``; nothing by default."""
+
 
 def serves(request: RouteRequest, upstream: Announcement) -> bool:
     """Return whether ``upstream`` holds what ``request`` asks for."""
--- /dev/null
+++ b/poplarlug/routing/prefix_index.py
@@ -0,0 +1,105 @@
+"""Approximate index of which upstream holds which prompt prefix."""
+
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from poplarlug.membership.upstreams import Announcement
+from poplarlug.types import Seconds, UpstreamId
+
+MAX_PREFIXES = 65_536
+MAX_HOLDERS = 8
+MAX_UPSTREAMS = 4096
+LIFE_SECONDS = 300.0
+
+
+class _Holder(NamedTuple):
+    generation: int
+    expires: Seconds
+
+
+class PrefixIndex:
+    """
+    Remember prefixes that upstreams were sent or reported to hold.
+
+    Entries end after ``LIFE_SECONDS`` without use. A gap in the numbers of an
+    upstream's cache events, or a new incarnation, forgets its entries.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the loop's time in seconds.
+    """
+
+    def __init__(
+        self, *, clock: Callable[[], Seconds], max_prefixes: int = MAX_PREFIXES
+    ) -> None:
+        self._clock = clock
+        self._max_prefixes = max_prefixes
+        self._holders_by_hash: OrderedDict[int, dict[UpstreamId, _Holder]] = (
+            OrderedDict()
+        )
+        self._generations_by_id: dict[UpstreamId, int] = {}
+        self._next_generation = 0
+        self._seen_by_id: OrderedDict[UpstreamId, tuple[int, int]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._holders_by_hash)
+
+    def add(self, upstream_id: UpstreamId, prefix_hashes: Sequence[int]) -> None:
+        """Remember that ``upstream_id`` holds ``prefix_hashes``."""
+        generation = self._generations_by_id.get(upstream_id, 0)
+        holder = _Holder(generation, self._clock() + LIFE_SECONDS)
+        for prefix_hash in reversed(prefix_hashes):
+            holders = self._holders_by_hash.setdefault(prefix_hash, {})
+            holders.pop(upstream_id, None)
+            holders[upstream_id] = holder
+            if len(holders) > MAX_HOLDERS:
+                del holders[next(iter(holders))]
+            self._holders_by_hash.move_to_end(prefix_hash)
+        while len(self._holders_by_hash) > self._max_prefixes:
+            self._holders_by_hash.popitem(last=False)
+
+    def take_events(self, upstream: Announcement) -> None:
+        """Take in the cache events of an announcement, once each."""
+        seen = self._seen_by_id.get(upstream.id)
+        news = (upstream.incarnation, upstream.cache_sequence)
+        if seen == news or upstream.cache_sequence == 0:
+            return
+        if seen is not None and news != (seen[0], seen[1] + 1):
+            self.forget(upstream.id)
+        self._seen_by_id[upstream.id] = news
+        self._seen_by_id.move_to_end(upstream.id)
+        if len(self._seen_by_id) > MAX_UPSTREAMS:
+            oldest, _ = self._seen_by_id.popitem(last=False)
+            self.forget(oldest)
+            self._generations_by_id.pop(oldest, None)
+        for prefix_hash in upstream.cache_removed:
+            self._holders_by_hash.get(prefix_hash, {}).pop(upstream.id, None)
+        self.add(upstream.id, upstream.cache_stored)
+
+    def forget(self, upstream_id: UpstreamId) -> None:
+        """Forget all entries of ``upstream_id``."""
+        self._next_generation += 1
+        self._generations_by_id[upstream_id] = self._next_generation
+
+    def hit_blocks(self, prefix_hashes: Sequence[int]) -> dict[UpstreamId, int]:
+        """Return the leading blocks that each likely holder has, by upstream."""
+        blocks_by_id: dict[UpstreamId, int] = {}
+        now = self._clock()
+        for depth in range(len(prefix_hashes), 0, -1):
+            holders = self._holders_by_hash.get(prefix_hashes[depth - 1])
+            if not holders:
+                continue
+            for upstream_id, holder in holders.items():
+                if upstream_id not in blocks_by_id and self._holds(
+                    upstream_id, holder, now
+                ):
+                    blocks_by_id[upstream_id] = depth
+            if len(blocks_by_id) >= MAX_HOLDERS:
+                break
+        return blocks_by_id
+
+    def _holds(self, upstream_id: UpstreamId, holder: _Holder, now: Seconds) -> bool:
+        generation = self._generations_by_id.get(upstream_id, 0)
+        return holder.generation == generation and holder.expires > now
--- /dev/null
+++ b/poplarlug/routing/random_choice.py
@@ -0,0 +1,31 @@
+"""Baseline policy: any upstream, by chance."""
+
+from random import Random
+
+from poplarlug.routing.base import (
+    Fleet,
+    ForwardRoute,
+    LocalRoute,
+    Route,
+    RouteRequest,
+    RoutingPolicy,
+    serves,
+    zone_serves,
+)
+
+
+class RandomChoice(RoutingPolicy):
+    """Take one of the zone's upstreams by chance, other zones when it has none."""
+
+    def __init__(self, *, rng: Random) -> None:
+        self._rng = rng
+
+    def choose(self, request: RouteRequest, fleet: Fleet) -> Route | None:
+        local = [u for u in fleet.upstreams if serves(request, u)]
+        if local:
+            return LocalRoute(self._rng.choice(local))
+        away = [zone for zone in fleet.zones if zone_serves(request, zone)]
+        if not away:
+            return None
+        zone = self._rng.choice(away)
+        return ForwardRoute(zone.zone, zone.region, self._rng.choice(zone.entries))
--- /dev/null
+++ b/poplarlug/routing/round_robin.py
@@ -0,0 +1,32 @@
+"""Baseline policy: upstreams one after the other."""
+
+from poplarlug.routing.base import (
+    Fleet,
+    ForwardRoute,
+    LocalRoute,
+    Route,
+    RouteRequest,
+    RoutingPolicy,
+    serves,
+    zone_serves,
+)
+
+
+class RoundRobin(RoutingPolicy):
+    """Take the zone's upstreams in turn, other zones when it has none."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def choose(self, request: RouteRequest, fleet: Fleet) -> Route | None:
+        self._turn += 1
+        local = [u for u in fleet.upstreams if serves(request, u)]
+        if local:
+            return LocalRoute(local[self._turn % len(local)])
+        away = [zone for zone in fleet.zones if zone_serves(request, zone)]
+        if not away:
+            return None
+        zone = away[self._turn % len(away)]
+        return ForwardRoute(
+            zone.zone, zone.region, zone.entries[self._turn % len(zone.entries)]
+        )
--- /dev/null
+++ b/poplarlug/routing/upstream_loads.py
@@ -0,0 +1,111 @@
+"""Load of each upstream between its reports, and the limit on it."""
+
+from collections.abc import Collection
+
+from poplarlug.membership.upstreams import Announcement
+from poplarlug.types import UpstreamId
+
+UNKNOWN_CAPACITY = 64
+MAX_LIMIT = 1024
+MIN_LIMIT = 1.0
+INITIAL_SHARE = 0.5
+DECREASE_FACTOR = 0.9
+INCREASE = 1.0
+PRUNE_SLACK = 64
+
+
+class _UpstreamLoad:
+    """What one entry knows of one upstream's load."""
+
+    __slots__ = ("in_flight", "incarnation", "limit", "others", "sequence")
+
+    def __init__(self, *, limit: float) -> None:
+        self.in_flight = 0
+        self.others = 0
+        self.limit = limit
+        self.incarnation = -1
+        self.sequence = -1
+
+
+class UpstreamLoads:
+    """
+    Own requests in flight, others' by the last report, and an AIMD limit.
+
+    A report counts requests of all entries. What is left of it after the own
+    ones at its arrival is the others' load, which holds until the next report;
+    own requests are counted as they start and end. The limit on own requests
+    grows by ``INCREASE`` with each report that shows no queue while the limit is
+    used, and shrinks by ``DECREASE_FACTOR`` with each that shows one.
+    """
+
+    def __init__(self) -> None:
+        self._loads_by_id: dict[UpstreamId, _UpstreamLoad] = {}
+
+    def __len__(self) -> int:
+        return len(self._loads_by_id)
+
+    def started(self, upstream: Announcement) -> None:
+        """Count a request that was sent to ``upstream``."""
+        self._load(upstream).in_flight += 1
+
+    def ended(self, upstream: Announcement) -> None:
+        """Count the end of a request at ``upstream``."""
+        self._load(upstream).in_flight -= 1
+
+    def in_flight(self, upstream: Announcement) -> int:
+        """Return the own requests at ``upstream``."""
+        return self._load(upstream).in_flight
+
+    def total(self, upstream: Announcement) -> int:
+        """Return the requests of all entries at ``upstream``, as estimated."""
+        load = self._load(upstream)
+        return load.others + load.in_flight
+
+    def limit(self, upstream: Announcement) -> int:
+        """Return how many own requests may be at ``upstream`` at once."""
+        return int(self._load(upstream).limit)
+
+    def room(self, upstream: Announcement) -> int:
+        """Return how many more requests may be sent to ``upstream`` now."""
+        load = self._load(upstream)
+        room = int(load.limit) - load.in_flight
+        if upstream.capacity:
+            room = min(room, upstream.capacity - load.others - load.in_flight)
+        return max(0, room)
+
+    def keep_only(self, upstreams: Collection[Announcement]) -> None:
+        """Forget idle upstreams that aren't among ``upstreams`` any more."""
+        if len(self._loads_by_id) <= len(upstreams) + PRUNE_SLACK:
+            return
+        upstream_ids = {upstream.id for upstream in upstreams}
+        for upstream_id, load in list(self._loads_by_id.items()):
+            if upstream_id not in upstream_ids and load.in_flight == 0:
+                del self._loads_by_id[upstream_id]
+
+    def _load(self, upstream: Announcement) -> _UpstreamLoad:
+        load = self._loads_by_id.get(upstream.id)
+        if load is None:
+            load = _UpstreamLoad(limit=_initial_limit(upstream))
+            self._loads_by_id[upstream.id] = load
+        if (
+            upstream.sequence != load.sequence
+            or upstream.incarnation != load.incarnation
+        ):
+            _take_report(load, upstream)
+        return load
+
+
+def _initial_limit(upstream: Announcement) -> float:
+    capacity = upstream.capacity or UNKNOWN_CAPACITY
+    return max(MIN_LIMIT, capacity * INITIAL_SHARE)
+
+
+def _take_report(load: _UpstreamLoad, upstream: Announcement) -> None:
+    load.sequence = upstream.sequence
+    load.incarnation = upstream.incarnation
+    load.others = max(0, upstream.running + upstream.queued - load.in_flight)
+    if upstream.queued > 0 and load.in_flight * 2 >= load.limit:
+        load.limit = max(MIN_LIMIT, load.limit * DECREASE_FACTOR)
+    elif upstream.queued == 0 and load.in_flight + 1 >= load.limit:
+        largest = upstream.capacity or MAX_LIMIT
+        load.limit = min(float(largest), load.limit + INCREASE)
--- /dev/null
+++ b/poplarlug/routing/wan_budget.py
@@ -0,0 +1,39 @@
+"""The bandwidth between regions as a budget that requests share."""
+
+from collections.abc import Callable
+
+from poplarlug.types import RegionName, Seconds
+
+LINK_BYTES_PER_SECOND = 125_000_000.0
+FORWARDS_SHARE = 0.5
+ONE_WAY_SECONDS = 0.055
+
+
+class WanBudget:
+    """
+    One entry's share of the links to other regions, as a backlog a region.
+
+    Parameters
+    ----------
+    bytes_per_second : float
+        Rate that this entry may send at to one region.
+    clock : callable
+        Returns the loop's time in seconds.
+    """
+
+    def __init__(
+        self, *, bytes_per_second: float, clock: Callable[[], Seconds]
+    ) -> None:
+        self._bytes_per_second = bytes_per_second
+        self._clock = clock
+        self._free_at_by_region: dict[RegionName, Seconds] = {}
+
+    def seconds(self, region: RegionName, size_bytes: int) -> Seconds:
+        """Return when ``size_bytes`` would have reached ``region``, from now."""
+        backlog = max(0.0, self._free_at_by_region.get(region, 0.0) - self._clock())
+        return backlog + size_bytes / self._bytes_per_second + ONE_WAY_SECONDS
+
+    def spend(self, region: RegionName, size_bytes: int) -> None:
+        """Count ``size_bytes`` that go to ``region``."""
+        start = max(self._clock(), self._free_at_by_region.get(region, 0.0))
+        self._free_at_by_region[region] = start + size_bytes / self._bytes_per_second
--- /dev/null
+++ b/poplarlug/routing/zone_ramp.py
@@ -0,0 +1,44 @@
+"""Lets traffic return to a zone by and by after it was cut off."""
+
+from collections.abc import Callable, Collection
+
+from poplarlug.types import Seconds, ZoneName
+
+RAMP_SECONDS = 30.0
+
+
+class ZoneRamp:
+    """
+    Share of forwards, 0 to 1, that a zone may get since its return.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the loop's time in seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], Seconds]) -> None:
+        self._clock = clock
+        self._returned_by_zone: dict[ZoneName, Seconds] = {}
+        self._known: set[ZoneName] = set()
+        self._missing: set[ZoneName] = set()
+
+    def see(self, zones: Collection[ZoneName]) -> None:
+        """Note which zones can be reached now; those missing are cut off."""
+        now = self._clock()
+        present = set(zones)
+        for zone in self._missing & present:
+            self._returned_by_zone[zone] = now
+        self._missing = (self._missing | self._known) - present
+        self._known |= present
+
+    def share(self, zone: ZoneName) -> float:
+        """Return the share that ``zone`` may get now."""
+        returned = self._returned_by_zone.get(zone)
+        if returned is None:
+            return 1.0
+        share = (self._clock() - returned) / RAMP_SECONDS
+        if share >= 1.0:
+            del self._returned_by_zone[zone]
+            return 1.0
+        return share
--- /dev/null
+++ b/poplarlug/serving/dispatcher.py
@@ -0,0 +1,132 @@
+"""Joins routing and admission: where and when a request runs, or a refusal."""
+
+from collections.abc import Callable
+from typing import NamedTuple, TypeAlias
+
+from returns.result import Failure, Result, Success
+
+from poplarlug.admission import Admission, AdmissionRequest, Permit
+from poplarlug.admission.base import Slots
+from poplarlug.errors import GatewayError, not_run, overloaded
+from poplarlug.membership.upstreams import Announcement
+from poplarlug.routing import (
+    Fleet,
+    ForwardRoute,
+    RouteRequest,
+    RoutingPolicy,
+    UpstreamLoads,
+)
+from poplarlug.routing.base import serves
+
+RETRY_AFTER_SECONDS = 1.0
+DEFAULT_MAX_TOKENS = 256
+DEFAULT_TOKEN_SECONDS = 0.027
+SERVICE_SECONDS = 0.1
+
+
+class LocalPlacement:
+    """A request's slot at an upstream of the zone, until :meth:`release`."""
+
+    def __init__(
+        self, *, upstream: Announcement, permit: Permit, loads: UpstreamLoads
+    ) -> None:
+        self.upstream = upstream
+        self._permit = permit
+        self._loads = loads
+        self._released = False
+        loads.started(upstream)
+        permit.placed()
+
+    def release(self) -> None:
+        """Give the slot back; further calls change nothing."""
+        if not self._released:
+            self._released = True
+            self._loads.ended(self.upstream)
+            self._permit.release()
+
+
+Placement: TypeAlias = LocalPlacement | ForwardRoute
+
+
+class DispatchParts(NamedTuple):
+    """What decides, together."""
+
+    policy: RoutingPolicy
+    admission: Admission
+    loads: UpstreamLoads
+
+
+class Dispatcher:
+    """
+    Find a place for each request.
+
+    Parameters
+    ----------
+    fleet : callable
+        Returns the upstreams and zones of the moment.
+    """
+
+    def __init__(self, *, parts: DispatchParts, fleet: Callable[[], Fleet]) -> None:
+        self._policy = parts.policy
+        self._admission = parts.admission
+        self._loads = parts.loads
+        self._fleet = fleet
+
+    async def place(self, request: RouteRequest) -> Result[Placement, GatewayError]:
+        """
+        Wait for a place.
+
+        Returns
+        -------
+        Success(LocalPlacement or ForwardRoute) or Failure(GatewayError)
+            The caller releases a local placement.
+        """
+        admission_request = self._admission_request(request)
+        wait = self._admission.expected_wait(admission_request)
+        route = self._policy.choose(
+            request._replace(local_wait_seconds=wait), self._fleet()
+        )
+        if route is None:
+            return Failure(not_run("no upstream serves this now", RETRY_AFTER_SECONDS))
+        if isinstance(route, ForwardRoute):
+            self._policy.sent(request, route)
+            return Success(route)
+        admitted = await self._admission.admit(admission_request)
+        if isinstance(admitted, Failure):
+            refusal = admitted.failure()
+            return Failure(overloaded(refusal.message, refusal.retry_after_seconds))
+        permit = admitted.unwrap()
+        if wait > 0:
+            # The upstreams may have changed while the request waited.
+            again = request._replace(may_forward=False)
+            route = self._policy.choose(again, self._fleet())
+        if route is None or isinstance(route, ForwardRoute):
+            permit.release()
+            return Failure(not_run("the upstreams have left", RETRY_AFTER_SECONDS))
+        self._policy.sent(request, route)
+        return Success(
+            LocalPlacement(upstream=route.upstream, permit=permit, loads=self._loads)
+        )
+
+    def _admission_request(self, request: RouteRequest) -> AdmissionRequest:
+        pool = request.model or f"service {request.service}"
+        if request.service is not None:
+            cost = SERVICE_SECONDS
+        else:
+            cost = (request.max_tokens or DEFAULT_MAX_TOKENS) * DEFAULT_TOKEN_SECONDS
+        any_upstream = request._replace(excluded=frozenset())
+        return AdmissionRequest(
+            pool=pool,
+            account=request.account.name,
+            rank=request.rank,
+            slots=lambda: self._slots(any_upstream),
+            cost=cost,
+        )
+
+    def _slots(self, request: RouteRequest) -> Slots:
+        free = total = 0
+        for upstream in self._fleet().upstreams:
+            if serves(request, upstream):
+                free += self._loads.room(upstream)
+                total += self._loads.limit(upstream)
+        return Slots(free, total)
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+from returns.result import Failure
+
 from poplarlug.catalog import Account, Catalog, Rank
 from poplarlug.errors import (
     GatewayError,
@@ -15,13 +17,17 @@
 from poplarlug.routing import (
     Fleet,
     ForwardRoute,
-    LocalRoute,
     RouteRequest,
-    RoutingPolicy,
     ZoneView,
 )
+from poplarlug.routing.prefix_hashes import PromptShape, shape_of_body
 from poplarlug.serving.answers import AnswerSink
 from poplarlug.serving.attempts import AttemptStatus, UpstreamClient
+from poplarlug.serving.dispatcher import (
+    Dispatcher,
+    DispatchParts,
+    LocalPlacement,
+)
 from poplarlug.serving.forwarding import Forwarder
 from poplarlug.serving.requests import GatewayRequest
 from poplarlug.types import UpstreamId
@@ -42,8 +48,8 @@
     ----------
     catalog : Catalog
         The configuration in force.
-    policy : RoutingPolicy
-        Chooses among the candidates.
+    dispatch : DispatchParts
+        Decides where and when each request runs.
     """
 
     def __init__(
@@ -51,13 +57,14 @@
         *,
         catalog: Catalog,
         membership: Membership,
-        policy: RoutingPolicy,
+        dispatch: DispatchParts,
         client: UpstreamClient,
         forwarder: Forwarder,
     ) -> None:
         self._catalog = catalog
         self._membership = membership
-        self._policy = policy
+        self._loads = dispatch.loads
+        self._dispatcher = Dispatcher(parts=dispatch, fleet=self._fleet)
         self._client = client
         self._forwarder = forwarder
         self._in_flight_by_id: Counter[UpstreamId] = Counter()
@@ -108,36 +115,50 @@
         self, request: GatewayRequest, account: Account, sink: AnswerSink
     ) -> GatewayError | None:
         excluded: frozenset[UpstreamId] = frozenset()
-        rank = self._catalog.rank(request.rank) or DEFAULT_RANK
-        error = not_run("no upstream serves this now", RETRY_AFTER_SECONDS)
+        error: GatewayError | None = None
+        route_request = self._route_request(request, account)
         for _ in range(MAX_ATTEMPTS):
-            route_request = RouteRequest(
-                account=account,
-                rank=rank,
-                model=request.model,
-                service=request.service,
-                max_tokens=request.max_tokens,
-                excluded=excluded,
-                may_forward=request.hops < MAX_HOPS,
+            placed = await self._dispatcher.place(
+                route_request._replace(excluded=excluded)
             )
-            route = self._policy.choose(route_request, self._fleet())
-            if route is None:
-                return error
-            if isinstance(route, ForwardRoute):
-                return await self._forwarder.forward(request, route.entry, sink)
-            failed = await self._attempt_local(request, route, sink)
+            if isinstance(placed, Failure):
+                return error or placed.failure()
+            placement = placed.unwrap()
+            if isinstance(placement, ForwardRoute):
+                failed = await self._forwarder.forward(request, placement.entry, sink)
+                if failed is None or failed.ran is not False or sink.started:
+                    return failed
+                # The other zone didn't run it; the own one may.
+                route_request = route_request._replace(may_forward=False)
+                error = failed
+                continue
+            failed = await self._attempt_local(request, placement, sink)
             if failed is None:
                 return None
             error = failed
             if sink.started or (error.ran is not False and not request.repeatable):
                 return error
-            excluded |= {route.upstream.id}
+            excluded |= {placement.upstream.id}
         return error
 
+    def _route_request(self, request: GatewayRequest, account: Account) -> RouteRequest:
+        shape = shape_of_body(request.body) if request.model else PromptShape()
+        return RouteRequest(
+            account=account,
+            rank=self._catalog.rank(request.rank) or DEFAULT_RANK,
+            model=request.model,
+            service=request.service,
+            prompt_tokens=shape.tokens,
+            max_tokens=request.max_tokens,
+            prefix_hashes=shape.prefix_hashes,
+            may_forward=request.hops < MAX_HOPS,
+            body_bytes=len(request.body),
+        )
+
     async def _attempt_local(
-        self, request: GatewayRequest, route: LocalRoute, sink: AnswerSink
+        self, request: GatewayRequest, placement: LocalPlacement, sink: AnswerSink
     ) -> GatewayError | None:
-        upstream = route.upstream
+        upstream = placement.upstream
         self._in_flight_by_id[upstream.id] += 1
         try:
             outcome = await self._client.attempt(
@@ -145,6 +166,7 @@
             )
         finally:
             self._in_flight_by_id[upstream.id] -= 1
+            placement.release()
         if outcome.status is AttemptStatus.DONE:
             await sink.finish()
             return None
@@ -161,8 +183,10 @@
         return outcome_unknown("the upstream was lost before it answered")
 
     def _fleet(self) -> Fleet:
+        serving = self._membership.upstreams.serving.value
+        self._loads.keep_only(serving)
         return Fleet(
-            upstreams=self._membership.upstreams.serving.value,
+            upstreams=serving,
             in_flight_by_id=self._in_flight_by_id,
             zones=_zone_views(self._membership.summaries()),
         )
--- /dev/null
+++ b/tests/admission/test_fair_queue.py
@@ -0,0 +1,26 @@
+"""Tests of the fair queue."""
+
+import asyncio
+from unittest import TestCase
+
+from poplarlug.admission.fair_queue import FairQueue, Waiting
+from poplarlug.virtualtime import run_virtual
+
+
+class FairQueueTests(TestCase):
+    def test_places_are_shared_and_bounded(self) -> None:
+        """A flooding account leaves places; all places together are bounded."""
+
+        async def main() -> tuple[int, int]:
+            loop = asyncio.get_running_loop()
+            queue = FairQueue(max_queued=16)
+            for account in ["a"] * 40 + ["b", "b"] + [f"c{i}" for i in range(40)]:
+                if queue.has_place(account):
+                    queue.push(Waiting(account, 1.0, loop.create_future()))
+            accounts = []
+            while (waiting := queue.pop()) is not None:
+                accounts.append(waiting.account)
+            return len(accounts), accounts.count("b")
+
+        length, of_b = run_virtual(main())
+        self.assertEqual((length, of_b), (16, 2))
--- /dev/null
+++ b/tests/routing/test_prefix_index.py
@@ -0,0 +1,31 @@
+"""Tests of the prefix index."""
+
+from unittest import TestCase
+
+from poplarlug.routing import PrefixIndex
+from poplarlug.routing.prefix_index import LIFE_SECONDS
+
+
+class PrefixIndexTests(TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.index = PrefixIndex(clock=lambda: self.now, max_prefixes=10)
+
+    def test_deepest_known_prefix_counts(self) -> None:
+        """Each holder shows the deepest prefix that it was seen to hold."""
+        self.index.add("e1", (1, 2, 3))
+        self.index.add("e2", (1,))
+        self.assertEqual(self.index.hit_blocks((1, 2, 9)), {"e1": 2, "e2": 1})
+
+    def test_entries_decay(self) -> None:
+        """An entry ends after its life without use."""
+        self.index.add("e1", (1,))
+        self.now = LIFE_SECONDS + 1
+        self.assertEqual(self.index.hit_blocks((1,)), {})
+
+    def test_size_is_bounded(self) -> None:
+        """The least recently used prefixes go first."""
+        for number in range(100):
+            self.index.add("e1", (number,))
+        self.assertEqual(len(self.index), 10)
+        self.assertEqual(self.index.hit_blocks((99,)), {"e1": 1})
--- /dev/null
+++ b/tests/routing/test_upstream_loads.py
@@ -0,0 +1,45 @@
+"""Tests of upstream loads and their limits."""
+
+from unittest import TestCase
+
+from poplarlug.membership.upstreams import Announcement
+from poplarlug.routing import UpstreamLoads
+
+ENGINE = Announcement("e1", "engine", "127.0.0.1:1", sequence=1, capacity=8)
+
+
+class UpstreamLoadsTests(TestCase):
+    def setUp(self) -> None:
+        self.loads = UpstreamLoads()
+
+    def test_report_counts_others_and_not_the_own_twice(self) -> None:
+        """Own requests that a report holds count once."""
+        for _ in range(2):
+            self.loads.started(ENGINE)
+        report = ENGINE._replace(sequence=2, running=5)
+        self.assertEqual(self.loads.total(report), 5)
+        self.loads.started(report)
+        self.assertEqual(self.loads.total(report), 6)
+
+    def test_limit_shrinks_on_queues_and_grows_without(self) -> None:
+        """A queue at the upstream shrinks a used limit; an empty one lets it grow."""
+        for _ in range(4):
+            self.loads.started(ENGINE)
+        queued = ENGINE._replace(sequence=2, running=8, queued=3)
+        self.assertEqual(self.loads.limit(queued), 3)
+        for sequence in range(3, 8):
+            idle = ENGINE._replace(sequence=sequence, running=4)
+            self.loads.limit(idle)
+        self.assertEqual(self.loads.limit(idle), 5)
+
+    def test_room_heeds_the_others(self) -> None:
+        """Room ends at the upstream's capacity less all entries' requests."""
+        full = ENGINE._replace(sequence=2, running=7)
+        self.assertEqual(self.loads.room(full), 1)
+
+    def test_departed_upstreams_are_forgotten(self) -> None:
+        """The table doesn't grow with upstreams that came and went."""
+        for number in range(1000):
+            self.loads.total(ENGINE._replace(id=f"e{number}"))
+            self.loads.keep_only([ENGINE])
+        self.assertLess(len(self.loads), 100)
