--- a/poplarlug/catalog/__init__.py
+++ b/poplarlug/catalog/__init__.py
@@ -1,7 +1,8 @@
 """The configuration of a deployment: objects, changes and their versions."""
 
-from poplarlug.catalog.catalog import Catalog, Delta, Snapshot
+from poplarlug.catalog.catalog import Catalog
 from poplarlug.catalog.changes import Change, ChangeOutcome, ChangeStatus
+from poplarlug.catalog.checks import check_change
 from poplarlug.catalog.objects import (
     Account,
     Adapter,
@@ -13,11 +14,13 @@
     Region,
     Service,
 )
+from poplarlug.catalog.updates import CatalogImage, Delta, Update
 
 __all__ = [
     "Account",
     "Adapter",
     "Catalog",
+    "CatalogImage",
     "CatalogObject",
     "Change",
     "ChangeOutcome",
@@ -29,5 +32,6 @@
     "Rank",
     "Region",
     "Service",
-    "Snapshot",
+    "Update",
+    "check_change",
 ]
--- a/poplarlug/catalog/catalog.py
+++ b/poplarlug/catalog/catalog.py
@@ -1,13 +1,12 @@
 """All objects of a configuration with the version of each."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple, TypeVar, cast
 
 import msgspec
 import xxhash
 from returns.result import Failure, Result, Success
 
-from poplarlug.catalog.changes import Change, ChangeOutcome, ChangeStatus
 from poplarlug.catalog.objects import (
     OBJECT_TYPES_BY_KIND,
     Account,
@@ -16,116 +15,120 @@
     Model,
     Rank,
     Service,
+    intern_strings,
 )
+from poplarlug.catalog.updates import CatalogImage, Delta, Update
 from poplarlug.types import ConfigVersion
 
 T = TypeVar("T")
 
+MAX_DELETIONS = 10_000
 
-class Delta(NamedTuple):
-    """One object's state after the change with ``version``."""
-
-    version: ConfigVersion
-    kind: Kind
-    name: str
-    value: bytes | None
-
-
-class Snapshot(NamedTuple):
-    """A whole configuration."""
-
-    version: ConfigVersion
-    deltas: tuple[Delta, ...]
+_HASH_MODULUS = 2**64
 
 
-class _Versioned(NamedTuple):
+class _Held(NamedTuple):
     version: ConfigVersion
     value: CatalogObject
-    data: bytes
 
 
 class Catalog:
     """
-    Objects by kind and name; grows by deltas of ever larger versions.
+    Objects by kind and name; grows by updates of ever larger versions.
 
-    The same deltas give the same :meth:`state_hash` on every process.
+    The same version has the same :meth:`state_hash` on every process, whichever
+    updates led to it.
     """
 
     def __init__(self) -> None:
         self.version: ConfigVersion = 0
-        self._objects_by_key: dict[tuple[Kind, str], _Versioned] = {}
-        self._accounts_by_key_hash: dict[str, Account] = {}
-
-    def check(self, change: Change) -> Result[None, ChangeOutcome]:
-        """Return what speaks against ``change``, if anything does."""
-        present = self.object_version(change.kind, change.name)
-        if change.expected_version != present:
-            return Failure(
-                ChangeOutcome(
-                    ChangeStatus.CONFLICT,
-                    present,
-                    f"expected version {change.expected_version}, "
-                    f"{change.kind} {change.name!r} is at {present}; read it again",
-                )
-            )
-        if change.value is None:
-            return Success(None)
-        value = decode_object(change.kind, change.value)
-        if not isinstance(value, Success):
-            return Failure(
-                ChangeOutcome(ChangeStatus.INVALID, present, value.failure())
-            )
-        if value.unwrap().name != change.name or not change.name:
-            return Failure(
-                ChangeOutcome(
-                    ChangeStatus.INVALID,
-                    present,
-                    f"got name {value.unwrap().name!r}, expected {change.name!r}",
-                )
-            )
-        return Success(None)
+        # Each inner dict is in the order of versions: a change moves its
+        # object to the end.
+        self._held_by_name_by_kind: dict[Kind, dict[str, _Held]] = {
+            kind: {} for kind in OBJECT_TYPES_BY_KIND
+        }
+        self._deletions_by_key: dict[tuple[Kind, str], ConfigVersion] = {}
+        self._deletions_after: ConfigVersion = 0
+        self._account_names_by_key_hash: dict[bytes, str] = {}
+        self._hash = 0
 
     def apply(self, delta: Delta) -> bool:
-        """Take in a delta; an older or equal version changes nothing."""
-        if delta.version <= self.version:
+        """Take in the next delta; an older or equal version changes nothing."""
+        return self.update(Update(self.version, delta.version, (delta,)))
+
+    def update(self, update: Update) -> bool:
+        """
+        Bring ``update`` into force as a whole.
+
+        Returns
+        -------
+        bool
+            ``False`` when nothing changed: the update is not newer, starts after
+            the version held, or holds an object of an unknown shape.
+        """
+        if update.version <= self.version:
             return False
-        self._put(delta)
-        self.version = delta.version
-        return True
-
-    def restore(self, snapshot: Snapshot) -> bool:
-        """Replace all by ``snapshot`` unless it is older than what is held."""
-        if snapshot.version < self.version:
+        if not update.whole and update.base > self.version:
             return False
-        self._objects_by_key.clear()
-        self._accounts_by_key_hash.clear()
-        for delta in snapshot.deltas:
-            self._put(delta)
-        self.version = snapshot.version
+        news = [d for d in update.deltas if update.whole or d.version > self.version]
+        values = [_decode_delta(delta) for delta in news]
+        if any(isinstance(value, Failure) for value in values):
+            return False
+        if update.whole:
+            self._clear(update.version)
+        for delta, value in zip(news, values, strict=True):
+            self._put(delta, value.unwrap())
+        self.version = update.version
         return True
 
-    def snapshot(self) -> Snapshot:
-        deltas = (
-            Delta(held.version, kind, name, held.data)
-            for (kind, name), held in self._objects_by_key.items()
-        )
-        return Snapshot(self.version, tuple(sorted(deltas, key=lambda d: d.version)))
+    def update_after(self, version: ConfigVersion) -> Update:
+        """Return what a holder of ``version`` lacks, in bounded work."""
+        if version < self._deletions_after:
+            return self.image().update
+        deltas = list(self._deltas_after(version))
+        deltas += self._deletions_since(version)
+        deltas.sort(key=lambda delta: delta.version)
+        return Update(version, max(version, self.version), tuple(deltas))
+
+    def image(self) -> CatalogImage:
+        """Return everything that :meth:`restore` needs."""
+        deltas = sorted(self._deltas_after(0), key=lambda delta: delta.version)
+        update = Update(0, self.version, tuple(deltas), whole=True)
+        deletions = reversed(list(self._deletions_since(0)))
+        return CatalogImage(update, tuple(deletions), self._deletions_after)
+
+    def restore(self, image: CatalogImage) -> None:
+        """Replace everything by ``image``."""
+        self._clear(image.update.version)
+        for delta in image.update.deltas:
+            self._put(delta, _decode_delta(delta).unwrap())
+        for delta in image.deletions:
+            self._deletions_by_key[delta.kind, delta.name] = delta.version
+        self._deletions_after = image.deletions_after
+        self.version = image.update.version
 
     def state_hash(self) -> str:
         """Return a hash of the version and all objects, in hex."""
-        return xxhash.xxh3_64_hexdigest(msgspec.msgpack.encode(self.snapshot()))
+        return f"{(self._hash + self.version) % _HASH_MODULUS:016x}"
 
     def object_version(self, kind: Kind, name: str) -> ConfigVersion:
         """Return the version of an object; 0 when there is none."""
-        held = self._objects_by_key.get((kind, name))
+        held = self._held_by_name_by_kind[kind].get(name)
         return held.version if held else 0
 
     def get(self, kind: Kind, name: str) -> CatalogObject | None:
-        held = self._objects_by_key.get((kind, name))
+        held = self._held_by_name_by_kind[kind].get(name)
         return held.value if held else None
 
     def names(self, kind: Kind) -> list[str]:
-        return sorted(name for held, name in self._objects_by_key if held == kind)
+        return sorted(self._held_by_name_by_kind[kind])
+
+    def count(self, kind: Kind) -> int:
+        return len(self._held_by_name_by_kind[kind])
+
+    def values(self, kind: Kind) -> Iterator[CatalogObject]:
+        """Iterate over all objects of ``kind`` in the order of their versions."""
+        return (held.value for held in self._held_by_name_by_kind[kind].values())
 
     def account(self, name: str) -> Account | None:
         return cast(Account | None, self.get("account", name))
@@ -140,24 +143,57 @@
         return cast(Service | None, self.get("service", name))
 
     def account_by_key_hash(self, key_hash: str) -> Account | None:
-        return self._accounts_by_key_hash.get(key_hash)
-
-    def _put(self, delta: Delta) -> None:
-        key = (delta.kind, delta.name)
-        held = self._objects_by_key.pop(key, None)
-        if held is not None and isinstance(held.value, Account):
-            self._forget_keys(held.value.key_hashes)
-        if delta.value is None:
+        name = self._account_names_by_key_hash.get(_compact(key_hash))
+        return None if name is None else self.account(name)
+
+    def _deltas_after(self, version: ConfigVersion) -> Iterator[Delta]:
+        for kind, held_by_name in self._held_by_name_by_kind.items():
+            for name, held in reversed(held_by_name.items()):
+                if held.version <= version:
+                    break
+                yield Delta(held.version, kind, name, encode_object(held.value))
+
+    def _deletions_since(self, version: ConfigVersion) -> Iterator[Delta]:
+        for (kind, name), deleted in reversed(self._deletions_by_key.items()):
+            if deleted <= version:
+                break
+            yield Delta(deleted, kind, name, None)
+
+    def _clear(self, deletions_after: ConfigVersion) -> None:
+        for held_by_name in self._held_by_name_by_kind.values():
+            held_by_name.clear()
+        self._deletions_by_key.clear()
+        self._deletions_after = deletions_after
+        self._account_names_by_key_hash.clear()
+        self._hash = 0
+
+    def _put(self, delta: Delta, value: CatalogObject | None) -> None:
+        held_by_name = self._held_by_name_by_kind[delta.kind]
+        former = held_by_name.pop(delta.name, None)
+        self._deletions_by_key.pop((delta.kind, delta.name), None)
+        if former is not None:
+            self._hash -= _hash_object(delta.kind, former)
+            if isinstance(former.value, Account):
+                self._forget_keys(former.value.key_hashes)
+        if value is None:
+            self._remember_deletion(delta)
             return
-        value = decode_object(delta.kind, delta.value).unwrap()
-        self._objects_by_key[key] = _Versioned(delta.version, value, delta.value)
+        held = _Held(delta.version, intern_strings(value))
+        held_by_name[value.name] = held
+        self._hash += _hash_object(delta.kind, held)
         if isinstance(value, Account):
             for key_hash in value.key_hashes:
-                self._accounts_by_key_hash[key_hash] = value
+                self._account_names_by_key_hash[_compact(key_hash)] = value.name
+
+    def _remember_deletion(self, delta: Delta) -> None:
+        self._deletions_by_key[delta.kind, delta.name] = delta.version
+        if len(self._deletions_by_key) > MAX_DELETIONS:
+            oldest = next(iter(self._deletions_by_key))
+            self._deletions_after = self._deletions_by_key.pop(oldest)
 
     def _forget_keys(self, key_hashes: Iterable[str]) -> None:
         for key_hash in key_hashes:
-            self._accounts_by_key_hash.pop(key_hash, None)
+            self._account_names_by_key_hash.pop(_compact(key_hash), None)
 
 
 def encode_object(value: CatalogObject) -> bytes:
@@ -168,5 +204,25 @@
     """Return the object of ``kind`` in ``data`` or what is wrong with it."""
     try:
         return Success(msgspec.msgpack.decode(data, type=OBJECT_TYPES_BY_KIND[kind]))
-    except (KeyError, msgspec.DecodeError, msgspec.ValidationError) as error:
+    except (KeyError, ValueError, TypeError, RecursionError) as error:
         return Failure(f"not a {kind}: {error}")
+
+
+def _decode_delta(delta: Delta) -> Result[CatalogObject | None, str]:
+    if delta.value is None:
+        return Success(None)
+    return cast(
+        Result[CatalogObject | None, str], decode_object(delta.kind, delta.value)
+    )
+
+
+def _hash_object(kind: Kind, held: _Held) -> int:
+    return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode((kind, held)))
+
+
+def _compact(key_hash: str) -> bytes:
+    """Return a key hash in half its size; other strings as they are."""
+    try:
+        return bytes.fromhex(key_hash)
+    except ValueError:
+        return key_hash.encode()
--- /dev/null
+++ b/poplarlug/control/grpc_server.py
@@ -0,0 +1,58 @@
+"""The gRPC server of a control replica, with or without TLS."""
+
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import grpc
+
+from poplarlug.control.operator_service import OperatorAuthentication, OperatorService
+from poplarlug.schema.operators_pb2_grpc import add_OperatorsServicer_to_server
+from poplarlug.types import Address
+
+MAX_RPCS = 200
+MAX_REQUEST_BYTES = 1024 * 1024
+
+
+class TlsFiles(NamedTuple):
+    """
+    Certificate and key of the gRPC server, in PEM; empty for no TLS.
+
+    Parameters
+    ----------
+    certificate_file, key_file : str
+        Paths, taken from the settings file's folder.
+    """
+
+    certificate_file: str = ""
+    key_file: str = ""
+
+    def relative_to(self, folder: Path) -> "TlsFiles":
+        """Return the same files with paths taken from ``folder``."""
+        if not self.certificate_file:
+            return self
+        return TlsFiles(
+            str(folder / self.certificate_file), str(folder / self.key_file)
+        )
+
+
+def build_server(
+    *,
+    service: OperatorService,
+    address: Address,
+    key_hashes: Iterable[str],
+    tls: TlsFiles = TlsFiles(),
+) -> Any:
+    """Return a server of ``service`` that takes operators' keys alone."""
+    server = grpc.aio.server(
+        interceptors=[OperatorAuthentication(key_hashes=key_hashes)],
+        maximum_concurrent_rpcs=MAX_RPCS,
+        options=[("grpc.max_receive_message_length", MAX_REQUEST_BYTES)],
+    )
+    add_OperatorsServicer_to_server(service, server)
+    if not tls.certificate_file:
+        server.add_insecure_port(address)
+        return server
+    pair = (Path(tls.key_file).read_bytes(), Path(tls.certificate_file).read_bytes())
+    server.add_secure_port(address, grpc.ssl_server_credentials([pair]))
+    return server
--- a/poplarlug/control/main.py
+++ b/poplarlug/control/main.py
@@ -5,19 +5,19 @@
 from random import Random
 from typing import NamedTuple
 
-import grpc
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
 from poplarlug.catalog import ChangeOutcome
-from poplarlug.control.operator_service import OperatorAuthentication, OperatorService
+from poplarlug.control.grpc_server import TlsFiles, build_server
+from poplarlug.control.operations import Operations, OrderLimits
 from poplarlug.control.replicated_log import (
     ProposeError,
     ProposeErrorKind,
     ReplicatedLog,
 )
 from poplarlug.control.single_log import SingleLog
-from poplarlug.control.state import ControlState, Deltas, DeltasAfter
+from poplarlug.control.state import ControlState
 from poplarlug.daemon import (
     EXIT_BAD_SETTINGS,
     add_health_routes,
@@ -27,7 +27,6 @@
     stop_event,
 )
 from poplarlug.logs import PartLog
-from poplarlug.schema.operators_pb2_grpc import add_OperatorsServicer_to_server
 from poplarlug.settings import load_settings
 from poplarlug.supervision import Supervisor
 from poplarlug.topology import KeyFiles, LogSettings, Topology
@@ -51,6 +50,10 @@
         Where the log lives; taken from the settings file's folder.
     operator_key_hashes_file : str
         File with one hash of an operator's key a line.
+    grpc_tls : TlsFiles
+        Operators' calls are encrypted when this is set.
+    orders : OrderLimits
+        Budget of orders to upstreams.
     """
 
     name: str
@@ -58,6 +61,8 @@
     keys: KeyFiles
     data_folder: str
     operator_key_hashes_file: str
+    grpc_tls: TlsFiles = TlsFiles()
+    orders: OrderLimits = OrderLimits()
     log: LogSettings = LogSettings()
 
 
@@ -94,7 +99,15 @@
             state_machine=self.state,
         )
         transport.serve("control.propose", Proposal, self._serve_proposal)
-        transport.serve("control.deltas", DeltasAfter, self._serve_deltas)
+        self.operations = Operations(
+            log=self.log,
+            state=self.state,
+            topology=topology,
+            transport=transport,
+            propose=self.propose,
+            rng=Random(),
+            limits=settings.orders,
+        )
 
     async def propose(self, command: bytes) -> Result[ChangeOutcome, ProposeError]:
         """Take ``command`` to the leader, here or over there."""
@@ -134,9 +147,6 @@
             None, error.message, error.kind is ProposeErrorKind.NOT_LEADER
         )
 
-    async def _serve_deltas(self, sender: str, message: DeltasAfter) -> Deltas:
-        return self.state.deltas_after(message.version)
-
 
 async def run_control(settings: ControlSettings, folder: Path) -> int:
     """Run a control replica until SIGTERM; return the exit status."""
@@ -158,18 +168,19 @@
         settings=settings, folder=folder, topology=topology, transport=transport
     )
     key_hashes = (folder / settings.operator_key_hashes_file).read_text().split()
-    server = grpc.aio.server(
-        interceptors=[OperatorAuthentication(key_hashes=key_hashes)]
+    server = build_server(
+        service=control.operations.service,
+        address=vm.grpc,
+        key_hashes=key_hashes,
+        tls=settings.grpc_tls.relative_to(folder),
     )
-    service = OperatorService(state=control.state, propose=control.propose)
-    add_OperatorsServicer_to_server(service, server)
-    server.add_insecure_port(vm.grpc)
     app = web.Application()
     add_health_routes(app, lambda: control.log.leader is not None)
     runner = await serve_http(app, vm.http)
     supervisor = Supervisor(name="control", rng=Random())
     supervisor.add_child("transport", transport.run)
     supervisor.add_child("log", control.log.run)
+    control.operations.add_children(supervisor)
     running = asyncio.ensure_future(supervisor.run())
     await server.start()
     _log.info("ready", name=settings.name, grpc=vm.grpc)
--- /dev/null
+++ b/poplarlug/control/operations.py
@@ -0,0 +1,115 @@
+"""What a control replica does besides keeping its log, put together."""
+
+from random import Random
+from typing import NamedTuple
+
+from returns.result import Result
+
+from poplarlug.control.config_status import ConfigStatus
+from poplarlug.control.leader_calls import LeaderCalls
+from poplarlug.control.operator_service import OperatorService, Propose
+from poplarlug.control.order_endpoint import HttpOrderEndpoint, OrderEndpoint
+from poplarlug.control.order_guard import OrderGuard, TokenBucket
+from poplarlug.control.orderer import Orderer
+from poplarlug.control.orders import OrderOutcome, OrderRequest
+from poplarlug.control.reading import LinearReader
+from poplarlug.control.reconciler import Reconciler
+from poplarlug.control.replicated_log import ReplicatedLog
+from poplarlug.control.state import ControlState
+from poplarlug.control.upstream_directory import UpstreamDirectory
+from poplarlug.distribution.publisher import ConfigPublisher
+from poplarlug.supervision import Supervisor
+from poplarlug.topology import Topology
+from poplarlug.transport import Transport
+
+ORDER_CALL_SECONDS = 30.0
+
+
+class OrderLimits(NamedTuple):
+    """
+    Budget of the weight store.
+
+    Parameters
+    ----------
+    weight_loads_per_minute : float
+        Orders that read the weight store, over all zones.
+    weight_load_burst : float
+        How many of them may come at once.
+    """
+
+    weight_loads_per_minute: float = 60.0
+    weight_load_burst: float = 5.0
+
+
+class Operations:
+    """
+    Distribution, orders and the operators' service of one control replica.
+
+    Parameters
+    ----------
+    propose : callable
+        Takes a change to the leader, here or over there.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: ReplicatedLog,
+        state: ControlState,
+        topology: Topology,
+        transport: Transport,
+        propose: Propose,
+        rng: Random,
+        limits: OrderLimits | None = None,
+        endpoint: OrderEndpoint | None = None,
+    ) -> None:
+        limits = limits or OrderLimits()
+        self._leader_calls = LeaderCalls(log=log, transport=transport)
+        self.publisher = ConfigPublisher(
+            transport=transport,
+            entries=topology.entries,
+            catalog=state.catalog,
+            version=state.version,
+            is_leader=lambda: log.is_leader,
+        )
+        directory = UpstreamDirectory(transport=transport, entries=topology.entries)
+        self.orderer = Orderer(
+            propose=log.propose,
+            directory=directory,
+            endpoint=endpoint or HttpOrderEndpoint(),
+            guard=OrderGuard(is_leader=lambda: log.is_leader),
+            budget=TokenBucket(
+                uses_per_second=limits.weight_loads_per_minute / 60.0,
+                burst=limits.weight_load_burst,
+            ),
+        )
+        self.reconciler = Reconciler(
+            catalog=state.catalog,
+            directory=directory,
+            carry_out=self.orderer.carry_out,
+            is_leader=lambda: log.is_leader,
+            rng=rng,
+        )
+        self._leader_calls.register("order", OrderRequest, self.orderer.carry_out)
+        self.service = OperatorService(
+            name=transport.name,
+            state=state,
+            propose=propose,
+            order=self._order,
+            leader=lambda: log.leader,
+            reader=LinearReader(state=state, leader_calls=self._leader_calls),
+            status=ConfigStatus(
+                publisher=self.publisher, leader_calls=self._leader_calls
+            ),
+            directory=directory,
+        )
+
+    def add_children(self, supervisor: Supervisor) -> None:
+        """Add the long-running tasks to the daemon's supervisor."""
+        supervisor.add_child("publisher", self.publisher.run)
+        supervisor.add_child("reconciler", self.reconciler.run)
+
+    async def _order(self, order: OrderRequest) -> Result[OrderOutcome, str]:
+        return await self._leader_calls.call(
+            "order", order, OrderOutcome, ORDER_CALL_SECONDS
+        )
--- /dev/null
+++ b/poplarlug/control/order_endpoint.py
@@ -0,0 +1,116 @@
+"""Sends orders to upstreams over HTTP."""
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator, Callable
+from typing import NamedTuple
+
+import aiohttp
+import msgspec
+
+from poplarlug.control.orders import FencingNumber, OrderRequest, OrderStatus
+from poplarlug.types import Address, Seconds
+
+MAX_REPLY_BYTES = 64 * 1024
+
+
+class OrderReply(NamedTuple):
+    status: OrderStatus
+    message: str = ""
+
+
+class OrderEndpoint(ABC):
+    """How an order reaches an upstream."""
+
+    @abstractmethod
+    async def send(
+        self,
+        *,
+        address: Address,
+        order: OrderRequest,
+        fencing: FencingNumber,
+        may_send: Callable[[], bool],
+        timeout_seconds: Seconds,
+    ) -> OrderReply:
+        """
+        Send ``order`` and return what the upstream said.
+
+        Parameters
+        ----------
+        may_send : callable
+            Asked right before the order leaves this process.
+
+        Returns
+        -------
+        OrderReply
+            ``UNKNOWN`` when no answer came, or the order was not sent.
+        """
+
+
+class OrderBody(NamedTuple):
+    """Fields of the JSON body of ``POST /orders``."""
+
+    action: str
+    model: str
+    argument: str
+    order_id: str
+    fencing: tuple[int, int]
+
+
+class HttpOrderEndpoint(OrderEndpoint):
+    """``POST /orders`` with the fencing number as ``[term, log_index]``."""
+
+    async def send(
+        self,
+        *,
+        address: Address,
+        order: OrderRequest,
+        fencing: FencingNumber,
+        may_send: Callable[[], bool],
+        timeout_seconds: Seconds,
+    ) -> OrderReply:
+        body = OrderBody(
+            order.action,
+            order.model,
+            order.argument,
+            order.order_id,
+            (fencing.term, fencing.log_index),
+        )
+        timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+        # A connection of its own: a kept one may be dead without saying so.
+        connector = aiohttp.TCPConnector(force_close=True)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout, connector=connector) as session,
+                session.post(
+                    f"http://{address}/orders",
+                    data=_checked_body(body, may_send),
+                    headers={"Content-Type": "application/json"},
+                ) as response,
+            ):
+                data = await response.content.read(MAX_REPLY_BYTES)
+                return _to_reply(response.status, data)
+        except (aiohttp.ClientError, OSError, TimeoutError, _NotSentError) as error:
+            return OrderReply(OrderStatus.UNKNOWN, f"no answer: {error!r}")
+
+
+class _NotSentError(Exception):
+    """The lease was over before the order left; ends the HTTP request."""
+
+
+async def _checked_body(
+    body: OrderBody, may_send: Callable[[], bool]
+) -> AsyncIterator[bytes]:
+    # The body goes out last: connecting may have taken longer than the lease.
+    data = msgspec.json.encode(body._asdict())
+    if not may_send():
+        raise _NotSentError("the lease ended before the order was sent")
+    yield data
+
+
+def _to_reply(status: int, data: bytes) -> OrderReply:
+    message = data.decode(errors="replace")
+    if status == 200:
+        return OrderReply(OrderStatus.DONE, message)
+    if 400 <= status < 500:
+        return OrderReply(OrderStatus.REFUSED, message)
+    return OrderReply(OrderStatus.UNKNOWN, f"status {status}: {message}")
--- a/poplarlug/control/state.py
+++ b/poplarlug/control/state.py
@@ -1,6 +1,5 @@
-"""The replicated state: catalog, outcomes of changes and recent deltas."""
+"""The replicated state: catalog, outcomes of changes and orders."""
 
-from collections import OrderedDict, deque
 from typing import NamedTuple
 
 import msgspec
@@ -8,92 +7,146 @@
 
 from poplarlug.catalog import (
     Catalog,
+    CatalogImage,
     Change,
     ChangeOutcome,
     ChangeStatus,
     Delta,
-    Snapshot,
+    check_change,
 )
+from poplarlug.control.commands import decode_command
+from poplarlug.control.orders import (
+    FencingNumber,
+    OrderOutcome,
+    OrderRequest,
+    OrderResult,
+    OrderStatus,
+)
+from poplarlug.control.outcomes import OutcomeTable, Recorded, hash_content
 from poplarlug.control.replicated_log import LogEntry, StateMachine
+from poplarlug.latest import Latest
 from poplarlug.types import ConfigVersion
 
-MAX_OUTCOMES = 20_000
-MAX_RECENT_DELTAS = 20_000
+MAX_CHANGE_OUTCOMES = 20_000
+MAX_ORDER_OUTCOMES = 5_000
+MAX_ID_CHARACTERS = 128
 
+_FINAL_ORDER_STATUSES = (OrderStatus.DONE, OrderStatus.REFUSED)
 
-class DeltasAfter(NamedTuple):
-    """Ask for all deltas with versions above ``version``."""
 
-    version: ConfigVersion
+class _Image(NamedTuple):
+    catalog: CatalogImage
+    changes: tuple[tuple[str, Recorded[ChangeOutcome]], ...]
+    orders: tuple[tuple[str, Recorded[OrderOutcome]], ...]
 
 
-class Deltas(NamedTuple):
+class ControlState(StateMachine):
     """
-    Deltas in their order, or a snapshot when they are no longer held.
+    Apply changes once each and remember what became of them.
 
-    Parameters
-    ----------
-    version : int
-        The sender's version once these are applied.
+    No bytes in the log make :meth:`apply` raise: a command that can't be read
+    has an ``INVALID`` outcome, the same on every replica.
     """
 
-    version: ConfigVersion
-    deltas: tuple[Delta, ...] = ()
-    snapshot: Snapshot | None = None
-
-
-class _Image(NamedTuple):
-    catalog: Snapshot
-    outcomes: tuple[tuple[str, ChangeOutcome], ...]
-
-
-class ControlState(StateMachine):
-    """Apply changes once each and remember what became of them."""
-
     def __init__(self) -> None:
         self.catalog = Catalog()
-        self._outcomes_by_change_id: OrderedDict[str, ChangeOutcome] = OrderedDict()
-        self._recent_deltas: deque[Delta] = deque(maxlen=MAX_RECENT_DELTAS)
-
-    def apply(self, entry: LogEntry) -> ChangeOutcome:
-        change = msgspec.msgpack.decode(entry.command, type=Change)
-        first = self._outcomes_by_change_id.get(change.change_id)
-        if first is not None:
-            return first
-        outcome = self._apply_once(change)
-        self._outcomes_by_change_id[change.change_id] = outcome
-        while len(self._outcomes_by_change_id) > MAX_OUTCOMES:
-            self._outcomes_by_change_id.popitem(last=False)
-        return outcome
+        self.version: Latest[ConfigVersion] = Latest(initial=0)
+        self._changes: OutcomeTable[ChangeOutcome] = OutcomeTable(
+            max_outcomes=MAX_CHANGE_OUTCOMES
+        )
+        self._orders: OutcomeTable[OrderOutcome] = OutcomeTable(
+            max_outcomes=MAX_ORDER_OUTCOMES
+        )
 
-    def deltas_after(self, version: ConfigVersion) -> Deltas:
-        """Return what a holder of ``version`` lacks."""
-        oldest = self._recent_deltas[0].version if self._recent_deltas else None
-        if version >= self.catalog.version:
-            return Deltas(self.catalog.version)
-        if oldest is None or version + 1 < oldest:
-            return Deltas(self.catalog.version, snapshot=self.catalog.snapshot())
-        missing = tuple(d for d in self._recent_deltas if d.version > version)
-        return Deltas(self.catalog.version, missing)
+    def apply(self, entry: LogEntry) -> ChangeOutcome | OrderOutcome:
+        decoded = decode_command(entry.command)
+        if isinstance(decoded, Failure):
+            return ChangeOutcome(ChangeStatus.INVALID, 0, decoded.failure())
+        command = decoded.unwrap()
+        fencing = FencingNumber(entry.term, entry.log_index)
+        if isinstance(command, OrderRequest):
+            return self._issue_order(command, fencing)
+        if isinstance(command, OrderResult):
+            return self._record_result(command, fencing)
+        return self._apply_change(command)
 
     def snapshot(self) -> bytes:
         image = _Image(
-            self.catalog.snapshot(), tuple(self._outcomes_by_change_id.items())
+            self.catalog.image(), self._changes.items(), self._orders.items()
         )
         return msgspec.msgpack.encode(image)
 
     def restore(self, data: bytes) -> None:
         image = msgspec.msgpack.decode(data, type=_Image)
         self.catalog.restore(image.catalog)
-        self._outcomes_by_change_id = OrderedDict(image.outcomes)
-        self._recent_deltas.clear()
+        self._changes.restore(image.changes)
+        self._orders.restore(image.orders)
+        self.version.set(self.catalog.version)
+
+    def _apply_change(self, change: Change) -> ChangeOutcome:
+        content_hash = hash_content(change)
+        first = self._changes.find(change.change_id)
+        if first is not None:
+            if first.content_hash == content_hash:
+                return first.outcome
+            return ChangeOutcome(
+                ChangeStatus.INVALID,
+                self.catalog.object_version(change.kind, change.name),
+                f"change_id {change.change_id!r} was used before for another change; "
+                "send this one under an id of its own",
+            )
+        outcome = self._apply_once(change)
+        if len(change.change_id) <= MAX_ID_CHARACTERS:
+            self._changes.record(change.change_id, content_hash, outcome)
+        return outcome
 
     def _apply_once(self, change: Change) -> ChangeOutcome:
-        checked = self.catalog.check(change)
-        if isinstance(checked, Failure):
-            return checked.failure()
+        if not 0 < len(change.change_id) <= MAX_ID_CHARACTERS:
+            return ChangeOutcome(
+                ChangeStatus.INVALID,
+                0,
+                f"got a change_id of {len(change.change_id)} characters, "
+                f"expected 1 to {MAX_ID_CHARACTERS}",
+            )
+        refused = check_change(self.catalog, change)
+        if refused is not None:
+            return refused
         version = self.catalog.version + 1
-        delta = Delta(version, change.kind, change.name, change.value)
-        self.catalog.apply(delta)
-        self._recent_deltas.append(delta)
+        self.catalog.apply(Delta(version, change.kind, change.name, change.value))
+        self.version.set(version)
         return ChangeOutcome(ChangeStatus.ACCEPTED, version)
+
+    def _issue_order(self, order: OrderRequest, fencing: FencingNumber) -> OrderOutcome:
+        if not 0 < len(order.order_id) <= MAX_ID_CHARACTERS:
+            return OrderOutcome(
+                OrderStatus.REFUSED,
+                fencing,
+                f"got an order_id of {len(order.order_id)} characters, "
+                f"expected 1 to {MAX_ID_CHARACTERS}",
+            )
+        content_hash = hash_content(order)
+        first = self._orders.find(order.order_id)
+        if first is not None and first.content_hash != content_hash:
+            return OrderOutcome(
+                OrderStatus.REFUSED,
+                fencing,
+                f"order_id {order.order_id!r} was used before for another order; "
+                "send this one under an id of its own",
+            )
+        if first is not None and first.outcome.status in _FINAL_ORDER_STATUSES:
+            return first.outcome
+        outcome = OrderOutcome(OrderStatus.ISSUED, fencing)
+        self._orders.record(order.order_id, content_hash, outcome)
+        return outcome
+
+    def _record_result(
+        self, result: OrderResult, fencing: FencingNumber
+    ) -> OrderOutcome:
+        first = self._orders.find(result.order_id)
+        if first is None:
+            return OrderOutcome(result.status, fencing, result.message)
+        if first.outcome.status in _FINAL_ORDER_STATUSES:
+            return first.outcome
+        outcome = OrderOutcome(result.status, first.outcome.fencing, result.message)
+        self._orders.record(result.order_id, first.content_hash, outcome)
+        return outcome
--- a/poplarlug/distribution/follower.py
+++ b/poplarlug/distribution/follower.py
@@ -1,67 +1,204 @@
-"""Keeps an entry's catalog up with the control group."""
+"""Keeps an entry's catalog up with the control group and the zone's peers."""
 
 import asyncio
 from collections.abc import Sequence
 from random import Random
 
-from returns.result import Success
+from prometheus_client import Gauge
+from returns.result import Failure, Success
 
-from poplarlug.catalog import Catalog
-from poplarlug.control.state import Deltas, DeltasAfter
+from poplarlug.catalog import Catalog, Update
+from poplarlug.distribution.messages import (
+    PUSH_TOPIC,
+    VERSION_TOPIC,
+    HeldVersion,
+    Push,
+    PushReply,
+    VersionRequest,
+)
+from poplarlug.distribution.pulling import pull_update, serve_pulls
+from poplarlug.distribution.relay import Relay
+from poplarlug.distribution.store import ConfigStore
 from poplarlug.latest import Latest
 from poplarlug.logs import PartLog
-from poplarlug.transport import Transport
-from poplarlug.types import ConfigVersion, VmName
+from poplarlug.metrics import REGISTRY
+from poplarlug.transport import Transport, TransportErrorKind
+from poplarlug.types import ConfigVersion, Seconds, VmName
 
-POLL_SECONDS = 0.5
-POLL_TIMEOUT_SECONDS = 2.0
+PULL_SECONDS = 10.0
+CONTACT_SECONDS = 15.0
+CATCH_UP_SECONDS = 2.0
+CATCH_UP_PAUSE_SECONDS = 0.2
+ASK_PAUSE_SECONDS = 0.05
 
 _log = PartLog(prefix="distribution")
+_version_in_force = Gauge(
+    "poplarlug_config_version",
+    "Version of the configuration in force",
+    registry=REGISTRY,
+)
 
 
 class ConfigFollower:
     """
-    Fetch deltas from the control replicas and apply them in order.
+    Bring updates into force, ever larger versions only.
+
+    Updates are pushed by the zone's relay, or by the control group's leader
+    when this entry is the relay. Besides, a peer of the zone is asked now and
+    then; a control replica only when no push came for ``CONTACT_SECONDS``.
 
     Parameters
     ----------
+    peers : sequence of VmName
+        The other entries of the zone.
     control : sequence of VmName
-        Control replicas; one is asked at a time.
+        Control replicas.
+    store : ConfigStore, optional
+        Where a VM with a disk keeps its configuration. An update is on disk
+        before it comes into force.
     """
 
     def __init__(
-        self, *, transport: Transport, control: Sequence[VmName], rng: Random
+        self,
+        *,
+        transport: Transport,
+        peers: Sequence[VmName],
+        control: Sequence[VmName],
+        rng: Random,
+        store: ConfigStore | None = None,
     ) -> None:
         self.catalog = Catalog()
         self.version: Latest[ConfigVersion] = Latest(initial=0)
+        self.caught_up = False
         self._transport = transport
-        self._control = list(control)
-        rng.shuffle(self._control)
+        self._peers = tuple(peers)
+        self._control = tuple(control)
+        self._rng = rng
+        self._store = store
+        self._relay = Relay(transport=transport, peers=peers)
+        self._lock = asyncio.Lock()
+        self._last_push: Seconds = float("-inf")
+        transport.serve(PUSH_TOPIC, Push, self._serve_push)
+        transport.serve(VERSION_TOPIC, VersionRequest, self._serve_version)
+        serve_pulls(transport, self.catalog)
+
+    @property
+    def accepts(self) -> bool:
+        """Whether requests may be served by the version in force."""
+        return self.caught_up and self.version.value > 0
 
     async def run(self) -> None:
+        await self._load()
         while True:
-            await self._fetch()
-            await asyncio.sleep(POLL_SECONDS)
-
-    def take(self, deltas: Deltas) -> None:
-        """Bring ``deltas`` into force; older versions change nothing."""
-        if deltas.snapshot is not None:
-            self.catalog.restore(deltas.snapshot)
-        for delta in deltas.deltas:
-            self.catalog.apply(delta)
-        if self.catalog.version > self.version.value:
-            _log.info("configuration in force", version=self.catalog.version)
-            self.version.set(self.catalog.version)
-
-    async def _fetch(self) -> None:
-        reply = await self._transport.request(
-            peer=self._control[0],
-            topic="control.deltas",
-            message=DeltasAfter(self.catalog.version),
-            reply_type=Deltas,
-            timeout_seconds=POLL_TIMEOUT_SECONDS,
+            if await self._catch_up():
+                break
+            await asyncio.sleep(CATCH_UP_PAUSE_SECONDS)
+        while True:
+            await asyncio.sleep(PULL_SECONDS * (0.5 + self._rng.random()))
+            await self._pull_now_and_then()
+
+    async def take(self, update: Update) -> bool:
+        """
+        Keep ``update``, then bring it into force.
+
+        Returns
+        -------
+        bool
+            Whether the version in force is at least the update's now.
+        """
+        async with self._lock:
+            if update.version <= self.catalog.version:
+                return True
+            if not update.whole and update.base > self.catalog.version:
+                return False
+            if self._store is not None:
+                await self._store.append(update)
+            if not self.catalog.update(update):
+                _log.error("update has an unknown shape", version=update.version)
+                return False
+            self._announce_version()
+            if self._store is not None and self._store.is_long:
+                await self._store.replace(self.catalog.image().update)
+        _log.info("configuration in force", version=update.version)
+        return True
+
+    def _announce_version(self) -> None:
+        self.version.set(self.catalog.version)
+        _version_in_force.set(self.catalog.version)
+
+    async def _load(self) -> None:
+        if self._store is None:
+            return
+        async with self._lock:
+            for update in await self._store.load():
+                self.catalog.update(update)
+            self._announce_version()
+        _log.info("read from disk", version=self.catalog.version)
+
+    async def _catch_up(self) -> bool:
+        """Return whether no reachable process has a later version."""
+        others = (*self._peers, *self._control)
+        versions = await asyncio.gather(*(self._ask_version(o) for o in others))
+        reported = dict(zip(others, versions, strict=True))
+        for other in sorted(reported, key=lambda name: -reported[name]):
+            if reported[other] > self.catalog.version:
+                await self._pull_from(other)
+        behind = self.catalog.version < max(versions, default=0)
+        self.caught_up = self.catalog.version > 0 and not behind
+        return self.caught_up
+
+    async def _ask_version(self, other: VmName) -> ConfigVersion:
+        """Return the version that ``other`` reports, 0 when it is unreachable."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + CATCH_UP_SECONDS
+        while loop.time() < deadline:
+            reply = await self._transport.request(
+                peer=other,
+                topic=VERSION_TOPIC,
+                message=VersionRequest(),
+                reply_type=HeldVersion,
+                timeout_seconds=deadline - loop.time(),
+            )
+            if isinstance(reply, Success):
+                return reply.unwrap().version
+            if reply.failure().kind is not TransportErrorKind.NOT_SENT:
+                return 0
+            await asyncio.sleep(ASK_PAUSE_SECONDS)
+        return 0
+
+    async def _pull_now_and_then(self) -> None:
+        if self._peers:
+            await self._pull_from(self._rng.choice(self._peers))
+        silent = asyncio.get_running_loop().time() - self._last_push
+        # About one entry of the zone asks, so that the load on the control
+        # group grows with the zones and not with the entries.
+        chosen = self._rng.random() * (len(self._peers) + 1) < 1.0
+        if silent > CONTACT_SECONDS and chosen and self._control:
+            await self._pull_from(self._rng.choice(self._control))
+
+    async def _pull_from(self, other: VmName) -> bool:
+        pulled = await pull_update(
+            transport=self._transport, peer=other, version=self.catalog.version
+        )
+        if isinstance(pulled, Failure):
+            _log.debug("pull failed", peer=other, reason=pulled.failure())
+            return False
+        update = pulled.unwrap()
+        return update is None or await self.take(update)
+
+    async def _serve_push(self, sender: VmName, message: Push) -> PushReply:
+        self._last_push = asyncio.get_running_loop().time()
+        if not await self.take(message.update):
+            await self._pull_from(sender)
+        others = await self._relay.spread(message.update) if message.relay else ()
+        return PushReply((self._held(), *others))
+
+    async def _serve_version(
+        self, sender: VmName, message: VersionRequest
+    ) -> HeldVersion:
+        return self._held()
+
+    def _held(self) -> HeldVersion:
+        return HeldVersion(
+            self._transport.name, self.catalog.version, self.catalog.state_hash()
         )
-        if isinstance(reply, Success):
-            self.take(reply.unwrap())
-        # The next replica may know more.
-        self._control.append(self._control.pop(0))
--- /dev/null
+++ b/poplarlug/distribution/messages.py
@@ -0,0 +1,57 @@
+"""Messages by which configuration travels."""
+
+from typing import NamedTuple
+
+from poplarlug.catalog import Update
+from poplarlug.types import ConfigVersion, VmName
+
+PUSH_TOPIC = "distribution.push"
+PULL_TOPIC = "distribution.pull"
+VERSION_TOPIC = "distribution.version"
+
+
+class HeldVersion(NamedTuple):
+    """The version in force on a VM, as that VM said itself."""
+
+    vm: VmName
+    version: ConfigVersion
+    state_hash: str
+
+
+class Push(NamedTuple):
+    """
+    Bring an update into force.
+
+    A receiver that lacks versions before the update's base pulls them from
+    the sender; so an update from its own version on to the same one stands for
+    "there is this version".
+
+    Parameters
+    ----------
+    relay : bool
+        Whether the receiver passes it on to the other entries of its zone.
+    """
+
+    update: Update
+    relay: bool
+
+
+class PushReply(NamedTuple):
+    """Versions in force at the receiver and at those it reached."""
+
+    held: tuple[HeldVersion, ...]
+
+
+class PullRequest(NamedTuple):
+    """Ask for what a holder of ``version`` lacks; answered by a stream."""
+
+    version: ConfigVersion
+
+
+class VersionRequest(NamedTuple):
+    """Ask for the version in force."""
+
+
+def notice_of(version: ConfigVersion) -> Update:
+    """Return an update that only says that there is ``version``."""
+    return Update(version, version)
--- /dev/null
+++ b/poplarlug/distribution/relay.py
@@ -0,0 +1,89 @@
+"""Passes updates on to the other entries of a zone."""
+
+import asyncio
+from collections.abc import Sequence
+
+from returns.result import Failure
+
+from poplarlug.catalog import Update
+from poplarlug.distribution.messages import PUSH_TOPIC, HeldVersion, Push, PushReply
+from poplarlug.transport import Transport, TransportErrorKind
+from poplarlug.types import Seconds, VmName
+
+PEER_TIMEOUT_SECONDS = 0.8
+LINK_PAUSE_SECONDS = 0.1
+
+
+class Relay:
+    """
+    Push updates to the peers of the zone at the same time.
+
+    Nobody waits for a peer that did not answer the last push, so that a lost VM
+    delays no change for the others.
+
+    Parameters
+    ----------
+    peers : sequence of VmName
+        The other entries of the zone.
+    """
+
+    def __init__(self, *, transport: Transport, peers: Sequence[VmName]) -> None:
+        self._transport = transport
+        self._peers = tuple(peers)
+        self._suspects: set[VmName] = set()
+        self._probes_by_peer: dict[VmName, asyncio.Task[PushReply | None]] = {}
+
+    async def spread(self, update: Update) -> tuple[HeldVersion, ...]:
+        """Return the versions in force at the peers that were reached."""
+        asked = [peer for peer in self._peers if peer not in self._suspects]
+        for peer in self._suspects - self._probes_by_peer.keys():
+            self._probe(peer, update)
+        replies = await asyncio.gather(*(self._push(p, update) for p in asked))
+        return tuple(
+            held for reply in replies if reply is not None for held in reply.held
+        )
+
+    def _probe(self, peer: VmName, update: Update) -> None:
+        probe = asyncio.ensure_future(self._push(peer, update))
+        self._probes_by_peer[peer] = probe
+        probe.add_done_callback(lambda _: self._probes_by_peer.pop(peer))
+
+    async def _push(self, peer: VmName, update: Update) -> PushReply | None:
+        reply = await push(
+            transport=self._transport,
+            peer=peer,
+            message=Push(update, relay=False),
+            timeout_seconds=PEER_TIMEOUT_SECONDS,
+        )
+        if reply is None:
+            self._suspects.add(peer)
+        else:
+            self._suspects.discard(peer)
+        return reply
+
+
+async def push(
+    *, transport: Transport, peer: VmName, message: Push, timeout_seconds: Seconds
+) -> PushReply | None:
+    """
+    Return the reply to a push, ``None`` when none came in ``timeout_seconds``.
+
+    A link that does not stand yet is tried until the time is over.
+    """
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout_seconds
+    while True:
+        reply = await transport.request(
+            peer=peer,
+            topic=PUSH_TOPIC,
+            message=message,
+            reply_type=PushReply,
+            timeout_seconds=max(0.0, deadline - loop.time()),
+        )
+        if not isinstance(reply, Failure):
+            return reply.unwrap()
+        if reply.failure().kind is not TransportErrorKind.NOT_SENT:
+            return None
+        if loop.time() + LINK_PAUSE_SECONDS >= deadline:
+            return None
+        await asyncio.sleep(LINK_PAUSE_SECONDS)
--- a/poplarlug/entry/main.py
+++ b/poplarlug/entry/main.py
@@ -17,6 +17,8 @@
     stop_event,
 )
 from poplarlug.distribution.follower import ConfigFollower
+from poplarlug.distribution.store import ConfigStore, FileStore
+from poplarlug.distribution.upstream_listing import serve_upstreams
 from poplarlug.logs import PartLog
 from poplarlug.membership.sharing import Membership
 from poplarlug.routing import LeastLoaded
@@ -56,7 +58,13 @@
     """All parts of one entry daemon, put together."""
 
     def __init__(
-        self, *, own: EntryVm, topology: Topology, keys: KeyFiles, rng: Random
+        self,
+        *,
+        own: EntryVm,
+        topology: Topology,
+        keys: KeyFiles,
+        rng: Random,
+        store: ConfigStore | None = None,
     ) -> None:
         clock = asyncio.get_running_loop().time
         self.stopping = False
@@ -68,12 +76,19 @@
         )
         self.follower = ConfigFollower(
             transport=self.transport,
+            peers=[
+                vm.name
+                for vm in topology.entries_of_zone(own.zone)
+                if vm.name != own.name
+            ],
             control=[vm.name for vm in topology.control],
             rng=rng,
+            store=store,
         )
         self.membership = Membership(
             own=own, topology=topology, transport=self.transport, clock=clock
         )
+        serve_upstreams(self.transport, self.membership.upstreams.all)
         self.client = UpstreamClient(zone=own.zone)
         self.gateway = Gateway(
             catalog=self.follower.catalog,
@@ -94,7 +109,7 @@
         self.supervisor.add_child("membership", self.membership.run)
 
     def accepts(self) -> bool:
-        return not self.stopping and self.follower.version.value > 0
+        return not self.stopping and self.follower.accepts
 
     async def drain(self) -> None:
         """Take no new requests and wait for those in progress."""
@@ -116,11 +131,15 @@
     if own is None:
         _log.error("name is not in the topology file", name=settings.name)
         return EXIT_BAD_SETTINGS
+    store = None
+    if settings.data_folder is not None:
+        store = FileStore(folder=folder / settings.data_folder)
     entry = Entry(
         own=own,
         topology=topology,
         keys=settings.keys.relative_to(folder),
         rng=Random(),
+        store=store,
     )
     await entry.client.open()
     app = entry.callers.build()
--- a/poplarlug/fakes/engine.py
+++ b/poplarlug/fakes/engine.py
@@ -3,6 +3,7 @@
 import hashlib
 import os
 from collections.abc import Iterator
+from pathlib import Path
 from random import Random
 from typing import Any, NamedTuple
 
@@ -16,6 +17,7 @@
     EngineStream,
 )
 from poplarlug.fakes.ledger import RequestLedger
+from poplarlug.fakes.orders import OrderDesk
 from poplarlug.routing.prefix_hashes import shape_of_body
 
 CRASH_MARKER = "crash-the-engine"
@@ -34,6 +36,8 @@
         Size and speed of the emulated engine.
     ledger_file : str
         Each request that came appends a line here; empty for no ledger.
+    checks_fencing, order_ledger
+        See :class:`~poplarlug.fakes.orders.OrderDesk`.
     """
 
     upstream_id: str
@@ -41,6 +45,8 @@
     profile: EngineProfile = EngineProfile()
     seed: int = 0
     ledger_file: str = ""
+    checks_fencing: bool = True
+    order_ledger: Path | None = None
 
 
 class FakeEngine:
@@ -59,19 +65,25 @@
         self._ledger = RequestLedger(path=options.ledger_file)
         self.running = 0
         self.served = 0
+        self.orders = OrderDesk(
+            models=options.models,
+            checks_fencing=options.checks_fencing,
+            ledger=options.order_ledger,
+        )
 
     def application(self) -> web.Application:
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_post("/v1/chat/completions", self.serve_chat)
         app.router.add_post("/v1/completions", self.serve_chat)
         app.router.add_get("/health", self.serve_health)
+        self.orders.add_routes(app)
         return app
 
     def describe(self) -> dict[str, Any]:
         return {
             "id": self._options.upstream_id,
             "kind": "engine",
-            "models": list(self._options.models),
+            "models": list(self.orders.models),
             **self._load(),
         }
 
--- a/poplarlug/fakes/engine_main.py
+++ b/poplarlug/fakes/engine_main.py
@@ -1,6 +1,7 @@
 """Entry point of ``poplarlug-fake-engine``."""
 
 import asyncio
+from pathlib import Path
 from typing import Any
 
 import fire
@@ -27,6 +28,8 @@
     event_loss: float = 0.0,
     ledger_file: str = "",
     announced: str = "",
+    checks_fencing: bool = True,
+    order_ledger: str = "",
 ) -> None:
     """Run a stand-in engine; lists are separated by commas, rate 0 is no limit."""
     profile = EngineProfile(
@@ -46,6 +49,8 @@
         models=split(models),
         profile=profile,
         ledger_file=ledger_file,
+        checks_fencing=checks_fencing,
+        order_ledger=Path(order_ledger) if order_ledger else None,
     )
     engine = FakeEngine(options=options)
     asyncio.run(
--- a/poplarlug/operators/client.py
+++ b/poplarlug/operators/client.py
@@ -2,7 +2,8 @@
 
 import time
 import uuid
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from pathlib import Path
 from typing import Any, NamedTuple
 
 import grpc
@@ -17,6 +18,9 @@
 CALL_TIMEOUT_SECONDS = 10.0
 RESEND_SECONDS = 30.0
 RESEND_PAUSE_SECONDS = 0.2
+MAX_REPLY_BYTES = 16 * 1024 * 1024
+TRY_ELSEWHERE = ("UNAVAILABLE", "DEADLINE_EXCEEDED", "INTERNAL", "UNKNOWN")
+"""gRPC statuses after which the outcome is open and another replica may know."""
 
 
 class ClientError(NamedTuple):
@@ -26,6 +30,22 @@
     message: str
 
 
+class TlsOptions(NamedTuple):
+    """
+    How to check the servers' certificates.
+
+    Parameters
+    ----------
+    ca_file : str
+        Certificates to trust, in PEM.
+    server_name : str
+        Name in the servers' certificates when it is not their address.
+    """
+
+    ca_file: str
+    server_name: str = ""
+
+
 class OperatorClient:
     """
     Call the operators' service of whichever replica answers.
@@ -36,11 +56,25 @@
         gRPC addresses of the control replicas.
     key : str
         The operator's key.
+    tls : TlsOptions, optional
+        Without it, calls are not encrypted.
+    resend_seconds : float
+        How long a call without an answer is repeated, in seconds.
     """
 
-    def __init__(self, *, servers: Sequence[Address], key: str) -> None:
+    def __init__(
+        self,
+        *,
+        servers: Sequence[Address],
+        key: str,
+        tls: TlsOptions | None = None,
+        resend_seconds: Seconds = RESEND_SECONDS,
+        clock: Callable[[], Seconds] = time.monotonic,
+    ) -> None:
         self._metadata = (("authorization", f"Bearer {key}"),)
-        self._channels = [grpc.insecure_channel(address) for address in servers]
+        self._resend_seconds = resend_seconds
+        self._clock = clock
+        self._channels = [_open_channel(address, tls) for address in servers]
         self._stubs = [OperatorsStub(channel) for channel in self._channels]
 
     def close(self) -> None:
@@ -55,30 +89,66 @@
         expected_version: ConfigVersion,
         delete: bool = False,
         change_id: str | None = None,
+        wait_seconds: Seconds = 0.0,
     ) -> Result[Any, ClientError]:
         """
         Make a change; resend it under the same id while its outcome is unknown.
 
+        Parameters
+        ----------
+        wait_seconds : float
+            Longest wait, once accepted, until it is in force in all zones.
+
         Returns
         -------
         Success(pb.ChangeReply) or Failure(ClientError)
+            A reply with status ``UNKNOWN`` may be accepted still.
         """
         request = pb.ChangeRequest(
             change_id=change_id or uuid.uuid4().hex,
             expected_version=expected_version,
             object=to_message(kind, value, expected_version),
             delete=delete,
+            wait_seconds=wait_seconds,
+        )
+        return self._call_until(
+            lambda stub: stub.Change,
+            request,
+            CALL_TIMEOUT_SECONDS + wait_seconds,
+            lambda reply: reply.status != pb.ChangeReply.UNKNOWN,
+        )
+
+    def order(self, request: Any) -> Result[Any, ClientError]:
+        """Send an order; resend it under the same id while it is unknown."""
+        return self._call_until(
+            lambda stub: stub.Order,
+            request,
+            CALL_TIMEOUT_SECONDS,
+            lambda reply: reply.status != pb.OrderReply.UNKNOWN,
         )
-        give_up = time.monotonic() + RESEND_SECONDS
+
+    def list(self, kind: Kind, *, may_be_old: bool = False) -> Iterator[Any]:
+        """
+        Yield ``pb.CatalogObject`` of all objects of ``kind`` by name.
+
+        Yields
+        ------
+        Result
+            ``Failure(ClientError)`` ends the list early.
+        """
+        request = pb.ListRequest(kind=kind, may_be_old=may_be_old)
         while True:
-            result = self.call(lambda stub: stub.Change, request)
-            if isinstance(result, Success):
-                reply = result.unwrap()
-                if reply.status != pb.ChangeReply.UNKNOWN:
-                    return result
-            if time.monotonic() > give_up:
-                return result
-            time.sleep(RESEND_PAUSE_SECONDS)
+            result = self.call(lambda stub: stub.List, request)
+            if isinstance(result, Failure):
+                yield result
+                return
+            reply = result.unwrap()
+            for message in reply.objects:
+                yield Success(message)
+            if not reply.has_more:
+                return
+            last = reply.objects[-1]
+            request.after_name = getattr(last, last.WhichOneof("object")).name
 
     def call(
         self,
@@ -87,9 +157,33 @@
         *,
         timeout_seconds: Seconds = CALL_TIMEOUT_SECONDS,
     ) -> Result[Any, ClientError]:
-        """Call one method at the first replica that is reached."""
+        """Call one method at the first replica that answers."""
+        return self._call_until(method, request, timeout_seconds, lambda reply: True)
+
+    def _call_until(
+        self,
+        method: Callable[[Any], Any],
+        request: Any,
+        timeout_seconds: Seconds,
+        is_final: Callable[[Any], bool],
+    ) -> Result[Any, ClientError]:
+        give_up = self._clock() + self._resend_seconds
+        while True:
+            result = self._call_once(method, request, timeout_seconds)
+            if isinstance(result, Failure):
+                if result.failure().code not in TRY_ELSEWHERE:
+                    return result
+            elif is_final(result.unwrap()):
+                return result
+            if self._clock() > give_up:
+                return result
+            time.sleep(RESEND_PAUSE_SECONDS)
+
+    def _call_once(
+        self, method: Callable[[Any], Any], request: Any, timeout_seconds: Seconds
+    ) -> Result[Any, ClientError]:
         error = ClientError("UNAVAILABLE", "no control replica is configured")
-        for stub in self._stubs:
+        for stub in list(self._stubs):
             try:
                 reply = method(stub)(
                     request, metadata=self._metadata, timeout=timeout_seconds
@@ -97,13 +191,20 @@
                 return Success(reply)
             except grpc.RpcError as failure:
                 error = ClientError(failure.code().name, failure.details() or "")
-                if failure.code() not in _TRY_ELSEWHERE:
+                if error.code not in TRY_ELSEWHERE:
                     break
+                # The next call begins with another replica.
+                self._stubs.append(self._stubs.pop(0))
         return Failure(error)
 
 
-_TRY_ELSEWHERE = (
-    grpc.StatusCode.UNAVAILABLE,
-    grpc.StatusCode.DEADLINE_EXCEEDED,
-    grpc.StatusCode.INTERNAL,
-)
+def _open_channel(address: Address, tls: TlsOptions | None) -> Any:
+    options: list[tuple[str, Any]] = [
+        ("grpc.max_receive_message_length", MAX_REPLY_BYTES)
+    ]
+    if tls is None:
+        return grpc.insecure_channel(address, options)
+    if tls.server_name:
+        options.append(("grpc.ssl_target_name_override", tls.server_name))
+    roots = Path(tls.ca_file).read_bytes()
+    return grpc.secure_channel(address, grpc.ssl_channel_credentials(roots), options)
