Replace the fixed leader's log by an agreement of the replicas

The log of one fixed replica lost every change with that replica's disk and stood still while it was away. A new group is founded only when the settings ask for it and all replicas of the topology file are up and hold nothing.

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -222,6 +222,7 @@
             if self.topology.control_vm(vm.name) is not None:
                 program = "poplarlug-control"
                 settings["data_folder"] = f"data/{vm.name}"
+                settings["bootstrap"] = True
                 settings["operator_key_hashes_file"] = str(keys / "operators")
             settings_file = self.folder / f"{vm.name}.json"
             settings_file.write_text(json.dumps(settings))
--- /dev/null
+++ b/poplarlug/control/hard_state.py
@@ -0,0 +1,81 @@
+"""What a replica must never forget: its incarnation, term and vote."""
+
+from random import Random
+from typing import NamedTuple
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from poplarlug.control.coalescing import CoalescedWrite
+from poplarlug.control.disk import Disk
+from poplarlug.control.records import decode_records, encode_record
+
+HARD_STATE_FILE = "hard_state"
+INCARNATION_BITS = 64
+
+
+class _Content(NamedTuple):
+    incarnation: str
+    term: int
+    voted_for: str | None
+
+
+class HardState:
+    """
+    Incarnation, term and vote, changed in memory and then saved.
+
+    The incarnation is random and chosen once for a disk: a replica whose disk
+    was emptied comes back with another one.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the incarnation.
+    """
+
+    def __init__(self, *, disk: Disk, rng: Random) -> None:
+        self._disk = disk
+        self.incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
+        self.term = 0
+        self.voted_for: str | None = None
+        self.is_new = True
+        self._saved: _Content | None = None
+        self._save = CoalescedWrite(write=self._write)
+
+    def load(self) -> Result[None, str]:
+        """Read the file, if there is one."""
+        data = self._disk.read(HARD_STATE_FILE)
+        if data is None:
+            return Success(None)
+        records = decode_records(data)
+        if isinstance(records, Failure) or len(records.unwrap().payloads) != 1:
+            return Failure(
+                f"{HARD_STATE_FILE} is damaged; empty the whole data folder and let "
+                "the other replicas take this one in again"
+            )
+        payload = records.unwrap().payloads[0]
+        self._saved = msgspec.msgpack.decode(payload, type=_Content)
+        self.incarnation, self.term, self.voted_for = self._saved
+        self.is_new = False
+        return Success(None)
+
+    def raise_term(self, term: int) -> None:
+        """Enter a later term, in which no vote was given yet."""
+        assert term > self.term, f"term {term} after {self.term}"
+        self.term = term
+        self.voted_for = None
+
+    async def save(self) -> None:
+        """Return when the present term and vote, or later ones, are synced."""
+        if self._saved != self._content():
+            await self._save.run()
+
+    def _content(self) -> _Content:
+        return _Content(self.incarnation, self.term, self.voted_for)
+
+    async def _write(self) -> None:
+        content = self._content()
+        payload = msgspec.msgpack.encode(content)
+        await self._disk.replace(HARD_STATE_FILE, encode_record(payload, 0))
+        self._saved = content
+        self.is_new = False
--- /dev/null
+++ b/poplarlug/control/log_storage.py
@@ -0,0 +1,203 @@
+"""The entries of a replica's log, in memory and in a synced file."""
+
+from collections.abc import Sequence
+from enum import IntEnum
+from typing import NamedTuple
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from poplarlug.control.coalescing import CoalescedWrite
+from poplarlug.control.disk import Disk
+from poplarlug.control.records import decode_records, encode_record
+
+LOG_FILE = "log"
+
+
+class EntryKind(IntEnum):
+    """What an entry holds; only commands reach the state machine."""
+
+    COMMAND = 0
+    NOOP = 1
+    MEMBERS = 2
+
+
+class Entry(NamedTuple):
+    """One entry of the log; the first one has ``log_index`` 1."""
+
+    term: int
+    log_index: int
+    kind: EntryKind
+    data: bytes
+
+
+class _Batch(NamedTuple):
+    """
+    Entries that were synced together.
+
+    An entry replaces those with its own and higher indexes in earlier batches.
+
+    Parameters
+    ----------
+    commit_index : int
+        Known to be committed when the batch was written.
+    base_index, base_term : int
+        Place of the last entry that was dropped before the first one.
+    """
+
+    commit_index: int
+    base_index: int
+    base_term: int
+    entries: tuple[Entry, ...]
+
+
+class LogStorage:
+    """
+    Entries after a base, the last one that was dropped.
+
+    Changes are made in memory at once; :meth:`sync` makes them durable, all
+    waiting ones with one write.
+    """
+
+    def __init__(self, *, disk: Disk) -> None:
+        self._disk = disk
+        self.base_index = 0
+        self.base_term = 0
+        self.commit_index = 0
+        self.durable_index = 0
+        self._entries: list[Entry] = []
+        self._size = 0
+        self._must_rewrite = True
+        self._failed = False
+        self._lowest_cut = 0
+        self._write = CoalescedWrite(write=self._write_batch)
+
+    @property
+    def last_index(self) -> int:
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        return self._entries[-1].term if self._entries else self.base_term
+
+    def load(self) -> Result[None, str]:
+        """
+        Read the file; a torn end is cut off.
+
+        Returns
+        -------
+        Failure(str)
+            When the file is damaged before its end.
+        """
+        data = self._disk.read(LOG_FILE)
+        if data is None:
+            return Success(None)
+        records = decode_records(data)
+        if isinstance(records, Failure):
+            return Failure(
+                f"{LOG_FILE} is damaged in its middle: {records.failure()}; empty the "
+                "whole data folder and let the other replicas take this one in again"
+            )
+        payloads, self._size = records.unwrap()
+        for payload in payloads:
+            self._load_batch(msgspec.msgpack.decode(payload, type=_Batch))
+        self.durable_index = self.last_index
+        self._must_rewrite = self._size != len(data) or not payloads
+        return Success(None)
+
+    def entry(self, log_index: int) -> Entry:
+        return self._entries[log_index - self.base_index - 1]
+
+    def entries_from(self, log_index: int) -> Sequence[Entry]:
+        return self._entries[max(0, log_index - self.base_index - 1) :]
+
+    def entries_between(self, first: int, count: int) -> tuple[Entry, ...]:
+        """Return up to ``count`` entries from index ``first`` on."""
+        start = first - self.base_index - 1
+        return tuple(self._entries[start : start + count])
+
+    def term_at(self, log_index: int) -> int | None:
+        """Return the term of an entry, ``None`` when it isn't held."""
+        if log_index == self.base_index:
+            return self.base_term
+        if self.base_index < log_index <= self.last_index:
+            return self.entry(log_index).term
+        return None
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Add entries that follow the last one."""
+        for entry in entries:
+            assert entry.log_index == self.last_index + 1
+            self._entries.append(entry)
+
+    def cut_from(self, log_index: int) -> None:
+        """Drop the entries from ``log_index`` on."""
+        assert log_index > self.commit_index, f"cut at committed {log_index}"
+        del self._entries[log_index - self.base_index - 1 :]
+        self.durable_index = min(self.durable_index, log_index - 1)
+        self._lowest_cut = min(self._lowest_cut, log_index - 1)
+
+    def drop_until(self, log_index: int) -> None:
+        """Drop the entries up to ``log_index``, which a snapshot holds."""
+        if log_index <= self.base_index:
+            return
+        term = self.term_at(log_index)
+        assert term is not None
+        del self._entries[: log_index - self.base_index]
+        self.base_index, self.base_term = log_index, term
+        self.durable_index = max(self.durable_index, log_index)
+        self._must_rewrite = True
+
+    def reset(self, log_index: int, term: int) -> None:
+        """Drop all entries; the next one follows ``log_index``."""
+        self._entries.clear()
+        self.base_index, self.base_term = log_index, term
+        self.commit_index = max(self.commit_index, log_index)
+        self.durable_index = log_index
+        self._lowest_cut = min(self._lowest_cut, log_index)
+        self._must_rewrite = True
+
+    async def sync(self, log_index: int) -> None:
+        """Return when the entries up to ``log_index`` that remain are durable."""
+        while self.durable_index < min(log_index, self.last_index):
+            await self._write.run()
+
+    async def rewrite(self) -> None:
+        """Shorten the file to the entries that are held."""
+        await self._write.run()
+
+    def _load_batch(self, batch: _Batch) -> None:
+        if not self._entries and batch.base_index >= self.base_index:
+            self.base_index, self.base_term = batch.base_index, batch.base_term
+        self.commit_index = max(self.commit_index, batch.commit_index)
+        if batch.entries:
+            first = batch.entries[0].log_index
+            del self._entries[first - self.base_index - 1 :]
+            self.append(batch.entries)
+
+    async def _write_batch(self) -> None:
+        if self._failed:
+            raise OSError("an earlier write of the log failed; restart the process")
+        if not self._must_rewrite and self.durable_index == self.last_index:
+            return
+        last_index = self._lowest_cut = self.last_index
+        rewrites = self._must_rewrite
+        first = self.base_index if rewrites else self.durable_index
+        offset = 0 if rewrites else self._size
+        batch = _Batch(
+            self.commit_index,
+            self.base_index,
+            self.base_term,
+            tuple(self._entries[first - self.base_index :]),
+        )
+        record = encode_record(msgspec.msgpack.encode(batch), offset)
+        self._must_rewrite = False
+        write = self._disk.replace if rewrites else self._disk.append
+        try:
+            await write(LOG_FILE, record)
+        except BaseException:
+            self._failed = True
+            raise
+        self._size = offset + len(record)
+        written = min(last_index, self._lowest_cut)
+        self.durable_index = max(self.durable_index, written)
--- a/poplarlug/control/main.py
+++ b/poplarlug/control/main.py
@@ -9,14 +9,16 @@
 from returns.result import Failure, Result, Success
 
 from poplarlug.catalog import ChangeOutcome
+from poplarlug.control.control_group import ControlGroup
+from poplarlug.control.disk import FileDisk
 from poplarlug.control.grpc_server import TlsFiles, build_server
 from poplarlug.control.operations import Operations, OrderLimits
+from poplarlug.control.raft.replica import Replica
 from poplarlug.control.replicated_log import (
     ProposeError,
     ProposeErrorKind,
     ReplicatedLog,
 )
-from poplarlug.control.single_log import SingleLog
 from poplarlug.control.state import ControlState
 from poplarlug.daemon import (
     EXIT_BAD_SETTINGS,
@@ -34,6 +36,7 @@
 
 PROPOSE_TIMEOUT_SECONDS = 5.0
 GRPC_STOP_SECONDS = 5.0
+EXIT_DAMAGED_DATA = 3
 
 _log = PartLog(prefix="control")
 
@@ -54,6 +57,9 @@
         Operators' calls are encrypted when this is set.
     orders : OrderLimits
         Budget of orders to upstreams.
+    bootstrap : bool
+        Whether the replicas of the topology file found a new group when all of
+        them are up and hold nothing. It changes nothing once a group exists.
     """
 
     name: str
@@ -63,6 +69,7 @@
     operator_key_hashes_file: str
     grpc_tls: TlsFiles = TlsFiles()
     orders: OrderLimits = OrderLimits()
+    bootstrap: bool = False
     log: LogSettings = LogSettings()
 
 
@@ -92,11 +99,19 @@
         self._transport = transport
         self._name = settings.name
         self.state = ControlState()
-        self.log: ReplicatedLog = SingleLog(
+        names = tuple(vm.name for vm in topology.control)
+        self.disk = FileDisk(folder=folder / settings.data_folder)
+        self.replica = Replica(
             name=settings.name,
-            leader=topology.control[0].name,
-            data_folder=folder / settings.data_folder,
+            transport=transport,
+            disk=self.disk,
             state_machine=self.state,
+            rng=Random(),
+            bootstrap=names if settings.bootstrap else (),
+        )
+        self.log: ReplicatedLog = self.replica
+        self.group = ControlGroup(
+            replica=self.replica, transport=transport, names=names
         )
         transport.serve("control.propose", Proposal, self._serve_proposal)
         self.operations = Operations(
@@ -107,8 +122,13 @@
             propose=self.propose,
             rng=Random(),
             limits=settings.orders,
+            group=self.group,
         )
 
+    def load(self) -> Result[None, str]:
+        """Take the data folder for this process and restore its state."""
+        return self.disk.lock().bind(lambda _: self.replica.load())
+
     async def propose(self, command: bytes) -> Result[ChangeOutcome, ProposeError]:
         """Take ``command`` to the leader, here or over there."""
         result = await self.log.propose(command)
@@ -167,6 +187,10 @@
     control = Control(
         settings=settings, folder=folder, topology=topology, transport=transport
     )
+    restored = control.load()
+    if isinstance(restored, Failure):
+        _log.error("can't start", name=settings.name, reason=restored.failure())
+        return EXIT_DAMAGED_DATA
     key_hashes = (folder / settings.operator_key_hashes_file).read_text().split()
     server = build_server(
         service=control.operations.service,
--- /dev/null
+++ b/poplarlug/control/memory_disk.py
@@ -0,0 +1,74 @@
+"""A disk in memory that loses unsynced data at a crash, for tests and trials."""
+
+import asyncio
+from random import Random
+from typing import NamedTuple
+
+from poplarlug.control.disk import Disk
+from poplarlug.types import Seconds
+
+
+class _Write(NamedTuple):
+    name: str
+    data: bytes
+    appends: bool
+
+
+class MemoryDisk(Disk):
+    """
+    Files of one simulated VM, used by one simulated process at a time.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of delays and of what a crash leaves of a write in progress.
+    max_delay : float
+        Longest time of a write, in seconds.
+    """
+
+    def __init__(self, *, rng: Random, max_delay: Seconds = 0.005) -> None:
+        self._rng = rng
+        self._max_delay = max_delay
+        self._session = 0
+        self._writes_by_id: dict[int, _Write] = {}
+        self._last_id = 0
+        self.files_by_name: dict[str, bytes] = {}
+
+    def crash(self) -> None:
+        """Drop the writes in progress, or keep a part of them."""
+        self._session += 1
+        for write in self._writes_by_id.values():
+            kept = self._rng.randint(0, len(write.data))
+            if write.appends:
+                self._store(write._replace(data=write.data[:kept]))
+            elif kept > len(write.data) // 2:
+                self._store(write)
+        self._writes_by_id.clear()
+
+    def wipe(self) -> None:
+        """Lose all files; call it while no process uses the disk."""
+        self.files_by_name.clear()
+
+    def read(self, name: str) -> bytes | None:
+        return self.files_by_name.get(name)
+
+    async def append(self, name: str, data: bytes) -> None:
+        await self._write(_Write(name, data, True))
+
+    async def replace(self, name: str, data: bytes) -> None:
+        await self._write(_Write(name, data, False))
+
+    async def _write(self, write: _Write) -> None:
+        session = self._session
+        self._last_id += 1
+        write_id = self._last_id
+        self._writes_by_id[write_id] = write
+        await asyncio.sleep(self._rng.uniform(0, self._max_delay))
+        if session != self._session:
+            raise asyncio.CancelledError
+        del self._writes_by_id[write_id]
+        self._store(write)
+
+    def _store(self, write: _Write) -> None:
+        before = self.files_by_name.get(write.name, b"") if write.appends else b""
+        self.files_by_name[write.name] = before + write.data
--- a/poplarlug/control/operations.py
+++ b/poplarlug/control/operations.py
@@ -6,6 +6,7 @@
 from returns.result import Result
 
 from poplarlug.control.config_status import ConfigStatus
+from poplarlug.control.control_group import ControlGroup
 from poplarlug.control.leader_calls import LeaderCalls
 from poplarlug.control.operator_service import OperatorService, Propose
 from poplarlug.control.order_endpoint import HttpOrderEndpoint, OrderEndpoint
@@ -49,6 +50,8 @@
     ----------
     propose : callable
         Takes a change to the leader, here or over there.
+    group : ControlGroup
+        The control replicas, for operators.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         transport: Transport,
         propose: Propose,
         rng: Random,
+        group: ControlGroup,
         limits: OrderLimits | None = None,
         endpoint: OrderEndpoint | None = None,
     ) -> None:
@@ -102,6 +106,7 @@
                 publisher=self.publisher, leader_calls=self._leader_calls
             ),
             directory=directory,
+            group=group,
         )
 
     def add_children(self, supervisor: Supervisor) -> None:
--- a/poplarlug/control/operator_service.py
+++ b/poplarlug/control/operator_service.py
@@ -13,7 +13,9 @@
 from poplarlug.catalog.catalog import encode_object
 from poplarlug.control.commands import encode_command
 from poplarlug.control.config_status import ConfigStatus
+from poplarlug.control.control_group import ControlGroup
 from poplarlug.control.conversion import from_message, to_message
+from poplarlug.control.group_servicer import GroupServicer
 from poplarlug.control.orders import (
     OrderAction,
     OrderOutcome,
@@ -28,7 +30,6 @@
 from poplarlug.logs import PartLog
 from poplarlug.membership.upstreams import Announcement
 from poplarlug.schema import operators_pb2 as pb
-from poplarlug.schema.operators_pb2_grpc import OperatorsServicer
 from poplarlug.types import RegionName, VmName, ZoneName
 
 MAX_LISTED = 2000
@@ -52,7 +53,7 @@
 _log = PartLog(prefix="operators")
 
 
-class OperatorService(OperatorsServicer):  # type: ignore[misc]
+class OperatorService(GroupServicer):
     """
     Serve operators from the replicated state.
 
@@ -75,7 +76,9 @@
         reader: LinearReader,
         status: ConfigStatus,
         directory: UpstreamDirectory,
+        group: ControlGroup,
     ) -> None:
+        super().__init__(group=group)
         self._name = name
         self._state = state
         self._propose = propose
--- /dev/null
+++ b/poplarlug/control/raft/__init__.py
@@ -0,0 +1,1 @@
+"""The Raft-like agreement of the control replicas on one log."""
--- /dev/null
+++ b/poplarlug/control/raft/replica.py
@@ -0,0 +1,145 @@
+"""One replica of the control group's log."""
+
+import asyncio
+from collections.abc import Sequence
+from random import Random
+from typing import Any
+
+from returns.result import Failure, Result
+
+from poplarlug.control.disk import Disk
+from poplarlug.control.log_storage import EntryKind
+from poplarlug.control.raft.consensus_state import ConsensusState, Role
+from poplarlug.control.raft.election import Election
+from poplarlug.control.raft.following import Following
+from poplarlug.control.raft.identification import Bootstrap, Identification
+from poplarlug.control.raft.leading import Leading
+from poplarlug.control.raft.membership import Membership
+from poplarlug.control.raft.proposals import append_and_wait
+from poplarlug.control.raft.snapshotting import (
+    KEPT_ENTRIES,
+    SNAPSHOT_ENTRIES,
+    Snapshotting,
+)
+from poplarlug.control.raft.timing import MAX_ELECTION_TIMEOUT_SECONDS
+from poplarlug.control.replicated_log import (
+    ProposeError,
+    ProposeErrorKind,
+    ReplicatedLog,
+    StateMachine,
+)
+from poplarlug.transport import Transport
+from poplarlug.types import VmName
+
+MAX_PROPOSALS = 4096
+MAX_COMMAND_BYTES = 1024 * 1024
+
+
+class Replica(ReplicatedLog):
+    """
+    Agree with the other replicas on one log of commands.
+
+    Parameters
+    ----------
+    bootstrap : sequence of VmName
+        All replicas of a group to be founded; empty when this replica only
+        takes part in a group that exists.
+    rng : random.Random
+        Source of the incarnation and of election timeouts.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: VmName,
+        transport: Transport,
+        disk: Disk,
+        state_machine: StateMachine,
+        rng: Random,
+        bootstrap: Sequence[VmName] = (),
+        snapshot_entries: int = SNAPSHOT_ENTRIES,
+        kept_entries: int = KEPT_ENTRIES,
+    ) -> None:
+        self.state = ConsensusState(
+            name=name, disk=disk, state_machine=state_machine, rng=rng
+        )
+        self.identification = Identification(state=self.state, transport=transport)
+        self._election = Election(state=self.state, transport=transport)
+        self._following = Following(state=self.state, transport=transport)
+        self._leading = Leading(state=self.state, transport=transport)
+        self._bootstrap = Bootstrap(
+            state=self.state, identification=self.identification, names=bootstrap
+        )
+        self._snapshotting = Snapshotting(
+            state=self.state,
+            snapshot_entries=snapshot_entries,
+            kept_entries=kept_entries,
+        )
+        self.membership = Membership(
+            state=self.state,
+            leading=self._leading,
+            identification=self.identification,
+        )
+
+    def load(self) -> Result[None, str]:
+        """
+        Restore the state from the disk; call it once, before :meth:`run`.
+
+        Returns
+        -------
+        Failure(str)
+            What is damaged and what to do.
+        """
+        return self.state.load()
+
+    @property
+    def leader(self) -> VmName | None:
+        state = self.state
+        if state.role is Role.LEADER:
+            return state.name
+        silence = asyncio.get_running_loop().time() - state.last_contact
+        return state.leader if silence < MAX_ELECTION_TIMEOUT_SECONDS else None
+
+    @property
+    def is_leader(self) -> bool:
+        return self._leading.has_lease
+
+    async def propose(self, command: bytes) -> Result[Any, ProposeError]:
+        state = self.state
+        refusal = self._refusal(command)
+        if refusal is not None:
+            error = ProposeError(ProposeErrorKind.NOT_LEADER, refusal, self.leader)
+            return Failure(error)
+        return await append_and_wait(state, EntryKind.COMMAND, command)
+
+    async def run(self) -> None:
+        state = self.state
+        await state.hard_state.save()
+        state.last_contact = asyncio.get_running_loop().time()
+        state.started.set()
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._bootstrap.run())
+                tasks.create_task(self._snapshotting.run())
+                tasks.create_task(self.membership.run())
+                tasks.create_task(self._take_part())
+        finally:
+            state.step_down("the replica stops")
+
+    async def _take_part(self) -> None:
+        while True:
+            await self._election.wait_until_due()
+            if await self._election.campaign():
+                await self._leading.run()
+            else:
+                await self._election.pause()
+
+    def _refusal(self, command: bytes) -> str | None:
+        state = self.state
+        if state.role is not Role.LEADER:
+            return f"{self.leader or 'no known replica'} is the leader"
+        if len(state.waiters_by_index) >= MAX_PROPOSALS:
+            return "too many changes wait for a quorum; retry later"
+        if len(command) > MAX_COMMAND_BYTES:
+            return f"got {len(command)} bytes, expected at most {MAX_COMMAND_BYTES}"
+        return None
--- /dev/null
+++ b/poplarlug/control/raft/snapshotting.py
@@ -0,0 +1,61 @@
+"""Snapshots of the state machine that let the log be truncated."""
+
+from poplarlug.control.raft.consensus_state import ConsensusState
+from poplarlug.control.snapshot_store import Snapshot
+from poplarlug.logs import PartLog
+
+SNAPSHOT_ENTRIES = 4096
+KEPT_ENTRIES = 1024
+
+_log = PartLog(prefix="raft")
+
+
+class Snapshotting:
+    """
+    Save a snapshot after some entries and drop those that it holds.
+
+    Parameters
+    ----------
+    snapshot_entries : int
+        Applied entries between two snapshots.
+    kept_entries : int
+        Entries that stay in the log for replicas that lag a little.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: ConsensusState,
+        snapshot_entries: int = SNAPSHOT_ENTRIES,
+        kept_entries: int = KEPT_ENTRIES,
+    ) -> None:
+        self._state = state
+        self._snapshot_entries = snapshot_entries
+        self._kept_entries = kept_entries
+
+    async def run(self) -> None:
+        """Save snapshots until cancelled; raise what broke the state machine."""
+        state = self._state
+        while True:
+            if state.broken is not None:
+                raise state.broken
+            since = state.applied_index - state.snapshots.log_index
+            if since >= self._snapshot_entries:
+                await self._save()
+            await state.applied.wait()
+            state.applied.clear()
+
+    async def _save(self) -> None:
+        state = self._state
+        log_index = state.applied_index
+        term = state.log.term_at(log_index)
+        assert term is not None
+        snapshot = Snapshot(
+            log_index, term, state.members_at(log_index), state.state_machine.snapshot()
+        )
+        if not await state.snapshots.save(snapshot):
+            return
+        state.forget_members_before(log_index)
+        state.log.drop_until(log_index - self._kept_entries)
+        await state.log.rewrite()
+        _log.info("saved a snapshot", name=state.name, log_index=log_index)
--- /dev/null
+++ b/poplarlug/control/raft/timing.py
@@ -0,0 +1,14 @@
+"""Times of elections, heartbeats and the lease."""
+
+MIN_ELECTION_TIMEOUT_SECONDS = 1.2
+MAX_ELECTION_TIMEOUT_SECONDS = 2.4
+HEARTBEAT_SECONDS = 0.2
+MAX_CLOCK_DRIFT = 0.1
+"""Largest difference in rate between the clocks of two replicas, as a share."""
+
+LEASE_SECONDS = MIN_ELECTION_TIMEOUT_SECONDS * (1 - MAX_CLOCK_DRIFT)
+"""How long after a heartbeat was sent its receivers elect no other leader."""
+
+VOTE_TIMEOUT_SECONDS = 1.0
+APPEND_TIMEOUT_SECONDS = 1.0
+IDENTITY_TIMEOUT_SECONDS = 1.0
--- a/poplarlug/operators/commands.py
+++ b/poplarlug/operators/commands.py
@@ -5,6 +5,7 @@
 from typing import Any, cast, get_args
 
 from poplarlug.keys import generate_caller_key, generate_key_files, hash_caller_key
+from poplarlug.operators.control_commands import ControlCommands
 from poplarlug.operators.object_commands import (
     AccountCommands,
     AdapterCommands,
@@ -93,6 +94,7 @@
         self.upstream = UpstreamCommands(session)
         self.order = OrderCommands(session)
         self.config = ConfigCommands(session)
+        self.control = ControlCommands(session)
         self.keys = KeyCommands()
 
     def status(self) -> None:
--- /dev/null
+++ b/tests/control/group.py
@@ -0,0 +1,170 @@
+"""A control group under virtual time, with faults that a seed chooses."""
+
+import asyncio
+from random import Random
+from typing import Any
+
+from returns.result import Failure, Success
+
+from poplarlug.control.memory_disk import MemoryDisk
+from poplarlug.control.raft.replica import Replica
+from poplarlug.control.replicated_log import LogEntry, ReplicatedLog, StateMachine
+from poplarlug.transport import MemoryNetwork, MemoryTransport
+from poplarlug.transport.memory import LinkQuality
+
+NAMES = ("a", "b", "c")
+
+
+class RecordingState(StateMachine):
+    """Keep the place and content of every command."""
+
+    def __init__(self) -> None:
+        self.entries: list[tuple[int, int, bytes]] = []
+
+    def apply(self, entry: LogEntry) -> int:
+        if self.entries:
+            assert entry.log_index > self.entries[-1][1], "applied index went down"
+        self.entries.append((entry.term, entry.log_index, entry.command))
+        return len(self.entries)
+
+    def snapshot(self) -> bytes:
+        lines = [f"{term} {index} {data.hex()}" for term, index, data in self.entries]
+        return "\n".join(lines).encode()
+
+    def restore(self, data: bytes) -> None:
+        restored = []
+        for line in data.decode().splitlines():
+            term, index, command = line.split(" ")
+            restored.append((int(term), int(index), bytes.fromhex(command)))
+        assert restored[: len(self.entries)] == self.entries, "restored another past"
+        self.entries = restored
+
+
+class GroupMember:
+    """One simulated process with its disk."""
+
+    def __init__(self, group: "SimulatedGroup", name: str) -> None:
+        self.group = group
+        self.name = name
+        self.disk = MemoryDisk(rng=group.rng)
+        self.replica: Replica | None = None
+        self.machine = RecordingState()
+        self._tasks: list[asyncio.Task[Any]] = []
+
+    def start(self) -> None:
+        transport = MemoryTransport(name=self.name, network=self.group.network)
+        self.machine = RecordingState()
+        self.replica = Replica(
+            name=self.name,
+            transport=transport,
+            disk=self.disk,
+            state_machine=self.machine,
+            rng=self.group.rng,
+            bootstrap=self.group.founders,
+            snapshot_entries=self.group.snapshot_entries,
+            kept_entries=4,
+        )
+        loaded = self.replica.load()
+        assert isinstance(loaded, Success), loaded
+        self._tasks = [
+            asyncio.ensure_future(transport.run()),
+            asyncio.ensure_future(self.replica.run()),
+        ]
+
+    def crash(self) -> None:
+        """End the process; what was not synced is lost."""
+        self.check_failures()
+        self.disk.crash()
+        self.replica = None
+        for task in self._tasks:
+            task.cancel()
+
+    def check_failures(self) -> None:
+        for task in self._tasks:
+            if task.done() and not task.cancelled():
+                task.result()
+
+
+class SimulatedGroup:
+    """
+    Replicas on one memory network.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of all that is left to chance.
+    one_way : float
+        Latency between any two replicas, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        rng: Random,
+        names: tuple[str, ...] = NAMES,
+        founders: tuple[str, ...] | None = None,
+        one_way: float = 0.0005,
+        loss: float = 0.0,
+        snapshot_entries: int = 16,
+    ) -> None:
+        self.rng = rng
+        self.founders = names if founders is None else founders
+        self.snapshot_entries = snapshot_entries
+        quality = LinkQuality(one_way, one_way * 1.5, loss)
+        self.network = MemoryNetwork(rng=rng, quality=quality)
+        self.members_by_name = {name: GroupMember(self, name) for name in names}
+
+    def start(self) -> None:
+        for member in self.members_by_name.values():
+            member.start()
+
+    def live(self) -> list[GroupMember]:
+        return [m for m in self.members_by_name.values() if m.replica is not None]
+
+    def leader(self) -> GroupMember | None:
+        """Return the replica that says that it rules."""
+        leaders = [m for m in self.live() if m.replica and m.replica.is_leader]
+        assert len(leaders) < 2, f"two leaders: {[m.name for m in leaders]}"
+        return leaders[0] if leaders else None
+
+    async def wait_for_leader(self, seconds: float = 30.0) -> GroupMember:
+        return await self.wait_for(self.leader, "no leader", seconds)
+
+    async def wait_for(
+        self, condition: Any, message: str, seconds: float = 30.0
+    ) -> Any:
+        """Return the first true value of ``condition``; fail after ``seconds``."""
+        deadline = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < deadline:
+            value = condition()
+            if value:
+                return value
+            await asyncio.sleep(0.02)
+        raise AssertionError(f"{message} after {seconds} s")
+
+    async def propose(self, command: bytes) -> bool:
+        """Return whether some leader accepted ``command``."""
+        for member in self.live():
+            log: ReplicatedLog | None = member.replica
+            if log is not None and log.leader == member.name:
+                outcome = await log.propose(command)
+                return not isinstance(outcome, Failure)
+        return False
+
+    def wipe(self, name: str) -> None:
+        """Crash a replica and lose its disk."""
+        member = self.members_by_name[name]
+        if member.replica is not None:
+            member.crash()
+        member.disk.wipe()
+
+    def is_whole(self) -> bool:
+        """Return whether all replicas are voters under their incarnations."""
+        leader = self.leader()
+        if leader is None or len(self.live()) < len(self.members_by_name):
+            return False
+        assert leader.replica is not None
+        state = leader.replica.state
+        present = {m.replica.state.me for m in self.live() if m.replica}
+        committed = state.members_index <= state.commit_index
+        return committed and set(state.members.voters) == present
