--- a/poplarlug/control/memory_disk.py
+++ b/poplarlug/control/memory_disk.py
@@ -28,10 +28,11 @@
 
     def __init__(self, *, rng: Random, max_delay: Seconds = 0.005) -> None:
         self._rng = rng
-        self._max_delay = max_delay
+        self.max_delay = max_delay
         self._session = 0
         self._writes_by_id: dict[int, _Write] = {}
         self._last_id = 0
+        self._lost_ends: list[asyncio.Future[None]] = []
         self.files_by_name: dict[str, bytes] = {}
 
     def crash(self) -> None:
@@ -63,12 +64,18 @@
         self._last_id += 1
         write_id = self._last_id
         self._writes_by_id[write_id] = write
-        await asyncio.sleep(self._rng.uniform(0, self._max_delay))
+        await asyncio.sleep(self._rng.uniform(0, self.max_delay))
         if session != self._session:
-            raise asyncio.CancelledError
+            # The process is gone; nothing of it goes on.
+            await self._never()
         del self._writes_by_id[write_id]
         self._store(write)
 
+    async def _never(self) -> None:
+        end: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._lost_ends.append(end)
+        await end
+
     def _store(self, write: _Write) -> None:
         before = self.files_by_name.get(write.name, b"") if write.appends else b""
         self.files_by_name[write.name] = before + write.data
--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -7,24 +7,37 @@
 from returns.result import Failure, Success
 
 from poplarlug.control.memory_disk import MemoryDisk
+from poplarlug.control.raft.consensus_state import Role
 from poplarlug.control.raft.replica import Replica
 from poplarlug.control.replicated_log import LogEntry, ReplicatedLog, StateMachine
 from poplarlug.transport import MemoryNetwork, MemoryTransport
 from poplarlug.transport.memory import LinkQuality
 
 NAMES = ("a", "b", "c")
+POLL_SECONDS = 0.05
 
 
 class RecordingState(StateMachine):
-    """Keep the place and content of every command."""
+    """
+    Keep the place and content of every command.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    history : dict
+        What any replica ever applied, by index; shared by all of them.
+    """
+
+    def __init__(self, *, history: dict[int, tuple[int, int, bytes]]) -> None:
         self.entries: list[tuple[int, int, bytes]] = []
+        self._history = history
 
     def apply(self, entry: LogEntry) -> int:
         if self.entries:
             assert entry.log_index > self.entries[-1][1], "applied index went down"
-        self.entries.append((entry.term, entry.log_index, entry.command))
+        applied = (entry.term, entry.log_index, entry.command)
+        first = self._history.setdefault(entry.log_index, applied)
+        assert first == applied, f"{applied} in place of {first}"
+        self.entries.append(applied)
         return len(self.entries)
 
     def snapshot(self) -> bytes:
@@ -48,12 +61,12 @@
         self.name = name
         self.disk = MemoryDisk(rng=group.rng)
         self.replica: Replica | None = None
-        self.machine = RecordingState()
+        self.machine = RecordingState(history=group.history)
         self._tasks: list[asyncio.Task[Any]] = []
 
     def start(self) -> None:
         transport = MemoryTransport(name=self.name, network=self.group.network)
-        self.machine = RecordingState()
+        self.machine = RecordingState(history=self.group.history)
         self.replica = Replica(
             name=self.name,
             transport=transport,
@@ -108,6 +121,8 @@
         snapshot_entries: int = 16,
     ) -> None:
         self.rng = rng
+        self.history: dict[int, tuple[int, int, bytes]] = {}
+        self.leaders_by_term: dict[int, str] = {}
         self.founders = names if founders is None else founders
         self.snapshot_entries = snapshot_entries
         quality = LinkQuality(one_way, one_way * 1.5, loss)
@@ -121,6 +136,17 @@
     def live(self) -> list[GroupMember]:
         return [m for m in self.members_by_name.values() if m.replica is not None]
 
+    def check(self) -> None:
+        """Fail when two replicas lead in one term or two hold a lease."""
+        self.leader()
+        for member in self.live():
+            member.check_failures()
+            assert member.replica is not None
+            state = member.replica.state
+            if state.role is Role.LEADER:
+                first = self.leaders_by_term.setdefault(state.term, member.name)
+                assert first == member.name, f"two leaders in term {state.term}"
+
     def leader(self) -> GroupMember | None:
         """Return the replica that says that it rules."""
         leaders = [m for m in self.live() if m.replica and m.replica.is_leader]
@@ -139,7 +165,8 @@
             value = condition()
             if value:
                 return value
-            await asyncio.sleep(0.02)
+            self.check()
+            await asyncio.sleep(POLL_SECONDS)
         raise AssertionError(f"{message} after {seconds} s")
 
     async def propose(self, command: bytes) -> bool:
--- /dev/null
+++ b/tests/control/raft/test_lease.py
@@ -0,0 +1,72 @@
+"""Tests of the leader's lease and of the step-down without a quorum."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+from unittest import TestCase
+
+from returns.result import Failure
+
+from poplarlug.control.replicated_log import ProposeErrorKind
+from poplarlug.virtualtime import run_virtual
+from tests.control.group import GroupMember, SimulatedGroup
+
+SEEDS = range(5)
+
+
+class LeaseTests(TestCase):
+    def run_seeds(
+        self, main: Callable[[SimulatedGroup], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run ``main`` with new groups under one-way latencies of 55 ms."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                group = SimulatedGroup(rng=Random(seed), one_way=0.055)
+                run_virtual(main(group))
+
+    def test_no_two_leaders_when_one_replica_stops_hearing_the_leader(self) -> None:
+        """A replica that hears the leader elects no other one."""
+
+        async def main(group: SimulatedGroup) -> None:
+            group.start()
+            leader = await group.wait_for_leader()
+            await asyncio.sleep(1.0)
+            deaf = other_than(group, leader)
+            group.network.cut(leader.name, deaf.name)
+            for _ in range(400):
+                await asyncio.sleep(0.02)
+                group.check()
+                self.assertIs(group.leader(), leader)
+
+        self.run_seeds(main)
+
+    def test_cut_off_leader_stops_ruling_before_the_next_one_rules(self) -> None:
+        """Its lease ends first, and its open proposals have an unknown outcome."""
+
+        async def main(group: SimulatedGroup) -> None:
+            group.start()
+            leader = await group.wait_for_leader()
+            await asyncio.sleep(1.0)
+            for member in group.members_by_name.values():
+                group.network.cut(leader.name, member.name)
+                group.network.cut(member.name, leader.name)
+            assert leader.replica is not None
+            proposal = asyncio.ensure_future(leader.replica.propose(b"late"))
+            await group.wait_for(lambda: group.leader() is None, "rules on")
+            successor = await group.wait_for_leader()
+            self.assertIsNot(successor, leader)
+            outcome = await proposal
+            assert isinstance(outcome, Failure)
+            self.assertIs(outcome.failure().kind, ProposeErrorKind.UNKNOWN)
+            group.network.heal()
+            await group.wait_for(
+                lambda: leader.replica and leader.replica.leader == successor.name,
+                "the former leader follows no one",
+            )
+
+        self.run_seeds(main)
+
+
+def other_than(group: SimulatedGroup, leader: GroupMember) -> GroupMember:
+    return next(m for m in group.members_by_name.values() if m is not leader)
--- /dev/null
+++ b/tests/control/test_log_storage.py
@@ -0,0 +1,169 @@
+"""Tests of what a crash or damage leaves of the log and the hard state."""
+
+import asyncio
+from random import Random
+from unittest import TestCase
+
+from returns.result import Failure, Success
+
+from poplarlug.control.hard_state import HARD_STATE_FILE, HardState
+from poplarlug.control.log_storage import LOG_FILE, Entry, EntryKind, LogStorage
+from poplarlug.control.memory_disk import MemoryDisk
+from poplarlug.control.records import MAGIC, encode_record
+from poplarlug.virtualtime import run_virtual
+
+
+def entry(log_index: int, term: int = 1, data: bytes = b"x") -> Entry:
+    return Entry(term, log_index, EntryKind.COMMAND, data)
+
+
+class LogStorageTests(TestCase):
+    def setUp(self) -> None:
+        self.disk = MemoryDisk(rng=Random(1))
+
+    def write(self, *batches: list[Entry]) -> None:
+        """Sync each batch of entries in a new log."""
+
+        async def main() -> None:
+            log = LogStorage(disk=self.disk)
+            for batch in batches:
+                log.append(batch)
+                await log.sync(log.last_index)
+
+        run_virtual(main())
+
+    def load(self) -> LogStorage:
+        log = LogStorage(disk=self.disk)
+        self.assertEqual(log.load(), Success(None))
+        return log
+
+    def held(self, log: LogStorage) -> list[tuple[int, int]]:
+        return [(e.term, e.log_index) for e in log.entries_from(log.base_index + 1)]
+
+    def test_synced_entries_come_back(self) -> None:
+        """All batches are read in their order."""
+        self.write([entry(1), entry(2)], [entry(3)])
+        self.assertEqual(self.held(self.load()), [(1, 1), (1, 2), (1, 3)])
+
+    def test_torn_end_is_cut_at_any_byte(self) -> None:
+        """What is left of the last write is dropped, the rest stays."""
+        self.write([entry(1)], [entry(2)])
+        whole = self.disk.files_by_name[LOG_FILE]
+        self.disk.wipe()
+        self.write([entry(1)])
+        first_size = len(self.disk.files_by_name[LOG_FILE])
+        for size in range(first_size, len(whole)):
+            self.disk.files_by_name[LOG_FILE] = whole[:size]
+            self.assertEqual(self.held(self.load()), [(1, 1)], size)
+
+    def test_log_goes_on_after_a_cut_end(self) -> None:
+        """Entries after a torn end survive the next restart."""
+        self.write([entry(1)], [entry(2)])
+        self.disk.files_by_name[LOG_FILE] = self.disk.files_by_name[LOG_FILE][:-1]
+
+        async def main() -> None:
+            log = self.load()
+            log.append([entry(2, term=2)])
+            await log.sync(2)
+            log.append([entry(3, term=2)])
+            await log.sync(3)
+
+        run_virtual(main())
+        self.assertEqual(self.held(self.load()), [(1, 1), (2, 2), (2, 3)])
+
+    def test_damaged_middle_is_refused(self) -> None:
+        """Any changed byte before the last record is told, not cut off."""
+        self.write([entry(1)], [entry(2)], [entry(3)])
+        whole = self.disk.files_by_name[LOG_FILE]
+        for offset in range(whole.rfind(MAGIC)):
+            damaged = bytearray(whole)
+            damaged[offset] ^= 0x55
+            self.disk.files_by_name[LOG_FILE] = bytes(damaged)
+            loaded = LogStorage(disk=self.disk).load()
+            assert isinstance(loaded, Failure), offset
+            self.assertIn("damaged in its middle", loaded.failure())
+
+    def test_record_inside_a_payload_is_no_record(self) -> None:
+        """A torn write whose payload looks like a record is cut all the same."""
+        decoy = encode_record(b"decoy", 0)
+        self.write([entry(1)], [entry(2, data=decoy)])
+        self.disk.files_by_name[LOG_FILE] = self.disk.files_by_name[LOG_FILE][:-1]
+        self.assertEqual(self.held(self.load()), [(1, 1)])
+
+    def test_replaced_entries_stay_replaced(self) -> None:
+        """Entries that were cut and written anew come back as the new ones."""
+
+        async def main() -> None:
+            log = LogStorage(disk=self.disk)
+            log.append([entry(1), entry(2), entry(3)])
+            await log.sync(3)
+            log.cut_from(2)
+            log.append([entry(2, term=2)])
+            await log.sync(2)
+
+        run_virtual(main())
+        self.assertEqual(self.held(self.load()), [(1, 1), (2, 2)])
+
+    def test_entries_cut_during_a_write_are_not_durable(self) -> None:
+        """A write that ends after the cut makes none of the new entries durable."""
+
+        async def main() -> None:
+            log = LogStorage(disk=self.disk)
+            log.append([entry(1), entry(2), entry(3)])
+            writing = asyncio.ensure_future(log.sync(3))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            log.cut_from(2)
+            log.append([entry(2, term=2)])
+            for _ in range(1000):
+                if log.durable_index:
+                    break
+                await asyncio.sleep(0.0001)
+            self.assertEqual(log.durable_index, 1)
+            await log.sync(2)
+            await writing
+
+        run_virtual(main())
+        self.assertEqual(self.held(self.load()), [(1, 1), (2, 2)])
+
+    def test_many_waiting_entries_are_synced_together(self) -> None:
+        """Entries that came during a write share the next one."""
+
+        async def main() -> None:
+            log = LogStorage(disk=self.disk)
+            syncs = []
+            for log_index in range(1, 101):
+                log.append([entry(log_index)])
+                syncs.append(asyncio.ensure_future(log.sync(log_index)))
+                await asyncio.sleep(0)
+            await asyncio.gather(*syncs)
+
+        run_virtual(main())
+        self.assertEqual(self.load().last_index, 100)
+        records = self.disk.files_by_name[LOG_FILE].count(MAGIC)
+        self.assertLessEqual(records, 3)
+
+
+class HardStateTests(TestCase):
+    def test_damaged_file_is_refused(self) -> None:
+        """A vote that can't be read is never taken for no vote."""
+        disk = MemoryDisk(rng=Random(1))
+        hard_state = HardState(disk=disk, rng=Random(2))
+        run_virtual(hard_state.save())
+        disk.files_by_name[HARD_STATE_FILE] = disk.files_by_name[HARD_STATE_FILE][:-1]
+        loaded = HardState(disk=disk, rng=Random(3)).load()
+        assert isinstance(loaded, Failure)
+        self.assertIn("damaged", loaded.failure())
+
+    def test_emptied_disk_is_another_incarnation(self) -> None:
+        """The incarnation survives a restart and not the loss of the disk."""
+        disk = MemoryDisk(rng=Random(1))
+        first = HardState(disk=disk, rng=Random(2))
+        run_virtual(first.save())
+        again = HardState(disk=disk, rng=Random(3))
+        self.assertEqual(again.load(), Success(None))
+        self.assertEqual(again.incarnation, first.incarnation)
+        disk.wipe()
+        emptied = HardState(disk=disk, rng=Random(4))
+        self.assertEqual(emptied.load(), Success(None))
+        self.assertNotEqual(emptied.incarnation, first.incarnation)
