Add the load and experiment tool

Cause: the policy could be judged by no figure. Ruled out: a model of the cluster's own protocols; only zones, reports, cuts and latency stand in, the decisions are the product's own objects. Change: poplarlug-load compares policies in virtual time over deployments, scenarios and seeds (table, JSON, plot) and drives real entries over HTTP. Streams wake their reader only when it wants to; admission's wake task sleeps while nothing is queued; baselines count own requests in flight.

--- a/poplarlug/admission/rank_admission.py
+++ b/poplarlug/admission/rank_admission.py
@@ -43,14 +43,18 @@
     def __init__(self, *, clock: Callable[[], Seconds]) -> None:
         self._clock = clock
         self._pools_by_name: dict[PoolName, RankPool] = {}
+        self._queued = asyncio.Event()
 
     async def run(self) -> None:
         """Grant slots that upstreams' reports have freed."""
         while True:
+            await self._queued.wait()
             await asyncio.sleep(WAKE_SECONDS)
-            for pool in self._pools_by_name.values():
-                if not pool.is_idle():
-                    pool.wake()
+            waiting = [p for p in self._pools_by_name.values() if p.has_queue()]
+            if not waiting:
+                self._queued.clear()
+            for pool in waiting:
+                pool.wake()
 
     def expected_wait(self, request: AdmissionRequest) -> Seconds:
         return self._pool(request).expected_wait(request)
@@ -64,6 +68,7 @@
         if expected > allowed or not pool.has_place(request):
             return Failure(self._refusal(pool, request, "at_once"))
         waiting = pool.push(request)
+        self._queued.set()
         QUEUED.labels(request.rank.name).inc()
         try:
             async with asyncio.timeout(max(allowed, expected)):
--- a/poplarlug/admission/rank_pool.py
+++ b/poplarlug/admission/rank_pool.py
@@ -140,6 +140,9 @@
         state = self._states_by_rank.get(rank)
         return state.in_use if state else 0
 
+    def has_queue(self) -> bool:
+        return any(len(state.queue) for state in self._states_by_rank.values())
+
     def is_idle(self) -> bool:
         return not any(s.in_use or len(s.queue) for s in self._states_by_rank.values())
 
--- a/poplarlug/fakes/emulator.py
+++ b/poplarlug/fakes/emulator.py
@@ -103,6 +103,7 @@
         self.cancelled = False
         self._tokens = float(job.resume_from)
         self._waiter: asyncio.Future[None] | None = None
+        self._wanted = 0
 
     @property
     def tokens(self) -> int:
@@ -116,6 +117,7 @@
     async def next_tokens(self, seen: int) -> int:
         """Wait until there are more than ``seen`` tokens or the end."""
         while self.tokens <= seen and not self.ended:
+            self._wanted = seen
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         return self.tokens
@@ -132,11 +134,11 @@
             self.end()
 
     def grow(self, tokens: float, now: Seconds) -> None:
-        before = self.tokens
         self._tokens = min(float(self.job.max_tokens), self._tokens + tokens)
-        if self.tokens > before:
-            if self.first_token_at is None:
-                self.first_token_at = now
+        present = self.tokens
+        if self.first_token_at is None and present > self.job.resume_from:
+            self.first_token_at = now
+        if present > self._wanted:
             self._wake()
 
     def end(self) -> None:
--- a/poplarlug/load/__init__.py
+++ b/poplarlug/load/__init__.py
@@ -1,1 +1,1 @@
-"""load package."""
+"""Experiments on routing and admission: workloads, faults and measures."""
--- /dev/null
+++ b/poplarlug/load/bench.py
@@ -0,0 +1,200 @@
+"""Zones of emulated engines behind the product's decisions, in virtual time."""
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import NamedTuple
+
+from poplarlug.fakes.emulator import EngineEmulator, EngineJob, EngineStream
+from poplarlug.load.deployments import ENGINE, MODEL, DeploymentPlan, ZonePlan
+from poplarlug.membership.upstreams import Announcement
+from poplarlug.routing import Fleet, ForwardRoute, RouteRequest, ZoneView
+from poplarlug.serving.dispatcher import Dispatcher, DispatchParts, LocalPlacement
+from poplarlug.types import Seconds, UpstreamId
+
+REPORT_SECONDS = 1.0
+SUMMARY_SECONDS = 1.0
+SUMMARY_LIFE_SECONDS = 5.0
+LEASE_SECONDS = 4.0
+
+MakeParts = Callable[[Random, int], DispatchParts]
+"""Makes the decisions of one entry, given the entries of its zone."""
+
+
+class CacheUse(NamedTuple):
+    """Cached prompt tokens at the chosen engine and at the best one."""
+
+    chosen: int
+    best: int
+
+
+class BenchEngine:
+    """An engine that announces itself, as a stand-in process does."""
+
+    def __init__(self, *, name: UpstreamId, batch_limit: int, rng: Random) -> None:
+        self.profile = ENGINE._replace(batch_limit=batch_limit)
+        self.emulator = EngineEmulator(profile=self.profile, rng=rng, models=(MODEL,))
+        self.name = name
+        self.lost = False
+        self.heard: Seconds = 0.0
+        self.announcement = Announcement(
+            id=name,
+            kind="engine",
+            address="",
+            models=(MODEL,),
+            capacity=batch_limit,
+            prefill_tokens_per_second=ENGINE.prefill_tokens_per_second,
+            token_seconds=ENGINE.token_seconds,
+        )
+
+    def announce(self, now: Seconds) -> None:
+        """Renew the announcement with the load and cache events of now."""
+        if self.lost:
+            return
+        load = self.emulator.reported_load()
+        events = self.emulator.publish_cache_events()
+        held = self.announcement
+        self.heard = now
+        self.announcement = held._replace(
+            sequence=held.sequence + 1,
+            running=load.running,
+            queued=load.queued,
+            cache_sequence=events.sequence if events else held.cache_sequence,
+            cache_stored=events.stored if events else held.cache_stored,
+            cache_removed=events.removed if events else held.cache_removed,
+        )
+
+    def lose(self) -> None:
+        """Break off all work and fall silent."""
+        self.lost = True
+        self.emulator.crash()
+
+    def recover(self) -> None:
+        """Come back with a cold cache."""
+        self.lost = False
+        incarnation = self.announcement.incarnation + 1
+        self.announcement = self.announcement._replace(incarnation=incarnation)
+
+
+class BenchZone:
+    """One zone's engines and the decisions of its entries."""
+
+    def __init__(
+        self, *, plan: ZonePlan, entries: int, make_parts: MakeParts, rng: Random
+    ) -> None:
+        self.plan = plan
+        self.cut = False
+        self.engines_by_id = {
+            name: BenchEngine(name=name, batch_limit=limit, rng=rng)
+            for name, limit in (
+                (f"{plan.zone}-e{index}", limit)
+                for index, limit in enumerate(plan.engines)
+            )
+        }
+        self.views: dict[str, tuple[Seconds, ZoneView]] = {}
+        self.entry_names = tuple(f"{plan.zone}-{index}" for index in range(entries))
+        self.parts = [make_parts(rng, entries) for _ in range(entries)]
+        self.dispatchers = [
+            Dispatcher(parts=parts, fleet=partial(self._fleet_of, parts))
+            for parts in self.parts
+        ]
+        self._fleet = Fleet((), {})
+
+    def _fleet_of(self, parts: DispatchParts) -> Fleet:
+        return self._fleet._replace(in_flight_by_id=parts.loads.in_flight_by_id)
+
+    def refresh(self, now: Seconds) -> None:
+        """Take the engines' announcements and the zones' summaries of now."""
+        upstreams = tuple(
+            engine.announcement
+            for engine in self.engines_by_id.values()
+            if engine.announcement.sequence and now - engine.heard < LEASE_SECONDS
+        )
+        zones = tuple(
+            view
+            for taken, view in self.views.values()
+            if now - taken < SUMMARY_LIFE_SECONDS
+        )
+        self._fleet = Fleet(upstreams, {}, zones)
+
+    def summary(self) -> ZoneView:
+        upstreams = self._fleet.upstreams
+        return ZoneView(
+            zone=self.plan.zone,
+            region=self.plan.region,
+            entries=self.entry_names,
+            models=(MODEL,) if upstreams else (),
+            services=(),
+            running=sum(upstream.running for upstream in upstreams),
+            queued=sum(upstream.queued for upstream in upstreams),
+            capacity=sum(upstream.capacity for upstream in upstreams),
+        )
+
+
+class Bench:
+    """All zones of a deployment."""
+
+    def __init__(
+        self, *, plan: DeploymentPlan, make_parts: MakeParts, rng: Random
+    ) -> None:
+        self.zones = [
+            BenchZone(
+                plan=zone,
+                entries=plan.entries_per_zone,
+                make_parts=make_parts,
+                rng=rng,
+            )
+            for zone in plan.zones
+        ]
+        self._zones_by_name = {zone.plan.zone: zone for zone in self.zones}
+        self.cache_use: list[CacheUse] = []
+
+    def zone(self, name: str) -> BenchZone:
+        return self._zones_by_name[name]
+
+    async def run_reports(self) -> None:
+        """Renew announcements and summaries, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            now = loop.time()
+            for zone in self.zones:
+                for engine in zone.engines_by_id.values():
+                    engine.announce(now)
+                zone.refresh(now)
+            for zone in self.zones:
+                for other in self.zones:
+                    if other is not zone and not zone.cut and not other.cut:
+                        other.views[zone.plan.zone] = (now, zone.summary())
+            await asyncio.sleep(REPORT_SECONDS)
+
+    def reachable(self, source: BenchZone, target: BenchZone) -> bool:
+        return source is target or not (source.cut or target.cut)
+
+    def start(
+        self, zone: BenchZone, placement: LocalPlacement, request: RouteRequest
+    ) -> EngineStream | None:
+        """Start a placed request; ``None`` when its engine is lost."""
+        engine = zone.engines_by_id[placement.upstream.id]
+        if engine.lost:
+            return None
+        best = max(
+            other.emulator.cache.hit_blocks(request.prefix_hashes)
+            for other in zone.engines_by_id.values()
+        )
+        chosen = engine.emulator.cache.hit_blocks(request.prefix_hashes)
+        self.cache_use.append(CacheUse(chosen, best))
+        return engine.emulator.submit(
+            EngineJob(
+                prompt_tokens=request.prompt_tokens,
+                max_tokens=request.max_tokens,
+                prefix_hashes=request.prefix_hashes,
+                priority=request.rank.priority,
+            )
+        )
+
+
+def forward_target(bench: Bench, route: ForwardRoute) -> tuple[BenchZone, Dispatcher]:
+    """Return the zone and the entry that a forward names."""
+    zone = bench.zone(route.zone)
+    return zone, zone.dispatchers[zone.entry_names.index(route.entry)]
--- /dev/null
+++ b/poplarlug/load/main.py
@@ -0,0 +1,131 @@
+"""Entry point of ``poplarlug-load``."""
+
+import asyncio
+import sys
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import fire
+
+from poplarlug.load.deployments import PLANS_BY_NAME
+from poplarlug.load.experiment import RunKey, run_experiment
+from poplarlug.load.faults import SCENARIOS_BY_NAME
+from poplarlug.load.http_driver import HttpPlan, run_http
+from poplarlug.load.measures import MeasuredRun, measure
+from poplarlug.load.policies import MAKERS_BY_POLICY
+from poplarlug.load.report import plot, table, to_json
+
+MAX_WORKERS = 8
+
+
+def compare(
+    deployments: Any = "cascara-verde,markisenwerk",
+    scenarios: Any = "normal-day",
+    policies: Any = "expected_finish,round_robin,random,least_loaded",
+    seeds: int = 1,
+    seconds: float = 300.0,
+    workers: int = 1,
+    json_file: str = "",
+    plot_file: str = "",
+) -> None:
+    """
+    Compare policies in virtual time on the same requests.
+
+    Parameters
+    ----------
+    deployments, scenarios, policies : str
+        Names, separated by commas; "all" for all of them.
+    seeds : int
+        Seeds 1 to this one.
+    seconds : float
+        Virtual length of each run.
+    workers : int
+        Runs at once, each in a process of its own.
+    json_file, plot_file : str
+        Where to write the measures and the plot.
+    """
+    keys = [
+        RunKey(deployment, scenario, policy, seed, float(seconds))
+        for deployment in _names(deployments, PLANS_BY_NAME)
+        for scenario in _names(scenarios, SCENARIOS_BY_NAME)
+        for policy in _names(policies, MAKERS_BY_POLICY)
+        for seed in range(1, seeds + 1)
+    ]
+    runs = _run_all(keys, min(workers, MAX_WORKERS))
+    print(table(runs))
+    if json_file:
+        Path(json_file).write_bytes(to_json(runs))
+    if plot_file:
+        plot(runs, Path(plot_file))
+
+
+def drive(
+    entries: Any,
+    key_file: str,
+    model: str,
+    seconds: float = 10.0,
+    urgent_rate: float = 2.0,
+    patient_rate: float = 2.0,
+    flood_rank: str = "",
+    flood_rate: float = 0.0,
+    seed: int = 1,
+) -> None:
+    """
+    Send a workload to entries over HTTP and print what came back as JSON.
+
+    Parameters
+    ----------
+    entries : str
+        HTTP addresses, separated by commas.
+    key_file : str
+        File with the caller's key.
+    urgent_rate, patient_rate, flood_rate : float
+        Requests a second; the flood takes the middle third of the run.
+    """
+    plan = HttpPlan(
+        entries=_split(entries),
+        key=Path(key_file).read_text().strip(),
+        model=model,
+        seconds=float(seconds),
+        rates_by_rank={"urgent": float(urgent_rate), "patient": float(patient_rate)},
+        flood_rank=flood_rank,
+        flood_rate=float(flood_rate),
+        seed=seed,
+    )
+    print(asyncio.run(run_http(plan)).decode())
+
+
+def main() -> None:
+    """Run ``poplarlug-load``."""
+    fire.Fire({"compare": compare, "drive": drive})
+
+
+def _run_all(keys: Sequence[RunKey], workers: int) -> list[MeasuredRun]:
+    if workers <= 1:
+        return [_run_one(key) for key in keys]
+    with ProcessPoolExecutor(workers) as pool:
+        return list(pool.map(_run_one, keys))
+
+
+def _run_one(key: RunKey) -> MeasuredRun:
+    return measure(run_experiment(key))
+
+
+def _names(value: Any, known: dict[str, Any]) -> list[str]:
+    names = list(known) if value == "all" else list(_split(value))
+    unknown = [name for name in names if name not in known]
+    if unknown:
+        print(
+            f"got {', '.join(unknown)}, expected some of {', '.join(known)} or 'all'",
+            file=sys.stderr,
+        )
+        raise SystemExit(2)
+    return names
+
+
+def _split(value: Any) -> tuple[str, ...]:
+    if isinstance(value, list | tuple):
+        return tuple(str(item) for item in value)
+    return tuple(part for part in str(value).split(",") if part)
--- /dev/null
+++ b/poplarlug/load/policies.py
@@ -0,0 +1,65 @@
+"""The policies that an experiment compares."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+from poplarlug.admission import Admission, OpenAdmission, RankAdmission
+from poplarlug.routing import (
+    ExpectedFinish,
+    LeastLoaded,
+    PrefixIndex,
+    RandomChoice,
+    RoundRobin,
+    RoutingPolicy,
+    UpstreamLoads,
+    WanBudget,
+    ZoneRamp,
+)
+from poplarlug.routing.wan_budget import FORWARDS_SHARE, LINK_BYTES_PER_SECOND
+from poplarlug.serving.dispatcher import DispatchParts
+
+PRODUCT = "expected_finish"
+
+
+def make_expected_finish(rng: Random, entries: int) -> DispatchParts:
+    """Return the product's decisions, as the entry daemon puts them together."""
+    clock = asyncio.get_running_loop().time
+    loads = UpstreamLoads()
+    policy = ExpectedFinish(
+        loads=loads,
+        prefixes=PrefixIndex(clock=clock),
+        wan=WanBudget(
+            bytes_per_second=LINK_BYTES_PER_SECOND * FORWARDS_SHARE / entries,
+            clock=clock,
+        ),
+        ramp=ZoneRamp(clock=clock),
+        rng=rng,
+    )
+    return DispatchParts(policy, RankAdmission(clock=clock), loads)
+
+
+def make_admitted_least_loaded(rng: Random, entries: int) -> DispatchParts:
+    """Return least loaded behind the product's admission."""
+    admission: Admission = RankAdmission(clock=asyncio.get_running_loop().time)
+    return DispatchParts(LeastLoaded(), admission, UpstreamLoads())
+
+
+def make_baseline(
+    make_policy: Callable[[Random], RoutingPolicy],
+) -> Callable[[Random, int], DispatchParts]:
+    """Return a maker of a policy that admits everything."""
+
+    def make(rng: Random, entries: int) -> DispatchParts:
+        return DispatchParts(make_policy(rng), OpenAdmission(), UpstreamLoads())
+
+    return make
+
+
+MAKERS_BY_POLICY: dict[str, Callable[[Random, int], DispatchParts]] = {
+    PRODUCT: make_expected_finish,
+    "round_robin": make_baseline(lambda rng: RoundRobin()),
+    "random": make_baseline(lambda rng: RandomChoice(rng=rng)),
+    "least_loaded": make_baseline(lambda rng: LeastLoaded()),
+    "admitted_least_loaded": make_admitted_least_loaded,
+}
--- a/poplarlug/routing/upstream_loads.py
+++ b/poplarlug/routing/upstream_loads.py
@@ -1,6 +1,7 @@
 """Load of each upstream between its reports, and the limit on it."""
 
-from collections.abc import Collection
+from collections import Counter
+from collections.abc import Collection, Mapping
 
 from poplarlug.membership.upstreams import Announcement
 from poplarlug.types import UpstreamId
@@ -40,6 +41,12 @@
 
     def __init__(self) -> None:
         self._loads_by_id: dict[UpstreamId, _UpstreamLoad] = {}
+        self._in_flight_by_id: Counter[UpstreamId] = Counter()
+
+    @property
+    def in_flight_by_id(self) -> Mapping[UpstreamId, int]:
+        """Own requests at each upstream that has any."""
+        return self._in_flight_by_id
 
     def __len__(self) -> int:
         return len(self._loads_by_id)
@@ -47,10 +54,14 @@
     def started(self, upstream: Announcement) -> None:
         """Count a request that was sent to ``upstream``."""
         self._load(upstream).in_flight += 1
+        self._in_flight_by_id[upstream.id] += 1
 
     def ended(self, upstream: Announcement) -> None:
         """Count the end of a request at ``upstream``."""
         self._load(upstream).in_flight -= 1
+        self._in_flight_by_id[upstream.id] -= 1
+        if not self._in_flight_by_id[upstream.id]:
+            del self._in_flight_by_id[upstream.id]
 
     def in_flight(self, upstream: Announcement) -> int:
         """Return the own requests at ``upstream``."""
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -1,7 +1,5 @@
 """Serves a request: checks, route, attempts, answer."""
 
-from collections import Counter
-
 from returns.result import Failure
 
 from poplarlug.catalog import Account, Catalog, Rank
@@ -67,7 +65,6 @@
         self._dispatcher = Dispatcher(parts=dispatch, fleet=self._fleet)
         self._client = client
         self._forwarder = forwarder
-        self._in_flight_by_id: Counter[UpstreamId] = Counter()
         self.in_progress: Latest[int] = Latest(initial=0)
         forwarder.serve_by(self.serve)
 
@@ -159,13 +156,11 @@
         self, request: GatewayRequest, placement: LocalPlacement, sink: AnswerSink
     ) -> GatewayError | None:
         upstream = placement.upstream
-        self._in_flight_by_id[upstream.id] += 1
         try:
             outcome = await self._client.attempt(
                 request=request, address=upstream.address, sink=sink
             )
         finally:
-            self._in_flight_by_id[upstream.id] -= 1
             placement.release()
         if outcome.status is AttemptStatus.DONE:
             await sink.finish()
@@ -187,7 +182,7 @@
         self._loads.keep_only(serving)
         return Fleet(
             upstreams=serving,
-            in_flight_by_id=self._in_flight_by_id,
+            in_flight_by_id=self._loads.in_flight_by_id,
             zones=_zone_views(self._membership.summaries()),
         )
 
