Keep urgent work's places free of other entries' patient work

Cause: an entry's headroom counted its own slots only, so patient work of the zone's other entries filled the engines; urgent work then waited for slots that patient work held for long and was refused late. Change: the most urgent rank is bound by the own limit alone, since engines honour priorities; lower ranks also need places that all entries share, with the headroom of all of them. Limits start at an entry's share of the capacity.

--- a/poplarlug/admission/base.py
+++ b/poplarlug/admission/base.py
@@ -20,11 +20,17 @@
     Parameters
     ----------
     free, total : int
-        Requests that may start now, and that may be in progress at once.
+        Own requests that may start now, and that may be in progress at once.
+    shared_free : int
+        Places that the upstreams have left for all entries together.
+    sharers : int
+        Entries that share the upstreams.
     """
 
     free: int
     total: int
+    shared_free: int
+    sharers: int = 1
 
 
 class AdmissionRequest(NamedTuple):
--- a/poplarlug/admission/rank_pool.py
+++ b/poplarlug/admission/rank_pool.py
@@ -174,7 +174,10 @@
         """Return the slots without those of requests on their way upstream."""
         assert self._slots is not None
         slots = self._slots()
-        return Slots(slots.free - self._unplaced, slots.total)
+        return slots._replace(
+            free=slots.free - self._unplaced,
+            shared_free=slots.shared_free - self._unplaced,
+        )
 
     def _next(self, slots: Slots) -> _RankState | None:
         waiting = [s for s in self._by_priority() if len(s.queue)]
@@ -204,7 +207,17 @@
                 kept += other.headroom(now)
             elif other.is_below_floor():
                 kept += 1.0
-        return slots.free > min(kept, slots.total - 1)
+        if slots.free <= min(kept, slots.total - 1):
+            return False
+        if self._is_most_urgent(state):
+            # Upstreams honour priorities: it overtakes what they have queued.
+            return True
+        return slots.shared_free > kept * slots.sharers
+
+    def _is_most_urgent(self, state: _RankState) -> bool:
+        return state.rank.priority <= min(
+            other.rank.priority for other in self._states_by_rank.values()
+        )
 
     def _share(self, state: _RankState) -> float:
         """Return the slots that a rank can count on."""
--- a/poplarlug/entry/main.py
+++ b/poplarlug/entry/main.py
@@ -100,7 +100,7 @@
         serve_upstreams(self.transport, self.membership.upstreams.all)
         self.client = UpstreamClient(zone=own.zone)
         entries = max(1, len(topology.entries_of_zone(own.zone)))
-        loads = UpstreamLoads()
+        loads = UpstreamLoads(sharers=entries)
         self.admission = RankAdmission(clock=clock)
         policy = ExpectedFinish(
             loads=loads,
--- a/poplarlug/routing/expected_finish.py
+++ b/poplarlug/routing/expected_finish.py
@@ -112,7 +112,9 @@
         for upstream in local:
             self._prefixes.take_events(upstream)
         hits_by_id = self._prefixes.hit_blocks(request.prefix_hashes)
-        with_room = [u for u in local if self._loads.room(u) > 0]
+        loads = self._loads
+        with_limit = [u for u in local if loads.room(u) > 0]
+        with_room = [u for u in with_limit if loads.shared_room(u) > 0] or with_limit
         finishes = [
             (self.expected_seconds(request, u, hits_by_id.get(u.id, 0)), u)
             for u in with_room or local
--- a/poplarlug/routing/upstream_loads.py
+++ b/poplarlug/routing/upstream_loads.py
@@ -1,5 +1,6 @@
 """Load of each upstream between its reports, and the limit on it."""
 
+import math
 from collections import Counter
 from collections.abc import Collection, Mapping
 
@@ -9,7 +10,6 @@
 UNKNOWN_CAPACITY = 64
 MAX_LIMIT = 1024
 MIN_LIMIT = 1.0
-INITIAL_SHARE = 0.5
 DECREASE_FACTOR = 0.9
 INCREASE = 1.0
 PRUNE_SLACK = 64
@@ -37,9 +37,15 @@
     own requests are counted as they start and end. The limit on own requests
     grows by ``INCREASE`` with each report that shows no queue while the limit is
     used, and shrinks by ``DECREASE_FACTOR`` with each that shows one.
+
+    Parameters
+    ----------
+    sharers : int
+        Entries that send to the same upstreams.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, sharers: int = 1) -> None:
+        self.sharers = sharers
         self._loads_by_id: dict[UpstreamId, _UpstreamLoad] = {}
         self._in_flight_by_id: Counter[UpstreamId] = Counter()
 
@@ -77,12 +83,15 @@
         return int(self._load(upstream).limit)
 
     def room(self, upstream: Announcement) -> int:
-        """Return how many more requests may be sent to ``upstream`` now."""
+        """Return how many more own requests the limit allows now."""
+        load = self._load(upstream)
+        return max(0, int(load.limit) - load.in_flight)
+
+    def shared_room(self, upstream: Announcement) -> int:
+        """Return the places that all entries together have left."""
         load = self._load(upstream)
-        room = int(load.limit) - load.in_flight
-        if upstream.capacity:
-            room = min(room, upstream.capacity - load.others - load.in_flight)
-        return max(0, room)
+        capacity = upstream.capacity or MAX_LIMIT
+        return max(0, capacity - load.others - load.in_flight)
 
     def keep_only(self, upstreams: Collection[Announcement]) -> None:
         """Forget idle upstreams that aren't among ``upstreams`` any more."""
@@ -93,10 +102,14 @@
             if upstream_id not in upstream_ids and load.in_flight == 0:
                 del self._loads_by_id[upstream_id]
 
+    def _initial_limit(self, upstream: Announcement) -> float:
+        capacity = upstream.capacity or UNKNOWN_CAPACITY
+        return max(MIN_LIMIT, math.ceil(capacity / self.sharers))
+
     def _load(self, upstream: Announcement) -> _UpstreamLoad:
         load = self._loads_by_id.get(upstream.id)
         if load is None:
-            load = _UpstreamLoad(limit=_initial_limit(upstream))
+            load = _UpstreamLoad(limit=self._initial_limit(upstream))
             self._loads_by_id[upstream.id] = load
         if (
             upstream.sequence != load.sequence
@@ -106,11 +119,6 @@
         return load
 
 
-def _initial_limit(upstream: Announcement) -> float:
-    capacity = upstream.capacity or UNKNOWN_CAPACITY
-    return max(MIN_LIMIT, capacity * INITIAL_SHARE)
-
-
 def _take_report(load: _UpstreamLoad, upstream: Announcement) -> None:
     load.sequence = upstream.sequence
     load.incarnation = upstream.incarnation
--- a/poplarlug/serving/dispatcher.py
+++ b/poplarlug/serving/dispatcher.py
@@ -124,9 +124,10 @@
         )
 
     def _slots(self, request: RouteRequest) -> Slots:
-        free = total = 0
+        free = total = shared_free = 0
         for upstream in self._fleet().upstreams:
             if serves(request, upstream):
                 free += self._loads.room(upstream)
                 total += self._loads.limit(upstream)
-        return Slots(free, total)
+                shared_free += self._loads.shared_room(upstream)
+        return Slots(free, total, shared_free, self._loads.sharers)
