Pool the headroom of a zone's entries

Cause: each entry kept its own headroom times the number of entries, which overstates the spread of their sum. Change: the headroom of all entries follows from their summed use; it is that use and three of its square roots.

--- a/poplarlug/admission/rank_pool.py
+++ b/poplarlug/admission/rank_pool.py
@@ -10,7 +10,7 @@
 from poplarlug.types import RankName, Seconds
 
 AVERAGE_SECONDS = 30.0
-HEADROOM_DEVIATIONS = 2.0
+HEADROOM_DEVIATIONS = 3.0
 MAX_CREDIT_SECONDS = 30.0
 DRAIN_SAMPLE_SECONDS = 5.0
 MIN_DRAIN = 0.1
@@ -70,12 +70,19 @@
         """Return whether the rank has had less than its floor of late."""
         return self.credit_seconds > 0 and self.in_use < max(1.0, self.floor_slots)
 
-    def headroom(self, now: Seconds) -> float:
-        """Return the slots that lower ranks must leave free for this one."""
+    def headroom(self, now: Seconds, sharers: int = 1) -> float:
+        """
+        Return the slots that lower ranks must leave free for this one.
+
+        Parameters
+        ----------
+        sharers : int
+            Entries whose use counts, each taken to be like the own one.
+        """
         self.note_use(0, now)
-        mean = self.average_in_use
+        mean = self.average_in_use * sharers
         wanted = mean + HEADROOM_DEVIATIONS * math.sqrt(mean)
-        return max(0.0, math.ceil(wanted) - self.in_use)
+        return max(0.0, math.ceil(wanted) - self.in_use * sharers)
 
 
 class RankPool:
@@ -223,12 +230,13 @@
         if state.is_below_floor():
             return True
         now = self._clock()
-        kept = 0.0
+        kept, shared_kept = 0.0, 0.0
         for other in self._states_by_rank.values():
             if other is state:
                 continue
             if other.rank.priority < state.rank.priority:
                 kept += other.headroom(now)
+                shared_kept += other.headroom(now, slots.sharers)
             elif other.is_below_floor():
                 kept += 1.0
         if slots.free <= min(kept, slots.total - 1):
@@ -236,7 +244,7 @@
         if self._is_most_urgent(state):
             # Upstreams honour priorities: it overtakes what they have queued.
             return True
-        return slots.shared_free > kept * slots.sharers
+        return slots.shared_free > shared_kept
 
     def _is_most_urgent(self, state: _RankState) -> bool:
         return state.rank.priority <= min(
