Leave a request's own service out of its expected wait

Cause: the wait for a start held the request's own service, so long answers of accounts without a queue were refused though the next slot was theirs. Change: one mean service takes its place.

--- a/poplarlug/admission/rank_pool.py
+++ b/poplarlug/admission/rank_pool.py
@@ -28,6 +28,7 @@
         self.average_in_use = 0.0
         self.average_at = now
         self.cost_ratio = 1.0
+        self.mean_cost = 1.0
         self.retry_promised_at = now
         self.floor_slots = 0.0
         # Slot-seconds that the floor owes the rank while it has work queued.
@@ -116,7 +117,7 @@
         if self.may_start(request):
             return 0.0
         state = self._state(request)
-        ahead = state.queue.work_ahead(request.account) + request.cost
+        ahead = state.queue.work_ahead(request.account) + state.mean_cost
         return ahead * state.cost_ratio / self._share(state)
 
     def service_seconds(self, request: AdmissionRequest) -> Seconds:
@@ -280,6 +281,7 @@
 
     def _release(self, state: _RankState, cost: Seconds, held: Seconds) -> None:
         state.note_use(-1, self._clock())
+        state.mean_cost += COST_RATIO_WEIGHT * (cost - state.mean_cost)
         if cost > 0:
             state.cost_ratio += COST_RATIO_WEIGHT * (held / cost - state.cost_ratio)
         self.wake()
