Count the work ahead by the fair queue's own order

Cause: an account with one queued request was told the wait of one that floods: own work times accounts. Change: work ahead is what start-time fair queueing starts before.

--- a/poplarlug/admission/fair_queue.py
+++ b/poplarlug/admission/fair_queue.py
@@ -44,7 +44,6 @@
         self._queues_by_account: dict[AccountName, _AccountQueue] = {}
         self._virtual_time = 0.0
         self._length = 0
-        self._work = 0.0
 
     def __len__(self) -> int:
         return self._length
@@ -62,8 +61,13 @@
         """Return the queued work that starts before a new request's."""
         held = self._queues_by_account.get(account)
         own = held.work if held is not None else 0.0
-        accounts = len(self._queues_by_account) + (held is None)
-        return min(self._work, own * accounts)
+        start_tag = held.start_tag if held is not None else self._virtual_time
+        ahead = own
+        for other in self._queues_by_account.values():
+            if other is not held:
+                sooner = start_tag + own - other.start_tag
+                ahead += max(0.0, min(other.work, sooner))
+        return ahead
 
     def push(self, waiting: Waiting) -> None:
         """Queue a request."""
@@ -73,7 +77,6 @@
             self._queues_by_account[waiting.account] = queue
         queue.items.append(waiting)
         queue.work += waiting.cost
-        self._work += waiting.cost
         self._length += 1
 
     def pop(self) -> Waiting | None:
@@ -103,9 +106,6 @@
         self, account: AccountName, queue: _AccountQueue, waiting: Waiting
     ) -> None:
         queue.work -= waiting.cost
-        self._work -= waiting.cost
         self._length -= 1
         if not queue.items:
             del self._queues_by_account[account]
-        if not self._length:
-            self._work = 0.0
