--- a/poplarlug/admission/rank_pool.py
+++ b/poplarlug/admission/rank_pool.py
@@ -10,8 +10,10 @@
 from poplarlug.types import RankName, Seconds
 
 AVERAGE_SECONDS = 30.0
-HEADROOM_DEVIATIONS = 2.0
+HEADROOM_DEVIATIONS = 3.0
 MAX_CREDIT_SECONDS = 30.0
+DRAIN_SAMPLE_SECONDS = 5.0
+MIN_DRAIN = 0.1
 COST_RATIO_WEIGHT = 0.05
 MAX_RETRY_AFTER_SECONDS = 300.0
 
@@ -26,10 +28,29 @@
         self.average_in_use = 0.0
         self.average_at = now
         self.cost_ratio = 1.0
+        self.mean_cost = 1.0
         self.retry_promised_at = now
         self.floor_slots = 0.0
         # Slot-seconds that the floor owes the rank while it has work queued.
         self.credit_seconds = 0.0
+        # Slots' worth of queued work that was started of late.
+        self.drain: float | None = None
+        self._backlog_seconds = 0.0
+        self._backlog_work = 0.0
+
+    def note_started(self, cost: Seconds) -> None:
+        """Count queued work that starts, for the rate at which the queue drains."""
+        self._backlog_work += cost * self.cost_ratio
+        if self._backlog_seconds < DRAIN_SAMPLE_SECONDS:
+            return
+        sample = self._backlog_work / self._backlog_seconds
+        self.drain = sample if self.drain is None else (self.drain + sample) / 2
+        self._backlog_seconds = self._backlog_work = 0.0
+
+    def note_queue_start(self) -> None:
+        """Forget the former queue's rate."""
+        self.drain = None
+        self._backlog_seconds = self._backlog_work = 0.0
 
     def note_use(self, change: int, now: Seconds) -> None:
         """Count a start or an end and move the average on to ``now``."""
@@ -38,6 +59,7 @@
             owed = self.credit_seconds + (self.floor_slots - self.in_use) * elapsed
             largest = MAX_CREDIT_SECONDS * max(1.0, self.floor_slots)
             self.credit_seconds = max(-largest, min(largest, owed))
+            self._backlog_seconds += elapsed
         else:
             self.credit_seconds = 0.0
         decay = math.exp(-elapsed / AVERAGE_SECONDS)
@@ -49,12 +71,19 @@
         """Return whether the rank has had less than its floor of late."""
         return self.credit_seconds > 0 and self.in_use < max(1.0, self.floor_slots)
 
-    def headroom(self, now: Seconds) -> float:
-        """Return the slots that lower ranks must leave free for this one."""
+    def headroom(self, now: Seconds, sharers: int = 1) -> float:
+        """
+        Return the slots that lower ranks must leave free for this one.
+
+        Parameters
+        ----------
+        sharers : int
+            Entries whose use counts, each taken to be like the own one.
+        """
         self.note_use(0, now)
-        mean = self.average_in_use
+        mean = self.average_in_use * sharers
         wanted = mean + HEADROOM_DEVIATIONS * math.sqrt(mean)
-        return max(0.0, math.ceil(wanted) - self.in_use)
+        return max(0.0, math.ceil(wanted) - self.in_use * sharers)
 
 
 class RankPool:
@@ -88,7 +117,7 @@
         if self.may_start(request):
             return 0.0
         state = self._state(request)
-        ahead = state.queue.work_ahead(request.account) + request.cost
+        ahead = state.queue.work_ahead(request.account) + state.mean_cost
         return ahead * state.cost_ratio / self._share(state)
 
     def service_seconds(self, request: AdmissionRequest) -> Seconds:
@@ -125,6 +154,8 @@
         waiting = Waiting(request.account, request.cost, granted)
         state = self._state(request)
         state.note_use(0, self._clock())
+        if not len(state.queue):
+            state.note_queue_start()
         state.queue.push(waiting)
         return waiting
 
@@ -140,6 +171,9 @@
         state = self._states_by_rank.get(rank)
         return state.in_use if state else 0
 
+    def has_queue(self) -> bool:
+        return any(len(state.queue) for state in self._states_by_rank.values())
+
     def is_idle(self) -> bool:
         return not any(s.in_use or len(s.queue) for s in self._states_by_rank.values())
 
@@ -152,6 +186,7 @@
             waiting = state.queue.pop()
             if waiting is not None:
                 self._take_slot(state)
+                state.note_started(waiting.cost)
                 waiting.granted.set_result(None)
 
     def granted_permit(self, request: AdmissionRequest) -> Permit:
@@ -171,7 +206,10 @@
         """Return the slots without those of requests on their way upstream."""
         assert self._slots is not None
         slots = self._slots()
-        return Slots(slots.free - self._unplaced, slots.total)
+        return slots._replace(
+            free=slots.free - self._unplaced,
+            shared_free=slots.shared_free - self._unplaced,
+        )
 
     def _next(self, slots: Slots) -> _RankState | None:
         waiting = [s for s in self._by_priority() if len(s.queue)]
@@ -193,18 +231,31 @@
         if state.is_below_floor():
             return True
         now = self._clock()
-        kept = 0.0
+        kept, shared_kept = 0.0, 0.0
         for other in self._states_by_rank.values():
             if other is state:
                 continue
             if other.rank.priority < state.rank.priority:
                 kept += other.headroom(now)
+                shared_kept += other.headroom(now, slots.sharers)
             elif other.is_below_floor():
                 kept += 1.0
-        return slots.free > min(kept, slots.total - 1)
+        if slots.free <= min(kept, slots.total - 1):
+            return False
+        if self._is_most_urgent(state):
+            # Upstreams honour priorities: it overtakes what they have queued.
+            return True
+        return slots.shared_free > shared_kept
+
+    def _is_most_urgent(self, state: _RankState) -> bool:
+        return state.rank.priority <= min(
+            other.rank.priority for other in self._states_by_rank.values()
+        )
 
     def _share(self, state: _RankState) -> float:
         """Return the slots that a rank can count on."""
+        if state.drain is not None:
+            return max(MIN_DRAIN, state.drain)
         total = max(1, self._open_slots().total)
         now = self._clock()
         higher, floors = 0.0, 0.0
@@ -230,6 +281,7 @@
 
     def _release(self, state: _RankState, cost: Seconds, held: Seconds) -> None:
         state.note_use(-1, self._clock())
+        state.mean_cost += COST_RATIO_WEIGHT * (cost - state.mean_cost)
         if cost > 0:
             state.cost_ratio += COST_RATIO_WEIGHT * (held / cost - state.cost_ratio)
         self.wake()
--- a/poplarlug/routing/expected_finish.py
+++ b/poplarlug/routing/expected_finish.py
@@ -27,6 +27,7 @@
 DEFAULT_MAX_TOKENS = 256
 LOAD_SLOWDOWN = 0.5
 TIE_SECONDS = 0.02
+CACHE_WEIGHT = 2.0
 ANSWER_BYTES_PER_TOKEN = 160
 
 
@@ -112,7 +113,9 @@
         for upstream in local:
             self._prefixes.take_events(upstream)
         hits_by_id = self._prefixes.hit_blocks(request.prefix_hashes)
-        with_room = [u for u in local if self._loads.room(u) > 0]
+        loads = self._loads
+        with_limit = [u for u in local if loads.room(u) > 0]
+        with_room = [u for u in with_limit if loads.shared_room(u) > 0] or with_limit
         finishes = [
             (self.expected_seconds(request, u, hits_by_id.get(u.id, 0)), u)
             for u in with_room or local
@@ -136,7 +139,7 @@
         waiting = max(0.0, busy - 1.0) * decode
         return (
             waiting
-            + missing / rate * (1.0 + busy)
+            + CACHE_WEIGHT * missing / rate * (1.0 + busy)
             + decode * (1.0 + LOAD_SLOWDOWN * min(1.0, busy))
         )
 
--- a/poplarlug/routing/upstream_loads.py
+++ b/poplarlug/routing/upstream_loads.py
@@ -1,6 +1,8 @@
 """Load of each upstream between its reports, and the limit on it."""
 
-from collections.abc import Collection
+import math
+from collections import Counter
+from collections.abc import Collection, Mapping
 
 from poplarlug.membership.upstreams import Announcement
 from poplarlug.types import UpstreamId
@@ -8,7 +10,6 @@
 UNKNOWN_CAPACITY = 64
 MAX_LIMIT = 1024
 MIN_LIMIT = 1.0
-INITIAL_SHARE = 0.5
 DECREASE_FACTOR = 0.9
 INCREASE = 1.0
 PRUNE_SLACK = 64
@@ -36,10 +37,22 @@
     own requests are counted as they start and end. The limit on own requests
     grows by ``INCREASE`` with each report that shows no queue while the limit is
     used, and shrinks by ``DECREASE_FACTOR`` with each that shows one.
+
+    Parameters
+    ----------
+    sharers : int
+        Entries that send to the same upstreams.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, sharers: int = 1) -> None:
+        self.sharers = sharers
         self._loads_by_id: dict[UpstreamId, _UpstreamLoad] = {}
+        self._in_flight_by_id: Counter[UpstreamId] = Counter()
+
+    @property
+    def in_flight_by_id(self) -> Mapping[UpstreamId, int]:
+        """Own requests at each upstream that has any."""
+        return self._in_flight_by_id
 
     def __len__(self) -> int:
         return len(self._loads_by_id)
@@ -47,10 +60,14 @@
     def started(self, upstream: Announcement) -> None:
         """Count a request that was sent to ``upstream``."""
         self._load(upstream).in_flight += 1
+        self._in_flight_by_id[upstream.id] += 1
 
     def ended(self, upstream: Announcement) -> None:
         """Count the end of a request at ``upstream``."""
         self._load(upstream).in_flight -= 1
+        self._in_flight_by_id[upstream.id] -= 1
+        if not self._in_flight_by_id[upstream.id]:
+            del self._in_flight_by_id[upstream.id]
 
     def in_flight(self, upstream: Announcement) -> int:
         """Return the own requests at ``upstream``."""
@@ -66,12 +83,15 @@
         return int(self._load(upstream).limit)
 
     def room(self, upstream: Announcement) -> int:
-        """Return how many more requests may be sent to ``upstream`` now."""
+        """Return how many more own requests the limit allows now."""
+        load = self._load(upstream)
+        return max(0, int(load.limit) - load.in_flight)
+
+    def shared_room(self, upstream: Announcement) -> int:
+        """Return the places that all entries together have left."""
         load = self._load(upstream)
-        room = int(load.limit) - load.in_flight
-        if upstream.capacity:
-            room = min(room, upstream.capacity - load.others - load.in_flight)
-        return max(0, room)
+        capacity = upstream.capacity or MAX_LIMIT
+        return max(0, capacity - load.others - load.in_flight)
 
     def keep_only(self, upstreams: Collection[Announcement]) -> None:
         """Forget idle upstreams that aren't among ``upstreams`` any more."""
@@ -82,10 +102,14 @@
             if upstream_id not in upstream_ids and load.in_flight == 0:
                 del self._loads_by_id[upstream_id]
 
+    def _initial_limit(self, upstream: Announcement) -> float:
+        capacity = upstream.capacity or UNKNOWN_CAPACITY
+        return max(MIN_LIMIT, math.ceil(capacity / self.sharers))
+
     def _load(self, upstream: Announcement) -> _UpstreamLoad:
         load = self._loads_by_id.get(upstream.id)
         if load is None:
-            load = _UpstreamLoad(limit=_initial_limit(upstream))
+            load = _UpstreamLoad(limit=self._initial_limit(upstream))
             self._loads_by_id[upstream.id] = load
         if (
             upstream.sequence != load.sequence
@@ -95,11 +119,6 @@
         return load
 
 
-def _initial_limit(upstream: Announcement) -> float:
-    capacity = upstream.capacity or UNKNOWN_CAPACITY
-    return max(MIN_LIMIT, capacity * INITIAL_SHARE)
-
-
 def _take_report(load: _UpstreamLoad, upstream: Announcement) -> None:
     load.sequence = upstream.sequence
     load.incarnation = upstream.incarnation
