Bound a peer's exchanges and close idle links

One peer could hold all 4096 exchanges of a process; it now holds at most 1024. Links opened lazily but were never closed, so a node that once spoke to every other kept a socket for each; a link now closes after two idle minutes. A check runs before each incoming request, for parts that must see it first.

--- a/poplarlug/transport/base.py
+++ b/poplarlug/transport/base.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from enum import Enum
 from typing import Any, NamedTuple, TypeVar
@@ -18,6 +19,7 @@
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 MAX_EXCHANGES = 4096
+MAX_EXCHANGES_PER_PEER = 1024
 STREAM_CREDIT_CHUNKS = 64
 STREAM_IDLE_SECONDS = 30.0
 
@@ -141,8 +143,14 @@
         self._streams_by_id: dict[int, IncomingStream] = {}
         self._outgoing_by_id: dict[tuple[Any, int], _OutgoingStream] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._exchanges_by_route: Counter[Any] = Counter()
+        self._checks: list[Callable[[], object]] = []
         self._last_id = 0
 
+    def before_request(self, check: Callable[[], object]) -> None:
+        """Call ``check`` before each request, notice or stream that comes in."""
+        self._checks.append(check)
+
     def serve(self, topic: str, message_type: type[M], handler: Handler) -> None:
         """Answer requests and notices of ``topic`` by ``handler(sender, message)``."""
         self._services_by_topic[topic] = _Service(message_type, handler, False)
@@ -268,11 +276,13 @@
             if outgoing is not None:
                 outgoing.accept(header)
             return
+        for check in self._checks:
+            check()
         service = self._services_by_topic.get(header.topic)
         if service is None or service.streams != (header.kind is FrameKind.OPEN):
             self._refuse(route, header, f"no handler for topic {header.topic!r}")
             return
-        if len(self._tasks) >= MAX_EXCHANGES:
+        if self._is_full(route):
             self._refuse(route, header, "too many exchanges; ask later")
             return
         message = _decode(payload, service.message_type)
@@ -287,7 +297,19 @@
         serve = self._serve_stream if service.streams else self._serve_request
         task = asyncio.ensure_future(serve(route, header, service, message))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._exchanges_by_route[route] += 1
+        task.add_done_callback(lambda done: self._end_exchange(route, done))
+
+    def _is_full(self, route: Any) -> bool:
+        if len(self._tasks) >= MAX_EXCHANGES:
+            return True
+        return self._exchanges_by_route[route] >= MAX_EXCHANGES_PER_PEER
+
+    def _end_exchange(self, route: Any, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        self._exchanges_by_route[route] -= 1
+        if self._exchanges_by_route[route] <= 0:
+            del self._exchanges_by_route[route]
 
     def _refuse(self, route: Any, header: Header, message: str) -> None:
         _log.warning("refused a request", sender=header.sender, reason=message)
--- a/poplarlug/transport/zeromq.py
+++ b/poplarlug/transport/zeromq.py
@@ -14,7 +14,7 @@
 from poplarlug.topology import KeyFiles
 from poplarlug.transport.base import MAX_MESSAGE_BYTES, Transport
 from poplarlug.transport.frames import Header, encode_header
-from poplarlug.types import Address, VmName
+from poplarlug.types import Address, Seconds, VmName
 
 SEND_QUEUE_MESSAGES = 1000
 HEARTBEAT_MILLISECONDS = 2000
@@ -22,6 +22,8 @@
 FIRST_RECONNECT_MILLISECONDS = 50
 MAX_RECONNECT_MILLISECONDS = 1000
 HANDSHAKE_MILLISECONDS = 5000
+IDLE_LINK_SECONDS = 120.0
+IDLE_CHECK_SECONDS = 15.0
 
 _log = PartLog(prefix="transport")
 
@@ -32,7 +34,8 @@
 
     A peer whose public key is not in the peers folder gets nothing in. A frame
     is handed over only while the link to the peer stands, so nothing waits in
-    a queue for a peer that is away.
+    a queue for a peer that is away. A link opens with its first message and
+    closes after it was idle for ``idle_link_seconds``.
 
     Parameters
     ----------
@@ -51,8 +54,11 @@
         address: Address,
         addresses_by_name: Mapping[VmName, Address],
         keys: KeyFiles,
+        idle_link_seconds: Seconds = IDLE_LINK_SECONDS,
     ) -> None:
         super().__init__(name=name)
+        self._idle_link_seconds = idle_link_seconds
+        self._last_uses_by_name: dict[VmName, Seconds] = {}
         self._address = address
         self._addresses_by_name = addresses_by_name
         self._keys = keys
@@ -60,7 +66,7 @@
         self._context: zmq.asyncio.Context | None = None
         self._router: zmq.asyncio.Socket | None = None
         self._dealers_by_name: dict[VmName, zmq.asyncio.Socket] = {}
-        self._receivers: set[asyncio.Task[None]] = set()
+        self._receivers_by_name: dict[VmName, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
         self._context = zmq.asyncio.Context()
@@ -73,12 +79,14 @@
         self._router.curve_publickey = self._public
         self._router.curve_server = True
         self._router.bind(f"tcp://{self._address}")
+        closing_idle = asyncio.ensure_future(self._close_idle_links())
         try:
             while True:
                 frames = await self._router.recv_multipart()
                 if len(frames) == 3:
                     self._receive_request(frames[0], frames[1], frames[2])
         finally:
+            closing_idle.cancel()
             await self._close(authenticator)
 
     def connect(self, peer: VmName) -> None:
@@ -104,13 +112,15 @@
         dealer.curve_serverkey, _ = zmq.auth.load_certificate(str(key_file))
         dealer.connect(f"tcp://{address}")
         self._dealers_by_name[peer] = dealer
-        task = asyncio.ensure_future(self._receive_from(dealer))
-        self._receivers.add(task)
+        task = asyncio.ensure_future(self._receive_from(peer, dealer))
+        self._receivers_by_name[peer] = task
         return dealer
 
-    async def _receive_from(self, dealer: zmq.asyncio.Socket) -> None:
+    async def _receive_from(self, peer: VmName, dealer: zmq.asyncio.Socket) -> None:
+        loop = asyncio.get_running_loop()
         while True:
             frames = await dealer.recv_multipart()
+            self._last_uses_by_name[peer] = loop.time()
             if len(frames) == 2:
                 self._receive_reply(frames[0], frames[1])
 
@@ -120,6 +130,7 @@
         dealer = self._dealers_by_name.get(peer)
         if dealer is None:
             dealer = self._open_dealer(self._context, peer)
+        self._last_uses_by_name[peer] = asyncio.get_running_loop().time()
         return dealer is not None and _send_now(
             dealer, [encode_header(header), payload]
         )
@@ -128,16 +139,29 @@
         if self._router is not None:
             _send_now(self._router, [route, encode_header(header), payload])
 
+    async def _close_idle_links(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(min(IDLE_CHECK_SECONDS, self._idle_link_seconds))
+            oldest = loop.time() - self._idle_link_seconds
+            for peer in list(self._dealers_by_name):
+                if self._last_uses_by_name.get(peer, 0.0) < oldest:
+                    await self._close_link(peer)
+
+    async def _close_link(self, peer: VmName) -> None:
+        _log.debug("closed an idle link", peer=peer)
+        dealer = self._dealers_by_name.pop(peer)
+        receiver = self._receivers_by_name.pop(peer)
+        self._last_uses_by_name.pop(peer, None)
+        receiver.cancel()
+        await asyncio.gather(receiver, return_exceptions=True)
+        dealer.close(linger=0)
+
     async def _close(self, authenticator: AsyncioAuthenticator) -> None:
         await self._stop_tasks()
-        for task in self._receivers:
-            task.cancel()
-        await asyncio.gather(*self._receivers, return_exceptions=True)
-        self._receivers.clear()
+        for peer in list(self._dealers_by_name):
+            await self._close_link(peer)
         authenticator.stop()
-        for dealer in self._dealers_by_name.values():
-            dealer.close(linger=0)
-        self._dealers_by_name.clear()
         if self._router is not None:
             self._router.close(linger=200)
             self._router = None
