Find entries by heartbeats and share upstreams by acknowledged records

All entries told all others of all zones each half second, a lost notice was lost for good, an expired record could return, and a frozen entry brought its old tables back. For each pair of zones two reporters send a summary to one receiver each, which spreads it. An entry that stood still distrusts its tables until it has fetched the zone's.

--- /dev/null
+++ b/poplarlug/membership/reporting.py
@@ -0,0 +1,112 @@
+"""Reports the own zone's summary to the other zones."""
+
+from collections.abc import Callable
+
+from poplarlug.membership.members import MemberTable
+from poplarlug.membership.rendezvous import rank_by_rendezvous
+from poplarlug.membership.summaries import (
+    MAX_SUMMARY_ENTRIES,
+    MAX_SUMMARY_NAMES,
+    SummaryTable,
+    ZoneSummary,
+    pair_key,
+    summarize_models,
+)
+from poplarlug.membership.upstreams import UpstreamTable
+from poplarlug.topology import EntryVm, Topology
+from poplarlug.transport import Transport
+from poplarlug.types import ConfigVersion, VmName, ZoneName
+
+REPORTERS = 2
+OVERLOADED_LOAD = 0.9
+
+SUMMARY_TOPIC = "membership.summary"
+
+
+class ZoneReporter:
+    """
+    Send the zone's summary for each pair of zones that chose this entry.
+
+    For each other zone, two entries of this one are reporters, and each sends
+    to one entry there, which spreads it. All are chosen by rendezvous hash, so
+    that pairs spread over the entries.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: EntryVm,
+        topology: Topology,
+        members: MemberTable,
+        upstreams: UpstreamTable,
+        summaries: SummaryTable,
+        transport: Transport,
+        config_version: Callable[[], ConfigVersion],
+    ) -> None:
+        self._own = own
+        self._members = members
+        self._upstreams = upstreams
+        self._summaries = summaries
+        self._transport = transport
+        self._config_version = config_version
+        self._sequence = 0
+        self._entries_by_zone: dict[ZoneName, list[VmName]] = {}
+        for vm in topology.entries:
+            if vm.zone != own.zone:
+                self._entries_by_zone.setdefault(vm.zone, []).append(vm.name)
+
+    def send(self) -> None:
+        """Send a summary to each zone that this entry reports to."""
+        self._sequence += 1
+        summary = self._summarize()
+        for zone in self._entries_by_zone:
+            place = self._place_among_reporters(zone)
+            if place is not None:
+                self._transport.notify(
+                    peer=self._receiver(zone, place),
+                    topic=SUMMARY_TOPIC,
+                    message=summary._replace(backup=place > 0),
+                )
+
+    def open_entries(self) -> list[VmName]:
+        """Return the entries of the own zone that take new work."""
+        return [
+            name
+            for name in self._members.alive()
+            if self._members.load(name) < OVERLOADED_LOAD
+        ]
+
+    def _place_among_reporters(self, zone: ZoneName) -> int | None:
+        key = pair_key(self._own.zone, zone)
+        reporters = rank_by_rendezvous(key, self._members.alive())[:REPORTERS]
+        if self._own.name not in reporters:
+            return None
+        return reporters.index(self._own.name)
+
+    def _receiver(self, zone: ZoneName, place: int) -> VmName:
+        held = self._summaries.get(zone)
+        configured = self._entries_by_zone[zone]
+        names = [name for name in held.entries if name in configured] if held else []
+        if names:
+            ranked = rank_by_rendezvous(pair_key(self._own.zone, zone), names)
+            return ranked[place % len(ranked)]
+        # Nothing is known of that zone: try its entries in turn.
+        return configured[(self._sequence + place) % len(configured)]
+
+    def _summarize(self) -> ZoneSummary:
+        serving = self._upstreams.serving.value
+        services = sorted({name for a in serving for name in a.services})
+        return ZoneSummary(
+            zone=self._own.zone,
+            region=self._own.region,
+            entry=self._own.name,
+            sequence=self._sequence,
+            services=tuple(services[:MAX_SUMMARY_NAMES]),
+            running=sum(a.running for a in serving),
+            incarnation=self._members.own_member.incarnation,
+            entries=tuple(self.open_entries()[:MAX_SUMMARY_ENTRIES]),
+            loads=summarize_models(serving),
+            queued=sum(a.queued for a in serving),
+            capacity=sum(a.capacity for a in serving),
+            config_version=self._config_version(),
+        )
--- /dev/null
+++ b/poplarlug/membership/summaries.py
@@ -0,0 +1,170 @@
+"""What zones tell each other: a few numbers, each with an age."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from poplarlug.membership.rendezvous import rank_by_rendezvous
+from poplarlug.membership.upstreams import Announcement
+from poplarlug.types import (
+    ConfigVersion,
+    ModelName,
+    RegionName,
+    Seconds,
+    ServiceName,
+    VmName,
+    ZoneName,
+)
+
+SUMMARY_SECONDS = 1.0
+SUMMARY_LIFE_SECONDS = 5.0
+MAX_SUMMARY_NAMES = 64
+MAX_SUMMARY_ENTRIES = 24
+FORWARD_ENTRIES = 3
+FIRST_REPORTER_SILENT_SECONDS = 2.5
+
+
+class ModelLoad(NamedTuple):
+    """
+    Upstreams of one model in a zone.
+
+    Parameters
+    ----------
+    capacity : int
+        Most requests that they run at a time, as far as they say.
+    """
+
+    model: ModelName
+    upstreams: int
+    running: int
+    queued: int
+    capacity: int
+
+
+class ZoneSummary(NamedTuple):
+    """
+    What one zone tells the others of itself.
+
+    Parameters
+    ----------
+    entry : VmName
+        Entry that may be sent to; on the wire, the reporter.
+    incarnation, sequence : int
+        Order the summaries of one reporter.
+    age : float
+        Seconds since the reporter read its tables.
+    entries : tuple of VmName
+        Entries of the zone that take new work.
+    loads : tuple of ModelLoad
+        Load by model; ``models`` lists the same names.
+    backup : bool
+        Whether the second reporter sent it, in case the first one is gone.
+    """
+
+    zone: ZoneName
+    region: RegionName
+    entry: VmName
+    sequence: int
+    models: tuple[ModelName, ...] = ()
+    services: tuple[ServiceName, ...] = ()
+    running: int = 0
+    incarnation: int = 0
+    age: Seconds = 0.0
+    entries: tuple[VmName, ...] = ()
+    loads: tuple[ModelLoad, ...] = ()
+    queued: int = 0
+    capacity: int = 0
+    config_version: ConfigVersion = 0
+    backup: bool = False
+
+
+def summarize_models(upstreams: Iterable[Announcement]) -> tuple[ModelLoad, ...]:
+    """Return the load of each model, at most :data:`MAX_SUMMARY_NAMES`."""
+    loads_by_model: dict[ModelName, ModelLoad] = {}
+    for upstream in upstreams:
+        for model in upstream.models:
+            held = loads_by_model.get(model, ModelLoad(model, 0, 0, 0, 0))
+            loads_by_model[model] = ModelLoad(
+                model,
+                held.upstreams + 1,
+                held.running + upstream.running,
+                held.queued + upstream.queued,
+                held.capacity + upstream.capacity,
+            )
+    return tuple(sorted(loads_by_model.values())[:MAX_SUMMARY_NAMES])
+
+
+def pair_key(source: ZoneName, target: ZoneName) -> str:
+    """Return the key by which a pair of zones chooses reporters and receivers."""
+    return f"{source}\0{target}"
+
+
+class SummaryTable:
+    """
+    The latest summary of each other zone, with the time that it was read.
+
+    Parameters
+    ----------
+    own : VmName
+        Spreads the entries to which different processes forward.
+    clock : callable
+        Returns the loop's time in seconds.
+    """
+
+    def __init__(self, *, own: VmName, clock: Callable[[], Seconds]) -> None:
+        self._own = own
+        self._clock = clock
+        self._held_by_zone: dict[ZoneName, tuple[Seconds, ZoneSummary]] = {}
+
+    def take(self, summary: ZoneSummary) -> bool:
+        """Take in a summary; return whether it is the freshest of its zone."""
+        if summary.age >= SUMMARY_LIFE_SECONDS:
+            return False
+        read = self._clock() - max(0.0, summary.age)
+        held = self._held_by_zone.get(summary.zone)
+        if held is not None and not self._replaces(summary, *held):
+            return False
+        models = tuple(load.model for load in summary.loads) or summary.models
+        self._held_by_zone[summary.zone] = (read, summary._replace(models=models))
+        return True
+
+    def age(self, zone: ZoneName) -> Seconds:
+        """Return the age in seconds of what is held of ``zone``."""
+        held = self._held_by_zone.get(zone)
+        return float("inf") if held is None else self._clock() - held[0]
+
+    def fresh(self) -> list[ZoneSummary]:
+        """Return the summaries young enough to count, with their present age."""
+        now = self._clock()
+        return [
+            summary._replace(age=now - read)
+            for read, summary in self._held_by_zone.values()
+            if now - read < SUMMARY_LIFE_SECONDS
+        ]
+
+    def get(self, zone: ZoneName) -> ZoneSummary | None:
+        """Return the summary of ``zone`` unless it is too old."""
+        return next((s for s in self.fresh() if s.zone == zone), None)
+
+    def by_entry(self) -> tuple[ZoneSummary, ...]:
+        """Return each fresh summary once for each entry to forward to."""
+        return tuple(
+            summary._replace(entry=entry)
+            for summary in self.fresh()
+            for entry in rank_by_rendezvous(self._own, summary.entries)[
+                :FORWARD_ENTRIES
+            ]
+        )
+
+    def forget(self) -> None:
+        """Drop all summaries, as after a pause."""
+        self._held_by_zone.clear()
+
+    def _replaces(
+        self, summary: ZoneSummary, held_read: Seconds, held: ZoneSummary
+    ) -> bool:
+        if summary.entry == held.entry:
+            own = (summary.incarnation, summary.sequence)
+            return own > (held.incarnation, held.sequence)
+        if held.backup and not summary.backup:
+            return True
+        return self._clock() - held_read > FIRST_REPORTER_SILENT_SECONDS
--- /dev/null
+++ b/poplarlug/membership/upstream_sharing.py
@@ -0,0 +1,159 @@
+"""Shares upstreams inside the zone: at once, in batches, and by repair."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, NamedTuple
+
+from returns.result import Success
+
+from poplarlug.logs import PartLog
+from poplarlug.membership.members import MemberTable
+from poplarlug.membership.messages import Acknowledgement
+from poplarlug.membership.upstreams import (
+    LEASE_SECONDS,
+    Announcement,
+    Renewal,
+    UpstreamRecord,
+    UpstreamTable,
+)
+from poplarlug.transport import Transport
+from poplarlug.types import Seconds, UpstreamId, VmName
+
+ACKNOWLEDGE_SECONDS = 0.5
+RETRY_SECONDS = 0.2
+MAX_RENEWALS = 500
+MAX_RETRYING = 1000
+
+RECORD_TOPIC = "membership.record"
+
+_log = PartLog(prefix="membership")
+
+
+class AnnounceOutcome(NamedTuple):
+    """
+    What became of an announcement.
+
+    Parameters
+    ----------
+    taken : bool
+        Whether this entry holds it now or something newer of that upstream.
+    shared : bool
+        Whether all entries of the zone acknowledged that the upstream leaves.
+    """
+
+    taken: bool
+    shared: bool
+
+
+class UpstreamSharing:
+    """
+    Pass upstreams' announcements on to the other entries of the zone.
+
+    A new or changed upstream is told at once; ``leaving`` is repeated until
+    each entry acknowledged it or its lease must have ended there; renewals wait
+    for the next batch.
+    """
+
+    def __init__(
+        self,
+        *,
+        upstreams: UpstreamTable,
+        members: MemberTable,
+        transport: Transport,
+    ) -> None:
+        self._upstreams = upstreams
+        self._members = members
+        self._transport = transport
+        self._renewed_ids: dict[UpstreamId, None] = {}
+        self._retrying: set[asyncio.Task[bool]] = set()
+
+    async def announce(self, announcement: Announcement) -> AnnounceOutcome:
+        """Take in an upstream's own announcement and share it."""
+        held = self._upstreams.get(announcement.id)
+        taken = self._upstreams.take(announcement)
+        if announcement.state == "leaving":
+            if not self._upstreams.has_left(announcement):
+                return AnnounceOutcome(False, False)
+            return AnnounceOutcome(True, await self._share_leaving(announcement))
+        if not taken:
+            return AnnounceOutcome(False, False)
+        if held is not None and held.announcement.differs_only_in_load(announcement):
+            self._renewed_ids[announcement.id] = None
+        else:
+            self._notify_all(UpstreamRecord(announcement, 0.0))
+        return AnnounceOutcome(True, False)
+
+    def take_renewals(self) -> tuple[Renewal, ...]:
+        """Return the renewals for the next batch and forget them."""
+        renewals = []
+        for upstream_id in list(self._renewed_ids)[:MAX_RENEWALS]:
+            del self._renewed_ids[upstream_id]
+            record = self._upstreams.get(upstream_id)
+            if record is not None:
+                renewals.append(_renewal(record))
+        return tuple(renewals)
+
+    def forget_renewals(self) -> None:
+        """Drop renewals that wait for a batch, as after a pause."""
+        self._renewed_ids.clear()
+
+    def stop(self) -> None:
+        for task in self._retrying:
+            task.cancel()
+
+    def _notify_all(self, record: UpstreamRecord) -> None:
+        for peer in self._members.reachable_others():
+            self._transport.notify(peer=peer, topic=RECORD_TOPIC, message=record)
+
+    async def _share_leaving(self, announcement: Announcement) -> bool:
+        _log.info("upstream leaves", upstream=announcement.id)
+        tasks = [
+            self._spawn(self._repeat(peer, announcement))
+            for peer in self._members.others()
+            if len(self._retrying) < MAX_RETRYING
+        ]
+        if len(tasks) < len(self._members.others()):
+            return False
+        if not tasks:
+            return True
+        done, _ = await asyncio.wait(tasks, timeout=ACKNOWLEDGE_SECONDS)
+        return len(done) == len(tasks) and all(task.result() for task in done)
+
+    async def _repeat(self, peer: VmName, announcement: Announcement) -> bool:
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        while loop.time() - begun < LEASE_SECONDS:
+            if await self._tell(peer, announcement, loop.time() - begun):
+                return True
+            await asyncio.sleep(RETRY_SECONDS)
+        return False
+
+    async def _tell(
+        self, peer: VmName, announcement: Announcement, age: Seconds
+    ) -> bool:
+        reply = await self._transport.request(
+            peer=peer,
+            topic=RECORD_TOPIC,
+            message=UpstreamRecord(announcement, age),
+            reply_type=Acknowledgement,
+            timeout_seconds=ACKNOWLEDGE_SECONDS,
+        )
+        return isinstance(reply, Success) and reply.unwrap().taken
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, bool]) -> "asyncio.Task[bool]":
+        task = asyncio.ensure_future(coroutine)
+        self._retrying.add(task)
+        task.add_done_callback(self._retrying.discard)
+        return task
+
+
+def _renewal(record: UpstreamRecord) -> Renewal:
+    announcement = record.announcement
+    return Renewal(
+        announcement.id,
+        announcement.incarnation,
+        announcement.sequence,
+        announcement.running,
+        announcement.queued,
+        round(record.age, 3),
+    )
--- a/poplarlug/membership/upstreams.py
+++ b/poplarlug/membership/upstreams.py
@@ -1,8 +1,11 @@
-"""Upstreams of a zone, their announcements and their leases."""
+"""Upstreams of a zone, their announcements, leases and tombstones."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Literal, NamedTuple, TypeAlias
 
+import msgspec
+import xxhash
+
 from poplarlug.latest import Latest
 from poplarlug.types import (
     Address,
@@ -14,6 +17,9 @@
 )
 
 LEASE_SECONDS = 4.0
+TOMBSTONE_SECONDS = 600.0
+MAX_UPSTREAMS = 2000
+MAX_TOMBSTONES = 4000
 
 UpstreamState: TypeAlias = Literal["serving", "leaving"]
 
@@ -61,12 +67,67 @@
         own = (self.incarnation, self.sequence)
         return own > (other.incarnation, other.sequence)
 
+    def differs_only_in_load(self, other: "Announcement") -> bool:
+        """Return whether a short renewal tells all that changed since ``other``."""
+        return other == self._replace(
+            sequence=other.sequence,
+            running=other.running,
+            queued=other.queued,
+            cache_sequence=other.cache_sequence,
+            cache_stored=other.cache_stored,
+            cache_removed=other.cache_removed,
+        )
+
+
+class UpstreamRecord(NamedTuple):
+    """An announcement and the seconds since an entry got it from its upstream."""
+
+    announcement: Announcement
+    age: Seconds
+
+
+class Renewal(NamedTuple):
+    """The part of an announcement that changes with each renewal."""
+
+    id: UpstreamId
+    incarnation: int
+    sequence: int
+    running: int
+    queued: int
+    age: Seconds
+    cache_sequence: int = 0
+    cache_stored: tuple[int, ...] = ()
+    cache_removed: tuple[int, ...] = ()
+
+
+class Tombstone(NamedTuple):
+    """
+    What is kept of an upstream that is gone.
+
+    Parameters
+    ----------
+    left : bool
+        Whether it said so itself; then its incarnation never serves again.
+    """
+
+    id: UpstreamId
+    incarnation: int
+    sequence: int
+    left: bool
+
+
+class _Held(NamedTuple):
+    announcement: Announcement
+    announced: Seconds
+
 
 class UpstreamTable:
     """
     Upstreams by id, each with a lease that announcements renew.
 
-    ``leaving`` holds for the rest of its incarnation, whatever comes later.
+    An upstream that is gone leaves a tombstone, so that a delayed announcement
+    can't bring it back; one that said ``leaving`` is gone for the rest of its
+    incarnation, whatever comes later.
 
     Parameters
     ----------
@@ -76,41 +137,170 @@
 
     def __init__(self, *, clock: Callable[[], Seconds]) -> None:
         self._clock = clock
-        self._announcements_by_id: dict[UpstreamId, Announcement] = {}
-        self._lease_ends_by_id: dict[UpstreamId, Seconds] = {}
+        self._held_by_id: dict[UpstreamId, _Held] = {}
+        self._tombstones_by_id: dict[UpstreamId, tuple[Seconds, Tombstone]] = {}
         self.serving: Latest[tuple[Announcement, ...]] = Latest(initial=())
 
-    def take(self, announcement: Announcement) -> bool:
-        """Take in an announcement; return whether it was news."""
-        held = self._announcements_by_id.get(announcement.id)
-        if held is not None:
-            if not announcement.is_newer_than(held):
-                return False
-            if held.state == "leaving" and held.incarnation == announcement.incarnation:
-                announcement = announcement._replace(state="leaving")
-        self._announcements_by_id[announcement.id] = announcement
-        self._lease_ends_by_id[announcement.id] = self._clock() + LEASE_SECONDS
+    def take(self, announcement: Announcement, *, age: Seconds = 0.0) -> bool:
+        """
+        Take in an announcement; return whether it was news.
+
+        Parameters
+        ----------
+        age : float
+            Seconds since an entry got it from the upstream itself; the lease
+            counts from then.
+        """
+        if announcement.state == "leaving":
+            return self._take_leaving(announcement)
+        held = self._held_by_id.get(announcement.id)
+        if held is not None and not announcement.is_newer_than(held.announcement):
+            return False
+        if self._is_buried(announcement) or age >= LEASE_SECONDS:
+            return False
+        if held is None and len(self._held_by_id) >= MAX_UPSTREAMS:
+            return False
+        announced = self._clock() - max(0.0, age)
+        self._held_by_id[announcement.id] = _Held(announcement, announced)
         self._publish()
         return True
 
+    def has_left(self, announcement: Announcement) -> bool:
+        """Return whether this incarnation of the upstream said that it leaves."""
+        buried = self._tombstones_by_id.get(announcement.id)
+        if buried is None or not buried[1].left:
+            return False
+        return announcement.incarnation <= buried[1].incarnation
+
+    def renew(self, renewals: Iterable[Renewal]) -> tuple[UpstreamId, ...]:
+        """Take in renewals; return the ids whose whole record is missing."""
+        missing = []
+        changed = False
+        for renewal in renewals:
+            held = self._held_by_id.get(renewal.id)
+            if held is None or held.announcement.incarnation < renewal.incarnation:
+                if not self._is_buried(renewal):
+                    missing.append(renewal.id)
+                continue
+            changed |= self._renew_one(held.announcement, renewal)
+        if changed:
+            self._publish()
+        return tuple(missing)
+
+    def take_tombstones(self, tombstones: Iterable[Tombstone]) -> None:
+        """Take in other entries' tombstones and drop what they cover."""
+        for tombstone in tombstones:
+            buried = self._tombstones_by_id.get(tombstone.id)
+            if buried is None or _key(tombstone) > _key(buried[1]):
+                self._keep_tombstone(tombstone)
+            held = self._held_by_id.get(tombstone.id)
+            if held is not None and self._is_buried(held.announcement):
+                del self._held_by_id[tombstone.id]
+        self._publish()
+
     def expire(self) -> tuple[UpstreamId, ...]:
         """Drop upstreams whose lease has ended and return their ids."""
         now = self._clock()
         expired = tuple(
             upstream_id
-            for upstream_id, ends in self._lease_ends_by_id.items()
-            if ends <= now
+            for upstream_id, held in self._held_by_id.items()
+            if held.announced + LEASE_SECONDS <= now
         )
         for upstream_id in expired:
-            del self._lease_ends_by_id[upstream_id]
-            del self._announcements_by_id[upstream_id]
+            self._bury(self._held_by_id.pop(upstream_id).announcement)
         if expired:
             self._publish()
+        self._forget_old_tombstones(now)
         return expired
 
     def all(self) -> tuple[Announcement, ...]:
-        return tuple(self._announcements_by_id.values())
+        return tuple(held.announcement for held in self._held_by_id.values())
+
+    def get(self, upstream_id: UpstreamId) -> UpstreamRecord | None:
+        """Return an upstream's record with its present age."""
+        held = self._held_by_id.get(upstream_id)
+        if held is None:
+            return None
+        return UpstreamRecord(held.announcement, self._clock() - held.announced)
+
+    def records(self) -> tuple[UpstreamRecord, ...]:
+        now = self._clock()
+        return tuple(
+            UpstreamRecord(held.announcement, now - held.announced)
+            for held in self._held_by_id.values()
+        )
+
+    def tombstones(self) -> tuple[Tombstone, ...]:
+        return tuple(tombstone for _, tombstone in self._tombstones_by_id.values())
+
+    def digest(self) -> int:
+        """Return a hash of the serving upstreams and their incarnations."""
+        serving = sorted((a.id, a.incarnation) for a in self.serving.value)
+        return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(serving))
+
+    def _renew_one(self, held: Announcement, renewal: Renewal) -> bool:
+        newer = held._replace(
+            incarnation=renewal.incarnation,
+            sequence=renewal.sequence,
+            running=renewal.running,
+            queued=renewal.queued,
+            cache_sequence=renewal.cache_sequence,
+            cache_stored=renewal.cache_stored,
+            cache_removed=renewal.cache_removed,
+        )
+        if not newer.is_newer_than(held) or renewal.age >= LEASE_SECONDS:
+            return False
+        announced = self._clock() - max(0.0, renewal.age)
+        self._held_by_id[held.id] = _Held(newer, announced)
+        return True
+
+    def _take_leaving(self, announcement: Announcement) -> bool:
+        if self.has_left(announcement):
+            return False
+        held = self._held_by_id.get(announcement.id)
+        if held is not None:
+            if announcement.incarnation < held.announcement.incarnation:
+                return False
+            del self._held_by_id[announcement.id]
+        self._bury(announcement)
+        self._publish()
+        return True
+
+    def _is_buried(self, record: Announcement | Renewal) -> bool:
+        buried = self._tombstones_by_id.get(record.id)
+        if buried is None:
+            return False
+        tombstone = buried[1]
+        if tombstone.left:
+            return record.incarnation <= tombstone.incarnation
+        own = (record.incarnation, record.sequence)
+        return own <= (tombstone.incarnation, tombstone.sequence)
+
+    def _bury(self, announcement: Announcement) -> None:
+        tombstone = Tombstone(
+            announcement.id,
+            announcement.incarnation,
+            announcement.sequence,
+            announcement.state == "leaving",
+        )
+        self._keep_tombstone(tombstone)
+
+    def _keep_tombstone(self, tombstone: Tombstone) -> None:
+        self._tombstones_by_id.pop(tombstone.id, None)
+        self._tombstones_by_id[tombstone.id] = (self._clock(), tombstone)
+        while len(self._tombstones_by_id) > MAX_TOMBSTONES:
+            del self._tombstones_by_id[next(iter(self._tombstones_by_id))]
+
+    def _forget_old_tombstones(self, now: Seconds) -> None:
+        while self._tombstones_by_id:
+            oldest = next(iter(self._tombstones_by_id))
+            if self._tombstones_by_id[oldest][0] + TOMBSTONE_SECONDS > now:
+                return
+            del self._tombstones_by_id[oldest]
 
     def _publish(self) -> None:
-        serving = (a for a in self.all() if a.state == "serving")
-        self.serving.set(tuple(serving))
+        self.serving.set(self.all())
+
+
+def _key(tombstone: Tombstone) -> tuple[int, bool, int]:
+    return tombstone.incarnation, tombstone.left, tombstone.sequence
