List only entries that take work, and bound what callers can hold

The directory listed every configured entry, dead or not; it now lists those that are alive, not leaving and not overloaded, of zones with a fresh summary, and honours the regions of the caller's account. The listener bounds connections, slow headers, silent clients, header and body sizes, and the form of request ids; the library's own errors get the typed JSON form. A stopping entry tells its zone first and refuses forwards with 'ask another'. Announcements are checked, and answer how long a leaving upstream shall serve on. The test of the directory waits for the summaries, which now take up to two seconds to arrive; it is as strict as before.

--- /dev/null
+++ b/poplarlug/callers/announcements.py
@@ -0,0 +1,111 @@
+"""Upstreams' announcements over HTTP."""
+
+import re
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from poplarlug.callers.responses import error_response
+from poplarlug.errors import GatewayError, bad_request, not_run
+from poplarlug.membership.sharing import Membership
+from poplarlug.membership.upstreams import LEASE_SECONDS, Announcement
+
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+MAX_NAMES = 64
+MAX_NAME_LENGTH = 128
+MAX_COUNT = 1 << 62
+SHARED_WAIT_SECONDS = 0.5
+UNSHARED_WAIT_SECONDS = LEASE_SECONDS + 1.0
+
+_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+_ADDRESS_PATTERN = re.compile(r"[0-9A-Fa-f.:\[\]]{3,45}:[0-9]{1,5}")
+
+
+class AnnouncementHandler:
+    """
+    Answer ``POST /v1/upstreams``.
+
+    The answer's ``wait_seconds`` says how long a leaving upstream shall go on
+    serving: until then an entry that doesn't know yet may send to it.
+
+    Parameters
+    ----------
+    accepts : callable
+        Returns whether this entry takes announcements now.
+    """
+
+    def __init__(self, *, membership: Membership, accepts: Callable[[], bool]) -> None:
+        self._membership = membership
+        self._accepts = accepts
+
+    async def serve(self, request: web.Request) -> web.Response:
+        if not self._accepts():
+            error = not_run("This entry takes no announcements now; ask another.", 1.0)
+            return error_response(error, "")
+        if (request.content_length or 0) > MAX_ANNOUNCEMENT_BYTES:
+            return error_response(bad_request("The announcement is too long."), "")
+        try:
+            announcement = parse_announcement(await request.read())
+        except (msgspec.DecodeError, msgspec.ValidationError, KeyError) as error:
+            message = f"The body is no announcement: {error}."
+            return error_response(bad_request(message), "")
+        outcome = await self._membership.announce(announcement)
+        if not outcome.taken:
+            return error_response(_stale(announcement), "")
+        wait = SHARED_WAIT_SECONDS if outcome.shared else UNSHARED_WAIT_SECONDS
+        return web.json_response(
+            {"taken": True, "shared": outcome.shared, "wait_seconds": wait}
+        )
+
+
+def parse_announcement(data: bytes) -> Announcement:
+    """
+    Return the announcement in a JSON body.
+
+    Raises
+    ------
+    msgspec.ValidationError, msgspec.DecodeError, KeyError
+        When the body is none; the text says what is wrong.
+    """
+    body = msgspec.json.decode(data, type=dict[str, Any])
+    unknown = set(body) - set(Announcement._fields)
+    if unknown:
+        raise msgspec.ValidationError(f"unknown keys {sorted(unknown)}")
+    defaults = Announcement._field_defaults
+    values = [
+        body[name] if name in body else defaults[name] for name in Announcement._fields
+    ]
+    announcement = msgspec.convert(values, Announcement)
+    _check(announcement)
+    return announcement
+
+
+def _check(announcement: Announcement) -> None:
+    if not _ID_PATTERN.fullmatch(announcement.id):
+        raise msgspec.ValidationError(
+            f"got id {announcement.id!r}, expected 1 to 128 letters, digits, '._:-'"
+        )
+    if not _ADDRESS_PATTERN.fullmatch(announcement.address):
+        raise msgspec.ValidationError(
+            f"got address {announcement.address!r}, expected an IP number and a port"
+        )
+    for names in (announcement.models, announcement.services):
+        if len(names) > MAX_NAMES or any(len(n) > MAX_NAME_LENGTH for n in names):
+            raise msgspec.ValidationError(
+                f"expected at most {MAX_NAMES} names of {MAX_NAME_LENGTH} characters"
+            )
+    for name in ("incarnation", "sequence", "running", "queued", "capacity"):
+        value = getattr(announcement, name)
+        if not 0 <= value < MAX_COUNT:
+            raise msgspec.ValidationError(f"got {name} {value}, expected 0 or more")
+
+
+def _stale(announcement: Announcement) -> GatewayError:
+    return GatewayError(
+        409,
+        "stale_announcement",
+        f"Upstream {announcement.id!r} announced something newer, or this incarnation "
+        "has left; announce with a larger incarnation after a restart.",
+    )
--- a/poplarlug/callers/application.py
+++ b/poplarlug/callers/application.py
@@ -1,29 +1,32 @@
 """The HTTP application of an entry."""
 
 import asyncio
+import re
 import uuid
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Awaitable, Callable
 
-import msgspec
+import aiohttp
 import structlog
 from aiohttp import web
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
+from poplarlug.callers.announcements import AnnouncementHandler
 from poplarlug.callers.authentication import authenticate
+from poplarlug.callers.connections import ConnectionGuard
+from poplarlug.callers.directory import Directory
 from poplarlug.callers.http_sink import HttpSink
 from poplarlug.callers.parsing import HttpRequest, parse_completion, parse_service_call
+from poplarlug.callers.responses import error_response
 from poplarlug.catalog import Account, Catalog
-from poplarlug.errors import GatewayError, bad_request, not_run, to_body
+from poplarlug.errors import GatewayError, bad_request, not_run
 from poplarlug.membership.sharing import Membership
-from poplarlug.membership.upstreams import Announcement
 from poplarlug.serving.gateway import Gateway
 from poplarlug.serving.requests import GatewayRequest
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
-BODY_TIMEOUT_SECONDS = 10.0
-DIRECTORY_LIFE_SECONDS = 5
 SERVICE_PREFIX = "/svc/"
+MAX_REQUEST_ID_LENGTH = 128
+
+_REQUEST_ID_PATTERN = re.compile(rf"[A-Za-z0-9._:-]{{1,{MAX_REQUEST_ID_LENGTH}}}")
 
 Parse = Callable[[HttpRequest, Account], Result[GatewayRequest, GatewayError]]
 
@@ -35,8 +38,10 @@
     Parameters
     ----------
     accepts : callable
-        Returns whether new requests are taken in: configuration is in force
-        and no stop has begun.
+        Returns whether new requests are taken in: configuration is in force,
+        the tables are trusted and no stop has begun.
+    guard : ConnectionGuard
+        Watches the connections and holds their bounds.
     """
 
     def __init__(
@@ -45,20 +50,29 @@
         catalog: Catalog,
         membership: Membership,
         gateway: Gateway,
+        directory: Directory,
+        announcements: AnnouncementHandler,
+        guard: ConnectionGuard,
         accepts: Callable[[], bool],
     ) -> None:
         self._catalog = catalog
         self._membership = membership
         self._gateway = gateway
+        self._directory = directory
+        self._announcements = announcements
+        self._guard = guard
         self._accepts = accepts
 
     def build(self) -> web.Application:
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application(
+            client_max_size=self._guard.limits.max_body_bytes,
+            middlewares=[self._guard.middleware, _type_errors],
+        )
         app.router.add_post("/v1/chat/completions", self.serve_completion)
         app.router.add_post("/v1/completions", self.serve_completion)
         app.router.add_get("/v1/models", self.serve_models)
-        app.router.add_get("/v1/directory", self.serve_directory)
-        app.router.add_post("/v1/upstreams", self.serve_announcement)
+        app.router.add_get("/v1/directory", self._directory.serve)
+        app.router.add_post("/v1/upstreams", self._announcements.serve)
         app.router.add_route("*", "/svc/{service}/{path:.*}", self.serve_service)
         return app
 
@@ -88,56 +102,31 @@
     async def serve_models(self, request: web.Request) -> web.Response:
         found = authenticate(request.headers, self._catalog)
         if isinstance(found, Failure):
-            return _error_response(found.failure(), "")
+            return error_response(found.failure(), "")
         models = [{"id": name, "object": "model"} for name in found.unwrap().models]
         return web.json_response({"object": "list", "data": models})
 
-    async def serve_directory(self, request: web.Request) -> web.Response:
-        own = self._membership.own
-        ranked = sorted(
-            self._membership.topology.entries,
-            key=lambda vm: (vm.zone != own.zone, vm.region != own.region),
-        )
-        entries = [
-            {"name": vm.name, "region": vm.region, "zone": vm.zone, "address": vm.http}
-            for vm in ranked
-        ]
-        return web.json_response(
-            {"entries": entries, "ttl_seconds": DIRECTORY_LIFE_SECONDS}
-        )
-
-    async def serve_announcement(self, request: web.Request) -> web.Response:
-        try:
-            body = msgspec.json.decode(await request.read(), type=dict[str, Any])
-            announcement = msgspec.convert(_ordered(body), Announcement)
-        except (msgspec.DecodeError, msgspec.ValidationError, KeyError) as error:
-            return _error_response(
-                bad_request(f"The body is no announcement: {error}."), ""
-            )
-        self._membership.announce(announcement)
-        return web.json_response({"taken": True})
-
     async def _serve(
         self, request: web.Request, path: str, parse: Parse
     ) -> web.StreamResponse:
         request_id = request.headers.get("X-Request-Id", "") or uuid.uuid4().hex
+        if not _REQUEST_ID_PATTERN.fullmatch(request_id):
+            return error_response(_bad_request_id(), "")
         structlog.contextvars.bind_contextvars(request_id=request_id)
         if not self._accepts():
             error = not_run("This entry takes no requests now; ask another.", 1.0)
-            return _error_response(error, request_id)
+            return error_response(error, request_id)
         found = authenticate(request.headers, self._catalog)
         if isinstance(found, Failure):
-            return _error_response(found.failure(), request_id)
-        try:
-            async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
-                body = await request.read()
-        except TimeoutError:
-            error = GatewayError(408, "slow_body", "The body came too slowly.")
-            return _error_response(error, request_id)
+            return error_response(found.failure(), request_id)
+        read = await self._read_body(request)
+        if isinstance(read, Failure):
+            return error_response(read.failure(), request_id)
+        body = read.unwrap()
         http = HttpRequest(request_id, request.method, path, request.headers, body)
         parsed = parse(http, found.unwrap())
         if isinstance(parsed, Failure):
-            return _error_response(parsed.failure(), request_id)
+            return error_response(parsed.failure(), request_id)
         sink = HttpSink(request=request, request_id=request_id)
         failed = await self._gateway.serve(parsed.unwrap(), sink)
         if failed is None and sink.response is not None:
@@ -148,28 +137,42 @@
         if sink.response is not None:
             _abort(request)
             return sink.response
-        return _error_response(failed, request_id)
-
-
-def _ordered(body: dict[str, Any]) -> list[Any]:
-    defaults = Announcement._field_defaults
-    unknown = set(body) - set(Announcement._fields)
-    if unknown:
-        raise msgspec.ValidationError(f"unknown keys {sorted(unknown)}")
-    return [
-        body[name] if name in body else defaults[name] for name in Announcement._fields
-    ]
-
-
-def _error_response(error: GatewayError, request_id: str) -> web.Response:
-    headers = {"X-Request-Id": request_id}
-    if error.retry_after_seconds is not None:
-        headers["Retry-After"] = str(max(1, round(error.retry_after_seconds)))
-    return web.Response(
-        status=error.status,
-        body=to_body(error),
-        content_type="application/json",
-        headers=headers,
+        return error_response(failed, request_id)
+
+    async def _read_body(self, request: web.Request) -> Result[bytes, GatewayError]:
+        limits = self._guard.limits
+        try:
+            async with asyncio.timeout(limits.body_seconds):
+                return Success(await request.read())
+        except TimeoutError:
+            message = f"The body took longer than {limits.body_seconds} s."
+            return Failure(GatewayError(408, "slow_body", message))
+        except web.HTTPRequestEntityTooLarge:
+            message = f"The body is longer than {limits.max_body_bytes} bytes."
+            return Failure(GatewayError(413, "body_too_large", message))
+        except (aiohttp.ClientError, web.RequestPayloadError, OSError) as error:
+            return Failure(bad_request(f"The body broke off: {error!r}."))
+
+
+@web.middleware
+async def _type_errors(
+    request: web.Request,
+    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+) -> web.StreamResponse:
+    """Give the library's own errors the JSON form of all others."""
+    try:
+        return await handler(request)
+    except web.HTTPException as error:
+        if error.status < 400:
+            raise
+        kind = (error.reason or "error").lower().replace(" ", "_")
+        message = f"{request.method} {request.path}: {error.reason}."
+        return error_response(GatewayError(error.status, kind, message), "")
+
+
+def _bad_request_id() -> GatewayError:
+    return bad_request(
+        f"X-Request-Id must be 1 to {MAX_REQUEST_ID_LENGTH} letters, digits or '._:-'."
     )
 
 
--- /dev/null
+++ b/poplarlug/callers/platform_directory.py
@@ -0,0 +1,103 @@
+"""Keeps the platform's own directory for clients up to date."""
+
+import asyncio
+import json
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from pathlib import Path
+
+from poplarlug.callers.directory import Directory, DirectoryEntry
+from poplarlug.logs import PartLog
+from poplarlug.membership.rendezvous import rank_by_rendezvous
+from poplarlug.membership.sharing import Membership
+from poplarlug.types import ZoneName
+
+REWRITE_SECONDS = 1.0
+REPEAT_SECONDS = 30.0
+
+_log = PartLog(prefix="directory")
+
+
+class PlatformDirectory(ABC):
+    """The platform's directory; one part for each availability zone."""
+
+    @abstractmethod
+    async def replace(self, zone: ZoneName, entries: Sequence[DirectoryEntry]) -> None:
+        """
+        Replace the part of ``zone`` by ``entries``.
+
+        Raises
+        ------
+        OSError
+            When the directory can't be reached; it is tried again.
+        """
+
+
+class FileDirectory(PlatformDirectory):
+    """
+    A stand-in that keeps one JSON file a zone.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Where the files go.
+    """
+
+    def __init__(self, *, folder: Path) -> None:
+        self._folder = folder
+
+    async def replace(self, zone: ZoneName, entries: Sequence[DirectoryEntry]) -> None:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        draft = self._folder / f".{zone}.json"
+        draft.write_text(json.dumps(entries))
+        draft.replace(self._folder / f"{zone}.json")
+
+
+class DirectoryWriter:
+    """
+    Rewrite the own zone's part whenever it changes.
+
+    One entry of the zone, chosen by rendezvous hash, writes; it repeats its
+    part now and then in case another wrote over it.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: PlatformDirectory,
+        directory: Directory,
+        membership: Membership,
+    ) -> None:
+        self._platform = platform
+        self._directory = directory
+        self._membership = membership
+        self._written: list[str] | None = None
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        last_written = -REPEAT_SECONDS
+        while True:
+            await asyncio.sleep(REWRITE_SECONDS)
+            if not self._is_writer():
+                self._written = None
+                continue
+            names = sorted(e["name"] for e in self._directory.own_zone())
+            if names != self._written or loop.time() - last_written > REPEAT_SECONDS:
+                last_written = loop.time()
+                await self._write(names)
+
+    async def _write(self, names: list[str]) -> None:
+        entries = self._directory.own_zone()
+        try:
+            await self._platform.replace(self._membership.own.zone, entries)
+        except OSError as error:
+            _log.warning("platform's directory not written", error=str(error))
+            return
+        self._written = names
+
+    def _is_writer(self) -> bool:
+        if not self._membership.is_trusted():
+            return False
+        own = self._membership.own
+        alive = self._membership.members.alive() or [own.name]
+        return rank_by_rendezvous(f"directory\0{own.zone}", alive)[0] == own.name
--- /dev/null
+++ b/poplarlug/callers/responses.py
@@ -0,0 +1,18 @@
+"""HTTP responses that carry errors."""
+
+from aiohttp import web
+
+from poplarlug.errors import GatewayError, to_body
+
+
+def error_response(error: GatewayError, request_id: str) -> web.Response:
+    """Return the typed JSON response of ``error``."""
+    headers = {"X-Request-Id": request_id}
+    if error.retry_after_seconds is not None:
+        headers["Retry-After"] = str(max(1, round(error.retry_after_seconds)))
+    return web.Response(
+        status=error.status,
+        body=to_body(error),
+        content_type="application/json",
+        headers=headers,
+    )
--- a/poplarlug/entry/main.py
+++ b/poplarlug/entry/main.py
@@ -1,6 +1,7 @@
 """Entry point of ``poplarlug-entry``."""
 
 import asyncio
+import time
 from pathlib import Path
 from random import Random
 from typing import NamedTuple
@@ -8,18 +9,22 @@
 from returns.result import Success
 
 from poplarlug.admission import RankAdmission
+from poplarlug.callers.announcements import AnnouncementHandler
 from poplarlug.callers.application import CallerApplication
+from poplarlug.callers.connections import ConnectionGuard, HttpLimits
+from poplarlug.callers.directory import Directory
+from poplarlug.callers.platform_directory import DirectoryWriter, FileDirectory
 from poplarlug.daemon import (
     EXIT_BAD_SETTINGS,
     add_health_routes,
     exit_with_errors,
     run_daemon,
-    serve_http,
     stop_event,
 )
 from poplarlug.distribution.follower import ConfigFollower
 from poplarlug.distribution.store import ConfigStore, FileStore
 from poplarlug.distribution.upstream_listing import serve_upstreams
+from poplarlug.entry.forwards import ForwardGate
 from poplarlug.logs import PartLog
 from poplarlug.membership.sharing import Membership
 from poplarlug.routing import (
@@ -40,6 +45,7 @@
 from poplarlug.transport import ZmqTransport
 
 DRAIN_TIMEOUT_SECONDS = 120.0
+NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 _log = PartLog(prefix="entry")
 
@@ -54,6 +60,10 @@
         Own name in the topology file.
     data_folder : str or None
         Where state is kept on a VM with a disk.
+    http : HttpLimits
+        Bounds on what callers can hold.
+    platform_directory_folder : str or None
+        Where the stand-in of the platform's directory keeps its files.
     """
 
     name: str
@@ -61,10 +71,19 @@
     keys: KeyFiles
     data_folder: str | None = None
     log: LogSettings = LogSettings()
+    http: HttpLimits = HttpLimits()
+    platform_directory_folder: str | None = None
 
 
 class Entry:
-    """All parts of one entry daemon, put together."""
+    """
+    All parts of one entry daemon, put together.
+
+    Parameters
+    ----------
+    incarnation : int
+        Number of this run, larger than those of former ones.
+    """
 
     def __init__(
         self,
@@ -73,10 +92,13 @@
         topology: Topology,
         keys: KeyFiles,
         rng: Random,
+        incarnation: int,
+        limits: HttpLimits,
         store: ConfigStore | None = None,
     ) -> None:
         clock = asyncio.get_running_loop().time
         self.stopping = False
+        self._limits = limits
         self.transport = ZmqTransport(
             name=own.name,
             address=own.peers,
@@ -95,7 +117,14 @@
             store=store,
         )
         self.membership = Membership(
-            own=own, topology=topology, transport=self.transport, clock=clock
+            own=own,
+            topology=topology,
+            transport=self.transport,
+            clock=clock,
+            rng=rng,
+            incarnation=incarnation,
+            load=self.load,
+            config_version=lambda: self.follower.version.value,
         )
         serve_upstreams(self.transport, self.membership.upstreams.all)
         self.client = UpstreamClient(zone=own.zone)
@@ -112,17 +141,29 @@
             ramp=ZoneRamp(clock=clock),
             rng=rng,
         )
+        forwarder = Forwarder(transport=self.transport)
         self.gateway = Gateway(
             catalog=self.follower.catalog,
             membership=self.membership,
             dispatch=DispatchParts(policy, self.admission, loads),
             client=self.client,
-            forwarder=Forwarder(transport=self.transport),
+            forwarder=forwarder,
+        )
+        self.forwards = ForwardGate(serve=self.gateway.serve, accepts=self.accepts)
+        forwarder.serve_by(self.forwards.serve)
+        self.guard = ConnectionGuard(limits=limits)
+        self.directory = Directory(
+            membership=self.membership, catalog=self.follower.catalog, rng=rng
         )
         self.callers = CallerApplication(
             catalog=self.follower.catalog,
             membership=self.membership,
             gateway=self.gateway,
+            directory=self.directory,
+            announcements=AnnouncementHandler(
+                membership=self.membership, accepts=self.accepts_announcements
+            ),
+            guard=self.guard,
             accepts=self.accepts,
         )
         self.supervisor = Supervisor(name="entry", rng=rng)
@@ -130,13 +171,40 @@
         self.supervisor.add_child("follower", self.follower.run)
         self.supervisor.add_child("membership", self.membership.run)
         self.supervisor.add_child("admission", self.admission.run)
+        self.supervisor.add_child("connections", self.guard.run)
+
+    def load(self) -> float:
+        """Return the share, 0 to 1, of what this entry can hold; 1 if not ready."""
+        if not self.is_ready():
+            return 1.0
+        return min(1.0, self.gateway.in_progress.value / self._limits.max_requests)
+
+    def is_ready(self) -> bool:
+        """Return whether configuration and tables are in force and no stop began."""
+        if self.stopping or not self.follower.accepts:
+            return False
+        return self.membership.is_trusted()
 
     def accepts(self) -> bool:
-        return not self.stopping and self.follower.accepts
+        """Return whether new requests are taken in."""
+        return self.is_ready() and self.load() < 1.0
+
+    def accepts_announcements(self) -> bool:
+        return not self.stopping and self.membership.is_trusted()
+
+    def write_platform_directory(self, folder: Path) -> None:
+        """Keep the platform's directory in ``folder`` up to date."""
+        writer = DirectoryWriter(
+            platform=FileDirectory(folder=folder),
+            directory=self.directory,
+            membership=self.membership,
+        )
+        self.supervisor.add_child("directory", writer.run)
 
     async def drain(self) -> None:
         """Take no new requests and wait for those in progress."""
         self.stopping = True
+        await self.membership.leave()
         try:
             async with asyncio.timeout(DRAIN_TIMEOUT_SECONDS):
                 await self.gateway.in_progress.wait_for(lambda count: count == 0)
@@ -163,11 +231,15 @@
         keys=settings.keys.relative_to(folder),
         rng=Random(),
         store=store,
+        incarnation=time.time_ns() // NANOSECONDS_PER_MILLISECOND,
+        limits=settings.http,
     )
+    if settings.platform_directory_folder is not None:
+        entry.write_platform_directory(folder / settings.platform_directory_folder)
     await entry.client.open()
     app = entry.callers.build()
-    add_health_routes(app, entry.accepts)
-    runner = await serve_http(app, own.http)
+    add_health_routes(app, entry.is_ready)
+    runner = await entry.guard.serve(app, own.http)
     running = asyncio.ensure_future(entry.supervisor.run())
     _log.info("ready", name=own.name, http=own.http)
     stopping = asyncio.ensure_future(stop_event().wait())
--- a/poplarlug/fakes/announcer.py
+++ b/poplarlug/fakes/announcer.py
@@ -10,6 +10,9 @@
 
 RENEW_SECONDS = 1.0
 ANNOUNCE_TIMEOUT_SECONDS = 2.0
+DEFAULT_WAIT_SECONDS = 5.0
+LEAVE_TRIES = 5
+LEAVE_RETRY_SECONDS = 0.3
 
 _log = PartLog(prefix="announcer")
 
@@ -24,11 +27,18 @@
         HTTP addresses of the zone's entries; the first that answers is used.
     describe : callable
         Returns the announcement's body with the present load.
+    incarnation : int
+        Number of this run, larger than those of former ones.
     """
 
     def __init__(
-        self, *, entries: Sequence[str], describe: Callable[[], dict[str, Any]]
+        self,
+        *,
+        entries: Sequence[str],
+        describe: Callable[[], dict[str, Any]],
+        incarnation: int = 0,
     ) -> None:
+        self._incarnation = incarnation
         self._entries = list(entries)
         self._describe = describe
         self._sequence = 0
@@ -40,25 +50,52 @@
                 await self.announce(session)
                 await asyncio.sleep(RENEW_SECONDS)
 
-    async def leave(self) -> None:
-        """Announce once that this upstream takes no new work."""
+    async def leave(self) -> float:
+        """
+        Announce that this upstream takes no new work.
+
+        Returns
+        -------
+        float
+            Seconds for which it shall go on serving, since an entry that was
+            not reached may send to it still.
+        """
         self.state = "leaving"
         async with aiohttp.ClientSession() as session:
-            await self.announce(session)
+            for _ in range(LEAVE_TRIES):
+                answer = await self.announce(session)
+                if answer is not None:
+                    return float(answer.get("wait_seconds", DEFAULT_WAIT_SECONDS))
+                await asyncio.sleep(LEAVE_RETRY_SECONDS)
+        return DEFAULT_WAIT_SECONDS
 
-    async def announce(self, session: aiohttp.ClientSession) -> bool:
+    async def announce(self, session: aiohttp.ClientSession) -> dict[str, Any] | None:
         """Send the announcement to the first entry that takes it."""
         self._sequence += 1
-        body = {**self._describe(), "state": self.state, "sequence": self._sequence}
-        timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_SECONDS)
+        body = {
+            **self._describe(),
+            "state": self.state,
+            "incarnation": self._incarnation,
+            "sequence": self._sequence,
+        }
         for address in list(self._entries):
-            url = f"http://{address}/v1/upstreams"
-            try:
-                async with session.post(url, json=body, timeout=timeout) as response:
-                    if response.status == 200:
-                        return True
-                    _log.warning("refused", entry=address, status=response.status)
-            except (aiohttp.ClientError, TimeoutError) as error:
-                _log.warning("entry not reached", entry=address, error=repr(error))
+            answer = await self._send(session, address, body)
+            if answer is not None:
+                return answer
             self._entries.append(self._entries.pop(0))
-        return False
+        return None
+
+    async def _send(
+        self, session: aiohttp.ClientSession, address: str, body: dict[str, Any]
+    ) -> dict[str, Any] | None:
+        timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_SECONDS)
+        url = f"http://{address}/v1/upstreams"
+        try:
+            async with session.post(url, json=body, timeout=timeout) as response:
+                if response.status == 200:
+                    answer: dict[str, Any] = await response.json()
+                    return answer
+                _log.warning("refused", entry=address, status=response.status)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            _log.warning("entry not reached", entry=address, error=repr(error))
+        return None
--- a/poplarlug/fakes/runner.py
+++ b/poplarlug/fakes/runner.py
@@ -1,6 +1,7 @@
 """Runs a stand-in upstream as a process."""
 
 import asyncio
+import time
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -10,7 +11,7 @@
 from poplarlug.fakes.announcer import Announcer
 from poplarlug.logs import configure_logs
 
-LEAVE_SECONDS = 0.5
+NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
 async def run_fake(
@@ -34,10 +35,11 @@
     announcer = Announcer(
         entries=entries,
         describe=lambda: {**describe(), "address": announced or listen},
+        incarnation=time.time_ns() // NANOSECONDS_PER_MILLISECOND,
     )
     renewing = asyncio.ensure_future(announcer.run())
     await stop_event().wait()
     renewing.cancel()
-    await announcer.leave()
-    await asyncio.sleep(LEAVE_SECONDS)
+    await asyncio.gather(renewing, return_exceptions=True)
+    await asyncio.sleep(await announcer.leave())
     await runner.cleanup()
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import json
 
+from examples.deployment import wait_until
 from poplarlug.fakes.engine import tokens_of
 from tests.processes.case import ProcessTestCase
 
@@ -60,6 +61,11 @@
 
     def test_directory_lists_the_own_zone_first(self) -> None:
         """The directory ranks entries of the asked zone first."""
-        entries = self.call("cuenca-a-1", "/v1/directory").json()["entries"]
-        self.assertEqual(entries[0]["zone"], "cuenca-a")
-        self.assertEqual(len(entries), 3)
+
+        def listed() -> list[str]:
+            entries = self.call("cuenca-a-1", "/v1/directory").json()["entries"]
+            return [entry["zone"] for entry in entries]
+
+        # The other zones are listed once their summaries have arrived.
+        wait_until(lambda: len(listed()) == 3, "not all zones are listed")
+        self.assertEqual(listed()[0], "cuenca-a")
