--- /dev/null
+++ b/tests/membership/test_sharing.py
@@ -0,0 +1,137 @@
+"""Tests of membership between entries, under virtual time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+from unittest import TestCase
+
+from poplarlug.membership.members import MemberState
+from poplarlug.membership.summaries import SUMMARY_LIFE_SECONDS
+from poplarlug.virtualtime import run_virtual
+from tests.membership.simulation import Simulation, announcement, wait_for
+
+FIRST = "z00-00"
+
+
+def simulate(test: Callable[[Simulation], Awaitable[Any]], **sizes: int) -> Any:
+    async def main() -> Any:
+        simulation = Simulation(rng=Random(7), **sizes)
+        await asyncio.sleep(4)
+        return await test(simulation)
+
+    return run_virtual(main())
+
+
+class FailureDetectorTests(TestCase):
+    def test_crash_is_found_and_restart_taken_in(self) -> None:
+        """A crashed entry is dead at all others; its next run is alive again."""
+
+        async def test(simulation: Simulation) -> None:
+            await simulation.crash(FIRST)
+            others = [e.membership.members for e in simulation.entries_by_name.values()]
+            dead = MemberState.DEAD
+            await wait_for(
+                lambda: all(m.get(FIRST).state is dead for m in others), seconds=20
+            )
+            simulation.start(FIRST)
+            await wait_for(lambda: all(FIRST in m.alive() for m in others), seconds=20)
+
+        simulate(test, entries=5)
+
+    def test_one_bad_link_kills_nobody(self) -> None:
+        """Indirect probes keep an entry alive that one other can't reach."""
+
+        async def test(simulation: Simulation) -> None:
+            simulation.network.cut(FIRST, "z00-01")
+            for _ in range(300):
+                await asyncio.sleep(0.1)
+                for entry in simulation.entries_by_name.values():
+                    states = {m.state for m in entry.membership.members.all()}
+                    self.assertNotIn(MemberState.DEAD, states)
+
+        simulate(test, entries=4)
+
+    def test_falsely_suspected_entry_refutes(self) -> None:
+        """An entry called dead raises its incarnation and is alive again."""
+
+        async def test(simulation: Simulation) -> None:
+            members = simulation.membership("z00-01").members
+            held = members.get(FIRST)
+            wrong = held._replace(state=MemberState.DEAD)
+            simulation.membership("z00-01").detector.take((wrong,))
+            await wait_for(lambda: FIRST in members.alive(), seconds=5)
+            self.assertGreater(members.get(FIRST).incarnation, held.incarnation)
+
+        simulate(test)
+
+
+class UpstreamSharingTests(TestCase):
+    def test_leaving_is_known_to_all_when_acknowledged(self) -> None:
+        """No entry serves the upstream once the announcement is answered."""
+
+        async def test(simulation: Simulation) -> None:
+            first = simulation.membership(FIRST)
+            await first.announce(announcement())
+            entries = simulation.entries_by_name.values()
+            await wait_for(lambda: all(e.serving_ids() for e in entries), seconds=1)
+            simulation.network.quality = simulation.network.quality._replace(loss=0.3)
+            leaving = announcement(sequence=2, state="leaving")
+            for _ in range(20):
+                if (await first.announce(leaving)).shared:
+                    break
+                await asyncio.sleep(0.1)
+            self.assertFalse(any(e.serving_ids() for e in entries))
+
+        simulate(test, entries=4)
+
+    def test_lost_notice_is_repaired(self) -> None:
+        """An entry that missed a record gets it by the digests in heartbeats."""
+
+        async def test(simulation: Simulation) -> None:
+            simulation.network.quality = simulation.network.quality._replace(loss=1.0)
+            await simulation.membership(FIRST).announce(announcement())
+            simulation.network.quality = simulation.network.quality._replace(loss=0.0)
+            entries = simulation.entries_by_name.values()
+            await wait_for(lambda: all(e.serving_ids() for e in entries), seconds=3)
+
+        simulate(test)
+
+    def test_restarted_entry_fetches_the_table(self) -> None:
+        """An entry knows the upstreams and the tombstones before it is trusted."""
+
+        async def test(simulation: Simulation) -> None:
+            first = simulation.membership(FIRST)
+            await first.announce(announcement("u1"))
+            await first.announce(announcement("u2", state="leaving"))
+            await simulation.crash("z00-02")
+            started = simulation.start("z00-02")
+            await wait_for(started.membership.is_trusted, seconds=3)
+            self.assertEqual(started.serving_ids(), {"u1"})
+            outcome = await started.membership.announce(announcement("u2", sequence=9))
+            self.assertFalse(outcome.taken)
+
+        simulate(test)
+
+
+class ZoneSummaryTests(TestCase):
+    def test_every_entry_learns_of_each_zone(self) -> None:
+        """Summaries reach all entries and go out of date with their zone."""
+
+        async def test(simulation: Simulation) -> None:
+            await simulation.membership(FIRST).announce(announcement(capacity=4))
+            far = simulation.membership("z02-01")
+            loads = [("corn-7b", 1, 0, 0, 4)]
+
+            def known() -> bool:
+                return any(list(s.loads) == loads for s in far.zones())
+
+            await wait_for(known, seconds=5)
+            for entry in ("z00-00", "z00-01", "z00-02"):
+                await simulation.crash(entry)
+            await wait_for(
+                lambda: {s.zone for s in far.zones()} == {"z01"},
+                seconds=SUMMARY_LIFE_SECONDS + 2,
+            )
+
+        simulate(test, zones=3, entries=3)
--- /dev/null
+++ b/tests/membership/test_summaries.py
@@ -0,0 +1,61 @@
+"""Tests of the other zones' summaries."""
+
+from unittest import TestCase
+
+from poplarlug.membership.summaries import (
+    FIRST_REPORTER_SILENT_SECONDS,
+    SUMMARY_LIFE_SECONDS,
+    SummaryTable,
+    ZoneSummary,
+    summarize_models,
+)
+from tests.membership.simulation import announcement
+
+
+class SummaryTableTests(TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.table = SummaryTable(own="a-1", clock=lambda: self.now)
+
+    def summary(
+        self, entry: str = "b-1", sequence: int = 1, **f: object
+    ) -> ZoneSummary:
+        entries = ("b-1", "b-2", "b-3", "b-4")
+        return ZoneSummary("b", "rb", entry, sequence, entries=entries)._replace(**f)
+
+    def test_old_summary_counts_as_no_capacity(self) -> None:
+        """The age on the wire and the time since count together."""
+        self.table.take(self.summary(age=3.0))
+        self.assertEqual(len(self.table.fresh()), 1)
+        self.now = SUMMARY_LIFE_SECONDS - 3.0
+        self.assertEqual(self.table.by_entry(), ())
+        self.assertFalse(self.table.take(self.summary(sequence=2, age=5.0)))
+
+    def test_late_summary_of_a_reporter_is_dropped(self) -> None:
+        """A smaller sequence or incarnation changes nothing."""
+        self.table.take(self.summary(sequence=5, incarnation=2))
+        self.assertFalse(self.table.take(self.summary(sequence=4, incarnation=2)))
+        self.assertFalse(self.table.take(self.summary(sequence=9, incarnation=1)))
+
+    def test_second_reporter_counts_when_the_first_is_silent(self) -> None:
+        """A backup's summary is taken only after the first one grew old."""
+        self.table.take(self.summary())
+        backup = self.summary("b-2", backup=True)
+        self.assertFalse(self.table.take(backup))
+        self.now = FIRST_REPORTER_SILENT_SECONDS + 0.1
+        self.assertTrue(self.table.take(backup))
+        self.assertTrue(self.table.take(self.summary(sequence=2)))
+
+    def test_few_entries_to_forward_to(self) -> None:
+        """A zone counts for a bounded number of entries, whatever its size."""
+        self.table.take(self.summary())
+        self.assertEqual(len(self.table.by_entry()), 3)
+
+    def test_loads_add_up_by_model(self) -> None:
+        """Each model's upstreams, requests and capacity are summed."""
+        upstreams = [
+            announcement("u1", running=1, queued=2, capacity=8),
+            announcement("u2", running=3, capacity=8, models=("corn-7b", "x")),
+        ]
+        loads = summarize_models(upstreams)
+        self.assertEqual(loads, (("corn-7b", 2, 4, 2, 16), ("x", 1, 3, 0, 8)))
--- /dev/null
+++ b/tests/membership/test_upstreams.py
@@ -0,0 +1,72 @@
+"""Tests of the table of upstreams."""
+
+from unittest import TestCase
+
+from poplarlug.membership.upstreams import (
+    LEASE_SECONDS,
+    MAX_TOMBSTONES,
+    MAX_UPSTREAMS,
+    Renewal,
+    Tombstone,
+    UpstreamTable,
+)
+from tests.membership.simulation import announcement
+
+
+class UpstreamTableTests(TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.table = UpstreamTable(clock=lambda: self.now)
+
+    def serving(self) -> list[str]:
+        return [a.id for a in self.table.serving.value]
+
+    def test_older_serving_never_overrides_leaving(self) -> None:
+        """A larger sequence of an incarnation that left doesn't bring it back."""
+        self.table.take(announcement(sequence=2))
+        self.assertTrue(self.table.take(announcement(sequence=1, state="leaving")))
+        self.assertFalse(self.table.take(announcement(sequence=3)))
+        self.assertEqual(self.serving(), [])
+        self.table.take(announcement(incarnation=2))
+        self.assertEqual(self.serving(), ["u1"])
+
+    def test_leaving_of_an_older_incarnation_changes_nothing(self) -> None:
+        """A restarted upstream isn't taken out by its former run's last word."""
+        self.table.take(announcement(incarnation=2))
+        self.assertFalse(self.table.take(announcement(state="leaving", sequence=9)))
+        self.assertEqual(self.serving(), ["u1"])
+
+    def test_expired_upstream_is_not_revived_by_a_delayed_record(self) -> None:
+        """After its lease ended, only a larger sequence or incarnation counts."""
+        self.table.take(announcement(sequence=5))
+        self.now = LEASE_SECONDS
+        self.assertEqual(self.table.expire(), ("u1",))
+        self.assertFalse(self.table.take(announcement(sequence=5)))
+        self.table.renew([Renewal("u1", 1, 4, 0, 0, 0.0)])
+        self.assertEqual(self.serving(), [])
+        self.assertTrue(self.table.take(announcement(sequence=6)))
+
+    def test_relayed_record_does_not_extend_the_lease(self) -> None:
+        """The lease counts from when an entry got the record, not from its relay."""
+        self.assertTrue(self.table.take(announcement(), age=LEASE_SECONDS - 1))
+        self.now = 1.0
+        self.assertEqual(self.table.expire(), ("u1",))
+        self.assertFalse(self.table.take(announcement("u2"), age=LEASE_SECONDS))
+
+    def test_other_entries_tombstones_count(self) -> None:
+        """A fetched tombstone takes out what it covers, and nothing newer."""
+        self.table.take(announcement("u1"))
+        self.table.take(announcement("u2", incarnation=2))
+        self.table.take_tombstones(
+            [Tombstone("u1", 1, 1, True), Tombstone("u2", 1, 9, True)]
+        )
+        self.assertEqual(self.serving(), ["u2"])
+
+    def test_table_and_tombstones_are_bounded(self) -> None:
+        """More upstreams than the bound are refused; old tombstones go first."""
+        for number in range(MAX_UPSTREAMS + 1):
+            taken = self.table.take(announcement(f"u{number}"))
+        self.assertFalse(taken)
+        for number in range(MAX_TOMBSTONES + 1):
+            self.table.take(announcement(f"v{number}", state="leaving"))
+        self.assertEqual(len(self.table.tombstones()), MAX_TOMBSTONES)
