Break what waits for a lost link, and keep unready entries out of summaries

A forwarded stream whose link went away was given up only after 30 silent seconds; the link's socket now reports its end and all that waits there fails as broken at once. An entry without configuration was listed as open: its load is now full until it is ready, and an entry that told no load counts as full. Renewals carry the cache events, each batch by itself.

--- a/poplarlug/callers/announcements.py
+++ b/poplarlug/callers/announcements.py
@@ -16,6 +16,17 @@
 MAX_NAMES = 64
 MAX_NAME_LENGTH = 128
 MAX_COUNT = 1 << 62
+MAX_CACHE_EVENTS = 4096
+COUNTS = (
+    "incarnation",
+    "sequence",
+    "running",
+    "queued",
+    "capacity",
+    "cache_sequence",
+    "prefill_tokens_per_second",
+    "token_seconds",
+)
 SHARED_WAIT_SECONDS = 0.5
 UNSHARED_WAIT_SECONDS = LEASE_SECONDS + 1.0
 
@@ -96,7 +107,12 @@
             raise msgspec.ValidationError(
                 f"expected at most {MAX_NAMES} names of {MAX_NAME_LENGTH} characters"
             )
-    for name in ("incarnation", "sequence", "running", "queued", "capacity"):
+    events = len(announcement.cache_stored) + len(announcement.cache_removed)
+    if events > MAX_CACHE_EVENTS:
+        raise msgspec.ValidationError(
+            f"got {events} cache events, expected at most {MAX_CACHE_EVENTS}"
+        )
+    for name in COUNTS:
         value = getattr(announcement, name)
         if not 0 <= value < MAX_COUNT:
             raise msgspec.ValidationError(f"got {name} {value}, expected 0 or more")
--- a/poplarlug/membership/members.py
+++ b/poplarlug/membership/members.py
@@ -118,7 +118,8 @@
             self._loads_by_name[name] = load
 
     def load(self, name: VmName) -> float:
-        return self._loads_by_name.get(name, 0.0)
+        """Return an entry's load; 1 while it has told none."""
+        return self._loads_by_name.get(name, 1.0)
 
     def digest(self) -> int:
         """Return a hash of all members and their states."""
--- a/poplarlug/membership/reporting.py
+++ b/poplarlug/membership/reporting.py
@@ -42,6 +42,7 @@
         summaries: SummaryTable,
         transport: Transport,
         config_version: Callable[[], ConfigVersion],
+        load: Callable[[], float],
     ) -> None:
         self._own = own
         self._members = members
@@ -49,6 +50,7 @@
         self._summaries = summaries
         self._transport = transport
         self._config_version = config_version
+        self._load = load
         self._sequence = 0
         self._entries_by_zone: dict[ZoneName, list[VmName]] = {}
         for vm in topology.entries:
@@ -70,6 +72,7 @@
 
     def open_entries(self) -> list[VmName]:
         """Return the entries of the own zone that take new work."""
+        self._members.set_load(self._own.name, self._load())
         return [
             name
             for name in self._members.alive()
--- a/poplarlug/membership/sharing.py
+++ b/poplarlug/membership/sharing.py
@@ -110,6 +110,7 @@
             summaries=self._summaries,
             transport=transport,
             config_version=config_version,
+            load=load,
         )
         transport.before_request(self.pause.check)
         transport.serve(RECORD_TOPIC, UpstreamRecord, self._serve_record)
--- a/poplarlug/membership/upstream_sharing.py
+++ b/poplarlug/membership/upstream_sharing.py
@@ -22,6 +22,7 @@
 ACKNOWLEDGE_SECONDS = 0.5
 RETRY_SECONDS = 0.2
 MAX_RENEWALS = 500
+MAX_WAITING_RENEWALS = 4 * MAX_RENEWALS
 MAX_RETRYING = 1000
 
 RECORD_TOPIC = "membership.record"
@@ -45,6 +46,11 @@
     shared: bool
 
 
+class _Renewed(NamedTuple):
+    announcement: Announcement
+    announced: Seconds
+
+
 class UpstreamSharing:
     """
     Pass upstreams' announcements on to the other entries of the zone.
@@ -64,7 +70,7 @@
         self._upstreams = upstreams
         self._members = members
         self._transport = transport
-        self._renewed_ids: dict[UpstreamId, None] = {}
+        self._renewed_by_key: dict[tuple[UpstreamId, int], _Renewed] = {}
         self._retrying: set[asyncio.Task[bool]] = set()
 
     async def announce(self, announcement: Announcement) -> AnnounceOutcome:
@@ -78,29 +84,35 @@
         if not taken:
             return AnnounceOutcome(False, False)
         if held is not None and held.announcement.differs_only_in_load(announcement):
-            self._renewed_ids[announcement.id] = None
+            self._keep_renewal(announcement)
         else:
             self._notify_all(UpstreamRecord(announcement, 0.0))
         return AnnounceOutcome(True, False)
 
     def take_renewals(self) -> tuple[Renewal, ...]:
         """Return the renewals for the next batch and forget them."""
-        renewals = []
-        for upstream_id in list(self._renewed_ids)[:MAX_RENEWALS]:
-            del self._renewed_ids[upstream_id]
-            record = self._upstreams.get(upstream_id)
-            if record is not None:
-                renewals.append(_renewal(record))
-        return tuple(renewals)
+        now = asyncio.get_running_loop().time()
+        keys = list(self._renewed_by_key)[:MAX_RENEWALS]
+        renewed = [self._renewed_by_key.pop(key) for key in keys]
+        return tuple(_renewal(r.announcement, now - r.announced) for r in renewed)
 
     def forget_renewals(self) -> None:
         """Drop renewals that wait for a batch, as after a pause."""
-        self._renewed_ids.clear()
+        self._renewed_by_key.clear()
 
     def stop(self) -> None:
         for task in self._retrying:
             task.cancel()
 
+    def _keep_renewal(self, announcement: Announcement) -> None:
+        # Each batch of cache events is passed on; of equal ones, the latest.
+        key = (announcement.id, announcement.cache_sequence)
+        self._renewed_by_key.pop(key, None)
+        now = asyncio.get_running_loop().time()
+        self._renewed_by_key[key] = _Renewed(announcement, now)
+        while len(self._renewed_by_key) > MAX_WAITING_RENEWALS:
+            del self._renewed_by_key[next(iter(self._renewed_by_key))]
+
     def _notify_all(self, record: UpstreamRecord) -> None:
         for peer in self._members.reachable_others():
             self._transport.notify(peer=peer, topic=RECORD_TOPIC, message=record)
@@ -147,13 +159,15 @@
         return task
 
 
-def _renewal(record: UpstreamRecord) -> Renewal:
-    announcement = record.announcement
+def _renewal(announcement: Announcement, age: Seconds) -> Renewal:
     return Renewal(
         announcement.id,
         announcement.incarnation,
         announcement.sequence,
         announcement.running,
         announcement.queued,
-        round(record.age, 3),
+        round(age, 3),
+        announcement.cache_sequence,
+        announcement.cache_stored,
+        announcement.cache_removed,
     )
--- a/poplarlug/membership/upstreams.py
+++ b/poplarlug/membership/upstreams.py
@@ -182,7 +182,12 @@
                 if not self._is_buried(renewal):
                     missing.append(renewal.id)
                 continue
-            changed |= self._renew_one(held.announcement, renewal)
+            if not self._renew_one(held.announcement, renewal):
+                continue
+            changed = True
+            if renewal.cache_sequence:
+                # Watchers see each batch of cache events.
+                self._publish()
         if changed:
             self._publish()
         return tuple(missing)
--- a/poplarlug/transport/base.py
+++ b/poplarlug/transport/base.py
@@ -55,6 +55,11 @@
     streams: bool
 
 
+class _WaitingReply(NamedTuple):
+    peer: VmName
+    reply: "asyncio.Future[Result[bytes, TransportError]]"
+
+
 class IncomingStream:
     """Chunks of a stream in their order, with their end made certain."""
 
@@ -62,7 +67,7 @@
         self, *, transport: "Transport", peer: VmName, exchange_id: int
     ) -> None:
         self._transport = transport
-        self._peer = peer
+        self.peer = peer
         self._exchange_id = exchange_id
         self._queue: asyncio.Queue[Result[bytes | None, TransportError]] = (
             asyncio.Queue()
@@ -89,19 +94,19 @@
             return Failure(
                 TransportError(
                     TransportErrorKind.TIMEOUT,
-                    f"{self._peer} sent nothing for {timeout_seconds} s",
+                    f"{self.peer} sent nothing for {timeout_seconds} s",
                 )
             )
         self._consumed += 1
         if self._consumed % (STREAM_CREDIT_CHUNKS // 2) == 0:
             self._transport._grant(
-                self._peer, self._exchange_id, STREAM_CREDIT_CHUNKS // 2
+                self.peer, self._exchange_id, STREAM_CREDIT_CHUNKS // 2
             )
         return item
 
     def cancel(self) -> None:
         """Tell the peer to stop and forget the stream; safe to call twice."""
-        self._transport._cancel_stream(self._peer, self._exchange_id)
+        self._transport._cancel_stream(self.peer, self._exchange_id)
 
     def _accept(self, header: Header, payload: bytes) -> None:
         if header.kind is FrameKind.CHUNK and header.number == self._expected:
@@ -137,9 +142,7 @@
     def __init__(self, *, name: VmName) -> None:
         self.name = name
         self._services_by_topic: dict[str, _Service] = {}
-        self._replies_by_id: dict[
-            int, asyncio.Future[Result[bytes, TransportError]]
-        ] = {}
+        self._replies_by_id: dict[int, _WaitingReply] = {}
         self._streams_by_id: dict[int, IncomingStream] = {}
         self._outgoing_by_id: dict[tuple[Any, int], _OutgoingStream] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -182,7 +185,7 @@
         reply: asyncio.Future[Result[bytes, TransportError]] = (
             asyncio.get_running_loop().create_future()
         )
-        self._replies_by_id[exchange_id] = reply
+        self._replies_by_id[exchange_id] = _WaitingReply(peer, reply)
         header = Header(FrameKind.REQUEST, self.name, exchange_id, topic)
         try:
             if not self._send(peer, header, msgspec.msgpack.encode(message)):
@@ -242,6 +245,19 @@
         if self._streams_by_id.pop(exchange_id, None) is not None:
             self._send(peer, Header(FrameKind.CANCEL, self.name, exchange_id), b"")
 
+    def _lose_link(self, peer: VmName) -> None:
+        """Break what waits for ``peer``: its answers can't come any more."""
+        for exchange_id, stream in list(self._streams_by_id.items()):
+            if stream.peer == peer:
+                stream._fail(TransportErrorKind.BROKEN, f"lost the link to {peer}")
+                del self._streams_by_id[exchange_id]
+        for waiting in self._replies_by_id.values():
+            if waiting.peer == peer and not waiting.reply.done():
+                error = TransportError(
+                    TransportErrorKind.BROKEN, f"lost the link to {peer}"
+                )
+                waiting.reply.set_result(Failure(error))
+
     def _receive_reply(self, header_data: bytes, payload: bytes) -> None:
         """Take a frame that came back from a peer; drop it when it is late."""
         header = decode_header(header_data)
@@ -254,9 +270,10 @@
             if header.kind is not FrameKind.CHUNK:
                 self._streams_by_id.pop(header.exchange_id, None)
             return
-        reply = self._replies_by_id.get(header.exchange_id)
-        if reply is None or reply.done():
+        waiting = self._replies_by_id.get(header.exchange_id)
+        if waiting is None or waiting.reply.done():
             return
+        reply = waiting.reply
         if header.kind is FrameKind.REPLY:
             reply.set_result(Success(payload))
         else:
--- a/poplarlug/transport/zeromq.py
+++ b/poplarlug/transport/zeromq.py
@@ -17,8 +17,8 @@
 from poplarlug.types import Address, Seconds, VmName
 
 SEND_QUEUE_MESSAGES = 1000
-HEARTBEAT_MILLISECONDS = 2000
-HEARTBEAT_TIMEOUT_MILLISECONDS = 6000
+HEARTBEAT_MILLISECONDS = 1000
+HEARTBEAT_TIMEOUT_MILLISECONDS = 4000
 FIRST_RECONNECT_MILLISECONDS = 50
 MAX_RECONNECT_MILLISECONDS = 1000
 HANDSHAKE_MILLISECONDS = 5000
@@ -66,7 +66,7 @@
         self._context: zmq.asyncio.Context | None = None
         self._router: zmq.asyncio.Socket | None = None
         self._dealers_by_name: dict[VmName, zmq.asyncio.Socket] = {}
-        self._receivers_by_name: dict[VmName, asyncio.Task[None]] = {}
+        self._receivers_by_name: dict[VmName, tuple[asyncio.Task[None], ...]] = {}
 
     async def run(self) -> None:
         self._context = zmq.asyncio.Context()
@@ -112,8 +112,10 @@
         dealer.curve_serverkey, _ = zmq.auth.load_certificate(str(key_file))
         dealer.connect(f"tcp://{address}")
         self._dealers_by_name[peer] = dealer
-        task = asyncio.ensure_future(self._receive_from(peer, dealer))
-        self._receivers_by_name[peer] = task
+        self._receivers_by_name[peer] = (
+            asyncio.ensure_future(self._receive_from(peer, dealer)),
+            asyncio.ensure_future(self._watch_link(peer, dealer)),
+        )
         return dealer
 
     async def _receive_from(self, peer: VmName, dealer: zmq.asyncio.Socket) -> None:
@@ -124,6 +126,13 @@
             if len(frames) == 2:
                 self._receive_reply(frames[0], frames[1])
 
+    async def _watch_link(self, peer: VmName, dealer: zmq.asyncio.Socket) -> None:
+        monitor = dealer.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+        while True:
+            await monitor.recv_multipart()
+            _log.debug("lost a link", peer=peer)
+            self._lose_link(peer)
+
     def _send(self, peer: VmName, header: Header, payload: bytes) -> bool:
         if self._context is None:
             return False
@@ -151,11 +160,14 @@
     async def _close_link(self, peer: VmName) -> None:
         _log.debug("closed an idle link", peer=peer)
         dealer = self._dealers_by_name.pop(peer)
-        receiver = self._receivers_by_name.pop(peer)
+        receivers = self._receivers_by_name.pop(peer)
         self._last_uses_by_name.pop(peer, None)
-        receiver.cancel()
-        await asyncio.gather(receiver, return_exceptions=True)
+        for receiver in receivers:
+            receiver.cancel()
+        await asyncio.gather(*receivers, return_exceptions=True)
+        dealer.disable_monitor()
         dealer.close(linger=0)
+        self._lose_link(peer)
 
     async def _close(self, authenticator: AsyncioAuthenticator) -> None:
         await self._stop_tasks()
--- a/tests/membership/simulation.py
+++ b/tests/membership/simulation.py
@@ -4,11 +4,14 @@
 from random import Random
 from typing import Any
 
+from poplarlug.logs import configure_logs
 from poplarlug.membership.sharing import Membership
 from poplarlug.membership.upstreams import Announcement
 from poplarlug.topology import EntryVm, Topology
 from poplarlug.transport import MemoryNetwork, MemoryTransport
 
+configure_logs(log_format="json", level="error")
+
 
 def build_topology(zones: int, entries: int) -> Topology:
     """Return ``zones`` zones, each a region of its own, of ``entries`` entries."""
