--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: scripts that print figures, bounded in time and count."""
--- /dev/null
+++ b/benchmarks/entry_overhead.py
@@ -0,0 +1,109 @@
+"""
+Measure what an entry adds to a small request that is not streamed.
+
+Run ``python benchmarks/entry_overhead.py [REQUESTS]``. The same client asks the
+same upstream straight and through the entry, in turns.
+"""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from benchmarks.harness import (
+    Bench,
+    cpu_seconds,
+    http_request,
+    load_average,
+    percentile,
+    running_bench,
+)
+
+REQUESTS = 3000
+WARM_UP_REQUESTS = 200
+PAUSE_SECONDS = 0.001
+BUSY_CONNECTIONS = 8
+BODY = b'{"model":"corn-7b","messages":[{"role":"user","content":"peel?"}]}'
+
+
+class Caller:
+    """One connection that asks and waits for the whole answer."""
+
+    async def open(self, address: str, request: bytes) -> None:
+        host, _, port = address.rpartition(":")
+        self._reader, self._writer = await asyncio.open_connection(host, int(port))
+        self._request = request
+
+    async def ask(self) -> float:
+        """Return the seconds from the request to the end of its answer."""
+        started = time.perf_counter()
+        self._writer.write(self._request)
+        head = await self._reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200"), head
+        length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0])
+        await self._reader.readexactly(length)
+        return time.perf_counter() - started
+
+
+async def measure(bench: Bench, count: int) -> None:
+    request = http_request(bench, BODY)
+    straight, through = Caller(), Caller()
+    await straight.open(bench.upstream_address, request)
+    await through.open(bench.entry_address, request)
+    for _ in range(WARM_UP_REQUESTS):
+        await straight.ask()
+        await through.ask()
+    straight_seconds, through_seconds = [], []
+    for _ in range(count):
+        straight_seconds.append(await straight.ask())
+        await asyncio.sleep(PAUSE_SECONDS)
+        through_seconds.append(await through.ask())
+        await asyncio.sleep(PAUSE_SECONDS)
+    print(f"load average {load_average()}, {count} requests each, one at a time")
+    for share in (0.5, 0.99):
+        near, far = (
+            1000 * percentile(values, share)
+            for values in (straight_seconds, through_seconds)
+        )
+        print(
+            f"p{round(share * 100)}: straight {near:.3f} ms, through {far:.3f} ms, "
+            f"added {far - near:.3f} ms, ratio {far / near:.1f}"
+        )
+    await measure_busy(bench, request, count)
+
+
+async def measure_busy(bench: Bench, request: bytes, count: int) -> None:
+    """Print the processor time a request with all connections busy."""
+    for name, address, pid in (
+        ("upstream, straight", bench.upstream_address, bench.upstream_pid),
+        ("entry, through", bench.entry_address, bench.entry_pid),
+    ):
+        callers = [Caller() for _ in range(BUSY_CONNECTIONS)]
+        for caller in callers:
+            await caller.open(address, request)
+        used, started = cpu_seconds(pid), time.perf_counter()
+
+        async def ask_many(caller: Caller) -> None:
+            for _ in range(count // BUSY_CONNECTIONS):
+                await caller.ask()
+
+        await asyncio.gather(*(ask_many(caller) for caller in callers))
+        elapsed = time.perf_counter() - started
+        asked = count // BUSY_CONNECTIONS * BUSY_CONNECTIONS
+        used = cpu_seconds(pid) - used
+        print(
+            f"{name}: {asked / elapsed:.0f} requests/s, "
+            f"{1e6 * used / asked:.0f} us of processor time a request"
+        )
+
+
+def main() -> None:
+    count = int(sys.argv[1]) if len(sys.argv) > 1 else REQUESTS
+    with running_bench() as bench:
+        asyncio.run(measure(bench, count))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/harness.py
@@ -0,0 +1,104 @@
+"""One entry process before one bare upstream, and what both cost."""
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from examples.deployment import Deployment, wait_until
+
+ENTRY = "quito-a-1"
+CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+class Bench(NamedTuple):
+    """Addresses and process ids of what is measured."""
+
+    entry_address: str
+    upstream_address: str
+    entry_pid: int
+    upstream_pid: int
+    key: str
+
+
+@contextmanager
+def running_bench() -> Iterator[Bench]:
+    """Start control, one entry and one bare upstream; end them afterwards."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment(folder=Path(folder), entries_per_zone=1)
+        upstream = None
+        try:
+            deployment.start_control()
+            deployment.start(ENTRY)
+            deployment.wait_ready([vm.name for vm in deployment.topology.control])
+            deployment.configure()
+            deployment.wait_ready()
+            entry_address = deployment.entries_of("quito-a")
+            upstream_address = deployment.address()
+            script = str(Path(__file__).parent / "bare_upstream.py")
+            upstream = subprocess.Popen(
+                [sys.executable, script, upstream_address, entry_address]
+            )
+            bench = Bench(
+                entry_address,
+                upstream_address,
+                deployment.processes_by_name[ENTRY].pid,
+                upstream.pid,
+                deployment.key,
+            )
+            wait_until(lambda: _answers(bench), "the entry has no upstream")
+            yield bench
+        finally:
+            if upstream is not None:
+                upstream.kill()
+                upstream.wait()
+            deployment.close()
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_SECOND
+
+
+def http_request(bench: Bench, body: bytes) -> bytes:
+    """Return the bytes of a completion request."""
+    return (
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: bench\r\n"
+        b"Authorization: Bearer %b\r\nContent-Type: application/json\r\n"
+        b"X-Rank: urgent\r\nContent-Length: %d\r\n\r\n%b"
+        % (bench.key.encode(), len(body), body)
+    )
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the value below which ``share`` of ``values`` lie."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def load_average() -> str:
+    return " ".join(f"{value:.1f}" for value in os.getloadavg())
+
+
+def _answers(bench: Bench) -> bool:
+    request = urllib.request.Request(
+        f"http://{bench.entry_address}/v1/chat/completions",
+        data=b'{"model":"corn-7b"}',
+        headers={"Authorization": f"Bearer {bench.key}"},
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=5) as response:
+            return response.status == 200
+    except (urllib.error.URLError, OSError):
+        time.sleep(0.1)
+        return False
