--- a/benchmarks/bare_upstream.py
+++ b/benchmarks/bare_upstream.py
@@ -104,7 +104,7 @@
     announcer = Announcer(
         entries=[entry],
         describe=lambda: {
-            "id": "bare",
+            "id": f"bare-{port}",
             "kind": "engine",
             "models": ["corn-7b"],
             "address": listen,
--- a/benchmarks/entry_overhead.py
+++ b/benchmarks/entry_overhead.py
@@ -50,7 +50,7 @@
 async def measure(bench: Bench, count: int) -> None:
     request = http_request(bench, BODY)
     straight, through = Caller(), Caller()
-    await straight.open(bench.upstream_address, request)
+    await straight.open(bench.upstream_addresses[0], request)
     await through.open(bench.entry_address, request)
     for _ in range(WARM_UP_REQUESTS):
         await straight.ask()
@@ -77,7 +77,7 @@
 async def measure_busy(bench: Bench, request: bytes, count: int) -> None:
     """Print the processor time a request with all connections busy."""
     for name, address, pid in (
-        ("upstream, straight", bench.upstream_address, bench.upstream_pid),
+        ("upstream, straight", bench.upstream_addresses[0], bench.upstream_pids[0]),
         ("entry, through", bench.entry_address, bench.entry_pid),
     ):
         callers = [Caller() for _ in range(BUSY_CONNECTIONS)]
