Relay bodies within the call that receives them

Cause: each chunk woke a task, set and cancelled a deadline for the caller's write and another one for the upstream's read, and built a writer call. Change: a protocol between the upstream's transport and aiohttp's own one passes each chunk to the caller's transport at once while that has room; a full buffer leaves the body to aiohttp's flow control. One watchdog a client checks idle attempts and gone callers. A completion's event stream without its last event is broken. Non-repeatable requests get connections of their own, and aiohttp's own repeat of idempotent methods is off, which also covers fresh connections. A gone caller's request is not tried again. A connect timeout counts as not sent.

--- a/poplarlug/callers/http_sink.py
+++ b/poplarlug/callers/http_sink.py
@@ -7,17 +7,32 @@
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 
 WRITE_TIMEOUT_SECONDS = 30.0
+HIGH_WATER_BYTES = 64 * 1024
+FIRST_DRAIN_POLL_SECONDS = 0.005
+MAX_DRAIN_POLL_SECONDS = 0.2
 
 
 class HttpSink(AnswerSink):
-    """Write an answer to the caller that asked for it."""
+    """
+    Write an answer to the caller that asked for it.
+
+    The head goes through aiohttp; the body goes to the caller's transport, with
+    the chunked framing that aiohttp chose for the response.
+    """
 
     def __init__(self, *, request: web.Request, request_id: str) -> None:
         super().__init__()
         self._request = request
         self._request_id = request_id
+        self._transport = request.transport
+        self._chunked = False
         self.response: web.StreamResponse | None = None
 
+    @property
+    def closed(self) -> bool:
+        transport = self._transport
+        return transport is None or transport.is_closing()
+
     async def start(self, head: AnswerHead) -> None:
         headers = {
             "Content-Type": head.content_type,
@@ -32,11 +47,38 @@
         self.response = response
         self.started = True
         await response.prepare(self._request)
+        coding = response.headers.get("Transfer-Encoding", "")
+        self._chunked = coding == "chunked"
+
+    def write_nowait(self, data: bytes) -> bool:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size() > HIGH_WATER_BYTES:
+            return False
+        if self._chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        transport.write(data)
+        return True
 
     async def write(self, data: bytes) -> None:
-        assert self.response is not None
+        """
+        Pass on a part of the body once the caller has read enough.
+
+        Raises
+        ------
+        TimeoutError
+            When the caller reads nothing for ``WRITE_TIMEOUT_SECONDS``.
+        ConnectionResetError
+            When the caller is gone.
+        """
         async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
-            await self.response.write(data)
+            delay = FIRST_DRAIN_POLL_SECONDS
+            while not self.write_nowait(data):
+                if self.closed:
+                    raise ConnectionResetError("the caller is gone")
+                await asyncio.sleep(delay)
+                delay = min(2 * delay, MAX_DRAIN_POLL_SECONDS)
 
     async def finish(self) -> None:
         assert self.response is not None
--- a/poplarlug/serving/answers.py
+++ b/poplarlug/serving/answers.py
@@ -35,6 +35,15 @@
     async def write(self, data: bytes) -> None:
         """Pass on a part of the body."""
 
+    def write_nowait(self, data: bytes) -> bool:
+        """Pass on ``data`` if that needs no wait; ``False`` when it was not taken."""
+        return False
+
+    @property
+    def closed(self) -> bool:
+        """Whether nobody is left to take the answer."""
+        return False
+
     @abstractmethod
     async def finish(self) -> None:
         """End the whole answer."""
--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -1,17 +1,20 @@
 """One attempt at one upstream over HTTP."""
 
+import asyncio
 from enum import Enum
 from typing import NamedTuple
 
 import aiohttp
 
 from poplarlug.serving.answers import AnswerHead, AnswerSink
+from poplarlug.serving.relay import BodyRelay
 from poplarlug.serving.requests import GatewayRequest
+from poplarlug.serving.watchdog import Watchdog, Watched
 from poplarlug.types import Address, Seconds
 
 CONNECT_TIMEOUT_SECONDS = 2.0
-IDLE_TIMEOUT_SECONDS = 60.0
 MAX_CONNECTIONS = 10_000
+EVENT_STREAM = "text/event-stream"
 
 
 class AttemptStatus(Enum):
@@ -33,26 +36,31 @@
 
 
 class UpstreamClient:
-    """Send requests to upstreams and pass their answers on as they come."""
+    """
+    Send requests to upstreams and pass their answers on as they come.
+
+    Repeatable requests share pooled connections. Each other request gets a
+    connection of its own, so that a connection which the upstream closed while
+    idle never leaves its outcome unknown.
+    """
 
     def __init__(self, *, zone: str) -> None:
         self._zone = zone
-        self._session: aiohttp.ClientSession | None = None
+        self._watchdog = Watchdog()
+        self._pooled: aiohttp.ClientSession | None = None
+        self._single: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
-        timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=CONNECT_TIMEOUT_SECONDS,
-            sock_read=IDLE_TIMEOUT_SECONDS,
-        )
-        connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
-        self._session = aiohttp.ClientSession(
-            timeout=timeout, connector=connector, auto_decompress=False
+        self._pooled = _session(aiohttp.TCPConnector(limit=MAX_CONNECTIONS))
+        self._single = _session(
+            aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=True)
         )
 
     async def close(self) -> None:
-        if self._session is not None:
-            await self._session.close()
+        self._watchdog.close()
+        for session in (self._pooled, self._single):
+            if session is not None:
+                await session.close()
 
     async def attempt(
         self,
@@ -62,26 +70,57 @@
         sink: AnswerSink,
         timeout_seconds: Seconds | None = None,
     ) -> AttemptOutcome:
-        """Run ``request`` at ``address`` and pass the answer to ``sink``."""
-        assert self._session is not None
-        headers = {"Content-Type": request.content_type, "X-Request-Id": request.id}
-        if request.key:
-            headers["Idempotency-Key"] = request.key
+        """
+        Run ``request`` at ``address`` and pass the answer to ``sink``.
+
+        A repeatable request is cancelled at the upstream once its caller is gone.
+
+        Parameters
+        ----------
+        timeout_seconds : float, optional
+            Longest time to the end of the answer.
+        """
+        scope = asyncio.timeout(timeout_seconds)
+        watched = Watched(
+            scope=scope, is_abandoned=lambda: request.repeatable and sink.closed
+        )
+        self._watchdog.add(watched)
         try:
-            async with self._session.request(
-                request.method,
-                f"http://{address}{request.path}",
-                data=request.body,
-                headers=headers,
-                allow_redirects=False,
-            ) as response:
-                await sink.start(self._head(response))
-                async for chunk in response.content.iter_any():
-                    await sink.write(chunk)
-        except aiohttp.ClientConnectorError as error:
+            async with scope:
+                return await self._run(request, address, sink, watched)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return AttemptOutcome(AttemptStatus.NOT_SENT, str(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return AttemptOutcome(AttemptStatus.BROKEN, repr(error))
+            return AttemptOutcome(AttemptStatus.BROKEN, watched.reason or repr(error))
+        finally:
+            self._watchdog.remove(watched)
+
+    async def _run(
+        self,
+        request: GatewayRequest,
+        address: Address,
+        sink: AnswerSink,
+        watched: Watched,
+    ) -> AttemptOutcome:
+        session = self._pooled if request.repeatable else self._single
+        assert session is not None
+        headers = {"Content-Type": request.content_type, "X-Request-Id": request.id}
+        if request.key:
+            headers["Idempotency-Key"] = request.key
+        async with session.request(
+            request.method,
+            f"http://{address}{request.path}",
+            data=request.body,
+            headers=headers,
+            allow_redirects=False,
+        ) as response:
+            head = self._head(response)
+            await sink.start(head)
+            relay = BodyRelay(response=response, sink=sink)
+            watched.reads = relay.count_reads
+            await relay.run()
+        if _is_event_stream(request, head) and not relay.ends_with_last_event():
+            return AttemptOutcome(AttemptStatus.BROKEN, "the stream has no last event")
         return AttemptOutcome(AttemptStatus.DONE)
 
     def _head(self, response: aiohttp.ClientResponse) -> AnswerHead:
@@ -94,3 +133,18 @@
             served_by=response.headers.get("X-Served-By", ""),
             zone=self._zone,
         )
+
+
+def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    # Attempts are repeated by the gateway alone, which knows what may repeat.
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
+    session = aiohttp.ClientSession(
+        timeout=timeout, connector=connector, auto_decompress=False
+    )
+    session._retry_connection = False
+    return session
+
+
+def _is_event_stream(request: GatewayRequest, head: AnswerHead) -> bool:
+    is_stream = head.content_type.startswith(EVENT_STREAM)
+    return request.model is not None and is_stream and head.status == 200
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -136,7 +136,9 @@
             if failed is None:
                 return None
             error = failed
-            if sink.started or (error.ran is not False and not request.repeatable):
+            if sink.started or sink.closed:
+                return error
+            if error.ran is not False and not request.repeatable:
                 return error
             excluded |= {placement.upstream.id}
         return error
--- /dev/null
+++ b/poplarlug/serving/relay.py
@@ -0,0 +1,142 @@
+"""Passes an upstream's body on to a sink, chunk by chunk, as it arrives."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+
+from poplarlug.serving.answers import AnswerSink
+
+TAIL_BYTES = 32
+LAST_EVENT = b"data: [DONE]"
+
+
+class BodyRelay(asyncio.Protocol):
+    """
+    Relay one body with no task switch a chunk while the sink keeps up.
+
+    The relay stands between the upstream's transport and aiohttp's own protocol.
+    aiohttp still parses the response; each chunk then goes to the sink within the
+    call that received it. When the sink's buffer is full, the body stays in
+    aiohttp's reader, whose flow control pauses the upstream, and :meth:`run`
+    waits for the sink.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        An answer whose head has come.
+    sink : AnswerSink
+        Already started.
+    """
+
+    def __init__(self, *, response: aiohttp.ClientResponse, sink: AnswerSink) -> None:
+        self._content = response.content
+        self._sink = sink
+        self._tail = b""
+        self._refused = b""
+        self._waiter: asyncio.Future[None] | None = None
+        self._transport: asyncio.Transport | None = None
+        self._protocol: Any = None
+        self._reads = 0
+        connection = response.connection
+        if connection is not None and connection.transport is not None:
+            self._transport = connection.transport
+            self._protocol = connection.protocol
+            self._transport.set_protocol(self)
+
+    async def run(self) -> None:
+        """
+        Pass the whole body on.
+
+        Raises
+        ------
+        aiohttp.ClientError
+            When the body ends early.
+        """
+        try:
+            while True:
+                data = self._take()
+                if data:
+                    await self._sink.write(data)
+                elif self._content.at_eof():
+                    return
+                else:
+                    await self._wait()
+        finally:
+            self._detach()
+
+    def ends_with_last_event(self) -> bool:
+        """Return whether the body ended as a whole event stream does."""
+        return self._tail.rstrip().endswith(LAST_EVENT)
+
+    def count_reads(self) -> int:
+        """Return how often data arrived."""
+        return self._reads
+
+    def data_received(self, data: bytes) -> None:
+        self._reads += 1
+        self._protocol.data_received(data)
+        if self._waiter is not None:
+            self._pass_on()
+        if self._content.is_eof():
+            self._detach()
+
+    def eof_received(self) -> bool | None:
+        return self._protocol.eof_received()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._protocol.connection_lost(error)
+        self._wake()
+
+    def pause_writing(self) -> None:
+        self._protocol.pause_writing()
+
+    def resume_writing(self) -> None:
+        self._protocol.resume_writing()
+
+    def _pass_on(self) -> None:
+        content = self._content
+        if content.exception() is None:
+            data = content.read_nowait()
+            if data and not self._write_nowait(data):
+                self._refused = data
+                self._wake()
+                return
+            if not content.is_eof():
+                return
+        self._wake()
+
+    def _take(self) -> bytes:
+        # Returns what the sink must be waited for; the rest is written.
+        data, self._refused = self._refused, b""
+        if data:
+            return data
+        data = self._content.read_nowait()
+        if data and self._write_nowait(data):
+            return self._take()
+        return data
+
+    def _write_nowait(self, data: bytes) -> bool:
+        if len(data) >= TAIL_BYTES:
+            self._tail = data[-TAIL_BYTES:]
+        else:
+            self._tail = (self._tail + data)[-TAIL_BYTES:]
+        return self._sink.write_nowait(data)
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+            self._waiter = None
+
+    def _detach(self) -> None:
+        # The connection may go back to the pool: its protocol gets it back.
+        if self._transport is not None:
+            self._transport.set_protocol(self._protocol)
+            self._transport = None
--- /dev/null
+++ b/tests/callers/test_http_sink.py
@@ -0,0 +1,108 @@
+"""Tests of answers on their way to a caller's connection."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from unittest import TestCase
+from unittest.mock import patch
+
+from aiohttp import web
+
+from poplarlug.callers import http_sink
+from poplarlug.callers.http_sink import HttpSink
+from poplarlug.serving.answers import AnswerHead
+
+BLOCK = b"x" * 256 * 1024
+DEADLINE_SECONDS = 20.0
+
+
+@asynccontextmanager
+async def serving(parts: list[bytes], length: int | None) -> AsyncIterator[list[str]]:
+    """Serve ``parts`` through a sink; yields the port and each answer's end."""
+    events: list[str] = []
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        sink = HttpSink(request=request, request_id="r1")
+        await sink.start(AnswerHead(200, "text/plain", length))
+        assert sink.response is not None
+        try:
+            for part in parts:
+                if not sink.write_nowait(part):
+                    await sink.write(part)
+            await sink.finish()
+            events.append("finished")
+        except (TimeoutError, ConnectionResetError) as error:
+            events.append(type(error).__name__)
+            assert request.transport is None or not request.transport.abort()
+        return sink.response
+
+    server = await asyncio.get_running_loop().create_server(
+        web.Server(handle), "127.0.0.1", 0
+    )
+    events.append(str(server.sockets[0].getsockname()[1]))
+    try:
+        async with asyncio.timeout(DEADLINE_SECONDS):
+            yield events
+    finally:
+        server.close()
+
+
+async def ask(parts: list[bytes], length: int | None, version: str) -> bytes:
+    async with serving(parts, length) as events:
+        reader, writer = await asyncio.open_connection("127.0.0.1", int(events[0]))
+        writer.write(
+            f"GET / HTTP/{version}\r\nHost: a\r\nConnection: close\r\n\r\n".encode()
+        )
+        answer = await reader.read()
+        writer.close()
+        return answer.partition(b"\r\n\r\n")[2]
+
+
+class FramingTests(TestCase):
+    def test_unknown_length_is_chunked(self) -> None:
+        """Each part of an answer of unknown length is a chunk of HTTP/1.1."""
+        body = asyncio.run(ask([b"peel", b"core"], None, "1.1"))
+        self.assertEqual(body, b"4\r\npeel\r\n4\r\ncore\r\n0\r\n\r\n")
+
+    def test_known_length_is_plain(self) -> None:
+        """An answer of known length has no framing."""
+        body = asyncio.run(ask([b"peel", b"core"], 8, "1.1"))
+        self.assertEqual(body, b"peelcore")
+
+    def test_old_caller_gets_no_chunks(self) -> None:
+        """A caller of HTTP/1.0 gets the plain bytes until the end."""
+        body = asyncio.run(ask([b"peel", b"core"], None, "1.0"))
+        self.assertEqual(body, b"peelcore")
+
+
+class SlowReaderTests(TestCase):
+    def test_slow_reader_is_bounded(self) -> None:
+        """A caller that reads nothing ends its answer, with little kept for it."""
+
+        async def main() -> list[str]:
+            async with serving([BLOCK] * 200, None) as events:
+                _, writer = await asyncio.open_connection("127.0.0.1", int(events[0]))
+                writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                while len(events) == 1:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+                writer.close()
+                return events[1:]
+
+        with patch.object(http_sink, "WRITE_TIMEOUT_SECONDS", 0.1):
+            self.assertEqual(asyncio.run(main()), ["TimeoutError"])
+
+    def test_reader_that_pauses_gets_the_whole(self) -> None:
+        """A caller that reads late still gets every byte."""
+
+        async def main() -> int:
+            async with serving([BLOCK] * 40, 40 * len(BLOCK)) as events:
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", int(events[0])
+                )
+                writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                await asyncio.sleep(0.05)
+                answer = await reader.read()
+                writer.close()
+                return len(answer.partition(b"\r\n\r\n")[2])
+
+        self.assertEqual(asyncio.run(main()), 40 * len(BLOCK))
