--- /dev/null
+++ b/benchmarks/stream_relay.py
@@ -0,0 +1,120 @@
+"""
+Measure relayed stream tokens a second and a core of one entry.
+
+Run ``python benchmarks/stream_relay.py [STREAMS ...]``. Each stream gets a token
+in a chunk of its own every 10 ms, so 100 streams offer 10,000 tokens a second.
+The same clients read the same streams straight from the upstreams, through a
+raw forwarder that reads nothing, and through the entry.
+"""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from benchmarks.bare_upstream import TOKEN_EVENT
+from benchmarks.harness import (
+    Bench,
+    cpu_seconds,
+    http_request,
+    load_average,
+    running_bench,
+)
+from benchmarks.stream_client import StreamResult
+
+STREAM_COUNTS = (100, 200, 400, 600)
+INTERVAL_TICKS = 10
+TOKENS = 400
+UPSTREAMS = 2
+CLIENTS = 3
+TIMEOUT_SECONDS = 90.0
+
+
+class Run(NamedTuple):
+    """Figures of one run through one process."""
+
+    tokens_per_second: float
+    tokens_per_core: float
+    busy_share: float
+    tokens_per_read: float
+
+
+def run_streams(addresses: list[str], pid: int, request: bytes, streams: int) -> Run:
+    """Read ``streams`` streams by several client processes at once."""
+    used = cpu_seconds(pid)
+    script = str(Path(__file__).parent / "stream_client.py")
+    share = streams // CLIENTS
+    clients = [
+        subprocess.Popen(
+            [sys.executable, script, addresses[index % len(addresses)], str(share)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        for index in range(CLIENTS)
+    ]
+    for client in clients:
+        assert client.stdin is not None
+        client.stdin.write(request)
+        client.stdin.close()
+        client.stdin = None
+    results = []
+    for client in clients:
+        output, _ = client.communicate(timeout=TIMEOUT_SECONDS)
+        results.append(StreamResult(*json.loads(output)))
+    tokens = share * CLIENTS * TOKENS
+    assert sum(result.bytes for result in results) > tokens * len(TOKEN_EVENT)
+    seconds = max(result.ended_seconds for result in results) - min(
+        result.started_seconds for result in results
+    )
+    used = cpu_seconds(pid) - used
+    reads = sum(result.reads for result in results)
+    return Run(tokens / seconds, tokens / used, used / seconds, tokens / reads)
+
+
+def measure(bench: Bench, counts: tuple[int, ...]) -> None:
+    asked = {
+        "model": "corn-7b",
+        "messages": [{"role": "user", "content": "peel?"}],
+        "stream": True,
+        "max_tokens": TOKENS,
+        "interval_ticks": INTERVAL_TICKS,
+    }
+    request = http_request(bench, json.dumps(asked).encode())
+    upstreams = list(bench.upstream_addresses)
+    for streams in counts:
+        print(f"{streams} streams, load average {load_average()}")
+        for name, addresses, pid in (
+            ("straight", upstreams, bench.upstream_pids[0]),
+            ("raw forwarder", [bench.forwarder_address], bench.forwarder_pid),
+            ("entry", [bench.entry_address], bench.entry_pid),
+        ):
+            run = run_streams(addresses, pid, request, streams)
+            print(
+                f"  {name}: {run.tokens_per_second:.0f} tokens/s, "
+                f"{run.tokens_per_read:.2f} tokens a read"
+                + _per_core(run, pid not in bench.upstream_pids),
+                flush=True,
+            )
+
+
+def _per_core(run: Run, relayed: bool) -> str:
+    if not relayed:
+        return ""
+    return (
+        f", {run.tokens_per_core:.0f} tokens/s a core, "
+        f"{1e6 / run.tokens_per_core:.1f} us a token, "
+        f"{100 * run.busy_share:.0f}% of a core"
+    )
+
+
+def main() -> None:
+    counts = tuple(int(text) for text in sys.argv[1:]) or STREAM_COUNTS
+    with running_bench(upstreams=UPSTREAMS) as bench:
+        measure(bench, counts)
+
+
+if __name__ == "__main__":
+    main()
