--- a/poplarlug/transport/base.py
+++ b/poplarlug/transport/base.py
@@ -21,6 +21,8 @@
 STREAM_CREDIT_CHUNKS = 64
 STREAM_IDLE_SECONDS = 30.0
 
+_ASKING_KINDS = (FrameKind.REQUEST, FrameKind.NOTIFY, FrameKind.OPEN)
+
 _log = PartLog(prefix="transport")
 
 
@@ -268,6 +270,9 @@
             if outgoing is not None:
                 outgoing.accept(header)
             return
+        if header.kind not in _ASKING_KINDS:
+            _log.warning("dropped a frame that runs nothing", kind=header.kind.name)
+            return
         service = self._services_by_topic.get(header.topic)
         if service is None or service.streams != (header.kind is FrameKind.OPEN):
             self._refuse(route, header, f"no handler for topic {header.topic!r}")
