--- a/poplarlug/callers/application.py
+++ b/poplarlug/callers/application.py
@@ -1,7 +1,6 @@
 """The HTTP application of an entry."""
 
 import asyncio
-import uuid
 from collections.abc import Callable
 from typing import Any
 
@@ -12,7 +11,12 @@
 
 from poplarlug.callers.authentication import authenticate
 from poplarlug.callers.http_sink import HttpSink
-from poplarlug.callers.parsing import HttpRequest, parse_completion, parse_service_call
+from poplarlug.callers.parsing import (
+    HttpRequest,
+    parse_completion,
+    parse_service_call,
+    request_id_of,
+)
 from poplarlug.catalog import Account, Catalog
 from poplarlug.errors import GatewayError, bad_request, not_run, to_body
 from poplarlug.membership.sharing import Membership
@@ -120,7 +124,7 @@
     async def _serve(
         self, request: web.Request, path: str, parse: Parse
     ) -> web.StreamResponse:
-        request_id = request.headers.get("X-Request-Id", "") or uuid.uuid4().hex
+        request_id = request_id_of(request.headers)
         structlog.contextvars.bind_contextvars(request_id=request_id)
         if not self._accepts():
             error = not_run("This entry takes no requests now; ask another.", 1.0)
--- a/poplarlug/callers/parsing.py
+++ b/poplarlug/callers/parsing.py
@@ -1,5 +1,6 @@
 """Checks callers' HTTP requests and makes gateway requests of them."""
 
+import uuid
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -18,6 +19,7 @@
 
 DEFAULT_RANK_NAME = "patient"
 MAX_KEY_CHARACTERS = 256
+MAX_REQUEST_ID_CHARACTERS = 128
 
 
 class HttpRequest(NamedTuple):
@@ -101,11 +103,12 @@
         return rank
     key = http.headers.get("Idempotency-Key", "")
     repeatable = not _is_non_repeatable(http, service.non_repeatable)
-    if len(key) > MAX_KEY_CHARACTERS or (not repeatable and not key):
+    if not _is_plain(key, MAX_KEY_CHARACTERS) or (not repeatable and not key):
         return Failure(
             bad_request(
                 f"{http.method} {http.path} runs at most once: send an "
-                f"Idempotency-Key of 1 to {MAX_KEY_CHARACTERS} characters."
+                f"Idempotency-Key of 1 to {MAX_KEY_CHARACTERS} printable ASCII "
+                "characters."
             )
         )
     return Success(
@@ -125,6 +128,18 @@
     )
 
 
+def request_id_of(headers: Mapping[str, str]) -> RequestId:
+    """Return the caller's ``X-Request-Id``, a new one when it can't be passed on."""
+    given = headers.get("X-Request-Id", "")
+    if given and _is_plain(given, MAX_REQUEST_ID_CHARACTERS):
+        return given
+    return uuid.uuid4().hex
+
+
+def _is_plain(text: str, max_characters: int) -> bool:
+    return text.isascii() and text.isprintable() and len(text) <= max_characters
+
+
 def _rank(http: HttpRequest, catalog: Catalog) -> Result[str, GatewayError]:
     name = http.headers.get("X-Rank", DEFAULT_RANK_NAME)
     if catalog.rank(name) is None:
--- a/poplarlug/keys.py
+++ b/poplarlug/keys.py
@@ -36,4 +36,5 @@
 
 def hash_caller_key(key: str) -> str:
     """Return the SHA-256 of ``key`` in hex; keys are long and random."""
-    return hashlib.sha256(key.encode()).hexdigest()
+    # A header's bytes above 0x7f arrive as surrogates.
+    return hashlib.sha256(key.encode(errors="surrogatepass")).hexdigest()
