Check settings as a whole: between values, and all files they name

Log format and level are checked where they are set. The client refuses an operator's key file that others can read.

Found by fuzzing: an error showed the whole wrong value, 2,000 characters and more; values are cut at 120 now.

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -67,7 +67,9 @@
         names = [vm.name for vm in (*self.topology.entries, *self.topology.control)]
         generate_key_files(folder / "keys", names)
         (folder / "keys" / "operators").write_text(hash_caller_key(self.operator_key))
-        (folder / "operator.key").write_text(self.operator_key)
+        key_file = folder / "operator.key"
+        key_file.touch(mode=0o600)
+        key_file.write_text(self.operator_key)
         self._write_settings()
 
     def address(self) -> str:
--- a/poplarlug/daemon.py
+++ b/poplarlug/daemon.py
@@ -11,9 +11,10 @@
 from aiohttp import web
 from returns.result import Success
 
-from poplarlug.logs import LogFormat, LogLevel, configure_logs
+from poplarlug.logs import configure_logs
 from poplarlug.metrics import serve_metrics
 from poplarlug.settings import SettingsError, load_settings
+from poplarlug.settings_files import DaemonSettings, check_files
 from poplarlug.topology import LogSettings
 
 T = TypeVar("T")
@@ -39,14 +40,15 @@
         loaded = load_settings(path, kind)
         if not isinstance(loaded, Success):
             exit_with_errors(loaded.failure())
+        value = loaded.unwrap()
+        errors = check_files(cast(DaemonSettings, value), path.parent)
+        if errors:
+            exit_with_errors(errors)
         if check:
             print(f"{settings}: no errors")
             return
-        value = loaded.unwrap()
         log = cast(LogSettings, getattr(value, "log", LogSettings()))
-        configure_logs(
-            log_format=cast(LogFormat, log.format), level=cast(LogLevel, log.level)
-        )
+        configure_logs(log_format=log.format, level=log.level)
         raise SystemExit(asyncio.run(_run(main(value, path.parent))))
 
     fire.Fire(command)
--- a/poplarlug/keys.py
+++ b/poplarlug/keys.py
@@ -2,12 +2,14 @@
 
 import hashlib
 import secrets
+import stat
 from collections.abc import Iterable
 from pathlib import Path
 
 import zmq.auth
 
 KEY_BYTES = 24
+OTHERS_MODE_BITS = 0o077
 
 
 def generate_key_files(folder: Path, names: Iterable[str]) -> None:
@@ -29,6 +31,27 @@
         Path(public_file).rename(public / f"{name}.key")
 
 
+def check_secret_file(path: Path) -> str:
+    """
+    Return what speaks against ``path`` as the file of a secret.
+
+    Returns
+    -------
+    str
+        What was got and what to do; empty when the file is readable by its
+        owner alone.
+    """
+    try:
+        mode = path.stat().st_mode
+    except OSError as error:
+        return f"can't be read: {error.strerror}"
+    if not stat.S_ISREG(mode):
+        return "is no file; name the file that holds the secret"
+    if mode & OTHERS_MODE_BITS:
+        return f"is open to others (mode {mode & 0o777:o}); run: chmod 600 {path}"
+    return ""
+
+
 def generate_caller_key() -> str:
     """Return a new random key for a caller or an operator."""
     return secrets.token_urlsafe(KEY_BYTES)
--- a/poplarlug/operators/commands.py
+++ b/poplarlug/operators/commands.py
@@ -4,6 +4,8 @@
 from pathlib import Path
 from typing import Any, cast, get_args
 
+from returns.result import Failure
+
 from poplarlug.keys import generate_caller_key, generate_key_files, hash_caller_key
 from poplarlug.operators.control_commands import ControlCommands
 from poplarlug.operators.object_commands import (
@@ -28,14 +30,25 @@
     split,
 )
 from poplarlug.operators.status_commands import ConfigCommands, print_status
+from poplarlug.settings import load_settings
+from poplarlug.topology import Topology
 
 
 class KeyCommands:
     """Key files of processes and keys of callers and operators."""
 
-    def generate(self, folder: str, names: Any) -> None:
-        """Write a key pair for each of NAMES below FOLDER."""
-        generate_key_files(Path(folder), split(names))
+    def generate(self, folder: str, names: Any = (), topology: str = "") -> None:
+        """Write a key pair for each of NAMES, or VM of TOPOLOGY, below FOLDER."""
+        chosen = split(names)
+        if topology:
+            loaded = load_settings(Path(topology), Topology)
+            if isinstance(loaded, Failure):
+                fail(EXIT_USAGE, "\n".join(str(error) for error in loaded.failure()))
+            chosen += tuple(loaded.unwrap().peer_addresses_by_name())
+        if not chosen:
+            fail(EXIT_USAGE, "set NAMES or --topology, a topology file")
+        generate_key_files(Path(folder), chosen)
+        print(f"{len(chosen)} key pairs below {folder}")
 
     def caller(self) -> None:
         """Print a new key and its hash, separated by a space."""
--- a/poplarlug/operators/session.py
+++ b/poplarlug/operators/session.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure
 
+from poplarlug.keys import check_secret_file
 from poplarlug.operators.client import ClientError, OperatorClient, TlsOptions
 from poplarlug.operators.output import OutputFormat
 
@@ -59,6 +60,9 @@
                 f"set --servers and --key_file, or {SERVERS_VARIABLE} and "
                 f"{KEY_FILE_VARIABLE}",
             )
+        wrong = check_secret_file(Path(options.key_file))
+        if wrong:
+            fail(EXIT_USAGE, f"key file {options.key_file} {wrong}")
         try:
             key = Path(options.key_file).read_text().strip()
             tls = None
--- a/poplarlug/settings.py
+++ b/poplarlug/settings.py
@@ -2,7 +2,16 @@
 
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any, NamedTuple, TypeVar, get_args, get_origin, get_type_hints
+from typing import (
+    Any,
+    NamedTuple,
+    Protocol,
+    TypeVar,
+    get_args,
+    get_origin,
+    get_type_hints,
+    runtime_checkable,
+)
 
 import json5
 import msgspec
@@ -10,6 +19,8 @@
 
 T = TypeVar("T")
 
+MAX_SHOWN_CHARACTERS = 120
+
 _NO_VALUE = object()
 
 
@@ -23,6 +34,14 @@
         return f"{self.path}: {self.message}"
 
 
+@runtime_checkable
+class CrossChecked(Protocol):
+    """Settings that check their values against one another."""
+
+    def cross_check(self) -> list[SettingsError]:
+        """Return all errors between values that are each right in themselves."""
+
+
 def load_settings(path: Path, kind: type[T]) -> Result[T, list[SettingsError]]:
     """
     Read the settings file at ``path`` as the ``NamedTuple`` class ``kind``.
@@ -38,11 +57,12 @@
     Returns
     -------
     Success(T) or Failure(list of SettingsError)
-        All errors of the file at once, each with its path in the file.
+        All errors of the file at once, each with its path in the file. Errors
+        between values come from ``kind.cross_check``, if it has one.
     """
     try:
         tree = json5.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         return Failure([SettingsError(str(path), f"can't be read: {error}")])
     return check_settings(tree, kind)
 
@@ -51,11 +71,21 @@
     """Check a parsed settings tree; see :func:`load_settings`."""
     errors: list[SettingsError] = []
     value = _convert(tree, kind, "$", errors)
+    if not errors and isinstance(value, CrossChecked):
+        errors.extend(value.cross_check())
     if errors:
         return Failure(errors)
     return Success(value)
 
 
+def show(value: Any) -> str:
+    """Return the ``repr`` of ``value``, cut to a length that fits an error."""
+    shown = repr(value)
+    if len(shown) > MAX_SHOWN_CHARACTERS:
+        return f"{shown[:MAX_SHOWN_CHARACTERS]}..."
+    return shown
+
+
 def _convert(value: Any, kind: Any, path: str, errors: list[SettingsError]) -> Any:
     if _is_named_tuple(kind):
         return _convert_named_tuple(value, kind, path, errors)
@@ -64,7 +94,11 @@
     try:
         return msgspec.convert(value, kind)
     except msgspec.ValidationError as error:
-        errors.append(SettingsError(path, f"got {value!r}: {error}"))
+        errors.append(
+            SettingsError(
+                path, f"got {show(value)}: {str(error)[:MAX_SHOWN_CHARACTERS]}"
+            )
+        )
         return _NO_VALUE
 
 
@@ -72,15 +106,14 @@
     value: Any, kind: Any, path: str, errors: list[SettingsError]
 ) -> Any:
     if not isinstance(value, Mapping):
-        errors.append(SettingsError(path, f"got {value!r}, expected an object"))
+        errors.append(SettingsError(path, f"got {show(value)}, expected an object"))
         return _NO_VALUE
     hints = get_type_hints(kind, include_extras=True)
     for key in value:
         if key not in hints:
+            place = f"{path}.{str(key)[:MAX_SHOWN_CHARACTERS]}"
             known = ", ".join(hints)
-            errors.append(
-                SettingsError(f"{path}.{key}", f"unknown key; expected one of {known}")
-            )
+            errors.append(SettingsError(place, f"unknown key; expected one of {known}"))
     fields = {}
     for name, field_kind in hints.items():
         if name in value:
@@ -94,7 +127,7 @@
 
 def _convert_list(value: Any, kind: Any, path: str, errors: list[SettingsError]) -> Any:
     if not isinstance(value, list):
-        errors.append(SettingsError(path, f"got {value!r}, expected an array"))
+        errors.append(SettingsError(path, f"got {show(value)}, expected an array"))
         return _NO_VALUE
     return tuple(
         _convert(item, kind, f"{path}[{index}]", errors)
--- a/poplarlug/topology.py
+++ b/poplarlug/topology.py
@@ -1,10 +1,17 @@
 """The VMs of a deployment, as its topology file lists them."""
 
+import ipaddress
+from collections import Counter
+from collections.abc import Iterable
 from pathlib import Path
 from typing import NamedTuple
 
+from poplarlug.logs import LogFormat, LogLevel
+from poplarlug.settings import SettingsError
 from poplarlug.types import Address, RegionName, VmName, ZoneName
 
+MAX_PORT = 65535
+
 
 class EntryVm(NamedTuple):
     """
@@ -43,6 +50,14 @@
     entries: tuple[EntryVm, ...]
     control: tuple[ControlVm, ...]
 
+    def cross_check(self) -> list[SettingsError]:
+        """Return all errors between the VMs and in their addresses."""
+        return [
+            *self._check_names(),
+            *self._check_addresses(),
+            *self._check_zones(),
+        ]
+
     def entry(self, name: VmName) -> EntryVm | None:
         return next((vm for vm in self.entries if vm.name == name), None)
 
@@ -58,6 +73,72 @@
         by_name.update({vm.name: vm.peers for vm in self.control})
         return by_name
 
+    def _check_names(self) -> list[SettingsError]:
+        errors = []
+        if not self.entries:
+            errors.append(SettingsError("$.entries", "got none, expected at least one"))
+        if not self.control:
+            errors.append(SettingsError("$.control", "got none, expected 3 or 5"))
+        names = [vm.name for vm in self.entries]
+        names += [vm.name for vm in self.control]
+        for name in _repeated(names):
+            message = f"the name {name!r} stands twice; give each VM one of its own"
+            errors.append(SettingsError("$", message))
+        return errors
+
+    def _check_addresses(self) -> list[SettingsError]:
+        paths_by_address: dict[Address, list[str]] = {}
+        errors = []
+        for path, address in self._addresses():
+            paths_by_address.setdefault(address, []).append(path)
+            if not _is_address(address):
+                message = (
+                    f"got {address!r}, expected an IP number and a port, "
+                    "as '10.0.0.7:8101'"
+                )
+                errors.append(SettingsError(path, message))
+        for address, paths in paths_by_address.items():
+            if len(paths) > 1:
+                message = f"{address!r} stands at {', '.join(paths[:-1])} too"
+                errors.append(SettingsError(paths[-1], message))
+        return errors
+
+    def _addresses(self) -> Iterable[tuple[str, Address]]:
+        for index, entry in enumerate(self.entries):
+            yield f"$.entries[{index}].http", entry.http
+            yield f"$.entries[{index}].peers", entry.peers
+        for index, control in enumerate(self.control):
+            yield f"$.control[{index}].peers", control.peers
+            yield f"$.control[{index}].grpc", control.grpc
+            yield f"$.control[{index}].http", control.http
+
+    def _check_zones(self) -> list[SettingsError]:
+        regions_by_zone: dict[ZoneName, RegionName] = {}
+        errors = []
+        for index, entry in enumerate(self.entries):
+            region = regions_by_zone.setdefault(entry.zone, entry.region)
+            if region != entry.region:
+                message = f"zone {entry.zone!r} lies in region {region!r} above"
+                path = f"$.entries[{index}].region"
+                errors.append(
+                    SettingsError(path, f"got {entry.region!r}, but {message}")
+                )
+        for index, control in enumerate(self.control):
+            path = f"$.control[{index}]"
+            region = regions_by_zone.get(control.zone, "")
+            if not region:
+                known = ", ".join(regions_by_zone) or "none"
+                message = (
+                    f"got {control.zone!r}, expected a zone of the entries: {known}"
+                )
+                errors.append(SettingsError(f"{path}.zone", message))
+            elif region != control.region:
+                message = (
+                    f"got {control.region!r}, expected {region!r}, as its zone has"
+                )
+                errors.append(SettingsError(f"{path}.region", message))
+        return errors
+
 
 class KeyFiles(NamedTuple):
     """Where a process finds its own secret key and its peers' public ones."""
@@ -73,5 +154,18 @@
 class LogSettings(NamedTuple):
     """Format (``json`` or ``console``) and lowest level of log lines."""
 
-    format: str = "json"
-    level: str = "info"
+    format: LogFormat = "json"
+    level: LogLevel = "info"
+
+
+def _repeated(names: Iterable[str]) -> list[str]:
+    return sorted(name for name, count in Counter(names).items() if count > 1)
+
+
+def _is_address(address: Address) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port[:9]) <= MAX_PORT
