--- a/tests/processes/workload.py
+++ b/tests/processes/workload.py
@@ -74,8 +74,8 @@
         ]
 
     def start(self) -> None:
-        self.accepted_number = 0
-        self._put_number(0)
+        if not self._put_number(0):
+            raise AssertionError("the first change was not accepted")
         for thread in self._threads:
             thread.start()
 
@@ -169,6 +169,7 @@
 
     def _put_number(self, number: int) -> bool:
         region = self._deployment.topology.entries[0].region
+        self._deployment.operate("model", "put", f"m{number}", check=False)
         rows = self._deployment.operate(
             "account",
             "put",
