--- a/poplarlug/callers/parsing.py
+++ b/poplarlug/callers/parsing.py
@@ -101,11 +101,12 @@
         return rank
     key = http.headers.get("Idempotency-Key", "")
     repeatable = not _is_non_repeatable(http, service.non_repeatable)
-    if len(key) > MAX_KEY_CHARACTERS or (not repeatable and not key):
+    if not _is_plain(key, MAX_KEY_CHARACTERS) or (not repeatable and not key):
         return Failure(
             bad_request(
                 f"{http.method} {http.path} runs at most once: send an "
-                f"Idempotency-Key of 1 to {MAX_KEY_CHARACTERS} characters."
+                f"Idempotency-Key of 1 to {MAX_KEY_CHARACTERS} printable ASCII "
+                "characters."
             )
         )
     return Success(
@@ -125,6 +126,10 @@
     )
 
 
+def _is_plain(text: str, max_characters: int) -> bool:
+    return text.isascii() and text.isprintable() and len(text) <= max_characters
+
+
 def _rank(http: HttpRequest, catalog: Catalog) -> Result[str, GatewayError]:
     name = http.headers.get("X-Rank", DEFAULT_RANK_NAME)
     if catalog.rank(name) is None:
--- a/poplarlug/transport/base.py
+++ b/poplarlug/transport/base.py
@@ -23,6 +23,8 @@
 STREAM_CREDIT_CHUNKS = 64
 STREAM_IDLE_SECONDS = 30.0
 
+_ASKING_KINDS = (FrameKind.REQUEST, FrameKind.NOTIFY, FrameKind.OPEN)
+
 _log = PartLog(prefix="transport")
 
 
@@ -293,6 +295,9 @@
             if outgoing is not None:
                 outgoing.accept(header)
             return
+        if header.kind not in _ASKING_KINDS:
+            _log.warning("dropped a frame that runs nothing", kind=header.kind.name)
+            return
         for check in self._checks:
             check()
         service = self._services_by_topic.get(header.topic)
