--- /dev/null
+++ b/tests/distribution/test_distribution.py
@@ -0,0 +1,139 @@
+"""Tests of pushes, relays, pulls and catching up, under virtual time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+from unittest import TestCase
+
+from poplarlug.distribution.publisher import KEEPALIVE_SECONDS, rank_relays
+from poplarlug.virtualtime import run_virtual
+from tests.distribution.cluster import Cluster, wait_for
+
+SOON_SECONDS = 2.0
+
+
+class DistributionTests(TestCase):
+    def run_cluster(
+        self, test: Callable[[Cluster], Awaitable[None]], *, changes: int = 3
+    ) -> None:
+        async def main() -> None:
+            cluster = Cluster(rng=Random(1))
+            for _ in range(changes):
+                cluster.change()
+            await cluster.start()
+            await cluster.wait_converged(10)
+            await test(cluster)
+
+        run_virtual(main())
+
+    def test_change_is_pushed_to_all_zones(self) -> None:
+        """An accepted change is in force everywhere without a pull."""
+
+        async def test(cluster: Cluster) -> None:
+            version = cluster.change()
+            in_force = await cluster.publisher.wait_in_force(version, SOON_SECONDS)
+            self.assertEqual(in_force.zones, ("z0", "z1"))
+            self.assertEqual(in_force.vms_not_reached, ())
+            await cluster.wait_converged(SOON_SECONDS)
+
+        self.run_cluster(test)
+
+    def test_next_relay_takes_over(self) -> None:
+        """When a zone's relay is gone, another entry spreads the change."""
+
+        async def test(cluster: Cluster) -> None:
+            relay = rank_relays("z0", cluster.vms)[0]
+            await cluster.processes_by_name[relay].crash()
+            version = cluster.change()
+            in_force = await cluster.publisher.wait_in_force(version, 4)
+            self.assertEqual(in_force.vms_not_reached, (relay,))
+            self.assertEqual(in_force.zones, ("z1",))
+            self.assertEqual(in_force.zones_not_reached, ())
+            started = asyncio.get_running_loop().time()
+            for _ in range(3):
+                version = cluster.change()
+                await cluster.publisher.wait_in_force(version, 0.3)
+                await cluster.wait_converged(0.1)
+            # Only the first push waited for the lost relay.
+            self.assertLess(asyncio.get_running_loop().time() - started, 1.3)
+
+        self.run_cluster(test)
+
+    def test_cut_zone_is_named_and_catches_up(self) -> None:
+        """A zone that is cut off is told as not reached, and heals in seconds."""
+
+        async def test(cluster: Cluster) -> None:
+            for vm in cluster.vms:
+                if vm.zone == "z1":
+                    cluster.network.cut("control", vm.name)
+            version = cluster.change()
+            in_force = await cluster.publisher.wait_in_force(version, SOON_SECONDS)
+            self.assertEqual(in_force.zones_not_reached, ("z1",))
+            await asyncio.sleep(60)
+            cluster.network.heal()
+            await cluster.wait_converged(8)
+
+        self.run_cluster(test)
+
+    def test_large_gap_is_pulled_in_chunks(self) -> None:
+        """A zone that lacks thousands of changes gets them by a stream."""
+
+        async def test(cluster: Cluster) -> None:
+            self.assertEqual(cluster.state.catalog.version, 3000)
+
+        self.run_cluster(test, changes=3000)
+
+    def test_peers_serve_each_other_without_control(self) -> None:
+        """An entry that missed a push gets it from its zone, not from control."""
+
+        async def test(cluster: Cluster) -> None:
+            names = [vm.name for vm in cluster.vms if vm.zone == "z0"]
+            missed = rank_relays("z0", cluster.vms)[-1]
+            for name in ("control", *names):
+                cluster.network.cut(name, missed)
+            cluster.change()
+            await asyncio.sleep(3)
+            cluster.network.heal()
+            cluster.network.cut("control", missed)
+            cluster.leads = False
+            await cluster.wait_converged(30)
+
+        self.run_cluster(test)
+
+    def test_restarted_entry_waits_for_its_peers_version(self) -> None:
+        """After a restart, requests wait for the newest reachable version."""
+
+        async def test(cluster: Cluster) -> None:
+            process = cluster.processes_by_name["z0-0"]
+            assert process.store is not None
+            await process.crash()
+            version = cluster.change()
+            await cluster.publisher.wait_in_force(version, SOON_SECONDS)
+            for vm in cluster.vms:
+                cluster.network.cut("control", vm.name)
+            cluster.network.quality = cluster.network.quality._replace(
+                min_delay=0.2, max_delay=0.2
+            )
+            process.start()
+            await wait_for(lambda: process.follower.accepts, 60)
+            self.assertEqual(process.follower.version.value, version)
+
+        self.run_cluster(test)
+
+    def test_cut_off_entry_starts_from_its_disk(self) -> None:
+        """With nobody reachable, the synced version serves; no disk, no service."""
+
+        async def test(cluster: Cluster) -> None:
+            for name in ("z0-0", "z0-1"):
+                await cluster.processes_by_name[name].crash()
+                for other in cluster.processes_by_name:
+                    cluster.network.cut(other, name)
+                cluster.network.cut("control", name)
+                cluster.processes_by_name[name].start()
+            await asyncio.sleep(4 * KEEPALIVE_SECONDS)
+            with_disk = cluster.processes_by_name["z0-0"].follower
+            without = cluster.processes_by_name["z0-1"].follower
+            self.assertEqual((with_disk.accepts, with_disk.version.value), (True, 3))
+            self.assertEqual((without.accepts, without.version.value), (False, 0))
+
+        self.run_cluster(test)
