Prove orders: numbers, guard, budget, resends, placements

Cause: nothing showed that two leaders' orders never overlap, nor that a resent order runs once.

A model's orders settle for 10 s instead of 20 s: announcements are renewed each second.

Conclusion: holds for what an upstream does until the order's timeout; an upstream that acts later than that and ignores numbers is not guarded.

--- a/poplarlug/control/reconciler.py
+++ b/poplarlug/control/reconciler.py
@@ -15,7 +15,7 @@
 from poplarlug.types import ModelName, Seconds, UpstreamId, ZoneName
 
 RECONCILE_SECONDS = 5.0
-SETTLE_SECONDS = 20.0
+SETTLE_SECONDS = 10.0
 MAX_ORDERS_PER_ROUND = 8
 
 _log = PartLog(prefix="reconciler")
--- /dev/null
+++ b/tests/control/test_orderer.py
@@ -0,0 +1,126 @@
+"""Tests of resends, the budget and the guard of orders."""
+
+import asyncio
+from random import Random
+from unittest import TestCase
+
+from poplarlug.control.order_guard import GUARD_SECONDS, TokenBucket
+from poplarlug.control.orders import OrderOutcome, OrderRequest, OrderStatus
+from poplarlug.virtualtime import run_virtual
+from tests.control.lease_group import OrderWorld, RecordingEndpoint
+
+RULES_FOR_LONG = 1000.0
+
+
+def load(order_id: str, upstream_id: str = "e1") -> OrderRequest:
+    return OrderRequest(order_id, "z", upstream_id, "load", "corn")
+
+
+class OrdererTests(TestCase):
+    def setUp(self) -> None:
+        self.endpoint = RecordingEndpoint(rng=Random(1), loss=0.0)
+
+    async def world(self, *, budget: float = 100.0) -> OrderWorld:
+        world = OrderWorld(rng=Random(1), endpoint=self.endpoint, budget=budget)
+        world.group.holder, world.group.term = "c1", 1
+        world.group.lease_end = RULES_FOR_LONG
+        await world.start()
+        return world
+
+    async def carry_out(self, world: OrderWorld, order: OrderRequest) -> OrderOutcome:
+        """Send an order again as long as nothing is known of it."""
+        while True:
+            outcome = await world.orderers_by_name["c1"].carry_out(order)
+            if outcome.status is not OrderStatus.UNKNOWN:
+                return outcome
+
+    def test_resend_of_a_finished_order_sends_nothing(self) -> None:
+        """The first outcome comes back, with its number."""
+
+        async def main() -> None:
+            world = await self.world()
+            first = await self.carry_out(world, load("a"))
+            self.assertIs(first.status, OrderStatus.DONE)
+            sends = len(self.endpoint.sent)
+            self.assertEqual(await self.carry_out(world, load("a")), first)
+            self.assertEqual(len(self.endpoint.sent), sends)
+            self.assertEqual(self.endpoint.sent[-1].fencing, first.fencing)
+
+        run_virtual(main())
+
+    def test_first_order_of_a_term_waits(self) -> None:
+        """A new leader's first order waits until older ones are over."""
+
+        async def main() -> None:
+            world = await self.world()
+            await self.carry_out(world, load("a"))
+            self.assertGreaterEqual(self.endpoint.sent[0].start, GUARD_SECONDS)
+            world.group.term = 2
+            changed = asyncio.get_running_loop().time()
+            await self.carry_out(world, load("b"))
+            last = self.endpoint.sent[-1]
+            self.assertGreaterEqual(last.start, changed + GUARD_SECONDS)
+            self.assertEqual(last.fencing.term, 2)
+
+        run_virtual(main())
+
+    def test_former_leader_sends_nothing(self) -> None:
+        """Without the lease an order is not sent, and is told so."""
+
+        async def main() -> None:
+            world = await self.world()
+            await self.carry_out(world, load("a"))
+            sends = len(self.endpoint.sent)
+            world.group.holder = "c2"
+            outcome = await world.orderers_by_name["c1"].carry_out(load("b"))
+            self.assertIs(outcome.status, OrderStatus.UNKNOWN)
+            self.assertEqual(len(self.endpoint.sent), sends)
+
+        run_virtual(main())
+
+    def test_unknown_upstream_is_not_ordered(self) -> None:
+        """An upstream that its zone does not know gets no order."""
+
+        async def main() -> None:
+            world = await self.world()
+            outcome = await world.orderers_by_name["c1"].carry_out(load("a", "e9"))
+            self.assertIs(outcome.status, OrderStatus.UNKNOWN)
+            self.assertIn("'e9'", outcome.message)
+            self.assertEqual(self.endpoint.sent, [])
+
+        run_virtual(main())
+
+    def test_budget_spaces_loads(self) -> None:
+        """Loads keep to the rate of the weight store; unloads are free."""
+
+        async def main() -> None:
+            world = await self.world(budget=0.5)
+            loads = [load(f"l{n}", ("e1", "e2")[n % 2]) for n in range(6)]
+            await asyncio.gather(*(self.carry_out(world, order) for order in loads))
+            starts = sorted(sent.start for sent in self.endpoint.sent)
+            self.assertGreaterEqual(starts[-1] - starts[0], 5 / 0.5 - 0.6)
+            before = asyncio.get_running_loop().time()
+            for number in range(3):
+                order = OrderRequest(f"u{number}", "z", "e1", "unload", "corn")
+                await self.carry_out(world, order)
+            self.assertLess(asyncio.get_running_loop().time() - before, 12.0)
+
+        run_virtual(main())
+
+    def test_bucket_gives_a_burst_and_then_its_rate(self) -> None:
+        """No more than the burst plus the rate is ever given."""
+
+        async def main() -> list[float]:
+            bucket = TokenBucket(uses_per_second=2.0, burst=3.0)
+            bucket.empty()
+            await asyncio.sleep(100)
+            times = []
+            for _ in range(7):
+                self.assertTrue(await bucket.take(5.0))
+                times.append(asyncio.get_running_loop().time() - 100)
+            self.assertFalse(await bucket.take(0.1))
+            return times
+
+        times = run_virtual(main())
+        for got, expected in zip(times, [0, 0, 0, 0.5, 1, 1.5, 2], strict=True):
+            self.assertAlmostEqual(got, expected)
