Test the operators' gRPC over TLS

Cause: the settings have certificate files and nothing ran with them. Conclusion: optional TLS works.

--- /dev/null
+++ b/tests/control/test_grpc_server.py
@@ -0,0 +1,116 @@
+"""Tests of the operators' gRPC server with TLS."""
+
+import asyncio
+import socket
+from pathlib import Path
+from random import Random
+from unittest import TestCase
+
+from returns.result import Failure, Result
+
+from poplarlug.catalog import ChangeOutcome, Model
+from poplarlug.control.grpc_server import TlsFiles, build_server
+from poplarlug.control.operations import Operations
+from poplarlug.control.replicated_log import LogEntry, ProposeError, ReplicatedLog
+from poplarlug.control.state import ControlState
+from poplarlug.keys import hash_caller_key
+from poplarlug.operators.client import OperatorClient, TlsOptions
+from poplarlug.schema import operators_pb2 as pb
+from poplarlug.topology import Topology
+from poplarlug.transport import MemoryNetwork, MemoryTransport
+
+CERTIFICATES = Path(__file__).parent / "certificates"
+KEY = "operator-key"
+
+
+class OwnLog(ReplicatedLog):
+    """A log of one replica that commits at once."""
+
+    def __init__(self, *, state: ControlState) -> None:
+        self._state = state
+        self._log_index = 0
+
+    @property
+    def leader(self) -> str | None:
+        return "control"
+
+    @property
+    def is_leader(self) -> bool:
+        return True
+
+    async def propose(self, command: bytes) -> Result[ChangeOutcome, ProposeError]:
+        self._log_index += 1
+        outcome = self._state.apply(LogEntry(1, self._log_index, command))
+        return Result.from_value(outcome)
+
+    async def run(self) -> None:
+        await asyncio.get_running_loop().create_future()
+
+
+class TlsTests(TestCase):
+    def run_calls(self, tls: TlsOptions | None) -> tuple[object, object]:
+        """Return the results of a change and a list through a TLS server."""
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{probe.getsockname()[1]}"
+
+        def call() -> tuple[object, object]:
+            client = OperatorClient(
+                servers=[address], key=KEY, tls=tls, resend_seconds=1.0
+            )
+            try:
+                change = client.change("model", Model("corn"), expected_version=0)
+                return change, client.call(
+                    lambda stub: stub.List, pb.ListRequest(kind="model")
+                )
+            finally:
+                client.close()
+
+        async def main() -> tuple[object, object]:
+            state = ControlState()
+            log = OwnLog(state=state)
+            network = MemoryNetwork(rng=Random(1))
+            operations = Operations(
+                log=log,
+                state=state,
+                topology=Topology("test", (), ()),
+                transport=MemoryTransport(name="control", network=network),
+                propose=log.propose,
+                rng=Random(1),
+            )
+            files = TlsFiles(
+                str(CERTIFICATES / "server.crt"), str(CERTIFICATES / "server.key")
+            )
+            server = build_server(
+                service=operations.service,
+                address=address,
+                key_hashes=[hash_caller_key(KEY)],
+                tls=files,
+            )
+            await server.start()
+            try:
+                return await asyncio.to_thread(call)
+            finally:
+                await server.stop(0)
+
+        return asyncio.run(main())
+
+    def test_operator_who_trusts_the_certificate_is_served(self) -> None:
+        """Changes and lists work over TLS."""
+        trusted = TlsOptions(str(CERTIFICATES / "server.crt"), "control")
+        change, listed = self.run_calls(trusted)
+        assert isinstance(change, Result) and isinstance(listed, Result)
+        self.assertEqual(change.unwrap().version, 1)
+        self.assertEqual(listed.unwrap().objects[0].model.name, "corn")
+
+    def test_call_without_tls_is_refused(self) -> None:
+        """A server with a certificate takes no call in the clear."""
+        change, _ = self.run_calls(None)
+        assert isinstance(change, Failure)
+        self.assertEqual(change.failure().code, "UNAVAILABLE")
+
+    def test_wrong_name_in_the_certificate_is_refused(self) -> None:
+        """A client does not talk to a server under another name."""
+        change, _ = self.run_calls(TlsOptions(str(CERTIFICATES / "server.crt"), "x"))
+        assert isinstance(change, Failure)
+        self.assertEqual(change.failure().code, "UNAVAILABLE")
