--- a/tests/control/test_grpc_server.py
+++ b/tests/control/test_grpc_server.py
@@ -4,11 +4,13 @@
 import socket
 from pathlib import Path
 from random import Random
+from typing import cast
 from unittest import TestCase
 
 from returns.result import Failure, Result
 
 from poplarlug.catalog import ChangeOutcome, Model
+from poplarlug.control.control_group import ControlGroup
 from poplarlug.control.grpc_server import TlsFiles, build_server
 from poplarlug.control.operations import Operations
 from poplarlug.control.replicated_log import LogEntry, ProposeError, ReplicatedLog
@@ -77,6 +79,8 @@
                 transport=MemoryTransport(name="control", network=network),
                 propose=log.propose,
                 rng=Random(1),
+                # No call of these tests is about the group's replicas.
+                group=cast(ControlGroup, None),
             )
             files = TlsFiles(
                 str(CERTIFICATES / "server.crt"), str(CERTIFICATES / "server.key")
