Prove graceful stops; finish the answers to peers before the links close

Cause, found by test_entry_finishes_its_callers_and_its_peers_requests: a stopping entry waited for its requests in progress, but the last parts of a forwarded answer still waited for their stream to the peer when the links closed; of 6 forwarded requests the last 2 ended with status 0 and 502. Ruled out: the upstream (own callers' answers were whole) and the socket's linger (the parts had not been handed to it).

--- a/poplarlug/transport/base.py
+++ b/poplarlug/transport/base.py
@@ -210,6 +210,11 @@
         header = Header(FrameKind.NOTIFY, self.name, 0, topic)
         return self._send(peer, header, msgspec.msgpack.encode(message))
 
+    async def finish_streams(self) -> None:
+        """Wait until the streams that peers have open here were sent whole."""
+        tasks = [stream.task for stream in self._outgoing_by_id.values()]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def open_stream(
         self, *, peer: VmName, topic: str, message: Any
     ) -> Result[IncomingStream, TransportError]:
@@ -359,7 +364,9 @@
         self, route: Any, header: Header, service: _Service, message: Any
     ) -> None:
         key = (route, header.exchange_id)
-        outgoing = _OutgoingStream(task=asyncio.current_task())
+        task = asyncio.current_task()
+        assert task is not None
+        outgoing = _OutgoingStream(task=task)
         self._outgoing_by_id[key] = outgoing
         number = 0
         try:
@@ -387,14 +394,14 @@
 class _OutgoingStream:
     """Credit of one stream that this process serves."""
 
-    def __init__(self, *, task: asyncio.Task[Any] | None) -> None:
-        self._task = task
+    def __init__(self, *, task: asyncio.Task[Any]) -> None:
+        self.task = task
         self._credit = STREAM_CREDIT_CHUNKS
         self._granted = asyncio.Event()
 
     def accept(self, header: Header) -> None:
-        if header.kind is FrameKind.CANCEL and self._task is not None:
-            self._task.cancel()
+        if header.kind is FrameKind.CANCEL:
+            self.task.cancel()
         elif header.kind is FrameKind.CREDIT:
             self._credit += max(0, header.number)
             self._granted.set()
--- /dev/null
+++ b/tests/processes/test_promise_graceful_stop.py
@@ -0,0 +1,116 @@
+"""Tests that a planned stop cuts off no request in progress."""
+
+import time
+import uuid
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from examples.deployment import wait_until
+from poplarlug.fakes.ledger import read_ledger
+from tests.processes.case import ProcessTestCase
+from tests.processes.history import Call, CallKind, check_whole_answers
+
+CALLS = 12
+TOKENS = 50
+TOKEN_SECONDS = 0.03
+BOOKING_SECONDS = 1.5
+UPSTREAMS = ("e-quito", "e-cuenca", "s-quito")
+CALLERS_ENTRIES = ("quito-a-1", "guayaquil-a-1")
+
+
+class GracefulStopTests(ProcessTestCase):
+    """Quito has an engine and a service; Guayaquil forwards to it."""
+
+    @classmethod
+    def start_upstreams(cls) -> None:
+        speed = f"--token_seconds={TOKEN_SECONDS}"
+        cls.deployment.start_engine("e-quito", "quito-a", "corn-7b", speed)
+        cls.deployment.start_service(
+            "s-quito", "quito-a", "depot", f"--run_seconds={BOOKING_SECONDS}"
+        )
+
+    def setUp(self) -> None:
+        for entry in CALLERS_ENTRIES:
+            self.wait_for_upstreams(entry)
+
+    def send(self, number: int) -> Call:
+        """Stream, chat or book through one of the two entries."""
+        kind: CallKind = ("stream", "chat", "book")[number % 3]
+        name = f"{self.id().rpartition('.')[2]}-{number}"
+        entry = CALLERS_ENTRIES[number // 3 % 2]
+        request_id = uuid.uuid4().hex
+        headers = {"X-Request-Id": request_id, "Idempotency-Key": name}
+        fields = {
+            "model": "corn-7b",
+            "messages": [{"role": "user", "content": name}],
+            "max_tokens": TOKENS,
+            "stream": kind == "stream",
+        }
+        path = "/v1/chat/completions"
+        if kind == "book":
+            path = "/svc/depot/bookings"
+        started = time.monotonic()
+        answer = self.call(entry, path, fields, headers=headers)
+        return Call(
+            request_id=request_id,
+            kind=kind,
+            account="verde",
+            name=name,
+            entry=entry,
+            started=started,
+            ended=time.monotonic(),
+            status=answer.status,
+            body=answer.body,
+            fields=fields,
+        )
+
+    def send_all(self, pool: ThreadPoolExecutor) -> list[Future[Call]]:
+        """Send all calls and return once upstreams run every one of them."""
+        sent = [pool.submit(self.send, number) for number in range(CALLS)]
+        test_name = self.id().rpartition(".")[2]
+        wait_until(
+            lambda: len({n for n in self.names() if test_name in n}) == CALLS,
+            "not all calls arrived",
+        )
+        return sent
+
+    def names(self) -> list[str]:
+        return [
+            line.name
+            for upstream in UPSTREAMS
+            for line in read_ledger(self.deployment.requests_file(upstream))
+        ]
+
+    def stop_amid_calls(self, name: str) -> None:
+        """Stop ``name`` while calls run; all must end whole, and it with 0."""
+        with ThreadPoolExecutor(CALLS) as pool:
+            sent = self.send_all(pool)
+            self.assertFalse(any(future.done() for future in sent))
+            status = self.deployment.stop(name)
+            calls = [future.result() for future in sent]
+        self.deployment.start(name)
+        self.assertEqual([call.status for call in calls], [200] * CALLS)
+        self.assertEqual(check_whole_answers(calls), [])
+        self.assertEqual(status, 0)
+
+    def test_entry_finishes_its_callers_and_its_peers_requests(self) -> None:
+        """A stopped entry finishes own and forwarded work, then exits with 0."""
+        self.stop_amid_calls("quito-a-1")
+
+    def test_forwarding_entry_finishes_its_callers_requests(self) -> None:
+        """An entry whose requests run elsewhere passes their answers on first."""
+        self.stop_amid_calls("guayaquil-a-1")
+
+    def test_upstream_finishes_what_it_runs(self) -> None:
+        """A leaving upstream's streams go on to their ends."""
+        self.stop_amid_calls("e-quito")
+
+    def test_control_replicas_stop_beside_running_requests(self) -> None:
+        """Callers notice nothing of a control replica's stop."""
+        for vm in self.deployment.topology.control:
+            with self.subTest(control=vm.name):
+                status = self.deployment.stop(vm.name)
+                self.assertEqual(status, 0)
+                answer = self.chat("guayaquil-a-1", f"beside {vm.name}")
+                self.assertEqual(answer.status, 200)
+                self.deployment.start(vm.name)
+                self.deployment.wait_ready([vm.name])
