Give out each address of a deployment once

Cause: a probed port is free again at once, so the OS may give it out twice; with 39 addresses of some 28,000 ports that is about 1 deployment in 40, and a flaky test. Seen by the topology's check ('stands at ... too') in a deployment of 19 VMs. Change: addresses given out are remembered.

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -59,6 +59,7 @@
         self.commands_by_name: dict[str, list[str]] = {}
         self.key, self.operator_key = generate_caller_key(), generate_caller_key()
         self.ip = _own_ip()
+        self._addresses: set[str] = set()
         listed = load_settings(EXAMPLES / example / "topology.jsonc", Topology).unwrap()
         self.topology = self._with_own_addresses(listed, entries_per_zone)
         self._link = link or (lambda source, target, address: address)
@@ -73,10 +74,14 @@
         self._write_settings()
 
     def address(self) -> str:
-        """Return a free address of this deployment, from the OS."""
-        with socket.socket() as probe:
-            probe.bind((self.ip, 0))
-            return f"{self.ip}:{probe.getsockname()[1]}"
+        """Return a free address, from the OS, that was not given out before."""
+        while True:
+            with socket.socket() as probe:
+                probe.bind((self.ip, 0))
+                address = f"{self.ip}:{probe.getsockname()[1]}"
+            if address not in self._addresses:
+                self._addresses.add(address)
+                return address
 
     def start_control(self) -> None:
         for vm in self.topology.control:
