--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -8,16 +8,17 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
+from benchmarks.distribution import CountingProxy
 from examples.deployment import Deployment
 from poplarlug.catalog import Account, Catalog, Delta
 from poplarlug.catalog.catalog import encode_object
 from poplarlug.keys import generate_key_files, hash_caller_key
 from poplarlug.membership.upstreams import Announcement, UpstreamTable
-from poplarlug.topology import KeyFiles
+from poplarlug.topology import EntryVm, KeyFiles, Topology
 from poplarlug.transport import ZmqTransport
 
 ACCOUNTS = (0, 1_000, 10_000, 35_000)
@@ -26,7 +27,9 @@
 FRAMES = 5_000
 FRAME_BYTES = (100, 1_000, 10_000)
 IDLE_SECONDS = 10.0
-ENTRIES_PER_ZONE = (1, 3)
+SETTLE_SECONDS = 3.0
+ZONES = (3, 8)
+ENTRIES_PER_ZONE = 2
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
@@ -43,8 +46,8 @@
         measure_apart(measure_upstreams, count)
     for size in FRAME_BYTES:
         measure_apart(measure_transport, size)
-    for entries in ENTRIES_PER_ZONE:
-        measure_idle(entries)
+    for zones in ZONES:
+        measure_zones(zones)
 
 
 def measure_apart(measure: Callable[[int], None], value: int) -> None:
@@ -178,36 +181,65 @@
         await asyncio.gather(*running, return_exceptions=True)
 
 
-def measure_idle(entries_per_zone: int) -> None:
-    """Let a deployment of three zones rest and print each daemon's cost."""
-    with tempfile.TemporaryDirectory() as folder:
-        deployment = Deployment(folder=Path(folder), entries_per_zone=entries_per_zone)
+class ZonedDeployment(Deployment):
+    """A deployment with zones beside those of its example."""
+
+    def __init__(self, *, zones: int, **arguments: Any) -> None:
+        self._zones = zones
+        super().__init__(**arguments)
+
+    def _with_own_addresses(self, listed: Topology, per_zone: int) -> Topology:
+        regions_by_zone = {vm.zone: vm.region for vm in listed.entries}
+        for number in range(len(regions_by_zone), self._zones):
+            regions_by_zone[f"zone-{number}"] = f"region-{number}"
+        entries = tuple(
+            EntryVm(f"{zone}-{index + 1}", region, zone, "", "")
+            for zone, region in regions_by_zone.items()
+            for index in range(per_zone)
+        )
+        wanted = Topology(listed.deployment, entries, listed.control)
+        return super()._with_own_addresses(wanted, per_zone)
+
+
+def measure_zones(zones: int) -> None:
+    """Let a deployment rest and print what each daemon spends on control."""
+    with tempfile.TemporaryDirectory() as folder, CountingProxy() as proxy:
+        deployment = ZonedDeployment(
+            zones=zones,
+            folder=Path(folder),
+            entries_per_zone=ENTRIES_PER_ZONE,
+            link=proxy.link,
+        )
         try:
             deployment.start_control()
             deployment.start_entries()
             deployment.wait_ready([vm.name for vm in deployment.topology.control])
             deployment.configure()
             deployment.wait_ready()
-            time.sleep(3.0)
-            print_idle(deployment, entries_per_zone)
+            time.sleep(SETTLE_SECONDS)
+            print_idle(deployment, proxy, zones)
         finally:
             deployment.close()
 
 
-def print_idle(deployment: Deployment, entries_per_zone: int) -> None:
+def print_idle(deployment: Deployment, proxy: CountingProxy, zones: int) -> None:
     pids_by_name = {n: p.pid for n, p in deployment.processes_by_name.items()}
     before = {name: cpu_seconds(pid) for name, pid in pids_by_name.items()}
+    bytes_before = dict(proxy.bytes_by_name)
     time.sleep(IDLE_SECONDS)
     for role, names in (
         ("entry", [vm.name for vm in deployment.topology.entries]),
         ("control", [vm.name for vm in deployment.topology.control]),
     ):
         used = [cpu_seconds(pids_by_name[n]) - before[n] for n in names]
+        moved = [proxy.bytes_by_name[n] - bytes_before.get(n, 0) for n in names]
         resident = [resident_bytes(pids_by_name[n]) for n in names]
         print(
-            f"idle role={role} entries_per_zone={entries_per_zone} zones=3 "
+            f"idle role={role} zones={zones} entries_per_zone={ENTRIES_PER_ZONE} "
             f"cpu_percent_mean={sum(used) / len(used) / IDLE_SECONDS * 100:.2f} "
             f"cpu_percent_max={max(used) / IDLE_SECONDS * 100:.2f} "
+            f"bytes_per_second_mean={sum(moved) / len(moved) / IDLE_SECONDS:.0f} "
+            f"bytes_per_second_max={max(moved) / IDLE_SECONDS:.0f} "
             f"rss_mib_mean={sum(resident) / len(resident) / 2**20:.0f}"
         )
 
