--- a/poplarlug/supervision.py
+++ b/poplarlug/supervision.py
@@ -6,11 +6,13 @@
 from random import Random
 
 from poplarlug.logs import PartLog
+from poplarlug.metrics import SUPERVISOR_FAILURES
 
 MAX_RESTARTS = 8
 RESTART_WINDOW_SECONDS = 60.0
 FIRST_BACKOFF_SECONDS = 0.05
 MAX_BACKOFF_SECONDS = 5.0
+STOP_TIMEOUT_SECONDS = 10.0
 
 ChildFactory = Callable[[], Awaitable[None]]
 
@@ -29,6 +31,8 @@
     exponential delay with jitter. More than ``max_restarts`` failures of one
     child in ``window_seconds`` end the supervisor with
     :class:`RestartsExhaustedError`, which the supervisor above sees as a failure.
+    When the supervisor ends, its children are cancelled one after the other, the
+    one started last first, so that none outlives what it was built on.
 
     Parameters
     ----------
@@ -51,7 +55,7 @@
         self._max_restarts = max_restarts
         self._window_seconds = window_seconds
         self._children_by_name: dict[str, ChildFactory] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: list[asyncio.Task[None]] = []
         self._running = False
 
     def add_child(self, name: str, factory: ChildFactory) -> None:
@@ -77,19 +81,24 @@
                 done, _ = await asyncio.wait(
                     self._tasks, return_when=asyncio.FIRST_COMPLETED
                 )
-                self._tasks -= done
+                self._tasks = [task for task in self._tasks if task not in done]
                 for task in done:
                     task.result()
         finally:
             self._running = False
-            for task in self._tasks:
-                task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
-            self._tasks.clear()
+            await self._stop_children()
 
     def _start(self, name: str, factory: ChildFactory) -> None:
         task = asyncio.ensure_future(self._keep_running(name, factory))
-        self._tasks.add(task)
+        self._tasks.append(task)
+
+    async def _stop_children(self) -> None:
+        while self._tasks:
+            task = self._tasks.pop()
+            task.cancel()
+            _, pending = await asyncio.wait({task}, timeout=STOP_TIMEOUT_SECONDS)
+            if pending:
+                _log.error("child does not stop", supervisor=self._name)
 
     async def _keep_running(self, name: str, factory: ChildFactory) -> None:
         loop = asyncio.get_running_loop()
@@ -110,6 +119,7 @@
                     error=repr(error),
                     exc_info=True,
                 )
+                SUPERVISOR_FAILURES.labels(self._name, name).inc()
                 if len(failures) > self._max_restarts:
                     raise RestartsExhaustedError(
                         f"{self._name}/{name} failed {len(failures)} times"
