Write one line a request, trace its id, and count what callers get

Each request leaves one JSON line (account, rank, target, zone served, region, status, error, ran, first token and total seconds, attempts, forwarded, bytes) on standard error or in a bounded, rotated file, written in batches by a task of its own. The request id is on each log line, at the receiving entry of a forward too. Metrics carry rank and outcome and no account.

Seen failing first: test_observability without the receiving entry's id; test_requestlog without the queue's bound and without rotation; the cardinality test with the account as a label.

--- a/poplarlug/callers/application.py
+++ b/poplarlug/callers/application.py
@@ -6,7 +6,6 @@
 from collections.abc import Awaitable, Callable
 
 import aiohttp
-import structlog
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
@@ -15,6 +14,7 @@
 from poplarlug.callers.connections import ConnectionGuard
 from poplarlug.callers.directory import Directory
 from poplarlug.callers.http_sink import HttpSink
+from poplarlug.callers.observation import RequestObserver
 from poplarlug.callers.parsing import HttpRequest, parse_completion, parse_service_call
 from poplarlug.callers.responses import error_response
 from poplarlug.catalog import Account, Catalog
@@ -22,6 +22,7 @@
 from poplarlug.membership.sharing import Membership
 from poplarlug.serving.gateway import Gateway
 from poplarlug.serving.requests import GatewayRequest
+from poplarlug.serving.trace import RequestTrace
 
 SERVICE_PREFIX = "/svc/"
 MAX_REQUEST_ID_LENGTH = 128
@@ -54,6 +55,7 @@
         announcements: AnnouncementHandler,
         guard: ConnectionGuard,
         accepts: Callable[[], bool],
+        observer: RequestObserver,
     ) -> None:
         self._catalog = catalog
         self._membership = membership
@@ -62,6 +64,7 @@
         self._announcements = announcements
         self._guard = guard
         self._accepts = accepts
+        self._observer = observer
 
     def build(self) -> web.Application:
         app = web.Application(
@@ -112,13 +115,20 @@
         request_id = request.headers.get("X-Request-Id", "") or uuid.uuid4().hex
         if not _REQUEST_ID_PATTERN.fullmatch(request_id):
             return error_response(_bad_request_id(), "")
-        structlog.contextvars.bind_contextvars(request_id=request_id)
+        with self._observer.observe(request_id) as trace:
+            return await self._answer(request, path, parse, trace)
+
+    async def _answer(
+        self, request: web.Request, path: str, parse: Parse, trace: RequestTrace
+    ) -> web.StreamResponse:
+        request_id = trace.request_id
         if not self._accepts():
             error = not_run("This entry takes no requests now; ask another.", 1.0)
             return error_response(error, request_id)
         found = authenticate(request.headers, self._catalog)
         if isinstance(found, Failure):
             return error_response(found.failure(), request_id)
+        trace.account = found.unwrap().name
         read = await self._read_body(request)
         if isinstance(read, Failure):
             return error_response(read.failure(), request_id)
@@ -127,7 +137,8 @@
         parsed = parse(http, found.unwrap())
         if isinstance(parsed, Failure):
             return error_response(parsed.failure(), request_id)
-        sink = HttpSink(request=request, request_id=request_id)
+        trace.request = parsed.unwrap()
+        sink = HttpSink(request=request, request_id=request_id, trace=trace)
         failed = await self._gateway.serve(parsed.unwrap(), sink)
         if failed is None and sink.started:
             await sink.finish()
@@ -135,7 +146,9 @@
             return sink.response
         if failed is None:
             failed = GatewayError(502, "empty_answer", "the upstream gave no answer")
+        trace.abandoned = sink.closed
         if sink.response is not None:
+            trace.error = failed
             _abort(request)
             return sink.response
         return error_response(failed, request_id)
--- a/poplarlug/callers/http_sink.py
+++ b/poplarlug/callers/http_sink.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from poplarlug.serving.answers import AnswerHead, AnswerSink
+from poplarlug.serving.trace import RequestTrace
 
 WRITE_TIMEOUT_SECONDS = 30.0
 HIGH_WATER_BYTES = 64 * 1024
@@ -22,10 +23,17 @@
     known length is held until it is whole and leaves in one write.
     """
 
-    def __init__(self, *, request: web.Request, request_id: str) -> None:
+    def __init__(
+        self,
+        *,
+        request: web.BaseRequest,
+        request_id: str,
+        trace: RequestTrace | None = None,
+    ) -> None:
         super().__init__()
         self._request = request
         self._request_id = request_id
+        self._trace = trace or RequestTrace(request_id=request_id, started=0.0)
         self._transport = request.transport
         self._chunked = False
         self._held: bytearray | None = None
@@ -40,7 +48,7 @@
 
     async def start(self, head: AnswerHead) -> None:
         self.started = True
-        self._head = head
+        self._head = self._trace.head = head
         if head.content_length is not None and head.content_length <= MAX_HELD_BYTES:
             self._held = bytearray()
             return
@@ -54,6 +62,7 @@
 
     def write_nowait(self, data: bytes) -> bool:
         if self._held is not None:
+            self._count(data)
             self._held += data
             return True
         transport = self._transport
@@ -61,6 +70,7 @@
             return False
         if transport.get_write_buffer_size() > HIGH_WATER_BYTES:
             return False
+        self._count(data)
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         transport.write(data)
@@ -96,6 +106,12 @@
         assert self.response is not None
         await self.response.write_eof()
 
+    def _count(self, data: bytes) -> None:
+        trace = self._trace
+        trace.bytes += len(data)
+        if trace.first_byte is None:
+            trace.first_byte = asyncio.get_running_loop().time()
+
     def _held_response(self, body: bytes) -> web.Response:
         assert self._head is not None
         headers = self._headers(self._head)
--- a/poplarlug/callers/responses.py
+++ b/poplarlug/callers/responses.py
@@ -3,10 +3,12 @@
 from aiohttp import web
 
 from poplarlug.errors import GatewayError, to_body
+from poplarlug.serving.trace import current_trace
 
 
 def error_response(error: GatewayError, request_id: str) -> web.Response:
-    """Return the typed JSON response of ``error``."""
+    """Return the typed JSON response of ``error`` and note it in the trace."""
+    current_trace().error = error
     headers = {"X-Request-Id": request_id}
     if error.retry_after_seconds is not None:
         headers["Retry-After"] = str(max(1, round(error.retry_after_seconds)))
--- a/poplarlug/entry/main.py
+++ b/poplarlug/entry/main.py
@@ -13,6 +13,7 @@
 from poplarlug.callers.application import CallerApplication
 from poplarlug.callers.connections import ConnectionGuard, HttpLimits
 from poplarlug.callers.directory import Directory
+from poplarlug.callers.observation import RequestObserver
 from poplarlug.callers.platform_directory import DirectoryWriter, FileDirectory
 from poplarlug.daemon import (
     EXIT_BAD_SETTINGS,
@@ -27,6 +28,8 @@
 from poplarlug.entry.forwards import ForwardGate
 from poplarlug.logs import PartLog
 from poplarlug.membership.sharing import Membership
+from poplarlug.metrics import sample_loop_lag
+from poplarlug.requestlog import RequestLog, RequestLogSettings
 from poplarlug.routing import (
     ExpectedFinish,
     PrefixIndex,
@@ -73,6 +76,7 @@
     log: LogSettings = LogSettings()
     http: HttpLimits = HttpLimits()
     platform_directory_folder: str | None = None
+    request_log: RequestLogSettings = RequestLogSettings()
 
 
 class Entry:
@@ -94,6 +98,7 @@
         rng: Random,
         incarnation: int,
         limits: HttpLimits,
+        request_log: RequestLog,
         store: ConfigStore | None = None,
     ) -> None:
         clock = asyncio.get_running_loop().time
@@ -165,8 +170,13 @@
             ),
             guard=self.guard,
             accepts=self.accepts,
+            observer=RequestObserver(
+                own=own, log=request_log, clock=clock, wall_clock=time.time
+            ),
         )
         self.supervisor = Supervisor(name="entry", rng=rng)
+        self.supervisor.add_child("request log", request_log.run)
+        self.supervisor.add_child("loop lag", sample_loop_lag)
         self.supervisor.add_child("transport", self.transport.run)
         self.supervisor.add_child("follower", self.follower.run)
         self.supervisor.add_child("membership", self.membership.run)
@@ -230,6 +240,7 @@
         topology=topology,
         keys=settings.keys.relative_to(folder),
         rng=Random(),
+        request_log=RequestLog(settings=settings.request_log, folder=folder),
         store=store,
         incarnation=time.time_ns() // NANOSECONDS_PER_MILLISECOND,
         limits=settings.http,
--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -5,10 +5,13 @@
 from typing import NamedTuple
 
 import aiohttp
+from prometheus_client import Counter
 
+from poplarlug.metrics import REGISTRY
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.relay import BodyRelay
 from poplarlug.serving.requests import GatewayRequest
+from poplarlug.serving.trace import current_trace
 from poplarlug.serving.watchdog import Watchdog, Watched
 from poplarlug.types import Address, Seconds
 
@@ -16,6 +19,13 @@
 MAX_CONNECTIONS = 10_000
 EVENT_STREAM = "text/event-stream"
 
+_ATTEMPTS = Counter(
+    "poplarlug_attempts_total",
+    "Attempts at upstreams, by how they ended.",
+    ["status"],
+    registry=REGISTRY,
+)
+
 
 class AttemptStatus(Enum):
     """
@@ -80,6 +90,18 @@
         timeout_seconds : float, optional
             Longest time to the end of the answer.
         """
+        current_trace().attempts += 1
+        outcome = await self._attempt(request, address, sink, timeout_seconds)
+        _ATTEMPTS.labels(outcome.status.value).inc()
+        return outcome
+
+    async def _attempt(
+        self,
+        request: GatewayRequest,
+        address: Address,
+        sink: AnswerSink,
+        timeout_seconds: Seconds | None,
+    ) -> AttemptOutcome:
         scope = asyncio.timeout(timeout_seconds)
         watched = Watched(
             scope=scope, is_abandoned=lambda: request.repeatable and sink.closed
--- a/poplarlug/serving/forwarding.py
+++ b/poplarlug/serving/forwarding.py
@@ -5,10 +5,12 @@
 
 import msgspec
 from returns.result import Failure
+from structlog.contextvars import bind_contextvars
 
 from poplarlug.errors import GatewayError, not_run, outcome_unknown, truncated_answer
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.requests import GatewayRequest
+from poplarlug.serving.trace import current_trace
 from poplarlug.transport import Transport, TransportErrorKind
 from poplarlug.types import VmName
 
@@ -38,6 +40,7 @@
         self, request: GatewayRequest, entry: VmName, sink: AnswerSink
     ) -> GatewayError | None:
         """Run ``request`` through ``entry`` and pass the answer to ``sink``."""
+        current_trace().forwarded = True
         opened = self._transport.open_stream(
             peer=entry,
             topic=FORWARD_TOPIC,
@@ -80,6 +83,7 @@
 
     async def _serve_into(self, request: GatewayRequest, sink: "_QueueSink") -> None:
         assert self._serve is not None
+        bind_contextvars(request_id=request.id)
         error = await self._serve(request, sink)
         if error is not None:
             await sink.parts.put(_ERROR + msgspec.msgpack.encode(error))
--- /dev/null
+++ b/poplarlug/serving/trace.py
@@ -0,0 +1,53 @@
+"""What is known of one request while an entry serves it."""
+
+from contextvars import ContextVar, Token
+
+from poplarlug.errors import GatewayError
+from poplarlug.serving.answers import AnswerHead
+from poplarlug.serving.requests import GatewayRequest
+from poplarlug.types import AccountName, RequestId, Seconds
+
+
+class RequestTrace:
+    """
+    Facts of one request, filled in by the parts that it passes.
+
+    Parameters
+    ----------
+    started : float
+        Loop time in seconds at which the request came.
+    """
+
+    def __init__(self, *, request_id: RequestId, started: Seconds) -> None:
+        self.request_id = request_id
+        self.started = started
+        self.account: AccountName = ""
+        self.request: GatewayRequest | None = None
+        self.head: AnswerHead | None = None
+        self.error: GatewayError | None = None
+        self.first_byte: Seconds | None = None
+        self.bytes = 0
+        self.attempts = 0
+        self.forwarded = False
+        self.abandoned = False
+
+
+_trace: ContextVar[RequestTrace | None] = ContextVar("trace", default=None)
+
+
+def current_trace() -> RequestTrace:
+    """Return the trace of the request that the running task serves."""
+    trace = _trace.get()
+    if trace is None:
+        trace = RequestTrace(request_id="", started=0.0)
+        _trace.set(trace)
+    return trace
+
+
+def set_trace(trace: RequestTrace) -> Token[RequestTrace | None]:
+    """Make ``trace`` the running task's; undo by :func:`reset_trace`."""
+    return _trace.set(trace)
+
+
+def reset_trace(token: Token[RequestTrace | None]) -> None:
+    _trace.reset(token)
--- a/poplarlug/transport/zeromq.py
+++ b/poplarlug/transport/zeromq.py
@@ -11,6 +11,7 @@
 from zmq.auth.asyncio import AsyncioAuthenticator
 
 from poplarlug.logs import PartLog
+from poplarlug.metrics import count_frame
 from poplarlug.topology import KeyFiles
 from poplarlug.transport.base import MAX_MESSAGE_BYTES, Transport
 from poplarlug.transport.frames import Header, encode_header
@@ -84,6 +85,7 @@
             while True:
                 frames = await self._router.recv_multipart()
                 if len(frames) == 3:
+                    count_frame("received", len(frames[2]))
                     self._receive_request(frames[0], frames[1], frames[2])
         finally:
             closing_idle.cancel()
@@ -124,6 +126,7 @@
             frames = await dealer.recv_multipart()
             self._last_uses_by_name[peer] = loop.time()
             if len(frames) == 2:
+                count_frame("received", len(frames[1]))
                 self._receive_reply(frames[0], frames[1])
 
     async def _watch_link(self, peer: VmName, dealer: zmq.asyncio.Socket) -> None:
@@ -204,6 +207,7 @@
     except zmq.ZMQError as error:
         _log.warning("send failed", error=str(error))
         return False
+    count_frame("sent", len(frames[-1]))
     # A send may leave a received message unannounced on the descriptor.
     socket._schedule_remaining_events()
     return True
