Prove linear lists at a replica that lost the leader

Cause: a list could be old, and the first test of it, changes and reads in turn, passed with the wait taken out: followers apply within the read's own time.

Change: the replica is cut off before the change; its list must fail, and answers the old version when that is asked for.

Conclusion: no list says less than what was accepted before it, unless asked to.

--- a/tests/control/test_orderer.py
+++ b/tests/control/test_orderer.py
@@ -4,8 +4,13 @@
 from random import Random
 from unittest import TestCase
 
-from poplarlug.control.order_guard import GUARD_SECONDS, TokenBucket
+from poplarlug.control.order_guard import (
+    GUARD_SECONDS,
+    MAX_LEASE_SECONDS,
+    TokenBucket,
+)
 from poplarlug.control.orders import OrderOutcome, OrderRequest, OrderStatus
+from poplarlug.control.raft.timing import LEASE_SECONDS, MAX_CLOCK_DRIFT
 from poplarlug.virtualtime import run_virtual
 from tests.control.lease_group import OrderWorld, RecordingEndpoint
 
@@ -107,6 +112,11 @@
 
         run_virtual(main())
 
+    def test_guard_covers_the_lease_of_the_log(self) -> None:
+        """The lease that the guard assumes is longer than the log's."""
+        longest = LEASE_SECONDS * (1 + MAX_CLOCK_DRIFT)
+        self.assertGreaterEqual(MAX_LEASE_SECONDS, longest)
+
     def test_bucket_gives_a_burst_and_then_its_rate(self) -> None:
         """No more than the burst plus the rate is ever given."""
 
--- a/tests/processes/test_operators_changes.py
+++ b/tests/processes/test_operators_changes.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 import grpc
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from examples.deployment import wait_until
 from poplarlug.catalog import Model, Region
@@ -79,6 +79,43 @@
         for line in lost:
             self.assertEqual(line.version, winners[line.expected_version])
 
+    def test_cut_off_replica_does_not_list_what_may_be_old(self) -> None:
+        """A replica that lost the leader fails, unless old answers are asked for."""
+        writer = self.client()
+        leader = (
+            writer.call(lambda stub: stub.ConfigStatus, pb.ConfigStatusRequest())
+            .unwrap()
+            .leader
+        )
+        cut = next(vm for vm in self.deployment.topology.control if vm.name != leader)
+        reader = OperatorClient(
+            servers=[cut.grpc], key=self.deployment.operator_key, resend_seconds=0.0
+        )
+        self.addCleanup(reader.close)
+        first = writer.change("model", Model("linear"), expected_version=0).unwrap()
+        self.assertEqual(self.read(reader, "model", "linear").version, first.version)
+        self.addCleanup(self.proxy.heal)
+        self.proxy.isolate(cut.name)
+        changed = Model("linear", version="2")
+        second = writer.change("model", changed, expected_version=first.version)
+        self.assertEqual(second.unwrap().status, pb.ChangeReply.ACCEPTED)
+        request = pb.ListRequest(kind="model", name="linear")
+        read = reader.call(lambda stub: stub.List, request)
+        assert isinstance(read, Failure)
+        self.assertEqual(read.failure().code, "UNAVAILABLE")
+        request.may_be_old = True
+        old = reader.call(lambda stub: stub.List, request).unwrap()
+        self.assertEqual(old.objects[0].version, first.version)
+        self.proxy.heal()
+        request.may_be_old = False
+        wait_until(
+            lambda: (
+                isinstance(r := reader.call(lambda stub: stub.List, request), Success)
+                and r.unwrap().objects[0].version == second.unwrap().version
+            ),
+            "the replica does not catch up",
+        )
+
     def test_lost_answer_and_resend_apply_once(self) -> None:
         """A change whose answer was lost has its first outcome on a resend."""
         vm = self.deployment.topology.control[0]
