--- a/poplarlug/serving/forwarding.py
+++ b/poplarlug/serving/forwarding.py
@@ -7,14 +7,17 @@
 from returns.result import Failure
 
 from poplarlug.errors import GatewayError, not_run, outcome_unknown, truncated_answer
+from poplarlug.logs import PartLog
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.requests import GatewayRequest
-from poplarlug.transport import Transport, TransportErrorKind
+from poplarlug.transport import Transport
 from poplarlug.types import VmName
 
 FORWARD_TOPIC = "serving.forward"
 QUEUED_CHUNKS = 64
 
+_log = PartLog(prefix="serving")
+
 _HEAD = b"H"
 _BODY = b"B"
 _ERROR = b"E"
@@ -50,10 +53,10 @@
             while True:
                 item = await stream.next_chunk()
                 if isinstance(item, Failure):
-                    error = item.failure()
-                    if error.kind is TransportErrorKind.REFUSED and not sink.started:
-                        return outcome_unknown(error.message)
-                    return truncated_answer(error.message)
+                    # The peer may have sent the request to an upstream.
+                    if not sink.started:
+                        return outcome_unknown(item.failure().message)
+                    return truncated_answer(item.failure().message)
                 chunk = item.unwrap()
                 if chunk is None:
                     return None
@@ -80,7 +83,11 @@
 
     async def _serve_into(self, request: GatewayRequest, sink: "_QueueSink") -> None:
         assert self._serve is not None
-        error = await self._serve(request, sink)
+        try:
+            error = await self._serve(request, sink)
+        except Exception as failure:
+            _log.error("a forwarded request failed", exc_info=True)
+            error = outcome_unknown(f"the serving entry failed: {failure!r}")
         if error is not None:
             await sink.parts.put(_ERROR + msgspec.msgpack.encode(error))
         await sink.parts.put(None)
