--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -20,6 +20,7 @@
 )
 from poplarlug.routing.prefix_hashes import PromptShape, shape_of_body
 from poplarlug.serving.answers import AnswerSink
+from poplarlug.serving.at_most_once import AtMostOnce
 from poplarlug.serving.attempts import AttemptStatus, UpstreamClient
 from poplarlug.serving.dispatcher import (
     Dispatcher,
@@ -48,6 +49,8 @@
         The configuration in force.
     dispatch : DispatchParts
         Decides where and when each request runs.
+    at_most_once : AtMostOnce or None
+        Guards requests that may not be repeated; without it they are refused.
     """
 
     def __init__(
@@ -58,7 +61,9 @@
         dispatch: DispatchParts,
         client: UpstreamClient,
         forwarder: Forwarder,
+        at_most_once: AtMostOnce | None = None,
     ) -> None:
+        self._at_most_once = at_most_once
         self._catalog = catalog
         self._membership = membership
         self._loads = dispatch.loads
@@ -87,7 +92,18 @@
             refused = self._check_borders(request, account)
             if refused is not None:
                 return refused
-            return await self._attempt_all(request, account, sink)
+            if request.repeatable or request.hops > 0:
+                # The entry that forwarded a request has claimed its key.
+                return await self._attempt_all(request, account, sink)
+            if self._at_most_once is None:
+                return not_run("this entry keeps no claims", RETRY_AFTER_SECONDS)
+
+            async def run(
+                claimed: GatewayRequest, answer: AnswerSink
+            ) -> GatewayError | None:
+                return await self._attempt_all(claimed, account, answer)
+
+            return await self._at_most_once.serve(request, account, sink, run)
         finally:
             self.in_progress.set(self.in_progress.value - 1)
 
@@ -119,25 +135,22 @@
                 route_request._replace(excluded=excluded)
             )
             if isinstance(placed, Failure):
-                return error or placed.failure()
+                return _final_error(error, placed.failure())
             placement = placed.unwrap()
             if isinstance(placement, ForwardRoute):
                 failed = await self._forwarder.forward(request, placement.entry, sink)
-                if failed is None or failed.ran is not False or sink.started:
-                    return failed
-                # The other zone didn't run it; the own one may.
+                # The own zone may still run it.
                 route_request = route_request._replace(may_forward=False)
-                error = failed
-                continue
-            failed = await self._attempt_local(request, placement, sink)
+            else:
+                failed = await self._attempt_local(request, placement, sink)
+                excluded |= {placement.upstream.id}
             if failed is None:
                 return None
-            error = failed
+            error = _final_error(error, failed)
             if sink.started or sink.closed:
                 return error
-            if error.ran is not False and not request.repeatable:
+            if failed.ran is not False and not request.repeatable:
                 return error
-            excluded |= {placement.upstream.id}
         return error
 
     def _route_request(self, request: GatewayRequest, account: Account) -> RouteRequest:
@@ -189,6 +202,13 @@
         )
 
 
+def _final_error(earlier: GatewayError | None, latest: GatewayError) -> GatewayError:
+    # "Not run" has to hold for all attempts together.
+    if earlier is None or earlier.ran is False:
+        return latest
+    return earlier if latest.ran is False else latest
+
+
 def _zone_views(summaries: tuple[ZoneSummary, ...]) -> tuple[ZoneView, ...]:
     summaries_by_zone: dict[str, list[ZoneSummary]] = {}
     for summary in summaries:
