Take each report of an upstream once

Cause: a request that ended named the announcement it was sent by; its older report was taken for news, so others' load and the limit flapped. Seen through the process test of the patient flood, whose mutant (patient first) passed. Change: only a newer report counts. Seen failing first: test_older_report_changes_nothing with the old comparison; tests.processes.test_patient_flood with patient work first (urgent refused) and with refusal after the wait only (the refusals come last).

--- a/poplarlug/routing/upstream_loads.py
+++ b/poplarlug/routing/upstream_loads.py
@@ -140,10 +140,8 @@
         if load is None:
             load = UpstreamLoad(limit=self._initial_limit(upstream))
             self._loads_by_id[upstream.id] = load
-        if (
-            upstream.sequence != load.sequence
-            or upstream.incarnation != load.incarnation
-        ):
+        news = (upstream.incarnation, upstream.sequence)
+        if news > (load.incarnation, load.sequence):
             _take_report(load, upstream)
         return load
 
--- a/tests/routing/test_upstream_loads.py
+++ b/tests/routing/test_upstream_loads.py
@@ -21,6 +21,14 @@
         self.loads.started(report)
         self.assertEqual(self.loads.total(report), 6)
 
+    def test_older_report_changes_nothing(self) -> None:
+        """A request that ends names the report that it was sent by, not news."""
+        self.loads.started(ENGINE)
+        report = ENGINE._replace(sequence=2, running=4)
+        self.assertEqual(self.loads.total(report), 4)
+        self.loads.ended(ENGINE)
+        self.assertEqual(self.loads.total(report), 3)
+
     def test_limit_shrinks_on_queues_and_grows_without(self) -> None:
         """A queue at the upstream shrinks a used limit; an empty one lets it grow."""
         for _ in range(4):
