Give patient work fewer slots while urgent answers are slowed

Change: while urgent requests take over 1.08 times their calm time, the share of the slots for lower ranks shrinks, down to a quarter; headroom is 2.5 roots. Seen failing first: the new test with is_slowed() false.

--- a/poplarlug/admission/rank_pool.py
+++ b/poplarlug/admission/rank_pool.py
@@ -1,91 +1,20 @@
 """Slots of one model or service, shared among ranks."""
 
 import asyncio
-import math
 from collections.abc import Callable
 
 from poplarlug.admission.base import AdmissionRequest, Permit, Slots
-from poplarlug.admission.fair_queue import FairQueue, Waiting
-from poplarlug.catalog import Rank
+from poplarlug.admission.fair_queue import Waiting
+from poplarlug.admission.rank_state import RankState
 from poplarlug.types import RankName, Seconds
 
-AVERAGE_SECONDS = 30.0
-HEADROOM_DEVIATIONS = 3.0
-MAX_CREDIT_SECONDS = 30.0
-DRAIN_SAMPLE_SECONDS = 5.0
 MIN_DRAIN = 0.1
-COST_RATIO_WEIGHT = 0.05
+LOWER_SHARE_DECREASE = 0.97
+LOWER_SHARE_INCREASE = 0.01
+MIN_LOWER_SHARE = 0.25
 MAX_RETRY_AFTER_SECONDS = 300.0
 
 
-class _RankState:
-    """Use and queue of one rank."""
-
-    def __init__(self, *, rank: Rank, now: Seconds) -> None:
-        self.rank = rank
-        self.queue = FairQueue()
-        self.in_use = 0
-        self.average_in_use = 0.0
-        self.average_at = now
-        self.cost_ratio = 1.0
-        self.mean_cost = 1.0
-        self.retry_promised_at = now
-        self.floor_slots = 0.0
-        # Slot-seconds that the floor owes the rank while it has work queued.
-        self.credit_seconds = 0.0
-        # Slots' worth of queued work that was started of late.
-        self.drain: float | None = None
-        self._backlog_seconds = 0.0
-        self._backlog_work = 0.0
-
-    def note_started(self, cost: Seconds) -> None:
-        """Count queued work that starts, for the rate at which the queue drains."""
-        self._backlog_work += cost * self.cost_ratio
-        if self._backlog_seconds < DRAIN_SAMPLE_SECONDS:
-            return
-        sample = self._backlog_work / self._backlog_seconds
-        self.drain = sample if self.drain is None else (self.drain + sample) / 2
-        self._backlog_seconds = self._backlog_work = 0.0
-
-    def note_queue_start(self) -> None:
-        """Forget the former queue's rate."""
-        self.drain = None
-        self._backlog_seconds = self._backlog_work = 0.0
-
-    def note_use(self, change: int, now: Seconds) -> None:
-        """Count a start or an end and move the average on to ``now``."""
-        elapsed = now - self.average_at
-        if len(self.queue):
-            owed = self.credit_seconds + (self.floor_slots - self.in_use) * elapsed
-            largest = MAX_CREDIT_SECONDS * max(1.0, self.floor_slots)
-            self.credit_seconds = max(-largest, min(largest, owed))
-            self._backlog_seconds += elapsed
-        else:
-            self.credit_seconds = 0.0
-        decay = math.exp(-elapsed / AVERAGE_SECONDS)
-        self.average_in_use = self.in_use + (self.average_in_use - self.in_use) * decay
-        self.average_at = now
-        self.in_use += change
-
-    def is_below_floor(self) -> bool:
-        """Return whether the rank has had less than its floor of late."""
-        return self.credit_seconds > 0 and self.in_use < max(1.0, self.floor_slots)
-
-    def headroom(self, now: Seconds, sharers: int = 1) -> float:
-        """
-        Return the slots that lower ranks must leave free for this one.
-
-        Parameters
-        ----------
-        sharers : int
-            Entries whose use counts, each taken to be like the own one.
-        """
-        self.note_use(0, now)
-        mean = self.average_in_use * sharers
-        wanted = mean + HEADROOM_DEVIATIONS * math.sqrt(mean)
-        return max(0.0, math.ceil(wanted) - self.in_use * sharers)
-
-
 class RankPool:
     """
     Start the most urgent rank first, with a floor for each rank.
@@ -93,7 +22,8 @@
     A rank with queued work is owed its ``floor_share`` of the slots over time and
     goes before all others while it is owed any. Beyond its floor a rank leaves
     headroom for more urgent ones: their average use and
-    ``HEADROOM_DEVIATIONS`` of its square root.
+    ``HEADROOM_DEVIATIONS`` of its square root. While the most urgent rank takes
+    clearly longer than in calm times, the others' share of the slots shrinks.
 
     Parameters
     ----------
@@ -103,9 +33,11 @@
 
     def __init__(self, *, clock: Callable[[], Seconds]) -> None:
         self._clock = clock
-        self._states_by_rank: dict[RankName, _RankState] = {}
+        self._states_by_rank: dict[RankName, RankState] = {}
         self._slots: Callable[[], Slots] | None = None
         self._unplaced = 0
+        # Share of the slots that lower ranks may use beside the most urgent one.
+        self._lower_share = 1.0
 
     def may_start(self, request: AdmissionRequest) -> bool:
         """Return whether ``request`` may start now, before all that wait."""
@@ -198,7 +130,7 @@
             started=self._clock(),
         )
 
-    def _take_slot(self, state: _RankState) -> None:
+    def _take_slot(self, state: RankState) -> None:
         self._unplaced += 1
         state.note_use(1, self._clock())
 
@@ -211,7 +143,7 @@
             shared_free=slots.shared_free - self._unplaced,
         )
 
-    def _next(self, slots: Slots) -> _RankState | None:
+    def _next(self, slots: Slots) -> RankState | None:
         waiting = [s for s in self._by_priority() if len(s.queue)]
         now = self._clock()
         for state in waiting:
@@ -225,7 +157,7 @@
                 return state
         return None
 
-    def _has_slot(self, state: _RankState, slots: Slots) -> bool:
+    def _has_slot(self, state: RankState, slots: Slots) -> bool:
         if slots.free <= 0:
             return False
         if state.is_below_floor():
@@ -245,14 +177,24 @@
         if self._is_most_urgent(state):
             # Upstreams honour priorities: it overtakes what they have queued.
             return True
+        if state.in_use >= max(1.0, self._lower_share * slots.total):
+            return False
         return slots.shared_free > shared_kept
 
-    def _is_most_urgent(self, state: _RankState) -> bool:
+    def _adapt_lower_share(self, urgent: RankState) -> None:
+        if urgent.is_slowed():
+            decreased = self._lower_share * LOWER_SHARE_DECREASE
+            self._lower_share = max(MIN_LOWER_SHARE, decreased)
+        else:
+            increased = self._lower_share + LOWER_SHARE_INCREASE
+            self._lower_share = min(1.0, increased)
+
+    def _is_most_urgent(self, state: RankState) -> bool:
         return state.rank.priority <= min(
             other.rank.priority for other in self._states_by_rank.values()
         )
 
-    def _share(self, state: _RankState) -> float:
+    def _share(self, state: RankState) -> float:
         """Return the slots that a rank can count on."""
         if state.drain is not None:
             return max(MIN_DRAIN, state.drain)
@@ -267,29 +209,29 @@
         floor = state.rank.floor_share * total
         return max(1.0, floor, total - higher - floors)
 
-    def _by_priority(self) -> list[_RankState]:
+    def _by_priority(self) -> list[RankState]:
         return sorted(self._states_by_rank.values(), key=lambda s: s.rank.priority)
 
-    def _state(self, request: AdmissionRequest) -> _RankState:
+    def _state(self, request: AdmissionRequest) -> RankState:
         self._slots = request.slots
         state = self._states_by_rank.get(request.rank.name)
         if state is None:
-            state = _RankState(rank=request.rank, now=self._clock())
+            state = RankState(rank=request.rank, now=self._clock())
             self._states_by_rank[request.rank.name] = state
         state.rank = request.rank
         return state
 
-    def _release(self, state: _RankState, cost: Seconds, held: Seconds) -> None:
+    def _release(self, state: RankState, cost: Seconds, held: Seconds) -> None:
         state.note_use(-1, self._clock())
-        state.mean_cost += COST_RATIO_WEIGHT * (cost - state.mean_cost)
-        if cost > 0:
-            state.cost_ratio += COST_RATIO_WEIGHT * (held / cost - state.cost_ratio)
+        state.note_held(cost, held)
+        if self._is_most_urgent(state):
+            self._adapt_lower_share(state)
         self.wake()
 
 
 class _PoolPermit(Permit):
     def __init__(
-        self, *, pool: RankPool, state: _RankState, cost: Seconds, started: Seconds
+        self, *, pool: RankPool, state: RankState, cost: Seconds, started: Seconds
     ) -> None:
         self._pool = pool
         self._state = state
--- /dev/null
+++ b/poplarlug/admission/rank_state.py
@@ -0,0 +1,106 @@
+"""What a pool knows of one rank."""
+
+import math
+
+from poplarlug.admission.fair_queue import FairQueue
+from poplarlug.catalog import Rank
+from poplarlug.types import Seconds
+
+AVERAGE_SECONDS = 30.0
+HEADROOM_DEVIATIONS = 2.5
+MAX_CREDIT_SECONDS = 30.0
+DRAIN_SAMPLE_SECONDS = 5.0
+COST_RATIO_WEIGHT = 0.05
+CALM_RISE_WEIGHT = 0.0005
+CALM_SAMPLES = 50
+SLOWED_FACTOR = 1.08
+
+
+class RankState:
+    """Use, queue and recent pace of one rank."""
+
+    def __init__(self, *, rank: Rank, now: Seconds) -> None:
+        self.rank = rank
+        self.queue = FairQueue()
+        self.in_use = 0
+        self.average_in_use = 0.0
+        self.average_at = now
+        self.cost_ratio = 1.0
+        self.mean_cost = 1.0
+        # The cost ratio of calm times: follows down soon and up slowly.
+        self.calm_ratio = 1.0
+        self.samples = 0
+        self.retry_promised_at = now
+        self.floor_slots = 0.0
+        # Slot-seconds that the floor owes the rank while it has work queued.
+        self.credit_seconds = 0.0
+        # Slots' worth of queued work that was started of late.
+        self.drain: float | None = None
+        self._backlog_seconds = 0.0
+        self._backlog_work = 0.0
+
+    def note_held(self, cost: Seconds, held: Seconds) -> None:
+        """Count a request that held its slot for ``held`` seconds."""
+        self.mean_cost += COST_RATIO_WEIGHT * (cost - self.mean_cost)
+        if cost <= 0:
+            return
+        self.cost_ratio += COST_RATIO_WEIGHT * (held / cost - self.cost_ratio)
+        self.samples += 1
+        change = self.cost_ratio - self.calm_ratio
+        if self.samples < CALM_SAMPLES:
+            self.calm_ratio = self.cost_ratio
+        elif change < 0:
+            self.calm_ratio += COST_RATIO_WEIGHT * change
+        else:
+            self.calm_ratio += CALM_RISE_WEIGHT * change
+
+    def is_slowed(self) -> bool:
+        """Return whether requests take clearly longer than in calm times."""
+        return self.cost_ratio > SLOWED_FACTOR * self.calm_ratio
+
+    def note_started(self, cost: Seconds) -> None:
+        """Count queued work that starts, for the rate at which the queue drains."""
+        self._backlog_work += cost * self.cost_ratio
+        if self._backlog_seconds < DRAIN_SAMPLE_SECONDS:
+            return
+        sample = self._backlog_work / self._backlog_seconds
+        self.drain = sample if self.drain is None else (self.drain + sample) / 2
+        self._backlog_seconds = self._backlog_work = 0.0
+
+    def note_queue_start(self) -> None:
+        """Forget the former queue's rate."""
+        self.drain = None
+        self._backlog_seconds = self._backlog_work = 0.0
+
+    def note_use(self, change: int, now: Seconds) -> None:
+        """Count a start or an end and move the average on to ``now``."""
+        elapsed = now - self.average_at
+        if len(self.queue):
+            owed = self.credit_seconds + (self.floor_slots - self.in_use) * elapsed
+            largest = MAX_CREDIT_SECONDS * max(1.0, self.floor_slots)
+            self.credit_seconds = max(-largest, min(largest, owed))
+            self._backlog_seconds += elapsed
+        else:
+            self.credit_seconds = 0.0
+        decay = math.exp(-elapsed / AVERAGE_SECONDS)
+        self.average_in_use = self.in_use + (self.average_in_use - self.in_use) * decay
+        self.average_at = now
+        self.in_use += change
+
+    def is_below_floor(self) -> bool:
+        """Return whether the rank has had less than its floor of late."""
+        return self.credit_seconds > 0 and self.in_use < max(1.0, self.floor_slots)
+
+    def headroom(self, now: Seconds, sharers: int = 1) -> float:
+        """
+        Return the slots that lower ranks must leave free for this one.
+
+        Parameters
+        ----------
+        sharers : int
+            Entries whose use counts, each taken to be like the own one.
+        """
+        self.note_use(0, now)
+        mean = self.average_in_use * sharers
+        wanted = mean + HEADROOM_DEVIATIONS * math.sqrt(mean)
+        return max(0.0, math.ceil(wanted) - self.in_use * sharers)
--- a/tests/admission/test_rank_admission.py
+++ b/tests/admission/test_rank_admission.py
@@ -105,6 +105,22 @@
         self.assertGreaterEqual(bench.total - bench.in_flight, 2)
         self.assertGreaterEqual(bench.in_flight, 4)
 
+    @virtual
+    async def test_patient_share_shrinks_while_urgent_work_is_slowed(self) -> None:
+        """When urgent answers take twice as long, patient work gets fewer slots."""
+        started = []
+        for slow_seconds in (1.0, 2.0):
+            bench = Bench(total=20)
+            for seconds in [1.0] * 60 + [slow_seconds] * 60:
+                bench.start(URGENT, "a", seconds)
+                await asyncio.sleep(2.0)
+            for _ in range(30):
+                bench.start(PATIENT, "b", 50.0)
+            await asyncio.sleep(0.01)
+            started.append(bench.starts.count(("patient", "b")))
+        self.assertGreater(started[0], 12)
+        self.assertLess(started[1], 8)
+
     @virtual
     async def test_one_accounts_flood_does_not_starve_another(self) -> None:
         """Accounts with queued work take turns, whatever each has queued."""
