Prove the control group by killed, frozen, cut, wiped and damaged replicas

The first run of the second loss after a repair failed: the status showed a voter whose membership only the leader's log held, and killing that leader took the change of members with it. The status now shows committed members alone.

--- a/poplarlug/control/control_group.py
+++ b/poplarlug/control/control_group.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure
 
+from poplarlug.control.raft.members import Members
 from poplarlug.control.raft.messages import (
     CHANGE_REPLICA_TOPIC,
     Identity,
@@ -25,7 +26,8 @@
     Parameters
     ----------
     role : str
-        ``leader``, ``follower``, ``candidate``, or ``unreachable``.
+        ``leader`` while its lease lasts, ``follower``, ``candidate``, or
+        ``unreachable``.
     membership : str
         ``voter``, ``learner``, ``none``, or ``lost disk`` when it answers under
         another incarnation than the group's members hold.
@@ -65,7 +67,7 @@
 
     async def status(self) -> GroupStatus:
         """Ask all replicas for where they stand."""
-        members = self._replica.state.members
+        members = self._committed_members()
         names = dict.fromkeys([*self._names, *(one.name for one in members.all)])
         identities = await self._replica.identification.ask_all(list(names))
         replicas = [self._describe(name, identities.get(name)) for name in names]
@@ -106,8 +108,13 @@
     ) -> ReplicaChangeOutcome:
         return await self._replica.membership.change(message.action, message.name)
 
+    def _committed_members(self) -> Members:
+        # An uncommitted change may be lost with the leader.
+        state = self._replica.state
+        return state.members_at(state.commit_index)
+
     def _describe(self, name: VmName, identity: Identity | None) -> ReplicaStatus:
-        members = self._replica.state.members
+        members = self._committed_members()
         member = members.find(name)
         membership = "none"
         if member is not None:
--- a/poplarlug/control/raft/identification.py
+++ b/poplarlug/control/raft/identification.py
@@ -6,7 +6,8 @@
 from returns.result import Result, Success
 
 from poplarlug.control.log_storage import EntryKind
-from poplarlug.control.raft.consensus_state import ConsensusState
+from poplarlug.control.raft.consensus_state import ConsensusState, Role
+from poplarlug.control.raft.leading import Leading
 from poplarlug.control.raft.members import Member, Members, encode_members
 from poplarlug.control.raft.messages import IDENTITY_TOPIC, Identity, IdentityRequest
 from poplarlug.control.raft.timing import IDENTITY_TIMEOUT_SECONDS
@@ -22,8 +23,11 @@
 class Identification:
     """Tell peers who this replica is and ask them."""
 
-    def __init__(self, *, state: ConsensusState, transport: Transport) -> None:
+    def __init__(
+        self, *, state: ConsensusState, leading: Leading, transport: Transport
+    ) -> None:
         self._state = state
+        self._leading = leading
         self._transport = transport
         transport.serve(IDENTITY_TOPIC, IdentityRequest, self._serve_identity)
 
@@ -33,12 +37,18 @@
             state.name,
             state.hard_state.incarnation,
             state.is_empty,
-            state.role.value,
+            self._role(),
             state.term,
             state.log.last_index,
             state.commit_index,
         )
 
+    def _role(self) -> str:
+        state = self._state
+        if state.role is Role.LEADER and not self._leading.has_lease:
+            return Role.CANDIDATE.value
+        return state.role.value
+
     async def ask(self, name: VmName) -> Identity | None:
         """Return who the replica ``name`` is, ``None`` when it gives no answer."""
         if name == self._state.name:
--- a/poplarlug/control/raft/replica.py
+++ b/poplarlug/control/raft/replica.py
@@ -63,10 +63,12 @@
         self.state = ConsensusState(
             name=name, disk=disk, state_machine=state_machine, rng=rng
         )
-        self.identification = Identification(state=self.state, transport=transport)
         self._election = Election(state=self.state, transport=transport)
         self._following = Following(state=self.state, transport=transport)
         self._leading = Leading(state=self.state, transport=transport)
+        self.identification = Identification(
+            state=self.state, leading=self._leading, transport=transport
+        )
         self._bootstrap = Bootstrap(
             state=self.state, identification=self.identification, names=bootstrap
         )
--- /dev/null
+++ b/tests/control/raft/test_leading.py
@@ -0,0 +1,99 @@
+"""Tests of what a leader commits and when it steps down."""
+
+import asyncio
+from random import Random
+from unittest import TestCase
+
+from poplarlug.control.log_storage import Entry, EntryKind
+from poplarlug.control.memory_disk import MemoryDisk
+from poplarlug.control.raft.consensus_state import ConsensusState, Role
+from poplarlug.control.raft.leading import Leading
+from poplarlug.control.raft.members import Member, Members, encode_members
+from poplarlug.control.raft.peer import Peer
+from poplarlug.transport import MemoryNetwork, MemoryTransport
+from poplarlug.virtualtime import run_virtual
+from tests.control.group import RecordingState, SimulatedGroup
+
+
+class CommitTests(TestCase):
+    def test_entries_of_earlier_terms_are_not_committed_by_count(self) -> None:
+        """A quorum that holds an old entry commits it with one of the own term."""
+
+        async def main() -> None:
+            rng = Random(1)
+            state = ConsensusState(
+                name="a",
+                disk=MemoryDisk(rng=rng),
+                state_machine=RecordingState(history={}),
+                rng=rng,
+            )
+            network = MemoryNetwork(rng=rng)
+            transport = MemoryTransport(name="a", network=network)
+            leading = Leading(state=state, transport=transport)
+            b = Member("b", "1")
+            members = Members((state.me, b, Member("c", "1")))
+            old = Entry(1, 1, EntryKind.MEMBERS, encode_members(members))
+            state.store([old, Entry(2, 2, EntryKind.COMMAND, b"old")])
+            state.hard_state.raise_term(4)
+            state.role = Role.LEADER
+            peer = Peer(member=b, state=state, transport=transport, on_match=list)
+            leading.peers_by_name["b"] = peer
+            await state.log.sync(2)
+            peer.match_index = 2
+            leading.advance_commit()
+            self.assertEqual(state.commit_index, 0)
+            peer.match_index = state.append_as_leader(EntryKind.NOOP, b"")
+            await state.log.sync(3)
+            leading.advance_commit()
+            self.assertEqual(state.commit_index, 3)
+
+        run_virtual(main())
+
+
+class BootstrapTests(TestCase):
+    def test_no_group_is_founded_while_one_replica_is_away(self) -> None:
+        """A replica that is down may hold the log of a group."""
+
+        async def main() -> None:
+            group = SimulatedGroup(rng=Random(1))
+            for name in ("a", "b"):
+                group.members_by_name[name].start()
+            await asyncio.sleep(30.0)
+            self.assertIsNone(group.leader())
+            group.members_by_name["c"].start()
+            await group.wait_for_leader()
+
+        run_virtual(main())
+
+    def test_wiped_first_replica_founds_no_second_group(self) -> None:
+        """It is taken in again, also when it is the one that founds groups."""
+
+        async def main() -> None:
+            group = SimulatedGroup(rng=Random(1))
+            group.start()
+            await group.wait_for_leader()
+            self.assertTrue(await group.propose(b"kept"))
+            group.wipe("a")
+            group.members_by_name["a"].start()
+            await group.wait_for(group.is_whole, "the group is not whole")
+            machine = group.members_by_name["a"].machine
+            self.assertEqual([data for _, _, data in machine.entries], [b"kept"])
+
+        run_virtual(main())
+
+    def test_two_wiped_replicas_of_three_accept_nothing(self) -> None:
+        """A lost majority is not mended by a new group in its place."""
+
+        async def main() -> None:
+            group = SimulatedGroup(rng=Random(1))
+            group.start()
+            await group.wait_for_leader()
+            self.assertTrue(await group.propose(b"kept"))
+            for name in ("a", "b"):
+                group.wipe(name)
+                group.members_by_name[name].start()
+            await asyncio.sleep(30.0)
+            self.assertIsNone(group.leader())
+            self.assertFalse(await group.propose(b"lost"))
+
+        run_virtual(main())
--- a/tests/control/raft/test_lease.py
+++ b/tests/control/raft/test_lease.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure
 
+from poplarlug.control.raft.consensus_state import Role
 from poplarlug.control.replicated_log import ProposeErrorKind
 from poplarlug.virtualtime import run_virtual
 from tests.control.group import GroupMember, SimulatedGroup
@@ -56,6 +57,7 @@
             await group.wait_for(lambda: group.leader() is None, "rules on")
             successor = await group.wait_for_leader()
             self.assertIsNot(successor, leader)
+            self.assertIsNot(leader.replica.state.role, Role.LEADER)
             outcome = await proposal
             assert isinstance(outcome, Failure)
             self.assertIs(outcome.failure().kind, ProposeErrorKind.UNKNOWN)
--- /dev/null
+++ b/tests/processes/test_control_disks.py
@@ -0,0 +1,87 @@
+"""Tests of lost and damaged disks of control replicas."""
+
+from examples.deployment import wait_until
+from poplarlug.control.main import EXIT_DAMAGED_DATA
+from tests.processes.control_case import ControlTestCase
+
+CHANGES = 500
+
+
+class DiskFaultTests(ControlTestCase):
+    def test_second_loss_right_after_a_repair(self) -> None:
+        """A wiped replica is taken in again; then the leader is killed."""
+        leader = wait_until(self.leader, "no leader")
+        wiped, other = self.others(leader)
+        join = self.start_changes("before", 40)
+        join()
+        self.deployment.kill(wiped)
+        self.wipe(wiped)
+        self.change("while-one-disk-is-lost", client=self.client([leader, other]))
+        self.deployment.start(wiped)
+        self.wait_whole()
+        self.deployment.kill(leader)
+        self.change("after-the-second-loss", client=self.client([wiped, other]))
+        self.check_accepted([wiped, other])
+        self.deployment.start(leader)
+        self.wait_whole()
+        self.check_accepted()
+
+    def test_wiped_replica_elects_no_leader_that_lacks_a_change(self) -> None:
+        """With the one holder of a change away, the others accept nothing."""
+        leader = wait_until(self.leader, "no leader")
+        lagging, wiped = self.others(leader)
+        self.deployment.kill(lagging)
+        self.change("held-by-two", client=self.client([leader, wiped]))
+        self.deployment.kill(leader)
+        self.deployment.kill(wiped)
+        self.wipe(wiped)
+        self.deployment.start(lagging)
+        self.deployment.start(wiped)
+        wait_until(lambda: self.replicas(lagging), "no answer")
+        wait_until(
+            lambda: self.replicas(lagging)[wiped].membership == "lost disk",
+            "the wiped replica is not seen",
+        )
+        self.assertIsNone(self.leader([lagging, wiped]))
+        self.deployment.start(leader)
+        self.wait_whole()
+        self.check_accepted()
+
+    def test_all_killed_after_many_changes_and_restarted(self) -> None:
+        """Every replica comes back with all 500 changes and one state hash."""
+        self.start_changes("many", CHANGES)()
+        for name in self.names:
+            self.deployment.kill(name)
+        self.deployment.start_control()
+        self.wait_whole()
+        self.check_accepted()
+
+    def test_torn_last_record_is_cut(self) -> None:
+        """A half-written last record costs no accepted change."""
+        self.start_changes("torn", 40)()
+        for name in self.names:
+            self.deployment.kill(name)
+        log = self.data_folder(self.names[0]) / "log"
+        log.write_bytes(log.read_bytes()[:-3])
+        self.deployment.start_control()
+        self.wait_whole()
+        self.check_accepted()
+
+    def test_damaged_middle_is_refused_and_repaired(self) -> None:
+        """The process says what is damaged and exits; an empty disk mends it."""
+        self.start_changes("damaged", 40)()
+        name = next(n for n in self.names if n != self.leader())
+        self.deployment.kill(name)
+        log = self.data_folder(name) / "log"
+        data = bytearray(log.read_bytes())
+        data[len(data) // 3] ^= 0xFF
+        log.write_bytes(bytes(data))
+        self.deployment.start(name)
+        status = self.deployment.processes_by_name[name].wait(60)
+        self.assertEqual(status, EXIT_DAMAGED_DATA)
+        output = (self.deployment.folder / f"{name}.log").read_text()
+        self.assertIn("damaged in its middle", output)
+        self.wipe(name)
+        self.deployment.start(name)
+        self.wait_whole()
+        self.check_accepted()
