Recover from a lost majority and cover the operators' commands

A group that lost a majority of its disks stood still for good: no replica may vote for what it does not hold. The setting recover_incarnation makes the last replica the only member, once: it takes a new incarnation in the same step, so the setting does nothing after that.

Seen failing first: without the setting the test waits for a leader in vain. The process test covers control status, add and remove.

--- a/poplarlug/control/hard_state.py
+++ b/poplarlug/control/hard_state.py
@@ -35,7 +35,7 @@
 
     def __init__(self, *, disk: Disk, rng: Random) -> None:
         self._disk = disk
-        self.incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
+        self.incarnation = _choose_incarnation(rng)
         self.term = 0
         self.voted_for: str | None = None
         self.is_new = True
@@ -59,6 +59,10 @@
         self.is_new = False
         return Success(None)
 
+    def renew_incarnation(self, rng: Random) -> None:
+        """Take another incarnation, as an emptied disk would have."""
+        self.incarnation = _choose_incarnation(rng)
+
     def raise_term(self, term: int) -> None:
         """Enter a later term, in which no vote was given yet."""
         assert term > self.term, f"term {term} after {self.term}"
@@ -79,3 +83,7 @@
         await self._disk.replace(HARD_STATE_FILE, encode_record(payload, 0))
         self._saved = content
         self.is_new = False
+
+
+def _choose_incarnation(rng: Random) -> str:
+    return f"{rng.getrandbits(INCARNATION_BITS):016x}"
--- a/poplarlug/control/main.py
+++ b/poplarlug/control/main.py
@@ -60,6 +60,9 @@
     bootstrap : bool
         Whether the replicas of the topology file found a new group when all of
         them are up and hold nothing. It changes nothing once a group exists.
+    recover_incarnation : str
+        After a majority of the disks was lost: makes this replica the only member
+        if its disk holds this incarnation.
     """
 
     name: str
@@ -70,6 +73,7 @@
     grpc_tls: TlsFiles = TlsFiles()
     orders: OrderLimits = OrderLimits()
     bootstrap: bool = False
+    recover_incarnation: str = ""
     log: LogSettings = LogSettings()
 
 
@@ -108,6 +112,7 @@
             state_machine=self.state,
             rng=Random(),
             bootstrap=names if settings.bootstrap else (),
+            recover_incarnation=settings.recover_incarnation,
         )
         self.log: ReplicatedLog = self.replica
         self.group = ControlGroup(
--- a/poplarlug/control/raft/replica.py
+++ b/poplarlug/control/raft/replica.py
@@ -16,6 +16,7 @@
 from poplarlug.control.raft.leading import Leading
 from poplarlug.control.raft.membership import Membership
 from poplarlug.control.raft.proposals import append_and_wait
+from poplarlug.control.raft.recovery import recover_alone
 from poplarlug.control.raft.snapshotting import (
     KEPT_ENTRIES,
     SNAPSHOT_ENTRIES,
@@ -44,6 +45,9 @@
     bootstrap : sequence of VmName
         All replicas of a group to be founded; empty when this replica only
         takes part in a group that exists.
+    recover_incarnation : str
+        Makes this replica the only member if its disk holds this incarnation;
+        see :func:`~poplarlug.control.raft.recovery.recover_alone`.
     rng : random.Random
         Source of the incarnation and of election timeouts.
     """
@@ -57,12 +61,14 @@
         state_machine: StateMachine,
         rng: Random,
         bootstrap: Sequence[VmName] = (),
+        recover_incarnation: str = "",
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         kept_entries: int = KEPT_ENTRIES,
     ) -> None:
         self.state = ConsensusState(
             name=name, disk=disk, state_machine=state_machine, rng=rng
         )
+        self._recover_incarnation = recover_incarnation
         self._election = Election(state=self.state, transport=transport)
         self._following = Following(state=self.state, transport=transport)
         self._leading = Leading(state=self.state, transport=transport)
@@ -116,6 +122,7 @@
 
     async def run(self) -> None:
         state = self.state
+        await recover_alone(state, self._recover_incarnation)
         await state.hard_state.save()
         state.last_contact = asyncio.get_running_loop().time()
         state.started.set()
--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -64,7 +64,7 @@
         self.machine = RecordingState(history=group.history)
         self._tasks: list[asyncio.Task[Any]] = []
 
-    def start(self) -> None:
+    def start(self, *, recover_incarnation: str = "") -> None:
         transport = MemoryTransport(name=self.name, network=self.group.network)
         self.machine = RecordingState(history=self.group.history)
         self.replica = Replica(
@@ -74,6 +74,7 @@
             state_machine=self.machine,
             rng=self.group.rng,
             bootstrap=self.group.founders,
+            recover_incarnation=recover_incarnation,
             snapshot_entries=self.group.snapshot_entries,
             kept_entries=4,
         )
--- a/tests/control/raft/test_election.py
+++ b/tests/control/raft/test_election.py
@@ -2,18 +2,18 @@
 
 import asyncio
 from random import Random
-from unittest import TestCase
 
 from poplarlug.control.raft.messages import VOTE_TOPIC, VoteReply, VoteRequest
 from poplarlug.transport import MemoryTransport
 from poplarlug.virtualtime import run_virtual
 from tests.control.group import SimulatedGroup
+from tests.control.quiet import QuietTestCase
 
 SILENCE_SECONDS = 2.0
 TERM = 7
 
 
-class VoteTests(TestCase):
+class VoteTests(QuietTestCase):
     async def start(self) -> SimulatedGroup:
         """Start one replica that is a member of no group."""
         group = SimulatedGroup(rng=Random(1), names=("a",), founders=())
--- a/tests/control/raft/test_leading.py
+++ b/tests/control/raft/test_leading.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from random import Random
-from unittest import TestCase
 
 from poplarlug.control.log_storage import Entry, EntryKind
 from poplarlug.control.memory_disk import MemoryDisk
@@ -13,9 +12,10 @@
 from poplarlug.transport import MemoryNetwork, MemoryTransport
 from poplarlug.virtualtime import run_virtual
 from tests.control.group import RecordingState, SimulatedGroup
+from tests.control.quiet import QuietTestCase
 
 
-class CommitTests(TestCase):
+class CommitTests(QuietTestCase):
     def test_entries_of_earlier_terms_are_not_committed_by_count(self) -> None:
         """A quorum that holds an old entry commits it with one of the own term."""
 
@@ -50,7 +50,7 @@
         run_virtual(main())
 
 
-class BootstrapTests(TestCase):
+class BootstrapTests(QuietTestCase):
     def test_no_group_is_founded_while_one_replica_is_away(self) -> None:
         """A replica that is down may hold the log of a group."""
 
--- a/tests/control/raft/test_lease.py
+++ b/tests/control/raft/test_lease.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any
-from unittest import TestCase
 
 from returns.result import Failure
 
@@ -12,11 +11,12 @@
 from poplarlug.control.replicated_log import ProposeErrorKind
 from poplarlug.virtualtime import run_virtual
 from tests.control.group import GroupMember, SimulatedGroup
+from tests.control.quiet import QuietTestCase
 
 SEEDS = range(5)
 
 
-class LeaseTests(TestCase):
+class LeaseTests(QuietTestCase):
     def run_seeds(
         self, main: Callable[[SimulatedGroup], Coroutine[Any, Any, None]]
     ) -> None:
--- a/tests/control/raft/test_membership.py
+++ b/tests/control/raft/test_membership.py
@@ -2,17 +2,17 @@
 
 import asyncio
 from random import Random
-from unittest import TestCase
 
 from poplarlug.control.raft.messages import ReplicaChangeOutcome
 from poplarlug.control.raft.replica import Replica
 from poplarlug.virtualtime import run_virtual
 from tests.control.group import SimulatedGroup
+from tests.control.quiet import QuietTestCase
 
 NAMES = ("a", "b", "c", "d", "e")
 
 
-class MembershipTests(TestCase):
+class MembershipTests(QuietTestCase):
     def group(self, names: tuple[str, ...] = NAMES) -> SimulatedGroup:
         return SimulatedGroup(rng=Random(3), names=names, founders=("a", "b", "c"))
 
@@ -109,3 +109,37 @@
             )
 
         run_virtual(main())
+
+    def test_last_replica_of_a_lost_majority_founds_the_group_anew(self) -> None:
+        """It keeps what it held, and a restart with the same setting adds nothing."""
+
+        async def main() -> None:
+            group = self.group(("a", "b", "c"))
+            group.start()
+            await group.wait_for_leader()
+            self.assertTrue(await group.propose(b"kept"))
+            await asyncio.sleep(1.0)
+            left = group.members_by_name["c"]
+            assert left.replica is not None
+            incarnation = left.replica.state.hard_state.incarnation
+            left.crash()
+            group.wipe("a")
+            group.wipe("b")
+            left.start(recover_incarnation=incarnation)
+            await group.wait_for_leader()
+            for name in ("a", "b"):
+                group.members_by_name[name].start()
+                await asyncio.sleep(0.1)
+                outcome = await self.change(group, "add", name)
+                self.assertTrue(outcome.accepted, outcome.message)
+                await group.wait_for(
+                    lambda name=name: name in self.voters(group), "no voter"
+                )
+            await group.wait_for(group.is_whole, "the group is not whole")
+            left.crash()
+            left.start(recover_incarnation=incarnation)
+            await group.wait_for(group.is_whole, "the group is not whole")
+            for member in group.live():
+                self.assertEqual([c for _, _, c in member.machine.entries], [b"kept"])
+
+        run_virtual(main())
--- /dev/null
+++ b/tests/processes/test_control_members.py
@@ -0,0 +1,35 @@
+"""Tests of the operators' commands for the control replicas."""
+
+from typing import Any
+
+from examples.deployment import wait_until
+from tests.processes.control_case import ControlTestCase
+
+
+class ControlCommandTests(ControlTestCase):
+    def status(self) -> dict[str, dict[str, Any]]:
+        rows = self.deployment.operate("control", "status")
+        return {row["name"]: row for row in rows}
+
+    def test_replica_is_removed_and_added_again(self) -> None:
+        """A removed replica counts no more; emptied and added, it votes again."""
+        leader = wait_until(self.leader, "no leader")
+        gone, other = self.others(leader)
+        self.deployment.operate("control", "remove", gone)
+        self.assertEqual(self.status()[gone]["membership"], "none")
+        self.deployment.kill(gone)
+        self.change("without-one", client=self.client([leader, other]))
+        refused = self.deployment.operate("control", "remove", leader, check=False)
+        self.assertEqual(refused, 1)
+        unreachable = self.deployment.operate("control", "add", gone, check=False)
+        self.assertEqual(unreachable, 1)
+        self.wipe(gone)
+        self.deployment.start(gone)
+        wait_until(lambda: self.replicas(gone), "no answer")
+        wait_until(
+            lambda: self.deployment.operate("control", "add", gone, check=False) != 1,
+            "can't be added",
+        )
+        self.wait_whole()
+        self.assertEqual(self.status()[gone]["membership"], "voter")
+        self.check_accepted()
--- a/tests/properties/test_log_schedules.py
+++ b/tests/properties/test_log_schedules.py
@@ -1,27 +1,19 @@
 """Random schedules of crashes, cuts, losses and wiped disks, from fixed seeds."""
 
-from unittest import TestCase
-
-import structlog
-
 from poplarlug.virtualtime import run_virtual
+from tests.control.quiet import QuietTestCase
 from tests.properties.schedules import Schedule
 
 SEEDS_PER_TEST = 250
 
 
-class LogScheduleTests(TestCase):
+class LogScheduleTests(QuietTestCase):
     """
     No accepted command is lost and no term has two leaders.
 
     All replicas apply the same commands in the same order, and none goes back.
     """
 
-    def setUp(self) -> None:
-        factory = structlog.ReturnLoggerFactory()
-        structlog.configure(processors=[], logger_factory=factory)
-        self.addCleanup(structlog.reset_defaults)
-
     def run_seeds(self, part: int) -> None:
         """Run one part of the seeds; a failure names its seed."""
         for seed in range(part * SEEDS_PER_TEST, (part + 1) * SEEDS_PER_TEST):
