--- a/benchmarks/control_log.py
+++ b/benchmarks/control_log.py
@@ -20,8 +20,9 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from examples.deployment import wait_until
-from poplarlug.catalog import Region
+from poplarlug.catalog import Model
 from poplarlug.operators.client import OperatorClient
+from poplarlug.schema import operators_pb2 as pb
 from poplarlug.virtualtime import run_virtual
 from tests.control.group import SimulatedGroup
 from tests.processes.control_case import ControlTestCase
@@ -46,6 +47,7 @@
 
 
 def main() -> None:
+    """Print all figures."""
     structlog.configure(processors=[], logger_factory=structlog.ReturnLoggerFactory())
     for one_way in LATENCIES_SECONDS:
         measure_virtual(one_way)
@@ -124,9 +126,9 @@
         files = {f.name: f.stat().st_size for f in group.data_folder(name).iterdir()}
         started = time.monotonic()
         group.deployment.start(name)
-        wait_until(lambda: group.held(name) is not None, "no answer")
+        wait_until(lambda: version_at(group, name) is not None, "no answer")
         answered = time.monotonic() - started
-        wait_until(lambda: len(group.held(name) or {}) >= min(size, 2000), "lags")
+        wait_until(lambda: (version_at(group, name) or 0) >= size, "lags")
         caught_up = time.monotonic() - started
         print(f"restart of one replica after {size} changes: answers after")
         print(f"  {answered:.2f} s, holds them all after {caught_up:.2f} s; {files}")
@@ -141,6 +143,12 @@
     with_group(measure)
 
 
+def version_at(group: Group, name: str) -> int | None:
+    """Return the version that a replica holds, ``None`` when it doesn't answer."""
+    reply = group.ask(name, "ConfigStatus", pb.ConfigStatusRequest())
+    return reply.version if reply is not None else None
+
+
 def with_group(measure: Callable[[Group], None]) -> None:
     """Run ``measure`` with a new control group."""
     Group.setUpClass()
@@ -155,7 +163,7 @@
 def change_many(
     group: Group, clients: int, count: int, prefix: str
 ) -> tuple[list[float], float]:
-    """Create ``count`` regions by ``clients`` threads; return times in seconds."""
+    """Create ``count`` models by ``clients`` threads; return times in seconds."""
     leader = group.leader()
     assert leader is not None
     servers = [group.vm(name).grpc for name in [leader, *group.others(leader)]]
@@ -165,8 +173,8 @@
         client = OperatorClient(servers=servers, key=group.deployment.operator_key)
         for number in range(writer, count, clients):
             started = time.monotonic()
-            region = Region(f"{prefix}-{number}")
-            client.change("region", region, expected_version=0).unwrap()
+            model = Model(f"{prefix}-{number}")
+            client.change("model", model, expected_version=0).unwrap()
             times.append(time.monotonic() - started)
         client.close()
 
