--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -88,6 +88,10 @@
     def crash(self) -> None:
         """End the process; what was not synced is lost."""
         self.check_failures()
+        self.crash_failed()
+
+    def crash_failed(self) -> None:
+        """End a process that failed before."""
         self.disk.crash()
         self.replica = None
         for task in self._tasks:
