List entries in the control tests' topology

A topology without entries is refused now, so the control replicas of these tests did not start. They list one entry a zone, which isn't started.

--- a/tests/processes/control_case.py
+++ b/tests/processes/control_case.py
@@ -36,7 +36,7 @@
         cls.proxy = FaultProxy()
         cls.addClassCleanup(cls.proxy.close)
         cls.deployment = Deployment(
-            folder=Path(folder.name), entries_per_zone=0, link=cls.proxy.link
+            folder=Path(folder.name), entries_per_zone=1, link=cls.proxy.link
         )
         cls.addClassCleanup(cls.deployment.close)
         cls.vms = cls.deployment.topology.control
