--- a/poplarlug/control/raft/replica.py
+++ b/poplarlug/control/raft/replica.py
@@ -16,6 +16,7 @@
 from poplarlug.control.raft.leading import Leading
 from poplarlug.control.raft.membership import Membership
 from poplarlug.control.raft.proposals import append_and_wait
+from poplarlug.control.raft.recovery import recover_alone
 from poplarlug.control.raft.snapshotting import (
     KEPT_ENTRIES,
     SNAPSHOT_ENTRIES,
@@ -31,8 +32,9 @@
 from poplarlug.transport import Transport
 from poplarlug.types import VmName
 
-MAX_PROPOSALS = 4096
-MAX_COMMAND_BYTES = 1024 * 1024
+MAX_PROPOSALS = 1024
+MAX_COMMAND_BYTES = 256 * 1024
+WATCH_SECONDS = 1.0
 
 
 class Replica(ReplicatedLog):
@@ -44,6 +46,9 @@
     bootstrap : sequence of VmName
         All replicas of a group to be founded; empty when this replica only
         takes part in a group that exists.
+    recover_incarnation : str
+        Makes this replica the only member if its disk holds this incarnation;
+        see :func:`~poplarlug.control.raft.recovery.recover_alone`.
     rng : random.Random
         Source of the incarnation and of election timeouts.
     """
@@ -57,16 +62,20 @@
         state_machine: StateMachine,
         rng: Random,
         bootstrap: Sequence[VmName] = (),
+        recover_incarnation: str = "",
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         kept_entries: int = KEPT_ENTRIES,
     ) -> None:
         self.state = ConsensusState(
             name=name, disk=disk, state_machine=state_machine, rng=rng
         )
-        self.identification = Identification(state=self.state, transport=transport)
+        self._recover_incarnation = recover_incarnation
         self._election = Election(state=self.state, transport=transport)
         self._following = Following(state=self.state, transport=transport)
         self._leading = Leading(state=self.state, transport=transport)
+        self.identification = Identification(
+            state=self.state, leading=self._leading, transport=transport
+        )
         self._bootstrap = Bootstrap(
             state=self.state, identification=self.identification, names=bootstrap
         )
@@ -114,6 +123,7 @@
 
     async def run(self) -> None:
         state = self.state
+        await recover_alone(state, self._recover_incarnation)
         await state.hard_state.save()
         state.last_contact = asyncio.get_running_loop().time()
         state.started.set()
@@ -123,6 +133,7 @@
                 tasks.create_task(self._snapshotting.run())
                 tasks.create_task(self.membership.run())
                 tasks.create_task(self._take_part())
+                tasks.create_task(self._watch())
         finally:
             state.step_down("the replica stops")
 
@@ -134,6 +145,15 @@
             else:
                 await self._election.pause()
 
+    async def _watch(self) -> None:
+        """Raise what keeps this replica from going on."""
+        while True:
+            if self.state.broken is not None:
+                raise self.state.broken
+            if self.state.log.has_failed:
+                raise OSError("the log can't be written; look at the disk")
+            await asyncio.sleep(WATCH_SECONDS)
+
     def _refusal(self, command: bytes) -> str | None:
         state = self.state
         if state.role is not Role.LEADER:
--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -64,7 +64,7 @@
         self.machine = RecordingState(history=group.history)
         self._tasks: list[asyncio.Task[Any]] = []
 
-    def start(self) -> None:
+    def start(self, *, recover_incarnation: str = "") -> None:
         transport = MemoryTransport(name=self.name, network=self.group.network)
         self.machine = RecordingState(history=self.group.history)
         self.replica = Replica(
@@ -74,6 +74,7 @@
             state_machine=self.machine,
             rng=self.group.rng,
             bootstrap=self.group.founders,
+            recover_incarnation=recover_incarnation,
             snapshot_entries=self.group.snapshot_entries,
             kept_entries=4,
         )
@@ -87,6 +88,10 @@
     def crash(self) -> None:
         """End the process; what was not synced is lost."""
         self.check_failures()
+        self.crash_failed()
+
+    def crash_failed(self) -> None:
+        """End a process that failed before."""
         self.disk.crash()
         self.replica = None
         for task in self._tasks:
--- a/tests/control/raft/test_lease.py
+++ b/tests/control/raft/test_lease.py
@@ -4,18 +4,19 @@
 from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any
-from unittest import TestCase
 
 from returns.result import Failure
 
+from poplarlug.control.raft.consensus_state import Role
 from poplarlug.control.replicated_log import ProposeErrorKind
 from poplarlug.virtualtime import run_virtual
 from tests.control.group import GroupMember, SimulatedGroup
+from tests.control.quiet import QuietTestCase
 
 SEEDS = range(5)
 
 
-class LeaseTests(TestCase):
+class LeaseTests(QuietTestCase):
     def run_seeds(
         self, main: Callable[[SimulatedGroup], Coroutine[Any, Any, None]]
     ) -> None:
@@ -56,6 +57,7 @@
             await group.wait_for(lambda: group.leader() is None, "rules on")
             successor = await group.wait_for_leader()
             self.assertIsNot(successor, leader)
+            self.assertIsNot(leader.replica.state.role, Role.LEADER)
             outcome = await proposal
             assert isinstance(outcome, Failure)
             self.assertIs(outcome.failure().kind, ProposeErrorKind.UNKNOWN)
