Report service-level burn per rank, region and account

poplarlug-report burn reads request logs or scrapes of /metrics and shows burn rates over 5 min/1 h, 30 min/6 h and 6 h/3 d and the error budget left, as text, JSON and plot.

--- a/poplarlug/reports/__init__.py
+++ b/poplarlug/reports/__init__.py
@@ -1,1 +1,1 @@
-"""reports package."""
+"""Reports on the service level that callers get."""
--- a/tests/processes/test_observability.py
+++ b/tests/processes/test_observability.py
@@ -1,10 +1,11 @@
 """Tests of log lines, the request log and metrics of real processes."""
 
 import json
+import subprocess
 import urllib.request
 from typing import Any
 
-from examples.deployment import wait_until
+from examples.deployment import BIN, wait_until
 from poplarlug.fakes.engine import CRASH_MARKER
 from tests.processes.case import ProcessTestCase
 
@@ -49,6 +50,7 @@
         record = self.wait_for_record("cuenca-a-1", "nokey")
         self.assertEqual((record["status"], record["error"]), (401, "unknown_key"))
 
+        self.addCleanup(self.deployment.start, "e1")
         self.assertGreaterEqual(self.ask("cuenca-a-1", "crash", CRASH_MARKER), 500)
         self.wait_for_record("cuenca-a-1", "crash")
         attempted = self.lines("quito-a-1", "crash")
@@ -67,3 +69,32 @@
         ):
             self.assertIn(name, metrics)
         self.assertNotIn("verde", metrics)
+
+    def report(self, *arguments: str) -> str:
+        done = subprocess.run(
+            [str(BIN / "poplarlug-report"), *arguments],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        return done.stdout
+
+    def test_burn_report_from_records_and_scrapes(self) -> None:
+        """The report's command reads what operators and entries give out."""
+        entry, folder = "guayaquil-a-1", self.deployment.folder
+        ranks, scrapes = folder / "ranks.json", folder / "scrapes.jsonl"
+        targets = {"first_token_target_seconds": 300, "target_seconds": 300}
+        rows = self.deployment.operate("rank", "list")
+        ranks.write_text(json.dumps([{**row, **targets} for row in rows]))
+        self.wait_for_upstreams(entry)
+        scrape = f"--entries=costa={self.entry(entry)}", f"--file={scrapes}"
+        self.report("scrape", *scrape)
+        for number in range(5):
+            self.assertEqual(self.ask(entry, f"burn-{number}", "peel?"), 200)
+        self.wait_for_record(entry, "burn-4")
+        self.report("scrape", *scrape)
+        burn = "burn", f"--ranks={ranks}", "--output=json"
+        for source in (f"--logs={folder / f'{entry}.log'}", f"--scrapes={scrapes}"):
+            rows = json.loads(self.report(*burn, source))
+            urgent = next(row for row in rows if row["rank"] == "urgent")
+            self.assertEqual((urgent["good"], urgent["total"]), (5, 5), msg=source)
