End an answer quietly when its caller is gone

Cause: finishing an answer on a closing transport raised ClientConnectionResetError out of the gateway, after the upstream had run the request; a booking's outcome could be lost that way. Now the answer ends, the request counts as abandoned. Seen failing first: test_answer_to_a_gone_caller_ends_quietly with the former finish.

--- a/poplarlug/callers/http_sink.py
+++ b/poplarlug/callers/http_sink.py
@@ -102,8 +102,12 @@
         self._finished = True
         if self._held is not None:
             self.response = self._held_response(bytes(self._held))
-            await self.response.prepare(self._request)
         assert self.response is not None
+        if self.closed:
+            self._trace.abandoned = True
+            return
+        if self._held is not None:
+            await self.response.prepare(self._request)
         await self.response.write_eof()
 
     def _count(self, data: bytes) -> None:
--- a/tests/callers/test_http_sink.py
+++ b/tests/callers/test_http_sink.py
@@ -1,7 +1,7 @@
 """Tests of answers on their way to a caller's connection."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from unittest import TestCase
 from unittest.mock import patch
@@ -11,10 +11,13 @@
 from poplarlug.callers import http_sink
 from poplarlug.callers.http_sink import HttpSink
 from poplarlug.serving.answers import AnswerHead
+from poplarlug.serving.trace import RequestTrace
 
 BLOCK = b"x" * 256 * 1024
 DEADLINE_SECONDS = 20.0
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
 
 @asynccontextmanager
 async def serving(parts: list[bytes], length: int | None) -> AsyncIterator[list[str]]:
@@ -137,3 +140,48 @@
                 return len(answer.partition(b"\r\n\r\n")[2])
 
         self.assertEqual(asyncio.run(main()), 40 * len(BLOCK))
+
+
+class GoneCallerTests(TestCase):
+    def test_answer_to_a_gone_caller_ends_quietly(self) -> None:
+        """A whole answer counts as such for the gateway, with nobody to read it."""
+        for length in (4, None):
+            failures: list[BaseException] = []
+            ended = asyncio.Event()
+
+            async def handle(
+                request: web.BaseRequest,
+                length: int | None = length,
+                failures: list[BaseException] = failures,
+                ended: asyncio.Event = ended,
+            ) -> web.StreamResponse:
+                trace = RequestTrace(request_id="r1", started=0.0)
+                sink = HttpSink(request=request, request_id="r1", trace=trace)
+                await sink.start(AnswerHead(200, "text/plain", length))
+                sink.write_nowait(b"peel")
+                assert request.transport is not None
+                request.transport.close()
+                try:
+                    await sink.finish()
+                    assert trace.abandoned and sink.response is not None
+                except BaseException as error:
+                    failures.append(error)
+                ended.set()
+                return sink.response or web.Response()
+
+            async def main(
+                handle: Handler = handle, ended: asyncio.Event = ended
+            ) -> None:
+                server = await asyncio.get_running_loop().create_server(
+                    web.Server(handle), "127.0.0.1", 0
+                )
+                port = server.sockets[0].getsockname()[1]
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                async with asyncio.timeout(DEADLINE_SECONDS):
+                    await ended.wait()
+                writer.close()
+                server.close()
+
+            asyncio.run(main())
+            self.assertEqual(failures, [])
