--- a/poplarlug/callers/observation.py
+++ b/poplarlug/callers/observation.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from structlog.contextvars import bound_contextvars
+from prometheus_client import Counter
+from structlog.contextvars import bind_contextvars, reset_contextvars
 
 from poplarlug.callers.metrics import (
     ANSWER_BYTES,
@@ -19,7 +20,7 @@
 from poplarlug.requestlog import RequestLog, RequestRecord
 from poplarlug.serving.trace import RequestTrace, reset_trace, set_trace
 from poplarlug.topology import EntryVm
-from poplarlug.types import RequestId, Seconds
+from poplarlug.types import RankName, RequestId, Seconds
 
 NO_RANK = "none"
 
@@ -48,65 +49,91 @@
         self._log = log
         self._clock = clock
         self._wall_clock = wall_clock
+        self._counters_by_rank: dict[RankName, _RankCounters] = {}
+        self._in_progress = 0
+        IN_PROGRESS.set_function(lambda: self._in_progress)
+        LOG_DROPPED.set_function(lambda: log.dropped)
 
     @contextmanager
     def observe(self, request_id: RequestId) -> Iterator[RequestTrace]:
         """Trace the request served within; its id is on each log line."""
         trace = RequestTrace(request_id=request_id, started=self._clock())
         token = set_trace(trace)
-        IN_PROGRESS.inc()
+        bound = bind_contextvars(request_id=request_id)
+        self._in_progress += 1
         try:
-            with bound_contextvars(request_id=request_id):
-                yield trace
+            yield trace
         finally:
-            IN_PROGRESS.dec()
+            self._in_progress -= 1
+            reset_contextvars(**bound)
             reset_trace(token)
             self._end(trace)
 
     def _end(self, trace: RequestTrace) -> None:
         record = self._record(trace)
-        rank = record.rank or NO_RANK
-        REQUESTS.labels(rank, outcome_of(trace)).inc()
+        counters = self._counters_of(record.rank or NO_RANK)
+        counters.count(outcome_of(trace))
         if record.error:
             ERRORS.labels(record.error).inc()
         elif record.status < 400:
-            DURATION.labels(rank).observe(record.total_seconds)
+            counters.duration.observe(record.total_seconds)
         if record.first_token_seconds is not None:
-            FIRST_TOKEN.labels(rank).observe(record.first_token_seconds)
+            counters.first_token.observe(record.first_token_seconds)
         if trace.forwarded:
-            FORWARDS.labels(rank).inc()
+            FORWARDS.labels(record.rank).inc()
         ANSWER_BYTES.inc(trace.bytes)
         self._log.add(record)
-        LOG_DROPPED.set(self._log.dropped)
+
+    def _counters_of(self, rank: RankName) -> "_RankCounters":
+        counters = self._counters_by_rank.get(rank)
+        if counters is None:
+            counters = self._counters_by_rank[rank] = _RankCounters(rank=rank)
+        return counters
 
     def _record(self, trace: RequestTrace) -> RequestRecord:
         request, head, error = trace.request, trace.head, trace.error
-        record = RequestRecord(
+        first = trace.first_byte
+        return RequestRecord(
             time=round(self._wall_clock(), 3),
             request_id=trace.request_id,
             entry=self._own.name,
             region=self._own.region,
             account=trace.account,
+            rank=request.rank if request else "",
+            target=(request.model or request.service or "") if request else "",
+            stream=request.stream if request else False,
+            zone=head.zone if head else "",
+            served_by=head.served_by if head else "",
             status=_status(trace),
-            error=error.type if error is not None else "",
-            ran=error.ran if error is not None else not trace.abandoned or None,
+            error=error.type if error else "",
+            ran=error.ran if error else not trace.abandoned or None,
+            first_token_seconds=_since(trace.started, first),
             total_seconds=round(self._clock() - trace.started, 6),
             attempts=trace.attempts,
             forwarded=trace.forwarded,
             bytes=trace.bytes,
         )
-        if request is not None:
-            record = record._replace(
-                rank=request.rank,
-                target=request.model or request.service or "",
-                stream=request.stream,
-            )
-        if head is not None:
-            record = record._replace(zone=head.zone, served_by=head.served_by)
-        if trace.first_byte is not None:
-            first = round(trace.first_byte - trace.started, 6)
-            record = record._replace(first_token_seconds=first)
-        return record
+
+
+class _RankCounters:
+    """The time series of one rank, looked up once."""
+
+    def __init__(self, *, rank: RankName) -> None:
+        self.duration = DURATION.labels(rank)
+        self.first_token = FIRST_TOKEN.labels(rank)
+        self._rank = rank
+        self._requests_by_outcome: dict[str, Counter] = {}
+
+    def count(self, outcome: str) -> None:
+        requests = self._requests_by_outcome.get(outcome)
+        if requests is None:
+            requests = REQUESTS.labels(self._rank, outcome)
+            self._requests_by_outcome[outcome] = requests
+        requests.inc()
+
+
+def _since(started: Seconds, ended: Seconds | None) -> Seconds | None:
+    return None if ended is None else round(ended - started, 6)
 
 
 def outcome_of(trace: RequestTrace) -> str:
