--- a/benchmarks/bare_upstream.py
+++ b/benchmarks/bare_upstream.py
@@ -95,23 +95,26 @@
         self._pacer.add(self, asked["max_tokens"], asked["interval_ticks"])
 
 
-async def main(listen: str, entry: str) -> None:
-    """Serve at ``listen`` and announce it at ``entry`` until killed."""
-    host, _, port = listen.rpartition(":")
+async def main(entry: str, addresses: list[str]) -> None:
+    """Serve at ``addresses``, each announced at ``entry`` as an upstream."""
     pacer = Pacer()
     loop = asyncio.get_running_loop()
-    await loop.create_server(lambda: BareProtocol(pacer=pacer), host, int(port))
-    announcer = Announcer(
-        entries=[entry],
-        describe=lambda: {
-            "id": f"bare-{port}",
-            "kind": "engine",
-            "models": ["corn-7b"],
-            "address": listen,
-        },
-    )
-    await asyncio.gather(announcer.run(), pacer.run())
+    for address in addresses:
+        host, _, port = address.rpartition(":")
+        await loop.create_server(lambda: BareProtocol(pacer=pacer), host, int(port))
+    announcers = [_announcer(address, entry) for address in addresses]
+    await asyncio.gather(pacer.run(), *(announcer.run() for announcer in announcers))
+
+
+def _announcer(address: str, entry: str) -> Announcer:
+    description = {
+        "id": f"bare-{address}",
+        "kind": "engine",
+        "models": ["corn-7b"],
+        "address": address,
+    }
+    return Announcer(entries=[entry], describe=lambda: description)
 
 
 if __name__ == "__main__":
-    asyncio.run(main(sys.argv[1], sys.argv[2]))
+    asyncio.run(main(sys.argv[1], sys.argv[2:]))
--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -18,6 +18,9 @@
 
 ENTRY = "quito-a-1"
 SETTLE_SECONDS = 2.0
+ADDRESSES_PER_UPSTREAM = 16
+"""Upstreams that one process plays, so that no concurrency limit binds."""
+
 CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 
@@ -51,9 +54,11 @@
             deployment.configure()
             deployment.wait_ready()
             entry = deployment.entries_of("quito-a")
-            addresses = [deployment.address() for _ in range(upstreams)]
-            for address in addresses:
-                start("bare_upstream.py", address, entry)
+            addresses = []
+            for _ in range(upstreams):
+                own = [deployment.address() for _ in range(ADDRESSES_PER_UPSTREAM)]
+                start("bare_upstream.py", entry, *own)
+                addresses.append(own[0])
             forwarder = deployment.address()
             start("raw_forwarder.py", forwarder, *addresses)
             bench = Bench(
--- a/benchmarks/stream_client.py
+++ b/benchmarks/stream_client.py
@@ -33,6 +33,10 @@
         transport.write(self._request)
 
     def data_received(self, data: bytes) -> None:
+        if not self.reads and not data.startswith(b"HTTP/1.1 200"):
+            self.done.set_exception(ConnectionError(f"refused: {data[:400]!r}"))
+            self._transport.abort()
+            return
         self.bytes += len(data)
         self.reads += 1
         if data.endswith(b"0\r\n\r\n"):
--- a/benchmarks/stream_relay.py
+++ b/benchmarks/stream_relay.py
@@ -63,6 +63,8 @@
     results = []
     for client in clients:
         output, _ = client.communicate(timeout=TIMEOUT_SECONDS)
+        if client.returncode:
+            raise SystemExit("a client failed; see its error above")
         results.append(StreamResult(*json.loads(output)))
     tokens = share * CLIENTS * TOKENS
     assert sum(result.bytes for result in results) > tokens * len(TOKEN_EVENT)
