--- a/tests/serving/test_attempts.py
+++ b/tests/serving/test_attempts.py
@@ -12,6 +12,7 @@
     Answer,
     MemorySink,
     ScriptedUpstream,
+    WaitingSink,
     chunk,
 )
 
@@ -200,6 +201,46 @@
         self.assertEqual(outcome.status, AttemptStatus.NOT_SENT)
 
 
+class BackpressureTests(TestCase):
+    def test_sink_that_waits_pauses_the_upstream(self) -> None:
+        """Little is kept for a caller that reads nothing; all arrives later."""
+        block, blocks = b"x" * 65536, 320
+        size = len(block) * blocks
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+        sent = 0
+
+        async def answer(
+            upstream: ScriptedUpstream, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal sent
+            writer.write(head)
+            for _ in range(blocks):
+                writer.write(block)
+                await writer.drain()
+                sent += len(block)
+
+        async def use(upstream: ScriptedUpstream, client: UpstreamClient) -> int:
+            sink = WaitingSink()
+            attempt = asyncio.ensure_future(
+                client.attempt(
+                    request=request(model=None), address=upstream.address, sink=sink
+                )
+            )
+            await sink.waits.wait()
+            before, unchanged = -1, 0
+            while unchanged < 5:
+                unchanged = unchanged + 1 if before == sent else 0
+                before = sent
+                await asyncio.sleep(0.05)
+            sink.may_go_on.set()
+            self.assertEqual((await attempt).status, AttemptStatus.DONE)
+            self.assertEqual(sink.taken_bytes, size)
+            return before
+
+        sent_while_waiting = asyncio.run(with_upstream(answer, use))
+        self.assertLess(sent_while_waiting, size // 2)
+
+
 class AbandonedTests(TestCase):
     def test_upstream_is_cancelled_when_the_caller_is_gone(self) -> None:
         """The upstream's connection closes, before the head and within a body."""
--- a/tests/serving/upstream.py
+++ b/tests/serving/upstream.py
@@ -86,3 +86,18 @@
 
     async def finish(self) -> None:
         pass
+
+
+class WaitingSink(MemorySink):
+    """Take nothing until :attr:`may_go_on` is set."""
+
+    def __init__(self) -> None:
+        super().__init__(takes_at_once=False)
+        self.waits = asyncio.Event()
+        self.may_go_on = asyncio.Event()
+        self.taken_bytes = 0
+
+    async def write(self, data: bytes) -> None:
+        self.waits.set()
+        await self.may_go_on.wait()
+        self.taken_bytes += len(data)
