--- a/poplarlug/supervision.py
+++ b/poplarlug/supervision.py
@@ -99,6 +99,9 @@
             _, pending = await asyncio.wait({task}, timeout=STOP_TIMEOUT_SECONDS)
             if pending:
                 _log.error("child does not stop", supervisor=self._name)
+            elif not task.cancelled() and task.exception() is not None:
+                error = repr(task.exception())
+                _log.error("child failed to stop", supervisor=self._name, error=error)
 
     async def _keep_running(self, name: str, factory: ChildFactory) -> None:
         loop = asyncio.get_running_loop()
