Keep serving when an entry's disk fails; list in pages

Cause: an error of the disk ended the follower, and with it the entry after some restarts; the store had no test of its own, and no test listed more than one page.

Change: a failed write is logged and mended by the next replacement of the whole file. Tests of torn tails, damage, compaction, failed writes and of a list of 4,500 objects.

--- a/poplarlug/distribution/store.py
+++ b/poplarlug/distribution/store.py
@@ -4,6 +4,7 @@
 import os
 import struct
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from pathlib import Path
 
 import crc32c
@@ -29,7 +30,12 @@
 
     @abstractmethod
     async def append(self, update: Update) -> None:
-        """Keep ``update`` for good before returning."""
+        """
+        Keep ``update`` for good before returning.
+
+        A disk that fails is logged, and :attr:`is_long` asks for a replacement: a
+        full disk stops no entry.
+        """
 
     @property
     @abstractmethod
@@ -57,19 +63,29 @@
         self._path = folder / _FILE_NAME
         self._bytes = 0
         self._whole_bytes = 0
+        self._lacks_updates = False
 
     async def load(self) -> list[Update]:
         return await asyncio.to_thread(self._load)
 
     async def append(self, update: Update) -> None:
-        await asyncio.to_thread(self._append, update)
+        await self._try(self._append, update)
 
     @property
     def is_long(self) -> bool:
+        if self._lacks_updates:
+            return True
         return self._bytes > max(MIN_COMPACTION_BYTES, 2 * self._whole_bytes)
 
     async def replace(self, whole: Update) -> None:
-        await asyncio.to_thread(self._replace, whole)
+        await self._try(self._replace, whole)
+
+    async def _try(self, write: Callable[[Update], None], update: Update) -> None:
+        try:
+            await asyncio.to_thread(write, update)
+        except OSError as error:
+            self._lacks_updates = True
+            _log.error("disk failed", file=str(self._path), error=str(error))
 
     def _load(self) -> list[Update]:
         self._path.parent.mkdir(parents=True, exist_ok=True)
@@ -101,6 +117,7 @@
         temporary.replace(self._path)
         _sync_folder(self._path.parent)
         self._bytes = self._whole_bytes = len(record)
+        self._lacks_updates = False
 
 
 def _to_record(update: Update) -> bytes:
--- a/tests/control/test_grpc_server.py
+++ b/tests/control/test_grpc_server.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
-from typing import cast
+from typing import Any, cast
 from unittest import TestCase
 
 from returns.result import Failure, Result
 
-from poplarlug.catalog import ChangeOutcome, Model
+from poplarlug.catalog import ChangeOutcome, Delta, Model
+from poplarlug.catalog.catalog import encode_object
 from poplarlug.control.control_group import ControlGroup
 from poplarlug.control.grpc_server import TlsFiles, build_server
 from poplarlug.control.operations import Operations
@@ -23,6 +25,7 @@
 
 CERTIFICATES = Path(__file__).parent / "certificates"
 KEY = "operator-key"
+MODELS = 4500
 
 
 class OwnLog(ReplicatedLog):
@@ -49,27 +52,38 @@
         await asyncio.get_running_loop().create_future()
 
 
+def change_and_list(client: OperatorClient) -> list[Any]:
+    """Return the results of a change and of a list."""
+    change = client.change("model", Model("corn"), expected_version=0)
+    listed = client.call(lambda stub: stub.List, pb.ListRequest(kind="model"))
+    return [change, listed]
+
+
 class TlsTests(TestCase):
-    def run_calls(self, tls: TlsOptions | None) -> tuple[object, object]:
-        """Return the results of a change and a list through a TLS server."""
+    def setUp(self) -> None:
+        self.state = ControlState()
+
+    def run_calls(
+        self,
+        tls: TlsOptions | None,
+        calls: Callable[[OperatorClient], list[Any]] = change_and_list,
+    ) -> list[Any]:
+        """Return what ``calls`` does through a server with TLS."""
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             address = f"127.0.0.1:{probe.getsockname()[1]}"
 
-        def call() -> tuple[object, object]:
+        def call() -> list[Any]:
             client = OperatorClient(
                 servers=[address], key=KEY, tls=tls, resend_seconds=1.0
             )
             try:
-                change = client.change("model", Model("corn"), expected_version=0)
-                return change, client.call(
-                    lambda stub: stub.List, pb.ListRequest(kind="model")
-                )
+                return calls(client)
             finally:
                 client.close()
 
-        async def main() -> tuple[object, object]:
-            state = ControlState()
+        async def main() -> list[Any]:
+            state = self.state
             log = OwnLog(state=state)
             network = MemoryNetwork(rng=Random(1))
             operations = Operations(
@@ -107,6 +121,21 @@
         self.assertEqual(change.unwrap().version, 1)
         self.assertEqual(listed.unwrap().objects[0].model.name, "corn")
 
+    def test_long_lists_come_in_pages(self) -> None:
+        """A client lists more objects than one reply holds."""
+        trusted = TlsOptions(str(CERTIFICATES / "server.crt"), "control")
+        for number in range(MODELS):
+            value = encode_object(Model(f"m{number:05d}"))
+            delta = Delta(number + 1, "model", f"m{number:05d}", value)
+            self.state.catalog.apply(delta)
+        self.state.version.set(MODELS)
+
+        def call(client: OperatorClient) -> list[object]:
+            return [held.unwrap().model.name for held in client.list("model")]
+
+        names = self.run_calls(trusted, call)
+        self.assertEqual(names, [f"m{number:05d}" for number in range(MODELS)])
+
     def test_call_without_tls_is_refused(self) -> None:
         """A server with a certificate takes no call in the clear."""
         change, _ = self.run_calls(None)
--- /dev/null
+++ b/tests/distribution/test_store.py
@@ -0,0 +1,83 @@
+"""Tests of the file that keeps an entry's configuration."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+from unittest import TestCase, mock
+
+from poplarlug.catalog import Catalog, Delta, Model, Update
+from poplarlug.catalog.catalog import encode_object
+from poplarlug.distribution import store as store_module
+from poplarlug.distribution.store import FileStore
+from poplarlug.logs import configure_logs
+
+configure_logs(log_format="json", level="error")
+
+
+def update(version: int, *, size: int = 1) -> Update:
+    value = encode_object(Model("corn", version="v" * size))
+    return Update(version - 1, version, (Delta(version, "model", "corn", value),))
+
+
+class FileStoreTests(TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "data"
+        self.file = self.folder / "configuration"
+        self.store = FileStore(folder=self.folder)
+        self.assertEqual(self.load(self.store), [])
+        for version in (1, 2, 3):
+            asyncio.run(self.store.append(update(version)))
+
+    def load(self, store: FileStore) -> list[Update]:
+        return asyncio.run(store.load())
+
+    def versions(self) -> list[int]:
+        """Return the versions that a new process finds."""
+        return [kept.version for kept in self.load(FileStore(folder=self.folder))]
+
+    def test_updates_outlive_the_process(self) -> None:
+        """What was appended is there again, in its order."""
+        self.assertEqual(self.versions(), [1, 2, 3])
+
+    def test_torn_tail_is_cut(self) -> None:
+        """A record that was half written is gone; appending goes on."""
+        for missing in (1, 10, 30):
+            with self.subTest(missing=missing):
+                data = self.file.read_bytes()
+                self.file.write_bytes(data[:-missing])
+                again = FileStore(folder=self.folder)
+                self.assertEqual([u.version for u in self.load(again)], [1, 2])
+                asyncio.run(again.append(update(3)))
+                self.assertEqual(self.versions(), [1, 2, 3])
+
+    def test_damage_ends_what_is_read(self) -> None:
+        """Nothing from a damaged record on comes into force."""
+        data = bytearray(self.file.read_bytes())
+        data[len(data) // 2] ^= 0xFF
+        self.file.write_bytes(bytes(data))
+        self.assertEqual(self.versions(), [1])
+
+    def test_long_file_is_replaced_by_the_whole(self) -> None:
+        """A file that grew long asks for one whole update in its place."""
+        with mock.patch.object(store_module, "MIN_COMPACTION_BYTES", 500):
+            self.assertFalse(self.store.is_long)
+            asyncio.run(self.store.append(update(4, size=600)))
+            self.assertTrue(self.store.is_long)
+            whole = Update(0, 4, update(4).deltas, whole=True)
+            asyncio.run(self.store.replace(whole))
+            self.assertFalse(self.store.is_long)
+        self.assertEqual(self.load(FileStore(folder=self.folder)), [whole])
+        catalog = Catalog()
+        self.assertTrue(catalog.update(whole))
+
+    def test_failed_write_asks_for_a_replacement(self) -> None:
+        """After a disk error nothing stops, and the next replacement mends it."""
+        with mock.patch("os.fsync", side_effect=OSError("no space left")):
+            asyncio.run(self.store.append(update(4)))
+        self.assertTrue(self.store.is_long)
+        whole = Update(0, 5, update(5).deltas, whole=True)
+        asyncio.run(self.store.replace(whole))
+        self.assertFalse(self.store.is_long)
+        self.assertEqual(self.versions(), [5])
