--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -6,11 +6,13 @@
     python benchmarks/distribution.py in_force [--changes=200] [--delay_ms=0]
     python benchmarks/distribution.py cost [--entries_per_zone=1,3] [--seconds=20]
     python benchmarks/distribution.py accounts [--accounts=35000]
+    python benchmarks/distribution.py catalog [--accounts=35000]
 
 ``in_force`` prints the time from a change's call to its acceptance, and to the report
 that it is in force in all zones. ``cost`` prints bytes, processor time and memory that
 each entry spends on control, idle and at so many changes a second. ``accounts`` prints
-what a whole configuration of that size costs an entry.
+what a whole configuration of that size costs an entry; ``catalog`` the same for the
+catalog alone, without processes, and the time of one read.
 """
 
 import asyncio
@@ -19,6 +21,7 @@
 import sys
 import tempfile
 import time
+import timeit
 import urllib.request
 from collections import Counter
 from collections.abc import Iterator
@@ -28,11 +31,13 @@
 from typing import Any
 
 import fire
+import msgspec
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from examples.deployment import Deployment, wait_until
-from poplarlug.catalog import Account, Model
+from poplarlug.catalog import Account, Catalog, Delta, Model, Update
+from poplarlug.catalog.catalog import encode_object
 from poplarlug.keys import generate_caller_key, hash_caller_key
 from poplarlug.operators.client import OperatorClient
 from poplarlug.topology import EntryVm, Topology
@@ -229,6 +234,42 @@
             print(f"control replica {vm.name}: {rss / 1e6:.1f} MB")
 
 
+def catalog(accounts: int = 35_000) -> None:
+    """Print memory, time to come into force and time of a read."""
+    key_hash = hash_caller_key("team-0")
+    source = Catalog()
+    for number in range(accounts):
+        value = Account(
+            f"team-{number:05d}",
+            "costa",
+            ("costa", "austro", "sierra-norte"),
+            models=("corn-7b", "secret-7b"),
+            services=("depot",),
+            key_hashes=(hash_caller_key(f"team-{number}"),),
+        )
+        source.apply(Delta(number + 1, "account", value.name, encode_object(value)))
+    data = msgspec.msgpack.encode(source.update_after(0))
+    before = own_rss()
+    held = Catalog()
+    started = time.perf_counter()
+    held.update(msgspec.msgpack.decode(data, type=Update))
+    took = time.perf_counter() - started
+    grown = own_rss() - before
+    print(f"whole update: {len(data) / 1e6:.2f} MB, in force after {took:.2f} s")
+    print(
+        f"memory an account: {grown / accounts:.0f} bytes, in all {grown / 1e6:.1f} MB"
+    )
+    reads = min(
+        timeit.repeat(lambda: held.account_by_key_hash(key_hash), number=20_000)
+    )
+    print(f"read of an account by its key's hash: {reads / 20_000 * 1e6:.1f} us")
+
+
+def own_rss() -> float:
+    found = re.search(r"VmRSS:\s+(\d+)", Path("/proc/self/status").read_text())
+    return int(found.group(1)) * 1024.0 if found else 0.0
+
+
 def sample(
     running: Deployment, name: str, proxy: CountingProxy | None = None
 ) -> dict[str, float]:
@@ -280,4 +321,6 @@
 
 
 if __name__ == "__main__":
-    fire.Fire({"in_force": in_force, "cost": cost, "accounts": accounts})
+    fire.Fire(
+        {"in_force": in_force, "cost": cost, "accounts": accounts, "catalog": catalog}
+    )
