--- a/tests/processes/test_control_leader.py
+++ b/tests/processes/test_control_leader.py
@@ -34,6 +34,16 @@
 
     def test_frozen_leader_does_not_rule_when_it_thaws(self) -> None:
         """It serves no old read and no lease after another one took over."""
+        self.thaw_old_leader("while-frozen")
+
+    def test_frozen_leader_without_links_does_not_rule_when_it_thaws(self) -> None:
+        """Its lease alone keeps it from ruling when it hears of no later term."""
+        self.proxy.isolate(self.old)
+        self.addCleanup(self.proxy.heal)
+        self.thaw_old_leader("while-frozen-and-cut")
+
+    def thaw_old_leader(self, change: str) -> None:
+        """Freeze the leader, make ``change`` elsewhere, thaw and read at once."""
         self.deployment.signal(self.old, signal.SIGSTOP)
         replies: list[Any] = []
 
@@ -46,7 +56,7 @@
 
         try:
             wait_until(lambda: self.leader(self.rest), "no other leader")
-            self.change("while-frozen", client=self.client(self.rest))
+            self.change(change, client=self.client(self.rest))
             waiting = [
                 threading.Thread(target=target)
                 for target in (read_at_old, look_at_old) * 4
@@ -62,7 +72,8 @@
                 self.assertNotEqual(reply.role, "leader")
             elif reply is not None:
                 names = [message.region.name for message in reply.objects]
-                self.assertIn("while-frozen", names)
+                self.assertIn(change, names)
+        self.proxy.heal()
         self.wait_whole()
         self.check_accepted()
 
