--- /dev/null
+++ b/tests/processes/test_membership_entries.py
@@ -0,0 +1,155 @@
+"""Tests of entries that crash, freeze, stop or are cut off."""
+
+import signal
+import threading
+import time
+from typing import Any
+
+from examples.deployment import wait_until
+from tests.processes.case import Answer, ProcessTestCase
+from tests.processes.counting_upstream import CountingUpstream
+from tests.processes.proxy import LinkMode
+
+FREEZE_SECONDS = 6.0
+STREAMS = 8
+
+
+class EntryFaultTests(ProcessTestCase):
+    entries_per_zone = 3
+
+    @classmethod
+    def start_upstreams(cls) -> None:
+        slow = "--token_seconds=0.05"
+        cls.deployment.start_engine("e1", "quito-a", "corn-7b", slow)
+        cls.deployment.start_engine("e2", "cuenca-a", "corn-7b")
+
+    def setUp(self) -> None:
+        self.wait_until_listed("quito-a-1", "quito-a-1", "quito-a-2", "quito-a-3")
+        self.wait_for_upstreams("quito-a-1")
+
+    def tearDown(self) -> None:
+        self.proxy.heal()
+
+    def listed(self, entry: str) -> set[str]:
+        answer = self.call(entry, "/v1/directory")
+        return {e["name"] for e in answer.json()["entries"]}
+
+    def wait_until_listed(self, entry: str, *names: str) -> None:
+        wait_until(lambda: set(names) <= self.listed(entry), f"{names} not listed")
+
+    def wait_until_gone(self, entry: str, *names: str) -> None:
+        wait_until(
+            lambda: not set(names) & self.listed(entry), f"{entry} lists {names}"
+        )
+
+    def upstream(self) -> CountingUpstream:
+        upstream = CountingUpstream(
+            upstream_id="counting",
+            address=self.deployment.address(),
+            entry=self.entry("quito-a-1"),
+        )
+        self.addCleanup(upstream.close)
+        return upstream
+
+    def test_killed_entry_leaves_the_directory_and_returns(self) -> None:
+        """Entries of its own and of other zones stop naming it until it is back."""
+        self.wait_until_listed("cuenca-a-1", "quito-a-2")
+        self.deployment.kill("quito-a-2")
+        self.wait_until_gone("quito-a-1", "quito-a-2")
+        self.wait_until_gone("cuenca-a-1", "quito-a-2")
+        self.assertEqual(self.chat("quito-a-1", "meanwhile").status, 200)
+        self.deployment.start("quito-a-2")
+        self.wait_until_listed("cuenca-a-1", "quito-a-2")
+        self.assertEqual(self.chat("quito-a-2", "afterwards").status, 200)
+
+    def test_thawed_entry_brings_back_nothing_old(self) -> None:
+        """No request reaches an upstream that left while an entry was frozen."""
+        upstream = self.upstream()
+        frozen = "quito-a-3"
+        wait_until(lambda: self.chat(frozen, "x") and upstream.served, "not used")
+        upstream.fall_silent()
+        older = upstream.sequence + 1
+        upstream.sequence += 10
+        self.deployment.signal(frozen, signal.SIGSTOP)
+        try:
+            upstream.announce("leaving")
+            # Older words that lie in the frozen entry's sockets meanwhile.
+            for number in range(3):
+                upstream.announce(
+                    "serving",
+                    entry=self.entry(frozen),
+                    sequence=older + number,
+                    seconds=0.2,
+                )
+            asking, answers = self.ask_in_background(frozen, 10)
+            time.sleep(FREEZE_SECONDS)
+            served = upstream.served
+        finally:
+            self.deployment.signal(frozen, signal.SIGCONT)
+        for thread in asking:
+            thread.join()
+        for number in range(20):
+            self.chat(frozen, f"after {number}", max_tokens=1)
+            self.chat("quito-a-1", f"after {number}", max_tokens=1)
+        self.assertEqual(upstream.served, served)
+        self.assertLessEqual({a.status for a in answers}, {200, 503})
+        wait_until(lambda: self.chat(frozen, "again").status == 200, "not back")
+
+    def ask_in_background(
+        self, entry: str, count: int, **fields: Any
+    ) -> tuple[list[threading.Thread], list[Answer]]:
+        """Start ``count`` callers of ``entry``; answers come into the list."""
+        answers: list[Answer] = []
+
+        def ask(number: int) -> None:
+            answers.append(self.chat(entry, f"caller {number}", **fields))
+
+        threads = [threading.Thread(target=ask, args=(n,)) for n in range(count)]
+        for thread in threads:
+            thread.start()
+        return threads, answers
+
+    def test_one_way_cut_between_two_entries_kills_neither(self) -> None:
+        """The third entry's probes keep both in the directory."""
+        self.proxy.set_mode(
+            LinkMode.LOSE_THERE,
+            matching=lambda s, t: (s, t) == ("quito-a-1", "quito-a-2"),
+        )
+        for _ in range(16):
+            time.sleep(0.25)
+            for entry in ("quito-a-1", "quito-a-3"):
+                self.assertIn("quito-a-2", self.listed(entry))
+
+    def test_cut_off_zone_is_dropped_and_serves_on(self) -> None:
+        """A zone cut both ways leaves others' directory, not its own callers'."""
+        own = ("quito-a-1", "quito-a-2", "quito-a-3")
+        self.wait_until_listed("cuenca-a-1", *own)
+        self.proxy.isolate(*own, "control-quito-a")
+        self.wait_until_gone("cuenca-a-1", *own)
+        self.assertEqual(self.chat("quito-a-1", "cut off").status, 200)
+        self.assertEqual(self.listed("quito-a-1"), set(own))
+        self.proxy.heal()
+        self.wait_until_listed("cuenca-a-1", *own)
+
+    def test_stopped_entry_cuts_no_stream(self) -> None:
+        """SIGTERM under load: off the directory, streams whole, status 0."""
+        stopped = "quito-a-2"
+        wait_until(lambda: self.chat(stopped, "y").status == 200, "not ready")
+        asking, answers = self.ask_in_background(
+            stopped, STREAMS, stream=True, max_tokens=100
+        )
+        time.sleep(1.0)
+        self.deployment.signal(stopped, signal.SIGTERM)
+        self.wait_until_gone("quito-a-1", stopped)
+        refused = self.chat(stopped, "too late")
+        self.assertIn(refused.error_type if refused.status else "", ("not_run", ""))
+        self.assertTrue(any(thread.is_alive() for thread in asking))
+        for thread in asking:
+            thread.join()
+        self.assertEqual([a.status for a in answers], [200] * STREAMS)
+        for answer in answers:
+            self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
+            self.assertEqual(answer.body.count(b"data: "), 101)
+        process = self.deployment.processes_by_name[stopped]
+        self.assertEqual(process.wait(30), 0)
+        self.deployment.start(stopped)
