--- a/poplarlug/transport/zeromq.py
+++ b/poplarlug/transport/zeromq.py
@@ -96,6 +96,10 @@
         if self._context is not None and peer not in self._dealers_by_name:
             self._open_dealer(self._context, peer)
 
+    def open_links(self) -> list[VmName]:
+        """Return the peers to which a link is open."""
+        return list(self._dealers_by_name)
+
     def _open_dealer(
         self, context: zmq.asyncio.Context, peer: VmName
     ) -> zmq.asyncio.Socket | None:
--- /dev/null
+++ b/tests/callers/test_announcements.py
@@ -0,0 +1,51 @@
+"""Tests of upstreams' announcements as they come over HTTP."""
+
+import json
+from typing import Any
+from unittest import TestCase
+
+import msgspec
+from hypothesis import given, settings, strategies as st
+
+from poplarlug.callers.announcements import parse_announcement
+from poplarlug.membership.upstreams import Announcement
+
+GOOD: dict[str, Any] = {"id": "e1", "kind": "engine", "address": "10.0.0.1:80"}
+
+_json = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+
+
+class ParseAnnouncementTests(TestCase):
+    def test_missing_fields_have_defaults(self) -> None:
+        """The shortest announcement is one that serves nothing yet."""
+        announcement = parse_announcement(json.dumps(GOOD).encode())
+        self.assertEqual(announcement, Announcement(**GOOD))
+
+    def test_wrong_fields_are_named(self) -> None:
+        """Each bad field is refused with a text that names it."""
+        cases = {
+            "id": "a b",
+            "address": "engine.example:80",
+            "models": ["x"] * 65,
+            "running": -1,
+            "sequence": 1 << 62,
+            "cache_stored": [1] * 5000,
+            "state": "gone",
+        }
+        for name, value in cases.items():
+            with self.subTest(name=name), self.assertRaises(msgspec.ValidationError):
+                parse_announcement(json.dumps({**GOOD, name: value}).encode())
+
+    @settings(max_examples=200, deadline=None)
+    @given(st.dictionaries(st.sampled_from(Announcement._fields), _json), st.binary())
+    def test_any_body_is_taken_or_refused(self, body: Any, data: bytes) -> None:
+        """No body raises anything but the documented errors."""
+        for text in (json.dumps({**GOOD, **body}).encode(), data):
+            try:
+                parse_announcement(text)
+            except (msgspec.ValidationError, msgspec.DecodeError, KeyError):
+                pass
--- /dev/null
+++ b/tests/callers/test_connections.py
@@ -0,0 +1,114 @@
+"""Tests of the bounds on callers' connections."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from unittest import TestCase
+
+from aiohttp import web
+
+from poplarlug.callers.connections import ConnectionGuard, HttpLimits
+
+WAIT_SECONDS = 20.0
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+async def _echo(request: web.Request) -> web.Response:
+    return web.Response(body=await request.read())
+
+
+class ConnectionGuardTests(TestCase):
+    def serve(
+        self,
+        test: Callable[[ConnectionGuard, Callable[[], Awaitable[Streams]]], Awaitable],
+        **limits: float,
+    ) -> None:
+        async def main() -> None:
+            guard = ConnectionGuard(limits=HttpLimits()._replace(**limits))
+            app = web.Application(middlewares=[guard.middleware])
+            app.router.add_post("/", _echo)
+            runner = await guard.serve(app, "127.0.0.1:0")
+            sweeping = asyncio.ensure_future(guard.run())
+            host, port = runner.addresses[0][:2]
+            try:
+                async with asyncio.timeout(WAIT_SECONDS):
+                    await test(guard, lambda: asyncio.open_connection(host, port))
+            finally:
+                sweeping.cancel()
+                await runner.cleanup()
+
+        asyncio.run(main())
+
+    def test_slow_headers_are_cut_off(self) -> None:
+        """Headers that trickle in, and none at all, end the connection."""
+
+        async def test(
+            guard: ConnectionGuard, connect: Callable[[], Awaitable[Streams]]
+        ) -> None:
+            silent, silent_writer = await connect()
+            reader, writer = await connect()
+            writer.write(b"POST / HTTP/1.1\r\nHost: x\r\n")
+            trickling = asyncio.ensure_future(_trickle(writer))
+            self.assertEqual(await _read_all(reader), b"")
+            self.assertEqual(await _read_all(silent), b"")
+            trickling.cancel()
+            self.assertEqual(guard.refused, 2)
+            silent_writer.close()
+
+        self.serve(test, header_seconds=0.4)
+
+    def test_second_request_of_a_connection_is_bounded_too(self) -> None:
+        """A kept connection that begins another request must go on with it."""
+
+        async def test(
+            guard: ConnectionGuard, connect: Callable[[], Awaitable[Streams]]
+        ) -> None:
+            reader, writer = await connect()
+            writer.write(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok")
+            self.assertIn(b"200 OK", await reader.readuntil(b"ok"))
+            writer.write(b"POST")
+            self.assertEqual(await _read_all(reader), b"")
+            self.assertEqual(guard.refused, 1)
+
+        self.serve(test, header_seconds=0.4)
+
+    def test_connections_are_bounded(self) -> None:
+        """One more connection than the bound is closed; the others serve on."""
+
+        async def test(
+            guard: ConnectionGuard, connect: Callable[[], Awaitable[Streams]]
+        ) -> None:
+            (reader, writer), (_, other) = await connect(), await connect()
+            extra, _ = await connect()
+            self.assertEqual(await _read_all(extra), b"")
+            writer.write(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok")
+            self.assertIn(b"200 OK", await reader.readuntil(b"ok"))
+            other.close()
+
+        self.serve(test, max_connections=2)
+
+    def test_long_header_is_refused(self) -> None:
+        """A header line above the bound gets an error and no handler."""
+
+        async def test(
+            guard: ConnectionGuard, connect: Callable[[], Awaitable[Streams]]
+        ) -> None:
+            reader, writer = await connect()
+            writer.write(b"POST / HTTP/1.1\r\nX-Long: " + b"x" * 9000 + b"\r\n\r\n")
+            self.assertIn(b" 400 ", await reader.readline())
+            writer.close()
+
+        self.serve(test)
+
+
+async def _trickle(writer: asyncio.StreamWriter) -> None:
+    while not writer.is_closing():
+        writer.write(b"X-Slow: 1\r\n")
+        await asyncio.sleep(0.05)
+
+
+async def _read_all(reader: asyncio.StreamReader) -> bytes:
+    try:
+        return await reader.read()
+    except ConnectionError:
+        return b""
--- a/tests/processes/test_membership_entries.py
+++ b/tests/processes/test_membership_entries.py
@@ -68,25 +68,25 @@
         frozen = "quito-a-3"
         wait_until(lambda: self.chat(frozen, "x") and upstream.served, "not used")
         upstream.fall_silent()
-        older = upstream.sequence + 1
         upstream.sequence += 10
         self.deployment.signal(frozen, signal.SIGSTOP)
         try:
             upstream.announce("leaving")
             # Older words that lie in the frozen entry's sockets meanwhile.
-            for number in range(3):
-                upstream.announce(
-                    "serving",
-                    entry=self.entry(frozen),
-                    sequence=older + number,
-                    seconds=0.2,
-                )
+            older = upstream.sequence - 5
+            waiting = [
+                threading.Thread(target=self.announce_late, args=(upstream, older + n))
+                for n in range(3)
+            ]
+            for thread in waiting:
+                thread.start()
+            time.sleep(0.3)
             asking, answers = self.ask_in_background(frozen, 10)
             time.sleep(FREEZE_SECONDS)
             served = upstream.served
         finally:
             self.deployment.signal(frozen, signal.SIGCONT)
-        for thread in asking:
+        for thread in (*asking, *waiting):
             thread.join()
         for number in range(20):
             self.chat(frozen, f"after {number}", max_tokens=1)
@@ -95,6 +95,10 @@
         self.assertLessEqual({a.status for a in answers}, {200, 503})
         wait_until(lambda: self.chat(frozen, "again").status == 200, "not back")
 
+    def announce_late(self, upstream: CountingUpstream, sequence: int) -> None:
+        entry = self.entry("quito-a-3")
+        upstream.announce("serving", entry=entry, sequence=sequence, seconds=30)
+
     def ask_in_background(
         self, entry: str, count: int, **fields: Any
     ) -> tuple[list[threading.Thread], list[Answer]]:
--- /dev/null
+++ b/tests/transport/test_zeromq.py
@@ -0,0 +1,148 @@
+"""Tests of the transport over ZeroMQ sockets on loopback."""
+
+import asyncio
+import socket
+import tempfile
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import NamedTuple
+from unittest import TestCase
+
+from returns.result import Failure, Result, Success
+
+from poplarlug.keys import generate_key_files
+from poplarlug.topology import KeyFiles
+from poplarlug.transport import TransportError, TransportErrorKind, ZmqTransport
+
+TRY_SECONDS = 20.0
+TRIES = 400
+
+
+class Count(NamedTuple):
+    number: int
+
+
+class Pair:
+    """A transport ``near`` that asks and a transport ``far`` that answers."""
+
+    def __init__(self, folder: Path, *, near_keys: Path, idle_seconds: float) -> None:
+        addresses = {"near": _free_address(), "far": _free_address()}
+        keys_by_name = {"near": near_keys, "far": folder / "keys"}
+        self.received: list[int] = []
+        self.near, self.far = (
+            ZmqTransport(
+                name=name,
+                address=addresses[name],
+                addresses_by_name=addresses,
+                keys=KeyFiles(
+                    str(keys / "secret" / f"{name}.key_secret"),
+                    str(folder / "keys" / "public"),
+                ),
+                idle_link_seconds=idle_seconds,
+            )
+            for name, keys in keys_by_name.items()
+        )
+        self.far.serve("count", Count, self._serve)
+        self.far.serve_stream("stream", Count, _stall)
+
+    async def _serve(self, sender: str, message: Count) -> Count:
+        self.received.append(message.number)
+        return message
+
+    async def ask(self) -> Result[Count, TransportError]:
+        return await self.near.request(
+            peer="far",
+            topic="count",
+            message=Count(1),
+            reply_type=Count,
+            timeout_seconds=1.0,
+        )
+
+    async def ask_until_answered(self) -> None:
+        for _ in range(TRIES):
+            if isinstance(await self.ask(), Success):
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError("far gave no answer")
+
+
+async def _stall(sender: str, message: Count) -> AsyncIterator[bytes]:
+    yield b"first"
+    await asyncio.sleep(TRY_SECONDS)
+    yield b"never"
+
+
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class ZmqTransportTests(TestCase):
+    def run_pair(
+        self,
+        test: Callable[[Pair, "asyncio.Task[None]"], Awaitable[None]],
+        *,
+        foreign_key: bool = False,
+        idle_seconds: float = 60.0,
+    ) -> None:
+        async def main(folder: Path) -> None:
+            generate_key_files(folder / "keys", ["near", "far"])
+            keys = folder / "keys"
+            if foreign_key:
+                keys = folder / "foreign"
+                generate_key_files(keys, ["near"])
+            pair = Pair(folder, near_keys=keys, idle_seconds=idle_seconds)
+            near = asyncio.ensure_future(pair.near.run())
+            far = asyncio.ensure_future(pair.far.run())
+            try:
+                await test(pair, far)
+            finally:
+                for task in (near, far):
+                    task.cancel()
+                await asyncio.gather(near, far, return_exceptions=True)
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(main(Path(folder)))
+
+    def test_unknown_key_gets_nothing_in(self) -> None:
+        """A process whose key isn't among the peers' reaches no handler."""
+
+        async def test(pair: Pair, far: "asyncio.Task[None]") -> None:
+            for _ in range(20):
+                outcome = await pair.ask()
+                self.assertIsInstance(outcome, Failure)
+                await asyncio.sleep(0.05)
+            self.assertEqual(pair.received, [])
+
+        self.run_pair(test, foreign_key=True)
+
+    def test_lost_link_breaks_its_streams_at_once(self) -> None:
+        """A stream whose peer went away fails before its idle timeout."""
+
+        async def test(pair: Pair, far: "asyncio.Task[None]") -> None:
+            await pair.ask_until_answered()
+            stream = pair.near.open_stream(
+                peer="far", topic="stream", message=Count(1)
+            ).unwrap()
+            self.assertEqual(await stream.next_chunk(), Success(b"first"))
+            far.cancel()
+            item = await stream.next_chunk(timeout_seconds=TRY_SECONDS)
+            assert isinstance(item, Failure)
+            self.assertIs(item.failure().kind, TransportErrorKind.BROKEN)
+
+        self.run_pair(test)
+
+    def test_idle_link_closes_and_opens_again(self) -> None:
+        """A link without traffic is closed; the next message opens it."""
+
+        async def test(pair: Pair, far: "asyncio.Task[None]") -> None:
+            await pair.ask_until_answered()
+            for _ in range(TRIES):
+                await asyncio.sleep(0.05)
+                if not pair.near.open_links():
+                    break
+            self.assertEqual(pair.near.open_links(), [])
+            await pair.ask_until_answered()
+
+        self.run_pair(test, idle_seconds=0.3)
