--- a/poplarlug/membership/reporting.py
+++ b/poplarlug/membership/reporting.py
@@ -79,6 +79,12 @@
             if self._members.load(name) < OVERLOADED_LOAD
         ]
 
+    def _least_loaded(self) -> list[VmName]:
+        # One decimal, so that equal ones are chosen by hash and not by name.
+        open_entries = rank_by_rendezvous(self._own.zone, self.open_entries())
+        open_entries.sort(key=lambda name: round(self._members.load(name), 1))
+        return open_entries[:MAX_SUMMARY_ENTRIES]
+
     def _place_among_reporters(self, zone: ZoneName) -> int | None:
         key = pair_key(self._own.zone, zone)
         reporters = rank_by_rendezvous(key, self._members.alive())[:REPORTERS]
@@ -107,7 +113,7 @@
             services=tuple(services[:MAX_SUMMARY_NAMES]),
             running=sum(a.running for a in serving),
             incarnation=self._members.own_member.incarnation,
-            entries=tuple(self.open_entries()[:MAX_SUMMARY_ENTRIES]),
+            entries=tuple(self._least_loaded()),
             loads=summarize_models(serving),
             queued=sum(a.queued for a in serving),
             capacity=sum(a.capacity for a in serving),
--- a/poplarlug/membership/sharing.py
+++ b/poplarlug/membership/sharing.py
@@ -25,6 +25,7 @@
 __all__ = ["AnnounceOutcome", "Membership", "ZoneSummary"]
 
 TICK_SECONDS = 0.25
+SHARE_SECONDS = 1.0
 SETTLE_SECONDS = 0.5
 ALONE_SECONDS = 2.0
 FETCH_RETRY_SECONDS = 0.2
@@ -145,15 +146,17 @@
         detecting = asyncio.ensure_future(self.detector.run())
         try:
             await self._settle()
-            last_share = self._clock()
+            last_share = last_report = self._clock()
             while True:
                 self.pause.check()
                 if not self.settled:
                     await self._settle()
                 self._expire()
-                if self._clock() - last_share >= SUMMARY_SECONDS:
+                if self._clock() - last_share >= SHARE_SECONDS:
                     last_share = self._clock()
                     self._share()
+                if self._clock() - last_report >= SUMMARY_SECONDS:
+                    last_report = self._clock()
                     self.reporter.send()
                 await asyncio.sleep(TICK_SECONDS)
         finally:
--- a/poplarlug/membership/summaries.py
+++ b/poplarlug/membership/summaries.py
@@ -15,12 +15,12 @@
     ZoneName,
 )
 
-SUMMARY_SECONDS = 1.0
-SUMMARY_LIFE_SECONDS = 5.0
+SUMMARY_SECONDS = 2.0
+SUMMARY_LIFE_SECONDS = 6.0
 MAX_SUMMARY_NAMES = 64
-MAX_SUMMARY_ENTRIES = 24
+MAX_SUMMARY_ENTRIES = 6
 FORWARD_ENTRIES = 3
-FIRST_REPORTER_SILENT_SECONDS = 2.5
+FIRST_REPORTER_SILENT_SECONDS = 4.5
 
 
 class ModelLoad(NamedTuple):
@@ -53,7 +53,7 @@
     age : float
         Seconds since the reporter read its tables.
     entries : tuple of VmName
-        Entries of the zone that take new work.
+        Least loaded entries of the zone, at most :data:`MAX_SUMMARY_ENTRIES`.
     loads : tuple of ModelLoad
         Load by model; ``models`` lists the same names.
     backup : bool
--- a/poplarlug/membership/upstream_sharing.py
+++ b/poplarlug/membership/upstream_sharing.py
@@ -11,10 +11,12 @@
 from poplarlug.membership.messages import Acknowledgement
 from poplarlug.membership.upstreams import (
     LEASE_SECONDS,
+    MILLISECONDS_PER_SECOND,
     Announcement,
     Renewal,
     UpstreamRecord,
     UpstreamTable,
+    incarnation_tag,
 )
 from poplarlug.transport import Transport
 from poplarlug.types import Seconds, UpstreamId, VmName
@@ -162,11 +164,11 @@
 def _renewal(announcement: Announcement, age: Seconds) -> Renewal:
     return Renewal(
         announcement.id,
-        announcement.incarnation,
+        incarnation_tag(announcement.incarnation),
         announcement.sequence,
         announcement.running,
         announcement.queued,
-        round(age, 3),
+        round(age * MILLISECONDS_PER_SECOND),
         announcement.cache_sequence,
         announcement.cache_stored,
         announcement.cache_removed,
--- a/poplarlug/membership/upstreams.py
+++ b/poplarlug/membership/upstreams.py
@@ -20,6 +20,8 @@
 TOMBSTONE_SECONDS = 600.0
 MAX_UPSTREAMS = 2000
 MAX_TOMBSTONES = 4000
+INCARNATION_TAG_BITS = 16
+MILLISECONDS_PER_SECOND = 1000
 
 UpstreamState: TypeAlias = Literal["serving", "leaving"]
 
@@ -87,14 +89,23 @@
 
 
 class Renewal(NamedTuple):
-    """The part of an announcement that changes with each renewal."""
+    """
+    The part of an announcement that changes with each renewal.
+
+    Parameters
+    ----------
+    incarnation_tag : int
+        Lowest bits of the incarnation; the receiver knows the rest.
+    age_milliseconds : int
+        Time since an entry got it from its upstream.
+    """
 
     id: UpstreamId
-    incarnation: int
+    incarnation_tag: int
     sequence: int
     running: int
     queued: int
-    age: Seconds
+    age_milliseconds: int
     cache_sequence: int = 0
     cache_stored: tuple[int, ...] = ()
     cache_removed: tuple[int, ...] = ()
@@ -178,9 +189,8 @@
         changed = False
         for renewal in renewals:
             held = self._held_by_id.get(renewal.id)
-            if held is None or held.announcement.incarnation < renewal.incarnation:
-                if not self._is_buried(renewal):
-                    missing.append(renewal.id)
+            if held is None or not _is_of(renewal, held.announcement):
+                missing.append(renewal.id)
                 continue
             if not self._renew_one(held.announcement, renewal):
                 continue
@@ -245,7 +255,6 @@
 
     def _renew_one(self, held: Announcement, renewal: Renewal) -> bool:
         newer = held._replace(
-            incarnation=renewal.incarnation,
             sequence=renewal.sequence,
             running=renewal.running,
             queued=renewal.queued,
@@ -253,9 +262,10 @@
             cache_stored=renewal.cache_stored,
             cache_removed=renewal.cache_removed,
         )
-        if not newer.is_newer_than(held) or renewal.age >= LEASE_SECONDS:
+        age = max(0, renewal.age_milliseconds) / MILLISECONDS_PER_SECOND
+        if not newer.is_newer_than(held) or age >= LEASE_SECONDS:
             return False
-        announced = self._clock() - max(0.0, renewal.age)
+        announced = self._clock() - age
         self._held_by_id[held.id] = _Held(newer, announced)
         return True
 
@@ -271,7 +281,7 @@
         self._publish()
         return True
 
-    def _is_buried(self, record: Announcement | Renewal) -> bool:
+    def _is_buried(self, record: Announcement) -> bool:
         buried = self._tombstones_by_id.get(record.id)
         if buried is None:
             return False
@@ -307,5 +317,14 @@
         self.serving.set(self.all())
 
 
+def incarnation_tag(incarnation: int) -> int:
+    """Return the bits that tell one upstream's recent incarnations apart."""
+    return incarnation % (1 << INCARNATION_TAG_BITS)
+
+
+def _is_of(renewal: Renewal, announcement: Announcement) -> bool:
+    return renewal.incarnation_tag == incarnation_tag(announcement.incarnation)
+
+
 def _key(tombstone: Tombstone) -> tuple[int, bool, int]:
     return tombstone.incarnation, tombstone.left, tombstone.sequence
