--- a/poplarlug/membership/reporting.py
+++ b/poplarlug/membership/reporting.py
@@ -1,13 +1,16 @@
 """Reports the own zone's summary to the other zones."""
 
+import asyncio
 from collections.abc import Callable
 
+from returns.result import Success
+
 from poplarlug.membership.members import MemberTable
+from poplarlug.membership.messages import Acknowledgement
 from poplarlug.membership.rendezvous import rank_by_rendezvous
 from poplarlug.membership.summaries import (
     MAX_SUMMARY_ENTRIES,
     MAX_SUMMARY_NAMES,
-    SummaryTable,
     ZoneSummary,
     pair_key,
     summarize_models,
@@ -19,6 +22,7 @@
 
 REPORTERS = 2
 OVERLOADED_LOAD = 0.9
+REPORT_TIMEOUT_SECONDS = 1.0
 
 SUMMARY_TOPIC = "membership.summary"
 
@@ -28,8 +32,8 @@
     Send the zone's summary for each pair of zones that chose this entry.
 
     For each other zone, two entries of this one are reporters, and each sends
-    to one entry there, which spreads it. All are chosen by rendezvous hash, so
-    that pairs spread over the entries.
+    to one entry there, which acknowledges and spreads it. All are chosen by
+    rendezvous hash, so that pairs spread over the entries.
     """
 
     def __init__(
@@ -39,7 +43,6 @@
         topology: Topology,
         members: MemberTable,
         upstreams: UpstreamTable,
-        summaries: SummaryTable,
         transport: Transport,
         config_version: Callable[[], ConfigVersion],
         load: Callable[[], float],
@@ -47,11 +50,12 @@
         self._own = own
         self._members = members
         self._upstreams = upstreams
-        self._summaries = summaries
         self._transport = transport
         self._config_version = config_version
         self._load = load
         self._sequence = 0
+        self._reports: set[asyncio.Task[None]] = set()
+        self._skipped_by_zone: dict[ZoneName, int] = {}
         self._entries_by_zone: dict[ZoneName, list[VmName]] = {}
         for vm in topology.entries:
             if vm.zone != own.zone:
@@ -63,12 +67,16 @@
         summary = self._summarize()
         for zone in self._entries_by_zone:
             place = self._place_among_reporters(zone)
-            if place is not None:
-                self._transport.notify(
-                    peer=self._receiver(zone, place),
-                    topic=SUMMARY_TOPIC,
-                    message=summary._replace(backup=place > 0),
-                )
+            if place is None:
+                continue
+            report = self._report(zone, place, summary._replace(backup=place > 0))
+            task = asyncio.ensure_future(report)
+            self._reports.add(task)
+            task.add_done_callback(self._reports.discard)
+
+    def stop(self) -> None:
+        for task in self._reports:
+            task.cancel()
 
     def open_entries(self) -> list[VmName]:
         """Return the entries of the own zone that take new work."""
@@ -92,15 +100,20 @@
             return None
         return reporters.index(self._own.name)
 
-    def _receiver(self, zone: ZoneName, place: int) -> VmName:
-        held = self._summaries.get(zone)
-        configured = self._entries_by_zone[zone]
-        names = [name for name in held.entries if name in configured] if held else []
-        if names:
-            ranked = rank_by_rendezvous(pair_key(self._own.zone, zone), names)
-            return ranked[place % len(ranked)]
-        # Nothing is known of that zone: try its entries in turn.
-        return configured[(self._sequence + place) % len(configured)]
+    async def _report(self, zone: ZoneName, place: int, summary: ZoneSummary) -> None:
+        key = pair_key(self._own.zone, zone)
+        ranked = rank_by_rendezvous(key, self._entries_by_zone[zone])
+        skipped = self._skipped_by_zone.get(zone, 0)
+        reply = await self._transport.request(
+            peer=ranked[(place + skipped) % len(ranked)],
+            topic=SUMMARY_TOPIC,
+            message=summary,
+            reply_type=Acknowledgement,
+            timeout_seconds=REPORT_TIMEOUT_SECONDS,
+        )
+        if not isinstance(reply, Success) or not reply.unwrap().taken:
+            # The next summary tries the next entry of that zone.
+            self._skipped_by_zone[zone] = skipped + 1
 
     def _summarize(self) -> ZoneSummary:
         serving = self._upstreams.serving.value
--- a/poplarlug/membership/sharing.py
+++ b/poplarlug/membership/sharing.py
@@ -108,7 +108,6 @@
             topology=topology,
             members=self.members,
             upstreams=self.upstreams,
-            summaries=self._summaries,
             transport=transport,
             config_version=config_version,
             load=load,
@@ -163,6 +162,7 @@
             detecting.cancel()
             self._exchange.stop()
             self._sharing.stop()
+            self.reporter.stop()
 
     async def leave(self) -> None:
         """Tell the zone's entries that this one takes no new work."""
@@ -237,6 +237,11 @@
         if self.upstreams.renew(message.renewals):
             self._repair_from(sender)
 
-    async def _serve_summary(self, sender: VmName, message: ZoneSummary) -> None:
-        if self.settled and self._summaries.take(message):
+    async def _serve_summary(
+        self, sender: VmName, message: ZoneSummary
+    ) -> Acknowledgement:
+        if not self.settled:
+            return Acknowledgement(False)
+        if self._summaries.take(message):
             self._to_share_by_zone[message.zone] = None
+        return Acknowledgement(True)
