--- a/tests/processes/test_membership_entries.py
+++ b/tests/processes/test_membership_entries.py
@@ -116,6 +116,22 @@
             thread.start()
         return threads, answers
 
+    def test_malformed_ids_and_paths_get_typed_errors(self) -> None:
+        """A request id that is too long or odd, and an unknown path, are refused."""
+        path = "/v1/models"
+        self.assertEqual(self.call("quito-a-1", path).status, 200)
+        for request_id in ("x" * 129, "a b", "a;b"):
+            answer = self.call(
+                "quito-a-1",
+                "/v1/chat/completions",
+                {},
+                headers={"X-Request-Id": request_id},
+            )
+            self.assertEqual(answer.status, 400)
+            self.assertIn("X-Request-Id", answer.json()["error"]["message"])
+        unknown = self.call("quito-a-1", "/v1/none")
+        self.assertEqual((unknown.status, unknown.error_type), (404, "not_found"))
+
     def test_one_way_cut_between_two_entries_kills_neither(self) -> None:
         """The third entry's probes keep both in the directory."""
         self.proxy.set_mode(
