--- a/poplarlug/membership/sharing.py
+++ b/poplarlug/membership/sharing.py
@@ -25,6 +25,7 @@
 __all__ = ["AnnounceOutcome", "Membership", "ZoneSummary"]
 
 TICK_SECONDS = 0.25
+SHARE_SECONDS = 1.0
 SETTLE_SECONDS = 0.5
 ALONE_SECONDS = 2.0
 FETCH_RETRY_SECONDS = 0.2
@@ -107,7 +108,6 @@
             topology=topology,
             members=self.members,
             upstreams=self.upstreams,
-            summaries=self._summaries,
             transport=transport,
             config_version=config_version,
             load=load,
@@ -145,21 +145,24 @@
         detecting = asyncio.ensure_future(self.detector.run())
         try:
             await self._settle()
-            last_share = self._clock()
+            last_share = last_report = self._clock()
             while True:
                 self.pause.check()
                 if not self.settled:
                     await self._settle()
                 self._expire()
-                if self._clock() - last_share >= SUMMARY_SECONDS:
+                if self._clock() - last_share >= SHARE_SECONDS:
                     last_share = self._clock()
                     self._share()
+                if self._clock() - last_report >= SUMMARY_SECONDS:
+                    last_report = self._clock()
                     self.reporter.send()
                 await asyncio.sleep(TICK_SECONDS)
         finally:
             detecting.cancel()
             self._exchange.stop()
             self._sharing.stop()
+            self.reporter.stop()
 
     async def leave(self) -> None:
         """Tell the zone's entries that this one takes no new work."""
@@ -234,6 +237,11 @@
         if self.upstreams.renew(message.renewals):
             self._repair_from(sender)
 
-    async def _serve_summary(self, sender: VmName, message: ZoneSummary) -> None:
-        if self.settled and self._summaries.take(message):
+    async def _serve_summary(
+        self, sender: VmName, message: ZoneSummary
+    ) -> Acknowledgement:
+        if not self.settled:
+            return Acknowledgement(False)
+        if self._summaries.take(message):
             self._to_share_by_zone[message.zone] = None
+        return Acknowledgement(True)
--- a/poplarlug/membership/upstreams.py
+++ b/poplarlug/membership/upstreams.py
@@ -1,119 +1,38 @@
-"""Upstreams of a zone, their announcements, leases and tombstones."""
+"""The table of a zone's upstreams: leases and tombstones."""
 
 from collections.abc import Callable, Iterable
-from typing import Literal, NamedTuple, TypeAlias
+from typing import NamedTuple
 
 import msgspec
 import xxhash
 
 from poplarlug.latest import Latest
-from poplarlug.types import (
-    Address,
-    ModelName,
-    Seconds,
-    ServiceName,
-    UpstreamId,
-    UpstreamKind,
+from poplarlug.membership.announcements import (
+    Announcement,
+    Renewal,
+    Tombstone,
+    UpstreamRecord,
+    UpstreamState,
+    incarnation_tag,
+    is_renewal_of,
 )
+from poplarlug.types import Seconds, UpstreamId
+
+__all__ = [
+    "Announcement",
+    "Renewal",
+    "Tombstone",
+    "UpstreamRecord",
+    "UpstreamState",
+    "UpstreamTable",
+    "incarnation_tag",
+]
 
 LEASE_SECONDS = 4.0
 TOMBSTONE_SECONDS = 600.0
 MAX_UPSTREAMS = 2000
 MAX_TOMBSTONES = 4000
-
-UpstreamState: TypeAlias = Literal["serving", "leaving"]
-
-
-class Announcement(NamedTuple):
-    """
-    What an upstream says of itself.
-
-    Parameters
-    ----------
-    incarnation, sequence : int
-        Larger ones replace smaller ones; a restart has a larger incarnation.
-    running, queued : int
-        Requests in progress and waiting, as the upstream counts them.
-    capacity : int
-        Requests that it runs at once; 0 when it doesn't say.
-    prefill_tokens_per_second : float
-        Rate of prefill; 0 when it doesn't say.
-    token_seconds : float
-        Time between the tokens of one answer; 0 when it doesn't say.
-    cache_sequence : int
-        Grows by one with every batch of cache events; a gap means lost batches.
-    cache_stored, cache_removed : tuple of int
-        Prefix hashes that its cache gained and lost since the batch before.
-    """
-
-    id: UpstreamId
-    kind: UpstreamKind
-    address: Address
-    state: UpstreamState = "serving"
-    incarnation: int = 0
-    sequence: int = 0
-    models: tuple[ModelName, ...] = ()
-    services: tuple[ServiceName, ...] = ()
-    running: int = 0
-    queued: int = 0
-    capacity: int = 0
-    prefill_tokens_per_second: float = 0.0
-    token_seconds: Seconds = 0.0
-    cache_sequence: int = 0
-    cache_stored: tuple[int, ...] = ()
-    cache_removed: tuple[int, ...] = ()
-
-    def is_newer_than(self, other: "Announcement") -> bool:
-        own = (self.incarnation, self.sequence)
-        return own > (other.incarnation, other.sequence)
-
-    def differs_only_in_load(self, other: "Announcement") -> bool:
-        """Return whether a short renewal tells all that changed since ``other``."""
-        return other == self._replace(
-            sequence=other.sequence,
-            running=other.running,
-            queued=other.queued,
-            cache_sequence=other.cache_sequence,
-            cache_stored=other.cache_stored,
-            cache_removed=other.cache_removed,
-        )
-
-
-class UpstreamRecord(NamedTuple):
-    """An announcement and the seconds since an entry got it from its upstream."""
-
-    announcement: Announcement
-    age: Seconds
-
-
-class Renewal(NamedTuple):
-    """The part of an announcement that changes with each renewal."""
-
-    id: UpstreamId
-    incarnation: int
-    sequence: int
-    running: int
-    queued: int
-    age: Seconds
-    cache_sequence: int = 0
-    cache_stored: tuple[int, ...] = ()
-    cache_removed: tuple[int, ...] = ()
-
-
-class Tombstone(NamedTuple):
-    """
-    What is kept of an upstream that is gone.
-
-    Parameters
-    ----------
-    left : bool
-        Whether it said so itself; then its incarnation never serves again.
-    """
-
-    id: UpstreamId
-    incarnation: int
-    sequence: int
-    left: bool
+MILLISECONDS_PER_SECOND = 1000
 
 
 class _Held(NamedTuple):
@@ -178,9 +97,8 @@
         changed = False
         for renewal in renewals:
             held = self._held_by_id.get(renewal.id)
-            if held is None or held.announcement.incarnation < renewal.incarnation:
-                if not self._is_buried(renewal):
-                    missing.append(renewal.id)
+            if held is None or not is_renewal_of(renewal, held.announcement):
+                missing.append(renewal.id)
                 continue
             if not self._renew_one(held.announcement, renewal):
                 continue
@@ -245,7 +163,6 @@
 
     def _renew_one(self, held: Announcement, renewal: Renewal) -> bool:
         newer = held._replace(
-            incarnation=renewal.incarnation,
             sequence=renewal.sequence,
             running=renewal.running,
             queued=renewal.queued,
@@ -253,9 +170,10 @@
             cache_stored=renewal.cache_stored,
             cache_removed=renewal.cache_removed,
         )
-        if not newer.is_newer_than(held) or renewal.age >= LEASE_SECONDS:
+        age = max(0, renewal.age_milliseconds) / MILLISECONDS_PER_SECOND
+        if not newer.is_newer_than(held) or age >= LEASE_SECONDS:
             return False
-        announced = self._clock() - max(0.0, renewal.age)
+        announced = self._clock() - age
         self._held_by_id[held.id] = _Held(newer, announced)
         return True
 
@@ -271,7 +189,7 @@
         self._publish()
         return True
 
-    def _is_buried(self, record: Announcement | Renewal) -> bool:
+    def _is_buried(self, record: Announcement) -> bool:
         buried = self._tombstones_by_id.get(record.id)
         if buried is None:
             return False
