Claim a key at a majority of its holders before a booking leaves

Cause: a resend through another entry ran a booking a second time. Change: three holders of the key's home zone vote once a key; an attempt that got no majority is released and never used again; a holder that lost its memory waits until no attempt counts its old votes, then copies from the other holders of each key before it votes; outcomes and answers up to 64 KiB are stored at the holders; resends join, replay or get outcome_unknown. A sending whose key can't be looked up is told claims_unreachable (ran: null) unless the caller said that it was the first sending: saying not_run there was false for a resend.

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -221,6 +221,8 @@
                 },
             }
             program = "poplarlug-entry"
+            if self.topology.entry(vm.name) is not None:
+                settings["claims"] = {"trust_empty_zone": True}
             if self.topology.control_vm(vm.name) is not None:
                 program = "poplarlug-control"
                 settings["data_folder"] = f"data/{vm.name}"
--- a/poplarlug/callers/parsing.py
+++ b/poplarlug/callers/parsing.py
@@ -122,6 +122,7 @@
             service=service_name,
             repeatable=repeatable,
             key=key,
+            first_send=http.headers.get("X-First-Send", "").lower() == "true",
         )
     )
 
--- a/poplarlug/claims/__init__.py
+++ b/poplarlug/claims/__init__.py
@@ -1,1 +1,25 @@
-"""claims package."""
+"""At most once: who owns an idempotency key, and how its request ended."""
+
+from poplarlug.claims.holder import ClaimHolder
+from poplarlug.claims.journal import ClaimJournal
+from poplarlug.claims.owner import ClaimOwner, Owned, Refused, Taken
+from poplarlug.claims.placement import holders_of, home_zone
+from poplarlug.claims.records import ClaimKey, ClaimState, StoredAnswer
+from poplarlug.claims.settings import ClaimSettings
+from poplarlug.claims.table import ClaimTable
+
+__all__ = [
+    "ClaimHolder",
+    "ClaimJournal",
+    "ClaimKey",
+    "ClaimOwner",
+    "ClaimSettings",
+    "ClaimState",
+    "ClaimTable",
+    "Owned",
+    "Refused",
+    "StoredAnswer",
+    "Taken",
+    "holders_of",
+    "home_zone",
+]
--- /dev/null
+++ b/poplarlug/claims/holder.py
@@ -0,0 +1,222 @@
+"""Serves the claims that this entry holds for its zone."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Iterator
+
+import msgspec
+from returns.result import Failure, Success
+
+from poplarlug.claims.journal import ClaimJournal
+from poplarlug.claims.placement import holders_of
+from poplarlug.claims.records import (
+    ClaimKey,
+    ClaimRecord,
+    ClaimReply,
+    ClaimRequest,
+    ClaimUpdate,
+    CopyPage,
+    CopyRequest,
+    UpdateReply,
+    Vote,
+)
+from poplarlug.claims.table import ClaimTable
+from poplarlug.logs import PartLog
+from poplarlug.topology import EntryVm, Topology
+from poplarlug.transport import Transport
+from poplarlug.types import Seconds, VmName
+
+CLAIM_TOPIC = "claims.claim"
+UPDATE_TOPIC = "claims.update"
+COPY_TOPIC = "claims.copy"
+
+ATTEMPT_SECONDS = 1.5
+"""Longest time from an attempt's first message to its last counted vote."""
+
+QUIET_SECONDS = 2.5
+"""How long a holder without memory waits until no attempt counts its old votes."""
+
+COPY_RETRY_SECONDS = 0.5
+COPY_IDLE_SECONDS = 2.0
+PAGE_RECORDS = 50
+
+_READY = "ready"
+_RECOVERING = "recovering"
+_EMPTY = "empty"
+
+_log = PartLog(prefix="claims")
+
+
+class ClaimHolder:
+    """
+    Vote on claims, and refuse keys whose claims may have been lost.
+
+    A holder that starts without its former claims copies them from the other
+    holders of each key before it votes on that key again. See
+    docs/design/claims.md for why it first waits :data:`QUIET_SECONDS`.
+
+    Parameters
+    ----------
+    journal : ClaimJournal or None
+        Where claims survive a restart; ``None`` on a VM without a disk.
+    trust_empty_zone : bool
+        Take it that there are no claims when all entries of the zone say that
+        they have none; for the first start of a zone.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: EntryVm,
+        topology: Topology,
+        transport: Transport,
+        table: ClaimTable,
+        clock: Callable[[], Seconds],
+        journal: ClaimJournal | None = None,
+        trust_empty_zone: bool = False,
+    ) -> None:
+        self._own = own
+        self._topology = topology
+        self._transport = transport
+        self._table = table
+        self._clock = clock
+        self._journal = journal
+        self._trust_empty_zone = trust_empty_zone
+        self._started = clock()
+        self._peers = frozenset(
+            vm.name for vm in topology.entries_of_zone(own.zone) if vm.name != own.name
+        )
+        self._copied: set[VmName] = set()
+        self._empty: set[VmName] = set()
+        self._lost = journal is None or not journal.was_found
+        transport.serve(CLAIM_TOPIC, ClaimRequest, self._serve_claim)
+        transport.serve(UPDATE_TOPIC, ClaimUpdate, self._serve_update)
+        transport.serve_stream(COPY_TOPIC, CopyRequest, self._serve_copy)
+
+    @property
+    def ready(self) -> bool:
+        """Whether this holder votes on all keys."""
+        if not self._lost:
+            return True
+        if self._clock() - self._started > self._table.life_seconds + QUIET_SECONDS:
+            return True
+        return self._quiet and self._copied >= self._peers
+
+    @property
+    def _quiet(self) -> bool:
+        return self._clock() - self._started > QUIET_SECONDS
+
+    async def claim(self, request: ClaimRequest) -> ClaimReply:
+        """Vote on ``request``; synced first when there is a disk."""
+        if not self._is_ready_for(request.key):
+            return ClaimReply(Vote.RECOVERING)
+        reply = self._table.claim(request)
+        if reply.vote is Vote.GRANTED:
+            await self._sync(request.key)
+        return reply
+
+    async def update(self, update: ClaimUpdate) -> UpdateReply:
+        """Take in how an attempt ended."""
+        if self._table.update(update):
+            await self._sync(update.key)
+        return UpdateReply(True)
+
+    async def run(self) -> None:
+        """Copy lost claims from the peers, then drop claims as their life ends."""
+        if self._lost:
+            await self._recover()
+        while True:
+            self._table.expire()
+            await asyncio.sleep(COPY_RETRY_SECONDS)
+
+    async def _recover(self) -> None:
+        await asyncio.sleep(QUIET_SECONDS)
+        while not self.ready:
+            missing = sorted(self._peers - self._copied)
+            self._empty.clear()
+            await asyncio.gather(*(self._copy_from(peer) for peer in missing))
+            if self._trust_empty_zone and self._empty >= self._peers:
+                self._copied |= self._peers
+            if not self.ready:
+                await asyncio.sleep(COPY_RETRY_SECONDS)
+        self._table.sort_by_end()
+        if self._journal is not None:
+            await self._journal.mark_recovered(self._table)
+        self._lost = False
+        _log.info("holder is ready", copied=len(self._table))
+
+    async def _copy_from(self, peer: VmName) -> None:
+        opened = self._transport.open_stream(
+            peer=peer, topic=COPY_TOPIC, message=CopyRequest(self._own.zone)
+        )
+        if isinstance(opened, Failure):
+            return
+        stream = opened.unwrap()
+        try:
+            while True:
+                item = await stream.next_chunk(timeout_seconds=COPY_IDLE_SECONDS)
+                if not isinstance(item, Success):
+                    return
+                data = item.unwrap()
+                if data is None:
+                    self._copied.add(peer)
+                    return
+                page = msgspec.msgpack.decode(data, type=CopyPage)
+                if page.status != _READY:
+                    if page.status == _EMPTY:
+                        self._empty.add(peer)
+                    return
+                for record, life in zip(
+                    page.records, page.remaining_seconds, strict=True
+                ):
+                    self._table.restore(record, life)
+        finally:
+            stream.cancel()
+
+    async def _serve_claim(self, sender: VmName, message: ClaimRequest) -> ClaimReply:
+        return await self.claim(message)
+
+    async def _serve_update(self, sender: VmName, message: ClaimUpdate) -> UpdateReply:
+        return await self.update(message)
+
+    async def _serve_copy(
+        self, sender: VmName, message: CopyRequest
+    ) -> AsyncIterator[bytes]:
+        if not self.ready:
+            status = _RECOVERING if len(self._table) else _EMPTY
+            yield msgspec.msgpack.encode(CopyPage(status))
+            return
+        yield msgspec.msgpack.encode(CopyPage(_READY))
+        shared = (
+            item
+            for item in self._table.records()
+            if sender in holders_of(item[0].key, self._topology)
+        )
+        for page in _pages(shared):
+            yield msgspec.msgpack.encode(page)
+
+    def _is_ready_for(self, key: ClaimKey) -> bool:
+        holders = holders_of(key, self._topology)
+        if self._own.name not in holders:
+            return False
+        if self.ready:
+            return True
+        others = frozenset(holders) - {self._own.name}
+        return self._quiet and self._copied >= others
+
+    async def _sync(self, key: ClaimKey) -> None:
+        record = self._table.get(key)
+        if self._journal is not None and record is not None:
+            await self._journal.append(record, self._table)
+
+
+def _pages(items: Iterator[tuple[ClaimRecord, Seconds]]) -> Iterator[CopyPage]:
+    records: list[ClaimRecord] = []
+    lives: list[Seconds] = []
+    for record, life in items:
+        records.append(record)
+        lives.append(life)
+        if len(records) == PAGE_RECORDS:
+            yield CopyPage(_READY, tuple(records), tuple(lives))
+            records, lives = [], []
+    if records:
+        yield CopyPage(_READY, tuple(records), tuple(lives))
--- /dev/null
+++ b/poplarlug/claims/owner.py
@@ -0,0 +1,345 @@
+"""Owns keys for requests of this entry: claims, outcomes and joins."""
+
+import asyncio
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple, TypeVar
+
+from returns.result import Success
+
+from poplarlug.claims.holder import (
+    ATTEMPT_SECONDS,
+    CLAIM_TOPIC,
+    UPDATE_TOPIC,
+    ClaimHolder,
+)
+from poplarlug.claims.placement import holders_of, majority_of
+from poplarlug.claims.records import (
+    ClaimAttempt,
+    ClaimKey,
+    ClaimRecord,
+    ClaimReply,
+    ClaimRequest,
+    ClaimState,
+    ClaimUpdate,
+    JoinReply,
+    JoinRequest,
+    StoredAnswer,
+    UpdateReply,
+    Vote,
+)
+from poplarlug.logs import PartLog
+from poplarlug.topology import Topology
+from poplarlug.transport import Transport
+from poplarlug.types import Seconds, VmName
+
+JOIN_TOPIC = "claims.join"
+
+HOLDER_TIMEOUT_SECONDS = 0.5
+RESEND_SECONDS = 0.02
+UPDATE_WAIT_SECONDS = 0.25
+UPDATE_SECONDS = 30.0
+JOIN_POLL_SECONDS = 2.0
+JOIN_GRACE_SECONDS = 1.0
+MAX_OUTCOMES = 4096
+MAX_JOINS = 256
+MAX_UPDATES = 4096
+
+R = TypeVar("R")
+
+_log = PartLog(prefix="claims")
+
+
+class Owned(NamedTuple):
+    """The key is this entry's: the request may leave."""
+
+    request: ClaimRequest
+
+
+class Taken(NamedTuple):
+    """Another attempt holds the key, as ``record`` shows."""
+
+    record: ClaimRecord
+
+
+class Refused(NamedTuple):
+    """No majority could be asked; ``reason`` tells why."""
+
+    reason: Vote | None
+
+
+class ClaimOwner:
+    """
+    Get keys from their holders and tell the holders how the requests ended.
+
+    Parameters
+    ----------
+    incarnation : str
+        Random name of this run of the process.
+    holder : ClaimHolder
+        This entry's own part as a holder.
+    clock : callable
+        Returns the loop's time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        topology: Topology,
+        transport: Transport,
+        holder: ClaimHolder,
+        clock: Callable[[], Seconds],
+        rng: Random,
+    ) -> None:
+        self._incarnation = incarnation
+        self._topology = topology
+        self._transport = transport
+        self._holder = holder
+        self._clock = clock
+        self._rng = rng
+        self._last_number = 0
+        self._running: dict[ClaimAttempt, asyncio.Future[JoinReply]] = {}
+        self._outcomes: OrderedDict[ClaimAttempt, ClaimUpdate] = OrderedDict()
+        self._joins = 0
+        self._updates: set[asyncio.Task[None]] = set()
+        transport.serve(JOIN_TOPIC, JoinRequest, self._serve_join)
+
+    async def acquire(self, key: ClaimKey, fingerprint: str) -> Owned | Taken | Refused:
+        """
+        Try once to own ``key``.
+
+        Only votes that came within :data:`ATTEMPT_SECONDS` count, so that a
+        holder that lost its memory knows when its old votes are void. An
+        attempt that got no majority is released and never used again.
+        """
+        attempt = self._new_attempt()
+        request = ClaimRequest(key, attempt, fingerprint)
+        # A caller of join() waits on this until the request's end.
+        self._running[attempt] = asyncio.get_running_loop().create_future()
+        owned = False
+        try:
+            result = await self._collect(request)
+            owned = isinstance(result, Owned)
+            return result
+        finally:
+            if not owned:
+                self._start_update(request, ClaimState.RELEASED, None)
+
+    async def finish(
+        self,
+        request: ClaimRequest,
+        state: ClaimState,
+        answer: StoredAnswer | None = None,
+    ) -> None:
+        """
+        Tell the holders how the attempt ended.
+
+        Returns once a majority knows, or after :data:`UPDATE_WAIT_SECONDS`;
+        the holders that were not reached are asked on in the background.
+        """
+        task = self._start_update(request, state, answer)
+        if task is not None:
+            await asyncio.wait({task}, timeout=UPDATE_WAIT_SECONDS)
+
+    def finish_later(self, request: ClaimRequest, state: ClaimState) -> None:
+        """Do what :meth:`finish` does without a wait."""
+        self._start_update(request, state, None)
+
+    async def join(self, record: ClaimRecord, seconds: Seconds) -> JoinReply:
+        """
+        Wait up to ``seconds`` for the end of another's attempt.
+
+        ``CLAIMED`` says that it still runs, ``UNKNOWN`` that its owner can't
+        be reached or knows nothing of it.
+        """
+        deadline = self._clock() + seconds
+        attempt = record.attempt
+        silent = 0
+        while True:
+            wait = min(JOIN_POLL_SECONDS, max(0.0, deadline - self._clock()))
+            request = JoinRequest(record.key, attempt, wait)
+            if attempt.owner == self._transport.name:
+                reply: JoinReply | None = await self._how_stands(request)
+            else:
+                reply = await self._ask_owner(request)
+            if reply is None:
+                silent += 1
+                if silent == 2:
+                    return JoinReply(ClaimState.UNKNOWN)
+                continue
+            if reply.state is not ClaimState.CLAIMED or self._clock() >= deadline:
+                return reply
+
+    async def _collect(self, request: ClaimRequest) -> Owned | Taken | Refused:
+        holders = holders_of(request.key, self._topology)
+        deadline = self._clock() + ATTEMPT_SECONDS
+        votes: Counter[Vote] = Counter()
+        records: list[ClaimRecord] = []
+        tasks = {
+            asyncio.ensure_future(self._ask_vote(holder, request, deadline))
+            for holder in holders
+        }
+        pending = set(tasks)
+        try:
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                for reply in (task.result() for task in done):
+                    if reply is None or self._clock() > deadline:
+                        continue
+                    votes[reply.vote] += 1
+                    if reply.record is not None:
+                        records.append(reply.record)
+                if votes[Vote.GRANTED] >= majority_of(holders):
+                    return Owned(request)
+                if votes[Vote.HELD] >= majority_of(holders) or _has_ended(records):
+                    break
+        finally:
+            for task in tasks:
+                task.cancel()
+        return _explain(votes, records)
+
+    async def _ask_vote(
+        self, holder: VmName, request: ClaimRequest, deadline: Seconds
+    ) -> ClaimReply | None:
+        if holder == self._transport.name:
+            return await self._holder.claim(request)
+        return await self._ask(holder, CLAIM_TOPIC, request, ClaimReply, deadline)
+
+    async def _ask(
+        self,
+        holder: VmName,
+        topic: str,
+        message: ClaimRequest | ClaimUpdate,
+        reply_type: type[R],
+        deadline: Seconds,
+    ) -> R | None:
+        resend_seconds = RESEND_SECONDS
+        while True:
+            left = deadline - self._clock()
+            if left <= 0:
+                return None
+            reply = await self._transport.request(
+                peer=holder,
+                topic=topic,
+                message=message,
+                reply_type=reply_type,
+                timeout_seconds=min(left, HOLDER_TIMEOUT_SECONDS),
+            )
+            if isinstance(reply, Success):
+                return reply.unwrap()
+            await asyncio.sleep(resend_seconds * (0.5 + self._rng.random()))
+            resend_seconds = min(resend_seconds * 2, 1.0)
+
+    async def _ask_owner(self, request: JoinRequest) -> JoinReply | None:
+        reply = await self._transport.request(
+            peer=request.attempt.owner,
+            topic=JOIN_TOPIC,
+            message=request,
+            reply_type=JoinReply,
+            timeout_seconds=request.wait_seconds + JOIN_GRACE_SECONDS,
+        )
+        if isinstance(reply, Success):
+            return reply.unwrap()
+        await asyncio.sleep(RESEND_SECONDS)
+        return None
+
+    def _start_update(
+        self, request: ClaimRequest, state: ClaimState, answer: StoredAnswer | None
+    ) -> asyncio.Task[None] | None:
+        update = ClaimUpdate(
+            request.key, request.attempt, request.fingerprint, state, answer
+        )
+        self._outcomes[request.attempt] = update._replace(answer=None)
+        while len(self._outcomes) > MAX_OUTCOMES:
+            self._outcomes.popitem(last=False)
+        waiting = self._running.pop(request.attempt, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(JoinReply(state, answer))
+        return self._spread(update)
+
+    def _spread(self, update: ClaimUpdate) -> asyncio.Task[None] | None:
+        if len(self._updates) >= MAX_UPDATES:
+            _log.warning("too many updates under way; holders are told on a join")
+            return None
+        majority: asyncio.Event = asyncio.Event()
+        spreading = asyncio.ensure_future(self._tell_holders(update, majority))
+        self._updates.add(spreading)
+        spreading.add_done_callback(self._updates.discard)
+        return asyncio.ensure_future(_wait(majority))
+
+    async def _tell_holders(self, update: ClaimUpdate, majority: asyncio.Event) -> None:
+        holders = holders_of(update.key, self._topology)
+        deadline = self._clock() + UPDATE_SECONDS
+        told = 0
+
+        async def tell(holder: VmName) -> None:
+            nonlocal told
+            reply: UpdateReply | None
+            if holder == self._transport.name:
+                reply = await self._holder.update(update)
+            else:
+                reply = await self._ask(
+                    holder, UPDATE_TOPIC, update, UpdateReply, deadline
+                )
+            told += reply is not None
+            if told >= majority_of(holders):
+                majority.set()
+
+        try:
+            await asyncio.gather(*(tell(holder) for holder in holders))
+        finally:
+            majority.set()
+
+    async def _serve_join(self, sender: VmName, message: JoinRequest) -> JoinReply:
+        return await self._how_stands(message)
+
+    async def _how_stands(self, request: JoinRequest) -> JoinReply:
+        running = self._running.get(request.attempt)
+        if running is None:
+            outcome = self._outcomes.get(request.attempt)
+            if outcome is None:
+                return JoinReply(ClaimState.UNKNOWN)
+            if outcome.state is ClaimState.RELEASED:
+                # Some holder still shows the claim: it missed the release.
+                self._spread(outcome)
+            return JoinReply(outcome.state)
+        if self._joins >= MAX_JOINS:
+            return JoinReply(ClaimState.CLAIMED)
+        self._joins += 1
+        try:
+            async with asyncio.timeout(request.wait_seconds):
+                return await asyncio.shield(running)
+        except TimeoutError:
+            return JoinReply(ClaimState.CLAIMED)
+        finally:
+            self._joins -= 1
+
+    def _new_attempt(self) -> ClaimAttempt:
+        self._last_number += 1
+        return ClaimAttempt(self._transport.name, self._incarnation, self._last_number)
+
+
+def _explain(votes: Counter[Vote], records: list[ClaimRecord]) -> Taken | Refused:
+    final = [r for r in records if r.state is not ClaimState.CLAIMED]
+    if final:
+        return Taken(max(final, key=lambda r: r.state is ClaimState.DONE))
+    if records:
+        counts = Counter(record.attempt for record in records)
+        most = counts.most_common(1)[0][0]
+        return Taken(next(r for r in records if r.attempt == most))
+    for reason in (Vote.FULL, Vote.RECOVERING):
+        if votes[reason]:
+            return Refused(reason)
+    return Refused(None)
+
+
+def _has_ended(records: list[ClaimRecord]) -> bool:
+    return any(record.state is not ClaimState.CLAIMED for record in records)
+
+
+async def _wait(event: asyncio.Event) -> None:
+    await event.wait()
--- /dev/null
+++ b/poplarlug/claims/placement.py
@@ -0,0 +1,54 @@
+"""Which entries hold the claim of a key."""
+
+import xxhash
+
+from poplarlug.catalog import Account
+from poplarlug.claims.records import ClaimKey
+from poplarlug.topology import Topology
+from poplarlug.types import VmName, ZoneName
+
+HOLDERS = 3
+ZONE_SEPARATOR = ":"
+
+
+def home_zone(key: str, account: Account, topology: Topology) -> ZoneName | None:
+    """
+    Return the zone that keeps the claims of ``key``.
+
+    It is the zone named before the first colon of the key when that lies in a
+    region of the account, else the first zone of the account's home region;
+    ``None`` when the account may use no zone that could keep them.
+    """
+    regions_by_zone = {vm.zone: vm.region for vm in topology.entries}
+    named, separator, _ = key.partition(ZONE_SEPARATOR)
+    if separator and regions_by_zone.get(named) in account.regions:
+        return named
+    if account.home_region not in account.regions:
+        return None
+    return next(
+        (
+            zone
+            for zone, region in regions_by_zone.items()
+            if region == account.home_region
+        ),
+        None,
+    )
+
+
+def holders_of(key: ClaimKey, topology: Topology) -> tuple[VmName, ...]:
+    """
+    Return the configured entries of the key's zone that hold its claim.
+
+    Rendezvous hashing over the configured VMs, not the live ones, so that all
+    entries agree whatever they believe about one another.
+    """
+    names = [vm.name for vm in topology.entries_of_zone(key.zone)]
+    text = f"{key.account}\0{key.key}"
+    ranked = sorted(
+        names, key=lambda name: xxhash.xxh3_64_intdigest(f"{name}\0{text}".encode())
+    )
+    return tuple(ranked[:HOLDERS])
+
+
+def majority_of(holders: tuple[VmName, ...]) -> int:
+    return len(holders) // 2 + 1
--- a/poplarlug/entry/main.py
+++ b/poplarlug/entry/main.py
@@ -15,6 +15,7 @@
 from poplarlug.callers.directory import Directory
 from poplarlug.callers.observation import RequestObserver
 from poplarlug.callers.platform_directory import DirectoryWriter, FileDirectory
+from poplarlug.claims import ClaimSettings
 from poplarlug.daemon import (
     EXIT_BAD_SETTINGS,
     add_health_routes,
@@ -25,6 +26,7 @@
 from poplarlug.distribution.follower import ConfigFollower
 from poplarlug.distribution.store import ConfigStore, FileStore
 from poplarlug.distribution.upstream_listing import serve_upstreams
+from poplarlug.entry.at_most_once import AtMostOnceParts
 from poplarlug.entry.forwards import ForwardGate
 from poplarlug.logs import PartLog
 from poplarlug.membership.sharing import Membership
@@ -73,6 +75,7 @@
     topology_file: str
     keys: KeyFiles
     data_folder: str | None = None
+    claims: ClaimSettings = ClaimSettings()
     log: LogSettings = LogSettings()
     http: HttpLimits = HttpLimits()
     platform_directory_folder: str | None = None
@@ -100,6 +103,8 @@
         limits: HttpLimits,
         request_log: RequestLog,
         store: ConfigStore | None = None,
+        claims: ClaimSettings = ClaimSettings(),
+        data_folder: Path | None = None,
     ) -> None:
         clock = asyncio.get_running_loop().time
         self.stopping = False
@@ -147,12 +152,21 @@
             rng=rng,
         )
         forwarder = Forwarder(transport=self.transport)
+        self.at_most_once = AtMostOnceParts(
+            own=own,
+            topology=topology,
+            transport=self.transport,
+            settings=claims,
+            data_folder=data_folder,
+            rng=rng,
+        )
         self.gateway = Gateway(
             catalog=self.follower.catalog,
             membership=self.membership,
             dispatch=DispatchParts(policy, self.admission, loads),
             client=self.client,
             forwarder=forwarder,
+            at_most_once=self.at_most_once.guard,
         )
         self.forwards = ForwardGate(serve=self.gateway.serve, accepts=self.accepts)
         forwarder.serve_by(self.forwards.serve)
@@ -181,6 +195,7 @@
         self.supervisor.add_child("follower", self.follower.run)
         self.supervisor.add_child("membership", self.membership.run)
         self.supervisor.add_child("admission", self.admission.run)
+        self.supervisor.add_child("claims", self.at_most_once.holder.run)
         self.supervisor.add_child("connections", self.guard.run)
 
     def load(self) -> float:
@@ -244,6 +259,8 @@
         store=store,
         incarnation=time.time_ns() // NANOSECONDS_PER_MILLISECOND,
         limits=settings.http,
+        claims=settings.claims,
+        data_folder=folder / settings.data_folder if settings.data_folder else None,
     )
     if settings.platform_directory_folder is not None:
         entry.write_platform_directory(folder / settings.platform_directory_folder)
--- a/poplarlug/errors.py
+++ b/poplarlug/errors.py
@@ -97,3 +97,65 @@
 def overloaded(message: str, retry_after_seconds: float) -> GatewayError:
     """Return the error of a request that was refused for lack of capacity."""
     return GatewayError(429, "overloaded", message, False, retry_after_seconds)
+
+
+def in_progress(retry_after_seconds: float) -> GatewayError:
+    """Return the error of a resend whose first request still runs."""
+    return GatewayError(
+        409,
+        "in_progress",
+        "A request with this Idempotency-Key is in progress; ask again with the "
+        "same key for its answer.",
+        None,
+        retry_after_seconds,
+    )
+
+
+def key_reused(key: str) -> GatewayError:
+    """Return the error of a key that was used for another request before."""
+    return GatewayError(
+        422,
+        "key_reused",
+        f"Idempotency-Key {key!r} stands for another request; use a new key for a "
+        f"new request, and send a resend unchanged.",
+    )
+
+
+def answer_not_kept() -> GatewayError:
+    """Return the error of a resend whose first answer can't be replayed."""
+    return GatewayError(
+        409,
+        "answer_not_kept",
+        "The request with this Idempotency-Key ran; its answer was too large to keep.",
+        True,
+    )
+
+
+def no_home_zone(account: str) -> GatewayError:
+    return GatewayError(
+        403,
+        "no_home_zone",
+        f"Account {account!r} has no zone that may keep its keys: its home region is "
+        f"not among its regions, or has no entries; ask an operator.",
+    )
+
+
+def claims_unreachable(
+    message: str, retry_after_seconds: float, *, first_send: bool
+) -> GatewayError:
+    """
+    Return the error of a request whose key can't be looked up now.
+
+    This sending was not run. An earlier one with the key may have, unless the
+    caller says that there was none.
+    """
+    if first_send:
+        return not_run(message, retry_after_seconds)
+    return GatewayError(
+        503,
+        "claims_unreachable",
+        f"{message} This sending was not run; whether an earlier one was can't be "
+        f"told now.",
+        None,
+        retry_after_seconds,
+    )
--- /dev/null
+++ b/poplarlug/serving/at_most_once.py
@@ -0,0 +1,175 @@
+"""Runs requests that may not be repeated at most once."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import xxhash
+
+from poplarlug.catalog import Account
+from poplarlug.claims.owner import ClaimOwner, Owned, Refused
+from poplarlug.claims.placement import home_zone
+from poplarlug.claims.records import (
+    ClaimKey,
+    ClaimRecord,
+    ClaimRequest,
+    ClaimState,
+    StoredAnswer,
+    Vote,
+)
+from poplarlug.errors import (
+    GatewayError,
+    answer_not_kept,
+    claims_unreachable,
+    in_progress,
+    key_reused,
+    no_home_zone,
+    outcome_unknown,
+)
+from poplarlug.serving.answers import AnswerHead, AnswerSink
+from poplarlug.serving.recording import RecordingSink
+from poplarlug.serving.requests import GatewayRequest
+from poplarlug.topology import Topology
+
+JOIN_SECONDS = 10.0
+MAX_RUN_SECONDS = 300.0
+MAX_ACQUIRES = 6
+FIRST_BACKOFF_SECONDS = 0.01
+RETRY_AFTER_SECONDS = 1.0
+RECOVERING_RETRY_AFTER_SECONDS = 5.0
+FULL_RETRY_AFTER_SECONDS = 30.0
+
+Run = Callable[[GatewayRequest, AnswerSink], Awaitable[GatewayError | None]]
+
+
+class AtMostOnce:
+    """
+    Claim a request's key, run it, and record how it ended.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the jitter between claims.
+    """
+
+    def __init__(self, *, owner: ClaimOwner, topology: Topology, rng: Random) -> None:
+        self._owner = owner
+        self._topology = topology
+        self._rng = rng
+
+    async def serve(
+        self,
+        request: GatewayRequest,
+        account: Account,
+        sink: AnswerSink,
+        run: Run,
+    ) -> GatewayError | None:
+        """
+        Run ``request`` by ``run`` or pass on the answer of its first run.
+
+        Returns
+        -------
+        GatewayError or None
+            ``None`` once the whole answer was passed on.
+        """
+        zone = home_zone(request.key, account, self._topology)
+        if zone is None:
+            return no_home_zone(account.name)
+        key = ClaimKey(zone, account.name, request.key)
+        fingerprint = fingerprint_of(request)
+        backoff = FIRST_BACKOFF_SECONDS
+        for _ in range(MAX_ACQUIRES):
+            result = await self._owner.acquire(key, fingerprint)
+            if isinstance(result, Owned):
+                return await self._run_owned(result.request, request, sink, run)
+            if isinstance(result, Refused):
+                return _refusal(zone, result.reason, request.first_send)
+            if result.record.fingerprint != fingerprint:
+                return key_reused(request.key)
+            joined = await self._join(result.record)
+            if isinstance(joined, GatewayError):
+                return joined
+            if joined is not None:
+                await _replay(joined, sink)
+                return None
+            await asyncio.sleep(backoff * (0.5 + self._rng.random()))
+            backoff *= 2
+        return in_progress(RETRY_AFTER_SECONDS)
+
+    async def _join(self, record: ClaimRecord) -> StoredAnswer | GatewayError | None:
+        """Return the first run's answer or error, ``None`` to claim again."""
+        state, answer = record.state, record.answer
+        if state is ClaimState.CLAIMED:
+            state, answer = await self._owner.join(record, JOIN_SECONDS)
+            if state is ClaimState.DONE and answer is None:
+                # The owner has forgotten the answer; the holders have it.
+                return None
+        if state is ClaimState.RELEASED:
+            return None
+        if state is ClaimState.CLAIMED:
+            return in_progress(RETRY_AFTER_SECONDS)
+        if state is ClaimState.DONE:
+            return answer or answer_not_kept()
+        return outcome_unknown(
+            "An earlier request with this key may have run; it won't run again."
+        )
+
+    async def _run_owned(
+        self,
+        claim: ClaimRequest,
+        request: GatewayRequest,
+        sink: AnswerSink,
+        run: Run,
+    ) -> GatewayError | None:
+        recorder = RecordingSink(target=sink)
+        try:
+            async with asyncio.timeout(MAX_RUN_SECONDS):
+                error = await run(request, recorder)
+        except TimeoutError:
+            error = outcome_unknown(f"No whole answer came in {MAX_RUN_SECONDS} s.")
+        except BaseException:
+            self._owner.finish_later(claim, ClaimState.UNKNOWN)
+            raise
+        if error is None:
+            await self._owner.finish(claim, ClaimState.DONE, recorder.answer)
+            await recorder.deliver()
+            return None
+        if error.ran is False and not recorder.started:
+            await self._owner.finish(claim, ClaimState.RELEASED)
+        else:
+            await self._owner.finish(claim, ClaimState.UNKNOWN)
+        return error
+
+
+def fingerprint_of(request: GatewayRequest) -> str:
+    """Return a hash of all that makes two requests the same one."""
+    parts = (request.method, request.service or "", request.path, request.content_type)
+    hashed = xxhash.xxh3_128("\0".join(parts).encode())
+    hashed.update(request.body)
+    return hashed.hexdigest()
+
+
+def _refusal(zone: str, reason: Vote | None, first_send: bool) -> GatewayError:
+    message = f"The entries of zone {zone!r}, which hold this key, can't be reached."
+    retry_after_seconds = RETRY_AFTER_SECONDS
+    if reason is Vote.RECOVERING:
+        message = f"Zone {zone!r} lost claims and can't tell yet whether the key ran."
+        retry_after_seconds = RECOVERING_RETRY_AFTER_SECONDS
+    elif reason is Vote.FULL:
+        message = "Too many keys are held for this account; ask again later."
+        retry_after_seconds = FULL_RETRY_AFTER_SECONDS
+    return claims_unreachable(message, retry_after_seconds, first_send=first_send)
+
+
+async def _replay(answer: StoredAnswer, sink: AnswerSink) -> None:
+    await sink.start(
+        AnswerHead(
+            status=answer.status,
+            content_type=answer.content_type,
+            content_length=len(answer.body),
+            served_by=answer.served_by,
+            zone=answer.zone,
+        )
+    )
+    await sink.write(answer.body)
+    await sink.finish()
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -20,6 +20,7 @@
 )
 from poplarlug.routing.prefix_hashes import PromptShape, shape_of_body
 from poplarlug.serving.answers import AnswerSink
+from poplarlug.serving.at_most_once import AtMostOnce
 from poplarlug.serving.attempts import AttemptStatus, UpstreamClient
 from poplarlug.serving.dispatcher import (
     Dispatcher,
@@ -48,6 +49,8 @@
         The configuration in force.
     dispatch : DispatchParts
         Decides where and when each request runs.
+    at_most_once : AtMostOnce or None
+        Guards requests that may not be repeated; without it they are refused.
     """
 
     def __init__(
@@ -58,7 +61,9 @@
         dispatch: DispatchParts,
         client: UpstreamClient,
         forwarder: Forwarder,
+        at_most_once: AtMostOnce | None = None,
     ) -> None:
+        self._at_most_once = at_most_once
         self._catalog = catalog
         self._membership = membership
         self._loads = dispatch.loads
@@ -87,7 +92,18 @@
             refused = self._check_borders(request, account)
             if refused is not None:
                 return refused
-            return await self._attempt_all(request, account, sink)
+            if request.repeatable or request.hops > 0:
+                # The entry that forwarded a request has claimed its key.
+                return await self._attempt_all(request, account, sink)
+            if self._at_most_once is None:
+                return not_run("this entry keeps no claims", RETRY_AFTER_SECONDS)
+
+            async def run(
+                claimed: GatewayRequest, answer: AnswerSink
+            ) -> GatewayError | None:
+                return await self._attempt_all(claimed, account, answer)
+
+            return await self._at_most_once.serve(request, account, sink, run)
         finally:
             self.in_progress.set(self.in_progress.value - 1)
 
--- /dev/null
+++ b/poplarlug/serving/recording.py
@@ -0,0 +1,68 @@
+"""Holds an answer back until its outcome is recorded."""
+
+from poplarlug.claims.records import StoredAnswer
+from poplarlug.serving.answers import AnswerHead, AnswerSink
+
+MAX_STORED_ANSWER_BYTES = 64 * 1024
+
+
+class RecordingSink(AnswerSink):
+    """
+    Keep an answer of up to :data:`MAX_STORED_ANSWER_BYTES`, then deliver it.
+
+    A larger answer is passed on as it comes and can't be replayed.
+
+    Parameters
+    ----------
+    target : AnswerSink
+        Takes the answer in the end.
+    """
+
+    def __init__(self, *, target: AnswerSink) -> None:
+        super().__init__()
+        self._target = target
+        self._head: AnswerHead | None = None
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._passes_on = False
+
+    @property
+    def answer(self) -> StoredAnswer | None:
+        """The whole answer, ``None`` when it is too large to keep."""
+        if self._head is None or self._passes_on:
+            return None
+        head = self._head
+        body = b"".join(self._parts)
+        return StoredAnswer(
+            head.status, head.content_type, body, head.served_by, head.zone
+        )
+
+    async def start(self, head: AnswerHead) -> None:
+        self.started = True
+        self._head = head
+
+    async def write(self, data: bytes) -> None:
+        if self._passes_on:
+            await self._target.write(data)
+            return
+        self._parts.append(data)
+        self._size += len(data)
+        if self._size > MAX_STORED_ANSWER_BYTES:
+            await self._pass_on()
+
+    async def finish(self) -> None:
+        """Do nothing: :meth:`deliver` ends the answer."""
+
+    async def deliver(self) -> None:
+        """Pass on what was kept and end the answer."""
+        if self._head is not None and not self._passes_on:
+            await self._pass_on()
+        await self._target.finish()
+
+    async def _pass_on(self) -> None:
+        assert self._head is not None
+        self._passes_on = True
+        await self._target.start(self._head)
+        for part in self._parts:
+            await self._target.write(part)
+        self._parts.clear()
--- a/poplarlug/serving/requests.py
+++ b/poplarlug/serving/requests.py
@@ -28,6 +28,8 @@
         Entry that took the request from its caller.
     hops : int
         How often it was forwarded.
+    first_send : bool
+        Whether the caller says that it never sent the key before.
     """
 
     id: RequestId
@@ -45,3 +47,4 @@
     key: str = ""
     max_tokens: int = 0
     hops: int = 0
+    first_send: bool = False
--- /dev/null
+++ b/tests/properties/claims_cluster.py
@@ -0,0 +1,202 @@
+"""Entries of one zone in virtual time, with faults from a seed."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+from poplarlug.catalog import Account
+from poplarlug.claims import ClaimHolder, ClaimOwner, ClaimTable
+from poplarlug.errors import GatewayError, not_run, outcome_unknown
+from poplarlug.serving.answers import AnswerHead, AnswerSink
+from poplarlug.serving.at_most_once import AtMostOnce
+from poplarlug.serving.requests import GatewayRequest
+from poplarlug.topology import EntryVm, Topology
+from poplarlug.transport import MemoryNetwork, MemoryTransport
+from poplarlug.transport.memory import LinkQuality
+
+ZONE = "quito-a"
+ACCOUNT = Account("verde", "sierra", ("sierra",))
+
+
+class LateNetwork(MemoryNetwork):
+    """Duplicates some requests and delivers copies late and out of order."""
+
+    copies = 0.1
+    late_seconds = 4.0
+
+    def _carry(
+        self, source: Any, target: str, incarnation: Any, header: Any, payload: bytes
+    ) -> None:
+        super()._carry(source, target, incarnation, header, payload)
+        if incarnation is None and self.rng.random() < self.copies:
+            delay = self.rng.uniform(0, self.late_seconds)
+            asyncio.get_running_loop().call_later(
+                delay, self._deliver, source, target, None, header, payload
+            )
+
+
+class CollectingSink(AnswerSink):
+    def __init__(self) -> None:
+        super().__init__()
+        self.body = b""
+
+    async def start(self, head: AnswerHead) -> None:
+        self.started = True
+
+    async def write(self, data: bytes) -> None:
+        self.body += data
+
+    async def finish(self) -> None:
+        pass
+
+
+class Run(NamedTuple):
+    """A line of the upstream's ledger."""
+
+    key: str
+    sending: str
+    at: float
+
+
+class Told(NamedTuple):
+    """What one caller was told of one sending."""
+
+    key: str
+    sending: str
+    error: GatewayError | None
+    body: bytes
+    at: float
+
+
+class SimulatedEntry:
+    """One run of an entry's process."""
+
+    def __init__(self, *, name: str, cluster: "ClaimsCluster", first: bool) -> None:
+        loop = asyncio.get_running_loop()
+        self.transport = MemoryTransport(name=name, network=cluster.network)
+        self.holder = ClaimHolder(
+            own=cluster.topology.entry(name),
+            topology=cluster.topology,
+            transport=self.transport,
+            table=ClaimTable(clock=loop.time),
+            clock=loop.time,
+            trust_empty_zone=first,
+        )
+        self.owner = ClaimOwner(
+            incarnation=str(cluster.rng.random()),
+            topology=cluster.topology,
+            transport=self.transport,
+            holder=self.holder,
+            clock=loop.time,
+            rng=cluster.rng,
+        )
+        self.at_most_once = AtMostOnce(
+            owner=self.owner, topology=cluster.topology, rng=cluster.rng
+        )
+        self.tasks = {
+            asyncio.ensure_future(self.transport.run()),
+            asyncio.ensure_future(self.holder.run()),
+        }
+
+    def crash(self) -> None:
+        """Stop at once: no task goes on and no frame leaves any more."""
+        self.transport._send = lambda *a: False  # type: ignore[method-assign]
+        self.transport._reply = lambda *a: None  # type: ignore[method-assign]
+        for task in (*self.tasks, *self.owner._updates):
+            task.cancel()
+
+
+class ClaimsCluster:
+    """A zone's entries, an upstream with a ledger, and callers that resend."""
+
+    def __init__(self, *, rng: Random, entries: int) -> None:
+        self.rng = rng
+        self.network = LateNetwork(rng=rng)
+        names = [f"{ZONE}-{number}" for number in range(entries)]
+        vms = tuple(EntryVm(n, "sierra", ZONE, "http", "peers") for n in names)
+        self.topology = Topology("test", vms, ())
+        self.entries = {
+            name: SimulatedEntry(name=name, cluster=self, first=True) for name in names
+        }
+        self.ledger: list[Run] = []
+        self.told: list[Told] = []
+        self.run_seconds = 0.2
+        self.fails: Callable[[], str] = lambda: ""
+
+    def crash(self, name: str) -> None:
+        self.entries.pop(name).crash()
+
+    def restart(self, name: str) -> None:
+        """Start an entry again with nothing of its former memory."""
+        self.entries[name] = SimulatedEntry(name=name, cluster=self, first=False)
+
+    async def send(self, name: str, key: str, sending: str) -> Told | None:
+        """Send a booking; ``None`` when its entry is down or crashes meanwhile."""
+        entry = self.entries.get(name)
+        if entry is None:
+            return None
+        task = asyncio.ensure_future(self._send(entry, key, sending))
+        entry.tasks.add(task)
+        await asyncio.wait({task})
+        entry.tasks.discard(task)
+        if task.cancelled():
+            return None
+        self.told.append(task.result())
+        return task.result()
+
+    async def _send(self, entry: SimulatedEntry, key: str, sending: str) -> Told:
+        request = GatewayRequest(
+            sending, "verde", "urgent", "POST", "/bookings", b"{}", "json", "e"
+        )._replace(key=key, repeatable=False)
+        sink = CollectingSink()
+
+        async def run(
+            request: GatewayRequest, answer: AnswerSink
+        ) -> GatewayError | None:
+            return await self._upstream(key, sending, answer)
+
+        error = await entry.at_most_once.serve(request, ACCOUNT, sink, run)
+        now = asyncio.get_running_loop().time()
+        return Told(key, sending, error, sink.body, now)
+
+    async def _upstream(
+        self, key: str, sending: str, answer: AnswerSink
+    ) -> GatewayError | None:
+        await asyncio.sleep(self.rng.uniform(0, 0.05))
+        failure = self.fails()
+        if failure == "not_run":
+            return not_run("no upstream", 1.0)
+        self.ledger.append(Run(key, sending, asyncio.get_running_loop().time()))
+        await asyncio.sleep(self.rng.uniform(0, self.run_seconds))
+        if failure == "broken":
+            return outcome_unknown("lost")
+        await answer.start(AnswerHead(200, "text/plain"))
+        await answer.write(sending.encode())
+        return None
+
+    async def inject_faults(self) -> None:
+        """Crash, restart, cut and heal at random until cancelled."""
+        rng = self.rng
+        names = [vm.name for vm in self.topology.entries]
+        while True:
+            await asyncio.sleep(rng.expovariate(1 / 0.6))
+            fault = rng.choice(("crash", "crash", "cut", "cut", "slow", "heal"))
+            if fault == "crash" and len(self.entries) > 1:
+                name = rng.choice(sorted(self.entries))
+                self.crash(name)
+                asyncio.get_running_loop().call_later(
+                    rng.uniform(0, 3), self.restart, name
+                )
+            elif fault == "cut":
+                one, other = rng.sample(names, 2)
+                self.network.cut(one, other)
+                if rng.random() < 0.5:
+                    self.network.cut(other, one)
+            elif fault == "slow":
+                self.network.quality = LinkQuality(
+                    0.0, rng.choice((0.002, 0.3, 1.0)), rng.choice((0, 0.05, 0.3))
+                )
+            else:
+                self.network.heal()
+                self.network.quality = LinkQuality()
--- /dev/null
+++ b/tests/properties/test_claims_schedules.py
@@ -0,0 +1,113 @@
+"""Random schedules of crashes, losses and resends against the claims."""
+
+import asyncio
+import os
+import traceback
+from collections import Counter
+from random import Random
+from unittest import TestCase
+
+from poplarlug.virtualtime import run_virtual
+from tests.properties.claims_cluster import ClaimsCluster
+
+SCHEDULES = int(os.environ.get("CLAIMS_SCHEDULES", "500"))
+FIRST_SEED = int(os.environ.get("CLAIMS_FIRST_SEED", "1"))
+KEYS = 4
+SENDINGS = 4
+
+
+async def run_schedule(rng: Random) -> ClaimsCluster:
+    """Run bookings, each sent several times, while faults come and go."""
+    cluster = ClaimsCluster(rng=rng, entries=rng.choice((3, 3, 4, 5)))
+    names = [vm.name for vm in cluster.topology.entries]
+    cluster.fails = lambda: rng.choice(("", "", "", "not_run", "broken"))
+    await asyncio.sleep(4.0)
+    faults = asyncio.ensure_future(cluster.inject_faults())
+
+    async def call(key: str, sending: str) -> None:
+        await asyncio.sleep(rng.uniform(0, 8))
+        await cluster.send(rng.choice(names), key, sending)
+
+    calls = [
+        call(f"key-{number}", f"{number}.{sending}")
+        for number in range(KEYS)
+        for sending in range(SENDINGS)
+    ]
+    await asyncio.gather(*calls)
+    faults.cancel()
+    return cluster
+
+
+def violations(cluster: ClaimsCluster) -> list[str]:
+    """Return what callers were told that the upstream's ledger belies."""
+    found = []
+    runs_by_key = Counter(run.key for run in cluster.ledger)
+    found += [
+        f"{key} ran {runs} times" for key, runs in runs_by_key.items() if runs > 1
+    ]
+    for told in cluster.told:
+        ran = [run for run in cluster.ledger if run.key == told.key]
+        if told.error is None and told.body.decode() not in [r.sending for r in ran]:
+            found.append(f"{told.sending} was told another's answer {told.body!r}")
+        if told.error is not None and told.error.ran is False:
+            earlier = [run for run in ran if run.at <= told.at]
+            if earlier:
+                found.append(f"{told.sending} was told not run, ran: {earlier}")
+    return found
+
+
+def check_seeds(seeds: range) -> list[str]:
+    """Return the violations of all schedules of ``seeds``, with their seeds."""
+    found = []
+    for seed in seeds:
+        try:
+            cluster = run_virtual(run_schedule(Random(seed)))
+            found += [f"seed {seed}: {text}" for text in violations(cluster)]
+        except Exception:
+            found.append(f"seed {seed}: {traceback.format_exc()}")
+    return found
+
+
+class ClaimsScheduleTests(TestCase):
+    """Four parts, so that the workers of the test runner share the schedules."""
+
+    def check_part(self, part: int) -> None:
+        first = FIRST_SEED + part * SCHEDULES
+        self.assertEqual(check_seeds(range(first, first + SCHEDULES)), [])
+
+    def test_no_key_runs_twice_first_part(self) -> None:
+        """No key runs twice and no caller is told "not run" of one that ran."""
+        self.check_part(0)
+
+    def test_no_key_runs_twice_second_part(self) -> None:
+        """No key runs twice and no caller is told "not run" of one that ran."""
+        self.check_part(1)
+
+    def test_no_key_runs_twice_third_part(self) -> None:
+        """No key runs twice and no caller is told "not run" of one that ran."""
+        self.check_part(2)
+
+    def test_no_key_runs_twice_fourth_part(self) -> None:
+        """No key runs twice and no caller is told "not run" of one that ran."""
+        self.check_part(3)
+
+    def test_bookings_run_without_faults(self) -> None:
+        """Without faults each key runs exactly once and resends get its answer."""
+
+        async def main() -> ClaimsCluster:
+            cluster = ClaimsCluster(rng=Random(5), entries=3)
+            names = [vm.name for vm in cluster.topology.entries]
+            await asyncio.sleep(4.0)
+            await asyncio.gather(
+                *(
+                    cluster.send(name, f"key-{number}", f"{number}.{name}")
+                    for number in range(20)
+                    for name in names
+                )
+            )
+            return cluster
+
+        cluster = run_virtual(main())
+        self.assertEqual(len(cluster.ledger), 20)
+        self.assertEqual({told.error for told in cluster.told}, {None})
+        self.assertEqual(violations(cluster), [])
