Say not run only when no attempt may have run

Causes: a request whose first attempt broke and whose second found no upstream was told not run; a stream from another entry that broke before its first part was called truncated; aiohttp resends a PUT or DELETE by itself when a kept connection closes under it.

--- a/poplarlug/serving/forwarding.py
+++ b/poplarlug/serving/forwarding.py
@@ -8,15 +8,18 @@
 from structlog.contextvars import bind_contextvars
 
 from poplarlug.errors import GatewayError, not_run, outcome_unknown, truncated_answer
+from poplarlug.logs import PartLog
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.requests import GatewayRequest
 from poplarlug.serving.trace import current_trace
-from poplarlug.transport import Transport, TransportErrorKind
+from poplarlug.transport import Transport
 from poplarlug.types import VmName
 
 FORWARD_TOPIC = "serving.forward"
 QUEUED_CHUNKS = 64
 
+_log = PartLog(prefix="serving")
+
 _HEAD = b"H"
 _BODY = b"B"
 _ERROR = b"E"
@@ -53,10 +56,10 @@
             while True:
                 item = await stream.next_chunk()
                 if isinstance(item, Failure):
-                    error = item.failure()
-                    if error.kind is TransportErrorKind.REFUSED and not sink.started:
-                        return outcome_unknown(error.message)
-                    return truncated_answer(error.message)
+                    # The peer may have sent the request to an upstream.
+                    if not sink.started:
+                        return outcome_unknown(item.failure().message)
+                    return truncated_answer(item.failure().message)
                 chunk = item.unwrap()
                 if chunk is None:
                     return None
@@ -84,7 +87,11 @@
     async def _serve_into(self, request: GatewayRequest, sink: "_QueueSink") -> None:
         assert self._serve is not None
         bind_contextvars(request_id=request.id)
-        error = await self._serve(request, sink)
+        try:
+            error = await self._serve(request, sink)
+        except Exception as failure:
+            _log.error("a forwarded request failed", exc_info=True)
+            error = outcome_unknown(f"the serving entry failed: {failure!r}")
         if error is not None:
             await sink.parts.put(_ERROR + msgspec.msgpack.encode(error))
         await sink.parts.put(None)
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -135,25 +135,22 @@
                 route_request._replace(excluded=excluded)
             )
             if isinstance(placed, Failure):
-                return error or placed.failure()
+                return _final_error(error, placed.failure())
             placement = placed.unwrap()
             if isinstance(placement, ForwardRoute):
                 failed = await self._forwarder.forward(request, placement.entry, sink)
-                if failed is None or failed.ran is not False or sink.started:
-                    return failed
-                # The other zone didn't run it; the own one may.
+                # The own zone may still run it.
                 route_request = route_request._replace(may_forward=False)
-                error = failed
-                continue
-            failed = await self._attempt_local(request, placement, sink)
+            else:
+                failed = await self._attempt_local(request, placement, sink)
+                excluded |= {placement.upstream.id}
             if failed is None:
                 return None
-            error = failed
+            error = _final_error(error, failed)
             if sink.started or sink.closed:
                 return error
-            if error.ran is not False and not request.repeatable:
+            if failed.ran is not False and not request.repeatable:
                 return error
-            excluded |= {placement.upstream.id}
         return error
 
     def _route_request(self, request: GatewayRequest, account: Account) -> RouteRequest:
@@ -205,6 +202,13 @@
         )
 
 
+def _final_error(earlier: GatewayError | None, latest: GatewayError) -> GatewayError:
+    # "Not run" has to hold for all attempts together.
+    if earlier is None or earlier.ran is False:
+        return latest
+    return earlier if latest.ran is False else latest
+
+
 def _zone_views(summaries: tuple[ZoneSummary, ...]) -> tuple[ZoneView, ...]:
     summaries_by_zone: dict[str, list[ZoneSummary]] = {}
     for summary in summaries:
--- /dev/null
+++ b/tests/serving/test_single_sends.py
@@ -0,0 +1,70 @@
+"""Tests of requests that must leave once."""
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from poplarlug.serving.answers import AnswerHead, AnswerSink
+from poplarlug.serving.attempts import AttemptStatus, UpstreamClient
+from poplarlug.serving.requests import GatewayRequest
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class NullSink(AnswerSink):
+    async def start(self, head: AnswerHead) -> None:
+        self.started = True
+
+    async def write(self, data: bytes) -> None:
+        pass
+
+    async def finish(self) -> None:
+        pass
+
+
+class UpstreamClientTests(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.answers = [OK]
+        self.requests = 0
+        server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        self.client = UpstreamClient(zone="quito-a")
+        await self.client.open()
+        self.addAsyncCleanup(self.client.close)
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
+                if not self.answers:
+                    return
+                writer.write(self.answers.pop(0))
+        except asyncio.IncompleteReadError:
+            pass
+        finally:
+            writer.close()
+
+    async def attempt(self, *, repeatable: bool) -> AttemptStatus:
+        request = GatewayRequest(
+            "id", "verde", "urgent", "PUT", "/bookings", b"", "text/plain", "e"
+        )._replace(repeatable=repeatable)
+        outcome = await self.client.attempt(
+            request=request, address=self.address, sink=NullSink()
+        )
+        return outcome.status
+
+    async def test_non_repeatable_request_leaves_once(self) -> None:
+        """A connection closed under a booking doesn't send it a second time."""
+        self.assertIs(await self.attempt(repeatable=False), AttemptStatus.DONE)
+        self.assertIs(await self.attempt(repeatable=False), AttemptStatus.BROKEN)
+        self.assertEqual(self.requests, 2)
+
+    async def test_refused_connection_is_not_sent(self) -> None:
+        """An upstream that refuses the connection got no byte."""
+        self.address = "127.0.0.1:1"
+        self.assertIs(await self.attempt(repeatable=False), AttemptStatus.NOT_SENT)
