Let a first start of a zone end: an empty peer is vouched for by the first ready one

Cause: the first holder that found all others empty became ready, and the others then saw one ready and one empty peer and refused keys for a claim's whole life. Change: a holder that found the zone empty vouches for the incarnations it saw.

--- a/poplarlug/claims/holder.py
+++ b/poplarlug/claims/holder.py
@@ -45,6 +45,7 @@
 _READY = "ready"
 _RECOVERING = "recovering"
 _EMPTY = "empty"
+_VOUCHED = "vouched"
 
 _log = PartLog(prefix="claims")
 
@@ -59,6 +60,8 @@
 
     Parameters
     ----------
+    incarnation : str
+        Random name of this run of the process.
     journal : ClaimJournal or None
         Where claims survive a restart; ``None`` on a VM without a disk.
     trust_empty_zone : bool
@@ -74,6 +77,7 @@
         transport: Transport,
         table: ClaimTable,
         clock: Callable[[], Seconds],
+        incarnation: str,
         journal: ClaimJournal | None = None,
         trust_empty_zone: bool = False,
     ) -> None:
@@ -89,7 +93,9 @@
             vm.name for vm in topology.entries_of_zone(own.zone) if vm.name != own.name
         )
         self._copied: set[VmName] = set()
-        self._empty: set[VmName] = set()
+        self._empty: dict[VmName, str] = {}
+        self._vouched_incarnations: frozenset[str] = frozenset()
+        self._incarnation = incarnation
         self._lost = journal is None or not journal.was_found
         transport.serve(CLAIM_TOPIC, ClaimRequest, self._serve_claim)
         transport.serve(UPDATE_TOPIC, ClaimUpdate, self._serve_update)
@@ -142,7 +148,8 @@
             missing = sorted(self._peers - self._copied)
             self._empty.clear()
             await asyncio.gather(*(self._copy_from(peer) for peer in missing))
-            if self._trust_empty_zone and self._empty >= self._peers:
+            if self._trust_empty_zone and self._empty.keys() >= self._peers:
+                self._vouched_incarnations = frozenset(self._empty.values())
                 self._copied |= self._peers
             if not self.ready:
                 await asyncio.sleep(COPY_RETRY_SECONDS)
@@ -154,7 +161,9 @@
 
     async def _copy_from(self, peer: VmName) -> None:
         opened = self._transport.open_stream(
-            peer=peer, topic=COPY_TOPIC, message=CopyRequest(self._own.zone)
+            peer=peer,
+            topic=COPY_TOPIC,
+            message=CopyRequest(self._own.zone, self._incarnation),
         )
         if isinstance(opened, Failure):
             return
@@ -170,8 +179,7 @@
                     return
                 page = msgspec.msgpack.decode(data, type=CopyPage)
                 if page.status != _READY:
-                    if page.status == _EMPTY:
-                        self._empty.add(peer)
+                    self._note(peer, page)
                     return
                 for record, life in zip(
                     page.records, page.remaining_seconds, strict=True
@@ -180,6 +188,13 @@
         finally:
             stream.cancel()
 
+    def _note(self, peer: VmName, page: CopyPage) -> None:
+        if page.status == _EMPTY:
+            self._empty[peer] = page.incarnation
+        elif page.status == _VOUCHED:
+            # This run was up at the zone's first start and has lost nothing.
+            self._copied |= self._peers
+
     async def _serve_claim(self, sender: VmName, message: ClaimRequest) -> ClaimReply:
         return await self.claim(message)
 
@@ -190,8 +205,11 @@
         self, sender: VmName, message: CopyRequest
     ) -> AsyncIterator[bytes]:
         if not self.ready:
-            status = _RECOVERING if len(self._table) else _EMPTY
-            yield msgspec.msgpack.encode(CopyPage(status))
+            status = _RECOVERING if self._table.has_claims() else _EMPTY
+            yield msgspec.msgpack.encode(CopyPage(status, self._incarnation))
+            return
+        if message.incarnation in self._vouched_incarnations:
+            yield msgspec.msgpack.encode(CopyPage(_VOUCHED, self._incarnation))
             return
         yield msgspec.msgpack.encode(CopyPage(_READY))
         shared = (
@@ -224,7 +242,7 @@
         records.append(record)
         lives.append(life)
         if len(records) == PAGE_RECORDS:
-            yield CopyPage(_READY, tuple(records), tuple(lives))
+            yield CopyPage(_READY, "", tuple(records), tuple(lives))
             records, lives = [], []
     if records:
-        yield CopyPage(_READY, tuple(records), tuple(lives))
+        yield CopyPage(_READY, "", tuple(records), tuple(lives))
--- a/poplarlug/claims/records.py
+++ b/poplarlug/claims/records.py
@@ -142,9 +142,10 @@
 
 
 class CopyRequest(NamedTuple):
-    """Asks a peer for all claims that it holds."""
+    """Asks a peer for all claims that both hold; names the asker's incarnation."""
 
     zone: ZoneName
+    incarnation: str
 
 
 class CopyPage(NamedTuple):
@@ -154,12 +155,16 @@
     Parameters
     ----------
     status : str
-        ``ready``, ``recovering``, or ``empty`` for a peer that lost all or
-        never had any.
+        ``ready``, ``recovering``, ``empty`` for a peer that lost all or never
+        had any, or ``vouched`` by a peer that found the zone empty at its first
+        start, with the asker's incarnation among the empty ones.
+    incarnation : str
+        The answering peer's.
     remaining_seconds : tuple of float
         Life left of each record, in their order.
     """
 
     status: str
+    incarnation: str = ""
     records: tuple[ClaimRecord, ...] = ()
     remaining_seconds: tuple[float, ...] = ()
--- a/poplarlug/claims/table.py
+++ b/poplarlug/claims/table.py
@@ -63,6 +63,11 @@
     def get(self, key: ClaimKey) -> ClaimRecord | None:
         return self._records_by_key.get(key)
 
+    def has_claims(self) -> bool:
+        """Return whether any key was claimed, and not just released."""
+        records = self._records_by_key.values()
+        return any(record.state is not ClaimState.RELEASED for record in records)
+
     def records(self) -> Iterator[tuple[ClaimRecord, Seconds]]:
         """Yield each record with the life that it has left, in seconds."""
         now = self._clock()
--- a/poplarlug/entry/at_most_once.py
+++ b/poplarlug/entry/at_most_once.py
@@ -43,17 +43,19 @@
         if data_folder is not None:
             journal = ClaimJournal(folder=data_folder, wall_clock=time.time)
             journal.load_into(table)
+        incarnation = f"{rng.getrandbits(64):016x}"
         self.holder = ClaimHolder(
             own=own,
             topology=topology,
             transport=transport,
             table=table,
             clock=clock,
+            incarnation=incarnation,
             journal=journal,
             trust_empty_zone=settings.trust_empty_zone,
         )
         owner = ClaimOwner(
-            incarnation=f"{rng.getrandbits(64):016x}",
+            incarnation=incarnation,
             topology=topology,
             transport=transport,
             holder=self.holder,
--- a/tests/properties/claims_cluster.py
+++ b/tests/properties/claims_cluster.py
@@ -74,6 +74,7 @@
 
     def __init__(self, *, name: str, cluster: "ClaimsCluster", first: bool) -> None:
         loop = asyncio.get_running_loop()
+        incarnation = str(cluster.rng.random())
         self.transport = MemoryTransport(name=name, network=cluster.network)
         self.holder = ClaimHolder(
             own=cluster.topology.entry(name),
@@ -81,10 +82,11 @@
             transport=self.transport,
             table=ClaimTable(clock=loop.time),
             clock=loop.time,
+            incarnation=incarnation,
             trust_empty_zone=first,
         )
         self.owner = ClaimOwner(
-            incarnation=str(cluster.rng.random()),
+            incarnation=incarnation,
             topology=cluster.topology,
             transport=self.transport,
             holder=self.holder,
