--- a/poplarlug/callers/application.py
+++ b/poplarlug/callers/application.py
@@ -3,7 +3,7 @@
 import asyncio
 import re
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp
 from aiohttp import web
@@ -15,10 +15,15 @@
 from poplarlug.callers.directory import Directory
 from poplarlug.callers.http_sink import HttpSink
 from poplarlug.callers.observation import RequestObserver
-from poplarlug.callers.parsing import HttpRequest, parse_completion, parse_service_call
+from poplarlug.callers.parsing import (
+    HttpRequest,
+    is_first_send,
+    parse_completion,
+    parse_service_call,
+)
 from poplarlug.callers.responses import error_response
 from poplarlug.catalog import Account, Catalog
-from poplarlug.errors import GatewayError, bad_request, not_run
+from poplarlug.errors import GatewayError, bad_request, claims_unreachable, not_run
 from poplarlug.membership.sharing import Membership
 from poplarlug.serving.gateway import Gateway
 from poplarlug.serving.requests import GatewayRequest
@@ -123,8 +128,7 @@
     ) -> web.StreamResponse:
         request_id = trace.request_id
         if not self._accepts():
-            error = not_run("This entry takes no requests now; ask another.", 1.0)
-            return error_response(error, request_id)
+            return error_response(_takes_none(request.headers), request_id)
         found = authenticate(request.headers, self._catalog)
         if isinstance(found, Failure):
             return error_response(found.failure(), request_id)
@@ -194,3 +198,10 @@
     # The caller sees a broken connection, never a short answer.
     if request.transport is not None:
         request.transport.abort()
+
+
+def _takes_none(headers: Mapping[str, str]) -> GatewayError:
+    message = "This entry takes no requests now; ask another."
+    if not headers.get("Idempotency-Key"):
+        return not_run(message, 1.0)
+    return claims_unreachable(message, 1.0, first_send=is_first_send(headers))
--- a/poplarlug/callers/parsing.py
+++ b/poplarlug/callers/parsing.py
@@ -122,7 +122,7 @@
             service=service_name,
             repeatable=repeatable,
             key=key,
-            first_send=http.headers.get("X-First-Send", "").lower() == "true",
+            first_send=is_first_send(http.headers),
         )
     )
 
@@ -131,6 +131,11 @@
     return text.isascii() and text.isprintable() and len(text) <= max_characters
 
 
+def is_first_send(headers: Mapping[str, str]) -> bool:
+    """Return whether the caller says that it never sent this key before."""
+    return headers.get("X-First-Send", "").lower() == "true"
+
+
 def _rank(http: HttpRequest, catalog: Catalog) -> Result[str, GatewayError]:
     name = http.headers.get("X-Rank", DEFAULT_RANK_NAME)
     if catalog.rank(name) is None:
