Quarantine a request that crashes the upstreams that run it

Change: the first crash marks all that ran there; marked requests are then run one at a time up to their first byte, and only a crash in its turn counts further. Two crashes quarantine; marks are shared in the zone, quarantines with the zones of the account's regions. Seen failing (tests/processes/test_poison_requests.py): with the quarantine out the caller got outcome_unknown after three crashes; with all crashes counted and no isolation a healthy neighbour was quarantined.

--- a/poplarlug/entry/main.py
+++ b/poplarlug/entry/main.py
@@ -44,6 +44,7 @@
 from poplarlug.serving.dispatcher import DispatchParts
 from poplarlug.serving.forwarding import Forwarder
 from poplarlug.serving.gateway import Gateway
+from poplarlug.serving.quarantine import Quarantine
 from poplarlug.settings import load_settings
 from poplarlug.supervision import Supervisor
 from poplarlug.topology import EntryVm, KeyFiles, LogSettings, Topology
@@ -167,6 +168,9 @@
             client=self.client,
             forwarder=forwarder,
             at_most_once=self.at_most_once.guard,
+            quarantine=Quarantine(
+                own=own, topology=topology, transport=self.transport, clock=clock
+            ),
         )
         self.forwards = ForwardGate(serve=self.gateway.serve, accepts=self.accepts)
         forwarder.serve_by(self.forwards.serve)
--- a/poplarlug/errors.py
+++ b/poplarlug/errors.py
@@ -159,3 +159,14 @@
         None,
         retry_after_seconds,
     )
+
+
+def quarantined(crashes: int) -> GatewayError:
+    """Return the error of a request that crashes the upstreams that run it."""
+    return GatewayError(
+        422,
+        "quarantined",
+        f"This request took part in {crashes} crashes of upstreams and won't be run "
+        f"again; change it.",
+        None,
+    )
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -28,6 +28,7 @@
     LocalPlacement,
 )
 from poplarlug.serving.forwarding import Forwarder
+from poplarlug.serving.quarantine import Quarantine
 from poplarlug.serving.requests import GatewayRequest
 from poplarlug.types import UpstreamId
 
@@ -62,7 +63,9 @@
         client: UpstreamClient,
         forwarder: Forwarder,
         at_most_once: AtMostOnce | None = None,
+        quarantine: Quarantine | None = None,
     ) -> None:
+        self._quarantine = quarantine
         self._at_most_once = at_most_once
         self._catalog = catalog
         self._membership = membership
@@ -90,6 +93,8 @@
             if account is None:
                 return GatewayError(403, "unknown_account", "the account is gone")
             refused = self._check_borders(request, account)
+            if refused is None and self._quarantine is not None:
+                refused = self._quarantine.check(request)
             if refused is not None:
                 return refused
             if request.repeatable or request.hops > 0:
@@ -142,7 +147,7 @@
                 # The own zone may still run it.
                 route_request = route_request._replace(may_forward=False)
             else:
-                failed = await self._attempt_local(request, placement, sink)
+                failed = await self._attempt_marked(request, account, placement, sink)
                 excluded |= {placement.upstream.id}
             if failed is None:
                 return None
@@ -151,6 +156,8 @@
                 return error
             if failed.ran is not False and not request.repeatable:
                 return error
+            if failed.type == "quarantined":
+                return failed
         return error
 
     def _route_request(self, request: GatewayRequest, account: Account) -> RouteRequest:
@@ -167,6 +174,38 @@
             body_bytes=len(request.body),
         )
 
+    async def _attempt_marked(
+        self,
+        request: GatewayRequest,
+        account: Account,
+        placement: LocalPlacement,
+        sink: AnswerSink,
+    ) -> GatewayError | None:
+        """Attempt; a request that crashed an upstream before runs apart."""
+        quarantine = self._quarantine
+        if quarantine is None:
+            return await self._attempt_local(request, placement, sink)
+        isolation = await quarantine.isolate(request)
+        if isolation is None:
+            placement.release()
+            return not_run("others like it run first", RETRY_AFTER_SECONDS)
+        isolation.watch(sink)
+        try:
+            failed = await self._attempt_local(request, placement, sink)
+            if failed is None:
+                quarantine.forgive(request)
+            elif failed.ran is None and not sink.closed:
+                await quarantine.note_broken(
+                    request,
+                    placement.upstream.address,
+                    alone=isolation.holds,
+                    regions=account.regions,
+                )
+                return quarantine.check(request) or failed
+            return failed
+        finally:
+            isolation.end()
+
     async def _attempt_local(
         self, request: GatewayRequest, placement: LocalPlacement, sink: AnswerSink
     ) -> GatewayError | None:
