--- /dev/null
+++ b/tests/claims/test_journal.py
@@ -0,0 +1,115 @@
+"""Tests of the claims' file."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+from unittest import TestCase
+
+from poplarlug.claims.journal import FILE_NAME, MIN_COMPACT_RECORDS, ClaimJournal
+from poplarlug.claims.records import (
+    ClaimAttempt,
+    ClaimKey,
+    ClaimRequest,
+    ClaimState,
+    ClaimUpdate,
+    StoredAnswer,
+    Vote,
+)
+from poplarlug.claims.table import ClaimTable
+
+ATTEMPT = ClaimAttempt("quito-a-1", "run", 1)
+OTHER = ClaimAttempt("quito-a-2", "run", 1)
+ANSWER = StoredAnswer(200, "text/plain", b"booked")
+
+
+def key_of(number: int) -> ClaimKey:
+    return ClaimKey("quito-a", "verde", f"key-{number}")
+
+
+class ClaimJournalTests(TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.now = 1000.0
+
+    def open(self) -> tuple[ClaimJournal, ClaimTable]:
+        journal = ClaimJournal(folder=self.folder, wall_clock=lambda: self.now)
+        table = ClaimTable(clock=lambda: 0.0, life_seconds=60.0)
+        journal.load_into(table)
+        return journal, table
+
+    def write(self, count: int) -> None:
+        async def main() -> None:
+            journal, table = self.open()
+            await journal.mark_recovered(table)
+            for number in range(count):
+                table.claim(ClaimRequest(key_of(number), ATTEMPT, "print"))
+                done = ClaimUpdate(
+                    key_of(number), ATTEMPT, "print", ClaimState.DONE, ANSWER
+                )
+                table.update(done)
+                record = table.get(key_of(number))
+                assert record is not None
+                await journal.append(record, table)
+
+        asyncio.run(main())
+
+    def test_claims_survive_a_restart(self) -> None:
+        """A new run has the claims with their answers, and trusts the file."""
+        self.write(3)
+        journal, table = self.open()
+        self.assertTrue(journal.was_found)
+        for number in range(3):
+            reply = table.claim(ClaimRequest(key_of(number), OTHER, "print"))
+            self.assertIs(reply.vote, Vote.HELD)
+            assert reply.record is not None
+            self.assertEqual(reply.record.answer, ANSWER)
+
+    def test_first_start_has_no_file_to_trust(self) -> None:
+        """Without a file of an earlier run the holder has to recover."""
+        journal, _ = self.open()
+        self.assertFalse(journal.was_found)
+
+    def test_damage_anywhere_is_not_trusted(self) -> None:
+        """A torn or flipped byte counts as lost memory, and stays so."""
+        path = self.folder / FILE_NAME
+        for damage in (lambda data: data[:-1], _flip_middle):
+            with self.subTest(damage=damage):
+                self.write(5)
+                path.write_bytes(damage(path.read_bytes()))
+                for _ in range(2):
+                    journal, _table = self.open()
+                    self.assertFalse(journal.was_found)
+
+    def test_claims_end_by_the_time_of_day(self) -> None:
+        """A claim whose life ended while the process was away is dropped."""
+        self.write(2)
+        self.now += 61.0
+        _, table = self.open()
+        self.assertEqual(len(table), 0)
+
+    def test_file_is_compacted(self) -> None:
+        """Rewritten keys don't make the file grow without bound."""
+
+        async def main() -> None:
+            journal, table = self.open()
+            await journal.mark_recovered(table)
+            table.claim(ClaimRequest(key_of(0), ATTEMPT, "print"))
+            record = table.get(key_of(0))
+            assert record is not None
+            await journal.append(record, table)
+            one = (self.folder / FILE_NAME).stat().st_size
+            await asyncio.gather(
+                *(journal.append(record, table) for _ in range(3 * MIN_COMPACT_RECORDS))
+            )
+            await journal.append(record, table)
+            size = (self.folder / FILE_NAME).stat().st_size
+            self.assertLess(size, 2 * MIN_COMPACT_RECORDS * one)
+
+        asyncio.run(main())
+
+
+def _flip_middle(data: bytes) -> bytes:
+    middle = len(data) // 2
+    return data[:middle] + bytes([data[middle] ^ 1]) + data[middle + 1 :]
