--- a/tests/claims/test_journal.py
+++ b/tests/claims/test_journal.py
@@ -74,8 +74,8 @@
     def test_damage_anywhere_is_not_trusted(self) -> None:
         """A torn or flipped byte counts as lost memory, and stays so."""
         path = self.folder / FILE_NAME
-        for damage in (lambda data: data[:-1], _flip_middle):
-            with self.subTest(damage=damage):
+        for damage in (_tear_end, _flip_middle):
+            with self.subTest(damage=damage.__name__):
                 self.write(5)
                 path.write_bytes(damage(path.read_bytes()))
                 for _ in range(2):
@@ -110,6 +110,10 @@
         asyncio.run(main())
 
 
+def _tear_end(data: bytes) -> bytes:
+    return data[:-1]
+
+
 def _flip_middle(data: bytes) -> bytes:
     middle = len(data) // 2
     return data[:middle] + bytes([data[middle] ^ 1]) + data[middle + 1 :]
