--- a/poplarlug/claims/owner.py
+++ b/poplarlug/claims/owner.py
@@ -4,7 +4,7 @@
 from collections import Counter, OrderedDict
 from collections.abc import Callable
 from random import Random
-from typing import NamedTuple, TypeVar
+from typing import TypeVar
 
 from returns.result import Success
 
@@ -29,6 +29,7 @@
     UpdateReply,
     Vote,
 )
+from poplarlug.claims.results import Owned, Refused, Taken, explain, has_ended
 from poplarlug.logs import PartLog
 from poplarlug.topology import Topology
 from poplarlug.transport import Transport
@@ -51,24 +52,6 @@
 _log = PartLog(prefix="claims")
 
 
-class Owned(NamedTuple):
-    """The key is this entry's: the request may leave."""
-
-    request: ClaimRequest
-
-
-class Taken(NamedTuple):
-    """Another attempt holds the key, as ``record`` shows."""
-
-    record: ClaimRecord
-
-
-class Refused(NamedTuple):
-    """No majority could be asked; ``reason`` tells why."""
-
-    reason: Vote | None
-
-
 class ClaimOwner:
     """
     Get keys from their holders and tell the holders how the requests ended.
@@ -196,12 +179,12 @@
                         records.append(reply.record)
                 if votes[Vote.GRANTED] >= majority_of(holders):
                     return Owned(request)
-                if votes[Vote.HELD] >= majority_of(holders) or _has_ended(records):
+                if votes[Vote.HELD] >= majority_of(holders) or has_ended(records):
                     break
         finally:
             for task in tasks:
                 task.cancel()
-        return _explain(votes, records)
+        return explain(votes, records)
 
     async def _ask_vote(
         self, holder: VmName, request: ClaimRequest, deadline: Seconds
@@ -324,23 +307,5 @@
         return ClaimAttempt(self._transport.name, self._incarnation, self._last_number)
 
 
-def _explain(votes: Counter[Vote], records: list[ClaimRecord]) -> Taken | Refused:
-    final = [r for r in records if r.state is not ClaimState.CLAIMED]
-    if final:
-        return Taken(max(final, key=lambda r: r.state is ClaimState.DONE))
-    if records:
-        counts = Counter(record.attempt for record in records)
-        most = counts.most_common(1)[0][0]
-        return Taken(next(r for r in records if r.attempt == most))
-    for reason in (Vote.FULL, Vote.RECOVERING):
-        if votes[reason]:
-            return Refused(reason)
-    return Refused(None)
-
-
-def _has_ended(records: list[ClaimRecord]) -> bool:
-    return any(record.state is not ClaimState.CLAIMED for record in records)
-
-
 async def _wait(event: asyncio.Event) -> None:
     await event.wait()
--- /dev/null
+++ b/poplarlug/claims/results.py
@@ -0,0 +1,44 @@
+"""What comes of an attempt to own a key."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from poplarlug.claims.records import ClaimRecord, ClaimRequest, ClaimState, Vote
+
+
+class Owned(NamedTuple):
+    """The key is this entry's: the request may leave."""
+
+    request: ClaimRequest
+
+
+class Taken(NamedTuple):
+    """Another attempt holds the key, as ``record`` shows."""
+
+    record: ClaimRecord
+
+
+class Refused(NamedTuple):
+    """No majority could be asked; ``reason`` tells why."""
+
+    reason: Vote | None
+
+
+def explain(votes: Counter[Vote], records: list[ClaimRecord]) -> Taken | Refused:
+    """Return why an attempt got no majority; an outcome goes before a claim."""
+    final = [r for r in records if r.state is not ClaimState.CLAIMED]
+    if final:
+        return Taken(max(final, key=lambda r: r.state is ClaimState.DONE))
+    if records:
+        counts = Counter(record.attempt for record in records)
+        most = counts.most_common(1)[0][0]
+        return Taken(next(r for r in records if r.attempt == most))
+    for reason in (Vote.FULL, Vote.RECOVERING):
+        if votes[reason]:
+            return Refused(reason)
+    return Refused(None)
+
+
+def has_ended(records: list[ClaimRecord]) -> bool:
+    """Return whether a holder knows how the key's request ended."""
+    return any(record.state is not ClaimState.CLAIMED for record in records)
--- a/poplarlug/serving/at_most_once.py
+++ b/poplarlug/serving/at_most_once.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from poplarlug.catalog import Account
-from poplarlug.claims.owner import ClaimOwner, Owned, Refused
+from poplarlug.claims.owner import ClaimOwner
 from poplarlug.claims.placement import home_zone
 from poplarlug.claims.records import (
     ClaimKey,
@@ -17,6 +17,7 @@
     StoredAnswer,
     Vote,
 )
+from poplarlug.claims.results import Owned, Refused
 from poplarlug.errors import (
     GatewayError,
     answer_not_kept,
