Run the graceful-stop test with three entries a zone

With claims, a zone whose only entry was restarted without a disk refuses bookings by design, since no holder remembers the old keys; the test then waited for calls that never left. Three entries a zone is the size of the deployments, and set-up waits until bookings run.

--- a/tests/processes/test_promise_graceful_stop.py
+++ b/tests/processes/test_promise_graceful_stop.py
@@ -20,6 +20,8 @@
 class GracefulStopTests(ProcessTestCase):
     """Quito has an engine and a service; Guayaquil forwards to it."""
 
+    entries_per_zone = 3
+
     @classmethod
     def start_upstreams(cls) -> None:
         speed = f"--token_seconds={TOKEN_SECONDS}"
@@ -31,6 +33,12 @@
     def setUp(self) -> None:
         for entry in CALLERS_ENTRIES:
             self.wait_for_upstreams(entry)
+            wait_until(
+                lambda entry=entry: (
+                    self.book(entry, f"ready-{uuid.uuid4().hex}").status == 200
+                ),
+                f"{entry} books nothing",
+            )
 
     def send(self, number: int) -> Call:
         """Stream, chat or book through one of the two entries."""
