Tell engines the priority of each request; drive entries in a test

Cause: admission counts on engines to start urgent work first, but entries sent no priority, so engines queued all alike. Change: X-Priority carries the rank's priority; the stand-in engine names it in its answer. A test drives real entries by the load tool's HTTP side. Seen failing first: test_engine_is_told_the_priority_of_the_rank (1 != 0) with the gateway's line taken out.

--- a/poplarlug/fakes/engine.py
+++ b/poplarlug/fakes/engine.py
@@ -105,7 +105,8 @@
                 if body.get("stream"):
                     return await self._stream(request, body, sequence)
                 await sequence.finished()
-                return web.json_response(self._whole(body, list(tokens_of(body))))
+                whole = self._whole(body, list(tokens_of(body)))
+                return web.json_response({**whole, "priority": sequence.job.priority})
             finally:
                 sequence.cancel()
         finally:
--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -126,7 +126,11 @@
     ) -> AttemptOutcome:
         session = self._pooled if request.repeatable else self._single
         assert session is not None
-        headers = {"Content-Type": request.content_type, "X-Request-Id": request.id}
+        headers = {
+            "Content-Type": request.content_type,
+            "X-Request-Id": request.id,
+            "X-Priority": str(request.priority),
+        }
         if request.key:
             headers["Idempotency-Key"] = request.key
         async with session.request(
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -114,6 +114,7 @@
         excluded: frozenset[UpstreamId] = frozenset()
         error: GatewayError | None = None
         route_request = self._route_request(request, account)
+        request = request._replace(priority=route_request.rank.priority)
         for _ in range(MAX_ATTEMPTS):
             placed = await self._dispatcher.place(
                 route_request._replace(excluded=excluded)
--- a/poplarlug/serving/requests.py
+++ b/poplarlug/serving/requests.py
@@ -28,6 +28,8 @@
         Entry that took the request from its caller.
     hops : int
         How often it was forwarded.
+    priority : int
+        Priority of its rank for the engine, 0 the most urgent.
     """
 
     id: RequestId
@@ -45,3 +47,4 @@
     key: str = ""
     max_tokens: int = 0
     hops: int = 0
+    priority: int = 1
--- a/tests/processes/test_patient_flood.py
+++ b/tests/processes/test_patient_flood.py
@@ -1,10 +1,12 @@
 """Tests of a patient flood through separate processes."""
 
 import asyncio
+import json
 from typing import Any
 
 import aiohttp
 
+from poplarlug.load.http_driver import HttpPlan, run_http
 from tests.processes.case import ProcessTestCase
 
 FLOOD_REQUESTS = 60
@@ -75,6 +77,36 @@
             await asyncio.gather(*patient)
         return overtaken
 
+    def test_engine_is_told_the_priority_of_the_rank(self) -> None:
+        """The engine is told each request's priority by its rank."""
+        for rank, priority in (("urgent", 0), ("patient", 1)):
+            body = {"model": "corn-7b", "messages": [], "max_tokens": 1}
+            answer = self.call(
+                ENTRY, "/v1/chat/completions", body, headers={"X-Rank": rank}
+            )
+            self.assertEqual(answer.json()["priority"], priority)
+
+    def test_load_tool_counts_every_request_once(self) -> None:
+        """The load tool's summary over HTTP has each request with its status."""
+        self.deployment.operate("rank", "put", "patient", "--target_seconds=6")
+        plan = HttpPlan(
+            entries=(self.entry(ENTRY),),
+            key=self.deployment.key,
+            model="corn-7b",
+            seconds=2.0,
+            rates_by_rank={"urgent": 1.0, "patient": 1.0},
+            flood_rank="patient",
+            flood_rate=60.0,
+        )
+        summary = json.loads(asyncio.run(run_http(plan)))
+        for rank in ("urgent", "patient"):
+            counts = summary[rank]["statuses"]
+            self.assertEqual(sum(counts.values()), summary[rank]["sent"])
+            self.assertEqual(set(counts) - {"200", "429"}, set())
+        self.assertGreater(summary["patient"]["statuses"].get("429", 0), 0)
+        self.assertEqual(summary["patient"]["refused_without_retry_after"], 0)
+        self.assertNotIn("429", summary["urgent"]["statuses"])
+
     def test_urgent_work_is_served_and_refusals_come_at_once(self) -> None:
         """In a patient flood urgent calls overtake the queue, and what can't be
         served in time is refused before the queue has moved far."""
