--- a/poplarlug/admission/rank_pool.py
+++ b/poplarlug/admission/rank_pool.py
@@ -179,7 +179,7 @@
             return True
         if state.in_use >= max(1.0, self._lower_share * slots.total):
             return False
-        return slots.shared_free > shared_kept
+        return slots.shared_free > min(shared_kept, slots.total * slots.sharers - 1)
 
     def _adapt_lower_share(self, urgent: RankState) -> None:
         if urgent.is_slowed():
--- a/poplarlug/admission/rank_state.py
+++ b/poplarlug/admission/rank_state.py
@@ -25,6 +25,7 @@
         self.in_use = 0
         self.average_in_use = 0.0
         self.average_at = now
+        self._first_at = now
         self.cost_ratio = 1.0
         self.mean_cost = 1.0
         # The cost ratio of calm times: follows down soon and up slowly.
@@ -87,6 +88,11 @@
         self.average_at = now
         self.in_use += change
 
+    def _mean_in_use(self) -> float:
+        """Return the average without the zero that it started from."""
+        seen = 1.0 - math.exp((self._first_at - self.average_at) / AVERAGE_SECONDS)
+        return self.average_in_use / seen if seen > 0 else 0.0
+
     def is_below_floor(self) -> bool:
         """Return whether the rank has had less than its floor of late."""
         return self.credit_seconds > 0 and self.in_use < max(1.0, self.floor_slots)
@@ -101,6 +107,6 @@
             Entries whose use counts, each taken to be like the own one.
         """
         self.note_use(0, now)
-        mean = self.average_in_use * sharers
+        mean = self._mean_in_use() * sharers
         wanted = mean + HEADROOM_DEVIATIONS * math.sqrt(mean)
         return max(0.0, math.ceil(wanted) - self.in_use * sharers)
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -201,7 +201,9 @@
             entries=tuple(summary.entry for summary in held),
             models=held[0].models,
             services=held[0].services,
-            running=held[0].running,
+            running=sum(load.running for load in held[0].loads),
+            queued=sum(load.queued for load in held[0].loads),
+            capacity=sum(load.capacity for load in held[0].loads),
         )
         for zone, held in summaries_by_zone.items()
     )
--- a/tests/admission/test_rank_admission.py
+++ b/tests/admission/test_rank_admission.py
@@ -105,6 +105,31 @@
         self.assertGreaterEqual(bench.total - bench.in_flight, 2)
         self.assertGreaterEqual(bench.in_flight, 4)
 
+    @virtual
+    async def test_headroom_is_known_soon_after_a_start(self) -> None:
+        """Five seconds of urgent use count as the mean, not as a sixth of it."""
+        bench = Bench(total=16)
+        for _ in range(5):
+            for _ in range(4):
+                bench.start(URGENT, "a", 0.99)
+            await asyncio.sleep(1.0)
+        for _ in range(20):
+            bench.start(PATIENT, "b", 50.0)
+        await asyncio.sleep(0.01)
+        self.assertGreaterEqual(bench.total - bench.in_flight, 8)
+
+    @virtual
+    async def test_idle_pool_takes_patient_work_whatever_the_headroom(self) -> None:
+        """Patient work starts on an idle upstream right after urgent use."""
+        bench = Bench(total=2)
+        for _ in range(10):
+            bench.start(URGENT, "a", 0.99)
+            bench.start(URGENT, "a", 0.99)
+            await asyncio.sleep(1.0)
+        bench.start(PATIENT._replace(floor_share=0.0), "b")
+        await asyncio.sleep(0.01)
+        self.assertEqual(bench.starts[-1], ("patient", "b"))
+
     @virtual
     async def test_patient_share_shrinks_while_urgent_work_is_slowed(self) -> None:
         """When urgent answers take twice as long, patient work gets fewer slots."""
--- a/tests/processes/test_patient_flood.py
+++ b/tests/processes/test_patient_flood.py
@@ -86,7 +86,7 @@
             )
             self.assertEqual(answer.json()["priority"], priority)
 
-    def test_load_tool_counts_every_request_once(self) -> None:
+    def test_with_load_tool_every_request_counts_once(self) -> None:
         """The load tool's summary over HTTP has each request with its status."""
         self.deployment.operate("rank", "put", "patient", "--target_seconds=6")
         plan = HttpPlan(
