--- a/poplarlug/serving/requests.py
+++ b/poplarlug/serving/requests.py
@@ -20,6 +20,8 @@
     ----------
     path : str
         Path and query at the upstream.
+    priority : int
+        Priority of its rank for the engine, 0 the most urgent.
     repeatable : bool
         Whether it may run more than once.
     key : str
@@ -28,8 +30,6 @@
         Entry that took the request from its caller.
     hops : int
         How often it was forwarded.
-    priority : int
-        Priority of its rank for the engine, 0 the most urgent.
     """
 
     id: RequestId
@@ -43,8 +43,8 @@
     model: ModelName | None = None
     service: ServiceName | None = None
     stream: bool = False
+    priority: int = 1
     repeatable: bool = True
     key: str = ""
     max_tokens: int = 0
     hops: int = 0
-    priority: int = 1
