--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -139,6 +139,7 @@
         excluded: frozenset[UpstreamId] = frozenset()
         error: GatewayError | None = None
         route_request = self._route_request(request, account)
+        request = request._replace(priority=route_request.rank.priority)
         for _ in range(MAX_ATTEMPTS):
             placed = await self._dispatcher.place(
                 route_request._replace(excluded=excluded)
@@ -277,7 +278,9 @@
             entries=tuple(summary.entry for summary in held),
             models=held[0].models,
             services=held[0].services,
-            running=held[0].running,
+            running=sum(load.running for load in held[0].loads),
+            queued=sum(load.queued for load in held[0].loads),
+            capacity=sum(load.capacity for load in held[0].loads),
         )
         for zone, held in summaries_by_zone.items()
     )
