Forward again after an entry refused, and use a healed zone that is the only one

Cause: after an entry of the only serving zone restarted, forwards to that zone were refused as 'no upstream serves this now': the slow return to a healed zone refused requests that had nowhere else to go, and a forward that one entry refused was not tried at another. Ruled out: the claims (bookings at the restarted entry succeeded), the load of the machine (it failed at load 1 as well). Change: with nothing at home, a zone that shall get less is better than none; an entry that failed a request is left out of its next attempts, unless its zone is full.

--- a/poplarlug/routing/base.py
+++ b/poplarlug/routing/base.py
@@ -29,6 +29,8 @@
         Hashes of the prompt's prefixes, shortest first.
     excluded : frozenset of UpstreamId
         Upstreams that failed this request already.
+    excluded_entries : frozenset of VmName
+        Other zones' entries that failed this request already.
     may_forward : bool
         Whether it may go to another zone; false for a forwarded request.
     body_bytes : int
@@ -48,6 +50,7 @@
     may_forward: bool = True
     body_bytes: int = 0
     local_wait_seconds: Seconds = 0.0
+    excluded_entries: frozenset[VmName] = frozenset()
 
 
 class ZoneView(NamedTuple):
@@ -128,6 +131,18 @@
     return held
 
 
+def without_entries(fleet: Fleet, excluded: frozenset[VmName]) -> Fleet:
+    """Return ``fleet`` without the other zones' entries in ``excluded``."""
+    if not excluded:
+        return fleet
+    zones = []
+    for zone in fleet.zones:
+        entries = tuple(entry for entry in zone.entries if entry not in excluded)
+        if entries:
+            zones.append(zone._replace(entries=entries))
+    return fleet._replace(zones=tuple(zones))
+
+
 def zone_serves(request: RouteRequest, zone: ZoneView) -> bool:
     """Return whether ``request`` may go to ``zone`` and finds its model there."""
     if not request.may_forward or zone.region not in request.account.regions:
--- a/poplarlug/routing/expected_finish.py
+++ b/poplarlug/routing/expected_finish.py
@@ -198,6 +198,10 @@
             finish += ONE_WAY_SECONDS
             if finish <= soonest and self._takes_more(zone, price):
                 best, soonest = zone, finish
+        if best is None and local is None:
+            # With nothing at home, a zone that shall get less is better than none.
+            serving = [zone for zone in fleet.zones if zone_serves(request, zone)]
+            best = min(serving, key=lambda zone: zone.running, default=None)
         return best
 
     def _takes_more(self, zone: ZoneView, price: AwayPrice) -> bool:
--- a/poplarlug/serving/dispatcher.py
+++ b/poplarlug/serving/dispatcher.py
@@ -16,7 +16,7 @@
     RoutingPolicy,
     UpstreamLoads,
 )
-from poplarlug.routing.base import candidates
+from poplarlug.routing.base import candidates, without_entries
 
 RETRY_AFTER_SECONDS = 1.0
 DEFAULT_MAX_TOKENS = 256
@@ -93,9 +93,8 @@
         """
         admission_request = self._admission_request(request)
         wait = self._admission.expected_wait(admission_request)
-        route = self._policy.choose(
-            request._replace(local_wait_seconds=wait), self._fleet()
-        )
+        fleet = without_entries(self._fleet(), request.excluded_entries)
+        route = self._policy.choose(request._replace(local_wait_seconds=wait), fleet)
         if route is None:
             return Failure(not_run("no upstream serves this now", RETRY_AFTER_SECONDS))
         if isinstance(route, ForwardRoute):
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -149,8 +149,7 @@
             placement = placed.unwrap()
             if isinstance(placement, ForwardRoute):
                 failed = await self._forwarder.forward(request, placement.entry, sink)
-                # The own zone may still run it.
-                route_request = route_request._replace(may_forward=False)
+                route_request = _after_forward(route_request, placement, failed)
             else:
                 failed = await self._attempt_marked(request, account, placement, sink)
                 excluded |= {placement.upstream.id}
@@ -260,6 +259,15 @@
     return request
 
 
+def _after_forward(
+    request: RouteRequest, route: ForwardRoute, failed: GatewayError | None
+) -> RouteRequest:
+    if failed is not None and failed.type == "overloaded":
+        # The zone is full, so its other entries would refuse as well.
+        return request._replace(may_forward=False)
+    return request._replace(excluded_entries=request.excluded_entries | {route.entry})
+
+
 def _final_error(earlier: GatewayError | None, latest: GatewayError) -> GatewayError:
     # "Not run" has to hold for all attempts together.
     if earlier is None or earlier.ran is False:
--- /dev/null
+++ b/tests/routing/test_base.py
@@ -0,0 +1,17 @@
+"""Tests of what all policies share."""
+
+from unittest import TestCase
+
+from poplarlug.routing import Fleet, ZoneView
+from poplarlug.routing.base import without_entries
+
+COSTA = ZoneView("costa-a", "costa", ("c1", "c2"), ("corn-7b",), (), 1, 0, 16)
+
+
+class WithoutEntriesTests(TestCase):
+    def test_zone_goes_with_its_last_entry(self) -> None:
+        """Entries that failed a request are left out, and so is an empty zone."""
+        fleet = Fleet((), {}, (COSTA,))
+        one_left = without_entries(fleet, frozenset({"c1"}))
+        self.assertEqual(one_left.zones[0].entries, ("c2",))
+        self.assertEqual(without_entries(fleet, frozenset({"c1", "c2"})).zones, ())
