--- a/poplarlug/reports/main.py
+++ b/poplarlug/reports/main.py
@@ -3,7 +3,7 @@
 import asyncio
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from itertools import chain
 from pathlib import Path
 from typing import Any, NoReturn
@@ -103,12 +103,14 @@
         wrong = [region for region, separator, _ in targets if not separator]
         if wrong:
             _fail(f"got entries {wrong}, expected REGION=ADDRESS")
-        lines = asyncio.run(_scrape_all([(r, a) for r, _, a in targets]))
+        lines = asyncio.run(_scrape_all([(r, a) for r, _, a in targets], time.time))
         with Path(file).open("ab") as out:
             out.writelines(lines)
 
 
-async def _scrape_all(targets: list[tuple[str, str]]) -> list[bytes]:
+async def _scrape_all(
+    targets: list[tuple[str, str]], wall_clock: Callable[[], float]
+) -> list[bytes]:
     timeout = aiohttp.ClientTimeout(total=SCRAPE_TIMEOUT_SECONDS)
     lines = []
     async with aiohttp.ClientSession(timeout=timeout) as session:
@@ -120,7 +122,7 @@
                 print(f"{address} not reached: {error!r}", file=sys.stderr)
                 continue
             scrape = parse_metrics(
-                text, time=time.time(), address=address, region=region
+                text, time=wall_clock(), address=address, region=region
             )
             lines.append(encode_scrape(scrape))
     return lines
