Hold all transports' tasks in the reader's tests

Only the last of them was held, so a collection could end the first and the leader gave no reply; the split of the transport's base moved the moment of the collection (2 tests failed in 3 of 3 runs after test_whole_path). No assertion changed.

--- a/tests/control/test_reading.py
+++ b/tests/control/test_reading.py
@@ -30,13 +30,15 @@
     async def start(self) -> LinearReader:
         """Return the follower's reader."""
         readers = {}
+        # A task that nothing holds may be collected before it ends.
+        self.tasks = []
         for name, state in self.states_by_name.items():
             transport = MemoryTransport(name=name, network=self.network)
             calls = LeaderCalls(
                 log=LeaseLog(group=self.group, name=name), transport=transport
             )
             readers[name] = LinearReader(state=state, leader_calls=calls)
-            self.task = asyncio.ensure_future(transport.run())
+            self.tasks.append(asyncio.ensure_future(transport.run()))
         await asyncio.sleep(0)
         return readers[FOLLOWER]
 
