--- a/poplarlug/callers/connections.py
+++ b/poplarlug/callers/connections.py
@@ -15,6 +15,7 @@
 KEEPALIVE_PROBE_SECONDS = 15
 MAX_HEADERS = 64
 BACKLOG_CONNECTIONS = 1024
+SHUTDOWN_SECONDS = 60.0
 
 Count = Annotated[int, Meta(ge=1)]
 Duration = Annotated[float, Meta(gt=0, le=3600)]
@@ -96,8 +97,24 @@
         finally:
             connection.end_request()
 
-    async def serve(self, app: web.Application, address: Address) -> web.AppRunner:
-        """Serve ``app`` at ``address`` within the bounds; return its runner."""
+    async def serve(
+        self,
+        app: web.Application,
+        address: Address,
+        *,
+        cancel_handlers: bool = False,
+        shutdown_seconds: Seconds = SHUTDOWN_SECONDS,
+    ) -> web.AppRunner:
+        """
+        Serve ``app`` at ``address`` within the bounds; return its runner.
+
+        Parameters
+        ----------
+        cancel_handlers : bool
+            Whether the handler of a request is cancelled once its caller is gone.
+        shutdown_seconds : float
+            How long requests in progress may go on when the runner is cleaned up.
+        """
         host, _, port = address.rpartition(":")
         runner = web.AppRunner(
             app,
@@ -107,6 +124,8 @@
             max_line_size=self.limits.max_header_bytes,
             max_field_size=self.limits.max_header_bytes,
             max_headers=MAX_HEADERS,
+            handler_cancellation=cancel_handlers,
+            shutdown_timeout=shutdown_seconds,
         )
         await runner.setup()
         await _GuardedSite(runner, guard=self, host=host, port=int(port)).start()
--- a/poplarlug/callers/http_sink.py
+++ b/poplarlug/callers/http_sink.py
@@ -1,8 +1,10 @@
 """Passes an answer on to the caller's HTTP connection."""
 
 import asyncio
+from collections.abc import Callable, Mapping
 
 from aiohttp import web
+from multidict import CIMultiDict
 
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.trace import RequestTrace
@@ -21,6 +23,11 @@
     The head goes through aiohttp; the body goes to the caller's transport, with
     the chunked framing that aiohttp chose for the response. A small answer of
     known length is held until it is whole and leaves in one write.
+
+    Parameters
+    ----------
+    closes : callable, optional
+        Returns whether the connection is to be closed after the answer.
     """
 
     def __init__(
@@ -29,11 +36,13 @@
         request: web.BaseRequest,
         request_id: str,
         trace: RequestTrace | None = None,
+        closes: Callable[[], bool] | None = None,
     ) -> None:
         super().__init__()
         self._request = request
         self._request_id = request_id
         self._trace = trace or RequestTrace(request_id=request_id, started=0.0)
+        self._closes = closes
         self._transport = request.transport
         self._chunked = False
         self._held: bytearray | None = None
@@ -56,6 +65,7 @@
         if head.content_length is not None:
             response.content_length = head.content_length
         self.response = response
+        self._close_if_asked(response)
         await response.prepare(self._request)
         coding = response.headers.get("Transfer-Encoding", "")
         self._chunked = coding == "chunked"
@@ -102,6 +112,7 @@
         self._finished = True
         if self._held is not None:
             self.response = self._held_response(bytes(self._held))
+            self._close_if_asked(self.response)
         assert self.response is not None
         if self.closed:
             self._trace.abandoned = True
@@ -124,7 +135,13 @@
             response.content_length = self._head.content_length
         return response
 
-    def _headers(self, head: AnswerHead) -> dict[str, str]:
+    def _close_if_asked(self, response: web.StreamResponse) -> None:
+        if self._closes is not None and self._closes():
+            response.force_close()
+
+    def _headers(self, head: AnswerHead) -> Mapping[str, str]:
+        if head.headers:
+            return CIMultiDict(head.headers)
         headers = {
             "Content-Type": head.content_type,
             "X-Request-Id": self._request_id,
--- a/poplarlug/control/commands.py
+++ b/poplarlug/control/commands.py
@@ -7,14 +7,21 @@
 
 from poplarlug.catalog import Change
 from poplarlug.control.orders import OrderRequest, OrderResult
+from poplarlug.control.routing_state import EvacuationChange, RouteTableChange
 
-CommandType: TypeAlias = Literal["change", "order", "order_result"]
-Command: TypeAlias = Change | OrderRequest | OrderResult
+CommandType: TypeAlias = Literal[
+    "change", "order", "order_result", "route_table", "evacuation"
+]
+Command: TypeAlias = (
+    Change | OrderRequest | OrderResult | RouteTableChange | EvacuationChange
+)
 
 _TYPES_BY_NAME: dict[CommandType, Any] = {
     "change": Change,
     "order": OrderRequest,
     "order_result": OrderResult,
+    "route_table": RouteTableChange,
+    "evacuation": EvacuationChange,
 }
 _NAMES_BY_TYPE = {kind: name for name, kind in _TYPES_BY_NAME.items()}
 
--- a/poplarlug/control/main.py
+++ b/poplarlug/control/main.py
@@ -8,17 +8,13 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
-from poplarlug.catalog import ChangeOutcome
 from poplarlug.control.control_group import ControlGroup
 from poplarlug.control.disk import FileDisk
 from poplarlug.control.grpc_server import TlsFiles, build_server
 from poplarlug.control.operations import Operations, OrderLimits
+from poplarlug.control.proposing import Proposer
 from poplarlug.control.raft.replica import Replica
-from poplarlug.control.replicated_log import (
-    ProposeError,
-    ProposeErrorKind,
-    ReplicatedLog,
-)
+from poplarlug.control.replicated_log import ReplicatedLog
 from poplarlug.control.state import ControlState
 from poplarlug.daemon import (
     EXIT_BAD_SETTINGS,
@@ -34,7 +30,6 @@
 from poplarlug.topology import KeyFiles, LogSettings, Topology
 from poplarlug.transport import Transport, ZmqTransport
 
-PROPOSE_TIMEOUT_SECONDS = 5.0
 GRPC_STOP_SECONDS = 5.0
 EXIT_DAMAGED_DATA = 3
 
@@ -77,18 +72,6 @@
     log: LogSettings = LogSettings()
 
 
-class Proposal(NamedTuple):
-    """A command on its way from another replica to the leader."""
-
-    command: bytes
-
-
-class ProposalOutcome(NamedTuple):
-    outcome: ChangeOutcome | None
-    error: str = ""
-    not_leader: bool = False
-
-
 class Control:
     """One control replica: log, service to operators and to entries."""
 
@@ -100,8 +83,6 @@
         topology: Topology,
         transport: Transport,
     ) -> None:
-        self._transport = transport
-        self._name = settings.name
         self.state = ControlState()
         names = tuple(vm.name for vm in topology.control)
         self.disk = FileDisk(folder=folder / settings.data_folder)
@@ -118,13 +99,13 @@
         self.group = ControlGroup(
             replica=self.replica, transport=transport, names=names
         )
-        transport.serve("control.propose", Proposal, self._serve_proposal)
+        self.proposer = Proposer(log=self.log, transport=transport)
         self.operations = Operations(
             log=self.log,
             state=self.state,
             topology=topology,
             transport=transport,
-            propose=self.propose,
+            propose=self.proposer.propose,
             rng=Random(),
             limits=settings.orders,
             group=self.group,
@@ -134,44 +115,6 @@
         """Take the data folder for this process and restore its state."""
         return self.disk.lock().bind(lambda _: self.replica.load())
 
-    async def propose(self, command: bytes) -> Result[ChangeOutcome, ProposeError]:
-        """Take ``command`` to the leader, here or over there."""
-        result = await self.log.propose(command)
-        leader = self.log.leader
-        if isinstance(result, Success) or leader in (None, self._name):
-            return result
-        assert leader is not None
-        return await self._propose_at(leader, command)
-
-    async def _propose_at(
-        self, leader: str, command: bytes
-    ) -> Result[ChangeOutcome, ProposeError]:
-        reply = await self._transport.request(
-            peer=leader,
-            topic="control.propose",
-            message=Proposal(command),
-            reply_type=ProposalOutcome,
-            timeout_seconds=PROPOSE_TIMEOUT_SECONDS,
-        )
-        if isinstance(reply, Failure):
-            return Failure(
-                ProposeError(ProposeErrorKind.UNKNOWN, reply.failure().message)
-            )
-        outcome, error, not_leader = reply.unwrap()
-        if outcome is not None:
-            return Success(outcome)
-        kind = ProposeErrorKind.NOT_LEADER if not_leader else ProposeErrorKind.UNKNOWN
-        return Failure(ProposeError(kind, error))
-
-    async def _serve_proposal(self, sender: str, message: Proposal) -> ProposalOutcome:
-        result = await self.log.propose(message.command)
-        if isinstance(result, Success):
-            return ProposalOutcome(result.unwrap())
-        error = result.failure()
-        return ProposalOutcome(
-            None, error.message, error.kind is ProposeErrorKind.NOT_LEADER
-        )
-
 
 async def run_control(settings: ControlSettings, folder: Path) -> int:
     """Run a control replica until SIGTERM; return the exit status."""
--- /dev/null
+++ b/poplarlug/control/proposing.py
@@ -0,0 +1,85 @@
+"""Takes commands to the leader, from any control replica."""
+
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from poplarlug.catalog import ChangeOutcome
+from poplarlug.control.replicated_log import (
+    ProposeError,
+    ProposeErrorKind,
+    ReplicatedLog,
+)
+from poplarlug.transport import Transport
+from poplarlug.types import VmName
+
+PROPOSE_TOPIC = "control.propose"
+PROPOSE_TIMEOUT_SECONDS = 5.0
+
+
+class Proposal(NamedTuple):
+    """A command on its way from another replica to the leader."""
+
+    command: bytes
+
+
+class ProposalOutcome(NamedTuple):
+    outcome: ChangeOutcome | None
+    error: str = ""
+    not_leader: bool = False
+
+
+class Proposer:
+    """
+    Propose commands to the log, here or at the leader.
+
+    Parameters
+    ----------
+    log : ReplicatedLog
+        Knows who leads.
+    """
+
+    def __init__(self, *, log: ReplicatedLog, transport: Transport) -> None:
+        self._log = log
+        self._transport = transport
+        transport.serve(PROPOSE_TOPIC, Proposal, self._serve_proposal)
+
+    async def propose(self, command: bytes) -> Result[ChangeOutcome, ProposeError]:
+        """Take ``command`` to the leader, here or over there."""
+        result = await self._log.propose(command)
+        leader = self._log.leader
+        if isinstance(result, Success) or leader in (None, self._transport.name):
+            return result
+        assert leader is not None
+        return await self._propose_at(leader, command)
+
+    async def _propose_at(
+        self, leader: VmName, command: bytes
+    ) -> Result[ChangeOutcome, ProposeError]:
+        reply = await self._transport.request(
+            peer=leader,
+            topic=PROPOSE_TOPIC,
+            message=Proposal(command),
+            reply_type=ProposalOutcome,
+            timeout_seconds=PROPOSE_TIMEOUT_SECONDS,
+        )
+        if isinstance(reply, Failure):
+            return Failure(
+                ProposeError(ProposeErrorKind.UNKNOWN, reply.failure().message)
+            )
+        outcome, error, not_leader = reply.unwrap()
+        if outcome is not None:
+            return Success(outcome)
+        kind = ProposeErrorKind.NOT_LEADER if not_leader else ProposeErrorKind.UNKNOWN
+        return Failure(ProposeError(kind, error))
+
+    async def _serve_proposal(
+        self, sender: VmName, message: Proposal
+    ) -> ProposalOutcome:
+        result = await self._log.propose(message.command)
+        if isinstance(result, Success):
+            return ProposalOutcome(result.unwrap())
+        error = result.failure()
+        return ProposalOutcome(
+            None, error.message, error.kind is ProposeErrorKind.NOT_LEADER
+        )
--- a/poplarlug/control/raft/consensus_state.py
+++ b/poplarlug/control/raft/consensus_state.py
@@ -1,7 +1,7 @@
 """State of one replica that its tasks share."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
 from random import Random
 from typing import Any
@@ -34,18 +34,34 @@
     LEADER = "leader"
 
 
+Clock = Callable[[], Seconds]
+
+
 class ConsensusState:
     """
     Term, role, log and members of a replica.
 
     Methods change it in memory without a pause. Whoever answers a peer saves
     ``hard_state`` and syncs ``log`` first.
+
+    Parameters
+    ----------
+    clock : callable, optional
+        Returns seconds for leases and timeouts; the loop's time by default. Where
+        a VM may be suspended it has to count that time too.
     """
 
     def __init__(
-        self, *, name: VmName, disk: Disk, state_machine: StateMachine, rng: Random
+        self,
+        *,
+        name: VmName,
+        disk: Disk,
+        state_machine: StateMachine,
+        rng: Random,
+        clock: Clock | None = None,
     ) -> None:
         self.name = name
+        self._clock = clock
         self.rng = rng
         self.state_machine = state_machine
         self.hard_state = HardState(disk=disk, rng=rng)
@@ -63,6 +79,12 @@
         self.waiters_by_index: dict[int, Waiter] = {}
         self._members_by_index: dict[int, Members] = {0: Members()}
 
+    def now(self) -> Seconds:
+        """Return the time by which leases and timeouts are counted."""
+        if self._clock is not None:
+            return self._clock()
+        return asyncio.get_running_loop().time()
+
     @property
     def term(self) -> int:
         return self.hard_state.term
--- a/poplarlug/control/raft/election.py
+++ b/poplarlug/control/raft/election.py
@@ -41,7 +41,7 @@
             MIN_ELECTION_TIMEOUT_SECONDS, MAX_ELECTION_TIMEOUT_SECONDS
         )
         while True:
-            now = asyncio.get_running_loop().time()
+            now = self._state.now()
             remaining = state.last_contact + timeout - now
             if remaining <= 0 and state.is_voter:
                 return
@@ -143,5 +143,5 @@
         return True
 
     def _heard_of_leader(self) -> bool:
-        silence = asyncio.get_running_loop().time() - self._state.last_contact
+        silence = self._state.now() - self._state.last_contact
         return silence < MIN_ELECTION_TIMEOUT_SECONDS
--- a/poplarlug/control/raft/following.py
+++ b/poplarlug/control/raft/following.py
@@ -1,7 +1,5 @@
 """A follower's answers to its leader."""
 
-import asyncio
-
 from returns.result import Failure
 
 from poplarlug.control.raft.consensus_state import ConsensusState
@@ -90,7 +88,7 @@
         state = self._state
         if incarnation != state.hard_state.incarnation or term < state.term:
             return False
-        state.follow(sender, term, asyncio.get_running_loop().time())
+        state.follow(sender, term, state.now())
         return True
 
     def _holds(self, log_index: int, term: int) -> bool:
--- a/poplarlug/control/raft/leading.py
+++ b/poplarlug/control/raft/leading.py
@@ -10,7 +10,7 @@
     MAX_ELECTION_TIMEOUT_SECONDS,
 )
 from poplarlug.transport import Transport
-from poplarlug.types import VmName
+from poplarlug.types import Seconds, VmName
 
 
 class Leading:
@@ -20,6 +20,7 @@
         self._state = state
         self._transport = transport
         self._first_index = 0
+        self.began_at: Seconds = 0.0
         self.peers_by_name: dict[VmName, Peer] = {}
         self._tasks_by_name: dict[VmName, asyncio.Task[None]] = {}
 
@@ -29,7 +30,7 @@
         state = self._state
         if state.role is not Role.LEADER or state.commit_index < self._first_index:
             return False
-        return asyncio.get_running_loop().time() < self.lease_expires_at
+        return state.now() < self.lease_expires_at
 
     @property
     def lease_expires_at(self) -> float:
@@ -45,6 +46,7 @@
         """Lead until a later term is seen or the lease ends."""
         state = self._state
         term = state.term
+        self.began_at = state.now()
         self._first_index = state.append_as_leader(EntryKind.NOOP, b"")
         writer = asyncio.ensure_future(self._write(term))
         watcher = asyncio.ensure_future(self._watch(term))
@@ -86,10 +88,9 @@
 
     async def _watch(self, term: int) -> None:
         state = self._state
-        loop = asyncio.get_running_loop()
-        grace_ends = loop.time() + MAX_ELECTION_TIMEOUT_SECONDS
+        grace_ends = state.now() + MAX_ELECTION_TIMEOUT_SECONDS
         while state.leads(term):
-            if loop.time() > max(grace_ends, self.lease_expires_at):
+            if state.now() > max(grace_ends, self.lease_expires_at):
                 state.step_down("out of touch with a quorum")
                 return
             for task in self._tasks_by_name.values():
--- a/poplarlug/control/raft/membership.py
+++ b/poplarlug/control/raft/membership.py
@@ -1,6 +1,8 @@
 """Changes of the group's members, one replica at a time."""
 
 import asyncio
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from returns.result import Failure
 
@@ -16,10 +18,34 @@
 from poplarlug.types import Seconds, VmName
 
 MAX_LEARNER_LAG_ENTRIES = 16
+REPLACE_SECONDS = 4.0
+"""A voter that gave no sign for so long is replaced where another replica waits."""
+
+FORGET_LEARNER_SECONDS = 30.0
+"""A learner that gave no sign for so long is dropped; it joins again when it is back."""
+
+RECRUIT_SECONDS = 0.5
+SMALL_GROUP_VOTERS = 3
+LARGE_GROUP_VOTERS = 5
+"""Voters where at least five replicas exist: two disks may be lost at a time."""
 
 _log = PartLog(prefix="membership")
 
 
+class Recruit(NamedTuple):
+    """
+    How replicas join a group that keeps itself.
+
+    Parameters
+    ----------
+    known : callable
+        Returns the names of all control replicas that gave a sign lately, but not
+        the own one.
+    """
+
+    known: Callable[[], Iterable[VmName]]
+
+
 class Membership:
     """
     Add and remove replicas, and take those in again that lost their disk.
@@ -27,6 +53,15 @@
     A replica that answers under another incarnation than the group knows has
     lost its disk. It becomes a learner in place of its former self, and a voter
     when its log has caught up.
+
+    Where replicas are recruited, any that is known joins as a learner. Learners
+    become voters up to three, or five where so many replicas exist, and in place
+    of voters that are gone; those are voted out once their successor votes.
+
+    Parameters
+    ----------
+    recruit : Recruit or None
+        ``None`` where operators add and remove replicas.
     """
 
     def __init__(
@@ -35,7 +70,10 @@
         state: ConsensusState,
         leading: Leading,
         identification: Identification,
+        recruit: Recruit | None = None,
     ) -> None:
+        self._recruit = recruit
+        self._recruited_at = float("-inf")
         self._state = state
         self._leading = leading
         self._identification = identification
@@ -44,11 +82,14 @@
         """Repair the membership while this replica is the leader."""
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
-            if self._leading.may_change_members:
-                members = self._next_members()
-                if members is not None:
-                    data = encode_members(members)
-                    self._state.append_as_leader(EntryKind.MEMBERS, data)
+            if not self._leading.may_change_members:
+                continue
+            members = self._next_members()
+            if members is None and self._recruit is not None:
+                members = await self._recruit_one(self._recruit)
+            if members is not None and self._leading.may_change_members:
+                data = encode_members(members)
+                self._state.append_as_leader(EntryKind.MEMBERS, data)
 
     async def change(self, action: str, name: VmName) -> ReplicaChangeOutcome:
         """Add or remove a replica, as the leader."""
@@ -106,11 +147,56 @@
                 _log.warning("takes in a replica that lost its disk", name=name)
                 return members.with_learner(Member(name, other))
         for learner in members.learners:
-            if self._has_caught_up(learner):
+            if self._has_caught_up(learner) and self._needs_voter(members):
                 _log.info("makes a learner a voter", name=learner.name)
                 return members.with_voter(learner.name)
+        return self._without_lost(members) if self._recruit is not None else None
+
+    async def _recruit_one(self, recruit: Recruit) -> Members | None:
+        """Return the members with one more learner, if one waits to join."""
+        if self._now() - self._recruited_at < RECRUIT_SECONDS:
+            return None
+        self._recruited_at = self._now()
+        members = self._state.members
+        names = [name for name in recruit.known() if members.find(name) is None]
+        identities = await self._identification.ask_all(names)
+        if self._state.members != members:
+            return None
+        for name, identity in identities.items():
+            _log.info("takes in a replica", name=name, empty=identity.is_empty)
+            return members.with_learner(Member(name, identity.incarnation))
+        return None
+
+    def _needs_voter(self, members: Members) -> bool:
+        if self._recruit is None:
+            return True
+        lost = [voter for voter in members.voters if self._is_lost(voter)]
+        return len(members.voters) - len(lost) < _wanted_voters(members)
+
+    def _without_lost(self, members: Members) -> Members | None:
+        """Return the members without one that is gone and has a successor."""
+        for voter in members.voters:
+            remaining = members.without(voter.name)
+            has_successor = len(remaining.voters) >= _wanted_voters(members)
+            if not self._is_lost(voter) or not has_successor:
+                continue
+            if self._has_quorum_in_touch(remaining):
+                _log.warning("votes out a lost replica", name=voter.name)
+                return remaining
+        for learner in members.learners:
+            silence = self._now() - self._state.lease.answered_at(learner.name)
+            lead = self._now() - self._leading.began_at
+            if min(silence, lead) > FORGET_LEARNER_SECONDS:
+                _log.warning("drops a lost learner", name=learner.name)
+                return members.without(learner.name)
         return None
 
+    def _is_lost(self, voter: Member) -> bool:
+        if voter.name == self._state.name:
+            return False
+        silence = self._now() - self._state.lease.answered_at(voter.name)
+        return min(silence, self._now() - self._leading.began_at) > REPLACE_SECONDS
+
     def _may_replace(self, members: Members, name: VmName) -> bool:
         return self._has_quorum_in_touch(members.without(name))
 
@@ -136,7 +222,13 @@
         return silence < LEASE_SECONDS
 
     def _now(self) -> Seconds:
-        return asyncio.get_running_loop().time()
+        return self._state.now()
+
+
+def _wanted_voters(members: Members) -> int:
+    if len(members.all) >= LARGE_GROUP_VOTERS:
+        return LARGE_GROUP_VOTERS
+    return SMALL_GROUP_VOTERS
 
 
 def _refused(message: str) -> ReplicaChangeOutcome:
--- a/poplarlug/control/raft/peer.py
+++ b/poplarlug/control/raft/peer.py
@@ -126,7 +126,7 @@
         )
 
     async def _append(self, request: AppendRequest) -> None:
-        sent_at = asyncio.get_running_loop().time()
+        sent_at = self._state.now()
         reply = await self._transport.request(
             peer=self.member.name,
             topic=APPEND_TOPIC,
@@ -173,7 +173,7 @@
         snapshot = decode_snapshot(data).unwrap()
         offset = 0
         while self._state.leads(self._term):
-            sent_at = asyncio.get_running_loop().time()
+            sent_at = self._state.now()
             reply = await self._transport.request(
                 peer=self.member.name,
                 topic=INSTALL_TOPIC,
--- a/poplarlug/control/raft/replica.py
+++ b/poplarlug/control/raft/replica.py
@@ -9,12 +9,12 @@
 
 from poplarlug.control.disk import Disk
 from poplarlug.control.log_storage import EntryKind
-from poplarlug.control.raft.consensus_state import ConsensusState, Role
+from poplarlug.control.raft.consensus_state import Clock, ConsensusState, Role
 from poplarlug.control.raft.election import Election
 from poplarlug.control.raft.following import Following
 from poplarlug.control.raft.identification import Bootstrap, Identification
 from poplarlug.control.raft.leading import Leading
-from poplarlug.control.raft.membership import Membership
+from poplarlug.control.raft.membership import Membership, Recruit
 from poplarlug.control.raft.proposals import append_and_wait
 from poplarlug.control.raft.recovery import recover_alone
 from poplarlug.control.raft.snapshotting import (
@@ -33,7 +33,9 @@
 from poplarlug.types import VmName
 
 MAX_PROPOSALS = 1024
-MAX_COMMAND_BYTES = 256 * 1024
+MAX_COMMAND_BYTES = 4 * 1024 * 1024
+"""Bounds one command; a table of a few thousand routes takes about 1 MB."""
+
 WATCH_SECONDS = 1.0
 
 
@@ -51,6 +53,10 @@
         see :func:`~poplarlug.control.raft.recovery.recover_alone`.
     rng : random.Random
         Source of the incarnation and of election timeouts.
+    clock : callable, optional
+        See :class:`ConsensusState`.
+    recruit : Recruit, optional
+        Where replicas join by themselves; without it operators add them.
     """
 
     def __init__(
@@ -65,9 +71,11 @@
         recover_incarnation: str = "",
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         kept_entries: int = KEPT_ENTRIES,
+        clock: Clock | None = None,
+        recruit: Recruit | None = None,
     ) -> None:
         self.state = ConsensusState(
-            name=name, disk=disk, state_machine=state_machine, rng=rng
+            name=name, disk=disk, state_machine=state_machine, rng=rng, clock=clock
         )
         self._recover_incarnation = recover_incarnation
         self._election = Election(state=self.state, transport=transport)
@@ -88,6 +96,7 @@
             state=self.state,
             leading=self._leading,
             identification=self.identification,
+            recruit=recruit,
         )
 
     def load(self) -> Result[None, str]:
@@ -106,7 +115,7 @@
         state = self.state
         if state.role is Role.LEADER:
             return state.name
-        silence = asyncio.get_running_loop().time() - state.last_contact
+        silence = state.now() - state.last_contact
         return state.leader if silence < MAX_ELECTION_TIMEOUT_SECONDS else None
 
     @property
@@ -125,7 +134,7 @@
         state = self.state
         await recover_alone(state, self._recover_incarnation)
         await state.hard_state.save()
-        state.last_contact = asyncio.get_running_loop().time()
+        state.last_contact = state.now()
         state.started.set()
         try:
             async with asyncio.TaskGroup() as tasks:
--- /dev/null
+++ b/poplarlug/control/routing_service.py
@@ -0,0 +1,149 @@
+"""Changes and reads of the routing state at any control replica."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from prometheus_client import Counter
+from returns.result import Failure, Result, Success
+
+from poplarlug.catalog import ChangeOutcome
+from poplarlug.control.commands import encode_command
+from poplarlug.control.leader_calls import LeaderCalls
+from poplarlug.control.replicated_log import ProposeError
+from poplarlug.control.routing_state import (
+    EvacuationChange,
+    RouteTableChange,
+    RoutingImage,
+    RoutingState,
+    encode_table,
+)
+from poplarlug.logs import PartLog
+from poplarlug.metrics import REGISTRY
+from poplarlug.routes import RouteTable
+from poplarlug.types import Seconds, ZoneName
+
+READ_SECONDS = 0.9
+"""An operator's call goes on to another replica after a second without an answer."""
+
+CHANGE_SECONDS = 4.0
+"""Longest wait for a quorum; the operator's call has moved on long before."""
+
+_CHANGES = Counter(
+    "poplarlug_routing_changes_total",
+    "Route tables and evacuations by outcome.",
+    ["change", "outcome"],
+    registry=REGISTRY,
+)
+
+Propose = Callable[[bytes], Awaitable[Result[ChangeOutcome, ProposeError]]]
+
+_log = PartLog(prefix="routing")
+
+
+class RevisionRequest(NamedTuple):
+    """Ask the leader for the revision that it has applied."""
+
+
+class Revision(NamedTuple):
+    revision: int
+
+
+class RoutingService:
+    """
+    Take route tables and evacuations to the log, and read what is in force.
+
+    Parameters
+    ----------
+    propose : callable
+        Takes a command to the leader and returns its outcome.
+    """
+
+    def __init__(
+        self, *, state: RoutingState, propose: Propose, leader_calls: LeaderCalls
+    ) -> None:
+        self._state = state
+        self._propose = propose
+        self._leader_calls = leader_calls
+        leader_calls.register("routing_revision", RevisionRequest, self._serve_revision)
+
+    async def put_table(self, table: RouteTable, source: bytes) -> Result[int, str]:
+        """
+        Bring a table without problems into force, unless a newer one is.
+
+        Parameters
+        ----------
+        source : bytes
+            The operator's document, for those who read it.
+
+        Returns
+        -------
+        Success(int) or Failure(str)
+            The version in force; a failure says nothing about the outcome.
+        """
+        command = RouteTableChange(encode_table(table), source)
+        return await self._change("table", encode_command(command), table.version)
+
+    async def evacuate(self, zone: ZoneName, evacuated: bool) -> Result[int, str]:
+        """Evacuate a zone or take it back; a failure tells no outcome."""
+        command = EvacuationChange(zone, evacuated)
+        return await self._change("evacuation", encode_command(command), zone)
+
+    async def read(self) -> Result[RoutingImage, str]:
+        """Return the state with every change that was accepted before."""
+        deadline = asyncio.get_running_loop().time() + READ_SECONDS
+        answer = await self._leader_calls.call(
+            "routing_revision", RevisionRequest(), Revision, READ_SECONDS
+        )
+        if isinstance(answer, Failure):
+            return answer
+        wanted = answer.unwrap().revision
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self._state.revision.wait_for(lambda held: held >= wanted)
+        except TimeoutError:
+            held = self._state.revision.value
+            return Failure(f"this replica is at revision {held} of {wanted}; retry")
+        return Success(self._state.image)
+
+    async def _change(
+        self, change: str, command: bytes, subject: object
+    ) -> Result[int, str]:
+        started = asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout(CHANGE_SECONDS):
+                result = await self._propose(command)
+        except TimeoutError:
+            return self._failed(change, subject, "no outcome in time", started)
+        if isinstance(result, Failure):
+            return self._failed(change, subject, result.failure().message, started)
+        outcome = result.unwrap()
+        _CHANGES.labels(change, outcome.status.value).inc()
+        _log.info(
+            "change decided",
+            change=change,
+            subject=subject,
+            status=outcome.status.value,
+            version=outcome.version,
+            seconds=self._since(started),
+        )
+        return Success(outcome.version)
+
+    def _failed(
+        self, change: str, subject: object, reason: str, started: Seconds
+    ) -> Result[int, str]:
+        _CHANGES.labels(change, "unknown").inc()
+        _log.warning(
+            "change has no outcome",
+            change=change,
+            subject=subject,
+            reason=reason,
+            seconds=self._since(started),
+        )
+        return Failure(reason)
+
+    def _since(self, started: Seconds) -> Seconds:
+        return round(asyncio.get_running_loop().time() - started, 4)
+
+    async def _serve_revision(self, message: RevisionRequest) -> Revision:
+        return Revision(self._state.revision.value)
--- /dev/null
+++ b/poplarlug/control/routing_state.py
@@ -0,0 +1,115 @@
+"""The replicated part of routing by routes: the table and evacuated zones."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from poplarlug.catalog import ChangeOutcome, ChangeStatus
+from poplarlug.latest import Latest
+from poplarlug.routes import RouteTable, check_route_table
+from poplarlug.types import ZoneName
+
+
+class RouteTableChange(NamedTuple):
+    """
+    Bring a whole route table into force.
+
+    Parameters
+    ----------
+    table : bytes
+        A :class:`RouteTable` in msgpack.
+    source : bytes
+        The operator's document, given back as it is to those who read it.
+    """
+
+    table: bytes
+    source: bytes
+
+
+class EvacuationChange(NamedTuple):
+    """Send nothing more to a zone's upstreams, or take that back."""
+
+    zone: ZoneName
+    evacuated: bool
+
+
+class RoutingImage(NamedTuple):
+    """Everything that :meth:`RoutingState.restore` needs."""
+
+    table: bytes = b""
+    source: bytes = b""
+    evacuated_zones: tuple[ZoneName, ...] = ()
+    revision: int = 0
+
+
+class RoutingState:
+    """
+    The route table with the highest version, and the evacuated zones.
+
+    ``revision`` grows by one with every change of either, the same on every
+    replica.
+    """
+
+    def __init__(self) -> None:
+        self._image = RoutingImage()
+        self.table: RouteTable | None = None
+        self.revision: Latest[int] = Latest(initial=0)
+
+    @property
+    def image(self) -> RoutingImage:
+        return self._image
+
+    @property
+    def version(self) -> int:
+        """The table's version; -1 while there is none."""
+        return -1 if self.table is None else self.table.version
+
+    def restore(self, image: RoutingImage) -> None:
+        """Replace everything by ``image``."""
+        self._image = image
+        self.table = decode_table(image.table) if image.table else None
+        self.revision.set(image.revision)
+
+    def change_table(self, change: RouteTableChange) -> ChangeOutcome:
+        """
+        Take in a table with a higher version.
+
+        A table whose version is not higher is accepted and changes nothing, so
+        that a resent or overtaken change has an answer.
+        """
+        table = decode_table(change.table)
+        if table is None:
+            message = "the table can't be read"
+            return ChangeOutcome(ChangeStatus.INVALID, 0, message)
+        problems = check_route_table(table)
+        if problems:
+            return ChangeOutcome(ChangeStatus.INVALID, 0, str(problems[0]))
+        if table.version > self.version:
+            self.table = table
+            self._set(self._image._replace(table=change.table, source=change.source))
+        return ChangeOutcome(ChangeStatus.ACCEPTED, self.version)
+
+    def change_evacuation(self, change: EvacuationChange) -> ChangeOutcome:
+        """Note that a zone is evacuated or taken back; a resend changes nothing."""
+        zones = set(self._image.evacuated_zones) - {change.zone}
+        if change.evacuated:
+            zones.add(change.zone)
+        if zones != set(self._image.evacuated_zones):
+            self._set(self._image._replace(evacuated_zones=tuple(sorted(zones))))
+        return ChangeOutcome(ChangeStatus.ACCEPTED, self._image.revision)
+
+    def _set(self, image: RoutingImage) -> None:
+        self._image = image._replace(revision=image.revision + 1)
+        self.revision.set(self._image.revision)
+
+
+def encode_table(table: RouteTable) -> bytes:
+    return msgspec.msgpack.encode(table)
+
+
+def decode_table(data: bytes) -> RouteTable | None:
+    """Return the table in ``data``, ``None`` when it can't be read."""
+    try:
+        return msgspec.msgpack.decode(data, type=RouteTable)
+    except (ValueError, TypeError, RecursionError):
+        return None
--- /dev/null
+++ b/poplarlug/control/seeded.py
@@ -0,0 +1,146 @@
+"""A control replica that finds the others by seeds and serves entries that do so."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+from aiohttp import web
+from returns.result import Failure, Result
+
+from poplarlug.control.disk import FileDisk
+from poplarlug.control.leader_calls import LeaderCalls
+from poplarlug.control.proposing import Proposer
+from poplarlug.control.raft.membership import Recruit
+from poplarlug.control.raft.replica import Replica
+from poplarlug.control.routing_service import RoutingService
+from poplarlug.control.state import ControlState
+from poplarlug.daemon import Site, add_health_routes, serve_http, stop_event
+from poplarlug.discovery.control_peers import ControlPeers
+from poplarlug.discovery.registrar import Registrar
+from poplarlug.discovery.registry import Registry
+from poplarlug.logs import PartLog
+from poplarlug.metrics import sample_loop_lag
+from poplarlug.seeded_settings import (
+    SeededControlSettings,
+    boot_time,
+    seed_peers,
+    watch_settings,
+)
+from poplarlug.supervision import Supervisor
+from poplarlug.transport import NamedByAddress, ZmqTransport
+from poplarlug.types import Address
+
+PRESENT_SECONDS = 5.0
+"""A replica that spoke within this time may be recruited."""
+
+EXIT_DAMAGED_DATA = 3
+
+_log = PartLog(prefix="control")
+
+
+class SeededControl:
+    """All parts of a control replica that finds the others by seeds."""
+
+    def __init__(self, *, settings: SeededControlSettings, rng: Random) -> None:
+        clock = asyncio.get_running_loop().time
+        own = f"{settings.ip}:{settings.peers_port}"
+        seeds = seed_peers(settings.seeds, settings.peers_port)
+        self.transport = ZmqTransport(
+            name=own, address=own, addresses_by_name=NamedByAddress(), keys=None
+        )
+        self.state = ControlState()
+        self.peers = ControlPeers(
+            own=own, seeds=seeds, members=self._members, clock=clock
+        )
+        self.disk = FileDisk(folder=Path(settings.data_folder))
+        self.replica = Replica(
+            name=own,
+            transport=self.transport,
+            disk=self.disk,
+            state_machine=self.state,
+            rng=rng,
+            bootstrap=seeds if settings.bootstrap else (),
+            clock=boot_time,
+            recruit=Recruit(lambda: self.peers.present(PRESENT_SECONDS)[1:]),
+        )
+        self.proposer = Proposer(log=self.replica, transport=self.transport)
+        leader_calls = LeaderCalls(log=self.replica, transport=self.transport)
+        self.routing = RoutingService(
+            state=self.state.routing,
+            propose=self.proposer.propose,
+            leader_calls=leader_calls,
+        )
+        self.registrar = Registrar(
+            zone=settings.zone,
+            regions_by_zone=settings.regions_by_zone,
+            registry=Registry(
+                clock=clock, beat_seconds=settings.beat_milliseconds / 1000
+            ),
+            peers=self.peers,
+            routing=self.state.routing,
+            transport=self.transport,
+            is_current=lambda: self.replica.leader is not None,
+            rng=rng,
+            clock=clock,
+        )
+        self.supervisor = Supervisor(name="control", rng=rng)
+        self.supervisor.add_child("loop lag", sample_loop_lag)
+        self.supervisor.add_child("transport", self.transport.run)
+        self.supervisor.add_child("log", self.replica.run)
+        self.supervisor.add_child("registrar", self.registrar.run)
+
+    def load(self) -> Result[None, str]:
+        """Take the data folder for this process and restore its state."""
+        return self.disk.lock().bind(lambda _: self.replica.load())
+
+    def reload(self, settings: SeededControlSettings) -> None:
+        """Bring changed settings into force, as far as that needs no restart."""
+        self.peers.replace_seeds(seed_peers(settings.seeds, settings.peers_port))
+
+    def _members(self) -> list[Address]:
+        return [member.name for member in self.replica.state.members.all]
+
+
+MakeSites = Callable[[SeededControl, SeededControlSettings], list[Site]]
+
+
+async def run_seeded_control(
+    settings: SeededControlSettings, *, settings_file: Path, make_sites: MakeSites
+) -> int:
+    """
+    Run a control replica until SIGTERM; return the exit status.
+
+    Parameters
+    ----------
+    make_sites : callable
+        Returns the applications for operators and upstreams.
+    """
+    control = SeededControl(settings=settings, rng=Random())
+    restored = control.load()
+    if isinstance(restored, Failure):
+        _log.error("can't start", name=settings.name, reason=restored.failure())
+        return EXIT_DAMAGED_DATA
+    metrics = web.Application()
+    add_health_routes(metrics, lambda: control.replica.leader is not None)
+    sites = [
+        *make_sites(control, settings),
+        Site(f"{settings.ip}:{settings.metrics_port}", metrics),
+    ]
+    runners = [await serve_http(site.app, site.address) for site in sites]
+    running = asyncio.ensure_future(control.supervisor.run())
+    watching = asyncio.ensure_future(
+        watch_settings(settings_file, SeededControlSettings, control.reload)
+    )
+    _log.info("started", name=settings.name, zone=settings.zone, http=settings.http)
+    stopping = asyncio.ensure_future(stop_event().wait())
+    await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    _log.info("stopping", name=settings.name)
+    failed = running.done()
+    watching.cancel()
+    for runner in runners:
+        await runner.cleanup()
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    _log.info("stopped", name=settings.name)
+    return 1 if failed else 0
--- a/poplarlug/control/state.py
+++ b/poplarlug/control/state.py
@@ -24,6 +24,12 @@
 )
 from poplarlug.control.outcomes import OutcomeTable, Recorded, hash_content
 from poplarlug.control.replicated_log import LogEntry, StateMachine
+from poplarlug.control.routing_state import (
+    EvacuationChange,
+    RouteTableChange,
+    RoutingImage,
+    RoutingState,
+)
 from poplarlug.latest import Latest
 from poplarlug.types import ConfigVersion
 
@@ -38,6 +44,7 @@
     catalog: CatalogImage
     changes: tuple[tuple[str, Recorded[ChangeOutcome]], ...]
     orders: tuple[tuple[str, Recorded[OrderOutcome]], ...]
+    routing: RoutingImage = RoutingImage()
 
 
 class ControlState(StateMachine):
@@ -50,6 +57,7 @@
 
     def __init__(self) -> None:
         self.catalog = Catalog()
+        self.routing = RoutingState()
         self.version: Latest[ConfigVersion] = Latest(initial=0)
         self._changes: OutcomeTable[ChangeOutcome] = OutcomeTable(
             max_outcomes=MAX_CHANGE_OUTCOMES
@@ -68,11 +76,18 @@
             return self._issue_order(command, fencing)
         if isinstance(command, OrderResult):
             return self._record_result(command, fencing)
+        if isinstance(command, RouteTableChange):
+            return self.routing.change_table(command)
+        if isinstance(command, EvacuationChange):
+            return self.routing.change_evacuation(command)
         return self._apply_change(command)
 
     def snapshot(self) -> bytes:
         image = _Image(
-            self.catalog.image(), self._changes.items(), self._orders.items()
+            self.catalog.image(),
+            self._changes.items(),
+            self._orders.items(),
+            self.routing.image,
         )
         return msgspec.msgpack.encode(image)
 
@@ -81,6 +96,7 @@
         self.catalog.restore(image.catalog)
         self._changes.restore(image.changes)
         self._orders.restore(image.orders)
+        self.routing.restore(image.routing)
         self.version.set(self.catalog.version)
 
     def _apply_change(self, change: Change) -> ChangeOutcome:
--- a/poplarlug/daemon.py
+++ b/poplarlug/daemon.py
@@ -5,7 +5,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import NoReturn, TypeVar, cast
+from typing import NamedTuple, NoReturn, TypeVar, cast
 
 import fire
 from aiohttp import web
@@ -16,13 +16,26 @@
 from poplarlug.settings import SettingsError, load_settings
 from poplarlug.settings_files import DaemonSettings, check_files
 from poplarlug.topology import LogSettings
+from poplarlug.types import Address
 
 T = TypeVar("T")
 
 EXIT_BAD_SETTINGS = 2
 
 
-def run_daemon(kind: type[T], main: Callable[[T, Path], Awaitable[int]]) -> None:
+class Site(NamedTuple):
+    """One HTTP application of a daemon and where it listens."""
+
+    address: Address
+    app: web.Application
+
+
+def run_daemon(
+    kind: type[T],
+    main: Callable[[T, Path], Awaitable[int]],
+    *,
+    settings_file: str | None = None,
+) -> None:
     """
     Read the command line ``--settings FILE [--check]`` and run ``main``.
 
@@ -32,18 +45,24 @@
         ``NamedTuple`` class of the settings; its ``log`` field sets up logs.
     main : callable
         Gets the settings and their file's folder and returns the exit status.
+    settings_file : str, optional
+        Where settings are when the command line names none. Settings that name a
+        topology file have the files that they name checked too.
     """
 
-    def command(settings: str, check: bool = False) -> None:
+    def command(settings: str | None = settings_file, check: bool = False) -> None:
         """Run the daemon with the settings in a file of JSON with comments."""
+        if settings is None:
+            exit_with_errors([SettingsError("--settings", "missing; name a file")])
         path = Path(settings)
         loaded = load_settings(path, kind)
         if not isinstance(loaded, Success):
             exit_with_errors(loaded.failure())
         value = loaded.unwrap()
-        errors = check_files(cast(DaemonSettings, value), path.parent)
-        if errors:
-            exit_with_errors(errors)
+        if hasattr(value, "topology_file"):
+            errors = check_files(cast(DaemonSettings, value), path.parent)
+            if errors:
+                exit_with_errors(errors)
         if check:
             print(f"{settings}: no errors")
             return
--- /dev/null
+++ b/poplarlug/discovery/control_peers.py
@@ -0,0 +1,68 @@
+"""The control replicas that one of them knows, in place of a list of VMs."""
+
+from collections.abc import Callable, Iterable
+
+from poplarlug.types import Address, Seconds
+
+FORGET_SECONDS = 60.0
+"""A replica that is no member and gave no sign for so long isn't asked any more."""
+
+
+class ControlPeers:
+    """
+    Addresses of control replicas: seeds, members of the group, those that spoke.
+
+    Parameters
+    ----------
+    own : Address
+        Left out.
+    seeds : iterable of Address
+        Where to begin.
+    members : callable
+        Returns the addresses of the control group's members.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Address,
+        seeds: Iterable[Address],
+        members: Callable[[], Iterable[Address]],
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._own = own
+        self._seeds = tuple(seeds)
+        self._members = members
+        self._clock = clock
+        self._seen_by_address: dict[Address, Seconds] = {}
+
+    def saw(self, address: Address) -> None:
+        """Note a message of the replica at ``address``."""
+        self._seen_by_address[address] = self._clock()
+
+    def learn(self, addresses: Iterable[Address]) -> None:
+        """Note replicas that another one named."""
+        for address in addresses:
+            self._seen_by_address.setdefault(address, self._clock())
+
+    def replace_seeds(self, seeds: Iterable[Address]) -> None:
+        """Take new seeds from changed settings."""
+        self._seeds = tuple(seeds)
+
+    def others(self) -> tuple[Address, ...]:
+        """Return all addresses but the own one."""
+        oldest = self._clock() - FORGET_SECONDS
+        self._seen_by_address = {
+            address: seen
+            for address, seen in self._seen_by_address.items()
+            if seen >= oldest
+        }
+        known = dict.fromkeys([*self._seeds, *self._members(), *self._seen_by_address])
+        known.pop(self._own, None)
+        return tuple(known)
+
+    def present(self, within_seconds: Seconds) -> tuple[Address, ...]:
+        """Return the own address and those of others that spoke lately."""
+        oldest = self._clock() - within_seconds
+        spoke = [a for a, seen in self._seen_by_address.items() if seen >= oldest]
+        return (self._own, *(address for address in spoke if address != self._own))
--- /dev/null
+++ b/poplarlug/discovery/messages.py
@@ -0,0 +1,160 @@
+"""Messages by which entries and control replicas find each other."""
+
+from typing import NamedTuple
+
+from poplarlug.discovery.records import (
+    EntryRecord,
+    RegionLoad,
+    ServiceUpstream,
+    UpstreamLoad,
+)
+from poplarlug.types import Address, RegionName, Seconds, ServiceName, ZoneName
+
+POLL_TOPIC = "discovery.poll"
+GOSSIP_TOPIC = "discovery.gossip"
+TABLES_TOPIC = "discovery.tables"
+
+
+class WaitingCount(NamedTuple):
+    """Requests of a service that wait at an entry."""
+
+    service: ServiceName
+    waiting: int
+
+
+class Poll(NamedTuple):
+    """
+    An entry's report and its question for news.
+
+    Parameters
+    ----------
+    registry_id : str
+        Identifies the replica's run whose revision ``known`` is.
+    known : int
+        Revision of the registry up to which the entry knows it.
+    routing_revision : int
+        Revision of the replicated routing state in force at the entry.
+    loads : tuple of UpstreamLoad
+        What the entry has running now.
+    hold_seconds : float
+        How long the reply may wait for news.
+    """
+
+    record: EntryRecord
+    registry_id: str
+    known: int
+    routing_revision: int
+    loads: tuple[UpstreamLoad, ...] = ()
+    waiting: tuple[WaitingCount, ...] = ()
+    hold_seconds: Seconds = 0.0
+
+
+class RoutingNews(NamedTuple):
+    """
+    The replicated routing state.
+
+    Parameters
+    ----------
+    table : bytes
+        The route table in msgpack; empty while no operator has set one.
+    """
+
+    revision: int
+    table: bytes = b""
+    evacuated_zones: tuple[ZoneName, ...] = ()
+
+
+class PollReply(NamedTuple):
+    """
+    What an entry did not know.
+
+    Parameters
+    ----------
+    whole : bool
+        Whether the records are all there are, and others are to be forgotten.
+    current : bool
+        Whether the replica is in touch with the leader of its group.
+    routing : RoutingNews or None
+        ``None`` while the entry has the newest that this replica has applied.
+    zone : ZoneName
+        Zone of the replica.
+    loads : tuple of UpstreamLoad
+        What the other entries of the region have running, summed up.
+    regions : tuple of RegionLoad
+        Loads of the other regions.
+    control : tuple of Address
+        Control replicas that are there.
+    """
+
+    registry_id: str
+    revision: int
+    whole: bool
+    current: bool
+    zone: ZoneName
+    entries: tuple[EntryRecord, ...] = ()
+    upstreams: tuple[ServiceUpstream, ...] = ()
+    routing: RoutingNews | None = None
+    loads: tuple[UpstreamLoad, ...] = ()
+    regions: tuple[RegionLoad, ...] = ()
+    control: tuple[Address, ...] = ()
+
+
+class EntryLoads(NamedTuple):
+    """One entry's loads, shared with the region's other control replicas."""
+
+    entry: str
+    loads: tuple[UpstreamLoad, ...]
+    waiting: tuple[WaitingCount, ...]
+
+
+class Gossip(NamedTuple):
+    """
+    What a control replica tells the others.
+
+    Parameters
+    ----------
+    region : RegionName
+        The sender's own region.
+    heard : tuple of int
+        Tags of the records that the sender heard from themselves lately.
+    regions : tuple of RegionLoad
+        Loads of the sender's region.
+    entry_loads : tuple of EntryLoads
+        Only to replicas of the same region.
+    control : tuple of Address
+        Control replicas that the sender knows.
+    """
+
+    region: RegionName
+    entries: tuple[EntryRecord, ...] = ()
+    upstreams: tuple[ServiceUpstream, ...] = ()
+    heard: tuple[int, ...] = ()
+    regions: tuple[RegionLoad, ...] = ()
+    entry_loads: tuple[EntryLoads, ...] = ()
+    control: tuple[Address, ...] = ()
+
+
+class GossipReply(NamedTuple):
+    """Tags of the heard records that the receiver doesn't hold."""
+
+    unknown: tuple[int, ...] = ()
+
+
+class TablesRequest(NamedTuple):
+    """Ask a control replica for all its records."""
+
+
+class Tables(NamedTuple):
+    """
+    All records of a control replica that are there now.
+
+    Parameters
+    ----------
+    settled : bool
+        Whether what they lack is not there.
+    """
+
+    entries: tuple[EntryRecord, ...]
+    upstreams: tuple[ServiceUpstream, ...]
+    control: tuple[Address, ...]
+    settled: bool
--- /dev/null
+++ b/poplarlug/discovery/registrar.py
@@ -0,0 +1,332 @@
+"""The part of a control replica that entries and other replicas ask for news."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from random import Random
+
+from returns.result import Failure, Success
+
+from poplarlug.control.routing_state import RoutingState
+from poplarlug.discovery.control_peers import ControlPeers
+from poplarlug.discovery.messages import (
+    GOSSIP_TOPIC,
+    POLL_TOPIC,
+    TABLES_TOPIC,
+    EntryLoads,
+    Gossip,
+    GossipReply,
+    Poll,
+    PollReply,
+    RoutingNews,
+    Tables,
+    TablesRequest,
+)
+from poplarlug.discovery.records import EntryRecord, ServiceUpstream
+from poplarlug.discovery.region_loads import RegionLoads
+from poplarlug.discovery.registry import Record, Records, Registry
+from poplarlug.latest import Latest
+from poplarlug.logs import PartLog
+from poplarlug.transport import Transport
+from poplarlug.types import Address, RegionName, Seconds, VmName, ZoneName
+
+GOSSIP_SECONDS = 1.0
+"""Period of the digests; a third of the life of an entry's record."""
+
+GOSSIP_TIMEOUT_SECONDS = 1.0
+HEARD_SECONDS = 1.5
+"""Longer than an upstream's pause between announcements and an entry's polls."""
+
+MAX_HOLD_SECONDS = 2.0
+"""Longest that a poll may wait for news."""
+
+EXPIRE_SECONDS = 0.5
+ENTRIES_SPEAK_SECONDS = 3.0
+"""An entry that polled within this time is this replica's own to report on."""
+
+SPREAD_TIMEOUT_SECONDS = 0.5
+"""How long a farewell waits for another replica before it is acknowledged."""
+
+_log = PartLog(prefix="discovery")
+
+
+class Registrar:
+    """
+    Serve polls of entries and keep in step with the other replicas.
+
+    Parameters
+    ----------
+    routing : RoutingState
+        The replicated routing state of this replica.
+    is_current : callable
+        Returns whether this replica is in touch with the group's leader.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: ZoneName,
+        regions_by_zone: Mapping[ZoneName, RegionName],
+        registry: Registry,
+        peers: ControlPeers,
+        routing: RoutingState,
+        transport: Transport,
+        is_current: Callable[[], bool],
+        rng: Random,
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self.registry = registry
+        self.id = f"{rng.getrandbits(48):012x}"
+        self._zone = zone
+        self._region = regions_by_zone[zone]
+        self._peers = peers
+        self._routing = routing
+        self._transport = transport
+        self._is_current = is_current
+        self._clock = clock
+        self._loads = RegionLoads(
+            region=self._region, regions_by_zone=regions_by_zone, clock=clock
+        )
+        self._polled_by_entry: dict[VmName, Seconds] = {}
+        self._regions_by_peer: dict[Address, RegionName] = {}
+        self._links_by_peer: dict[Address, asyncio.Task[None]] = {}
+        self._outboxes_by_peer: dict[Address, _Outbox] = {}
+        self._started = clock()
+        self._settled = False
+        self._news: Latest[int] = Latest(initial=0)
+        registry.revision.subject.subscribe(lambda _: self._bump())
+        routing.revision.subject.subscribe(lambda _: self._bump())
+        transport.serve(POLL_TOPIC, Poll, self._serve_poll)
+        transport.serve(GOSSIP_TOPIC, Gossip, self._serve_gossip)
+        transport.serve(TABLES_TOPIC, TablesRequest, self._serve_tables)
+
+    async def run(self) -> None:
+        """Keep in step with the other replicas until cancelled."""
+        try:
+            while True:
+                self.registry.expire()
+                self._follow_peers()
+                self._spread_changes()
+                await asyncio.sleep(EXPIRE_SECONDS)
+        finally:
+            for link in self._links_by_peer.values():
+                link.cancel()
+
+    async def hear_upstream(self, record: ServiceUpstream) -> None:
+        """
+        Take in an upstream's announcement.
+
+        A farewell returns once another replica has it too, or after
+        ``SPREAD_TIMEOUT_SECONDS``.
+        """
+        if not self.registry.hear(record):
+            return
+        outboxes = self._spread_changes()
+        if record.phase != "serving" and outboxes:
+            sent = [asyncio.ensure_future(box.wait_empty()) for box in outboxes]
+            await asyncio.wait(
+                sent,
+                timeout=SPREAD_TIMEOUT_SECONDS,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in sent:
+                task.cancel()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether what the registry lacks is not there."""
+        if not self._settled:
+            age = self._clock() - self._started
+            self._settled = age > self.registry.settle_seconds
+        return self._settled
+
+    def _bump(self) -> None:
+        self._news.set(self._news.value + 1)
+
+    def _spread_changes(self) -> "list[_Outbox]":
+        changes = self.registry.take_changes()
+        if not changes.entries and not changes.upstreams:
+            return []
+        outboxes = list(self._outboxes_by_peer.values())
+        for outbox in outboxes:
+            outbox.add(changes)
+        return outboxes
+
+    def _follow_peers(self) -> None:
+        others = self._peers.others()
+        for peer in [peer for peer in self._links_by_peer if peer not in others]:
+            self._links_by_peer.pop(peer).cancel()
+            del self._outboxes_by_peer[peer]
+        for peer in others:
+            if peer not in self._links_by_peer:
+                self._outboxes_by_peer[peer] = _Outbox()
+                link = asyncio.ensure_future(self._keep_link(peer))
+                self._links_by_peer[peer] = link
+
+    async def _keep_link(self, peer: Address) -> None:
+        """Tell one replica what is new, at once, and what was heard, periodically."""
+        outbox = self._outboxes_by_peer[peer]
+        in_touch = False
+        while True:
+            records = outbox.take()
+            message = self._gossip(peer, records)
+            reply = await self._transport.request(
+                peer=peer,
+                topic=GOSSIP_TOPIC,
+                message=message,
+                reply_type=GossipReply,
+                timeout_seconds=GOSSIP_TIMEOUT_SECONDS,
+            )
+            if in_touch != isinstance(reply, Success):
+                in_touch = not in_touch
+                state = "regained" if in_touch else "lost"
+                _log.info(f"{state} a control replica", peer=peer)
+            if isinstance(reply, Failure):
+                outbox.put_back(records)
+                await asyncio.sleep(GOSSIP_SECONDS)
+                continue
+            self._peers.saw(peer)
+            outbox.confirm()
+            if not self._settled:
+                await self._fetch_tables(peer)
+            unknown = reply.unwrap().unknown
+            if unknown:
+                # Their senders were heard here, and the other one lacks them.
+                outbox.add(self.registry.by_tag(unknown))
+            await outbox.wait_for_news(GOSSIP_SECONDS)
+
+    def _gossip(self, peer: Address, records: Records) -> Gossip:
+        is_near = self._regions_by_peer.get(peer) == self._region
+        own = self._own_entries()
+        return Gossip(
+            region=self._region,
+            entries=records.entries,
+            upstreams=records.upstreams,
+            heard=self.registry.heard_within(HEARD_SECONDS),
+            regions=self._loads.own_region(self.registry.present().upstreams),
+            entry_loads=self._loads.of_entries(own) if is_near else (),
+            control=self._peers.present(2 * GOSSIP_SECONDS),
+        )
+
+    def _own_entries(self) -> list[VmName]:
+        oldest = self._clock() - ENTRIES_SPEAK_SECONDS
+        return [name for name, at in self._polled_by_entry.items() if at >= oldest]
+
+    async def _fetch_tables(self, peer: Address) -> None:
+        reply = await self._transport.request(
+            peer=peer,
+            topic=TABLES_TOPIC,
+            message=TablesRequest(),
+            reply_type=Tables,
+            timeout_seconds=GOSSIP_TIMEOUT_SECONDS,
+        )
+        if isinstance(reply, Success):
+            tables = reply.unwrap()
+            self.registry.take(Records(tables.entries, tables.upstreams))
+            self._peers.learn(tables.control)
+            if tables.settled:
+                _log.info("took another replica's tables", peer=peer)
+                self._settled = True
+
+    async def _serve_gossip(self, sender: VmName, message: Gossip) -> GossipReply:
+        self._peers.saw(sender)
+        self._peers.learn(message.control)
+        self._regions_by_peer[sender] = message.region
+        self.registry.take(Records(message.entries, message.upstreams))
+        self._loads.note_regions(message.regions)
+        for loads in message.entry_loads:
+            if loads.entry not in self._own_entries():
+                self._loads.note_entry(loads)
+        return GossipReply(self.registry.touch(message.heard))
+
+    async def _serve_tables(self, sender: VmName, message: TablesRequest) -> Tables:
+        present = self.registry.present()
+        control = self._peers.present(2 * GOSSIP_SECONDS)
+        return Tables(present.entries, present.upstreams, control, self.is_settled)
+
+    async def _serve_poll(self, sender: VmName, poll: Poll) -> PollReply:
+        name = poll.record.name
+        self._polled_by_entry[name] = self._clock()
+        self._loads.note_entry(EntryLoads(name, poll.loads, poll.waiting))
+        if self.registry.hear(poll.record):
+            self._spread_changes()
+        if not self._has_news(poll):
+            await self._wait_for_news(poll)
+        return self._answer(poll)
+
+    def _has_news(self, poll: Poll) -> bool:
+        return (
+            poll.registry_id != self.id
+            or poll.known < self.registry.revision.value
+            or poll.routing_revision < self._routing.revision.value
+        )
+
+    async def _wait_for_news(self, poll: Poll) -> None:
+        hold = min(max(0.0, poll.hold_seconds), MAX_HOLD_SECONDS)
+        try:
+            async with asyncio.timeout(hold):
+                await self._news.wait_for(lambda _: self._has_news(poll))
+        except TimeoutError:
+            pass
+
+    def _answer(self, poll: Poll) -> PollReply:
+        whole = poll.registry_id != self.id
+        known = 0 if whole else poll.known
+        records = self.registry.changed_after(known)
+        image = self._routing.image
+        routing = None
+        if poll.routing_revision < image.revision:
+            routing = RoutingNews(image.revision, image.table, image.evacuated_zones)
+        return PollReply(
+            registry_id=self.id,
+            revision=self.registry.revision.value,
+            whole=whole and self.is_settled,
+            current=self._is_current(),
+            zone=self._zone,
+            entries=records.entries,
+            upstreams=records.upstreams,
+            routing=routing,
+            loads=self._loads.of_others(poll.record.name),
+            regions=self._loads.other_regions(),
+            control=self._peers.present(2 * GOSSIP_SECONDS),
+        )
+
+
+class _Outbox:
+    """Records on their way to one replica; the newest of each is sent."""
+
+    def __init__(self) -> None:
+        self._records_by_key: dict[str, Record] = {}
+        self._wake = asyncio.Event()
+        self._emptied = asyncio.Event()
+
+    def add(self, records: Records) -> None:
+        for record in records.all:
+            self._records_by_key[record.key] = record
+        self._emptied.clear()
+        self._wake.set()
+
+    def take(self) -> Records:
+        held, self._records_by_key = self._records_by_key, {}
+        self._wake.clear()
+        upstreams = tuple(r for r in held.values() if isinstance(r, ServiceUpstream))
+        entries = tuple(r for r in held.values() if isinstance(r, EntryRecord))
+        return Records(entries, upstreams)
+
+    def put_back(self, records: Records) -> None:
+        """Keep what was not delivered, unless something newer waits."""
+        for record in records.all:
+            self._records_by_key.setdefault(record.key, record)
+
+    def confirm(self) -> None:
+        if not self._records_by_key:
+            self._emptied.set()
+
+    async def wait_empty(self) -> None:
+        await self._emptied.wait()
+
+    async def wait_for_news(self, timeout_seconds: Seconds) -> None:
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
--- /dev/null
+++ b/poplarlug/entry/seeded.py
@@ -0,0 +1,276 @@
+"""An entry that finds the deployment by seeds and relays requests by route."""
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from random import Random
+
+from aiohttp import web
+
+from poplarlug.callers.connections import ConnectionGuard, HttpLimits
+from poplarlug.daemon import Site, add_health_routes, serve_http, stop_event
+from poplarlug.discovery.messages import WaitingCount
+from poplarlug.discovery.ranking import rank_entries
+from poplarlug.discovery.records import EntryRecord, EntryState
+from poplarlug.discovery.subscriber import Deployment, OwnLoads, Subscriber
+from poplarlug.logs import PartLog
+from poplarlug.metrics import sample_loop_lag
+from poplarlug.relay.budgets import RetryLimits, WarmupLimits
+from poplarlug.relay.client import FAR_CONNECT_SECONDS, RelayClient
+from poplarlug.relay.dialect import Dialect
+from poplarlug.relay.dispatcher import Dispatcher
+from poplarlug.relay.face import Admittance, RelayFace
+from poplarlug.relay.gateway import RelayGateway
+from poplarlug.relay.in_flight import InFlight
+from poplarlug.seeded_settings import (
+    SeededEntrySettings,
+    seed_peers,
+    watch_settings,
+)
+from poplarlug.supervision import Supervisor
+from poplarlug.transport import NamedByAddress, ZmqTransport
+from poplarlug.types import Address, RegionName, ZoneName
+
+NANOSECONDS_PER_MILLISECOND = 1_000_000
+HEADER_BYTES = 16 * 1024
+IDLE_SECONDS = 20.0
+"""Longer than any idle time that operators let callers have; they close first."""
+
+TAKE_SHARE = 0.3
+"""Share of the grace time in which a stopping entry still takes requests; the rest
+is for those in progress."""
+
+STAY_SHARE = 0.55
+"""Share of the grace time for which it stays, so that callers find it and learn
+where else to go."""
+
+END_SHARE = 0.93
+"""Share of the grace time at which it ends, whatever is in progress."""
+
+CLOSE_SECONDS = 0.1
+"""What requests still in progress get after the drain has ended."""
+
+DRAIN_CHECK_SECONDS = 0.05
+
+_log = PartLog(prefix="entry")
+
+
+class SeededEntry:
+    """
+    All parts of an entry daemon that finds the deployment by seeds.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Header names of callers and upstreams.
+    """
+
+    def __init__(
+        self, *, settings: SeededEntrySettings, dialect: Dialect, rng: Random
+    ) -> None:
+        clock = asyncio.get_running_loop().time
+        self._settings = settings
+        self._clock = clock
+        self._incarnation = time.time_ns() // NANOSECONDS_PER_MILLISECOND
+        self._stopping_since: float | None = None
+        self.deployment = Deployment(
+            own_region=settings.region,
+            regions_by_zone=settings.regions_by_zone,
+            clock=clock,
+        )
+        self.transport = ZmqTransport(
+            name=f"{settings.ip}:{settings.peers_port}",
+            address=f"{settings.ip}:{settings.peers_port}",
+            addresses_by_name=NamedByAddress(),
+            keys=None,
+        )
+        self.in_flight = InFlight(
+            clock=clock, others=lambda i: self.deployment.others_loads_by_id.get(i)
+        )
+        budgets = settings.budgets
+        self.dispatcher = Dispatcher(
+            name=settings.name,
+            deployment=self.deployment,
+            in_flight=self.in_flight,
+            warmup=WarmupLimits(budgets.warmup_overage, budgets.warmup_slack),
+            rng=rng,
+            clock=clock,
+        )
+        self.client = RelayClient()
+        self.far_client = RelayClient(connect_seconds=FAR_CONNECT_SECONDS)
+        gateway = RelayGateway(
+            name=settings.name,
+            deployment=self.deployment,
+            dispatcher=self.dispatcher,
+            in_flight=self.in_flight,
+            client=self.client,
+            far_client=self.far_client,
+            dialect=dialect,
+            retry_limits=RetryLimits(
+                ratio=budgets.retry_ratio,
+                extra=budgets.retry_extra,
+                window_seconds=budgets.retry_window_seconds,
+            ),
+            clock=clock,
+        )
+        self.face = RelayFace(
+            gateway=gateway,
+            deployment=self.deployment,
+            dialect=dialect,
+            admittance=Admittance(self.takes, lambda: self.is_stopping),
+            rng=rng,
+            clock=clock,
+        )
+        self.guard = ConnectionGuard(
+            limits=HttpLimits(
+                max_header_bytes=HEADER_BYTES, keepalive_seconds=IDLE_SECONDS
+            )
+        )
+        self.subscriber = Subscriber(
+            zone=settings.zone,
+            deployment=self.deployment,
+            transport=self.transport,
+            seeds=seed_peers(settings.seeds, settings.peers_port),
+            record=self.record,
+            own_loads=self._own_loads,
+            rng=rng,
+            clock=clock,
+        )
+        self.supervisor = Supervisor(name="entry", rng=rng)
+        self.supervisor.add_child("loop lag", sample_loop_lag)
+        self.supervisor.add_child("transport", self.transport.run)
+        self.supervisor.add_child("subscriber", self.subscriber.run)
+        self.supervisor.add_child("dispatcher", self.dispatcher.run)
+        self.supervisor.add_child("connections", self.guard.run)
+
+    @property
+    def is_stopping(self) -> bool:
+        return self._stopping_since is not None
+
+    def is_ready(self) -> bool:
+        """Return whether routes are in force and no stop has begun."""
+        return self.deployment.routes is not None and not self.is_stopping
+
+    def takes(self) -> bool:
+        """Return whether new requests are taken; a stopping entry does so at first."""
+        if self._stopping_since is None:
+            return True
+        since = self._clock() - self._stopping_since
+        return since < TAKE_SHARE * self._settings.grace_seconds
+
+    def record(self) -> EntryRecord:
+        """Return what this entry says of itself."""
+        settings = self._settings
+        state: EntryState = "serving" if self.is_ready() else "starting"
+        if self.is_stopping:
+            state = "leaving"
+        known = self.deployment.entries_by_name.get(settings.name)
+        if known is not None and known.incarnation > self._incarnation:
+            # The time of day went back since the last run.
+            self._incarnation = known.incarnation + 1
+        return EntryRecord(
+            name=settings.name,
+            region=settings.region,
+            zone=settings.zone,
+            http=settings.http,
+            forwards=f"{settings.ip}:{settings.forwards_port}",
+            incarnation=self._incarnation,
+            state=state,
+        )
+
+    def addresses_for(self, zone: ZoneName, region: RegionName) -> list[Address]:
+        """Return the entries that a caller should use, the nearest ones."""
+        by_name = dict(self.deployment.entries_by_name)
+        own = self.record()
+        by_name[own.name] = own
+        return rank_entries(by_name.values(), zone, region)
+
+    def reload(self, settings: SeededEntrySettings) -> None:
+        """Bring changed settings into force, as far as that needs no restart."""
+        self.subscriber.replace_seeds(seed_peers(settings.seeds, settings.peers_port))
+        self._settings = settings
+
+    async def drain(self) -> None:
+        """Leave the directory, then wait for requests until the grace time is over."""
+        grace = self._settings.grace_seconds
+        started = self._stopping_since = self._clock()
+        self.subscriber.report_now()
+        while True:
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+            since = self._clock() - started
+            is_idle = self.face.in_progress.value == 0
+            if since > END_SHARE * grace or (is_idle and since > STAY_SHARE * grace):
+                break
+        _log.info("drained", in_progress=self.face.in_progress.value, seconds=since)
+
+    def _own_loads(self) -> OwnLoads:
+        waiting = tuple(
+            WaitingCount(service, count)
+            for service, count in self.dispatcher.waiting().items()
+        )
+        return OwnLoads(self.in_flight.own_loads(), waiting)
+
+
+MakeSites = Callable[[SeededEntry, SeededEntrySettings], Sequence[Site]]
+
+
+async def run_seeded_entry(
+    settings: SeededEntrySettings,
+    *,
+    settings_file: Path,
+    dialect: Dialect,
+    make_sites: MakeSites,
+) -> int:
+    """
+    Run an entry until SIGTERM; return the exit status.
+
+    Parameters
+    ----------
+    make_sites : callable
+        Returns further applications for the entry, as that of the directory.
+    """
+    entry = SeededEntry(settings=settings, dialect=dialect, rng=Random())
+    await entry.client.open()
+    await entry.far_client.open()
+    runners = [
+        await entry.guard.serve(
+            entry.face.build(),
+            settings.http,
+            cancel_handlers=True,
+            shutdown_seconds=CLOSE_SECONDS,
+        ),
+        await entry.guard.serve(
+            entry.face.build_for_entries(),
+            f"{settings.ip}:{settings.forwards_port}",
+            cancel_handlers=True,
+            shutdown_seconds=CLOSE_SECONDS,
+        ),
+    ]
+    metrics = web.Application()
+    add_health_routes(metrics, entry.is_ready)
+    sites = [
+        *make_sites(entry, settings),
+        Site(f"{settings.ip}:{settings.metrics_port}", metrics),
+    ]
+    for site in sites:
+        runners.append(await serve_http(site.app, site.address))
+    running = asyncio.ensure_future(entry.supervisor.run())
+    watching = asyncio.ensure_future(
+        watch_settings(settings_file, SeededEntrySettings, entry.reload)
+    )
+    _log.info("started", name=settings.name, zone=settings.zone, http=settings.http)
+    stopping = asyncio.ensure_future(stop_event().wait())
+    await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    _log.info("stopping", name=settings.name)
+    failed = running.done()
+    await entry.drain()
+    watching.cancel()
+    for runner in runners:
+        await runner.cleanup()
+    await entry.client.close()
+    await entry.far_client.close()
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    _log.info("stopped", name=settings.name)
+    return 1 if failed else 0
--- /dev/null
+++ b/poplarlug/log_writer.py
@@ -0,0 +1,91 @@
+"""Writes log lines without waiting, and bounds how many there are."""
+
+import errno
+import os
+import time
+from collections.abc import Callable
+
+from poplarlug.types import Seconds
+
+LINES_PER_SECOND = 200.0
+"""Twice the requests that one entry VM takes at the peak of the deployments."""
+
+BURST_LINES = 1000.0
+
+
+class BoundedLineWriter:
+    """
+    A text stream that drops lines rather than blocks or floods.
+
+    Lines beyond the rate, and lines that a full pipe doesn't take at once, are
+    counted; the next line that gets through is preceded by their number.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where lines go; it is made non-blocking.
+    clock : callable
+        Returns seconds that only grow.
+    """
+
+    def __init__(
+        self,
+        *,
+        descriptor: int,
+        lines_per_second: float = LINES_PER_SECOND,
+        burst_lines: float = BURST_LINES,
+        clock: Callable[[], Seconds] = time.monotonic,
+    ) -> None:
+        self._descriptor = descriptor
+        self._rate = lines_per_second
+        self._burst = burst_lines
+        self._clock = clock
+        self._tokens = burst_lines
+        self._filled_at = clock()
+        self._dropped = 0
+        os.set_blocking(descriptor, False)
+
+    @property
+    def dropped(self) -> int:
+        """Lines dropped since the last one that got through."""
+        return self._dropped
+
+    def write(self, text: str) -> int:
+        """Write one line or drop it; a line's end alone is left out."""
+        if text and text != "\n":
+            self._write_line(text.rstrip("\n").encode() + b"\n")
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: nothing is held back."""
+
+    def _write_line(self, line: bytes) -> None:
+        if not self._take_token():
+            self._dropped += 1
+            return
+        if self._dropped:
+            notice = b'{"event": "logs: dropped lines", "lines": %d}\n' % self._dropped
+            line = notice + line
+        if self._try(line):
+            self._dropped = 0
+        else:
+            self._dropped += 1
+
+    def _take_token(self) -> bool:
+        now = self._clock()
+        grown = (now - self._filled_at) * self._rate
+        self._tokens = min(self._burst, self._tokens + grown)
+        self._filled_at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _try(self, data: bytes) -> bool:
+        try:
+            return os.write(self._descriptor, data) > 0
+        except OSError as error:
+            # A full pipe or a reader that is gone: there is nowhere to say so.
+            if error.errno not in (errno.EAGAIN, errno.EPIPE, errno.ENOSPC, errno.EIO):
+                raise
+            return False
--- a/poplarlug/logs.py
+++ b/poplarlug/logs.py
@@ -2,17 +2,20 @@
 
 import logging
 import sys
-from typing import Any, Literal, TypeAlias
+from typing import Any, Literal, TextIO, TypeAlias, cast
 
+import msgspec
 import structlog
 
+from poplarlug.log_writer import BoundedLineWriter
+
 LogFormat: TypeAlias = Literal["json", "console"]
 LogLevel: TypeAlias = Literal["debug", "info", "warning", "error"]
 
 
 def configure_logs(*, log_format: LogFormat, level: LogLevel) -> None:
-    """Send log lines to standard error, in ``log_format``, from ``level`` up."""
-    renderer: Any = structlog.processors.JSONRenderer()
+    """Send log lines to standard output, in ``log_format``, from ``level`` up."""
+    renderer: Any = structlog.processors.JSONRenderer(serializer=_encode)
     if log_format == "console":
         renderer = structlog.dev.ConsoleRenderer(colors=False)
     structlog.configure(
@@ -26,7 +29,9 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(
+            cast(TextIO, BoundedLineWriter(descriptor=sys.stdout.fileno()))
+        ),
         cache_logger_on_first_use=True,
     )
 
@@ -49,3 +54,7 @@
 
     def error(self, sentence: str, **fields: Any) -> None:
         self._logger.error(f"{self._prefix}: {sentence}", **fields)
+
+
+def _encode(fields: Any, **_: Any) -> str:
+    return msgspec.json.encode(fields, enc_hook=repr).decode()
--- /dev/null
+++ b/poplarlug/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; it decides nothing."""
--- /dev/null
+++ b/poplarlug/platform/control.py
@@ -0,0 +1,123 @@
+"""The calls of operators and upstreams, and the start of a control replica."""
+
+import os
+from pathlib import Path
+
+from aiohttp import web
+from returns.result import Failure
+
+from poplarlug.control.routing_service import RoutingService
+from poplarlug.control.seeded import SeededControl, run_seeded_control
+from poplarlug.daemon import Site, run_daemon
+from poplarlug.discovery.registrar import Registrar
+from poplarlug.logs import PartLog
+from poplarlug.platform.documents import decode_beat, decode_configuration, farewell
+from poplarlug.platform.names import (
+    CONFIGURATION_PATH,
+    EVACUATION_PATH,
+    SETTINGS_VARIABLE,
+    UPSTREAM_PATH,
+)
+from poplarlug.seeded_settings import SeededControlSettings
+
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+"""Bounds an operator's document; a few thousand routes take about 2 MB."""
+
+_log = PartLog(prefix="platform")
+
+
+class ControlCalls:
+    """Handlers of the calls that the platform makes at a control replica."""
+
+    def __init__(self, *, routing: RoutingService, registrar: Registrar) -> None:
+        self._routing = routing
+        self._registrar = registrar
+
+    def build(self) -> web.Application:
+        app = web.Application(client_max_size=MAX_DOCUMENT_BYTES)
+        app.router.add_put(CONFIGURATION_PATH, self.put_configuration)
+        app.router.add_get(CONFIGURATION_PATH, self.get_configuration)
+        app.router.add_post(EVACUATION_PATH, self.evacuate)
+        app.router.add_delete(EVACUATION_PATH, self.take_back)
+        app.router.add_put(UPSTREAM_PATH, self.put_upstream)
+        app.router.add_delete(UPSTREAM_PATH, self.delete_upstream)
+        return app
+
+    async def put_configuration(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        decoded = decode_configuration(body)
+        if isinstance(decoded, Failure):
+            problems = [problem._asdict() for problem in decoded.failure()]
+            _log.warning("refused a configuration", problems=problems[:5])
+            return web.json_response({"problems": problems}, status=400)
+        changed = await self._routing.put_table(decoded.unwrap(), body)
+        if isinstance(changed, Failure):
+            return _unavailable(changed.failure())
+        return web.json_response({"version": changed.unwrap()})
+
+    async def get_configuration(self, request: web.Request) -> web.Response:
+        read = await self._routing.read()
+        if isinstance(read, Failure):
+            return _unavailable(read.failure())
+        source = read.unwrap().source
+        if not source:
+            return _unavailable("no configuration was set yet")
+        return web.Response(body=source, content_type="application/json")
+
+    async def evacuate(self, request: web.Request) -> web.Response:
+        return await self._set_evacuated(request, True)
+
+    async def take_back(self, request: web.Request) -> web.Response:
+        return await self._set_evacuated(request, False)
+
+    async def put_upstream(self, request: web.Request) -> web.Response:
+        upstream_id = request.match_info["id"]
+        decoded = decode_beat(upstream_id, await request.read())
+        if isinstance(decoded, Failure):
+            reason = decoded.failure()
+            _log.warning("refused a beat", upstream=upstream_id, reason=reason)
+            return web.json_response({"problem": reason}, status=400)
+        await self._registrar.hear_upstream(decoded.unwrap())
+        return web.json_response({})
+
+    async def delete_upstream(self, request: web.Request) -> web.Response:
+        await self._registrar.hear_upstream(farewell(request.match_info["id"]))
+        return web.json_response({})
+
+    async def _set_evacuated(
+        self, request: web.Request, evacuated: bool
+    ) -> web.Response:
+        zone = request.match_info["zone"]
+        changed = await self._routing.evacuate(zone, evacuated)
+        if isinstance(changed, Failure):
+            return _unavailable(changed.failure())
+        return web.json_response({})
+
+
+def _unavailable(reason: str) -> web.Response:
+    return web.json_response({"problem": reason}, status=503)
+
+
+def _make_sites(control: SeededControl, settings: SeededControlSettings) -> list[Site]:
+    calls = ControlCalls(routing=control.routing, registrar=control.registrar)
+    return [Site(settings.http, calls.build())]
+
+
+async def _run(settings: SeededControlSettings, folder: Path) -> int:
+    file = Path(os.environ[SETTINGS_VARIABLE])
+    return await run_seeded_control(
+        settings, settings_file=file, make_sites=_make_sites
+    )
+
+
+def main() -> None:
+    """Run a control replica with the settings that the platform wrote."""
+    run_daemon(
+        SeededControlSettings,
+        _run,
+        settings_file=os.environ[SETTINGS_VARIABLE],
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/poplarlug/platform/documents.py
@@ -0,0 +1,205 @@
+"""The platform's documents, decoded into the product's own types."""
+
+from typing import Literal, NotRequired, TypedDict
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from poplarlug.discovery.records import ServiceUpstream, UpstreamPhase
+from poplarlug.discovery.registry import ANY_RUN
+from poplarlug.routes import (
+    CallerLimits,
+    Engine,
+    Route,
+    RoutedService,
+    RouteKind,
+    RouteTable,
+    ServiceWeight,
+    check_route_table,
+)
+from poplarlug.routes.checks import RouteProblem
+
+MILLISECONDS = 1000.0
+MAX_BORN = 2**53
+MAX_SLOTS = 100_000
+
+
+class _WeightedService(TypedDict):
+    service: str
+    weight: float
+
+
+class _Route(TypedDict):
+    name: str
+    host: str
+    path_prefix: str
+    route_kind: RouteKind
+    # The longest time that a caller is kept waiting.
+    timeout_ms: float
+    target_latency_ms: NotRequired[float]
+    # A rank: 0 is the most urgent.
+    priority: NotRequired[int]
+    service: NotRequired[str]
+    weighted_services: NotRequired[list[_WeightedService]]
+    max_attempts: NotRequired[int]
+    # Says that requests name the parts of their prompt; no session is meant.
+    sticky: NotRequired[bool]
+    resumable: NotRequired[bool]
+    # The longest pause between two events that counts as in time.
+    gap_target_ms: NotRequired[float]
+    # Regions that may serve it; empty for all.
+    home_regions: NotRequired[list[str]]
+
+
+class _Engine(TypedDict):
+    slots: int
+    kv_capacity_tokens: int
+    # Tokens in one event of a stream.
+    stride: NotRequired[int]
+
+
+class _Service(TypedDict):
+    name: str
+    health_path: NotRequired[str]
+    max_connections: NotRequired[int]
+    cold_start_s: NotRequired[float]
+    # Requests a second that an upstream bears while it is cold.
+    warmup_per_s: NotRequired[float]
+    engine: NotRequired[_Engine | None]
+
+
+class _Limits(TypedDict):
+    max_header_bytes: NotRequired[int]
+    max_body_bytes: NotRequired[int]
+    header_timeout_ms: NotRequired[float]
+    idle_timeout_ms: NotRequired[float]
+
+
+class _Configuration(TypedDict):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: NotRequired[_Limits]
+
+
+class _Beat(TypedDict):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: Literal["ready", "draining"]
+    # How much longer the upstream is slow after its start, or became cold again.
+    cold_left_ms: float
+    # Grows with each announcement of one run.
+    sequence: int
+    # The start of this run, in milliseconds since 1970.
+    born: NotRequired[int]
+    # When it will be gone, whatever it runs then.
+    remaining_ms: NotRequired[float]
+
+
+def decode_configuration(body: bytes) -> Result[RouteTable, list[RouteProblem]]:
+    """Return the route table of an operator's document, or all its problems."""
+    try:
+        document = msgspec.json.decode(body, type=_Configuration)
+    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
+        return Failure([RouteProblem("$", str(error))])
+    limits = document.get("limits", {})
+    table = RouteTable(
+        version=document["version"],
+        routes=tuple(_to_route(route) for route in document["routes"]),
+        services=tuple(_to_service(service) for service in document["services"]),
+        limits=CallerLimits(
+            max_header_bytes=limits.get("max_header_bytes", 16 * 1024),
+            max_body_bytes=limits.get("max_body_bytes", 4 * 1024 * 1024),
+            header_seconds=limits.get("header_timeout_ms", 3000.0) / MILLISECONDS,
+            idle_seconds=limits.get("idle_timeout_ms", 15_000.0) / MILLISECONDS,
+        ),
+    )
+    problems = check_route_table(table)
+    return Failure(problems) if problems else Success(table)
+
+
+def decode_beat(upstream_id: str, body: bytes) -> Result[ServiceUpstream, str]:
+    """Return what an upstream says of itself, or why its words can't be used."""
+    try:
+        beat = msgspec.json.decode(body, type=_Beat)
+    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
+        return Failure(str(error))
+    host, _, port = beat["address"].rpartition(":")
+    if not host or not port.isdecimal():
+        return Failure(f"got address {beat['address']!r}, expected IP:PORT")
+    if not 0 < beat["slots"] <= MAX_SLOTS or not 0 <= beat.get("born", 1) < MAX_BORN:
+        return Failure("slots or born are out of range")
+    phase: UpstreamPhase = "serving" if beat["state"] == "ready" else "leaving"
+    remaining = beat.get("remaining_ms")
+    return Success(
+        ServiceUpstream(
+            id=upstream_id,
+            service=beat["service"],
+            address=beat["address"],
+            zone=beat["zone"],
+            born=beat.get("born", 1),
+            sequence=beat["sequence"],
+            slots=beat["slots"],
+            phase=phase,
+            cold_seconds=max(0.0, beat["cold_left_ms"] / MILLISECONDS),
+            ends_in_seconds=None if remaining is None else remaining / MILLISECONDS,
+        )
+    )
+
+
+def farewell(upstream_id: str) -> ServiceUpstream:
+    """Return the record of an upstream that says that it is gone."""
+    return ServiceUpstream(
+        id=upstream_id,
+        service="",
+        address="",
+        zone="",
+        born=ANY_RUN,
+        sequence=0,
+        slots=0,
+        phase="gone",
+    )
+
+
+def _to_route(route: _Route) -> Route:
+    if "weighted_services" in route:
+        services = tuple(
+            ServiceWeight(share["service"], share["weight"])
+            for share in route["weighted_services"]
+        )
+    else:
+        services = (ServiceWeight(route.get("service", ""), 1.0),)
+    timeout = route["timeout_ms"] / MILLISECONDS
+    return Route(
+        name=route["name"],
+        host=route["host"],
+        path_prefix=route["path_prefix"],
+        kind=route["route_kind"],
+        timeout_seconds=timeout,
+        objective_seconds=route.get("target_latency_ms", 0.0) / MILLISECONDS or timeout,
+        rank=route.get("priority", 0),
+        services=services,
+        max_attempts=max(1, route.get("max_attempts", 1)),
+        prompts=route.get("sticky", False),
+        resumable=route.get("resumable", False),
+        max_pause_seconds=route.get("gap_target_ms", 0.0) / MILLISECONDS,
+        home_regions=tuple(route.get("home_regions", ())),
+    )
+
+
+def _to_service(service: _Service) -> RoutedService:
+    engine = service.get("engine")
+    return RoutedService(
+        name=service["name"],
+        health_path=service.get("health_path", "/"),
+        max_connections=service.get("max_connections", 1),
+        cold_start_seconds=service.get("cold_start_s", 0.0),
+        warmup_per_second=service.get("warmup_per_s", 0.0),
+        engine=None
+        if engine is None
+        else Engine(
+            engine["slots"], engine["kv_capacity_tokens"], engine.get("stride", 1)
+        ),
+    )
--- /dev/null
+++ b/poplarlug/platform/entry.py
@@ -0,0 +1,74 @@
+"""The platform's questions to an entry, and the start of one."""
+
+import os
+from pathlib import Path
+
+from aiohttp import web
+
+from poplarlug.daemon import Site, run_daemon
+from poplarlug.entry.seeded import SeededEntry, run_seeded_entry
+from poplarlug.platform.names import (
+    DIALECT,
+    DIRECTORY_PATH,
+    READINESS_PATH,
+    SETTINGS_VARIABLE,
+)
+from poplarlug.seeded_settings import SeededEntrySettings
+
+
+class EntryCalls:
+    """Handlers of the calls that callers and the platform make beside requests."""
+
+    def __init__(self, *, entry: SeededEntry, life_seconds: float) -> None:
+        self._entry = entry
+        self._life_seconds = life_seconds
+
+    def build_directory(self) -> web.Application:
+        app = web.Application()
+        app.router.add_get(DIRECTORY_PATH, self.resolve)
+        return app
+
+    def build_readiness(self) -> web.Application:
+        app = web.Application()
+        app.router.add_get(READINESS_PATH, self.is_ready)
+        return app
+
+    async def resolve(self, request: web.Request) -> web.Response:
+        addresses = self._entry.addresses_for(
+            request.query.get("zone", ""), request.query.get("region", "")
+        )
+        if not addresses:
+            return web.json_response({"problem": "no entry is known"}, status=503)
+        return web.json_response({"addresses": addresses, "ttl_s": self._life_seconds})
+
+    async def is_ready(self, request: web.Request) -> web.Response:
+        ready = self._entry.is_ready()
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+
+def _make_sites(entry: SeededEntry, settings: SeededEntrySettings) -> list[Site]:
+    calls = EntryCalls(entry=entry, life_seconds=settings.directory_life_seconds)
+    return [
+        Site(settings.directory, calls.build_directory()),
+        Site(settings.readiness, calls.build_readiness()),
+    ]
+
+
+async def _run(settings: SeededEntrySettings, folder: Path) -> int:
+    file = Path(os.environ[SETTINGS_VARIABLE])
+    return await run_seeded_entry(
+        settings, settings_file=file, dialect=DIALECT, make_sites=_make_sites
+    )
+
+
+def main() -> None:
+    """Run an entry with the settings that the platform wrote."""
+    run_daemon(
+        SeededEntrySettings,
+        _run,
+        settings_file=os.environ[SETTINGS_VARIABLE],
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/poplarlug/platform/names.py
@@ -0,0 +1,36 @@
+"""Header names and paths of the platform."""
+
+from poplarlug.relay.dialect import Dialect
+
+SETTINGS_VARIABLE = "POPLARLUG_SETTINGS"
+
+CONFIGURATION_PATH = "/config"
+UPSTREAM_PATH = "/instances/{id}"
+EVACUATION_PATH = "/evacuations/{zone}"
+DIRECTORY_PATH = "/resolve"
+READINESS_PATH = "/readyz"
+
+DIALECT = Dialect(
+    request_id="X-Poplarlug-Attempt-Id",
+    deadline="X-Poplarlug-Deadline-Ms",
+    expected_upstream="X-Poplarlug-Expect-Instance",
+    signature="X-Poplarlug-Response-Stamp",
+    not_executed="X-Poplarlug-Not-Executed",
+    cold_left="X-Poplarlug-Cold-Ms",
+    priority="X-Poplarlug-Request-Priority",
+    model="X-Poplarlug-Model",
+    token_counts="X-Poplarlug-Token-Count",
+    prompt_parts="X-Poplarlug-Prompt-Prefix",
+    reserved=frozenset(
+        {
+            "x-poplarlug-expect-instance",
+            "x-poplarlug-expect-version",
+            "x-poplarlug-request-priority",
+            "x-poplarlug-hold",
+            "x-poplarlug-pin-ms",
+            "x-poplarlug-kv-backup",
+            "kv-from",
+            "kv-fetch",
+        }
+    ),
+)
--- /dev/null
+++ b/poplarlug/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Serves requests by route: admission, placement, attempts and relayed answers."""
--- /dev/null
+++ b/poplarlug/relay/client.py
@@ -0,0 +1,148 @@
+"""Sends requests to upstreams and to other entries over kept connections."""
+
+import asyncio
+import socket
+from collections.abc import Sequence
+from enum import Enum
+from typing import Any, NamedTuple
+
+import aiohttp
+from returns.result import Failure, Result, Success
+from yarl import URL
+
+from poplarlug.types import Address, Seconds
+
+CONNECT_SECONDS = 0.5
+"""In a region a connection stands within milliseconds; a silent host never answers."""
+
+FAR_CONNECT_SECONDS = 1.0
+"""Several round trips between regions."""
+
+IDLE_SECONDS = 4.0
+"""How long an idle connection is kept; shorter than the idle timeout of upstreams."""
+
+PROBE_IDLE_SECONDS = 1
+PROBES = 3
+"""Keepalive probes find a silent peer in four seconds while an answer is awaited."""
+
+UNACKNOWLEDGED_MILLISECONDS = 3000
+"""Sent bytes may wait so long for the peer's TCP acknowledgement."""
+
+
+class SendErrorKind(Enum):
+    """
+    Why there is no answer.
+
+    ``NOT_SENT`` is the only kind that says that no byte left for the target.
+    """
+
+    NOT_SENT = "not_sent"
+    BROKEN = "broken"
+    TIMEOUT = "timeout"
+
+
+class SendError(NamedTuple):
+    kind: SendErrorKind
+    message: str
+
+
+class _CheckedConnector(aiohttp.TCPConnector):
+    """Reuse no connection on which bytes came after the last answer."""
+
+    async def _get(self, key: Any, traces: Any) -> Any:
+        idle = self._conns.get(key)
+        if idle is not None:
+            for item in [item for item in idle if item[0].should_close]:
+                idle.remove(item)
+                item[0].close()
+        return await super()._get(key, traces)
+
+
+class RelayClient:
+    """
+    Open exchanges over pooled connections.
+
+    Nothing is repeated here, and redirects and encodings pass through.
+
+    Parameters
+    ----------
+    connect_seconds : float
+        Longest time for a connection to stand.
+    """
+
+    def __init__(self, *, connect_seconds: Seconds = CONNECT_SECONDS) -> None:
+        self._connect_seconds = connect_seconds
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        connector = _CheckedConnector(
+            limit=0,
+            keepalive_timeout=IDLE_SECONDS,
+            use_dns_cache=False,
+            socket_factory=_make_socket,
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=self._connect_seconds
+            ),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+        # The gateway alone knows what may be sent twice.
+        self._session._retry_connection = False
+
+    async def close(self) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    async def send(
+        self,
+        *,
+        target: Address,
+        method: str,
+        path: str,
+        headers: Sequence[tuple[str, str]],
+        body: bytes,
+        timeout_seconds: Seconds,
+    ) -> Result[aiohttp.ClientResponse, SendError]:
+        """
+        Return the answer once its head has come; the caller closes it.
+
+        Parameters
+        ----------
+        timeout_seconds : float
+            Longest time until the head has come.
+        """
+        assert self._session is not None
+        try:
+            async with asyncio.timeout(max(0.0, timeout_seconds)):
+                response = await self._session.request(
+                    method,
+                    URL(f"http://{target}{path}", encoded=True),
+                    headers=headers,
+                    data=body or None,
+                    allow_redirects=False,
+                )
+                return Success(response)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Failure(SendError(SendErrorKind.NOT_SENT, repr(error)))
+        except TimeoutError:
+            message = f"no answer in {timeout_seconds:.3f} s"
+            return Failure(SendError(SendErrorKind.TIMEOUT, message))
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return Failure(SendError(SendErrorKind.BROKEN, repr(error)))
+
+
+def _make_socket(address: Any) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    sock = socket.socket(family=family, type=kind, proto=protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_IDLE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS
+    )
+    return sock
--- /dev/null
+++ b/poplarlug/relay/face.py
@@ -0,0 +1,316 @@
+"""The HTTP face of callers and of other entries: any request, by its route."""
+
+import asyncio
+import math
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import NamedTuple
+
+import aiohttp
+from aiohttp import web
+from prometheus_client import Counter, Histogram
+from returns.result import Failure, Result, Success
+
+from poplarlug.callers.http_sink import HttpSink
+from poplarlug.discovery.subscriber import Deployment
+from poplarlug.errors import GatewayError, bad_request, not_run, to_body
+from poplarlug.latest import Latest
+from poplarlug.logs import PartLog
+from poplarlug.metrics import REGISTRY
+from poplarlug.relay.dialect import Dialect
+from poplarlug.relay.gateway import RelayGateway
+from poplarlug.relay.hop_headers import (
+    ORIGIN,
+    REFUSED,
+    TABLE_VERSION,
+    encode_refusal,
+    end_to_end,
+)
+from poplarlug.relay.requests import Prompt, PromptPart, RelayRequest
+from poplarlug.relay.trace import RelayTrace
+from poplarlug.routes import Route, RouteIndex
+from poplarlug.routes.index import draw_service
+from poplarlug.types import Seconds
+
+MAX_REQUEST_ID_CHARACTERS = 128
+MAX_PROMPT_PARTS = 64
+MAX_TOKENS = 10_000_000
+NOT_READY_RETRY_SECONDS = 0.5
+LEAVING_RETRY_SECONDS = 0.1
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Bounds a body while no limits are in force."""
+
+_ANSWERS = Counter(
+    "poplarlug_relay_answers_total",
+    "Answers to callers by kind of route and status class.",
+    ["kind", "status"],
+    registry=REGISTRY,
+)
+_SECONDS = Histogram(
+    "poplarlug_relay_seconds",
+    "From a whole request to the end of its answer.",
+    ["kind"],
+    buckets=(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0),
+    registry=REGISTRY,
+)
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+_log = PartLog(prefix="relay")
+
+
+class Admittance(NamedTuple):
+    """
+    Whether an entry takes requests.
+
+    Parameters
+    ----------
+    takes : callable
+        Returns whether new requests are taken.
+    closes : callable
+        Returns whether connections are closed after their answers.
+    """
+
+    takes: Callable[[], bool]
+    closes: Callable[[], bool]
+
+
+class RelayFace:
+    """
+    Read requests, find their routes and let the gateway serve them.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Names of the headers.
+    """
+
+    def __init__(
+        self,
+        *,
+        gateway: RelayGateway,
+        deployment: Deployment,
+        dialect: Dialect,
+        admittance: Admittance,
+        rng: Random,
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._gateway = gateway
+        self._deployment = deployment
+        self._dialect = dialect
+        self._admittance = admittance
+        self._rng = rng
+        self._clock = clock
+        self._background: set[asyncio.Task[web.StreamResponse]] = set()
+        self.in_progress: Latest[int] = Latest(initial=0)
+
+    def build(self) -> web.Application:
+        """Return the application for callers."""
+        return self._build(self._serve_caller)
+
+    def build_for_entries(self) -> web.Application:
+        """Return the application for what other entries hand on."""
+        return self._build(self._serve_entry)
+
+    def _build(self, handler: Handler) -> web.Application:
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_route("*", "/{path:.*}", handler)
+        return app
+
+    async def _serve_caller(self, request: web.Request) -> web.StreamResponse:
+        return await self._serve(request, hops=0)
+
+    async def _serve_entry(self, request: web.Request) -> web.StreamResponse:
+        return await self._serve(request, hops=1)
+
+    async def _serve(self, request: web.Request, hops: int) -> web.StreamResponse:
+        started = self._clock()
+        request_id = request.headers.get(self._dialect.request_id, "")
+        trace = RelayTrace(request_id=request_id, started=started)
+        self.in_progress.set(self.in_progress.value + 1)
+        status = 0
+        kind = ""
+        response: web.StreamResponse
+        try:
+            parsed = await self._parse(request, request_id, hops, trace)
+            if isinstance(parsed, Failure):
+                response = self._refuse(request, parsed.failure(), hops, trace)
+            else:
+                kind = parsed.unwrap().route.kind
+                response = await self._answer(request, parsed.unwrap(), trace)
+            status = response.status
+            return response
+        finally:
+            self.in_progress.set(self.in_progress.value - 1)
+            seconds = self._clock() - started
+            _ANSWERS.labels(kind, f"{status // 100}xx").inc()
+            _SECONDS.labels(kind).observe(seconds)
+            _log.info(
+                "request ended",
+                request_id=request_id,
+                hops=hops,
+                status=status,
+                seconds=round(seconds, 4),
+                **trace.fields,
+                steps=trace.steps,
+            )
+
+    async def _answer(
+        self, request: web.Request, relayed: RelayRequest, trace: RelayTrace
+    ) -> web.StreamResponse:
+        if relayed.route.kind != "unsafe":
+            return await self._run(request, relayed, trace)
+        # What may not be repeated runs to its end, also when its caller left.
+        task = asyncio.ensure_future(self._run(request, relayed, trace))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return await asyncio.shield(task)
+
+    async def _run(
+        self, request: web.Request, relayed: RelayRequest, trace: RelayTrace
+    ) -> web.StreamResponse:
+        sink = HttpSink(
+            request=request, request_id=relayed.id, closes=self._admittance.closes
+        )
+        failed = await self._gateway.serve(relayed, sink, trace)
+        if failed is None:
+            await sink.finish()
+            assert sink.response is not None
+            return sink.response
+        if sink.response is not None:
+            trace.note(error=failed.type, reason=failed.message)
+            # The caller sees a broken connection, never a short answer.
+            if request.transport is not None:
+                request.transport.abort()
+            return sink.response
+        return self._refuse(request, failed, relayed.hops, trace)
+
+    async def _parse(
+        self, request: web.Request, request_id: str, hops: int, trace: RelayTrace
+    ) -> Result[RelayRequest, GatewayError]:
+        if not self._admittance.takes():
+            message = "this entry takes no requests now; ask another"
+            return Failure(not_run(message, LEAVING_RETRY_SECONDS))
+        routes = self._deployment.routes
+        if routes is None:
+            message = "no routes are known yet"
+            return Failure(not_run(message, NOT_READY_RETRY_SECONDS))
+        found = self._find_route(request, routes, hops, trace)
+        if isinstance(found, Failure):
+            return found
+        route = found.unwrap()
+        if not 0 < len(request_id) <= MAX_REQUEST_ID_CHARACTERS:
+            message = f"{self._dialect.request_id} must have 1 to 128 characters"
+            return Failure(bad_request(message))
+        body = await self._read_body(request, routes)
+        if isinstance(body, Failure):
+            return body
+        now = self._clock()
+        wait = _milliseconds(request.headers.get(self._dialect.deadline, ""))
+        left = min(route.timeout_seconds, math.inf if wait is None else wait)
+        service = draw_service(route, self._rng)
+        trace.note(service=service, left_ms=round(left * 1000))
+        own = {self._dialect.deadline.lower(), *self._dialect.reserved}
+        return Success(
+            RelayRequest(
+                id=request_id,
+                route=route,
+                service=service,
+                method=request.method,
+                path=request.raw_path,
+                headers=end_to_end(request.headers, own),
+                body=body.unwrap(),
+                arrived=now,
+                deadline=now + left,
+                prompt=self._prompt(request) if route.prompts else Prompt(),
+                hops=hops,
+                origin=request.headers.get(ORIGIN, "") if hops else "",
+            )
+        )
+
+    def _find_route(
+        self, request: web.Request, routes: RouteIndex, hops: int, trace: RelayTrace
+    ) -> Result[Route, GatewayError]:
+        path = request.raw_path.partition("?")[0]
+        host = request.headers.get("Host", "")
+        route = routes.find(host, path)
+        trace.note(
+            route=None if route is None else route.name,
+            table=routes.version,
+            view_age_ms=round(min(1e6, self._deployment.age_seconds * 1000)),
+        )
+        if hops:
+            theirs = request.headers.get(TABLE_VERSION, "")
+            if theirs.isdecimal() and int(theirs) > routes.version:
+                message = f"this entry has table {routes.version}, not yet {theirs}"
+                return Failure(not_run(message, NOT_READY_RETRY_SECONDS))
+        if route is None:
+            return Failure(GatewayError(404, "no_route", f"no route has {host}{path}"))
+        if hops and not route.allows(self._deployment.own_region):
+            message = "the route's requests may not come to this region"
+            return Failure(GatewayError(503, "region_not_allowed", message, False, 0.5))
+        return Success(route)
+
+    async def _read_body(
+        self, request: web.Request, routes: RouteIndex
+    ) -> Result[bytes, GatewayError]:
+        limits = routes.table.limits
+        message = f"the body is longer than {limits.max_body_bytes} bytes"
+        too_large = Failure(GatewayError(413, "body_too_large", message))
+        if (request.content_length or 0) > limits.max_body_bytes:
+            return too_large
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return too_large
+        except (aiohttp.ClientError, web.RequestPayloadError, OSError) as error:
+            return Failure(bad_request(f"the body broke off: {error!r}"))
+        return too_large if len(body) > limits.max_body_bytes else Success(body)
+
+    def _prompt(self, request: web.Request) -> Prompt:
+        headers = request.headers
+        counts = headers.get(self._dialect.token_counts, "").split(",")
+        tokens = _count(counts[0])
+        max_tokens = _count(counts[1]) if len(counts) > 1 else 0
+        parts = []
+        listed = headers.get(self._dialect.prompt_parts, "")
+        for part in listed.split(",")[:MAX_PROMPT_PARTS]:
+            part_id, _, count = part.strip().partition(":")
+            if part_id:
+                parts.append(PromptPart(part_id, _count(count)))
+        tokens = tokens or sum(part.tokens for part in parts)
+        model = headers.get(self._dialect.model, "")
+        return Prompt(model, tokens, max_tokens, tuple(parts))
+
+    def _refuse(
+        self, request: web.Request, error: GatewayError, hops: int, trace: RelayTrace
+    ) -> web.Response:
+        trace.note(error=error.type, reason=error.message, ran=error.ran)
+        headers = {"Content-Type": "application/json"}
+        if error.retry_after_seconds is not None:
+            headers["Retry-After"] = f"{error.retry_after_seconds:.2f}"
+            trace.note(retry_after=round(error.retry_after_seconds, 2))
+        if hops:
+            headers[REFUSED] = encode_refusal(error)
+        response = web.Response(
+            status=error.status, body=to_body(error), headers=headers
+        )
+        if self._admittance.closes():
+            response.force_close()
+        return response
+
+
+def _milliseconds(text: str) -> Seconds | None:
+    """Return a header's milliseconds as seconds, ``None`` when it is no number."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value / 1000 if math.isfinite(value) and value >= 0 else None
+
+
+def _count(text: str) -> int:
+    text = text.strip()
+    if not text.isdecimal() or len(text) > 9:
+        return 0
+    return min(MAX_TOKENS, int(text))
--- /dev/null
+++ b/poplarlug/relay/gateway.py
@@ -0,0 +1,458 @@
+"""Serves a request on a route: places, attempts and the answer or its refusal."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+import aiohttp
+from prometheus_client import Counter, Histogram
+from returns.result import Failure
+
+from poplarlug.discovery.subscriber import Deployment
+from poplarlug.errors import GatewayError, not_run, outcome_unknown, truncated_answer
+from poplarlug.logs import PartLog
+from poplarlug.metrics import REGISTRY
+from poplarlug.relay.budgets import RetryBudget, RetryLimits
+from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
+from poplarlug.relay.dialect import Dialect
+from poplarlug.relay.dispatcher import Dispatcher, FarPlace, LocalPlace, Tried
+from poplarlug.relay.hop_headers import (
+    HOPS,
+    ORIGIN,
+    REFUSED,
+    TABLE_VERSION,
+    decode_refusal,
+    end_to_end,
+)
+from poplarlug.relay.in_flight import InFlight
+from poplarlug.relay.requests import RelayRequest
+from poplarlug.relay.trace import RelayTrace
+from poplarlug.serving.answers import AnswerHead, AnswerSink
+from poplarlug.serving.relay import BodyRelay
+from poplarlug.types import Seconds, ServiceName, VmName
+
+HELD_BODY_BYTES = 256 * 1024
+"""A body of known length up to this is held until it is whole, so that a broken one
+can be answered by a failure or by another attempt."""
+
+ENTRY_PAUSE_SECONDS = 2.0
+"""How long an entry that broke a forward is left alone."""
+
+LAST_SEND_SHARE = 0.1
+"""A repeat with less than this share of the objective left as its deadline is no use."""
+
+REFUSED_RETRY_SECONDS = 0.2
+"""When to come back after an upstream refused; its queue moves on within that."""
+
+REST_SECONDS = 0.2
+"""How long the rest of a refusal's body may take, so that its connection is kept."""
+
+EVENT_STREAM = "text/event-stream"
+
+_SENDS = Counter(
+    "poplarlug_relay_sends_total",
+    "Sends to upstreams and other entries, by target and how they ended.",
+    ["target", "outcome"],
+    registry=REGISTRY,
+)
+_FIRST_ANSWER_SECONDS = Histogram(
+    "poplarlug_relay_first_answer_seconds",
+    "From a send to the head of its answer.",
+    ["target"],
+    buckets=(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0),
+    registry=REGISTRY,
+)
+
+
+_log = PartLog(prefix="relay")
+
+
+class _Outcome(NamedTuple):
+    """
+    How one send ended.
+
+    Parameters
+    ----------
+    error : GatewayError or None
+        ``None`` once the whole answer was passed on.
+    arrived : bool
+        Whether the request may have reached its target.
+    answer : tuple or None
+        An upstream's own failure, head and body, that is passed on when there is
+        no other attempt.
+    """
+
+    error: GatewayError | None
+    arrived: bool = True
+    answer: tuple[AnswerHead, bytes] | None = None
+
+
+_DONE = _Outcome(None)
+
+
+class RelayGateway:
+    """
+    Run requests at upstreams of the region, or through entries of other regions.
+
+    Parameters
+    ----------
+    name : VmName
+        This entry, as the origin of what it hands on.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: VmName,
+        deployment: Deployment,
+        dispatcher: Dispatcher,
+        in_flight: InFlight,
+        client: RelayClient,
+        far_client: RelayClient,
+        dialect: Dialect,
+        retry_limits: RetryLimits,
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._name = name
+        self._deployment = deployment
+        self._dispatcher = dispatcher
+        self._in_flight = in_flight
+        self._client = client
+        self._far_client = far_client
+        self._dialect = dialect
+        self._retry_limits = retry_limits
+        self._clock = clock
+        self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
+
+    async def serve(
+        self, request: RelayRequest, sink: AnswerSink, trace: RelayTrace
+    ) -> GatewayError | None:
+        """
+        Run ``request`` and pass its answer to ``sink``.
+
+        Returns
+        -------
+        GatewayError or None
+            ``None`` once the whole answer was passed on.
+        """
+        budget = self._budget_of(request.service)
+        budget.note_request()
+        tried = Tried()
+        attempts = 0
+        arrivals = 0
+        error: GatewayError | None = None
+        answer: tuple[AnswerHead, bytes] | None = None
+        while True:
+            found = await self._dispatcher.find(request, tried)
+            if isinstance(found, Failure):
+                refusal = found.failure()
+                trace.step("no place", self._clock(), reason=refusal.message)
+                return await _give_up(_final(error, refusal), answer, sink)
+            placed = found.unwrap()
+            if isinstance(placed, LocalPlace):
+                if arrivals and not budget.take(self._entries()):
+                    self._dispatcher.release(placed.flight, failed=False)
+                    trace.step("no repeat", self._clock(), reason="retry budget")
+                    return await _give_up(error, answer, sink)
+                outcome = await self._run_local(request, placed, sink, trace)
+                tried = tried._replace(upstreams=tried.upstreams | {placed.upstream.id})
+            else:
+                outcome = await self._run_far(request, placed, sink, trace)
+                tried = tried._replace(entries=tried.entries | {placed.entry.name})
+            if outcome.error is None:
+                return None
+            arrivals += outcome.arrived
+            attempts += outcome.arrived and outcome.error.ran is not False
+            error = _final(error, outcome.error)
+            answer = outcome.answer or answer
+            if sink.started:
+                return error
+            if not self._may_repeat(request, outcome.error, attempts):
+                return await _give_up(error, answer, sink)
+
+    def _may_repeat(
+        self, request: RelayRequest, error: GatewayError, attempts: int
+    ) -> bool:
+        if attempts >= request.route.max_attempts:
+            return False
+        left = request.deadline - self._clock()
+        if left < LAST_SEND_SHARE * request.route.objective_seconds:
+            return False
+        return error.ran is False or request.route.is_repeatable
+
+    async def _run_local(
+        self,
+        request: RelayRequest,
+        placed: LocalPlace,
+        sink: AnswerSink,
+        trace: RelayTrace,
+    ) -> _Outcome:
+        upstream = placed.upstream
+        now = self._clock()
+        trace.step(
+            "sent",
+            now,
+            upstream=upstream.id,
+            running=self._in_flight.load(upstream.id).running,
+            ahead=placed.ahead_tokens,
+            new=placed.flight.new_tokens,
+            expected_ms=round(placed.expected_seconds * 1000),
+            view_age_ms=round(self._deployment.age_seconds * 1000),
+        )
+        failed = True
+        try:
+            outcome = await self._attempt(request, placed, sink, trace)
+            failed = outcome.error is not None and outcome.error.ran is None
+            return outcome
+        except asyncio.CancelledError:
+            failed = False
+            raise
+        finally:
+            self._dispatcher.release(placed.flight, failed=failed)
+
+    async def _attempt(
+        self,
+        request: RelayRequest,
+        placed: LocalPlace,
+        sink: AnswerSink,
+        trace: RelayTrace,
+    ) -> _Outcome:
+        dialect = self._dialect
+        left = request.deadline - self._clock()
+        headers = [
+            *request.headers,
+            (dialect.expected_upstream, placed.upstream.id),
+            (dialect.deadline, str(max(1, int(left * 1000)))),
+        ]
+        if request.route.prompts:
+            headers.append((dialect.priority, str(min(9, request.route.rank))))
+        started = self._clock()
+        sent = await self._client.send(
+            target=placed.upstream.address,
+            method=request.method,
+            path=request.path,
+            headers=headers,
+            body=request.body,
+            timeout_seconds=left,
+        )
+        now = self._clock()
+        if isinstance(sent, Failure):
+            return self._note_failed("upstream", sent.failure(), trace, now)
+        response = sent.unwrap()
+        try:
+            self._note_head("upstream", response, trace, now, started)
+            refused = await self._check_head(request, placed, response)
+            if refused is not None:
+                return refused
+            self._in_flight.first_event(
+                placed.flight, ahead=placed.ahead_tokens, seconds=now - started
+            )
+            return await self._pass_on(request, response, sink)
+        finally:
+            response.close()
+
+    async def _check_head(
+        self,
+        request: RelayRequest,
+        placed: LocalPlace,
+        response: aiohttp.ClientResponse,
+    ) -> _Outcome | None:
+        """Return what speaks against passing an answer on, ``None`` when nothing does."""
+        dialect = self._dialect
+        headers = response.headers
+        echoed = headers.get(dialect.request_id)
+        if echoed is not None and echoed != request.id:
+            return _Outcome(outcome_unknown("the upstream answered another request"))
+        if response.status == 421 or dialect.not_executed in headers:
+            cold = _milliseconds(headers.get(dialect.cold_left, ""))
+            if cold:
+                self._in_flight.note_cold(placed.upstream.id, cold)
+            message = f"the upstream refused it with status {response.status}"
+            await _read_rest(response)
+            return _Outcome(not_run(message, REFUSED_RETRY_SECONDS))
+        if dialect.signature not in headers:
+            return _Outcome(outcome_unknown("the answer is not an upstream's"))
+        if headers.get("Content-Encoding", "identity").lower() != "identity":
+            return _Outcome(outcome_unknown("the answer came in an encoding"))
+        return None
+
+    async def _pass_on(
+        self,
+        request: RelayRequest,
+        response: aiohttp.ClientResponse,
+        sink: AnswerSink,
+    ) -> _Outcome:
+        status = response.status
+        length = response.content_length
+        is_held = not _is_stream(response) or status >= 400
+        if is_held and (length is None or length <= HELD_BODY_BYTES):
+            return await self._pass_on_whole(request, response, sink)
+        await sink.start(_head_of(response))
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                await BodyRelay(response=response, sink=sink).run()
+        except TimeoutError:
+            return _Outcome(truncated_answer("the answer took too long"))
+        except (aiohttp.ClientError, OSError) as error:
+            return _Outcome(truncated_answer(f"the answer broke off: {error!r}"))
+        await sink.finish()
+        return _DONE
+
+    async def _pass_on_whole(
+        self,
+        request: RelayRequest,
+        response: aiohttp.ClientResponse,
+        sink: AnswerSink,
+    ) -> _Outcome:
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                body = await response.read()
+        except TimeoutError:
+            return _Outcome(outcome_unknown("the answer took too long"))
+        except (aiohttp.ClientError, OSError) as error:
+            return _Outcome(outcome_unknown(f"the answer broke off: {error!r}"))
+        head = _head_of(response)._replace(content_length=len(body))
+        if response.status >= 500 and request.route.is_repeatable:
+            message = f"the upstream failed with status {response.status}"
+            failed = GatewayError(response.status, "upstream_failed", message, None)
+            return _Outcome(failed, answer=(head, body))
+        await _answer_whole(head, body, sink)
+        return _DONE
+
+    async def _run_far(
+        self,
+        request: RelayRequest,
+        placed: FarPlace,
+        sink: AnswerSink,
+        trace: RelayTrace,
+    ) -> _Outcome:
+        entry = placed.entry
+        started = self._clock()
+        routes = self._deployment.routes
+        assert routes is not None
+        trace.step(
+            "handed on",
+            started,
+            entry=entry.name,
+            region=entry.region,
+            expected_ms=round(placed.expected_seconds * 1000),
+            view_age_ms=round(self._deployment.age_seconds * 1000),
+        )
+        left = request.deadline - started
+        sent = await self._far_client.send(
+            target=entry.forwards,
+            method=request.method,
+            path=request.path,
+            headers=[
+                *request.headers,
+                (self._dialect.deadline, str(max(1, int(left * 1000)))),
+                (HOPS, str(request.hops + 1)),
+                (ORIGIN, self._name),
+                (TABLE_VERSION, str(routes.version)),
+            ],
+            body=request.body,
+            timeout_seconds=left,
+        )
+        now = self._clock()
+        if isinstance(sent, Failure):
+            self._dispatcher.avoid_entry(entry.name, ENTRY_PAUSE_SECONDS)
+            return self._note_failed("entry", sent.failure(), trace, now)
+        response = sent.unwrap()
+        try:
+            self._note_head("entry", response, trace, now, started)
+            refused = response.headers.get(REFUSED)
+            if refused is not None:
+                error = decode_refusal(refused, f"refused by {entry.name}")
+                unknown = outcome_unknown("the entry's refusal can't be read")
+                return _Outcome(error or unknown)
+            if response.headers.get(self._dialect.request_id, request.id) != request.id:
+                return _Outcome(outcome_unknown("the entry answered another request"))
+            return await self._pass_on(request, response, sink)
+        finally:
+            response.close()
+
+    def _note_head(
+        self,
+        target: str,
+        response: aiohttp.ClientResponse,
+        trace: RelayTrace,
+        now: Seconds,
+        started: Seconds,
+    ) -> None:
+        _SENDS.labels(target, "answered").inc()
+        _FIRST_ANSWER_SECONDS.labels(target).observe(now - started)
+        trace.step("answered", now, status=response.status)
+
+    def _note_failed(
+        self, target: str, error: SendError, trace: RelayTrace, now: Seconds
+    ) -> _Outcome:
+        _SENDS.labels(target, error.kind.value).inc()
+        trace.step("send failed", now, kind=error.kind.value, reason=error.message)
+        if error.kind is SendErrorKind.NOT_SENT:
+            failed = not_run("no connection stood", REFUSED_RETRY_SECONDS)
+            return _Outcome(failed, arrived=False)
+        if error.kind is SendErrorKind.TIMEOUT:
+            message = "no answer came within the time"
+            return _Outcome(GatewayError(504, "timed_out", message, None, None))
+        return _Outcome(outcome_unknown("the connection was lost before an answer"))
+
+    def _budget_of(self, service: ServiceName) -> RetryBudget:
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = RetryBudget(limits=self._retry_limits, clock=self._clock)
+            self._budgets_by_service[service] = budget
+        return budget
+
+    def _entries(self) -> int:
+        return len(self._deployment.entries_by_name)
+
+
+def _final(earlier: GatewayError | None, latest: GatewayError) -> GatewayError:
+    # "Not run" has to hold for all sends together.
+    if earlier is None or earlier.ran is False:
+        return latest
+    return earlier if latest.ran is False else latest
+
+
+async def _give_up(
+    error: GatewayError | None,
+    answer: tuple[AnswerHead, bytes] | None,
+    sink: AnswerSink,
+) -> GatewayError | None:
+    """Pass on the failure that an upstream answered, if there is one."""
+    if answer is None:
+        return error
+    await _answer_whole(*answer, sink)
+    return None
+
+
+async def _answer_whole(head: AnswerHead, body: bytes, sink: AnswerSink) -> None:
+    await sink.start(head)
+    await sink.write(body)
+    await sink.finish()
+
+
+async def _read_rest(response: aiohttp.ClientResponse) -> None:
+    try:
+        async with asyncio.timeout(REST_SECONDS):
+            await response.read()
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        _log.debug("the rest of a refusal did not come", error=repr(error))
+
+
+def _is_stream(response: aiohttp.ClientResponse) -> bool:
+    return response.headers.get("Content-Type", "").startswith(EVENT_STREAM)
+
+
+def _head_of(response: aiohttp.ClientResponse) -> AnswerHead:
+    return AnswerHead(
+        status=response.status,
+        content_type=response.headers.get("Content-Type", ""),
+        content_length=response.content_length,
+        headers=end_to_end(response.headers),
+    )
+
+
+def _milliseconds(text: str) -> Seconds:
+    """Return seconds from a header in milliseconds, 0 when it is no number."""
+    return int(text) / 1000 if text.isdecimal() and len(text) < 10 else 0.0
--- /dev/null
+++ b/poplarlug/relay/hop_headers.py
@@ -0,0 +1,69 @@
+"""Headers that concern one connection, and those between two entries."""
+
+from collections.abc import Iterable, Mapping
+
+from poplarlug.errors import GatewayError
+
+HOPS = "X-Relay-Hops"
+ORIGIN = "X-Relay-Origin"
+TABLE_VERSION = "X-Relay-Table"
+REFUSED = "X-Relay-Refused"
+"""Marks the answer of a serving entry that is its own: type, ran, Retry-After."""
+
+_CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+_BETWEEN_ENTRIES = frozenset(
+    name.lower() for name in (HOPS, ORIGIN, TABLE_VERSION, REFUSED)
+)
+_RAN_BY_TEXT = {"yes": True, "no": False, "unknown": None}
+_TEXT_BY_RAN = {ran: text for text, ran in _RAN_BY_TEXT.items()}
+
+
+def end_to_end(
+    headers: Mapping[str, str], dropped: Iterable[str] = ()
+) -> tuple[tuple[str, str], ...]:
+    """
+    Return the headers that are passed on.
+
+    Parameters
+    ----------
+    dropped : iterable of str
+        Lower-case names that are left out besides.
+    """
+    named = headers.get("Connection", "")
+    of_connection = {name.strip().lower() for name in named.split(",")}
+    left_out = _CONNECTION_HEADERS | _BETWEEN_ENTRIES | of_connection | set(dropped)
+    return tuple(
+        (name, value) for name, value in headers.items() if name.lower() not in left_out
+    )
+
+
+def encode_refusal(error: GatewayError) -> str:
+    """Return an entry's own answer as the value of :data:`REFUSED`."""
+    after = "" if error.retry_after_seconds is None else error.retry_after_seconds
+    return f"{error.status};{error.type};{_TEXT_BY_RAN[error.ran]};{after}"
+
+
+def decode_refusal(value: str, message: str) -> GatewayError | None:
+    """Return the error that :func:`encode_refusal` wrote, ``None`` if malformed."""
+    parts = value.split(";")
+    if len(parts) != 4 or parts[2] not in _RAN_BY_TEXT or not parts[0].isdecimal():
+        return None
+    try:
+        after = float(parts[3]) if parts[3] else None
+    except ValueError:
+        return None
+    return GatewayError(int(parts[0]), parts[1], message, _RAN_BY_TEXT[parts[2]], after)
--- /dev/null
+++ b/poplarlug/relay/in_flight.py
@@ -0,0 +1,174 @@
+"""What this entry has running at each upstream, beside what the others have."""
+
+from collections.abc import Callable, Iterable
+
+from poplarlug.discovery.records import ServiceUpstream, UpstreamLoad
+from poplarlug.relay.engine_model import EngineLoad, PrefillRate
+from poplarlug.relay.part_cache import PartCache
+from poplarlug.relay.requests import RelayRequest
+from poplarlug.routes import Engine
+from poplarlug.types import Seconds, UpstreamId
+
+FAILURE_SECONDS = 1.0
+"""First time for which an upstream that failed is the last choice."""
+
+MAX_FAILURE_SECONDS = 8.0
+"""The time doubles with each failure in a row up to this."""
+
+
+class Flight:
+    """One request at one upstream, until :meth:`InFlight.ended`."""
+
+    def __init__(
+        self, *, upstream_id: UpstreamId, request: RelayRequest, new_tokens: int
+    ) -> None:
+        self.upstream_id = upstream_id
+        self.new_tokens = new_tokens
+        self.kv_tokens = request.prompt.tokens + request.prompt.max_tokens
+        self.has_first_event = False
+
+
+class _AtUpstream:
+    def __init__(self, *, cache: PartCache) -> None:
+        self.flights: set[Flight] = set()
+        self.cache = cache
+        self.rate = PrefillRate()
+        self.failures = 0
+        self.avoided_until = float("-inf")
+        self.cold_until = float("-inf")
+
+
+class InFlight:
+    """
+    Requests at upstreams, and what was learned of each upstream from them.
+
+    Parameters
+    ----------
+    others : callable
+        Returns what other entries have at an upstream, as last reported.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], Seconds],
+        others: Callable[[UpstreamId], UpstreamLoad | None],
+    ) -> None:
+        self._clock = clock
+        self._others = others
+        self._at_by_id: dict[UpstreamId, _AtUpstream] = {}
+
+    def load(self, upstream_id: UpstreamId) -> EngineLoad:
+        """Return the own and the others' load of an upstream."""
+        at = self._at_by_id.get(upstream_id)
+        running, prefill, kv = self._own(at)
+        other = self._others(upstream_id)
+        if other is not None:
+            running += other.running
+            prefill += other.prefill_tokens
+            kv += other.kv_tokens
+        return EngineLoad(running, prefill, kv)
+
+    def own_running(self, upstream_id: UpstreamId) -> int:
+        at = self._at_by_id.get(upstream_id)
+        return 0 if at is None else len(at.flights)
+
+    def own_loads(self) -> tuple[UpstreamLoad, ...]:
+        """Return what this entry has running, for its report."""
+        return tuple(
+            UpstreamLoad(upstream_id, *self._own(at))
+            for upstream_id, at in self._at_by_id.items()
+            if at.flights
+        )
+
+    def rate(self, upstream_id: UpstreamId) -> float:
+        """Return how many prompt tokens a second an upstream reads."""
+        at = self._at_by_id.get(upstream_id)
+        return (PrefillRate() if at is None else at.rate).tokens_per_second
+
+    def new_tokens(self, upstream_id: UpstreamId, request: RelayRequest) -> int:
+        """Return how many prompt tokens an upstream would have to read."""
+        at = self._at_by_id.get(upstream_id)
+        hit = 0 if at is None else at.cache.hit_tokens(request.prompt)
+        return max(0, request.prompt.tokens - hit)
+
+    def is_avoided(self, upstream_id: UpstreamId) -> bool:
+        """Return whether an upstream failed lately."""
+        at = self._at_by_id.get(upstream_id)
+        return at is not None and self._clock() < at.avoided_until
+
+    def cold_seconds(self, upstream_id: UpstreamId) -> Seconds:
+        """Return how much longer an upstream said in answers that it is cold."""
+        at = self._at_by_id.get(upstream_id)
+        return 0.0 if at is None else max(0.0, at.cold_until - self._clock())
+
+    def started(
+        self, upstream: ServiceUpstream, engine: Engine | None, request: RelayRequest
+    ) -> Flight:
+        """Note that ``request`` is on its way to ``upstream``."""
+        at = self._at(upstream.id, engine)
+        flight = Flight(
+            upstream_id=upstream.id,
+            request=request,
+            new_tokens=self.new_tokens(upstream.id, request),
+        )
+        at.flights.add(flight)
+        at.cache.used(request.prompt)
+        return flight
+
+    def first_event(self, flight: Flight, *, ahead: int, seconds: Seconds) -> None:
+        """
+        Note a flight's first event.
+
+        Parameters
+        ----------
+        ahead : int
+            Prompt tokens that were to be read before its own.
+        seconds : float
+            Time since it was sent.
+        """
+        flight.has_first_event = True
+        at = self._at_by_id.get(flight.upstream_id)
+        if at is not None:
+            at.rate.measured(tokens=flight.new_tokens + ahead, seconds=seconds)
+
+    def ended(self, flight: Flight, *, failed: bool) -> None:
+        """Note the end of a flight; an upstream that fails is avoided for a while."""
+        at = self._at_by_id.get(flight.upstream_id)
+        if at is None:
+            return
+        at.flights.discard(flight)
+        if not failed:
+            at.failures = 0
+            at.avoided_until = float("-inf")
+            return
+        delay = min(MAX_FAILURE_SECONDS, FAILURE_SECONDS * 2**at.failures)
+        at.failures = min(at.failures + 1, 10)
+        at.avoided_until = self._clock() + delay
+
+    def note_cold(self, upstream_id: UpstreamId, seconds: Seconds) -> None:
+        """Take in how long an upstream stays cold, from one of its answers."""
+        at = self._at_by_id.get(upstream_id)
+        if at is not None:
+            at.cold_until = self._clock() + seconds
+
+    def keep_only(self, upstream_ids: Iterable[UpstreamId]) -> None:
+        """Forget upstreams that are gone and have nothing running."""
+        kept = set(upstream_ids)
+        for upstream_id, at in list(self._at_by_id.items()):
+            if upstream_id not in kept and not at.flights:
+                del self._at_by_id[upstream_id]
+
+    def _at(self, upstream_id: UpstreamId, engine: Engine | None) -> _AtUpstream:
+        at = self._at_by_id.get(upstream_id)
+        if at is None:
+            capacity = 0 if engine is None else engine.kv_capacity_tokens
+            cache = PartCache(capacity_tokens=capacity, clock=self._clock)
+            at = self._at_by_id[upstream_id] = _AtUpstream(cache=cache)
+        return at
+
+    def _own(self, at: _AtUpstream | None) -> tuple[int, int, int]:
+        if at is None:
+            return 0, 0, 0
+        prefill = sum(f.new_tokens for f in at.flights if not f.has_first_event)
+        return len(at.flights), prefill, sum(f.kv_tokens for f in at.flights)
--- /dev/null
+++ b/poplarlug/relay/part_cache.py
@@ -0,0 +1,54 @@
+"""Which prompt parts an upstream's cache probably holds."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from poplarlug.relay.requests import Prompt
+from poplarlug.types import Seconds
+
+CACHE_SHARE = 0.7
+"""Share of an engine's memory that cached parts may take beside running requests."""
+
+PART_LIFE_SECONDS = 60.0
+"""A part that was not used for so long counts as evicted."""
+
+
+class PartCache:
+    """
+    Parts that this entry sent to one upstream, the least recently used first out.
+
+    Parameters
+    ----------
+    capacity_tokens : int
+        Tokens that the upstream's memory holds.
+    """
+
+    def __init__(self, *, capacity_tokens: int, clock: Callable[[], Seconds]) -> None:
+        self._capacity = capacity_tokens * CACHE_SHARE
+        self._clock = clock
+        self._parts: OrderedDict[tuple[str, str], tuple[int, Seconds]] = OrderedDict()
+        self._tokens = 0
+
+    def hit_tokens(self, prompt: Prompt) -> int:
+        """Return how many tokens of ``prompt`` need not be read again."""
+        oldest = self._clock() - PART_LIFE_SECONDS
+        hit = 0
+        for part in prompt.parts:
+            held = self._parts.get((prompt.model, part.id))
+            if held is None or held[1] < oldest:
+                break
+            hit += part.tokens
+        return hit
+
+    def used(self, prompt: Prompt) -> None:
+        """Note that the upstream reads ``prompt``."""
+        now = self._clock()
+        for part in prompt.parts:
+            key = (prompt.model, part.id)
+            held = self._parts.pop(key, None)
+            if held is None:
+                self._tokens += part.tokens
+            self._parts[key] = (part.tokens, now)
+        while self._tokens > self._capacity and self._parts:
+            _, (tokens, _) = self._parts.popitem(last=False)
+            self._tokens -= tokens
--- /dev/null
+++ b/poplarlug/relay/trace.py
@@ -0,0 +1,35 @@
+"""What one request met on its way, for its one log line."""
+
+from typing import Any
+
+from poplarlug.types import RequestId, Seconds
+
+MAX_STEPS = 12
+"""More steps than a request may take; it bounds the line."""
+
+
+class RelayTrace:
+    """
+    The decisions on one request with the inputs that led to them.
+
+    Parameters
+    ----------
+    started : float
+        Loop time at which the request came.
+    """
+
+    def __init__(self, *, request_id: RequestId, started: Seconds) -> None:
+        self.request_id = request_id
+        self.started = started
+        self.fields: dict[str, Any] = {}
+        self.steps: list[dict[str, Any]] = []
+
+    def note(self, **fields: Any) -> None:
+        """Set fields of the line."""
+        self.fields.update(fields)
+
+    def step(self, what: str, at: Seconds, **fields: Any) -> None:
+        """Add a decision, with the milliseconds since the request came."""
+        if len(self.steps) < MAX_STEPS:
+            ms = round((at - self.started) * 1000, 1)
+            self.steps.append({"step": what, "ms": ms, **fields})
--- /dev/null
+++ b/poplarlug/routes/checks.py
@@ -0,0 +1,72 @@
+"""What may speak against a table of routes."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from poplarlug.routes.objects import Route, RouteTable
+
+MAX_ROUTES = 5000
+MAX_SERVICES = 500
+
+
+class RouteProblem(NamedTuple):
+    """One wrong place of a route table."""
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.message}"
+
+
+def check_route_table(table: RouteTable) -> list[RouteProblem]:
+    """Return all problems of ``table``; nothing of it may come into force then."""
+    return [*_table_problems(table), *_route_problems(table)]
+
+
+def _table_problems(table: RouteTable) -> Iterable[RouteProblem]:
+    if table.version < 0:
+        yield RouteProblem("$.version", f"got {table.version}, expected 0 or more")
+    if len(table.routes) > MAX_ROUTES:
+        message = f"got {len(table.routes)}, expected at most {MAX_ROUTES}"
+        yield RouteProblem("$.routes", message)
+    if len(table.services) > MAX_SERVICES:
+        message = f"got {len(table.services)}, expected at most {MAX_SERVICES}"
+        yield RouteProblem("$.services", message)
+    names = [service.name for service in table.services]
+    for index, name in enumerate(names):
+        if name in names[:index]:
+            place = f"$.services[{index}].name"
+            yield RouteProblem(place, f"the name {name!r} stands twice")
+
+
+def _route_problems(table: RouteTable) -> Iterable[RouteProblem]:
+    services = {service.name for service in table.services}
+    paths_by_place: dict[tuple[str, str], str] = {}
+    for index, route in enumerate(table.routes):
+        path = f"$.routes[{index}]"
+        place = (route.host.lower(), route.path_prefix)
+        former = paths_by_place.setdefault(place, path)
+        if former is not path:
+            message = f"{former} has the same host and prefix"
+            yield RouteProblem(f"{path}.path_prefix", message)
+        for share in route.services:
+            if share.service not in services:
+                message = f"no service is named {share.service!r}"
+                yield RouteProblem(f"{path}.services", message)
+        yield from _value_problems(path, route)
+
+
+def _value_problems(path: str, route: Route) -> Iterable[RouteProblem]:
+    prefix = route.path_prefix
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        message = f"got {prefix!r}, expected a slash at both ends"
+        yield RouteProblem(f"{path}.path_prefix", message)
+    if route.timeout_seconds <= 0:
+        message = f"got {route.timeout_seconds} s, expected more than 0"
+        yield RouteProblem(f"{path}.timeout_seconds", message)
+    if any(share.weight < 0 for share in route.services):
+        yield RouteProblem(f"{path}.services", "got a negative weight")
+    if sum(share.weight for share in route.services) <= 0:
+        message = "the weights add up to 0; give one service a weight"
+        yield RouteProblem(f"{path}.services", message)
--- /dev/null
+++ b/poplarlug/routes/index.py
@@ -0,0 +1,65 @@
+"""Finds a request's route."""
+
+from random import Random
+
+from poplarlug.routes.objects import Route, RoutedService, RouteTable
+from poplarlug.types import ServiceName
+
+
+class RouteIndex:
+    """
+    Look up routes by host and by the longest prefix of a path.
+
+    Parameters
+    ----------
+    table : RouteTable
+        A table without problems.
+    """
+
+    def __init__(self, *, table: RouteTable) -> None:
+        self.table = table
+        self.services_by_name: dict[ServiceName, RoutedService] = {
+            service.name: service for service in table.services
+        }
+        self._routes_by_prefix_by_host: dict[str, dict[str, Route]] = {}
+        for route in table.routes:
+            by_prefix = self._routes_by_prefix_by_host.setdefault(
+                route.host.lower(), {}
+            )
+            by_prefix[route.path_prefix] = route
+
+    @property
+    def version(self) -> int:
+        return self.table.version
+
+    def find(self, host: str, path: str) -> Route | None:
+        """
+        Return the route of ``path``, ``None`` when there is none.
+
+        Parameters
+        ----------
+        host : str
+            The ``Host`` header, with or without a port.
+        path : str
+            Path without query.
+        """
+        by_prefix = self._routes_by_prefix_by_host.get(host.lower())
+        if by_prefix is None:
+            name = host.rpartition(":")[0] if ":" in host else host
+            by_prefix = self._routes_by_prefix_by_host.get(name.lower())
+        if by_prefix is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+def draw_service(route: Route, rng: Random) -> ServiceName:
+    """Return one of the route's services, drawn by weight."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    weights = [share.weight for share in route.services]
+    return rng.choices(route.services, weights)[0].service
--- a/poplarlug/serving/answers.py
+++ b/poplarlug/serving/answers.py
@@ -14,6 +14,9 @@
         Length of the body in bytes when it is known beforehand.
     resumed_from : int
         First token of a stream that an engine was asked to resume.
+    headers : tuple
+        All headers of an answer that is passed on as it is; empty where the
+        caller's face makes its own.
     """
 
     status: int
@@ -22,6 +25,7 @@
     served_by: str = ""
     zone: str = ""
     resumed_from: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class AnswerSink(ABC):
