Let the connection guard see the relay's requests

Cause: the relay's application lacked the guard's middleware, so after ten seconds every connection counted as one without headers and was aborted with all its streams. Seen as streams cut all at once in the logs of one entry.

--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -114,19 +114,20 @@
             ),
             clock=clock,
         )
+        self.guard = ConnectionGuard(
+            limits=HttpLimits(
+                max_header_bytes=HEADER_BYTES, keepalive_seconds=IDLE_SECONDS
+            )
+        )
         self.face = RelayFace(
             gateway=gateway,
             deployment=self.deployment,
             dialect=dialect,
             admittance=Admittance(self.takes, lambda: self.is_stopping),
+            guard=self.guard,
             rng=rng,
             clock=clock,
         )
-        self.guard = ConnectionGuard(
-            limits=HttpLimits(
-                max_header_bytes=HEADER_BYTES, keepalive_seconds=IDLE_SECONDS
-            )
-        )
         self.subscriber = Subscriber(
             zone=settings.zone,
             deployment=self.deployment,
--- a/poplarlug/relay/face.py
+++ b/poplarlug/relay/face.py
@@ -11,6 +11,7 @@
 from prometheus_client import Counter, Histogram
 from returns.result import Failure, Result, Success
 
+from poplarlug.callers.connections import ConnectionGuard
 from poplarlug.callers.http_sink import HttpSink
 from poplarlug.discovery.subscriber import Deployment
 from poplarlug.errors import GatewayError, bad_request, not_run, to_body
@@ -83,6 +84,8 @@
     ----------
     dialect : Dialect
         Names of the headers.
+    guard : ConnectionGuard
+        Watches the connections on which requests come.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         deployment: Deployment,
         dialect: Dialect,
         admittance: Admittance,
+        guard: ConnectionGuard,
         rng: Random,
         clock: Callable[[], Seconds],
     ) -> None:
@@ -99,6 +103,7 @@
         self._deployment = deployment
         self._dialect = dialect
         self._admittance = admittance
+        self._guard = guard
         self._rng = rng
         self._clock = clock
         self._background: set[asyncio.Task[web.StreamResponse]] = set()
@@ -113,7 +118,9 @@
         return self._build(self._serve_entry)
 
     def _build(self, handler: Handler) -> web.Application:
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[self._guard.middleware]
+        )
         app.router.add_route("*", "/{path:.*}", handler)
         return app
 
