--- /dev/null
+++ b/tests/discovery/test_registry.py
@@ -0,0 +1,156 @@
+"""Tests of a control replica's records of entries and upstreams."""
+
+from unittest import TestCase
+
+from poplarlug.discovery.records import EntryRecord, ServiceUpstream
+from poplarlug.discovery.registry import (
+    ANY_RUN,
+    ENTRY_LIFE_SECONDS,
+    UPSTREAM_BEATS,
+    Records,
+    Registry,
+)
+
+BEAT_SECONDS = 1.2
+BORN = 1_700_000_000_000
+
+
+def make_entry(**fields: object) -> EntryRecord:
+    entry = EntryRecord(
+        name="quito-a-1",
+        region="sierra",
+        zone="quito-a",
+        http="10.0.0.1:80",
+        forwards="10.0.0.1:81",
+        incarnation=5,
+        state="serving",
+    )
+    return entry._replace(**fields)
+
+
+def make_upstream(**fields: object) -> ServiceUpstream:
+    upstream = ServiceUpstream(
+        id="e-1",
+        service="engine",
+        address="10.0.1.1:80",
+        zone="quito-a",
+        born=BORN,
+        sequence=1,
+        slots=8,
+    )
+    return upstream._replace(**fields)
+
+
+class RegistryTests(TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.registry = self.make()
+
+    def make(self) -> Registry:
+        return Registry(clock=lambda: self.now, beat_seconds=BEAT_SECONDS)
+
+    def phase(self) -> str:
+        upstream = self.registry.upstream("e-1")
+        assert upstream is not None
+        return upstream.phase
+
+    def test_beat_that_says_the_same_is_no_news(self) -> None:
+        """Only what others have to know makes a new revision."""
+        self.assertTrue(self.registry.hear(make_upstream()))
+        revision = self.registry.revision.value
+        self.assertFalse(self.registry.hear(make_upstream(sequence=2)))
+        self.assertEqual(self.registry.revision.value, revision)
+
+    def test_late_beat_changes_nothing(self) -> None:
+        """A beat that was overtaken says nothing."""
+        self.registry.hear(make_upstream(sequence=5, phase="leaving"))
+        self.registry.hear(make_upstream(sequence=4))
+        self.assertEqual(self.phase(), "leaving")
+
+    def test_leaving_upstream_never_serves_again(self) -> None:
+        """Neither a later beat nor silence bring a leaving one back."""
+        self.registry.hear(make_upstream(sequence=2, phase="leaving"))
+        self.registry.hear(make_upstream(sequence=3))
+        self.assertEqual(self.phase(), "leaving")
+        self.now += UPSTREAM_BEATS * BEAT_SECONDS + 0.1
+        self.registry.expire()
+        self.registry.hear(make_upstream(sequence=4))
+        self.assertEqual(self.phase(), "gone")
+
+    def test_farewell_ends_the_run_that_is_known(self) -> None:
+        """A farewell names no run; a beat on its way does not undo it."""
+        self.registry.hear(make_upstream())
+        self.registry.hear(make_upstream(born=ANY_RUN, phase="gone", service=""))
+        self.registry.hear(make_upstream(sequence=9))
+        self.assertEqual(self.phase(), "gone")
+
+    def test_new_run_under_the_same_id_serves(self) -> None:
+        """A restarted upstream counts its announcements anew."""
+        self.registry.hear(make_upstream(sequence=50, phase="gone"))
+        self.registry.hear(make_upstream(born=BORN + 1, sequence=1))
+        self.assertEqual(self.phase(), "serving")
+
+    def test_silent_upstream_is_lost_until_it_speaks(self) -> None:
+        """An upstream that was cut off comes back with its next beat."""
+        self.registry.hear(make_upstream())
+        self.now += UPSTREAM_BEATS * BEAT_SECONDS + 0.1
+        self.registry.expire()
+        self.assertEqual(self.phase(), "lost")
+        self.assertEqual(self.registry.present(), Records())
+        self.registry.hear(make_upstream(sequence=2))
+        self.assertEqual(self.phase(), "serving")
+
+    def test_address_belongs_to_the_latest_run(self) -> None:
+        """A delayed beat of the former owner of an address is no upstream."""
+        self.registry.hear(make_upstream())
+        self.registry.hear(make_upstream(id="e-2", born=BORN + 10, service="desk"))
+        self.assertEqual(self.phase(), "gone")
+        late = make_upstream(id="e-0", born=BORN - 10)
+        self.assertFalse(self.registry.hear(late))
+        self.assertIsNone(self.registry.upstream("e-0"))
+
+    def test_silent_entry_is_lost(self) -> None:
+        """An entry that polls no more is named to nobody."""
+        self.registry.hear(make_entry())
+        self.now += ENTRY_LIFE_SECONDS + 0.1
+        self.registry.expire()
+        entry = self.registry.entry("quito-a-1")
+        assert entry is not None
+        self.assertEqual(entry.state, "lost")
+
+    def test_leaving_entry_serves_again_in_its_next_run(self) -> None:
+        """An old message can't undo a stop; a restart does."""
+        self.registry.hear(make_entry(state="leaving"))
+        self.registry.hear(make_entry())
+        entry = self.registry.entry("quito-a-1")
+        assert entry is not None
+        self.assertEqual(entry.state, "leaving")
+        self.registry.hear(make_entry(incarnation=6))
+        entry = self.registry.entry("quito-a-1")
+        assert entry is not None
+        self.assertEqual(entry.state, "serving")
+
+    def test_signs_that_others_heard_keep_a_record(self) -> None:
+        """Tags of another replica count as signs; unknown ones are named."""
+        other = self.make()
+        other.hear(make_upstream())
+        other.hear(make_upstream(id="e-2", address="10.0.1.2:80"))
+        self.registry.hear(make_upstream())
+        self.now += UPSTREAM_BEATS * BEAT_SECONDS - 0.1
+        other.hear(make_upstream(sequence=2))
+        other.hear(make_upstream(id="e-2", address="10.0.1.2:80", sequence=2))
+        unknown = self.registry.touch(other.heard_within(1.0))
+        self.now += 0.2
+        self.registry.expire()
+        self.assertEqual(self.phase(), "serving")
+        self.registry.take(other.by_tag(unknown))
+        self.assertIsNotNone(self.registry.upstream("e-2"))
+
+    def test_missed_change_shows_in_the_tag(self) -> None:
+        """A replica that missed a farewell doesn't know the record's tag."""
+        self.registry.hear(make_upstream())
+        other = self.make()
+        other.hear(make_upstream(sequence=2, phase="leaving"))
+        unknown = self.registry.touch(other.heard_within(1.0))
+        self.registry.take(other.by_tag(unknown))
+        self.assertEqual(self.phase(), "leaving")
--- /dev/null
+++ b/tests/platform_adapter/test_documents.py
@@ -0,0 +1,146 @@
+"""Tests of decoding the platform's documents."""
+
+import json
+from typing import Any
+from unittest import TestCase
+
+from returns.result import Failure, Success
+
+from poplarlug.platform.documents import decode_beat, decode_configuration
+
+ROUTE: dict[str, Any] = {
+    "name": "r-1",
+    "host": "a.example",
+    "path_prefix": "/chat/",
+    "route_kind": "streaming",
+    "timeout_ms": 15000,
+    "target_latency_ms": 500,
+    "priority": 0,
+    "weighted_services": [
+        {"service": "llm", "weight": 90},
+        {"service": "desk", "weight": 10},
+    ],
+    "max_attempts": 2,
+    "sticky": True,
+    "resumable": True,
+    "gap_target_ms": 400,
+    "home_regions": ["costa"],
+}
+ENGINE = {"slots": 128, "kv_capacity_tokens": 1000, "stride": 5, "moves": True}
+BEAT: dict[str, Any] = {
+    "service": "llm",
+    "address": "10.0.0.9:8080",
+    "zone": "quito-a",
+    "version": "v1",
+    "slots": 128,
+    "state": "ready",
+    "cold_left_ms": 1500,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+    "stage": "mixed",
+}
+
+
+def configuration(**fields: Any) -> bytes:
+    document = {
+        "version": 7,
+        "routes": [ROUTE],
+        "services": [
+            {"name": "llm", "warmup_per_s": 2.8, "engine": ENGINE},
+            {"name": "desk", "health_path": "/healthz"},
+        ],
+        "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 15000},
+    }
+    return json.dumps(document | fields).encode()
+
+
+class DecodeConfigurationTests(TestCase):
+    def problems(self, body: bytes) -> list[str]:
+        decoded = decode_configuration(body)
+        assert isinstance(decoded, Failure)
+        return [problem.path for problem in decoded.failure()]
+
+    def test_document_becomes_a_table(self) -> None:
+        """Milliseconds become seconds and misnamed fields what they hold."""
+        table = decode_configuration(configuration()).unwrap()
+        route = table.routes[0]
+        self.assertEqual(table.version, 7)
+        self.assertEqual(route.timeout_seconds, 15.0)
+        self.assertEqual(route.objective_seconds, 0.5)
+        self.assertEqual([s.weight for s in route.services], [90.0, 10.0])
+        self.assertTrue(route.prompts and route.is_repeatable)
+        self.assertEqual(route.home_regions, ("costa",))
+        engine = table.services[0].engine
+        assert engine is not None
+        self.assertEqual(engine.tokens_per_event, 5)
+        self.assertEqual(table.limits.max_body_bytes, 1000)
+
+    def test_one_service_needs_no_weight(self) -> None:
+        """A route that names one service sends everything there."""
+        route = {k: v for k, v in ROUTE.items() if k != "weighted_services"}
+        body = configuration(routes=[route | {"service": "desk"}])
+        table = decode_configuration(body).unwrap()
+        self.assertEqual(table.routes[0].services[0].service, "desk")
+
+    def test_cut_document_is_refused(self) -> None:
+        """A document that ends early is no configuration, wherever it is cut."""
+        body = configuration()
+        for end in range(0, len(body), 37):
+            with self.subTest(end=end):
+                self.assertEqual(self.problems(body[:end]), ["$"])
+
+    def test_invalid_documents_name_their_place(self) -> None:
+        """Each kind of invalid configuration is refused with its path."""
+        unknown = ROUTE | {"weighted_services": [{"service": "x", "weight": 1}]}
+        weightless = ROUTE | {"weighted_services": [{"service": "llm", "weight": 0}]}
+        cases = {
+            "$.routes[0].services": [unknown],
+            "$.routes[1].path_prefix": [ROUTE, ROUTE | {"name": "r-2"}],
+            "$.routes[0].timeout_seconds": [ROUTE | {"timeout_ms": 0}],
+        }
+        for path, routes in cases.items():
+            with self.subTest(path=path):
+                self.assertEqual(self.problems(configuration(routes=routes)), [path])
+        self.assertIn(
+            "$.routes[0].services", self.problems(configuration(routes=[weightless]))
+        )
+
+    def test_wrong_types_are_refused(self) -> None:
+        """A field of another type makes the whole document invalid."""
+        self.assertEqual(self.problems(configuration(version="seven")), ["$"])
+        self.assertEqual(self.problems(configuration(routes=[{}])), ["$"])
+
+
+class DecodeBeatTests(TestCase):
+    def decode(self, **fields: Any) -> object:
+        return decode_beat("e-1", json.dumps(BEAT | fields).encode())
+
+    def test_beat_becomes_an_upstream(self) -> None:
+        """States and times are decoded; fields of no use are left out."""
+        upstream = decode_beat("e-1", json.dumps(BEAT).encode()).unwrap()
+        self.assertEqual(upstream.phase, "serving")
+        self.assertEqual(upstream.cold_seconds, 1.5)
+        self.assertEqual(upstream.born, 1_700_000_000_000)
+
+    def test_draining_upstream_is_leaving(self) -> None:
+        """One that is taken away says how long it has."""
+        decoded = self.decode(state="draining", remaining_ms=2000)
+        assert isinstance(decoded, Success)
+        self.assertEqual(decoded.unwrap().phase, "leaving")
+        self.assertEqual(decoded.unwrap().ends_in_seconds, 2.0)
+
+    def test_words_of_another_writer_name_no_upstream(self) -> None:
+        """Missing fields, other types and unknown states are refused."""
+        for fields in (
+            {"state": "resting"},
+            {"address": "nowhere"},
+            {"slots": "many"},
+            {"slots": 0},
+            {"sequence": None},
+            {"born": 1.5},
+        ):
+            with self.subTest(fields=fields):
+                self.assertIsInstance(self.decode(**fields), Failure)
+        missing = {k: v for k, v in BEAT.items() if k != "zone"}
+        self.assertIsInstance(decode_beat("e-1", json.dumps(missing).encode()), Failure)
+        self.assertIsInstance(decode_beat("e-1", b"\xff\x00{"), Failure)
--- /dev/null
+++ b/tests/relay/test_budgets.py
@@ -0,0 +1,67 @@
+"""Tests of an entry's shares of common budgets."""
+
+from unittest import TestCase
+
+from poplarlug.relay.budgets import (
+    RetryBudget,
+    RetryLimits,
+    WarmupBudget,
+    WarmupLimits,
+)
+
+LIMITS = RetryLimits(ratio=0.2, extra=56, window_seconds=10.0)
+
+
+class RetryBudgetTests(TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+
+    def test_all_entries_together_stay_within_the_bound(self) -> None:
+        """Eight entries that repeat all they can spend less than the whole."""
+        budgets = [RetryBudget(limits=LIMITS, clock=lambda: self.now) for _ in range(8)]
+        requests = 0
+        repeats = 0
+        for tick in range(300):
+            self.now = tick / 10
+            for budget in budgets:
+                budget.note_request()
+                requests += 1
+                repeats += budget.take(len(budgets))
+        windows = 30 / LIMITS.window_seconds
+        bound = LIMITS.ratio * requests + LIMITS.extra * windows
+        self.assertLessEqual(repeats, bound)
+        self.assertGreater(repeats, bound / 3)
+
+    def test_half_of_the_entries_out_of_sight_stay_within_the_bound(self) -> None:
+        """A share that counts only half of the entries still holds."""
+        budgets = [RetryBudget(limits=LIMITS, clock=lambda: self.now) for _ in range(8)]
+        repeats = sum(budget.take(6) for budget in budgets for _ in range(100))
+        self.assertLessEqual(repeats, LIMITS.extra)
+
+
+class WarmupBudgetTests(TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+
+    def sends_a_second(self, entries: int) -> int:
+        budgets = [
+            WarmupBudget(limits=WarmupLimits(), clock=lambda: self.now)
+            for _ in range(entries)
+        ]
+        sends = []
+        for tick in range(400):
+            self.now = tick / 100
+            for position, budget in enumerate(budgets):
+                if budget.allows(rate=2.8, entries=entries, position=position):
+                    budget.note_sent()
+                    sends.append(self.now)
+        return max(sum(at <= s < at + 1.0 for s in sends) for at in sends)
+
+    def test_entries_together_stay_within_the_bound(self) -> None:
+        """In any second a cold upstream gets its rate, however many entries ask."""
+        bound = 2.8 * 1.5 + 3.0
+        for entries in (1, 3, 20):
+            with self.subTest(entries=entries):
+                sends = self.sends_a_second(entries)
+                self.assertLessEqual(sends, bound)
+                self.assertGreaterEqual(sends, int(bound))
--- /dev/null
+++ b/tests/relay/test_waiting.py
@@ -0,0 +1,47 @@
+"""Tests of the line of waiting requests."""
+
+from unittest import TestCase
+
+from poplarlug.relay.waiting import (
+    MAX_RETRY_SECONDS,
+    MIN_RETRY_SECONDS,
+    WaitingLine,
+    retry_after,
+)
+
+
+class WaitingLineTests(TestCase):
+    def test_urgent_goes_before_patient_and_sooner_before_later(self) -> None:
+        """Rank comes first, then the end of the objective, then arrival."""
+        line = WaitingLine()
+        patient = line.join((2, 1.0), 9.0)
+        later = line.join((0, 3.0), 9.0)
+        sooner = line.join((0, 2.0), 9.0)
+        same = line.join((0, 2.0), 9.0)
+        self.assertEqual(line.in_order(), (sooner, same, later, patient))
+
+    def test_position_counts_those_that_go_before(self) -> None:
+        """A newcomer waits for what is more urgent only."""
+        line = WaitingLine()
+        for rank in (0, 0, 2):
+            line.join((rank, 1.0), 9.0)
+        self.assertEqual(line.position((1, 0.5)), 2)
+        self.assertAlmostEqual(line.expected_wait((1, 0.5), 0.1), 0.3)
+
+    def test_one_that_left_is_in_nobodys_way(self) -> None:
+        """A caller that is gone leaves the line at once; twice does no harm."""
+        line = WaitingLine()
+        first = line.join((0, 1.0), 9.0)
+        second = line.join((0, 2.0), 9.0)
+        line.leave(first)
+        line.leave(first)
+        self.assertEqual(line.in_order(), (second,))
+
+
+class RetryAfterTests(TestCase):
+    def test_is_the_wait_within_a_third_of_the_time(self) -> None:
+        """Callers come back while it still helps them."""
+        self.assertEqual(retry_after(0.4, 6.0), 0.4)
+        self.assertAlmostEqual(retry_after(5.0, 1.2), 0.4)
+        self.assertEqual(retry_after(5.0, 60.0), MAX_RETRY_SECONDS)
+        self.assertEqual(retry_after(0.0, 6.0), MIN_RETRY_SECONDS)
