Place requests by expected loss: lateness, pauses of other streams, rereads

Cause: chats of a region came late not by their first event but by pauses of over 400 ms. A step of an engine holds a chunk of the prompt being read; five steps make an event, and with a long context such a step takes 80 ms and more. So every long prompt made all streams of its engine late. Entries also chose different engines for the same shared parts.

Now a place is rated by the share of worth that is lost there: the request's own lateness, the streams that a long prompt makes pause, shared tokens read again. Loads are told as milliseconds to read and long prompts, not tokens. Where no holder is known, all entries prefer the same upstream for a part.

Ruled out: full slots (of 128 at most 40 were taken), preemption (0).

The replay beside least-running stands in tests/relay/test_placement.py.

--- a/poplarlug/discovery/records.py
+++ b/poplarlug/discovery/records.py
@@ -114,21 +114,24 @@
 
 class UpstreamLoad(NamedTuple):
     """
-    What one entry has running at an upstream.
+    What entries have running at an upstream.
 
     Parameters
     ----------
     running : int
         Requests sent and not yet answered whole.
-    prefill_tokens : int
-        Prompt tokens of those that have no first event yet.
+    long : int
+        Those of them whose prompts were long to read.
+    read_ms : int
+        Milliseconds of prompts that have no first event yet, at nominal speed.
     kv_tokens : int
         Tokens that all of them will hold in the upstream's memory.
     """
 
     id: UpstreamId
-    running: int
-    prefill_tokens: int = 0
+    running: int = 0
+    long: int = 0
+    read_ms: int = 0
     kv_tokens: int = 0
 
 
@@ -141,15 +144,15 @@
     upstreams : int
         Upstreams that take requests.
     slots : int
-        Requests that its upstreams run at a time.
+        Requests that they run at a time.
     running : int
         Requests that run there now.
     waiting : int
         Requests that wait at its entries.
-    prefill_tokens : int
-        Prompt tokens that its upstreams still have to read.
-    kv_tokens : int
-        Tokens of running requests in its upstreams' memory.
+    calm : UpstreamLoad
+        The upstream with the fewest streams beside long prompts.
+    quick : UpstreamLoad
+        The upstream with the fewest long prompts and the least to read.
     """
 
     region: RegionName
@@ -158,8 +161,8 @@
     slots: int = 0
     running: int = 0
     waiting: int = 0
-    prefill_tokens: int = 0
-    kv_tokens: int = 0
+    calm: UpstreamLoad = UpstreamLoad("")
+    quick: UpstreamLoad = UpstreamLoad("")
 
 
 def _hash(text: str) -> int:
--- a/poplarlug/discovery/region_loads.py
+++ b/poplarlug/discovery/region_loads.py
@@ -1,6 +1,6 @@
 """Sums of what entries have running: for each upstream and for each region."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from poplarlug.discovery.messages import EntryLoads
@@ -71,14 +71,8 @@
 
     def of_others(self, entry: VmName) -> tuple[UpstreamLoad, ...]:
         """Return what all entries of the region but one have running."""
-        sums: dict[UpstreamId, UpstreamLoad] = {}
-        for name, told in self._fresh().items():
-            if name == entry:
-                continue
-            for load in told.loads.loads:
-                held = sums.get(load.id, UpstreamLoad(load.id, 0))
-                sums[load.id] = _add(held, load)
-        return tuple(sums.values())
+        told = [one for name, one in self._fresh().items() if name != entry]
+        return tuple(_sum_by_id(told).values())
 
     def other_regions(self) -> tuple[RegionLoad, ...]:
         """Return the loads of other regions that are not too old."""
@@ -89,40 +83,39 @@
         self, upstreams: Iterable[ServiceUpstream]
     ) -> tuple[RegionLoad, ...]:
         """Return the own region's loads for each service of ``upstreams``."""
-        sums: dict[ServiceName, RegionLoad] = {}
-        services_by_id: dict[UpstreamId, ServiceName] = {}
+        loads_by_id = _sum_by_id(self._fresh().values())
+        serving: dict[ServiceName, list[ServiceUpstream]] = {}
         for upstream in upstreams:
-            if self._regions_by_zone.get(upstream.zone) != self._region:
-                continue
-            services_by_id[upstream.id] = upstream.service
-            load = self._sum_of(sums, upstream.service)
-            if upstream.phase == "serving":
-                load = load._replace(
-                    upstreams=load.upstreams + 1, slots=load.slots + upstream.slots
-                )
-            sums[upstream.service] = load
-        for told in self._fresh().values():
-            for part in told.loads.loads:
-                service = services_by_id.get(part.id)
-                if service is None:
-                    continue
-                load = self._sum_of(sums, service)
-                sums[service] = load._replace(
-                    running=load.running + part.running,
-                    prefill_tokens=load.prefill_tokens + part.prefill_tokens,
-                    kv_tokens=load.kv_tokens + part.kv_tokens,
-                )
-            for count in told.loads.waiting:
-                load = self._sum_of(sums, count.service)
-                sums[count.service] = load._replace(
-                    waiting=load.waiting + count.waiting
-                )
-        return tuple(sums.values())
-
-    def _sum_of(
-        self, sums: Mapping[ServiceName, RegionLoad], service: ServiceName
+            is_own = self._regions_by_zone.get(upstream.zone) == self._region
+            if is_own and upstream.phase == "serving":
+                serving.setdefault(upstream.service, []).append(upstream)
+        return tuple(
+            self._region_load(service, members, loads_by_id)
+            for service, members in serving.items()
+        )
+
+    def _region_load(
+        self,
+        service: ServiceName,
+        upstreams: Sequence[ServiceUpstream],
+        loads_by_id: Mapping[UpstreamId, UpstreamLoad],
     ) -> RegionLoad:
-        return sums.get(service, RegionLoad(self._region, service))
+        loads = [loads_by_id.get(u.id, UpstreamLoad(u.id)) for u in upstreams]
+        return RegionLoad(
+            region=self._region,
+            service=service,
+            upstreams=len(upstreams),
+            slots=sum(upstream.slots for upstream in upstreams),
+            running=sum(load.running for load in loads),
+            waiting=sum(
+                count.waiting
+                for told in self._fresh().values()
+                for count in told.loads.waiting
+                if count.service == service
+            ),
+            calm=min(loads, key=lambda load: (load.running - load.long, load.read_ms)),
+            quick=min(loads, key=lambda load: (load.long, load.read_ms)),
+        )
 
     def _fresh(self) -> dict[VmName, _Told]:
         oldest = self._clock() - ENTRY_LOADS_LIFE_SECONDS
@@ -134,10 +127,20 @@
         return self._told_by_entry
 
 
+def _sum_by_id(told: Iterable[_Told]) -> dict[UpstreamId, UpstreamLoad]:
+    sums: dict[UpstreamId, UpstreamLoad] = {}
+    for one in told:
+        for load in one.loads.loads:
+            held = sums.get(load.id)
+            sums[load.id] = load if held is None else _add(held, load)
+    return sums
+
+
 def _add(one: UpstreamLoad, other: UpstreamLoad) -> UpstreamLoad:
     return UpstreamLoad(
         one.id,
         one.running + other.running,
-        one.prefill_tokens + other.prefill_tokens,
+        one.long + other.long,
+        one.read_ms + other.read_ms,
         one.kv_tokens + other.kv_tokens,
     )
--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -124,12 +124,16 @@
             and noted.record.zone not in self.evacuated_zones
         ]
 
-    def region_has(self, region: RegionName, service: str) -> bool:
-        """Return whether another region's entries see upstreams of a service."""
-        return any(
-            load.region == region and load.service == service and load.slots > 0
-            for load in self.region_loads
-        )
+    def serving_regions(self, service: str) -> dict[UpstreamId, RegionName]:
+        """Return the regions of all upstreams of a service that take requests."""
+        return {
+            upstream_id: self._regions_by_zone[noted.record.zone]
+            for upstream_id, noted in self._upstreams_by_id.items()
+            if noted.record.service == service
+            and noted.record.phase == "serving"
+            and noted.record.zone in self._regions_by_zone
+            and noted.record.zone not in self.evacuated_zones
+        }
 
     def entries_of(self, region: RegionName) -> list[EntryRecord]:
         """Return the entries of a region that take requests."""
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -8,12 +8,19 @@
 import xxhash
 from returns.result import Failure, Result, Success
 
-from poplarlug.discovery.records import EntryRecord, ServiceUpstream
+from poplarlug.discovery.records import EntryRecord, RegionLoad, ServiceUpstream
 from poplarlug.discovery.subscriber import Deployment
 from poplarlug.errors import GatewayError, not_run, overloaded
+from poplarlug.relay.affinity import (
+    Affinity,
+    Holders,
+    preferred_upstream,
+    shared_tokens,
+)
 from poplarlug.relay.budgets import WarmupBudget, WarmupLimits
-from poplarlug.relay.engine_model import DEFAULT_PREFILL_TOKENS_PER_SECOND, EngineLoad
+from poplarlug.relay.engine_model import EngineLoad, read_seconds
 from poplarlug.relay.in_flight import Flight, InFlight
+from poplarlug.relay.part_cache import PartCache
 from poplarlug.relay.placement import (
     Away,
     Candidate,
@@ -39,8 +46,8 @@
 MIN_RUN_SECONDS = 0.05
 """A request with less time left can't be answered."""
 
-MAX_REGION_UPSTREAMS = 64
-"""Upstreams that the sums of another region are divided by, at most."""
+REGION_CACHE_TOKENS = 400_000
+"""Cached tokens that an entry counts on in another region; two engines hold more."""
 
 
 class LocalPlace(NamedTuple):
@@ -49,7 +56,8 @@
     upstream: ServiceUpstream
     flight: Flight
     expected_seconds: Seconds
-    ahead_tokens: int
+    ahead_ms: int
+    loss: float
 
 
 class FarPlace(NamedTuple):
@@ -57,6 +65,7 @@
 
     entry: EntryRecord
     expected_seconds: Seconds
+    loss: float
 
 
 Place: TypeAlias = LocalPlace | FarPlace
@@ -115,6 +124,7 @@
         self._clock = clock
         self._warmups_by_id: dict[UpstreamId, WarmupBudget] = {}
         self._lines_by_service: dict[ServiceName, _Line] = {}
+        self._caches_by_region: dict[RegionName, PartCache] = {}
         self._avoided_until_by_entry: dict[VmName, Seconds] = {}
 
     async def run(self) -> None:
@@ -221,9 +231,10 @@
         )
         if service is None:
             return Nothing()
-        candidates = self._candidates(request, service, tried)
         demand = self._demand(request, tried)
-        regions = self._regions(request) if demand.may_forward else []
+        affinity = self._affinity(request, demand) if service.engine else None
+        candidates = self._candidates(request, service, tried, affinity)
+        regions = self._regions(request, affinity) if demand.may_forward else []
         return self._resolve(request, service, tried, demand, candidates, regions)
 
     def _resolve(
@@ -239,7 +250,8 @@
         if isinstance(placement, Away):
             entry = self._entry_of(placement.region, tried)
             if entry is not None:
-                return FarPlace(entry, placement.expected_seconds)
+                self._cache_of(placement.region).used(request.prompt)
+                return FarPlace(entry, placement.expected_seconds, placement.loss)
             others = [r for r in regions if r.region != placement.region]
             return self._resolve(request, service, tried, demand, candidates, others)
         if not isinstance(placement, Local):
@@ -249,60 +261,126 @@
         if self._is_cold(upstream):
             self._warmup_of(upstream.id).note_sent()
         flight = self._in_flight.started(upstream, service.engine, request)
+        ahead = next(c.load.read_ms for c in candidates if c.id == upstream.id)
         return LocalPlace(
-            upstream, flight, placement.expected_seconds, placement.ahead_tokens
+            upstream, flight, placement.expected_seconds, ahead, placement.loss
+        )
+
+    def _affinity(self, request: RelayRequest, demand: Demand) -> Affinity:
+        prompt = request.prompt
+        regions_by_id = self._deployment.serving_regions(request.service)
+        usable = [
+            upstream_id
+            for upstream_id, region in regions_by_id.items()
+            if request.route.allows(region)
+            and (demand.may_forward or region == self._deployment.own_region)
+        ]
+        holders = Holders(
+            {
+                upstream_id: self._in_flight.cached_shared_tokens(upstream_id, prompt)
+                for upstream_id in usable
+            },
+            {
+                region: cache.hit_tokens(prompt, last=False)
+                for region, cache in self._caches_by_region.items()
+                if demand.may_forward
+            },
         )
+        preferred = preferred_upstream(prompt, usable)
+        return Affinity(holders, shared_tokens(prompt), preferred)
 
     def _candidates(
-        self, request: RelayRequest, service: RoutedService, tried: Tried
+        self,
+        request: RelayRequest,
+        service: RoutedService,
+        tried: Tried,
+        affinity: Affinity | None,
     ) -> list[Candidate]:
-        engine = service.engine
-        candidates = []
         upstreams = self._deployment.serving(service.name)
         self._rng.shuffle(upstreams)
-        for upstream in upstreams:
-            if upstream.id in tried.upstreams or not self._bears(upstream, service):
-                continue
-            candidates.append(
-                Candidate(
-                    id=upstream.id,
-                    load=self._in_flight.load(upstream.id),
-                    slots=upstream.slots,
-                    kv_capacity=0 if engine is None else engine.kv_capacity_tokens,
-                    new_tokens=self._in_flight.new_tokens(upstream.id, request),
-                    rate=self._in_flight.rate(upstream.id),
-                    avoided=self._in_flight.is_avoided(upstream.id),
-                )
-            )
-        return candidates
+        return [
+            self._candidate(request, service, upstream.id, upstream.slots, affinity)
+            for upstream in upstreams
+            if upstream.id not in tried.upstreams and self._bears(upstream, service)
+        ]
+
+    def _candidate(
+        self,
+        request: RelayRequest,
+        service: RoutedService,
+        upstream_id: UpstreamId,
+        slots: int,
+        affinity: Affinity | None,
+    ) -> Candidate:
+        candidate = Candidate(
+            id=upstream_id,
+            load=self._in_flight.load(upstream_id),
+            slots=slots,
+            avoided=self._in_flight.is_avoided(upstream_id),
+        )
+        if service.engine is None or affinity is None:
+            return candidate
+        cached = self._in_flight.cached_tokens(upstream_id, request.prompt)
+        held = affinity.holders.by_upstream.get(upstream_id, 0)
+        is_preferred = upstream_id == affinity.preferred
+        return candidate._replace(
+            kv_capacity=service.engine.kv_capacity_tokens,
+            read_seconds=read_seconds(max(0, request.prompt.tokens - cached), cached),
+            reread_tokens=affinity.reread_tokens(held, is_preferred),
+            speed=self._in_flight.speed(upstream_id),
+        )
 
     def _demand(self, request: RelayRequest, tried: Tried) -> Demand:
         now = self._clock()
         prompt = request.prompt
-        own_region = self._deployment.own_region
+        objective = request.route.objective_seconds
         return Demand(
             kv_tokens=prompt.tokens + prompt.max_tokens if request.route.prompts else 0,
-            prompt_tokens=prompt.tokens,
-            objective_seconds=request.arrived + request.route.objective_seconds - now,
-            deadline_seconds=request.deadline - now,
+            objective_seconds=request.arrived + objective - now,
+            whole_objective_seconds=objective,
             may_forward=request.hops == 0 and tried.may_forward,
-            must_forward=not request.route.allows(own_region),
+            must_forward=not request.route.allows(self._deployment.own_region),
         )
 
-    def _regions(self, request: RelayRequest) -> list[RemoteRegion]:
+    def _regions(
+        self, request: RelayRequest, affinity: Affinity | None
+    ) -> list[RemoteRegion]:
         return [
-            RemoteRegion(
-                region=load.region,
-                load=EngineLoad(load.running, load.prefill_tokens, load.kv_tokens),
-                slots=load.slots,
-                waiting=load.waiting,
-                upstreams=min(MAX_REGION_UPSTREAMS, max(1, load.upstreams)),
-                rate=DEFAULT_PREFILL_TOKENS_PER_SECOND,
-            )
+            self._region(request, load, affinity)
             for load in self._deployment.region_loads
             if load.service == request.service and request.route.allows(load.region)
         ]
 
+    def _region(
+        self, request: RelayRequest, load: RegionLoad, affinity: Affinity | None
+    ) -> RemoteRegion:
+        region = RemoteRegion(
+            region=load.region,
+            slots=load.slots,
+            running=load.running,
+            waiting=load.waiting,
+            calm=EngineLoad(*load.calm[1:]),
+            quick=EngineLoad(*load.quick[1:]),
+        )
+        if affinity is None:
+            return region
+        prompt = request.prompt
+        cached = self._cache_of(load.region).hit_tokens(prompt)
+        held = affinity.holders.by_region.get(load.region, 0)
+        regions_by_id = self._deployment.serving_regions(request.service)
+        is_preferred = regions_by_id.get(affinity.preferred or "") == load.region
+        return region._replace(
+            read_seconds=read_seconds(max(0, prompt.tokens - cached), cached),
+            reread_tokens=affinity.reread_tokens(held, is_preferred),
+        )
+
+    def _cache_of(self, region: RegionName) -> PartCache:
+        cache = self._caches_by_region.get(region)
+        if cache is None:
+            cache = PartCache(capacity_tokens=REGION_CACHE_TOKENS, clock=self._clock)
+            self._caches_by_region[region] = cache
+        return cache
+
     def _entry_of(self, region: RegionName, tried: Tried) -> EntryRecord | None:
         now = self._clock()
         entries = [
--- a/poplarlug/relay/engine_model.py
+++ b/poplarlug/relay/engine_model.py
@@ -1,22 +1,30 @@
-"""How long a model engine takes: reading a prompt, and each step of a batch."""
+"""How long a model engine takes to read a prompt, and what else it has to do."""
 
 from typing import NamedTuple
 
 from poplarlug.types import Seconds
 
-DEFAULT_PREFILL_TOKENS_PER_SECOND = 38_000.0
+PREFILL_TOKENS_PER_SECOND = 40_000.0
 """Engines of the deployments read 38 to 52 prompt tokens a millisecond."""
 
-MIN_RATE_TOKENS_PER_SECOND = 4_000.0
-MAX_RATE_TOKENS_PER_SECOND = 200_000.0
-RATE_WEIGHT = 0.1
-"""Weight of one measured answer in the running mean of an engine's rate."""
+SECONDS_PER_PAIR = 1.2e-9
+"""Attention: each token that is read looks at all before it; the deployments'
+engines take 1.2 ms for a million such pairs."""
 
 FIRST_EVENT_SECONDS = 0.045
 """From a prompt that is read to the first event at the entry, at an idle engine."""
 
-MEASURED_TOKENS = 1_000
-"""Shorter prompts tell nothing of the rate beside the fixed time."""
+LONG_READ_SECONDS = 0.12
+"""A prompt that takes longer fills several steps of a batch in a row, so that all
+other streams of the engine pause."""
+
+SPEED_WEIGHT = 0.1
+"""Weight of one measured answer in the running mean of an engine's speed."""
+
+MIN_SPEED = 0.1
+MAX_SPEED = 2.0
+MEASURED_SECONDS = 0.05
+"""Shorter work tells nothing of the speed beside the fixed time."""
 
 
 class EngineLoad(NamedTuple):
@@ -27,32 +35,53 @@
     ----------
     running : int
         Requests in its batch or its queue.
-    prefill_tokens : int
-        Prompt tokens still to be read before a new request's.
+    long : int
+        Those of them whose prompts were long to read.
+    read_ms : int
+        Milliseconds of prompts that are still to be read, at nominal speed.
     kv_tokens : int
         Tokens that running requests will hold.
     """
 
     running: int = 0
-    prefill_tokens: int = 0
+    long: int = 0
+    read_ms: int = 0
     kv_tokens: int = 0
 
+    def plus(self, other: "EngineLoad") -> "EngineLoad":
+        return EngineLoad(
+            self.running + other.running,
+            self.long + other.long,
+            self.read_ms + other.read_ms,
+            self.kv_tokens + other.kv_tokens,
+        )
 
-class PrefillRate:
-    """Running mean of the rate at which one engine reads prompts."""
 
-    def __init__(self) -> None:
-        self.tokens_per_second = DEFAULT_PREFILL_TOKENS_PER_SECOND
+def read_seconds(new_tokens: int, cached_tokens: int) -> Seconds:
+    """
+    Return how long an idle engine of nominal speed reads a prompt.
+
+    Parameters
+    ----------
+    new_tokens : int
+        Tokens that its cache lacks.
+    cached_tokens : int
+        Tokens before them that it holds.
+    """
+    pairs = new_tokens * (cached_tokens + new_tokens / 2)
+    return new_tokens / PREFILL_TOKENS_PER_SECOND + pairs * SECONDS_PER_PAIR
 
-    def measured(self, *, tokens: int, seconds: Seconds) -> None:
-        """Take in how long ``tokens`` took, queue included."""
-        if tokens < MEASURED_TOKENS or seconds <= FIRST_EVENT_SECONDS:
-            return
-        rate = tokens / (seconds - FIRST_EVENT_SECONDS)
-        rate = min(MAX_RATE_TOKENS_PER_SECOND, max(MIN_RATE_TOKENS_PER_SECOND, rate))
-        self.tokens_per_second += RATE_WEIGHT * (rate - self.tokens_per_second)
 
+class EngineSpeed:
+    """Running mean of an engine's speed against the nominal one."""
 
-def first_event_seconds(load: EngineLoad, new_tokens: int, rate: float) -> Seconds:
-    """Return when a new request's first event comes, from now."""
-    return (load.prefill_tokens + new_tokens) / rate + FIRST_EVENT_SECONDS
+    def __init__(self) -> None:
+        self.factor = 1.0
+
+    def measured(self, *, expected: Seconds, seconds: Seconds) -> None:
+        """Take in that work of ``expected`` seconds took ``seconds``, queue included."""
+        if expected < MEASURED_SECONDS or seconds <= FIRST_EVENT_SECONDS:
+            return
+        factor = expected / (seconds - FIRST_EVENT_SECONDS)
+        factor = min(MAX_SPEED, max(MIN_SPEED, factor))
+        self.factor += SPEED_WEIGHT * (factor - self.factor)
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -194,8 +194,9 @@
             now,
             upstream=upstream.id,
             running=self._in_flight.load(upstream.id).running,
-            ahead=placed.ahead_tokens,
-            new=placed.flight.new_tokens,
+            ahead_ms=placed.ahead_ms,
+            read_ms=placed.flight.read_ms,
+            loss=round(placed.loss, 3),
             expected_ms=round(placed.expected_seconds * 1000),
             view_age_ms=round(self._deployment.age_seconds * 1000),
         )
@@ -245,7 +246,7 @@
             if refused is not None:
                 return refused
             self._in_flight.first_event(
-                placed.flight, ahead=placed.ahead_tokens, seconds=now - started
+                placed.flight, ahead_ms=placed.ahead_ms, seconds=now - started
             )
             return await self._pass_on(request, response, sink)
         finally:
@@ -335,6 +336,7 @@
             started,
             entry=entry.name,
             region=entry.region,
+            loss=round(placed.loss, 3),
             expected_ms=round(placed.expected_seconds * 1000),
             view_age_ms=round(self._deployment.age_seconds * 1000),
         )
--- a/poplarlug/relay/in_flight.py
+++ b/poplarlug/relay/in_flight.py
@@ -3,9 +3,14 @@
 from collections.abc import Callable, Iterable
 
 from poplarlug.discovery.records import ServiceUpstream, UpstreamLoad
-from poplarlug.relay.engine_model import EngineLoad, PrefillRate
+from poplarlug.relay.engine_model import (
+    LONG_READ_SECONDS,
+    EngineLoad,
+    EngineSpeed,
+    read_seconds,
+)
 from poplarlug.relay.part_cache import PartCache
-from poplarlug.relay.requests import RelayRequest
+from poplarlug.relay.requests import Prompt, RelayRequest
 from poplarlug.routes import Engine
 from poplarlug.types import Seconds, UpstreamId
 
@@ -20,10 +25,11 @@
     """One request at one upstream, until :meth:`InFlight.ended`."""
 
     def __init__(
-        self, *, upstream_id: UpstreamId, request: RelayRequest, new_tokens: int
+        self, *, upstream_id: UpstreamId, request: RelayRequest, read: Seconds
     ) -> None:
         self.upstream_id = upstream_id
-        self.new_tokens = new_tokens
+        self.read_ms = round(read * 1000)
+        self.is_long = read > LONG_READ_SECONDS
         self.kv_tokens = request.prompt.tokens + request.prompt.max_tokens
         self.has_first_event = False
 
@@ -32,7 +38,7 @@
     def __init__(self, *, cache: PartCache) -> None:
         self.flights: set[Flight] = set()
         self.cache = cache
-        self.rate = PrefillRate()
+        self.speed = EngineSpeed()
         self.failures = 0
         self.avoided_until = float("-inf")
         self.cold_until = float("-inf")
@@ -60,14 +66,9 @@
 
     def load(self, upstream_id: UpstreamId) -> EngineLoad:
         """Return the own and the others' load of an upstream."""
-        at = self._at_by_id.get(upstream_id)
-        running, prefill, kv = self._own(at)
+        own = self._own(self._at_by_id.get(upstream_id))
         other = self._others(upstream_id)
-        if other is not None:
-            running += other.running
-            prefill += other.prefill_tokens
-            kv += other.kv_tokens
-        return EngineLoad(running, prefill, kv)
+        return own if other is None else own.plus(EngineLoad(*other[1:]))
 
     def own_running(self, upstream_id: UpstreamId) -> int:
         at = self._at_by_id.get(upstream_id)
@@ -81,16 +82,20 @@
             if at.flights
         )
 
-    def rate(self, upstream_id: UpstreamId) -> float:
-        """Return how many prompt tokens a second an upstream reads."""
+    def speed(self, upstream_id: UpstreamId) -> float:
+        """Return an upstream's speed against the nominal one."""
+        at = self._at_by_id.get(upstream_id)
+        return 1.0 if at is None else at.speed.factor
+
+    def cached_tokens(self, upstream_id: UpstreamId, prompt: Prompt) -> int:
+        """Return how many tokens of a prompt an upstream probably holds."""
         at = self._at_by_id.get(upstream_id)
-        return (PrefillRate() if at is None else at.rate).tokens_per_second
+        return 0 if at is None else at.cache.hit_tokens(prompt)
 
-    def new_tokens(self, upstream_id: UpstreamId, request: RelayRequest) -> int:
-        """Return how many prompt tokens an upstream would have to read."""
+    def cached_shared_tokens(self, upstream_id: UpstreamId, prompt: Prompt) -> int:
+        """Return the same without the request's own part."""
         at = self._at_by_id.get(upstream_id)
-        hit = 0 if at is None else at.cache.hit_tokens(request.prompt)
-        return max(0, request.prompt.tokens - hit)
+        return 0 if at is None else at.cache.hit_tokens(prompt, last=False)
 
     def is_avoided(self, upstream_id: UpstreamId) -> bool:
         """Return whether an upstream failed lately."""
@@ -107,30 +112,29 @@
     ) -> Flight:
         """Note that ``request`` is on its way to ``upstream``."""
         at = self._at(upstream.id, engine)
-        flight = Flight(
-            upstream_id=upstream.id,
-            request=request,
-            new_tokens=self.new_tokens(upstream.id, request),
-        )
+        cached = at.cache.hit_tokens(request.prompt)
+        read = read_seconds(max(0, request.prompt.tokens - cached), cached)
+        flight = Flight(upstream_id=upstream.id, request=request, read=read)
         at.flights.add(flight)
         at.cache.used(request.prompt)
         return flight
 
-    def first_event(self, flight: Flight, *, ahead: int, seconds: Seconds) -> None:
+    def first_event(self, flight: Flight, *, ahead_ms: int, seconds: Seconds) -> None:
         """
         Note a flight's first event.
 
         Parameters
         ----------
-        ahead : int
-            Prompt tokens that were to be read before its own.
+        ahead_ms : int
+            Milliseconds of prompts that were to be read before its own.
         seconds : float
             Time since it was sent.
         """
         flight.has_first_event = True
         at = self._at_by_id.get(flight.upstream_id)
         if at is not None:
-            at.rate.measured(tokens=flight.new_tokens + ahead, seconds=seconds)
+            expected = (flight.read_ms + ahead_ms) / 1000
+            at.speed.measured(expected=expected, seconds=seconds)
 
     def ended(self, flight: Flight, *, failed: bool) -> None:
         """Note the end of a flight; an upstream that fails is avoided for a while."""
@@ -167,8 +171,12 @@
             at = self._at_by_id[upstream_id] = _AtUpstream(cache=cache)
         return at
 
-    def _own(self, at: _AtUpstream | None) -> tuple[int, int, int]:
+    def _own(self, at: _AtUpstream | None) -> EngineLoad:
         if at is None:
-            return 0, 0, 0
-        prefill = sum(f.new_tokens for f in at.flights if not f.has_first_event)
-        return len(at.flights), prefill, sum(f.kv_tokens for f in at.flights)
+            return EngineLoad()
+        return EngineLoad(
+            running=len(at.flights),
+            long=sum(flight.is_long for flight in at.flights),
+            read_ms=sum(f.read_ms for f in at.flights if not f.has_first_event),
+            kv_tokens=sum(flight.kv_tokens for flight in at.flights),
+        )
--- a/poplarlug/relay/part_cache.py
+++ b/poplarlug/relay/part_cache.py
@@ -29,11 +29,18 @@
         self._parts: OrderedDict[tuple[str, str], tuple[int, Seconds]] = OrderedDict()
         self._tokens = 0
 
-    def hit_tokens(self, prompt: Prompt) -> int:
-        """Return how many tokens of ``prompt`` need not be read again."""
+    def hit_tokens(self, prompt: Prompt, *, last: bool = True) -> int:
+        """
+        Return how many tokens of ``prompt`` need not be read again.
+
+        Parameters
+        ----------
+        last : bool
+            Whether the last part counts, which is the request's own.
+        """
         oldest = self._clock() - PART_LIFE_SECONDS
         hit = 0
-        for part in prompt.parts:
+        for part in prompt.parts if last else prompt.parts[:-1]:
             held = self._parts.get((prompt.model, part.id))
             if held is None or held[1] < oldest:
                 break
--- a/poplarlug/relay/placement.py
+++ b/poplarlug/relay/placement.py
@@ -3,7 +3,11 @@
 from collections.abc import Sequence
 from typing import NamedTuple, TypeAlias
 
-from poplarlug.relay.engine_model import EngineLoad, first_event_seconds
+from poplarlug.relay.engine_model import (
+    FIRST_EVENT_SECONDS,
+    LONG_READ_SECONDS,
+    EngineLoad,
+)
 from poplarlug.types import RegionName, Seconds, UpstreamId
 
 KV_SHARE = 0.95
@@ -12,15 +16,32 @@
 FORWARD_SECONDS = 0.12
 """A forward's round trip between regions, beside a send in the own one."""
 
-FORWARD_GAIN_SECONDS = 0.15
-"""What a forward has to gain beyond its round trip; bytes between regions cost."""
+FORWARD_LOSS = 0.05
+"""What a forward has to gain beyond its time, as a share of the answer's worth; its
+bytes between regions and its second entry cost about that."""
 
-LATE_SHARE = 0.75
-"""Share of the objective that the own region may take before a forward is weighed."""
+EARLY_SHARE = 0.5
+"""An answer expected within this share of its objective comes in time."""
+
+LATE_LOSS = 0.7
+"""Share of its worth that an answer loses when it is late."""
+
+DELAY_LOSS = 0.05
+"""Loss of an answer in time that takes its whole objective; it breaks ties."""
+
+PAUSE_LOSS = 0.12
+"""Loss for each stream that a long prompt makes pause, as a share of one answer's
+worth. About one in six such pauses exceeds what callers accept."""
+
+REREAD_LOSS_PER_TOKEN = 1.0e-4
+"""Loss for each token of a shared part that is read again although an engine had it."""
 
 PLAIN_WORK_SECONDS = 0.03
 """Time that a plain service works on one request; the deployments say 20 to 45 ms."""
 
+PLAIN_QUEUE_SHARE = 2.0
+"""Requests that a plain service may have, in places; more are turned away there."""
+
 
 class Candidate(NamedTuple):
     """
@@ -32,10 +53,12 @@
         Requests that it runs at a time.
     kv_capacity : int
         Tokens in its memory; 0 for a plain service.
-    new_tokens : int
-        Prompt tokens that it would have to read.
-    rate : float
-        Prompt tokens that it reads a second.
+    read_seconds : float
+        Time to read the request's prompt, less what its cache holds.
+    reread_tokens : int
+        Tokens of shared parts that it would read though another engine has them.
+    speed : float
+        Its speed against the nominal one.
     avoided : bool
         Whether it failed lately.
     """
@@ -44,29 +67,38 @@
     load: EngineLoad
     slots: int
     kv_capacity: int = 0
-    new_tokens: int = 0
-    rate: float = 1.0
+    read_seconds: Seconds = 0.0
+    reread_tokens: int = 0
+    speed: float = 1.0
     avoided: bool = False
 
 
 class RemoteRegion(NamedTuple):
     """
-    Another region's sums for the service.
+    Another region as its control replica described it.
 
     Parameters
     ----------
-    load : EngineLoad
-        Summed over its upstreams.
-    upstreams : int
-        How many it has, at the least.
+    slots, running, waiting : int
+        Sums over its upstreams and entries.
+    calm : EngineLoad
+        Its engine with the fewest streams that a long prompt would disturb.
+    quick : EngineLoad
+        Its engine with the least to read.
+    read_seconds : float
+        Time to read the request's prompt there.
+    reread_tokens : int
+        See :class:`Candidate`.
     """
 
     region: RegionName
-    load: EngineLoad
     slots: int
+    running: int
     waiting: int
-    upstreams: int = 1
-    rate: float = 1.0
+    calm: EngineLoad = EngineLoad()
+    quick: EngineLoad = EngineLoad()
+    read_seconds: Seconds = 0.0
+    reread_tokens: int = 0
 
 
 class Demand(NamedTuple):
@@ -77,12 +109,10 @@
     ----------
     kv_tokens : int
         Tokens that it will hold; 0 for a plain service.
-    prompt_tokens : int
-        Tokens that a cold cache has to read.
     objective_seconds : float
         Time left until its first answer counts as late; may be negative.
-    deadline_seconds : float
-        Time left until nobody waits for it.
+    whole_objective_seconds : float
+        The same at its arrival.
     may_forward : bool
         Whether another region may serve it.
     must_forward : bool
@@ -90,9 +120,8 @@
     """
 
     kv_tokens: int
-    prompt_tokens: int
     objective_seconds: Seconds
-    deadline_seconds: Seconds
+    whole_objective_seconds: Seconds
     may_forward: bool = True
     must_forward: bool = False
 
@@ -102,7 +131,7 @@
 
     upstream_id: UpstreamId
     expected_seconds: Seconds
-    ahead_tokens: int
+    loss: float
 
 
 class Away(NamedTuple):
@@ -110,6 +139,7 @@
 
     region: RegionName
     expected_seconds: Seconds
+    loss: float
 
 
 class Full(NamedTuple):
@@ -129,13 +159,14 @@
     demand: Demand, candidates: Sequence[Candidate], regions: Sequence[RemoteRegion]
 ) -> Placement:
     """
-    Return the best place of a request.
+    Return the place of a request with the least expected loss.
 
     Load pattern: the peak of one region, at more than twice its mean, while
-    others sleep. A request stays in its region while that meets its objective;
-    it goes away when another region gains more than the round trip. Among
-    upstreams the earliest first answer wins, so that work follows the cached
-    prompt parts as long as their upstream isn't the busier one.
+    others sleep; long prompts among many short streams. The loss of a place is
+    the share of the answer's worth that goes when it is late, and what other
+    answers lose: a long prompt makes the engine's streams pause, so long prompts
+    gather at engines with few streams, and streams at engines with few long
+    prompts. Another region is taken when that saves more than the way costs.
     """
     own = None if demand.must_forward else _best_local(demand, candidates)
     away = _best_away(demand, regions) if demand.may_forward else None
@@ -147,61 +178,101 @@
         found = own or away
         assert found is not None
         return found
-    in_time = own.expected_seconds <= LATE_SHARE * demand.objective_seconds
-    gain = own.expected_seconds - away.expected_seconds
-    if in_time or gain < FORWARD_GAIN_SECONDS:
-        return own
-    return away
+    return own if own.loss <= away.loss else away
 
 
 def _best_local(demand: Demand, candidates: Sequence[Candidate]) -> Local | None:
     places = [c for c in candidates if _has_place(demand, c)]
     if not places:
         return None
-    best = min(places, key=lambda c: (c.avoided, _expected(c), c.load.running))
-    return Local(best.id, _expected(best), best.load.prefill_tokens)
+    losses = {c.id: _local_loss(demand, c) for c in places}
+    best = min(places, key=lambda c: (c.avoided, losses[c.id], c.load.running))
+    return Local(best.id, _expected(best), losses[best.id])
 
 
 def _has_place(demand: Demand, candidate: Candidate) -> bool:
     load = candidate.load
+    if candidate.kv_capacity <= 0:
+        return load.running < PLAIN_QUEUE_SHARE * candidate.slots
     if load.running >= candidate.slots:
         return False
-    if candidate.kv_capacity <= 0 or load.running == 0:
+    if load.running == 0:
         return True
     return load.kv_tokens + demand.kv_tokens <= KV_SHARE * candidate.kv_capacity
 
 
 def _expected(candidate: Candidate) -> Seconds:
     if candidate.kv_capacity <= 0:
-        return PLAIN_WORK_SECONDS * (1 + candidate.load.running / candidate.slots)
-    return first_event_seconds(candidate.load, candidate.new_tokens, candidate.rate)
+        beyond = max(0, candidate.load.running + 1 - candidate.slots)
+        return PLAIN_WORK_SECONDS * (1 + beyond / candidate.slots)
+    work = candidate.load.read_ms / 1000 + candidate.read_seconds
+    return work / candidate.speed + FIRST_EVENT_SECONDS
+
+
+def _local_loss(demand: Demand, candidate: Candidate) -> float:
+    loss = _time_loss(demand, _expected(candidate))
+    if candidate.kv_capacity <= 0:
+        return loss
+    loss += _pause_loss(candidate.load, candidate.read_seconds)
+    return loss + REREAD_LOSS_PER_TOKEN * candidate.reread_tokens
+
+
+def _time_loss(demand: Demand, expected: Seconds) -> float:
+    whole = demand.whole_objective_seconds
+    delay = DELAY_LOSS * expected / whole
+    left = demand.objective_seconds
+    if left <= 0:
+        # It is late anyway; sooner is still better.
+        return LATE_LOSS + delay
+    late = (expected / left - EARLY_SHARE) / (1 - EARLY_SHARE)
+    return LATE_LOSS * min(1.0, max(0.0, late)) + delay
+
+
+def _pause_loss(load: EngineLoad, read: Seconds) -> float:
+    """Return what a request makes others lose, or may lose by their long prompts."""
+    if read > LONG_READ_SECONDS:
+        return PAUSE_LOSS * (load.running - load.long)
+    return PAUSE_LOSS * load.long
 
 
 def _best_away(demand: Demand, regions: Sequence[RemoteRegion]) -> Away | None:
     best = None
     for region in regions:
-        if region.slots <= 0 or region.waiting > 0:
+        if region.slots <= 0 or region.waiting > 0 or region.running >= region.slots:
             continue
-        if region.load.running >= region.slots:
-            continue
-        # The region's entries place it at the least loaded of its upstreams.
-        share = 1.0 / max(1, region.upstreams)
-        load = EngineLoad(
-            int(region.load.running * share), int(region.load.prefill_tokens * share)
-        )
-        if demand.kv_tokens > 0:
-            expected = first_event_seconds(load, demand.prompt_tokens, region.rate)
-        else:
-            expected = PLAIN_WORK_SECONDS
-        expected += FORWARD_SECONDS
-        if best is None or expected < best.expected_seconds:
-            best = Away(region.region, expected)
+        away = _away(demand, region)
+        if best is None or away.loss < best.loss:
+            best = away
     return best
 
 
+def _away(demand: Demand, region: RemoteRegion) -> Away:
+    if demand.kv_tokens <= 0:
+        expected = PLAIN_WORK_SECONDS + FORWARD_SECONDS
+        return Away(
+            region.region, expected, FORWARD_LOSS + _time_loss(demand, expected)
+        )
+    is_long = region.read_seconds > LONG_READ_SECONDS
+    load = region.calm if is_long else region.quick
+    expected = (
+        load.read_ms / 1000
+        + region.read_seconds
+        + FIRST_EVENT_SECONDS
+        + FORWARD_SECONDS
+    )
+    loss = FORWARD_LOSS + _time_loss(demand, expected)
+    loss += _pause_loss(load, region.read_seconds)
+    loss += REREAD_LOSS_PER_TOKEN * region.reread_tokens
+    return Away(region.region, expected, loss)
+
+
 def _free_in(candidates: Sequence[Candidate]) -> Seconds:
     """Return when a place is free, at the least loaded upstream."""
-    least = min(c.load.running / max(1, c.slots) for c in candidates)
     if all(c.kv_capacity <= 0 for c in candidates):
+        least = min(c.load.running / max(1, c.slots) for c in candidates)
         return PLAIN_WORK_SECONDS * max(1.0, least)
-    return 0.25
+    return ENGINE_TURN_SECONDS
+
+
+ENGINE_TURN_SECONDS = 0.25
+"""A running stream of a full engine ends about as often."""
--- /dev/null
+++ b/tests/relay/replay.py
@@ -0,0 +1,164 @@
+"""Replays loads against the placement decision, with small engines in virtual time."""
+
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from poplarlug.relay.engine_model import EngineLoad, read_seconds
+from poplarlug.relay.placement import Candidate, Demand, Local, place
+
+CHUNK_TOKENS = 2048
+STEP_SECONDS = 0.005
+SLOT_SECONDS = 0.000014
+TOKENS_PER_EVENT = 5
+PREFILL_TOKENS_PER_SECOND = 38_400.0
+SECONDS_PER_PAIR = 1.18e-9
+KV_CAPACITY = 210_000
+PAUSE_SECONDS = 0.4
+OBJECTIVE_SECONDS = 0.8
+
+
+class Prompt(NamedTuple):
+    """A request of the replay."""
+
+    at: float
+    tokens: int
+    answer_tokens: int
+
+
+class Run:
+    """One request at an engine."""
+
+    def __init__(self, prompt: Prompt, started: float) -> None:
+        self.prompt = prompt
+        self.started = started
+        self.unread = prompt.tokens
+        self.made = 0
+        self.last_event = started
+        self.first_event = 0.0
+        self.longest_pause = 0.0
+
+    @property
+    def is_long(self) -> bool:
+        return read_seconds(self.prompt.tokens, 0) > 0.12
+
+    def read(self) -> float:
+        """Read one chunk and return the seconds that it takes."""
+        chunk = min(CHUNK_TOKENS, self.unread)
+        before = self.prompt.tokens - self.unread
+        self.unread -= chunk
+        pairs = chunk * (before + chunk / 2)
+        return chunk / PREFILL_TOKENS_PER_SECOND + pairs * SECONDS_PER_PAIR
+
+    def make_token(self, now: float) -> None:
+        """Make one token; every few of them are an event."""
+        self.made += 1
+        if self.made == 1:
+            self.first_event = self.last_event = now
+        elif self.made % TOKENS_PER_EVENT == 0:
+            self.longest_pause = max(self.longest_pause, now - self.last_event)
+            self.last_event = now
+
+    @property
+    def is_in_time(self) -> bool:
+        waited = self.first_event - self.started
+        return waited <= OBJECTIVE_SECONDS and self.longest_pause <= PAUSE_SECONDS
+
+
+class Engine:
+    """A batch that reads prompts in chunks between the tokens of its streams."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.now = 0.0
+        self.runs: list[Run] = []
+
+    def advance(self, until: float) -> None:
+        """Take steps until a time is reached."""
+        while self.now < until:
+            if not self.runs:
+                self.now = until
+                return
+            self._step()
+
+    def load(self) -> EngineLoad:
+        waiting = [run for run in self.runs if run.unread]
+        return EngineLoad(
+            running=len(self.runs),
+            long=sum(run.is_long for run in self.runs),
+            read_ms=round(1000 * sum(read_seconds(r.unread, 0) for r in waiting)),
+            kv_tokens=sum(r.prompt.tokens + r.prompt.answer_tokens for r in self.runs),
+        )
+
+    def _step(self) -> None:
+        seconds = STEP_SECONDS + SLOT_SECONDS * len(self.runs)
+        unread = next((run for run in self.runs if run.unread), None)
+        if unread is not None:
+            seconds += unread.read()
+        self.now += seconds
+        for run in [run for run in self.runs if not run.unread]:
+            run.make_token(self.now)
+            if run.made >= run.prompt.answer_tokens:
+                self.runs.remove(run)
+
+
+Choose = Callable[[Prompt, list[Engine]], Engine]
+
+
+def by_least_loss(prompt: Prompt, engines: list[Engine]) -> Engine:
+    """Choose by the product's decision."""
+    demand = Demand(
+        kv_tokens=prompt.tokens + prompt.answer_tokens,
+        objective_seconds=OBJECTIVE_SECONDS,
+        whole_objective_seconds=OBJECTIVE_SECONDS,
+    )
+    candidates = [
+        Candidate(
+            id=engine.name,
+            load=engine.load(),
+            slots=128,
+            kv_capacity=KV_CAPACITY,
+            read_seconds=read_seconds(prompt.tokens, 0),
+        )
+        for engine in engines
+    ]
+    chosen = place(demand, candidates, ())
+    assert isinstance(chosen, Local)
+    return next(engine for engine in engines if engine.name == chosen.upstream_id)
+
+
+def by_least_running(prompt: Prompt, engines: list[Engine]) -> Engine:
+    """Choose the engine with the fewest requests: the baseline."""
+    return min(engines, key=lambda engine: len(engine.runs))
+
+
+def replay(prompts: list[Prompt], choose: Choose, engines: int) -> list[Run]:
+    """Return all runs, in the order of the prompts."""
+    group = [Engine(f"e-{number}") for number in range(engines)]
+    runs = []
+    for prompt in prompts:
+        for engine in group:
+            engine.advance(prompt.at)
+        run = Run(prompt, prompt.at)
+        choose(prompt, group).runs.append(run)
+        runs.append(run)
+    for engine in group:
+        engine.advance(prompts[-1].at + 60.0)
+    return runs
+
+
+def mixed_load(
+    rng: Random, *, seconds: float, chats: float, digests: float
+) -> list[Prompt]:
+    """Return short chats and long digests that come at random, by rate a second."""
+    prompts = []
+    for rate, tokens, answer in ((chats, 700, 290), (digests, 7000, 50)):
+        at = 0.0
+        while (at := at + rng.expovariate(rate)) < seconds:
+            size = int(tokens * rng.lognormvariate(-0.3, 0.8))
+            prompts.append(Prompt(at, max(50, min(36_000, size)), answer))
+    return sorted(prompts)
+
+
+def share_in_time(runs: list[Run]) -> float:
+    return sum(run.is_in_time for run in runs) / len(runs)
--- /dev/null
+++ b/tests/relay/test_placement.py
@@ -0,0 +1,130 @@
+"""Tests of the decision where a request runs."""
+
+from random import Random
+from unittest import TestCase
+
+from poplarlug.relay.engine_model import EngineLoad
+from poplarlug.relay.placement import (
+    Away,
+    Candidate,
+    Demand,
+    Full,
+    Local,
+    Nothing,
+    Placement,
+    RemoteRegion,
+    place,
+)
+from tests.relay.replay import (
+    by_least_loss,
+    by_least_running,
+    mixed_load,
+    replay,
+    share_in_time,
+)
+
+SEEDS = range(5)
+TARGET_IN_TIME = 0.9
+"""Share of requests in time that the users' deployments aim at."""
+
+KV_CAPACITY = 200_000
+DEMAND = Demand(kv_tokens=1000, objective_seconds=0.8, whole_objective_seconds=0.8)
+
+
+def make_engine(
+    name: str, load: EngineLoad = EngineLoad(), **fields: object
+) -> Candidate:
+    candidate = Candidate(id=name, load=load, slots=128, kv_capacity=KV_CAPACITY)
+    return candidate._replace(**{"read_seconds": 0.02, **fields})
+
+
+def make_region(**fields: object) -> RemoteRegion:
+    region = RemoteRegion(
+        region="costa", slots=128, running=0, waiting=0, read_seconds=0.02
+    )
+    return region._replace(**fields)
+
+
+class PlaceTests(TestCase):
+    def assert_local(self, placement: Placement, upstream_id: str) -> None:
+        assert isinstance(placement, Local), placement
+        self.assertEqual(placement.upstream_id, upstream_id)
+
+    def test_stays_in_its_region_while_that_is_in_time(self) -> None:
+        """An idle region far away gains nothing for a request that comes in time."""
+        busy = make_engine("e-1", EngineLoad(running=10, read_ms=100))
+        self.assert_local(place(DEMAND, [busy], [make_region()]), "e-1")
+
+    def test_goes_away_when_its_region_is_late(self) -> None:
+        """A region whose engines have a long way to the first answer is left."""
+        busy = make_engine("e-1", EngineLoad(running=60, read_ms=2000))
+        placed = place(DEMAND, [busy], [make_region()])
+        self.assertIsInstance(placed, Away)
+
+    def test_goes_nowhere_that_is_late_too(self) -> None:
+        """A region that has requests waiting takes no more."""
+        busy = make_engine("e-1", EngineLoad(running=60, read_ms=2000))
+        full = make_region(waiting=1)
+        self.assert_local(place(DEMAND, [busy], [full]), "e-1")
+
+    def test_border_is_kept(self) -> None:
+        """What may not run in the own region runs away or nowhere."""
+        idle = make_engine("e-1")
+        outside = DEMAND._replace(must_forward=True)
+        self.assertIsInstance(place(outside, [idle], [make_region()]), Away)
+        self.assertIsInstance(place(outside, [idle], []), Nothing)
+        inside = DEMAND._replace(may_forward=False)
+        self.assert_local(place(inside, [idle], [make_region()]), "e-1")
+
+    def test_engine_that_failed_is_the_last_choice(self) -> None:
+        """A failed upstream is used only while no other one has a place."""
+        failed = make_engine("e-1", avoided=True)
+        busy = make_engine("e-2", EngineLoad(running=20, read_ms=500))
+        self.assert_local(place(DEMAND, [failed, busy], []), "e-2")
+        self.assert_local(place(DEMAND, [failed], []), "e-1")
+
+    def test_full_memory_takes_nothing_more(self) -> None:
+        """Engines whose memory is taken would preempt what they run."""
+        full = make_engine("e-1", EngineLoad(running=40, kv_tokens=KV_CAPACITY))
+        self.assertIsInstance(place(DEMAND, [full], []), Full)
+
+    def test_request_larger_than_a_memory_share_runs_alone(self) -> None:
+        """An idle engine takes any request, however large."""
+        large = DEMAND._replace(kv_tokens=KV_CAPACITY)
+        self.assert_local(place(large, [make_engine("e-1")], []), "e-1")
+
+    def test_follows_the_cache_unless_its_engine_is_late(self) -> None:
+        """Reading a shared part again costs less than coming late."""
+        cached = make_engine("e-1", EngineLoad(running=5), read_seconds=0.1)
+        empty = make_engine("e-2", read_seconds=0.25, reread_tokens=6000)
+        self.assert_local(place(DEMAND, [cached, empty], []), "e-1")
+        late = cached._replace(load=EngineLoad(running=5, long=5, read_ms=1500))
+        self.assert_local(place(DEMAND, [late, empty], []), "e-2")
+
+    def test_plain_service_spreads_over_its_upstreams(self) -> None:
+        """Without an engine the upstream with free places is taken."""
+        demand = DEMAND._replace(kv_tokens=0)
+        full = Candidate(id="s-1", load=EngineLoad(running=9), slots=6)
+        free = Candidate(id="s-2", load=EngineLoad(running=2), slots=6)
+        self.assert_local(place(demand, [full, free], []), "s-2")
+
+
+class ReplayTests(TestCase):
+    def compare(self, **load: float) -> tuple[float, float]:
+        ours = baseline = 0.0
+        for seed in SEEDS:
+            prompts = mixed_load(Random(seed), seconds=20.0, **load)
+            ours += share_in_time(replay(prompts, by_least_loss, engines=2))
+            baseline += share_in_time(replay(prompts, by_least_running, engines=2))
+        return ours / len(SEEDS), baseline / len(SEEDS)
+
+    def test_long_prompts_among_many_streams(self) -> None:
+        """Chats keep their pace beside digests that two engines read."""
+        ours, baseline = self.compare(chats=15.0, digests=2.0)
+        self.assertGreaterEqual(ours, TARGET_IN_TIME)
+        self.assertLess(1 - ours, (1 - baseline) / 2)
+
+    def test_chats_alone_lose_nothing(self) -> None:
+        """Without long prompts both ways serve everything in time."""
+        ours, baseline = self.compare(chats=30.0, digests=0.01)
+        self.assertGreaterEqual(ours, baseline - 0.01)
