Shed long prompts in a burst, trust upstreams by their answers, recover sooner

Elections take 0.8 to 1.6 s now, and control replicas keep their records on disk; they count for 3 s after a start. - upstreams that answered with failures kept their share of requests. The share of failures beyond what is common counts as lost worth now. - bursts of long prompts made all streams late.

--- a/poplarlug/control/raft/timing.py
+++ b/poplarlug/control/raft/timing.py
@@ -1,7 +1,9 @@
 """Times of elections, heartbeats and the lease."""
 
-MIN_ELECTION_TIMEOUT_SECONDS = 1.2
-MAX_ELECTION_TIMEOUT_SECONDS = 2.4
+MIN_ELECTION_TIMEOUT_SECONDS = 0.8
+MAX_ELECTION_TIMEOUT_SECONDS = 1.6
+"""Seven round trips between regions of 55 ms one way, and four heartbeats."""
+
 HEARTBEAT_SECONDS = 0.2
 MAX_CLOCK_DRIFT = 0.1
 """Largest difference in rate between the clocks of two replicas, as a share."""
--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from aiohttp import web
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from poplarlug.control.disk import FileDisk
 from poplarlug.control.leader_calls import LeaderCalls
@@ -19,6 +19,7 @@
 from poplarlug.discovery.control_peers import ControlPeers
 from poplarlug.discovery.registrar import Registrar
 from poplarlug.discovery.registry import Registry
+from poplarlug.discovery.registry_file import RegistryFile
 from poplarlug.logs import PartLog
 from poplarlug.metrics import sample_loop_lag
 from poplarlug.seeded_settings import (
@@ -71,12 +72,12 @@
             propose=self.proposer.propose,
             leader_calls=leader_calls,
         )
+        registry = Registry(clock=clock, beat_seconds=settings.beat_milliseconds / 1000)
+        self.registry_file = RegistryFile(disk=self.disk, registry=registry)
         self.registrar = Registrar(
             zone=settings.zone,
             regions_by_zone=settings.regions_by_zone,
-            registry=Registry(
-                clock=clock, beat_seconds=settings.beat_milliseconds / 1000
-            ),
+            registry=registry,
             peers=self.peers,
             routing=self.state.routing,
             transport=self.transport,
@@ -89,10 +90,14 @@
         self.supervisor.add_child("transport", self.transport.run)
         self.supervisor.add_child("log", self.replica.run)
         self.supervisor.add_child("registrar", self.registrar.run)
+        self.supervisor.add_child("registry file", self.registry_file.run)
 
     def load(self) -> Result[None, str]:
         """Take the data folder for this process and restore its state."""
-        return self.disk.lock().bind(lambda _: self.replica.load())
+        loaded = self.disk.lock().bind(lambda _: self.replica.load())
+        if isinstance(loaded, Success):
+            self.registry_file.load()
+        return loaded
 
     def reload(self, settings: SeededControlSettings) -> None:
         """Bring changed settings into force, as far as that needs no restart."""
--- a/poplarlug/discovery/registry.py
+++ b/poplarlug/discovery/registry.py
@@ -17,6 +17,9 @@
 FORGET_SECONDS = 120.0
 """How long a record that is over stops late messages from bringing it back."""
 
+RECALL_SECONDS = 3.0
+"""How long a record of a former run stays without a sign; two beats and more."""
+
 ANY_RUN = 0
 """``born`` of a farewell that names no run; it ends the run that is known."""
 
@@ -85,6 +88,15 @@
         for record in records.all:
             self._take(record)
 
+    def recall(self, records: Records) -> None:
+        """Take in records of a former run; they are over soon without a sign."""
+        for record in records.all:
+            if self._take(record):
+                held = self._held_by_key[record.key]
+                left = min(RECALL_SECONDS, self._life(record))
+                heard = self._clock() - (self._life(record) - left)
+                self._held_by_key[record.key] = held._replace(heard=heard)
+
     def touch(self, tags: Iterable[int]) -> tuple[int, ...]:
         """Note that others heard records lately; return the tags not held."""
         unknown = []
--- /dev/null
+++ b/poplarlug/discovery/registry_file.py
@@ -0,0 +1,69 @@
+"""Keeps a control replica's records on its disk, for the time after a restart."""
+
+import asyncio
+from typing import NamedTuple
+
+import msgspec
+
+from poplarlug.control.disk import Disk
+from poplarlug.discovery.records import EntryRecord, ServiceUpstream
+from poplarlug.discovery.registry import Records, Registry
+from poplarlug.logs import PartLog
+
+FILE_NAME = "registry"
+WRITE_SECONDS = 1.0
+"""Shortest time between two writes."""
+
+_log = PartLog(prefix="discovery")
+
+
+class _Content(NamedTuple):
+    entries: tuple[EntryRecord, ...]
+    upstreams: tuple[ServiceUpstream, ...]
+
+
+class RegistryFile:
+    """
+    Write the records that are there, and read them at the start.
+
+    What is read counts as heard some time ago, so it is gone soon unless its VM
+    or upstream gives a sign. After all replicas were lost together, requests can
+    be sent before the upstreams announce themselves again.
+    """
+
+    def __init__(self, *, disk: Disk, registry: Registry) -> None:
+        self._disk = disk
+        self._registry = registry
+        self._written = -1
+
+    def load(self) -> None:
+        """Take the records from the disk; a damaged file is passed over."""
+        data = self._disk.read(FILE_NAME)
+        if data is None:
+            return
+        try:
+            content = msgspec.msgpack.decode(data, type=_Content)
+        except (ValueError, TypeError, RecursionError) as error:
+            _log.warning("passed over a damaged file", error=str(error))
+            return
+        self._registry.recall(Records(content.entries, content.upstreams))
+        _log.info(
+            "read records from disk",
+            entries=len(content.entries),
+            upstreams=len(content.upstreams),
+        )
+
+    async def run(self) -> None:
+        """Write the records after changes until cancelled."""
+        while True:
+            await self._registry.revision.wait_for(
+                lambda revision: revision != self._written
+            )
+            self._written = self._registry.revision.value
+            present = self._registry.present()
+            try:
+                await self._disk.replace(FILE_NAME, msgspec.msgpack.encode(present))
+            except OSError as error:
+                # The records are a convenience; the replica goes on without.
+                _log.warning("can't write records", error=str(error))
+            await asyncio.sleep(WRITE_SECONDS)
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -45,9 +45,12 @@
 """Share of the grace time for which it stays, so that callers find it and learn
 where else to go."""
 
-END_SHARE = 0.93
+END_SHARE = 0.88
 """Share of the grace time at which it ends, whatever is in progress."""
 
+END_SECONDS = 0.5
+"""What closing everything may take before the process ends all the same."""
+
 CLOSE_SECONDS = 0.1
 """What requests still in progress get after the drain has ended."""
 
@@ -267,11 +270,14 @@
     failed = running.done()
     await entry.drain()
     watching.cancel()
-    for runner in runners:
-        await runner.cleanup()
-    await entry.client.close()
-    await entry.far_client.close()
+    closing = [runner.cleanup() for runner in runners]
+    closing += [entry.client.close(), entry.far_client.close()]
     running.cancel()
-    await asyncio.gather(running, return_exceptions=True)
+    done = asyncio.gather(*closing, running, return_exceptions=True)
+    try:
+        async with asyncio.timeout(END_SECONDS):
+            await done
+    except TimeoutError:
+        _log.warning("closed with work in progress")
     _log.info("stopped", name=settings.name)
     return 1 if failed else 0
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -40,7 +40,7 @@
 RECHECK_SECONDS = 0.05
 """How often waiting requests look for a place that another entry gave back."""
 
-NO_UPSTREAM_RETRY_SECONDS = 0.5
+NO_UPSTREAM_RETRY_SECONDS = 1.2
 """When to come back where no upstream is there; one announces itself in a beat."""
 
 MIN_RUN_SECONDS = 0.05
@@ -217,11 +217,18 @@
             if waiting.placed.done():
                 continue
             result = self._try(waiting.request, waiting.tried)
-            if not isinstance(result, Full):
-                waiting.placed.set_result(self._to_result(waiting.request, result))
-            elif now > waiter.start_by:
-                refusal = _turned_away(waiting.request, now, result.free_in_seconds)
+            if isinstance(result, Full):
+                continue
+            line.order.started(now)
+            line.order.leave(waiter)
+            waiting.placed.set_result(self._to_result(waiting.request, result))
+        for waiter in line.order.late(now):
+            waiting = line.by_waiter[waiter]
+            if not waiting.placed.done():
+                refusal = _turned_away(waiting.request, now, RECHECK_SECONDS)
                 waiting.placed.set_result(Failure(refusal))
+        if not line.by_waiter:
+            line.order.idle()
 
     def _try(self, request: RelayRequest, tried: Tried) -> "Place | Full | Nothing":
         deployment = self._deployment
@@ -316,6 +323,7 @@
             id=upstream_id,
             load=self._in_flight.load(upstream_id),
             slots=slots,
+            error_share=self._in_flight.error_share(upstream_id),
             avoided=self._in_flight.is_avoided(upstream_id),
         )
         if service.engine is None or affinity is None:
--- a/poplarlug/relay/face.py
+++ b/poplarlug/relay/face.py
@@ -36,7 +36,10 @@
 MAX_REQUEST_ID_CHARACTERS = 128
 MAX_PROMPT_PARTS = 64
 MAX_TOKENS = 10_000_000
-NOT_READY_RETRY_SECONDS = 0.5
+NOT_READY_RETRY_SECONDS = 1.5
+"""When to come back to an entry without routes; the control group elects a leader
+within this time after all of it was lost."""
+
 LEAVING_RETRY_SECONDS = 0.1
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Bounds a body while no limits are in force."""
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -173,7 +173,9 @@
     def _may_repeat(
         self, request: RelayRequest, error: GatewayError, attempts: int
     ) -> bool:
-        if attempts >= request.route.max_attempts:
+        # The entry that handed a request on counts it as one attempt.
+        allowed = 1 if request.hops else request.route.max_attempts
+        if attempts >= allowed:
             return False
         left = request.deadline - self._clock()
         if left < LAST_SEND_SHARE * request.route.objective_seconds:
@@ -245,6 +247,7 @@
             refused = await self._check_head(request, placed, response)
             if refused is not None:
                 return refused
+            placed.flight.got_error = response.status >= 500
             self._in_flight.first_event(
                 placed.flight, ahead_ms=placed.ahead_ms, seconds=now - started
             )
--- a/poplarlug/relay/in_flight.py
+++ b/poplarlug/relay/in_flight.py
@@ -20,6 +20,12 @@
 MAX_FAILURE_SECONDS = 8.0
 """The time doubles with each failure in a row up to this."""
 
+ERROR_WEIGHT = 0.1
+"""Weight of the latest answer in an upstream's share of failures."""
+
+ERROR_HALF_LIFE_SECONDS = 3.0
+"""An upstream that gets no requests is trusted again by half in this time."""
+
 
 class Flight:
     """One request at one upstream, until :meth:`InFlight.ended`."""
@@ -32,10 +38,30 @@
         self.is_long = read > LONG_READ_SECONDS
         self.kv_tokens = request.prompt.tokens + request.prompt.max_tokens
         self.has_first_event = False
+        self.got_error = False
+
+
+class ErrorShare:
+    """Running share of an upstream's answers that were failures."""
+
+    def __init__(self) -> None:
+        self._share = 0.0
+        self._noted_at = 0.0
+
+    def note(self, now: Seconds, *, failed: bool) -> None:
+        """Take in the latest answer."""
+        share = self.at(now)
+        self._share = share + ERROR_WEIGHT * (float(failed) - share)
+        self._noted_at = now
+
+    def at(self, now: Seconds) -> float:
+        """Return the share, which fades while nothing is noted."""
+        return self._share * 0.5 ** ((now - self._noted_at) / ERROR_HALF_LIFE_SECONDS)
 
 
 class _AtUpstream:
     def __init__(self, *, cache: PartCache) -> None:
+        self.errors = ErrorShare()
         self.flights: set[Flight] = set()
         self.cache = cache
         self.speed = EngineSpeed()
@@ -97,6 +123,11 @@
         at = self._at_by_id.get(upstream_id)
         return 0 if at is None else at.cache.hit_tokens(prompt, last=False)
 
+    def error_share(self, upstream_id: UpstreamId) -> float:
+        """Return the share of an upstream's latest answers that were failures."""
+        at = self._at_by_id.get(upstream_id)
+        return 0.0 if at is None else at.errors.at(self._clock())
+
     def is_avoided(self, upstream_id: UpstreamId) -> bool:
         """Return whether an upstream failed lately."""
         at = self._at_by_id.get(upstream_id)
@@ -142,6 +173,7 @@
         if at is None:
             return
         at.flights.discard(flight)
+        at.errors.note(self._clock(), failed=failed or flight.got_error)
         if not failed:
             at.failures = 0
             at.avoided_until = float("-inf")
--- a/poplarlug/relay/waiting.py
+++ b/poplarlug/relay/waiting.py
@@ -6,6 +6,10 @@
 from poplarlug.types import Seconds
 
 MIN_RETRY_SECONDS = 0.1
+INTERVAL_WEIGHT = 0.3
+"""Weight of the latest start in the running mean of the time between starts."""
+
+MAX_INTERVAL_SECONDS = 2.0
 MAX_RETRY_SECONDS = 1.5
 """Callers come back within a third of the time that they have left."""
 
@@ -43,6 +47,8 @@
     def __init__(self) -> None:
         self._waiters: list[Waiter] = []
         self._last_number = 0
+        self._interval: Seconds | None = None
+        self._last_start: Seconds | None = None
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -54,8 +60,37 @@
     def expected_wait(
         self, order: tuple[int, Seconds], seconds_a_place: Seconds
     ) -> Seconds:
-        """Return the wait of a request that joins now."""
-        return (self.position(order) + 1) * seconds_a_place
+        """
+        Return the wait of a request that joins now.
+
+        Parameters
+        ----------
+        seconds_a_place : float
+            Time between two places while nothing was learned from starts.
+        """
+        interval = seconds_a_place if self._interval is None else self._interval
+        return (self.position(order) + 1) * interval
+
+    def started(self, now: Seconds) -> None:
+        """Note that a waiting request got its place."""
+        if self._last_start is not None:
+            interval = min(MAX_INTERVAL_SECONDS, now - self._last_start)
+            former = interval if self._interval is None else self._interval
+            self._interval = former + INTERVAL_WEIGHT * (interval - former)
+        self._last_start = now
+
+    def idle(self) -> None:
+        """Forget the pace of the places, since nobody waits."""
+        self._interval = self._last_start = None
+
+    def late(self, now: Seconds) -> tuple[Waiter, ...]:
+        """Return those whose place is expected too late, at the pace of the places."""
+        interval = 0.0 if self._interval is None else self._interval
+        return tuple(
+            waiter
+            for position, waiter in enumerate(self._waiters)
+            if now + position * interval > waiter.start_by
+        )
 
     def join(self, order: tuple[int, Seconds], start_by: Seconds) -> Waiter:
         """Add a request and return its place in the line."""
--- a/tests/relay/test_waiting.py
+++ b/tests/relay/test_waiting.py
@@ -37,6 +37,18 @@
         line.leave(first)
         self.assertEqual(line.in_order(), (second,))
 
+    def test_pace_of_the_places_tells_who_comes_too_late(self) -> None:
+        """Whoever can't start in time is known before its time is over."""
+        line = WaitingLine()
+        for number in range(5):
+            line.started(number * 0.5)
+        waiters = [line.join((2, float(n)), start_by=3.0) for n in range(4)]
+        self.assertAlmostEqual(line.expected_wait((3, 0.0), 0.1), 2.5)
+        self.assertEqual(line.late(2.0), tuple(waiters[3:]))
+        self.assertEqual(line.late(1.0), ())
+        line.idle()
+        self.assertAlmostEqual(line.expected_wait((3, 0.0), 0.1), 0.5)
+
 
 class RetryAfterTests(TestCase):
     def test_is_the_wait_within_a_third_of_the_time(self) -> None:
