--- /dev/null
+++ b/tests/platform_adapter/deployment.py
@@ -0,0 +1,201 @@
+"""Real control replicas and entries on loopback, found by seeds."""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+
+ZONES = {"quito-a": "sierra", "cuenca-a": "austro", "guayaquil-a": "costa"}
+HOST = "app.example"
+START_SECONDS = 20.0
+
+
+class Answer(NamedTuple):
+    """A caller's answer; status 0 means that the connection broke."""
+
+    status: int
+    body: bytes
+    headers: Mapping[str, str]
+
+
+def wait_until(check: Callable[[], bool], what: str, seconds: float = 15.0) -> None:
+    """Wait until ``check`` holds; fail with ``what`` when it doesn't in time."""
+    deadline = time.monotonic() + seconds
+    while not check():
+        if time.monotonic() > deadline:
+            raise AssertionError(what)
+        time.sleep(0.05)
+
+
+class SeededDeployment:
+    """
+    One control replica a zone, and one entry in each zone that is named.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Where settings, data and logs go.
+    entry_zones : sequence of str
+        A zone for each entry.
+    """
+
+    def __init__(self, *, folder: Path, entry_zones: tuple[str, ...]) -> None:
+        self.folder = folder
+        pid = os.getpid()
+        self._net = f"127.{64 + pid % 60}.{pid // 60 % 250}"
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._numbers: dict[str, int] = {}
+        self.control = {zone: f"control-{zone}" for zone in ZONES}
+        self.entries = [f"entry-{i}-{zone}" for i, zone in enumerate(entry_zones)]
+        for name in (*self.control.values(), *self.entries):
+            self._numbers[name] = len(self._numbers) + 1
+
+    def ip(self, name: str) -> str:
+        number = self._numbers.setdefault(name, len(self._numbers) + 1)
+        return f"{self._net}.{number}"
+
+    def control_address(self, zone: str = "quito-a") -> str:
+        return f"{self.ip(self.control[zone])}:8146"
+
+    def entry_address(self, name: str) -> str:
+        return f"{self.ip(name)}:8144"
+
+    def start_all(self) -> None:
+        for zone, name in self.control.items():
+            self.start_control(zone, name)
+        for name in self.entries:
+            self.start_entry(name)
+
+    def start_control(self, zone: str, name: str, *, bootstrap: bool = True) -> None:
+        settings = self._common(name, zone) | {
+            "http": f"{self.ip(name)}:8146",
+            "data_folder": str(self.folder / name),
+            "bootstrap": bootstrap,
+            "beat_milliseconds": 1200,
+        }
+        self._start(name, "poplarlug.platform.control", settings)
+
+    def start_entry(self, name: str) -> None:
+        zone = name.split("-", 2)[2]
+        ip = self.ip(name)
+        settings = self._common(name, zone) | {
+            "http": f"{ip}:8144",
+            "readiness": f"{ip}:8140",
+            "directory": f"{ip}:8143",
+            "forwards_port": 7661,
+            "grace_seconds": 4.0,
+        }
+        self._start(name, "poplarlug.platform.entry", settings)
+
+    def kill(self, name: str, number: int = signal.SIGKILL) -> int:
+        """Send a signal, wait for the end and return the exit status."""
+        process = self._processes.pop(name)
+        process.send_signal(number)
+        return process.wait(20)
+
+    def signal(self, name: str, number: int) -> None:
+        self._processes[name].send_signal(number)
+
+    def wait_for_exit(self, name: str) -> int:
+        return self._processes.pop(name).wait(20)
+
+    def close(self) -> None:
+        for process in self._processes.values():
+            process.kill()
+        for process in self._processes.values():
+            process.wait(20)
+
+    def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        seconds: float = 10.0,
+    ) -> Answer:
+        """Send one request on a connection of its own."""
+        host, _, port = address.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=seconds)
+        try:
+            connection.request(method, path, body, dict(headers or {}))
+            answer = connection.getresponse()
+            return Answer(answer.status, answer.read(), dict(answer.getheaders()))
+        except (OSError, http.client.HTTPException):
+            return Answer(0, b"", {})
+        finally:
+            connection.close()
+
+    def operate(self, method: str, path: str, body: bytes | None = None) -> Answer:
+        """Call control replicas in turn until one gives a clear answer."""
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            for zone in ZONES:
+                answer = self.call(self.control_address(zone), method, path, body)
+                if answer.status not in (0, 503):
+                    return answer
+            time.sleep(0.1)
+        raise AssertionError(f"no control replica answers {method} {path}")
+
+    def wait_ready(self) -> None:
+        for name in self.entries:
+            address = f"{self.ip(name)}:8140"
+            wait_until(
+                lambda a=address: self.call(a, "GET", "/readyz").status == 200,
+                f"{name} does not get ready",
+                START_SECONDS,
+            )
+
+    def log(self, name: str) -> str:
+        return (self.folder / f"{name}.log").read_text()
+
+    def _common(self, name: str, zone: str) -> dict[str, Any]:
+        return {
+            "name": name,
+            "zone": zone,
+            "region": ZONES[zone],
+            "regions_by_zone": ZONES,
+            "ip": self.ip(name),
+            "peers_port": 7660,
+            "metrics_port": 9464,
+            "seeds": [f"{self.ip(n)}:8146" for n in self.control.values()],
+        }
+
+    def _start(self, name: str, module: str, settings: Mapping[str, Any]) -> None:
+        file = self.folder / f"{name}.jsonc"
+        file.write_text(json.dumps(settings))
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module],
+                env=os.environ | {"POPLARLUG_SETTINGS": str(file)},
+                stdout=log,
+                stderr=log,
+            )
+
+
+def configuration(version: int, **routes: Mapping[str, Any]) -> bytes:
+    """Return an operator's document with a service for each that routes name."""
+    listed = []
+    services = {}
+    for name, fields in routes.items():
+        route = {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "route_kind": "safe",
+            "timeout_ms": 5000,
+            "target_latency_ms": 500,
+            "priority": 0,
+            "service": "desk",
+            "max_attempts": 2,
+        } | dict(fields)
+        listed.append(route)
+        services[route["service"]] = {"name": route["service"]}
+    document = {"version": version, "routes": listed, "services": [*services.values()]}
+    return json.dumps(document).encode()
--- /dev/null
+++ b/tests/platform_adapter/test_whole_path.py
@@ -0,0 +1,293 @@
+"""Tests of the whole path on the platform, with real processes on loopback."""
+
+import json
+import signal
+import tempfile
+import time
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import ClassVar
+from unittest import TestCase
+
+from tests.platform_adapter.deployment import (
+    HOST,
+    ZONES,
+    Answer,
+    SeededDeployment,
+    configuration,
+    wait_until,
+)
+from tests.platform_adapter.upstream import (
+    EXPECTED,
+    REQUEST_ID,
+    SIGNATURE,
+    STREAM_EVENTS,
+    Upstream,
+)
+
+ENTRY_ZONES = ("quito-a", "quito-a", "guayaquil-a")
+DEADLINE = "X-Poplarlug-Deadline-Ms"
+ROUTES = {
+    "look": {"route_kind": "safe"},
+    "book": {"route_kind": "unsafe", "max_attempts": 1},
+    "stream": {"route_kind": "streaming", "max_attempts": 1},
+    "bound": {"route_kind": "safe", "home_regions": ["sierra"]},
+}
+
+
+class WholePathTests(TestCase):
+    """Two upstreams in Quito; entries in Quito and Guayaquil."""
+
+    deployment: ClassVar[SeededDeployment]
+    upstreams: ClassVar[list[Upstream]]
+    version: ClassVar[int] = 0
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        cls.deployment = SeededDeployment(
+            folder=Path(folder.name), entry_zones=ENTRY_ZONES
+        )
+        cls.addClassCleanup(cls.deployment.close)
+        cls.deployment.start_all()
+        cls.upstreams = []
+        for name in ("u-1", "u-2"):
+            upstream = Upstream(
+                upstream_id=name,
+                ip=cls.deployment.ip(name),
+                service="desk",
+                zone="quito-a",
+            )
+            cls.addClassCleanup(upstream.close)
+            cls.upstreams.append(upstream)
+
+    def setUp(self) -> None:
+        self.quito, self.other_quito, self.guayaquil = self.deployment.entries
+        self.configure(**ROUTES)
+        self.deployment.wait_ready()
+        for zone in ZONES:
+            address = self.deployment.control_address(zone)
+            wait_until(
+                lambda a=address: (
+                    self.deployment.call(a, "GET", "/config").status == 200
+                ),
+                f"control of {zone} does not read",
+            )
+        for upstream in self.upstreams:
+            upstream.fault = ""
+            upstream.event_seconds = 0.01
+        self.announce()
+        for entry in self.deployment.entries:
+            wait_until(
+                lambda entry=entry: self.send(entry, "look").status == 200,
+                f"{entry} serves nothing",
+            )
+        for upstream in self.upstreams:
+            upstream.arrivals.clear()
+
+    def announce(self) -> None:
+        for upstream in self.upstreams:
+            self.assertEqual(upstream.beat(self.deployment.control_address()), 200)
+
+    def configure(self, **routes: dict[str, object]) -> None:
+        type(self).version += 1
+        body = configuration(self.version, **routes)
+        answer = self.deployment.operate("PUT", "/config", body)
+        self.assertEqual(answer.status, 200, answer.body)
+
+    def send(
+        self, entry: str, route: str, body: bytes = b"hello", **headers: str
+    ) -> Answer:
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        return self.deployment.call(
+            self.deployment.entry_address(entry),
+            "POST",
+            f"/{route}/7?q=%2F1",
+            body,
+            {"Host": HOST, REQUEST_ID: uuid.uuid4().hex, DEADLINE: "4000"} | names,
+        )
+
+    def arrivals(self) -> int:
+        return sum(len(upstream.arrivals) for upstream in self.upstreams)
+
+    def test_answer_is_the_upstreams_own(self) -> None:
+        """Status, body, signature and path pass through unchanged."""
+        answer = self.send(self.quito, "book", b"\x00\xffbytes")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body, b"answer to \x00\xffbytes")
+        self.assertTrue(answer.headers[SIGNATURE].startswith("signed-u-"))
+        arrival = next(u for u in self.upstreams if u.arrivals).arrivals[0]
+        self.assertEqual(arrival.path, "/book/7?q=%2F1")
+
+    def test_system_sets_its_own_headers(self) -> None:
+        """Callers can't set them; the deadline is what is left of theirs."""
+        self.send(
+            self.quito,
+            "look",
+            X_Poplarlug_Hold="x",
+            Kv_From="1.2.3.4:5/6",
+            X_Poplarlug_Expect_Instance="someone",
+        )
+        upstream = next(u for u in self.upstreams if u.arrivals)
+        headers = upstream.arrivals[0].headers
+        self.assertEqual(headers[EXPECTED], upstream.id)
+        self.assertNotIn("X-Poplarlug-Hold", headers)
+        self.assertNotIn("Kv-From", headers)
+        self.assertLessEqual(int(headers[DEADLINE]), 4000)
+        self.assertGreater(int(headers[DEADLINE]), 2000)
+
+    def test_safe_request_is_repeated_elsewhere(self) -> None:
+        """A failure of one upstream is hidden by another one."""
+        self.upstreams[0].fault = "error"
+        statuses = {self.send(self.quito, "look").status for _ in range(10)}
+        self.assertEqual(statuses, {200})
+
+    def test_unsafe_request_runs_at_most_once(self) -> None:
+        """A request whose connection broke has an unknown outcome and no repeat."""
+        for upstream in self.upstreams:
+            upstream.fault = "reset"
+        for _ in range(6):
+            self.assertEqual(self.send(self.quito, "book").status, 502)
+        runs = [run for u in self.upstreams for run in u.runs.values()]
+        self.assertEqual(runs, [1] * 6)
+
+    def test_refusal_is_a_promise(self) -> None:
+        """503 is said only when no upstream ran the request."""
+        for upstream in self.upstreams:
+            upstream.fault = "refuse"
+        answer = self.send(self.quito, "book")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+        self.assertEqual(self.arrivals(), 0)
+
+    def test_border_is_kept_by_handing_on(self) -> None:
+        """A route's home serves what its callers send elsewhere."""
+        answer = self.send(self.guayaquil, "bound")
+        self.assertEqual((answer.status, self.arrivals()), (200, 1))
+
+    def test_unknown_route_is_not_found(self) -> None:
+        """Once routes are known, a path without one gets 404."""
+        self.assertEqual(self.send(self.quito, "nowhere").status, 404)
+
+    def test_invalid_configuration_changes_nothing(self) -> None:
+        """It is refused with the place of each problem, and not read back."""
+        held = self.deployment.operate("GET", "/config").body
+        body = configuration(10_000, look={"timeout_ms": 0})
+        answer = self.deployment.operate("PUT", "/config", body)
+        self.assertEqual(answer.status, 400)
+        path = json.loads(answer.body)["problems"][0]["path"]
+        self.assertEqual(path, "$.routes[0].timeout_seconds")
+        self.assertEqual(self.deployment.operate("GET", "/config").body, held)
+
+    def test_overtaken_configuration_is_acknowledged(self) -> None:
+        """An older version, and other content under the held one, change nothing."""
+        held = self.deployment.operate("GET", "/config").body
+        for version in (0, self.version):
+            body = configuration(version, look={"timeout_ms": 1234})
+            answer = self.deployment.operate("PUT", "/config", body)
+            self.assertEqual(answer.status, 200)
+        for zone in ZONES:
+            address = self.deployment.control_address(zone)
+            self.assertEqual(self.deployment.call(address, "GET", "/config").body, held)
+
+    def test_leaving_upstream_gets_nothing_more(self) -> None:
+        """Within moments of the acknowledgement, requests go elsewhere."""
+        leaving, staying = self.upstreams
+        leaving.beat(self.deployment.control_address("cuenca-a"), "draining")
+        time.sleep(1.0)
+        leaving.arrivals.clear()
+        for _ in range(20):
+            self.assertEqual(self.send(self.quito, "look").status, 200)
+        self.assertEqual(len(leaving.arrivals), 0)
+        self.assertGreaterEqual(len(staying.arrivals), 20)
+        leaving._born += 1
+
+    def test_evacuated_zone_gets_nothing_until_it_is_taken_back(self) -> None:
+        """Requests are refused at once while no other zone has upstreams."""
+        operate = self.deployment.operate
+        self.assertEqual(operate("POST", "/evacuations/quito-a").status, 200)
+        wait_until(
+            lambda: self.send(self.quito, "look").status == 503, "zone still serves"
+        )
+        self.assertEqual(operate("DELETE", "/evacuations/quito-a").status, 200)
+        wait_until(
+            lambda: self.send(self.quito, "look").status == 200, "zone serves nothing"
+        )
+
+    def test_abandoned_stream_ends_at_the_upstream(self) -> None:
+        """An upstream stops work for a caller that left."""
+        for upstream in self.upstreams:
+            # Longer than the caller waits for the next bytes.
+            upstream.event_seconds = 1.0
+        before = sum(upstream.abandoned for upstream in self.upstreams)
+        self.deployment.call(
+            self.deployment.entry_address(self.quito),
+            "POST",
+            "/stream/1",
+            b"x",
+            {"Host": HOST, REQUEST_ID: uuid.uuid4().hex},
+            seconds=0.5,
+        )
+        wait_until(
+            lambda: sum(u.abandoned for u in self.upstreams) > before,
+            "the upstream works on",
+            2.0,
+        )
+
+    def test_stopped_entry_finishes_its_streams(self) -> None:
+        """SIGTERM cuts nothing; the entry leaves the directory and ends with 0."""
+        for upstream in self.upstreams:
+            upstream.event_seconds = 0.1
+        with ThreadPoolExecutor(4) as pool:
+            sent = [pool.submit(self.send, self.quito, "stream") for _ in range(4)]
+            wait_until(lambda: self.arrivals() == 4, "streams don't start")
+            self.deployment.signal(self.quito, signal.SIGTERM)
+            time.sleep(0.5)
+            listed = self.resolve(self.other_quito)
+            answers = [future.result() for future in sent]
+        self.assertNotIn(self.deployment.entry_address(self.quito), listed)
+        for answer in answers:
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.body.count(b"\n\n"), STREAM_EVENTS)
+        self.assertEqual(self.deployment.wait_for_exit(self.quito), 0)
+        self.deployment.start_entry(self.quito)
+
+    def resolve(self, entry: str) -> list[str]:
+        address = f"{self.deployment.ip(entry)}:8143"
+        path = f"/resolve?name={HOST}&region=sierra&zone=quito-a"
+        answer = self.deployment.call(address, "GET", path)
+        return json.loads(answer.body)["addresses"]
+
+    def test_all_control_replicas_may_be_killed_at_once(self) -> None:
+        """What was acknowledged is read back, and requests go on meanwhile."""
+        held = self.deployment.operate("GET", "/config").body
+        for name in self.deployment.control.values():
+            self.deployment.kill(name)
+        self.assertEqual(self.send(self.quito, "look").status, 200)
+        for zone, name in self.deployment.control.items():
+            self.deployment.start_control(zone, name)
+        self.assertEqual(self.deployment.operate("GET", "/config").body, held)
+
+    def test_lost_disk_and_new_address_are_taken_in(self) -> None:
+        """An empty replica at another address joins, and the lost one may stay away."""
+        held = self.deployment.operate("GET", "/config").body
+        old = self.deployment.control["cuenca-a"]
+        new = f"{old}-b"
+        self.deployment.kill(old)
+        self.deployment.start_control("cuenca-a", new, bootstrap=False)
+        self.deployment.control["cuenca-a"] = new
+        wait_until(
+            lambda: "votes out a lost replica" in self.control_logs(),
+            "the lost replica is not replaced",
+            20.0,
+        )
+        self.deployment.kill(self.deployment.control["guayaquil-a"])
+        self.assertEqual(self.deployment.operate("GET", "/config").body, held)
+        self.deployment.start_control(
+            "guayaquil-a", self.deployment.control["guayaquil-a"]
+        )
+
+    def control_logs(self) -> str:
+        return "".join(self.deployment.log(n) for n in self.deployment.control.values())
