Take broken streams up within one answer; leave silent upstreams for others

A stream that may be resumed passes whole events on. When its upstream breaks off or stands still for 2 s, another one is asked for what comes after the last event. What may be repeated and has no answer after 2.5 objectives is sent elsewhere while the retry budget has room. Repeats through other entries count against the budget too. The course of a request has a class of its own.

--- a/poplarlug/relay/budgets.py
+++ b/poplarlug/relay/budgets.py
@@ -50,12 +50,16 @@
         """Count a caller's request to the service."""
         self._requests.append(self._clock())
 
-    def take(self, entries: int) -> bool:
-        """Return whether one more repeat is within the share, and count it."""
+    def has_room(self, entries: int) -> bool:
+        """Return whether one more repeat is within the share."""
         self._drop_old()
         limits = self._limits
         allowed = limits.ratio * len(self._requests) + limits.extra / max(1, entries)
-        if len(self._repeats) + 1 > limits.share * allowed:
+        return len(self._repeats) + 1 <= limits.share * allowed
+
+    def take(self, entries: int) -> bool:
+        """Return whether one more repeat is within the share, and count it."""
+        if not self.has_room(entries):
             return False
         self._repeats.append(self._clock())
         return True
--- /dev/null
+++ b/poplarlug/relay/course.py
@@ -0,0 +1,154 @@
+"""The course of one request: where it was, what came of it, whether it may go on."""
+
+from typing import NamedTuple
+
+from poplarlug.errors import GatewayError
+from poplarlug.relay.dispatcher import Tried
+from poplarlug.relay.events import LAST_EVENT_HEADER, EventProgress
+from poplarlug.relay.requests import RelayRequest
+from poplarlug.relay.trace import RelayTrace
+from poplarlug.serving.answers import AnswerHead, AnswerSink
+from poplarlug.types import Seconds, UpstreamId, VmName
+
+LAST_SEND_SHARE = 0.1
+"""A repeat with less than this share of the objective left as its deadline is no use."""
+
+
+class Outcome(NamedTuple):
+    """
+    How one send ended.
+
+    Parameters
+    ----------
+    error : GatewayError or None
+        ``None`` once the whole answer was passed on.
+    arrived : bool
+        Whether the request may have reached its target.
+    answer : tuple or None
+        An upstream's own failure, head and body, that is passed on when there is
+        no other attempt.
+    """
+
+    error: GatewayError | None
+    arrived: bool = True
+    answer: tuple[AnswerHead, bytes] | None = None
+
+
+DONE = Outcome(None)
+
+
+class Course:
+    """
+    One request's sends and what they leave it to do.
+
+    Parameters
+    ----------
+    sink : AnswerSink
+        Where its answer goes.
+    """
+
+    def __init__(
+        self, *, request: RelayRequest, sink: AnswerSink, trace: RelayTrace
+    ) -> None:
+        self.request = request
+        self.sink = sink
+        self.trace = trace
+        self.tried = Tried()
+        self.events = _progress_of(request)
+        self.arrivals = 0
+        self._attempts = 0
+        self._last: GatewayError | None = None
+        self._error: GatewayError | None = None
+        self._answer: tuple[AnswerHead, bytes] | None = None
+        # The entry that handed a request on counts it as one attempt.
+        self._allowed = 1 if request.hops else request.route.max_attempts
+
+    @property
+    def may_repeat_later(self) -> bool:
+        """Whether another attempt is left after the one that begins."""
+        repeatable = self.request.route.is_repeatable
+        return repeatable and self._attempts + 1 < self._allowed
+
+    def ran_at_upstream(self, upstream_id: UpstreamId, outcome: Outcome) -> None:
+        """Note what came of a send to an upstream."""
+        tried = self.tried.upstreams | {upstream_id}
+        self.tried = self.tried._replace(upstreams=tried)
+        self._note(outcome)
+
+    def ran_at_entry(self, name: VmName, outcome: Outcome) -> None:
+        """Note what came of handing it to another entry."""
+        self.tried = self.tried._replace(entries=self.tried.entries | {name})
+        self._note(outcome)
+
+    def may_go_on(self, now: Seconds) -> bool:
+        """Return whether another attempt is allowed, and prepare it."""
+        request = self.request
+        if self._attempts >= self._allowed or self._last is None:
+            return False
+        if request.deadline - now < LAST_SEND_SHARE * request.route.objective_seconds:
+            return False
+        if self._last.ran is not False and not request.route.is_repeatable:
+            return False
+        if self.events is None:
+            return not self.sink.started
+        self.events.restart()
+        self.request = _resumed(request, self.events)
+        return True
+
+    async def give_up(self, refusal: GatewayError | None = None) -> GatewayError | None:
+        """
+        Return the final error, or pass on the failure that an upstream answered.
+
+        Parameters
+        ----------
+        refusal : GatewayError, optional
+            Why there is no further attempt; it counts unless one may have run.
+        """
+        if refusal is not None:
+            self._error = _final(self._error, refusal)
+        if self._answer is None or self.sink.started:
+            return self._error
+        await answer_whole(*self._answer, self.sink)
+        return None
+
+    def _note(self, outcome: Outcome) -> None:
+        error = outcome.error
+        if error is None:
+            return
+        self.arrivals += outcome.arrived
+        self._attempts += outcome.arrived and error.ran is not False
+        self._last = error
+        self._error = _final(self._error, error)
+        self._answer = outcome.answer or self._answer
+
+
+async def answer_whole(head: AnswerHead, body: bytes, sink: AnswerSink) -> None:
+    """Pass a whole answer on."""
+    await sink.start(head)
+    await sink.write(body)
+    await sink.finish()
+
+
+def _final(earlier: GatewayError | None, latest: GatewayError) -> GatewayError:
+    # "Not run" has to hold for all sends together.
+    if earlier is None or earlier.ran is False:
+        return latest
+    return earlier if latest.ran is False else latest
+
+
+def _progress_of(request: RelayRequest) -> EventProgress | None:
+    if request.route.kind != "streaming" or not request.route.resumable:
+        return None
+    name = LAST_EVENT_HEADER.lower()
+    asked = (value for key, value in request.headers if key.lower() == name)
+    return EventProgress(last_id=next(asked, ""))
+
+
+def _resumed(request: RelayRequest, events: EventProgress) -> RelayRequest:
+    """Return what asks another upstream for the rest of a stream."""
+    if not events.last_id:
+        return request
+    name = LAST_EVENT_HEADER.lower()
+    headers = [(key, value) for key, value in request.headers if key.lower() != name]
+    headers.append((LAST_EVENT_HEADER, events.last_id))
+    return request._replace(headers=tuple(headers))
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
 
 import aiohttp
 from prometheus_client import Counter, Histogram
@@ -14,8 +13,10 @@
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.budgets import RetryBudget, RetryLimits
 from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
+from poplarlug.relay.course import DONE, Course, Outcome, answer_whole
 from poplarlug.relay.dialect import Dialect
-from poplarlug.relay.dispatcher import Dispatcher, FarPlace, LocalPlace, Tried
+from poplarlug.relay.dispatcher import Dispatcher, FarPlace, LocalPlace
+from poplarlug.relay.events import EventProgress
 from poplarlug.relay.hop_headers import (
     HOPS,
     ORIGIN,
@@ -38,15 +39,21 @@
 ENTRY_PAUSE_SECONDS = 2.0
 """How long an entry that broke a forward is left alone."""
 
-LAST_SEND_SHARE = 0.1
-"""A repeat with less than this share of the objective left as its deadline is no use."""
-
 REFUSED_RETRY_SECONDS = 0.2
 """When to come back after an upstream refused; its queue moves on within that."""
 
 REST_SECONDS = 0.2
 """How long the rest of a refusal's body may take, so that its connection is kept."""
 
+STALL_SECONDS = 2.0
+"""A stream that stands still so long is taken up elsewhere where that is allowed;
+callers leave after three seconds and more."""
+
+PATIENCE_SHARE = 2.5
+"""What may be repeated is sent elsewhere after this many objectives."""
+
+MIN_PATIENCE_SECONDS = 0.8
+
 EVENT_STREAM = "text/event-stream"
 
 _SENDS = Counter(
@@ -67,29 +74,6 @@
 _log = PartLog(prefix="relay")
 
 
-class _Outcome(NamedTuple):
-    """
-    How one send ended.
-
-    Parameters
-    ----------
-    error : GatewayError or None
-        ``None`` once the whole answer was passed on.
-    arrived : bool
-        Whether the request may have reached its target.
-    answer : tuple or None
-        An upstream's own failure, head and body, that is passed on when there is
-        no other attempt.
-    """
-
-    error: GatewayError | None
-    arrived: bool = True
-    answer: tuple[AnswerHead, bytes] | None = None
-
-
-_DONE = _Outcome(None)
-
-
 class RelayGateway:
     """
     Run requests at upstreams of the region, or through entries of other regions.
@@ -136,62 +120,48 @@
             ``None`` once the whole answer was passed on.
         """
         budget = self._budget_of(request.service)
-        budget.note_request()
-        tried = Tried()
-        attempts = 0
-        arrivals = 0
-        error: GatewayError | None = None
-        answer: tuple[AnswerHead, bytes] | None = None
+        if request.hops == 0:
+            budget.note_request()
+        course = Course(request=request, sink=sink, trace=trace)
         while True:
-            found = await self._dispatcher.find(request, tried)
+            found = await self._dispatcher.find(course.request, course.tried)
             if isinstance(found, Failure):
                 refusal = found.failure()
                 trace.step("no place", self._clock(), reason=refusal.message)
-                return await _give_up(_final(error, refusal), answer, sink)
+                return await course.give_up(refusal)
             placed = found.unwrap()
-            if isinstance(placed, LocalPlace):
-                if arrivals and not budget.take(self._entries()):
+            if course.arrivals and not budget.take(self._entries()):
+                if isinstance(placed, LocalPlace):
                     self._dispatcher.release(placed.flight, failed=False)
-                    trace.step("no repeat", self._clock(), reason="retry budget")
-                    return await _give_up(error, answer, sink)
-                outcome = await self._run_local(request, placed, sink, trace)
-                tried = tried._replace(upstreams=tried.upstreams | {placed.upstream.id})
+                trace.step("no repeat", self._clock(), reason="retry budget")
+                return await course.give_up()
+            patience = self._patience(course, budget)
+            if isinstance(placed, LocalPlace):
+                outcome = await self._run_local(course, placed, patience)
+                course.ran_at_upstream(placed.upstream.id, outcome)
             else:
-                outcome = await self._run_far(request, placed, sink, trace)
-                tried = tried._replace(entries=tried.entries | {placed.entry.name})
+                outcome = await self._run_far(course, placed, patience)
+                course.ran_at_entry(placed.entry.name, outcome)
             if outcome.error is None:
                 return None
-            arrivals += outcome.arrived
-            attempts += outcome.arrived and outcome.error.ran is not False
-            error = _final(error, outcome.error)
-            answer = outcome.answer or answer
-            if sink.started:
-                return error
-            if not self._may_repeat(request, outcome.error, attempts):
-                return await _give_up(error, answer, sink)
-
-    def _may_repeat(
-        self, request: RelayRequest, error: GatewayError, attempts: int
-    ) -> bool:
-        # The entry that handed a request on counts it as one attempt.
-        allowed = 1 if request.hops else request.route.max_attempts
-        if attempts >= allowed:
-            return False
+            if not course.may_go_on(self._clock()):
+                return await course.give_up()
+
+    def _patience(self, course: Course, budget: RetryBudget) -> Seconds:
+        """Return how long one send may take to its first answer."""
+        request = course.request
         left = request.deadline - self._clock()
-        if left < LAST_SEND_SHARE * request.route.objective_seconds:
-            return False
-        return error.ran is False or request.route.is_repeatable
+        if not course.may_repeat_later or not budget.has_room(self._entries()):
+            return left
+        objective = request.route.objective_seconds
+        return min(left, max(MIN_PATIENCE_SECONDS, PATIENCE_SHARE * objective))
 
     async def _run_local(
-        self,
-        request: RelayRequest,
-        placed: LocalPlace,
-        sink: AnswerSink,
-        trace: RelayTrace,
-    ) -> _Outcome:
+        self, course: Course, placed: LocalPlace, patience: Seconds
+    ) -> Outcome:
         upstream = placed.upstream
         now = self._clock()
-        trace.step(
+        course.trace.step(
             "sent",
             now,
             upstream=upstream.id,
@@ -204,7 +174,7 @@
         )
         failed = True
         try:
-            outcome = await self._attempt(request, placed, sink, trace)
+            outcome = await self._attempt(course, placed, patience)
             failed = outcome.error is not None and outcome.error.ran is None
             return outcome
         except asyncio.CancelledError:
@@ -214,12 +184,9 @@
             self._dispatcher.release(placed.flight, failed=failed)
 
     async def _attempt(
-        self,
-        request: RelayRequest,
-        placed: LocalPlace,
-        sink: AnswerSink,
-        trace: RelayTrace,
-    ) -> _Outcome:
+        self, course: Course, placed: LocalPlace, patience: Seconds
+    ) -> Outcome:
+        request, trace = course.request, course.trace
         dialect = self._dialect
         left = request.deadline - self._clock()
         headers = [
@@ -236,7 +203,7 @@
             path=request.path,
             headers=headers,
             body=request.body,
-            timeout_seconds=left,
+            timeout_seconds=patience,
         )
         now = self._clock()
         if isinstance(sent, Failure):
@@ -251,7 +218,7 @@
             self._in_flight.first_event(
                 placed.flight, ahead_ms=placed.ahead_ms, seconds=now - started
             )
-            return await self._pass_on(request, response, sink)
+            return await self._pass_on(course, response)
         finally:
             response.close()
 
@@ -260,76 +227,103 @@
         request: RelayRequest,
         placed: LocalPlace,
         response: aiohttp.ClientResponse,
-    ) -> _Outcome | None:
+    ) -> Outcome | None:
         """Return what speaks against passing an answer on, ``None`` when nothing does."""
         dialect = self._dialect
         headers = response.headers
         echoed = headers.get(dialect.request_id)
         if echoed is not None and echoed != request.id:
-            return _Outcome(outcome_unknown("the upstream answered another request"))
+            return Outcome(outcome_unknown("the upstream answered another request"))
         if response.status == 421 or dialect.not_executed in headers:
             cold = _milliseconds(headers.get(dialect.cold_left, ""))
             if cold:
                 self._in_flight.note_cold(placed.upstream.id, cold)
             message = f"the upstream refused it with status {response.status}"
             await _read_rest(response)
-            return _Outcome(not_run(message, REFUSED_RETRY_SECONDS))
+            return Outcome(not_run(message, REFUSED_RETRY_SECONDS))
         if dialect.signature not in headers:
-            return _Outcome(outcome_unknown("the answer is not an upstream's"))
+            return Outcome(outcome_unknown("the answer is not an upstream's"))
         if headers.get("Content-Encoding", "identity").lower() != "identity":
-            return _Outcome(outcome_unknown("the answer came in an encoding"))
+            return Outcome(outcome_unknown("the answer came in an encoding"))
         return None
 
     async def _pass_on(
-        self,
-        request: RelayRequest,
-        response: aiohttp.ClientResponse,
-        sink: AnswerSink,
-    ) -> _Outcome:
-        status = response.status
+        self, course: Course, response: aiohttp.ClientResponse
+    ) -> Outcome:
+        sink, events = course.sink, course.events
         length = response.content_length
-        is_held = not _is_stream(response) or status >= 400
+        is_held = not _is_stream(response) or response.status >= 400
+        if sink.started and (is_held or response.status != 200):
+            message = f"the stream was not taken up again: status {response.status}"
+            return Outcome(truncated_answer(message))
         if is_held and (length is None or length <= HELD_BODY_BYTES):
-            return await self._pass_on_whole(request, response, sink)
-        await sink.start(_head_of(response))
+            return await self._pass_on_whole(course, response)
+        if not sink.started:
+            await sink.start(_head_of(response))
+        if events is not None:
+            return await self._pass_on_events(course, response, events)
         try:
-            async with asyncio.timeout_at(request.deadline):
+            async with asyncio.timeout_at(course.request.deadline):
                 await BodyRelay(response=response, sink=sink).run()
         except TimeoutError:
-            return _Outcome(truncated_answer("the answer took too long"))
+            return Outcome(truncated_answer("the answer took too long"))
         except (aiohttp.ClientError, OSError) as error:
-            return _Outcome(truncated_answer(f"the answer broke off: {error!r}"))
+            return Outcome(truncated_answer(f"the answer broke off: {error!r}"))
         await sink.finish()
-        return _DONE
+        return DONE
 
-    async def _pass_on_whole(
+    async def _pass_on_events(
         self,
-        request: RelayRequest,
+        course: Course,
         response: aiohttp.ClientResponse,
-        sink: AnswerSink,
-    ) -> _Outcome:
+        events: EventProgress,
+    ) -> Outcome:
+        """Pass whole events on, so that another upstream can take the stream up."""
+        request, sink = course.request, course.sink
+        content = response.content
+        try:
+            async with asyncio.timeout_at(request.deadline) as whole:
+                while True:
+                    async with asyncio.timeout(STALL_SECONDS):
+                        data = await content.readany()
+                    if not data and content.at_eof():
+                        break
+                    whole_events = events.feed(data)
+                    if whole_events:
+                        await sink.write(whole_events)
+        except TimeoutError:
+            reason = "took too long" if whole.expired() else "stood still"
+            return Outcome(truncated_answer(f"the answer {reason}"))
+        except (aiohttp.ClientError, OSError) as error:
+            return Outcome(truncated_answer(f"the answer broke off: {error!r}"))
+        if not events.is_whole:
+            return Outcome(truncated_answer("the answer ended within an event"))
+        await sink.finish()
+        return DONE
+
+    async def _pass_on_whole(
+        self, course: Course, response: aiohttp.ClientResponse
+    ) -> Outcome:
+        request = course.request
         try:
             async with asyncio.timeout_at(request.deadline):
                 body = await response.read()
         except TimeoutError:
-            return _Outcome(outcome_unknown("the answer took too long"))
+            return Outcome(outcome_unknown("the answer took too long"))
         except (aiohttp.ClientError, OSError) as error:
-            return _Outcome(outcome_unknown(f"the answer broke off: {error!r}"))
+            return Outcome(outcome_unknown(f"the answer broke off: {error!r}"))
         head = _head_of(response)._replace(content_length=len(body))
         if response.status >= 500 and request.route.is_repeatable:
             message = f"the upstream failed with status {response.status}"
             failed = GatewayError(response.status, "upstream_failed", message, None)
-            return _Outcome(failed, answer=(head, body))
-        await _answer_whole(head, body, sink)
-        return _DONE
+            return Outcome(failed, answer=(head, body))
+        await answer_whole(head, body, course.sink)
+        return DONE
 
     async def _run_far(
-        self,
-        request: RelayRequest,
-        placed: FarPlace,
-        sink: AnswerSink,
-        trace: RelayTrace,
-    ) -> _Outcome:
+        self, course: Course, placed: FarPlace, patience: Seconds
+    ) -> Outcome:
+        request, trace = course.request, course.trace
         entry = placed.entry
         started = self._clock()
         routes = self._deployment.routes
@@ -369,10 +363,10 @@
             if refused is not None:
                 error = decode_refusal(refused, f"refused by {entry.name}")
                 unknown = outcome_unknown("the entry's refusal can't be read")
-                return _Outcome(error or unknown)
+                return Outcome(error or unknown)
             if response.headers.get(self._dialect.request_id, request.id) != request.id:
-                return _Outcome(outcome_unknown("the entry answered another request"))
-            return await self._pass_on(request, response, sink)
+                return Outcome(outcome_unknown("the entry answered another request"))
+            return await self._pass_on(course, response)
         finally:
             response.close()
 
@@ -390,16 +384,16 @@
 
     def _note_failed(
         self, target: str, error: SendError, trace: RelayTrace, now: Seconds
-    ) -> _Outcome:
+    ) -> Outcome:
         _SENDS.labels(target, error.kind.value).inc()
         trace.step("send failed", now, kind=error.kind.value, reason=error.message)
         if error.kind is SendErrorKind.NOT_SENT:
             failed = not_run("no connection stood", REFUSED_RETRY_SECONDS)
-            return _Outcome(failed, arrived=False)
+            return Outcome(failed, arrived=False)
         if error.kind is SendErrorKind.TIMEOUT:
             message = "no answer came within the time"
-            return _Outcome(GatewayError(504, "timed_out", message, None, None))
-        return _Outcome(outcome_unknown("the connection was lost before an answer"))
+            return Outcome(GatewayError(504, "timed_out", message, None, None))
+        return Outcome(outcome_unknown("the connection was lost before an answer"))
 
     def _budget_of(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets_by_service.get(service)
@@ -412,31 +406,6 @@
         return len(self._deployment.entries_by_name)
 
 
-def _final(earlier: GatewayError | None, latest: GatewayError) -> GatewayError:
-    # "Not run" has to hold for all sends together.
-    if earlier is None or earlier.ran is False:
-        return latest
-    return earlier if latest.ran is False else latest
-
-
-async def _give_up(
-    error: GatewayError | None,
-    answer: tuple[AnswerHead, bytes] | None,
-    sink: AnswerSink,
-) -> GatewayError | None:
-    """Pass on the failure that an upstream answered, if there is one."""
-    if answer is None:
-        return error
-    await _answer_whole(*answer, sink)
-    return None
-
-
-async def _answer_whole(head: AnswerHead, body: bytes, sink: AnswerSink) -> None:
-    await sink.start(head)
-    await sink.write(body)
-    await sink.finish()
-
-
 async def _read_rest(response: aiohttp.ClientResponse) -> None:
     try:
         async with asyncio.timeout(REST_SECONDS):
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -32,6 +32,7 @@
     "look": {"route_kind": "safe"},
     "book": {"route_kind": "unsafe", "max_attempts": 1},
     "stream": {"route_kind": "streaming", "max_attempts": 1},
+    "resume": {"route_kind": "streaming", "resumable": True},
     "bound": {"route_kind": "safe", "home_regions": ["sierra"]},
 }
 
@@ -144,6 +145,30 @@
         statuses = {self.send(self.quito, "look").status for _ in range(10)}
         self.assertEqual(statuses, {200})
 
+    def test_silent_upstream_is_left_for_another(self) -> None:
+        """What may be repeated doesn't wait for one that gives no answer."""
+        self.upstreams[0].fault = "mute"
+        started = time.monotonic()
+        for _ in range(4):
+            self.assertEqual(self.send(self.quito, "look").status, 200)
+        self.assertLess(time.monotonic() - started, 4.0)
+
+    def test_broken_stream_is_taken_up_by_another_upstream(self) -> None:
+        """The caller gets each event once and in order, in one answer."""
+        self.upstreams[0].fault = "cut"
+        expected = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(STREAM_EVENTS))
+        for _ in range(6):
+            answer = self.send(self.quito, "resume")
+            self.assertEqual((answer.status, answer.body), (200, expected))
+        self.assertGreater(len(self.upstreams[0].arrivals), 0)
+
+    def test_stream_that_may_not_be_resumed_breaks_off(self) -> None:
+        """It never looks whole, and it runs once."""
+        for upstream in self.upstreams:
+            upstream.fault = "cut"
+        self.assertEqual(self.send(self.quito, "stream").status, 0)
+        self.assertEqual(self.arrivals(), 1)
+
     def test_unsafe_request_runs_at_most_once(self) -> None:
         """A request whose connection broke has an unknown outcome and no repeat."""
         for upstream in self.upstreams:
--- a/tests/platform_adapter/upstream.py
+++ b/tests/platform_adapter/upstream.py
@@ -15,6 +15,8 @@
 EXPECTED = "X-Poplarlug-Expect-Instance"
 NOT_EXECUTED = "X-Poplarlug-Not-Executed"
 STREAM_EVENTS = 20
+CUT_AFTER_EVENTS = 5
+MUTE_SECONDS = 30.0
 
 
 class Arrival(NamedTuple):
@@ -33,8 +35,8 @@
     ----------
     fault : str
         ``""``, ``reset`` (broken connection after the request was read), ``error``
-        (status 500), ``refuse`` (not executed) or ``long`` (a second answer after
-        each one).
+        (status 500), ``refuse`` (not executed), ``mute`` (no answer) or ``cut`` (a
+        stream that breaks off within an event).
     """
 
     def __init__(self, *, upstream_id: str, ip: str, service: str, zone: str) -> None:
@@ -113,7 +115,9 @@
             return web.Response()
         if self.fault == "error":
             return web.Response(status=500, headers=headers, text="failed")
-        if "/stream/" in request.path:
+        if self.fault == "mute":
+            await asyncio.sleep(MUTE_SECONDS)
+        if "/stream/" in request.path or "/resume/" in request.path:
             return await self._stream(request, headers)
         return web.Response(headers=headers, body=b"answer to " + body)
 
@@ -123,8 +127,15 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", -1)) + 1
         try:
-            for number in range(STREAM_EVENTS):
+            for number in range(first, STREAM_EVENTS):
+                if self.fault == "cut" and number == first + CUT_AFTER_EVENTS:
+                    await response.write(b"id: %d\nda" % number)
+                    await asyncio.sleep(0.05)
+                    assert request.transport is not None
+                    request.transport.abort()
+                    return response
                 await response.write(b"id: %d\ndata: x\n\n" % number)
                 await asyncio.sleep(self.event_seconds)
         except (asyncio.CancelledError, ConnectionResetError):
--- /dev/null
+++ b/tests/relay/test_events.py
@@ -0,0 +1,46 @@
+"""Tests of passing on whole events."""
+
+from random import Random
+from unittest import TestCase
+
+from poplarlug.relay.events import EventProgress
+
+EVENTS = [b"id: %d\ndata: token\n\n" % number for number in range(30)]
+
+
+class EventProgressTests(TestCase):
+    def test_only_whole_events_get_through(self) -> None:
+        """However the bytes are cut, events come whole and in order."""
+        for seed in range(20):
+            rng = Random(seed)
+            data = b"".join(EVENTS)
+            progress = EventProgress()
+            out = b""
+            while data:
+                cut = rng.randint(1, 40)
+                out += progress.feed(data[:cut])
+                data = data[cut:]
+                self.assertEqual(out, b"".join(EVENTS)[: len(out)])
+                self.assertTrue(out == b"" or out.endswith(b"\n\n"))
+            self.assertEqual(out, b"".join(EVENTS))
+            self.assertEqual(progress.last_id, "29")
+            self.assertTrue(progress.is_whole)
+
+    def test_part_of_an_event_is_forgotten_at_a_restart(self) -> None:
+        """The upstream that goes on sends the broken event whole."""
+        progress = EventProgress()
+        first = progress.feed(EVENTS[0] + EVENTS[1][:7])
+        self.assertFalse(progress.is_whole)
+        progress.restart()
+        rest = progress.feed(EVENTS[1])
+        self.assertEqual(first + rest, EVENTS[0] + EVENTS[1])
+
+    def test_caller_that_goes_on_itself_keeps_its_place(self) -> None:
+        """Before the first event, the place is the one that the caller named."""
+        self.assertEqual(EventProgress(last_id="7").last_id, "7")
+
+    def test_lines_before_the_id_belong_to_the_event(self) -> None:
+        """An event may carry other lines, and either kind of line end."""
+        progress = EventProgress()
+        progress.feed(b"x-version: 2\r\nid: 41\r\ndata: x\r\n\r\n")
+        self.assertEqual(progress.last_id, "41")
