Take no reset answer for whole; reload at SIGHUP instead of ending

Causes: the HTTP library ends a body without a length at any end of its connection, also at a reset, so a crashed upstream's half answer looked whole. SIGHUP had no handler and ended the process.

--- a/poplarlug/daemon.py
+++ b/poplarlug/daemon.py
@@ -68,6 +68,8 @@
             return
         log = cast(LogSettings, getattr(value, "log", LogSettings()))
         configure_logs(log_format=log.format, level=log.level)
+        # A reload that is asked for before the daemon can do it is no end.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         raise SystemExit(asyncio.run(_run(main(value, path.parent))))
 
     fire.Fire(command)
--- a/poplarlug/relay/client.py
+++ b/poplarlug/relay/client.py
@@ -4,9 +4,11 @@
 import socket
 from collections.abc import Sequence
 from enum import Enum
+from functools import partial
 from typing import Any, NamedTuple
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from returns.result import Failure, Result, Success
 from yarl import URL
 
@@ -46,9 +48,27 @@
     message: str
 
 
+class _StrictHandler(ResponseHandler):
+    """
+    Take no answer for whole whose connection was reset.
+
+    The library ends a body without a length at any end of its connection.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
+        super().connection_lost(exc)
+
+
 class _CheckedConnector(aiohttp.TCPConnector):
     """Reuse no connection on which bytes came after the last answer."""
 
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._factory: Any = partial(_StrictHandler, loop=self._loop)
+
     async def _get(self, key: Any, traces: Any) -> Any:
         idle = self._conns.get(key)
         if idle is not None:
--- a/poplarlug/seeded_settings.py
+++ b/poplarlug/seeded_settings.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -161,12 +162,18 @@
 async def watch_settings(
     path: Path, kind: type[T], reload: Callable[[T], object]
 ) -> None:
-    """Reload settings whenever their file changes, with or without a signal."""
+    """Reload settings whenever their file changes, and at SIGHUP."""
     watch = FileWatch(path=path)
+    asked = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, asked.set)
     while True:
-        await asyncio.sleep(SETTINGS_CHECK_SECONDS)
-        if not watch.has_changed():
-            continue
+        try:
+            async with asyncio.timeout(SETTINGS_CHECK_SECONDS):
+                await asked.wait()
+        except TimeoutError:
+            if not watch.has_changed():
+                continue
+        asked.clear()
         loaded = load_settings(path, kind)
         if isinstance(loaded, Success):
             reload(loaded.unwrap())
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -285,6 +285,18 @@
         answer = self.deployment.call(address, "GET", path)
         return json.loads(answer.body)["addresses"]
 
+    def test_hangup_reloads_and_ends_nothing(self) -> None:
+        """SIGHUP makes a process read its settings again, and serve on."""
+        names = (self.quito, self.deployment.control["quito-a"])
+        for name in names:
+            self.deployment.signal(name, signal.SIGHUP)
+        for name in names:
+            wait_until(
+                lambda name=name: "settings: reloaded" in self.deployment.log(name),
+                f"{name} does not reload",
+            )
+        self.assertEqual(self.send(self.quito, "look").status, 200)
+
     def test_all_control_replicas_may_be_killed_at_once(self) -> None:
         """What was acknowledged is read back, and requests go on meanwhile."""
         held = self.deployment.operate("GET", "/config").body
--- /dev/null
+++ b/tests/relay/test_client.py
@@ -0,0 +1,119 @@
+"""Tests of exchanges with upstreams over kept connections."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from unittest import TestCase
+
+import aiohttp
+from returns.result import Failure
+
+from poplarlug.relay.client import RelayClient, SendErrorKind
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class RelayClientTests(TestCase):
+    def exchange(self, talk: Talk, *, times: int = 1) -> list[object]:
+        """Return bodies, or the types of errors, of ``times`` requests."""
+
+        async def main() -> list[object]:
+            server = await asyncio.start_server(talk, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            client = RelayClient()
+            await client.open()
+            results: list[object] = []
+            for _ in range(times):
+                sent = await client.send(
+                    target=f"{host}:{port}",
+                    method="GET",
+                    path="/x",
+                    headers=(),
+                    body=b"",
+                    timeout_seconds=5.0,
+                )
+                if isinstance(sent, Failure):
+                    results.append(sent.failure().kind)
+                    continue
+                try:
+                    results.append(await sent.unwrap().read())
+                except aiohttp.ClientError as error:
+                    results.append(type(error))
+                await asyncio.sleep(0.05)
+            await client.close()
+            server.close()
+            return results
+
+        return asyncio.run(main())
+
+    def test_answer_without_length_ends_with_its_connection(self) -> None:
+        """A connection that is closed ends such an answer whole."""
+
+        async def talk(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"\r\nwhole")
+            writer.close()
+
+        self.assertEqual(self.exchange(talk), [b"whole"])
+
+    def test_reset_is_no_end_of_an_answer(self) -> None:
+        """A connection that is reset never makes a short answer a whole one."""
+
+        async def talk(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"\r\nhalf")
+            await asyncio.sleep(0.1)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+
+        self.assertEqual(self.exchange(talk), [aiohttp.ClientPayloadError])
+
+    def test_connection_with_bytes_after_its_answer_is_not_used_again(self) -> None:
+        """A second answer belongs to no request."""
+
+        async def talk(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            while not reader.at_eof():
+                try:
+                    await reader.readuntil(b"\r\n\r\n")
+                except asyncio.IncompleteReadError:
+                    return
+                writer.write(HEAD + b"Content-Length: 4\r\n\r\nmine")
+                await asyncio.sleep(0.01)
+                writer.write(HEAD + b"Content-Length: 6\r\n\r\nothers")
+
+        self.assertEqual(self.exchange(talk, times=3), [b"mine"] * 3)
+
+    def test_refused_connection_was_not_sent(self) -> None:
+        """Only a connection that never stood says that nothing left."""
+
+        async def main() -> object:
+            with socket.socket() as free:
+                free.bind(("127.0.0.1", 0))
+                port = free.getsockname()[1]
+            client = RelayClient()
+            await client.open()
+            sent = await client.send(
+                target=f"127.0.0.1:{port}",
+                method="GET",
+                path="/",
+                headers=(),
+                body=b"",
+                timeout_seconds=1.0,
+            )
+            await client.close()
+            assert isinstance(sent, Failure)
+            return sent.failure().kind
+
+        self.assertIs(asyncio.run(main()), SendErrorKind.NOT_SENT)
