Divide warm-up among all entries that may still spend it

Cause: entries that had just started saw one or two of the region's three, and each took a share of the whole. After an evacuation a zone's upstreams count as cold until two announcements could have come: they may have become cold meanwhile.

--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -146,7 +146,7 @@
 
 class Tables(NamedTuple):
     """
-    All records of a control replica that are there now.
+    All records of a control replica, those that are over included.
 
     Parameters
     ----------
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -239,9 +239,10 @@
         return GossipReply(self.registry.touch(message.heard))
 
     async def _serve_tables(self, sender: VmName, message: TablesRequest) -> Tables:
-        present = self.registry.present()
+        # Those that are over count too: entries share budgets with lost ones.
+        held = self.registry.changed_after(0)
         control = self._peers.present(2 * GOSSIP_SECONDS)
-        return Tables(present.entries, present.upstreams, control, self.is_settled)
+        return Tables(held.entries, held.upstreams, control, self.is_settled)
 
     async def _serve_poll(self, sender: VmName, poll: Poll) -> PollReply:
         name = poll.record.name
--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -44,6 +44,12 @@
 LOOK_NEARER_SECONDS = 5.0
 """How often a replica of the own zone is looked for while another one is used."""
 
+REMEMBER_SECONDS = 120.0
+"""How long an entry counts among those that share a budget after it was lost."""
+
+PRESUMED_COLD_SECONDS = 2.5
+"""Two announcements: a zone's upstreams may have become cold while it was evacuated."""
+
 MIN_PERIOD_SECONDS = 0.05
 """Shortest time between two polls, so that a burst of news costs one."""
 
@@ -85,6 +91,8 @@
         self._regions_by_zone = regions_by_zone
         self._clock = clock
         self.entries_by_name: dict[VmName, EntryRecord] = {}
+        self._seen_by_entry: dict[VmName, tuple[RegionName, Seconds]] = {}
+        self._taken_back_by_zone: dict[ZoneName, Seconds] = {}
         self._upstreams_by_id: dict[UpstreamId, _Noted] = {}
         self.routes: RouteIndex | None = None
         self.routing_revision = 0
@@ -111,7 +119,10 @@
         noted = self._upstreams_by_id.get(upstream_id)
         if noted is None:
             return 0.0
-        return max(0.0, noted.record.cold_seconds - (self._clock() - noted.at))
+        now = self._clock()
+        taken_back = self._taken_back_by_zone.get(noted.record.zone, float("-inf"))
+        presumed = taken_back + PRESUMED_COLD_SECONDS - now
+        return max(0.0, noted.record.cold_seconds - (now - noted.at), presumed)
 
     def serving(self, service: str) -> list[ServiceUpstream]:
         """Return the own region's upstreams of a service that take requests."""
@@ -143,14 +154,35 @@
             if entry.region == region and entry.state == "serving"
         ]
 
+    def sharers(self, region: RegionName) -> list[VmName]:
+        """
+        Return the entries of a region, those that were lost lately included.
+
+        Budgets are divided among them: one that is out of sight may spend its share.
+        """
+        oldest = self._clock() - REMEMBER_SECONDS
+        return [
+            name
+            for name, (own, seen) in self._seen_by_entry.items()
+            if own == region and seen >= oldest
+        ]
+
+    def count_sharers(self) -> int:
+        """Return how many entries there are in all regions, see :meth:`sharers`."""
+        oldest = self._clock() - REMEMBER_SECONDS
+        return sum(seen >= oldest for _, seen in self._seen_by_entry.values())
+
     def take(self, reply: PollReply) -> None:
         """Bring a replica's news into force."""
         now = self._clock()
         self.heard_at = now
+        for name, entry in self.entries_by_name.items():
+            self._seen_by_entry[name] = entry.region, now
         if reply.whole:
             self._forget_all_but(reply)
         for entry in reply.entries:
             self.entries_by_name[entry.name] = entry
+            self._seen_by_entry[entry.name] = entry.region, now
         for upstream in reply.upstreams:
             held = self._upstreams_by_id.get(upstream.id)
             if held is None or upstream.born >= held.record.born:
@@ -178,6 +210,8 @@
         zones = frozenset(news.evacuated_zones)
         if zones != self.evacuated_zones:
             _log.info("evacuated zones", zones=sorted(zones), revision=news.revision)
+        for zone in self.evacuated_zones - zones:
+            self._taken_back_by_zone[zone] = self._clock()
         self.evacuated_zones = zones
         self.routing_revision = news.revision
 
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -403,11 +403,7 @@
         """Return whether a cold upstream bears one more request from this entry."""
         if not self._is_cold(upstream):
             return True
-        names = [
-            e.name for e in self._deployment.entries_of(self._deployment.own_region)
-        ]
-        if self._name not in names:
-            names.append(self._name)
+        names = {*self._deployment.sharers(self._deployment.own_region), self._name}
         ranked = sorted(
             names, key=lambda n: xxhash.xxh3_64_intdigest(f"{upstream.id}/{n}".encode())
         )
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -403,7 +403,7 @@
         return budget
 
     def _entries(self) -> int:
-        return len(self._deployment.entries_by_name)
+        return self._deployment.count_sharers()
 
 
 async def _read_rest(response: aiohttp.ClientResponse) -> None:
--- /dev/null
+++ b/tests/discovery/test_subscriber.py
@@ -0,0 +1,84 @@
+"""Tests of an entry's view of the deployment."""
+
+from unittest import TestCase
+
+from poplarlug.control.routing_state import encode_table
+from poplarlug.discovery.messages import PollReply, RoutingNews
+from poplarlug.discovery.subscriber import (
+    PRESUMED_COLD_SECONDS,
+    REMEMBER_SECONDS,
+    Deployment,
+)
+from tests.discovery.test_registry import make_entry, make_upstream
+from tests.routes.test_checks import make_route, make_table
+
+REPLY = PollReply(
+    registry_id="r", revision=1, whole=False, current=True, zone="quito-a"
+)
+
+
+class DeploymentTests(TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.deployment = Deployment(
+            own_region="sierra",
+            regions_by_zone={"quito-a": "sierra", "cuenca-a": "austro"},
+            clock=lambda: self.now,
+        )
+
+    def take(self, **fields: object) -> None:
+        self.deployment.take(REPLY._replace(**fields))
+
+    def serving(self) -> list[str]:
+        return [upstream.id for upstream in self.deployment.serving("engine")]
+
+    def test_lost_entries_keep_their_share(self) -> None:
+        """An entry that is out of sight may still spend of a common budget."""
+        entries = tuple(make_entry(name=f"quito-a-{n}") for n in range(3))
+        self.take(entries=entries)
+        self.take(entries=(entries[0]._replace(state="lost"),))
+        self.assertEqual(len(self.deployment.sharers("sierra")), 3)
+        self.assertEqual(len(self.deployment.entries_of("sierra")), 2)
+        self.now += REMEMBER_SECONDS + 1
+        self.take(entries=entries[1:])
+        self.assertEqual(len(self.deployment.sharers("sierra")), 2)
+
+    def test_whole_reply_ends_what_it_does_not_name(self) -> None:
+        """What a settled replica lacks is not there; an unsettled one lacks much."""
+        self.take(upstreams=(make_upstream(),))
+        self.take(upstreams=())
+        self.assertEqual(self.serving(), ["e-1"])
+        self.take(whole=True)
+        self.assertEqual(self.serving(), [])
+
+    def test_evacuated_zone_serves_nothing_and_comes_back_as_if_cold(self) -> None:
+        """Its upstreams may have become cold before they announce that."""
+        self.take(upstreams=(make_upstream(),))
+        self.assertEqual(self.deployment.cold_seconds("e-1"), 0.0)
+        self.take(routing=RoutingNews(1, b"", ("quito-a",)))
+        self.assertEqual(self.serving(), [])
+        self.take(routing=RoutingNews(2, b"", ()))
+        self.assertEqual(self.serving(), ["e-1"])
+        self.assertGreater(self.deployment.cold_seconds("e-1"), 0.0)
+        self.now += PRESUMED_COLD_SECONDS
+        self.assertEqual(self.deployment.cold_seconds("e-1"), 0.0)
+
+    def test_older_routes_never_come_back(self) -> None:
+        """A replica that lags can't undo what is in force."""
+        for revision, version in ((2, 7), (1, 9), (3, 5)):
+            table = make_table(make_route(), version=version)
+            self.take(routing=RoutingNews(revision, encode_table(table)))
+        assert self.deployment.routes is not None
+        self.assertEqual(self.deployment.routes.version, 7)
+
+    def test_damaged_routes_change_nothing(self) -> None:
+        """Routes that can't be read are passed over."""
+        self.take(routing=RoutingNews(1, encode_table(make_table(make_route()))))
+        self.take(routing=RoutingNews(2, b"damaged"))
+        self.assertEqual(self.deployment.routing_revision, 1)
+
+    def test_upstreams_of_other_regions_are_not_used(self) -> None:
+        """They accept connections from their own region alone."""
+        self.take(upstreams=(make_upstream(zone="cuenca-a"),))
+        self.assertEqual(self.serving(), [])
+        self.assertEqual(self.deployment.serving_regions("engine"), {"e-1": "austro"})
