--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -8,6 +8,7 @@
 
 from poplarlug.control.memory_disk import MemoryDisk
 from poplarlug.control.raft.consensus_state import Role
+from poplarlug.control.raft.membership import Recruit
 from poplarlug.control.raft.replica import Replica
 from poplarlug.control.replicated_log import LogEntry, ReplicatedLog, StateMachine
 from poplarlug.transport import MemoryNetwork, MemoryTransport
@@ -77,6 +78,7 @@
             recover_incarnation=recover_incarnation,
             snapshot_entries=self.group.snapshot_entries,
             kept_entries=4,
+            recruit=self.group.recruit(self.name),
         )
         loaded = self.replica.load()
         assert isinstance(loaded, Success), loaded
@@ -113,6 +115,8 @@
         Source of all that is left to chance.
     one_way : float
         Latency between any two replicas, in seconds.
+    recruits : bool
+        Whether the group takes in and votes out replicas by itself.
     """
 
     def __init__(
@@ -124,7 +128,9 @@
         one_way: float = 0.0005,
         loss: float = 0.0,
         snapshot_entries: int = 16,
+        recruits: bool = False,
     ) -> None:
+        self._recruits = recruits
         self.rng = rng
         self.history: dict[int, tuple[int, int, bytes]] = {}
         self.leaders_by_term: dict[int, str] = {}
@@ -138,6 +144,12 @@
         for member in self.members_by_name.values():
             member.start()
 
+    def recruit(self, name: str) -> Recruit | None:
+        """Return how a replica knows the others that are up."""
+        if not self._recruits:
+            return None
+        return Recruit(lambda: [m.name for m in self.live() if m.name != name])
+
     def live(self) -> list[GroupMember]:
         return [m for m in self.members_by_name.values() if m.replica is not None]
 
--- /dev/null
+++ b/tests/control/raft/test_recruiting.py
@@ -0,0 +1,85 @@
+"""Tests of a control group that takes in and votes out replicas by itself."""
+
+import asyncio
+from random import Random
+
+from poplarlug.virtualtime import run_virtual
+from tests.control.group import SimulatedGroup
+from tests.control.quiet import QuietTestCase
+
+
+class RecruitingTests(QuietTestCase):
+    def group(self, names: str) -> SimulatedGroup:
+        return SimulatedGroup(
+            rng=Random(7), names=tuple(names), founders=tuple("abc"), recruits=True
+        )
+
+    def voters(self, group: SimulatedGroup) -> set[str]:
+        leader = group.leader()
+        if leader is None or leader.replica is None:
+            return set()
+        return {member.name for member in leader.replica.state.members.voters}
+
+    def test_six_replicas_have_five_voters(self) -> None:
+        """The sixth learns, and takes the place of one that is lost."""
+
+        async def main() -> None:
+            group = self.group("abcdef")
+            group.start()
+            await group.wait_for(lambda: len(self.voters(group)) == 5, "not five")
+            await asyncio.sleep(5.0)
+            self.assertEqual(len(self.voters(group)), 5)
+            leader = await group.wait_for_leader()
+            lost = next(n for n in self.voters(group) if n != leader.name)
+            group.members_by_name[lost].crash()
+            await group.wait_for(
+                lambda: len(self.voters(group)) == 5 and lost not in self.voters(group),
+                "the lost one still votes",
+            )
+            self.assertTrue(await group.propose(b"with the sixth"))
+
+        run_virtual(main())
+
+    def test_newcomer_replaces_a_lost_replica_of_three(self) -> None:
+        """After that, one more may be lost; the first one's return does no harm."""
+
+        async def main() -> None:
+            group = self.group("abcd")
+            newcomer = group.members_by_name["d"]
+            for name in "abc":
+                group.members_by_name[name].start()
+            await group.wait_for_leader()
+            self.assertTrue(await group.propose(b"before"))
+            lost = next(m for m in group.live() if m is not group.leader())
+            lost.crash()
+            newcomer.start()
+            expected = set("abcd") - {lost.name}
+            await group.wait_for(lambda: self.voters(group) == expected, "not replaced")
+            self.assertTrue(await group.propose(b"after"))
+            lost.start()
+            await asyncio.sleep(10.0)
+            self.assertEqual(self.voters(group), expected)
+            leader = await group.wait_for_leader()
+            leader.crash()
+            await group.wait_for_leader()
+            self.assertTrue(await group.propose(b"with two of three"))
+
+        run_virtual(main())
+
+    def test_short_absence_changes_nothing(self) -> None:
+        """A replica that restarts in time keeps its vote."""
+
+        async def main() -> None:
+            group = self.group("abcd")
+            group.start()
+            leader = await group.wait_for_leader()
+            await asyncio.sleep(3.0)
+            voters = self.voters(group)
+            away = next(n for n in voters if n != leader.name)
+            group.members_by_name[away].crash()
+            await asyncio.sleep(1.0)
+            group.members_by_name[away].start()
+            await asyncio.sleep(8.0)
+            self.assertEqual(self.voters(group), voters)
+
+        run_virtual(main())
