Give routes and evacuations a command line and remote procedure calls

poplarlug routes put, show, status and poplarlug zones evacuate, take_back, on both kinds of control replicas; the seeded ones serve them where grpc is set.

--- a/poplarlug/control/operations.py
+++ b/poplarlug/control/operations.py
@@ -16,6 +16,7 @@
 from poplarlug.control.reading import LinearReader
 from poplarlug.control.reconciler import Reconciler
 from poplarlug.control.replicated_log import ReplicatedLog
+from poplarlug.control.routing_service import RoutingService
 from poplarlug.control.state import ControlState
 from poplarlug.control.upstream_directory import UpstreamDirectory
 from poplarlug.distribution.publisher import ConfigPublisher
@@ -107,6 +108,9 @@
             ),
             directory=directory,
             group=group,
+            routing=RoutingService(
+                state=state.routing, propose=propose, leader_calls=self._leader_calls
+            ),
         )
 
     def add_children(self, supervisor: Supervisor) -> None:
--- a/poplarlug/control/operator_service.py
+++ b/poplarlug/control/operator_service.py
@@ -15,7 +15,6 @@
 from poplarlug.control.config_status import ConfigStatus
 from poplarlug.control.control_group import ControlGroup
 from poplarlug.control.conversion import from_message, to_message
-from poplarlug.control.group_servicer import GroupServicer
 from poplarlug.control.orders import (
     OrderAction,
     OrderOutcome,
@@ -24,6 +23,8 @@
 )
 from poplarlug.control.reading import LinearReader
 from poplarlug.control.replicated_log import ProposeError, ProposeErrorKind
+from poplarlug.control.routes_servicer import RoutesServicer
+from poplarlug.control.routing_service import RoutingService
 from poplarlug.control.state import ControlState
 from poplarlug.control.upstream_directory import UpstreamDirectory
 from poplarlug.keys import hash_caller_key
@@ -53,7 +54,7 @@
 _log = PartLog(prefix="operators")
 
 
-class OperatorService(GroupServicer):
+class OperatorService(RoutesServicer):
     """
     Serve operators from the replicated state.
 
@@ -77,8 +78,9 @@
         status: ConfigStatus,
         directory: UpstreamDirectory,
         group: ControlGroup,
+        routing: RoutingService,
     ) -> None:
-        super().__init__(group=group)
+        super().__init__(group=group, routing=routing)
         self._name = name
         self._state = state
         self._propose = propose
--- a/poplarlug/control/routing_service.py
+++ b/poplarlug/control/routing_service.py
@@ -67,6 +67,11 @@
         self._leader_calls = leader_calls
         leader_calls.register("routing_revision", RevisionRequest, self._serve_revision)
 
+    @property
+    def version(self) -> int:
+        """Version of the table that this replica holds; -1 for none."""
+        return self._state.version
+
     async def put_table(self, table: RouteTable, source: bytes) -> Result[int, str]:
         """
         Bring a table without problems into force, unless a newer one is.
--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
+from typing import Any
 
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
+from poplarlug.control.control_group import ControlGroup
 from poplarlug.control.disk import FileDisk
 from poplarlug.control.leader_calls import LeaderCalls
 from poplarlug.control.proposing import Proposer
@@ -35,6 +37,7 @@
 PRESENT_SECONDS = 5.0
 """A replica that spoke within this time may be recruited."""
 
+GRPC_STOP_SECONDS = 1.0
 EXIT_DAMAGED_DATA = 3
 
 _log = PartLog(prefix="control")
@@ -66,6 +69,9 @@
             recruit=Recruit(lambda: self.peers.present(PRESENT_SECONDS)[1:]),
         )
         self.proposer = Proposer(log=self.replica, transport=self.transport)
+        self.group = ControlGroup(
+            replica=self.replica, transport=self.transport, names=()
+        )
         leader_calls = LeaderCalls(log=self.replica, transport=self.transport)
         self.routing = RoutingService(
             state=self.state.routing,
@@ -133,6 +139,9 @@
         Site(f"{settings.ip}:{settings.metrics_port}", metrics),
     ]
     runners = [await serve_http(site.app, site.address) for site in sites]
+    server = _operators_server(control, settings, settings_file.parent)
+    if server is not None:
+        await server.start()
     running = asyncio.ensure_future(control.supervisor.run())
     watching = asyncio.ensure_future(
         watch_settings(settings_file, SeededControlSettings, control.reload)
@@ -143,9 +152,29 @@
     _log.info("stopping", name=settings.name)
     failed = running.done()
     watching.cancel()
+    if server is not None:
+        await server.stop(GRPC_STOP_SECONDS)
     for runner in runners:
         await runner.cleanup()
     running.cancel()
     await asyncio.gather(running, return_exceptions=True)
     _log.info("stopped", name=settings.name)
     return 1 if failed else 0
+
+
+def _operators_server(
+    control: SeededControl, settings: SeededControlSettings, folder: Path
+) -> Any:
+    """Return the server of operators' calls, ``None`` where it isn't set."""
+    if settings.grpc is None:
+        return None
+    # The library takes 10 MB, so it is imported only where it is used.
+    from poplarlug.control.grpc_server import build_server
+    from poplarlug.control.routes_servicer import RoutesServicer
+
+    hashes = (folder / settings.operator_key_hashes_file).read_text().split()
+    return build_server(
+        service=RoutesServicer(routing=control.routing, group=control.group),
+        address=settings.grpc,
+        key_hashes=hashes,
+    )
--- a/poplarlug/operators/commands.py
+++ b/poplarlug/operators/commands.py
@@ -19,6 +19,7 @@
 )
 from poplarlug.operators.order_commands import OrderCommands, UpstreamCommands
 from poplarlug.operators.output import OutputFormat
+from poplarlug.operators.routing_commands import RouteCommands, ZoneCommands
 from poplarlug.operators.session import (
     CA_FILE_VARIABLE,
     EXIT_USAGE,
@@ -108,6 +109,8 @@
         self.order = OrderCommands(session)
         self.config = ConfigCommands(session)
         self.control = ControlCommands(session)
+        self.routes = RouteCommands(session)
+        self.zones = ZoneCommands(session)
         self.keys = KeyCommands()
 
     def status(self) -> None:
--- a/poplarlug/seeded_settings.py
+++ b/poplarlug/seeded_settings.py
@@ -105,6 +105,10 @@
         Whether the seeds found a new group when all of them hold nothing.
     beat_milliseconds : float
         Time between two announcements of an upstream.
+    grpc : Address or None
+        Where operators' remote procedure calls are served, if they are.
+    operator_key_hashes_file : str
+        File with one hash of an operator's key a line; needed with ``grpc``.
     """
 
     name: VmName
@@ -119,10 +123,16 @@
     data_folder: str
     bootstrap: bool = False
     beat_milliseconds: Annotated[float, Meta(gt=0, le=60_000)] = 1200.0
+    grpc: Address | None = None
+    operator_key_hashes_file: str = ""
     log: LogSettings = LogSettings()
 
     def cross_check(self) -> list[SettingsError]:
-        return _check_place(self.zone, self.region, self.regions_by_zone)
+        errors = _check_place(self.zone, self.region, self.regions_by_zone)
+        if self.grpc is not None and not self.operator_key_hashes_file:
+            message = "missing; operators' calls need the hashes of their keys"
+            errors.append(SettingsError("$.operator_key_hashes_file", message))
+        return errors
 
 
 def seed_peers(seeds: tuple[str, ...], peers_port: int) -> tuple[Address, ...]:
