--- /dev/null
+++ b/poplarlug/discovery/deployment.py
@@ -0,0 +1,194 @@
+"""An entry's view of the deployment."""
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from poplarlug.control.routing_state import decode_table
+from poplarlug.discovery.messages import PollReply, RoutingNews
+from poplarlug.discovery.records import (
+    EntryRecord,
+    RegionLoad,
+    ServiceUpstream,
+    UpstreamLoad,
+)
+from poplarlug.latest import Latest
+from poplarlug.logs import PartLog
+from poplarlug.routes import RouteIndex
+from poplarlug.types import RegionName, Seconds, UpstreamId, VmName, ZoneName
+
+REMEMBER_SECONDS = 120.0
+"""How long an entry counts among those that share a budget after it was lost."""
+
+PRESUMED_COLD_SECONDS = 2.5
+"""Two announcements: a zone's upstreams may have become cold while it was evacuated."""
+
+_log = PartLog(prefix="discovery")
+
+
+class _Noted(NamedTuple):
+    record: ServiceUpstream
+    at: Seconds
+
+
+class Deployment:
+    """
+    Entries, upstreams, routes and loads as this entry knows them.
+
+    Everything stays as it was while no control replica answers.
+
+    Parameters
+    ----------
+    regions_by_zone : mapping
+        Zones of the deployment.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_region: RegionName,
+        regions_by_zone: Mapping[ZoneName, RegionName],
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self.own_region = own_region
+        self._regions_by_zone = regions_by_zone
+        self._clock = clock
+        self.entries_by_name: dict[VmName, EntryRecord] = {}
+        self._seen_by_entry: dict[VmName, tuple[RegionName, Seconds]] = {}
+        self._taken_back_by_zone: dict[ZoneName, Seconds] = {}
+        self._upstreams_by_id: dict[UpstreamId, _Noted] = {}
+        self.routes: RouteIndex | None = None
+        self.routing_revision = 0
+        self.evacuated_zones: frozenset[ZoneName] = frozenset()
+        self.others_loads_by_id: dict[UpstreamId, UpstreamLoad] = {}
+        self.region_loads: tuple[RegionLoad, ...] = ()
+        self.heard_at: Seconds = float("-inf")
+        self.changed: Latest[int] = Latest(initial=0)
+
+    @property
+    def age_seconds(self) -> Seconds:
+        """Time since a control replica answered."""
+        return self._clock() - self.heard_at
+
+    def upstream_ids(self) -> frozenset[UpstreamId]:
+        return frozenset(self._upstreams_by_id)
+
+    def upstream(self, upstream_id: UpstreamId) -> ServiceUpstream | None:
+        noted = self._upstreams_by_id.get(upstream_id)
+        return None if noted is None else noted.record
+
+    def cold_seconds(self, upstream_id: UpstreamId) -> Seconds:
+        """Return how much longer an upstream is cold; 0 when it is warm."""
+        noted = self._upstreams_by_id.get(upstream_id)
+        if noted is None:
+            return 0.0
+        now = self._clock()
+        taken_back = self._taken_back_by_zone.get(noted.record.zone, float("-inf"))
+        presumed = taken_back + PRESUMED_COLD_SECONDS - now
+        return max(0.0, noted.record.cold_seconds - (now - noted.at), presumed)
+
+    def serving(self, service: str) -> list[ServiceUpstream]:
+        """Return the own region's upstreams of a service that take requests."""
+        return [
+            noted.record
+            for noted in self._upstreams_by_id.values()
+            if noted.record.service == service
+            and noted.record.phase == "serving"
+            and self._regions_by_zone.get(noted.record.zone) == self.own_region
+            and noted.record.zone not in self.evacuated_zones
+        ]
+
+    def serving_regions(self, service: str) -> dict[UpstreamId, RegionName]:
+        """Return the regions of all upstreams of a service that take requests."""
+        return {
+            upstream_id: self._regions_by_zone[noted.record.zone]
+            for upstream_id, noted in self._upstreams_by_id.items()
+            if noted.record.service == service
+            and noted.record.phase == "serving"
+            and noted.record.zone in self._regions_by_zone
+            and noted.record.zone not in self.evacuated_zones
+        }
+
+    def entries_of(self, region: RegionName) -> list[EntryRecord]:
+        """Return the entries of a region that take requests."""
+        return [
+            entry
+            for entry in self.entries_by_name.values()
+            if entry.region == region and entry.state == "serving"
+        ]
+
+    def sharers(self, region: RegionName) -> list[VmName]:
+        """
+        Return the entries of a region, those that were lost lately included.
+
+        Budgets are divided among them: one that is out of sight may spend its share.
+        """
+        oldest = self._clock() - REMEMBER_SECONDS
+        return [
+            name
+            for name, (own, seen) in self._seen_by_entry.items()
+            if own == region and seen >= oldest
+        ]
+
+    def count_sharers(self) -> int:
+        """Return how many entries there are in all regions, see :meth:`sharers`."""
+        oldest = self._clock() - REMEMBER_SECONDS
+        return sum(seen >= oldest for _, seen in self._seen_by_entry.values())
+
+    def take(self, reply: PollReply) -> None:
+        """Bring a replica's news into force."""
+        now = self._clock()
+        self.heard_at = now
+        for name, entry in self.entries_by_name.items():
+            self._seen_by_entry[name] = entry.region, now
+        if reply.whole:
+            self._forget_all_but(reply)
+        for entry in reply.entries:
+            self.entries_by_name[entry.name] = entry
+            self._seen_by_entry[entry.name] = entry.region, now
+        for upstream in reply.upstreams:
+            held = self._upstreams_by_id.get(upstream.id)
+            if held is None or upstream.born >= held.record.born:
+                self._upstreams_by_id[upstream.id] = _Noted(upstream, now)
+        self.others_loads_by_id = {load.id: load for load in reply.loads}
+        self.region_loads = reply.regions
+        if reply.routing is not None:
+            self._take_routing(reply.routing)
+        if reply.entries or reply.upstreams or reply.routing:
+            self._forget_lost()
+            self.changed.set(self.changed.value + 1)
+
+    def _take_routing(self, news: RoutingNews) -> None:
+        if news.revision <= self.routing_revision:
+            return
+        table = decode_table(news.table) if news.table else None
+        if news.table and table is None:
+            _log.error("a route table can't be read", revision=news.revision)
+            return
+        if table is not None and (
+            self.routes is None or table.version > self.routes.version
+        ):
+            self.routes = RouteIndex(table=table)
+            _log.info("routes in force", version=table.version, revision=news.revision)
+        zones = frozenset(news.evacuated_zones)
+        if zones != self.evacuated_zones:
+            _log.info("evacuated zones", zones=sorted(zones), revision=news.revision)
+        for zone in self.evacuated_zones - zones:
+            self._taken_back_by_zone[zone] = self._clock()
+        self.evacuated_zones = zones
+        self.routing_revision = news.revision
+
+    def _forget_all_but(self, reply: PollReply) -> None:
+        names = {entry.name for entry in reply.entries}
+        ids = {upstream.id for upstream in reply.upstreams}
+        for name in [n for n in self.entries_by_name if n not in names]:
+            del self.entries_by_name[name]
+        for upstream_id in [i for i in self._upstreams_by_id if i not in ids]:
+            del self._upstreams_by_id[upstream_id]
+
+    def _forget_lost(self) -> None:
+        for name, entry in list(self.entries_by_name.items()):
+            if entry.state == "lost":
+                del self.entries_by_name[name]
+        for upstream_id, noted in list(self._upstreams_by_id.items()):
+            if noted.record.phase in ("lost", "gone"):
+                del self._upstreams_by_id[upstream_id]
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -10,10 +10,11 @@
 
 from poplarlug.callers.connections import ConnectionGuard, HttpLimits
 from poplarlug.daemon import Site, add_health_routes, serve_http, stop_event
+from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import WaitingCount
 from poplarlug.discovery.ranking import rank_entries
 from poplarlug.discovery.records import EntryRecord, EntryState
-from poplarlug.discovery.subscriber import Deployment, OwnLoads, Subscriber
+from poplarlug.discovery.subscriber import OwnLoads, Subscriber
 from poplarlug.logs import PartLog
 from poplarlug.metrics import sample_loop_lag
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
@@ -23,6 +24,7 @@
 from poplarlug.relay.face import Admittance, RelayFace
 from poplarlug.relay.gateway import RelayGateway
 from poplarlug.relay.in_flight import InFlight
+from poplarlug.relay.view import FleetView
 from poplarlug.seeded_settings import (
     SeededEntrySettings,
     seed_peers,
@@ -92,7 +94,7 @@
             clock=clock, others=lambda i: self.deployment.others_loads_by_id.get(i)
         )
         budgets = settings.budgets
-        self.dispatcher = Dispatcher(
+        view = FleetView(
             name=settings.name,
             deployment=self.deployment,
             in_flight=self.in_flight,
@@ -100,13 +102,13 @@
             rng=rng,
             clock=clock,
         )
+        self.dispatcher = Dispatcher(view=view, clock=clock)
         self.client = RelayClient()
         self.far_client = RelayClient(connect_seconds=FAR_CONNECT_SECONDS)
         gateway = RelayGateway(
             name=settings.name,
-            deployment=self.deployment,
+            view=view,
             dispatcher=self.dispatcher,
-            in_flight=self.in_flight,
             client=self.client,
             far_client=self.far_client,
             dialect=dialect,
--- a/poplarlug/relay/course.py
+++ b/poplarlug/relay/course.py
@@ -3,12 +3,12 @@
 from typing import NamedTuple
 
 from poplarlug.errors import GatewayError
-from poplarlug.relay.dispatcher import Tried
 from poplarlug.relay.events import LAST_EVENT_HEADER, EventProgress
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.trace import RelayTrace
+from poplarlug.relay.view import Tried
 from poplarlug.serving.answers import AnswerHead, AnswerSink
-from poplarlug.types import Seconds, UpstreamId, VmName
+from poplarlug.types import RegionName, Seconds, UpstreamId
 
 LAST_SEND_SHARE = 0.1
 """A repeat with less than this share of the objective left as its deadline is no use."""
@@ -75,9 +75,15 @@
         self.tried = self.tried._replace(upstreams=tried)
         self._note(outcome)
 
-    def ran_at_entry(self, name: VmName, outcome: Outcome) -> None:
-        """Note what came of handing it to another entry."""
-        self.tried = self.tried._replace(entries=self.tried.entries | {name})
+    def ran_in_region(self, region: RegionName, outcome: Outcome) -> None:
+        """
+        Note what came of handing it to another region.
+
+        The region isn't asked again: its entries see the same upstreams, and where
+        one of them is out of reach, mostly all are.
+        """
+        tried = self.tried.regions | {region}
+        self.tried = self.tried._replace(regions=tried)
         self._note(outcome)
 
     def may_go_on(self, now: Seconds) -> bool:
--- a/poplarlug/relay/face.py
+++ b/poplarlug/relay/face.py
@@ -13,7 +13,7 @@
 
 from poplarlug.callers.connections import ConnectionGuard
 from poplarlug.callers.http_sink import HttpSink
-from poplarlug.discovery.subscriber import Deployment
+from poplarlug.discovery.deployment import Deployment
 from poplarlug.errors import GatewayError, bad_request, not_run, to_body
 from poplarlug.latest import Latest
 from poplarlug.logs import PartLog
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -7,35 +7,28 @@
 from prometheus_client import Counter, Histogram
 from returns.result import Failure
 
-from poplarlug.discovery.subscriber import Deployment
-from poplarlug.errors import GatewayError, not_run, outcome_unknown, truncated_answer
+from poplarlug.errors import GatewayError, not_run, outcome_unknown
 from poplarlug.logs import PartLog
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.budgets import RetryBudget, RetryLimits
 from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
-from poplarlug.relay.course import DONE, Course, Outcome, answer_whole
+from poplarlug.relay.course import Course, Outcome
 from poplarlug.relay.dialect import Dialect
 from poplarlug.relay.dispatcher import Dispatcher, FarPlace, LocalPlace
-from poplarlug.relay.events import EventProgress
 from poplarlug.relay.hop_headers import (
     HOPS,
     ORIGIN,
     REFUSED,
     TABLE_VERSION,
     decode_refusal,
-    end_to_end,
 )
-from poplarlug.relay.in_flight import InFlight
+from poplarlug.relay.passing import pass_on
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.trace import RelayTrace
-from poplarlug.serving.answers import AnswerHead, AnswerSink
-from poplarlug.serving.relay import BodyRelay
+from poplarlug.relay.view import FleetView
+from poplarlug.serving.answers import AnswerSink
 from poplarlug.types import Seconds, ServiceName, VmName
 
-HELD_BODY_BYTES = 256 * 1024
-"""A body of known length up to this is held until it is whole, so that a broken one
-can be answered by a failure or by another attempt."""
-
 ENTRY_PAUSE_SECONDS = 2.0
 """How long an entry that broke a forward is left alone."""
 
@@ -45,17 +38,11 @@
 REST_SECONDS = 0.2
 """How long the rest of a refusal's body may take, so that its connection is kept."""
 
-STALL_SECONDS = 2.0
-"""A stream that stands still so long is taken up elsewhere where that is allowed;
-callers leave after three seconds and more."""
-
 PATIENCE_SHARE = 2.5
 """What may be repeated is sent elsewhere after this many objectives."""
 
 MIN_PATIENCE_SECONDS = 0.8
 
-EVENT_STREAM = "text/event-stream"
-
 _SENDS = Counter(
     "poplarlug_relay_sends_total",
     "Sends to upstreams and other entries, by target and how they ended.",
@@ -88,9 +75,8 @@
         self,
         *,
         name: VmName,
-        deployment: Deployment,
+        view: FleetView,
         dispatcher: Dispatcher,
-        in_flight: InFlight,
         client: RelayClient,
         far_client: RelayClient,
         dialect: Dialect,
@@ -98,9 +84,10 @@
         clock: Callable[[], Seconds],
     ) -> None:
         self._name = name
-        self._deployment = deployment
+        self._view = view
+        self._deployment = view.deployment
+        self._in_flight = view.in_flight
         self._dispatcher = dispatcher
-        self._in_flight = in_flight
         self._client = client
         self._far_client = far_client
         self._dialect = dialect
@@ -141,7 +128,7 @@
                 course.ran_at_upstream(placed.upstream.id, outcome)
             else:
                 outcome = await self._run_far(course, placed, patience)
-                course.ran_at_entry(placed.entry.name, outcome)
+                course.ran_in_region(placed.entry.region, outcome)
             if outcome.error is None:
                 return None
             if not course.may_go_on(self._clock()):
@@ -218,7 +205,7 @@
             self._in_flight.first_event(
                 placed.flight, ahead_ms=placed.ahead_ms, seconds=now - started
             )
-            return await self._pass_on(course, response)
+            return await pass_on(course, response)
         finally:
             response.close()
 
@@ -247,79 +234,6 @@
             return Outcome(outcome_unknown("the answer came in an encoding"))
         return None
 
-    async def _pass_on(
-        self, course: Course, response: aiohttp.ClientResponse
-    ) -> Outcome:
-        sink, events = course.sink, course.events
-        length = response.content_length
-        is_held = not _is_stream(response) or response.status >= 400
-        if sink.started and (is_held or response.status != 200):
-            message = f"the stream was not taken up again: status {response.status}"
-            return Outcome(truncated_answer(message))
-        if is_held and (length is None or length <= HELD_BODY_BYTES):
-            return await self._pass_on_whole(course, response)
-        if not sink.started:
-            await sink.start(_head_of(response))
-        if events is not None:
-            return await self._pass_on_events(course, response, events)
-        try:
-            async with asyncio.timeout_at(course.request.deadline):
-                await BodyRelay(response=response, sink=sink).run()
-        except TimeoutError:
-            return Outcome(truncated_answer("the answer took too long"))
-        except (aiohttp.ClientError, OSError) as error:
-            return Outcome(truncated_answer(f"the answer broke off: {error!r}"))
-        await sink.finish()
-        return DONE
-
-    async def _pass_on_events(
-        self,
-        course: Course,
-        response: aiohttp.ClientResponse,
-        events: EventProgress,
-    ) -> Outcome:
-        """Pass whole events on, so that another upstream can take the stream up."""
-        request, sink = course.request, course.sink
-        content = response.content
-        try:
-            async with asyncio.timeout_at(request.deadline) as whole:
-                while True:
-                    async with asyncio.timeout(STALL_SECONDS):
-                        data = await content.readany()
-                    if not data and content.at_eof():
-                        break
-                    whole_events = events.feed(data)
-                    if whole_events:
-                        await sink.write(whole_events)
-        except TimeoutError:
-            reason = "took too long" if whole.expired() else "stood still"
-            return Outcome(truncated_answer(f"the answer {reason}"))
-        except (aiohttp.ClientError, OSError) as error:
-            return Outcome(truncated_answer(f"the answer broke off: {error!r}"))
-        if not events.is_whole:
-            return Outcome(truncated_answer("the answer ended within an event"))
-        await sink.finish()
-        return DONE
-
-    async def _pass_on_whole(
-        self, course: Course, response: aiohttp.ClientResponse
-    ) -> Outcome:
-        request = course.request
-        try:
-            async with asyncio.timeout_at(request.deadline):
-                body = await response.read()
-        except TimeoutError:
-            return Outcome(outcome_unknown("the answer took too long"))
-        except (aiohttp.ClientError, OSError) as error:
-            return Outcome(outcome_unknown(f"the answer broke off: {error!r}"))
-        head = _head_of(response)._replace(content_length=len(body))
-        if response.status >= 500 and request.route.is_repeatable:
-            message = f"the upstream failed with status {response.status}"
-            failed = GatewayError(response.status, "upstream_failed", message, None)
-            return Outcome(failed, answer=(head, body))
-        await answer_whole(head, body, course.sink)
-        return DONE
-
     async def _run_far(
         self, course: Course, placed: FarPlace, patience: Seconds
     ) -> Outcome:
@@ -350,11 +264,11 @@
                 (TABLE_VERSION, str(routes.version)),
             ],
             body=request.body,
-            timeout_seconds=left,
+            timeout_seconds=patience,
         )
         now = self._clock()
         if isinstance(sent, Failure):
-            self._dispatcher.avoid_entry(entry.name, ENTRY_PAUSE_SECONDS)
+            self._view.avoid_entry(entry.name, ENTRY_PAUSE_SECONDS)
             return self._note_failed("entry", sent.failure(), trace, now)
         response = sent.unwrap()
         try:
@@ -366,7 +280,7 @@
                 return Outcome(error or unknown)
             if response.headers.get(self._dialect.request_id, request.id) != request.id:
                 return Outcome(outcome_unknown("the entry answered another request"))
-            return await self._pass_on(course, response)
+            return await pass_on(course, response)
         finally:
             response.close()
 
@@ -414,19 +328,6 @@
         _log.debug("the rest of a refusal did not come", error=repr(error))
 
 
-def _is_stream(response: aiohttp.ClientResponse) -> bool:
-    return response.headers.get("Content-Type", "").startswith(EVENT_STREAM)
-
-
-def _head_of(response: aiohttp.ClientResponse) -> AnswerHead:
-    return AnswerHead(
-        status=response.status,
-        content_type=response.headers.get("Content-Type", ""),
-        content_length=response.content_length,
-        headers=end_to_end(response.headers),
-    )
-
-
 def _milliseconds(text: str) -> Seconds:
     """Return seconds from a header in milliseconds, 0 when it is no number."""
     return int(text) / 1000 if text.isdecimal() and len(text) < 10 else 0.0
--- /dev/null
+++ b/poplarlug/relay/passing.py
@@ -0,0 +1,109 @@
+"""Passes an answer on to its caller: whole, event by event, or as it comes."""
+
+import asyncio
+
+import aiohttp
+
+from poplarlug.errors import GatewayError, outcome_unknown, truncated_answer
+from poplarlug.relay.course import DONE, Course, Outcome, answer_whole
+from poplarlug.relay.events import EventProgress
+from poplarlug.relay.hop_headers import end_to_end
+from poplarlug.serving.answers import AnswerHead
+from poplarlug.serving.relay import BodyRelay
+
+HELD_BODY_BYTES = 256 * 1024
+"""A body of known length up to this is held until it is whole, so that a broken one
+can be answered by a failure or by another attempt."""
+
+STALL_SECONDS = 2.0
+"""A stream that stands still so long is taken up elsewhere where that is allowed;
+callers leave after three seconds and more."""
+
+EVENT_STREAM = "text/event-stream"
+
+
+async def pass_on(course: Course, response: aiohttp.ClientResponse) -> Outcome:
+    """
+    Pass an answer on whose head has come, and return how that ended.
+
+    A body that isn't a stream is held until it is whole. A stream that may be
+    resumed passes on whole events, so that another upstream can take it up.
+    """
+    sink, events = course.sink, course.events
+    length = response.content_length
+    is_held = not _is_stream(response) or response.status >= 400
+    if sink.started and (is_held or response.status != 200):
+        message = f"the stream was not taken up again: status {response.status}"
+        return Outcome(truncated_answer(message))
+    if is_held and (length is None or length <= HELD_BODY_BYTES):
+        return await _pass_on_whole(course, response)
+    if not sink.started:
+        await sink.start(_head_of(response))
+    if events is not None:
+        return await _pass_on_events(course, response, events)
+    try:
+        async with asyncio.timeout_at(course.request.deadline):
+            await BodyRelay(response=response, sink=sink).run()
+    except TimeoutError:
+        return Outcome(truncated_answer("the answer took too long"))
+    except (aiohttp.ClientError, OSError) as error:
+        return Outcome(truncated_answer(f"the answer broke off: {error!r}"))
+    await sink.finish()
+    return DONE
+
+
+async def _pass_on_events(
+    course: Course, response: aiohttp.ClientResponse, events: EventProgress
+) -> Outcome:
+    request, sink = course.request, course.sink
+    content = response.content
+    try:
+        async with asyncio.timeout_at(request.deadline) as whole:
+            while True:
+                async with asyncio.timeout(STALL_SECONDS):
+                    data = await content.readany()
+                if not data and content.at_eof():
+                    break
+                whole_events = events.feed(data)
+                if whole_events:
+                    await sink.write(whole_events)
+    except TimeoutError:
+        reason = "took too long" if whole.expired() else "stood still"
+        return Outcome(truncated_answer(f"the answer {reason}"))
+    except (aiohttp.ClientError, OSError) as error:
+        return Outcome(truncated_answer(f"the answer broke off: {error!r}"))
+    if not events.is_whole:
+        return Outcome(truncated_answer("the answer ended within an event"))
+    await sink.finish()
+    return DONE
+
+
+async def _pass_on_whole(course: Course, response: aiohttp.ClientResponse) -> Outcome:
+    request = course.request
+    try:
+        async with asyncio.timeout_at(request.deadline):
+            body = await response.read()
+    except TimeoutError:
+        return Outcome(outcome_unknown("the answer took too long"))
+    except (aiohttp.ClientError, OSError) as error:
+        return Outcome(outcome_unknown(f"the answer broke off: {error!r}"))
+    head = _head_of(response)._replace(content_length=len(body))
+    if response.status >= 500 and request.route.is_repeatable:
+        message = f"the upstream failed with status {response.status}"
+        failed = GatewayError(response.status, "upstream_failed", message, None)
+        return Outcome(failed, answer=(head, body))
+    await answer_whole(head, body, course.sink)
+    return DONE
+
+
+def _is_stream(response: aiohttp.ClientResponse) -> bool:
+    return response.headers.get("Content-Type", "").startswith(EVENT_STREAM)
+
+
+def _head_of(response: aiohttp.ClientResponse) -> AnswerHead:
+    return AnswerHead(
+        status=response.status,
+        content_type=response.headers.get("Content-Type", ""),
+        content_length=response.content_length,
+        headers=end_to_end(response.headers),
+    )
--- /dev/null
+++ b/poplarlug/relay/view.py
@@ -0,0 +1,249 @@
+"""What a placement is decided on: upstreams, regions and caches as this entry sees them."""
+
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+import xxhash
+
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.records import EntryRecord, RegionLoad, ServiceUpstream
+from poplarlug.relay.affinity import (
+    Affinity,
+    Holders,
+    preferred_upstream,
+    shared_tokens,
+)
+from poplarlug.relay.budgets import WarmupBudget, WarmupLimits
+from poplarlug.relay.engine_model import EngineLoad, read_seconds
+from poplarlug.relay.in_flight import Flight, InFlight
+from poplarlug.relay.part_cache import PartCache
+from poplarlug.relay.placement import Candidate, Demand, RemoteRegion
+from poplarlug.relay.requests import RelayRequest
+from poplarlug.routes import RoutedService
+from poplarlug.types import RegionName, Seconds, UpstreamId, VmName
+
+REGION_CACHE_TOKENS = 400_000
+"""Cached tokens that an entry counts on in another region; two engines hold more."""
+
+
+class Tried(NamedTuple):
+    """Where a request was before, or was refused: not to be used again."""
+
+    upstreams: frozenset[UpstreamId] = frozenset()
+    regions: frozenset[RegionName] = frozenset()
+
+
+class FleetView:
+    """
+    Views of the deployment for one request's placement, and what they depend on.
+
+    Parameters
+    ----------
+    name : VmName
+        This entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: VmName,
+        deployment: Deployment,
+        in_flight: InFlight,
+        warmup: WarmupLimits,
+        rng: Random,
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self.deployment = deployment
+        self.in_flight = in_flight
+        self._name = name
+        self._warmup_limits = warmup
+        self._rng = rng
+        self._clock = clock
+        self._warmups_by_id: dict[UpstreamId, WarmupBudget] = {}
+        self._caches_by_region: dict[RegionName, PartCache] = {}
+        self._avoided_until_by_entry: dict[VmName, Seconds] = {}
+
+    def send_to(
+        self, upstream_id: UpstreamId, service: RoutedService, request: RelayRequest
+    ) -> tuple[ServiceUpstream, Flight]:
+        """Note that a request goes to an upstream of the region."""
+        upstream = self.deployment.upstream(upstream_id)
+        assert upstream is not None
+        if self._is_cold(upstream):
+            self._warmup_of(upstream.id).note_sent()
+        return upstream, self.in_flight.started(upstream, service.engine, request)
+
+    def hand_to(self, region: RegionName, request: RelayRequest) -> None:
+        """Note that a request goes to another region, whose caches get its parts."""
+        self._cache_of(region).used(request.prompt)
+
+    def avoid_entry(self, name: VmName, seconds: Seconds) -> None:
+        """Hand nothing to an entry for a while."""
+        self._avoided_until_by_entry[name] = self._clock() + seconds
+
+    def forget_gone(self) -> None:
+        """Drop what is held of upstreams that are gone."""
+        known = self.deployment.upstream_ids()
+        self.in_flight.keep_only(known)
+        for upstream_id in [i for i in self._warmups_by_id if i not in known]:
+            del self._warmups_by_id[upstream_id]
+
+    def affinity(self, request: RelayRequest, demand: Demand) -> Affinity:
+        """Return who holds, or should hold, the shared parts of a prompt."""
+        prompt = request.prompt
+        regions_by_id = self.deployment.serving_regions(request.service)
+        usable = [
+            upstream_id
+            for upstream_id, region in regions_by_id.items()
+            if request.route.allows(region)
+            and (demand.may_forward or region == self.deployment.own_region)
+        ]
+        holders = Holders(
+            {
+                upstream_id: self.in_flight.cached_shared_tokens(upstream_id, prompt)
+                for upstream_id in usable
+            },
+            {
+                region: cache.hit_tokens(prompt, last=False)
+                for region, cache in self._caches_by_region.items()
+                if demand.may_forward
+            },
+        )
+        preferred = preferred_upstream(prompt, usable)
+        return Affinity(holders, shared_tokens(prompt), preferred)
+
+    def candidates(
+        self,
+        request: RelayRequest,
+        service: RoutedService,
+        tried: Tried,
+        affinity: Affinity | None,
+    ) -> list[Candidate]:
+        """Return the own region's upstreams that may serve a request."""
+        upstreams = self.deployment.serving(service.name)
+        self._rng.shuffle(upstreams)
+        return [
+            self._candidate(request, service, upstream.id, upstream.slots, affinity)
+            for upstream in upstreams
+            if upstream.id not in tried.upstreams and self._bears(upstream, service)
+        ]
+
+    def _candidate(
+        self,
+        request: RelayRequest,
+        service: RoutedService,
+        upstream_id: UpstreamId,
+        slots: int,
+        affinity: Affinity | None,
+    ) -> Candidate:
+        candidate = Candidate(
+            id=upstream_id,
+            load=self.in_flight.load(upstream_id),
+            slots=slots,
+            error_share=self.in_flight.error_share(upstream_id),
+            avoided=self.in_flight.is_avoided(upstream_id),
+        )
+        if service.engine is None or affinity is None:
+            return candidate
+        cached = self.in_flight.cached_tokens(upstream_id, request.prompt)
+        held = affinity.holders.by_upstream.get(upstream_id, 0)
+        is_preferred = upstream_id == affinity.preferred
+        return candidate._replace(
+            kv_capacity=service.engine.kv_capacity_tokens,
+            read_seconds=read_seconds(max(0, request.prompt.tokens - cached), cached),
+            reread_tokens=affinity.reread_tokens(held, is_preferred),
+            speed=self.in_flight.speed(upstream_id),
+        )
+
+    def demand(self, request: RelayRequest) -> Demand:
+        """Return what a request needs now."""
+        now = self._clock()
+        prompt = request.prompt
+        objective = request.route.objective_seconds
+        return Demand(
+            kv_tokens=prompt.tokens + prompt.max_tokens if request.route.prompts else 0,
+            objective_seconds=request.arrived + objective - now,
+            whole_objective_seconds=objective,
+            may_forward=request.hops == 0,
+            must_forward=not request.route.allows(self.deployment.own_region),
+        )
+
+    def regions(
+        self, request: RelayRequest, tried: Tried, affinity: Affinity | None
+    ) -> list[RemoteRegion]:
+        """Return the other regions that may serve a request."""
+        return [
+            self._region(request, load, affinity)
+            for load in self.deployment.region_loads
+            if load.service == request.service
+            and load.region not in tried.regions
+            and request.route.allows(load.region)
+        ]
+
+    def _region(
+        self, request: RelayRequest, load: RegionLoad, affinity: Affinity | None
+    ) -> RemoteRegion:
+        region = RemoteRegion(
+            region=load.region,
+            slots=load.slots,
+            running=load.running,
+            waiting=load.waiting,
+            calm=EngineLoad(*load.calm[1:]),
+            quick=EngineLoad(*load.quick[1:]),
+        )
+        if affinity is None:
+            return region
+        prompt = request.prompt
+        cached = self._cache_of(load.region).hit_tokens(prompt)
+        held = affinity.holders.by_region.get(load.region, 0)
+        regions_by_id = self.deployment.serving_regions(request.service)
+        is_preferred = regions_by_id.get(affinity.preferred or "") == load.region
+        return region._replace(
+            read_seconds=read_seconds(max(0, prompt.tokens - cached), cached),
+            reread_tokens=affinity.reread_tokens(held, is_preferred),
+        )
+
+    def _cache_of(self, region: RegionName) -> PartCache:
+        cache = self._caches_by_region.get(region)
+        if cache is None:
+            cache = PartCache(capacity_tokens=REGION_CACHE_TOKENS, clock=self._clock)
+            self._caches_by_region[region] = cache
+        return cache
+
+    def entry_of(self, region: RegionName) -> EntryRecord | None:
+        """Return an entry of another region that a request can be handed to."""
+        now = self._clock()
+        entries = [
+            entry
+            for entry in self.deployment.entries_of(region)
+            if self._avoided_until_by_entry.get(entry.name, now) <= now
+        ]
+        return self._rng.choice(entries) if entries else None
+
+    def _bears(self, upstream: ServiceUpstream, service: RoutedService) -> bool:
+        """Return whether a cold upstream bears one more request from this entry."""
+        if not self._is_cold(upstream):
+            return True
+        names = {*self.deployment.sharers(self.deployment.own_region), self._name}
+        ranked = sorted(
+            names, key=lambda n: xxhash.xxh3_64_intdigest(f"{upstream.id}/{n}".encode())
+        )
+        return self._warmup_of(upstream.id).allows(
+            rate=service.warmup_per_second,
+            entries=len(ranked),
+            position=ranked.index(self._name),
+        )
+
+    def _is_cold(self, upstream: ServiceUpstream) -> bool:
+        return (
+            self.deployment.cold_seconds(upstream.id) > 0
+            or self.in_flight.cold_seconds(upstream.id) > 0
+        )
+
+    def _warmup_of(self, upstream_id: UpstreamId) -> WarmupBudget:
+        budget = self._warmups_by_id.get(upstream_id)
+        if budget is None:
+            budget = WarmupBudget(limits=self._warmup_limits, clock=self._clock)
+            self._warmups_by_id[upstream_id] = budget
+        return budget
--- a/tests/discovery/test_subscriber.py
+++ b/tests/discovery/test_deployment.py
@@ -3,12 +3,12 @@
 from unittest import TestCase
 
 from poplarlug.control.routing_state import encode_table
-from poplarlug.discovery.messages import PollReply, RoutingNews
-from poplarlug.discovery.subscriber import (
+from poplarlug.discovery.deployment import (
     PRESUMED_COLD_SECONDS,
     REMEMBER_SECONDS,
     Deployment,
 )
+from poplarlug.discovery.messages import PollReply, RoutingNews
 from tests.discovery.test_registry import make_entry, make_upstream
 from tests.routes.test_checks import make_route, make_table
 
