Hand on to regions where some wait; tell no load of evacuated zones

A region in which a single request waited was left out altogether, and regions told the places of evacuated zones. What waits is a loss now, and evacuated zones don't count. The fastest upstream counts as nominal: measured speeds came out low where many entries share upstreams.

Tried and dropped: counting what this entry sent since the others' last report for some of the others too.

--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -202,11 +202,16 @@
             entries=records.entries,
             upstreams=records.upstreams,
             heard=self.registry.heard_within(HEARD_SECONDS),
-            regions=self._loads.own_region(self.registry.present().upstreams),
+            regions=self._loads.own_region(self._usable_upstreams()),
             entry_loads=self._loads.of_entries(own) if is_near else (),
             control=self._peers.present(2 * GOSSIP_SECONDS),
         )
 
+    def _usable_upstreams(self) -> list[ServiceUpstream]:
+        evacuated = self._routing.image.evacuated_zones
+        present = self.registry.present().upstreams
+        return [upstream for upstream in present if upstream.zone not in evacuated]
+
     def _own_entries(self) -> list[VmName]:
         oldest = self._clock() - ENTRIES_SPEAK_SECONDS
         return [name for name, at in self._polled_by_entry.items() if at >= oldest]
--- a/poplarlug/relay/placement.py
+++ b/poplarlug/relay/placement.py
@@ -27,6 +27,10 @@
 EARLY_SHARE = 0.5
 """An answer expected within this share of its objective comes in time."""
 
+WAITING_LOSS = 8.0
+"""Loss in a region for requests that wait there, as a share of its places: with one
+waiting for eight places, another one would come too late."""
+
 LATE_LOSS = 0.7
 """Share of its worth that an answer loses when it is late."""
 
@@ -271,7 +275,7 @@
 def _best_away(demand: Demand, regions: Sequence[RemoteRegion]) -> Away | None:
     best = None
     for region in regions:
-        if region.slots <= 0 or region.waiting > 0 or region.running >= region.slots:
+        if region.slots <= 0 or region.running >= region.slots:
             continue
         away = _away(demand, region)
         if best is None or away.loss < best.loss:
@@ -293,13 +297,18 @@
         + FIRST_EVENT_SECONDS
         + FORWARD_SECONDS
     )
-    loss = FORWARD_LOSS + _time_loss(demand, expected)
+    loss = FORWARD_LOSS + _waiting_loss(region) + _time_loss(demand, expected)
     harm = _harm(load, region.read_seconds)
     loss += harm + _risk(load, region.read_seconds)
     loss += REREAD_LOSS_PER_TOKEN * region.reread_tokens
     return Away(region.region, expected, loss, harm)
 
 
+def _waiting_loss(region: RemoteRegion) -> float:
+    """Return the loss expected behind what waits at a region's entries."""
+    return min(1.0, region.waiting / region.slots * WAITING_LOSS)
+
+
 def _free_in(candidates: Sequence[Candidate]) -> Seconds:
     """Return when a place is free, at the least loaded upstream."""
     if all(c.kv_capacity <= 0 for c in candidates):
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -121,13 +121,20 @@
         affinity: Affinity | None,
     ) -> list[Candidate]:
         """Return the own region's upstreams that may serve a request."""
-        upstreams = self.deployment.serving(service.name)
+        upstreams = [
+            upstream
+            for upstream in self.deployment.serving(service.name)
+            if upstream.id not in tried.upstreams and self._bears(upstream, service)
+        ]
         self._rng.shuffle(upstreams)
-        return [
+        candidates = [
             self._candidate(request, service, upstream.id, upstream.slots, affinity)
             for upstream in upstreams
-            if upstream.id not in tried.upstreams and self._bears(upstream, service)
         ]
+        # Speeds come out too low where entries don't see each other's latest
+        # sends, but alike for all upstreams: the fastest counts as nominal.
+        fastest = max((c.speed for c in candidates), default=1.0)
+        return [c._replace(speed=c.speed / fastest) for c in candidates]
 
     def _candidate(
         self,
