--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -11,7 +11,7 @@
 from poplarlug.relay.in_flight import Flight
 from poplarlug.relay.placement import Away, Full, Local, Nothing, place
 from poplarlug.relay.requests import RelayRequest
-from poplarlug.relay.view import FleetView, Tried
+from poplarlug.relay.view import FleetView, Tried, answer_seconds
 from poplarlug.relay.waiting import Waiter, WaitingLine, retry_after
 from poplarlug.types import Seconds, ServiceName
 
@@ -148,9 +148,8 @@
 
     def _start_by(self, request: RelayRequest) -> Seconds:
         """Return the latest start that still serves the caller."""
-        return request.deadline - max(
-            MIN_RUN_SECONDS, 0.5 * request.route.objective_seconds
-        )
+        first = max(MIN_RUN_SECONDS, 0.5 * request.route.objective_seconds)
+        return request.deadline - first - answer_seconds(request)
 
     def _serve_line(self, service: ServiceName) -> None:
         line = self._lines_by_service.get(service)
--- a/poplarlug/relay/engine_model.py
+++ b/poplarlug/relay/engine_model.py
@@ -14,6 +14,10 @@
 FIRST_EVENT_SECONDS = 0.045
 """From a prompt that is read to the first event at the entry, at an idle engine."""
 
+ANSWER_TOKEN_SECONDS = 0.02
+"""Time of one token of an answer at a busy engine: 5 ms at an idle one, 60 ms beside
+long prompts."""
+
 LONG_READ_SECONDS = 0.12
 """A prompt that takes longer fills several steps of a batch in a row, so that all
 other streams of the engine pause."""
--- a/poplarlug/relay/placement.py
+++ b/poplarlug/relay/placement.py
@@ -131,6 +131,9 @@
         Time left until its first answer counts as late; may be negative.
     whole_objective_seconds : float
         The same at its arrival.
+    latest_seconds : float
+        Time left until a first answer would be of no use any more, because the
+        rest of it would come after the caller's deadline.
     may_forward : bool
         Whether another region may serve it.
     must_forward : bool
@@ -140,6 +143,7 @@
     kv_tokens: int
     objective_seconds: Seconds
     whole_objective_seconds: Seconds
+    latest_seconds: Seconds = float("inf")
     may_forward: bool = True
     must_forward: bool = False
 
@@ -198,7 +202,8 @@
     prompts. Another region is taken when that saves more than the way costs.
 
     In a burst of long prompts, one whose best place would cost the others more
-    than ``HOLD_LOSS`` is held back until that place has calmed down.
+    than ``HOLD_LOSS`` is held back until that place has calmed down; so is one
+    whose answer would not be whole before its caller's deadline.
     """
     own = None if demand.must_forward else _best_local(demand, candidates)
     away = _best_away(demand, regions) if demand.may_forward else None
@@ -207,6 +212,8 @@
             return Full(_free_in(candidates))
         return Nothing()
     best = min((p for p in (own, away) if p is not None), key=lambda p: p.loss)
+    if best.expected_seconds > demand.latest_seconds:
+        return Full(ENGINE_TURN_SECONDS)
     if best.harm > 0 and best.loss > HOLD_LOSS:
         return Full(ENGINE_TURN_SECONDS)
     return best
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -15,7 +15,11 @@
     shared_tokens,
 )
 from poplarlug.relay.budgets import WarmupBudget, WarmupLimits
-from poplarlug.relay.engine_model import EngineLoad, read_seconds
+from poplarlug.relay.engine_model import (
+    ANSWER_TOKEN_SECONDS,
+    EngineLoad,
+    read_seconds,
+)
 from poplarlug.relay.in_flight import Flight, InFlight
 from poplarlug.relay.part_cache import PartCache
 from poplarlug.relay.placement import Candidate, Demand, RemoteRegion
@@ -172,6 +176,7 @@
             kv_tokens=prompt.tokens + prompt.max_tokens if request.route.prompts else 0,
             objective_seconds=request.arrived + objective - now,
             whole_objective_seconds=objective,
+            latest_seconds=request.deadline - answer_seconds(request) - now,
             may_forward=request.hops == 0,
             must_forward=not request.route.allows(self.deployment.own_region),
         )
@@ -254,3 +259,10 @@
             budget = WarmupBudget(limits=self._warmup_limits, clock=self._clock)
             self._warmups_by_id[upstream_id] = budget
         return budget
+
+
+def answer_seconds(request: RelayRequest) -> Seconds:
+    """Return how long a request's answer takes after its first event."""
+    if not request.route.prompts:
+        return 0.0
+    return request.prompt.max_tokens * ANSWER_TOKEN_SECONDS
--- /dev/null
+++ b/tests/discovery/test_region_loads.py
@@ -0,0 +1,63 @@
+"""Tests of what a region tells others of its places."""
+
+from unittest import TestCase
+
+from poplarlug.discovery.messages import EntryLoads, WaitingCount
+from poplarlug.discovery.records import RegionLoad, UpstreamLoad
+from poplarlug.discovery.region_loads import (
+    ENTRY_LOADS_LIFE_SECONDS,
+    REGION_LOAD_LIFE_SECONDS,
+    RegionLoads,
+)
+from tests.discovery.test_registry import make_upstream
+
+ZONES = {"quito-a": "sierra", "cuenca-a": "austro"}
+
+
+class RegionLoadsTests(TestCase):
+    def setUp(self) -> None:
+        self.now = 10.0
+        self.loads = RegionLoads(
+            region="sierra", regions_by_zone=ZONES, clock=lambda: self.now
+        )
+
+    def note(self, entry: str, *loads: UpstreamLoad, waiting: int = 0) -> None:
+        counts = (WaitingCount("engine", waiting),)
+        self.loads.note_entry(EntryLoads(entry, loads, counts))
+
+    def test_sums_and_extremes_of_the_own_region(self) -> None:
+        """All entries' loads count; other regions' upstreams don't."""
+        self.note("a", UpstreamLoad("e-1", 5, 1, 200), waiting=2)
+        self.note("b", UpstreamLoad("e-1", 4, 0, 50), UpstreamLoad("e-2", 1, 1, 0))
+        upstreams = [
+            make_upstream(),
+            make_upstream(id="e-2"),
+            make_upstream(id="e-9", zone="cuenca-a"),
+            make_upstream(id="e-3", phase="leaving"),
+        ]
+        (load,) = self.loads.own_region(upstreams)
+        self.assertEqual((load.upstreams, load.slots, load.running), (2, 16, 10))
+        self.assertEqual(load.waiting, 2)
+        self.assertEqual(load.calm.id, "e-2")
+        self.assertEqual(load.quick, UpstreamLoad("e-2", 1, 1, 0))
+
+    def test_region_without_upstreams_tells_nothing(self) -> None:
+        """A region whose zones are evacuated has no places to offer."""
+        self.note("a", waiting=7)
+        self.assertEqual(self.loads.own_region([]), ())
+
+    def test_old_reports_are_dropped(self) -> None:
+        """What an entry or a region said long ago says nothing now."""
+        self.note("a", UpstreamLoad("e-1", 5))
+        self.loads.note_regions([RegionLoad("austro", "engine", slots=8)])
+        self.assertEqual(len(self.loads.of_others("b")), 1)
+        self.assertEqual(len(self.loads.other_regions()), 1)
+        self.now += max(ENTRY_LOADS_LIFE_SECONDS, REGION_LOAD_LIFE_SECONDS) + 0.1
+        self.assertEqual(self.loads.of_others("b"), ())
+        self.assertEqual(self.loads.other_regions(), ())
+
+    def test_entry_does_not_see_its_own_load_twice(self) -> None:
+        """It adds what it has running itself."""
+        self.note("a", UpstreamLoad("e-1", 5))
+        self.note("b", UpstreamLoad("e-1", 2))
+        self.assertEqual(self.loads.of_others("a"), (UpstreamLoad("e-1", 2),))
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -119,6 +119,13 @@
         few = make_engine("e-1", EngineLoad(running=4), read_seconds=0.4)
         self.assert_local(place(DEMAND, [few], []), "e-1")
 
+    def test_answer_that_would_end_too_late_is_not_begun(self) -> None:
+        """An engine's time is not spent on what nobody waits for any more."""
+        busy = make_engine("e-1", EngineLoad(running=5, read_ms=3000))
+        self.assert_local(place(DEMAND, [busy], []), "e-1")
+        hurried = DEMAND._replace(latest_seconds=2.0)
+        self.assertIsInstance(place(hurried, [busy], []), Full)
+
     def test_plain_service_spreads_over_its_upstreams(self) -> None:
         """Without an engine the upstream with free places is taken."""
         demand = DEMAND._replace(kv_tokens=0)
