Keep a part of the route's time for an answer, whatever tokens its caller allows

The commit before took the most tokens of an answer for its length. The time for an answer is bounded by a fifth of the route's now.

--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -27,6 +27,9 @@
 from poplarlug.routes import RoutedService
 from poplarlug.types import RegionName, Seconds, UpstreamId, VmName
 
+ANSWER_SHARE = 0.2
+"""Part of a route's time that is kept for the answer after its first event."""
+
 REGION_CACHE_TOKENS = 400_000
 """Cached tokens that an entry counts on in another region; two engines hold more."""
 
@@ -262,7 +265,13 @@
 
 
 def answer_seconds(request: RelayRequest) -> Seconds:
-    """Return how long a request's answer takes after its first event."""
+    """
+    Return how long a request's answer takes after its first event.
+
+    Callers allow for more tokens than most answers have, so that the most tokens
+    tell little beyond a part of the route's time.
+    """
     if not request.route.prompts:
         return 0.0
-    return request.prompt.max_tokens * ANSWER_TOKEN_SECONDS
+    longest = request.prompt.max_tokens * ANSWER_TOKEN_SECONDS
+    return min(longest, ANSWER_SHARE * request.route.timeout_seconds)
