--- a/poplarlug/transport/services.py
+++ b/poplarlug/transport/services.py
@@ -171,7 +171,9 @@
             _log.error("stream handler failed", topic=header.topic, exc_info=True)
             self._refuse(route, header, f"handler failed: {error!r}")
         finally:
-            del self._outgoing_by_id[key]
+            # A peer that uses a number twice has another stream under it now.
+            if self._outgoing_by_id.get(key) is outgoing:
+                del self._outgoing_by_id[key]
 
     async def _stop_tasks(self) -> None:
         for task in list(self._tasks):
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -1,14 +1,17 @@
 """Tests of requests and streams over the memory network."""
 
 import asyncio
+import gc
 from collections.abc import AsyncIterator
 from random import Random
 from typing import NamedTuple
 from unittest import TestCase
 
+import msgspec
 from returns.result import Failure, Success
 
 from poplarlug.transport import MemoryNetwork, MemoryTransport, TransportErrorKind
+from poplarlug.transport.frames import FrameKind, Header
 from poplarlug.transport.memory import LinkQuality
 from poplarlug.virtualtime import run_virtual
 
@@ -55,6 +58,25 @@
         received = run_virtual(main())
         self.assertEqual(received, [Success(b"0"), Success(b"1"), Success(None)])
 
+    def test_number_that_is_used_twice_breaks_nothing(self) -> None:
+        """A peer may open a stream under the number of one that has just ended."""
+
+        async def main() -> list[object]:
+            raised: list[object] = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: raised.append(context))
+            near, far = await self.start()
+            payload = msgspec.msgpack.encode(Count(1))
+            for _ in range(2):
+                header = Header(FrameKind.OPEN, "near", 7, "count")
+                near._send("far", header, payload)
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(10.0)
+            gc.collect()
+            return raised
+
+        self.assertEqual(run_virtual(main()), [])
+
     def test_request_gets_its_reply(self) -> None:
         """A reply comes back as the type that was asked for."""
 
