Add a randomized fault soak of real processes

Seeds draw overlapping faults from outside: signals, a loopback proxy before the upstreams, upstreams that fail or leave. The promises are checked from what callers and upstreams saw. The stand-ins of the whole-path tests moved there.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -20,7 +20,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from examples.deployment import Deployment
-from tests.processes.proxy import FaultProxy
+from poplarlug.soak.proxy import FaultProxy
 
 CALLS = 400
 WAN_SECONDS = 0.055
--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -40,8 +40,8 @@
 from poplarlug.catalog.catalog import encode_object
 from poplarlug.keys import generate_caller_key, hash_caller_key
 from poplarlug.operators.client import OperatorClient
+from poplarlug.soak.proxy import FaultProxy
 from poplarlug.topology import EntryVm, Topology
-from tests.processes.proxy import FaultProxy
 
 CLIENTS = 16
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
--- /dev/null
+++ b/poplarlug/platform/encoding.py
@@ -0,0 +1,60 @@
+"""The platform's documents as its operators and upstreams write them, for stand-ins."""
+
+import json
+from typing import Any
+
+from poplarlug.discovery.records import ServiceUpstream
+from poplarlug.platform.names import CONFIGURATION_PATH, UPSTREAM_PATH
+from poplarlug.routes import Route, RouteTable
+
+
+def encode_configuration(table: RouteTable) -> bytes:
+    """Return an operator's document for a route table."""
+    document = {
+        "version": table.version,
+        "routes": [_route(route) for route in table.routes],
+        "services": [{"name": service.name} for service in table.services],
+    }
+    return json.dumps(document).encode()
+
+
+def version_of(document: bytes) -> int:
+    """Return the version of an operator's document."""
+    return json.loads(document)["version"]
+
+
+def encode_beat(upstream: ServiceUpstream) -> tuple[str, bytes]:
+    """Return the path and the body of an upstream's announcement."""
+    beat = {
+        "service": upstream.service,
+        "address": upstream.address,
+        "zone": upstream.zone,
+        "version": "v1",
+        "slots": upstream.slots,
+        "state": "ready" if upstream.phase == "serving" else "draining",
+        "cold_left_ms": upstream.cold_seconds * 1000,
+        "sequence": upstream.sequence,
+        "born": upstream.born,
+    }
+    return UPSTREAM_PATH.format(id=upstream.id), json.dumps(beat).encode()
+
+
+def configuration_path() -> str:
+    """Return the path at which operators set and read the configuration."""
+    return CONFIGURATION_PATH
+
+
+def _route(route: Route) -> dict[str, Any]:
+    return {
+        "name": route.name,
+        "host": route.host,
+        "path_prefix": route.path_prefix,
+        "route_kind": route.kind,
+        "timeout_ms": route.timeout_seconds * 1000,
+        "target_latency_ms": route.objective_seconds * 1000,
+        "priority": route.rank,
+        "weighted_services": [share._asdict() for share in route.services],
+        "max_attempts": route.max_attempts,
+        "resumable": route.resumable,
+        "home_regions": list(route.home_regions),
+    }
--- /dev/null
+++ b/poplarlug/soak/callers.py
@@ -0,0 +1,161 @@
+"""Callers that send all kinds of requests and write down what they got."""
+
+import http.client
+import itertools
+import threading
+import time
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import NamedTuple
+
+from poplarlug.platform.names import DIALECT
+from poplarlug.types import Address, Seconds
+
+HOST = "soak.example"
+KINDS = ("look", "book", "stream", "resume")
+PAUSE_SECONDS = 0.02
+CALL_SECONDS = 6.0
+RENEW_SHARE = 0.3
+"""Share of requests before which a caller opens a new connection."""
+
+
+class Call(NamedTuple):
+    """
+    One request as its caller saw it.
+
+    Parameters
+    ----------
+    status : int
+        0 when the connection broke before the answer was whole.
+    sent : float
+        Monotonic time of the start.
+    """
+
+    id: str
+    kind: str
+    entry: Address
+    sent: Seconds
+    status: int
+    body: bytes
+    answered_id: str
+
+
+class Caller(threading.Thread):
+    """
+    Send one request after the other over kept connections until stopped.
+
+    Parameters
+    ----------
+    entries : sequence of Address
+        Entries to choose from, whether they are up or not.
+    """
+
+    _numbers = itertools.count()
+
+    def __init__(self, *, entries: Sequence[Address], rng: Random) -> None:
+        super().__init__(daemon=True)
+        self.calls: list[Call] = []
+        self._entries = list(entries)
+        self._rng = rng
+        self._stopping = threading.Event()
+        self._connection: http.client.HTTPConnection | None = None
+        self._entry = ""
+
+    def stop(self) -> None:
+        self._stopping.set()
+
+    def run(self) -> None:
+        while not self._stopping.wait(PAUSE_SECONDS):
+            self.calls.append(self._call(self._rng.choice(KINDS)))
+        self._close()
+
+    def _call(self, kind: str) -> Call:
+        request_id = f"{next(self._numbers):08x}"
+        started = time.monotonic()
+        body = f"{kind} {request_id}".encode()
+        headers = {
+            "Host": HOST,
+            DIALECT.request_id: request_id,
+            DIALECT.deadline: str(int(CALL_SECONDS * 1000)),
+        }
+        status, answer, answered = 0, b"", ""
+        try:
+            connection = self._connect()
+            connection.request("POST", f"/{kind}/{request_id}", body, headers)
+            response = connection.getresponse()
+            answered = response.headers.get(DIALECT.request_id, "")
+            answer = response.read()
+            status = response.status
+            if response.headers.get("Connection", "").lower() == "close":
+                self._close()
+        except (OSError, http.client.HTTPException):
+            self._close()
+        return Call(request_id, kind, self._entry, started, status, answer, answered)
+
+    def _connect(self) -> http.client.HTTPConnection:
+        if self._connection is None or self._rng.random() < RENEW_SHARE:
+            self._close()
+            self._entry = self._rng.choice(self._entries)
+            host, _, port = self._entry.rpartition(":")
+            self._connection = http.client.HTTPConnection(
+                host, int(port), timeout=CALL_SECONDS
+            )
+        return self._connection
+
+    def _close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+
+class Operator(threading.Thread):
+    """
+    Change and read the configuration at random control replicas.
+
+    Parameters
+    ----------
+    put : callable
+        Puts a version at a replica; returns whether it was acknowledged.
+    read : callable
+        Returns the version that a replica reads, ``None`` when it reads none.
+    """
+
+    def __init__(
+        self,
+        *,
+        replicas: int,
+        first_version: int,
+        put: Callable[[int, int], bool],
+        read: Callable[[int], int | None],
+        rng: Random,
+    ) -> None:
+        super().__init__(daemon=True)
+        self.acknowledged = first_version
+        self.broken: list[str] = []
+        self.puts = 0
+        self._replicas = replicas
+        self._version = first_version
+        self._put = put
+        self._read = read
+        self._rng = rng
+        self._stopping = threading.Event()
+
+    def stop(self) -> None:
+        self._stopping.set()
+
+    def run(self) -> None:
+        while not self._stopping.wait(self._rng.uniform(0.1, 0.6)):
+            replica = self._rng.randrange(self._replicas)
+            if self._rng.random() < 0.5:
+                self._version += 1
+                self.puts += 1
+                if self._put(replica, self._version):
+                    self.acknowledged = max(self.acknowledged, self._version)
+                continue
+            known = self.acknowledged
+            version = self._read(replica)
+            if version is not None and version < known:
+                self.broken.append(
+                    f"replica {replica} read version {version} after {known} "
+                    "was acknowledged"
+                )
--- a/tests/platform_adapter/deployment.py
+++ b/poplarlug/soak/deployment.py
@@ -1,4 +1,4 @@
-"""Real control replicas and entries on loopback, found by seeds."""
+"""Real control replicas and entries as processes on loopback, found by seeds."""
 
 import http.client
 import json
@@ -8,11 +8,13 @@
 import sys
 import time
 from collections.abc import Callable, Mapping
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from poplarlug.platform.names import READINESS_PATH, SETTINGS_VARIABLE
+
 ZONES = {"quito-a": "sierra", "cuenca-a": "austro", "guayaquil-a": "costa"}
-HOST = "app.example"
 START_SECONDS = 20.0
 
 
@@ -137,21 +139,42 @@
         deadline = time.monotonic() + START_SECONDS
         while time.monotonic() < deadline:
             for zone in ZONES:
-                answer = self.call(self.control_address(zone), method, path, body)
+                answer = self.call(
+                    self.control_address(zone), method, path, body, seconds=2.0
+                )
                 if answer.status not in (0, 503):
                     return answer
             time.sleep(0.1)
         raise AssertionError(f"no control replica answers {method} {path}")
 
+    def is_ready(self, name: str) -> bool:
+        """Return whether an entry says that it takes requests."""
+        address = f"{self.ip(name)}:8140"
+        return self.call(address, "GET", READINESS_PATH, seconds=2.0).status == 200
+
     def wait_ready(self) -> None:
         for name in self.entries:
-            address = f"{self.ip(name)}:8140"
             wait_until(
-                lambda a=address: self.call(a, "GET", "/readyz").status == 200,
+                partial(self.is_ready, name),
                 f"{name} does not get ready",
                 START_SECONDS,
             )
 
+    def is_running(self, name: str) -> bool:
+        process = self._processes.get(name)
+        return process is not None and process.poll() is None
+
+    def zone_of(self, name: str) -> str:
+        """Return the zone of a control replica or an entry."""
+        return name.split("-", 2)[2] if name in self.entries else name.split("-", 1)[1]
+
+    def start(self, name: str) -> None:
+        """Start a process again."""
+        if name in self.entries:
+            self.start_entry(name)
+        else:
+            self.start_control(self.zone_of(name), name, bootstrap=False)
+
     def log(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text()
 
@@ -173,29 +196,7 @@
         with (self.folder / f"{name}.log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
                 [sys.executable, "-m", module],
-                env=os.environ | {"POPLARLUG_SETTINGS": str(file)},
+                env=os.environ | {SETTINGS_VARIABLE: str(file)},
                 stdout=log,
                 stderr=log,
             )
-
-
-def configuration(version: int, **routes: Mapping[str, Any]) -> bytes:
-    """Return an operator's document with a service for each that routes name."""
-    listed = []
-    services = {}
-    for name, fields in routes.items():
-        route = {
-            "name": name,
-            "host": HOST,
-            "path_prefix": f"/{name}/",
-            "route_kind": "safe",
-            "timeout_ms": 5000,
-            "target_latency_ms": 500,
-            "priority": 0,
-            "service": "desk",
-            "max_attempts": 2,
-        } | dict(fields)
-        listed.append(route)
-        services[route["service"]] = {"name": route["service"]}
-    document = {"version": version, "routes": listed, "services": [*services.values()]}
-    return json.dumps(document).encode()
--- /dev/null
+++ b/poplarlug/soak/run.py
@@ -0,0 +1,291 @@
+"""One run of the soak: a deployment, its load, a schedule of faults, the checks."""
+
+import signal
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+from poplarlug.discovery.records import UpstreamPhase
+from poplarlug.platform.encoding import (
+    configuration_path,
+    encode_configuration,
+    version_of,
+)
+from poplarlug.routes import (
+    Route,
+    RoutedService,
+    RouteKind,
+    RouteTable,
+    ServiceWeight,
+)
+from poplarlug.soak.callers import HOST, Call, Caller, Operator
+from poplarlug.soak.deployment import ZONES, SeededDeployment
+from poplarlug.soak.promises import check_calls
+from poplarlug.soak.proxy import FaultProxy, LinkMode
+from poplarlug.soak.schedule import Fault, draw_schedule
+from poplarlug.soak.upstream import Upstream
+from poplarlug.types import Seconds
+
+ENTRY_ZONES = ("quito-a", "quito-a", "cuenca-a", "guayaquil-a")
+UPSTREAM_ZONES = ("quito-a", "quito-a", "cuenca-a", "guayaquil-a")
+CALLERS = 8
+BEAT_SECONDS = 0.6
+RECOVERY_SECONDS = 12.0
+"""Time after the last fault until requests have to be served again."""
+
+SETTLED_SECONDS = 3.0
+SERVED_SHARE = 0.9
+"""Share of requests that have to be served once everything is back."""
+
+LINK = "entries"
+
+
+class SoakReport(NamedTuple):
+    """
+    What came of one seed.
+
+    Parameters
+    ----------
+    broken : tuple of str
+        Broken promises; empty for a run that held.
+    """
+
+    seed: int
+    faults: int
+    calls: int
+    served: int
+    broken: tuple[str, ...]
+
+
+class SoakRun:
+    """
+    Play one seed.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Gets settings, data and logs of all processes.
+    """
+
+    def __init__(self, *, seed: int, seconds: Seconds, folder: Path) -> None:
+        self._seed = seed
+        self._seconds = seconds
+        self._rng = Random(seed)
+        self.faults = draw_schedule(self._rng, seconds=seconds)
+        folder.mkdir(parents=True, exist_ok=True)
+        self._deployment = SeededDeployment(folder=folder, entry_zones=ENTRY_ZONES)
+        self._proxy = FaultProxy()
+        self._upstreams: list[Upstream] = []
+        self._addresses: list[str] = []
+        self._beating = threading.Event()
+        self._leaving: set[str] = set()
+        self._version = 1
+
+    def play(self) -> SoakReport:
+        """Run load and faults, and check the promises; ends what it started."""
+        try:
+            return self._play()
+        finally:
+            self._beating.set()
+            self._deployment.close()
+            for upstream in self._upstreams:
+                upstream.close()
+            self._proxy.close()
+
+    def _play(self) -> SoakReport:
+        deployment = self._deployment
+        deployment.start_all()
+        self._start_upstreams()
+        put = deployment.operate("PUT", configuration_path(), self._document(1))
+        assert put.status == 200, put
+        deployment.wait_ready()
+        entries = [deployment.entry_address(name) for name in deployment.entries]
+        callers = [
+            Caller(entries=entries, rng=Random(f"{self._seed}/{number}"))
+            for number in range(CALLERS)
+        ]
+        operator = self._operator()
+        threads: list[Caller | Operator] = [*callers, operator]
+        for thread in threads:
+            thread.start()
+        self._inject()
+        time.sleep(RECOVERY_SECONDS)
+        recovered = time.monotonic()
+        time.sleep(SETTLED_SECONDS)
+        for thread in threads:
+            thread.stop()
+        for thread in threads:
+            thread.join()
+        calls = [call for caller in callers for call in caller.calls]
+        return self._report(calls, operator, recovered)
+
+    def _report(
+        self, calls: list[Call], operator: Operator, recovered: Seconds
+    ) -> SoakReport:
+        runs: Counter[str] = Counter()
+        for upstream in self._upstreams:
+            runs += upstream.runs
+        broken = check_calls(calls, runs) + operator.broken
+        late = [call for call in calls if call.sent > recovered]
+        served = sum(call.status == 200 for call in late)
+        if not late or served < SERVED_SHARE * len(late):
+            broken.append(f"{served} of {len(late)} requests served after recovery")
+        held = self._read_any()
+        if held < operator.acknowledged:
+            broken.append(f"version {held} is left of {operator.acknowledged}")
+        whole = sum(call.status == 200 for call in calls)
+        return SoakReport(
+            self._seed, len(self.faults), len(calls), whole, tuple(broken)
+        )
+
+    def _inject(self) -> None:
+        """Start each fault at its time; faults overlap."""
+        started = time.monotonic()
+        threads = []
+        for fault in self.faults:
+            time.sleep(max(0.0, started + fault.at - time.monotonic()))
+            thread = threading.Thread(target=self._apply, args=(fault,), daemon=True)
+            thread.start()
+            threads.append(thread)
+        for thread in threads:
+            thread.join()
+        self._proxy.heal()
+
+    def _apply(self, fault: Fault) -> None:
+        if fault.is_of_process:
+            self._hit_process(fault)
+        else:
+            self._hit_upstream(fault)
+
+    def _hit_process(self, fault: Fault) -> None:
+        deployment = self._deployment
+        names = [*deployment.entries, *deployment.control.values()]
+        name = names[fault.target % len(names)]
+        if not deployment.is_running(name):
+            return
+        if fault.kind == "hang_up":
+            deployment.signal(name, signal.SIGHUP)
+        elif fault.kind == "pause":
+            deployment.signal(name, signal.SIGSTOP)
+            time.sleep(fault.seconds)
+            deployment.signal(name, signal.SIGCONT)
+        else:
+            number = signal.SIGKILL if fault.kind == "kill" else signal.SIGTERM
+            deployment.kill(name, number)
+            time.sleep(fault.seconds)
+            deployment.start(name)
+
+    def _hit_upstream(self, fault: Fault) -> None:
+        upstream = self._upstreams[fault.target % len(self._upstreams)]
+        modes = {
+            "reset": LinkMode.REFUSE,
+            "silence": LinkMode.SILENT,
+            "lose_back": LinkMode.LOSE_BACK,
+        }
+
+        def is_its(source: str, target: str) -> bool:
+            return target == upstream.id
+
+        if fault.kind in modes:
+            self._proxy.set_mode(modes[fault.kind], matching=is_its)
+            time.sleep(fault.seconds)
+            self._proxy.set_mode(LinkMode.PASS, matching=is_its)
+        elif fault.kind == "delay":
+            self._proxy.set_delay(fault.seconds / 10, matching=is_its)
+            time.sleep(fault.seconds)
+            self._proxy.set_delay(0.0, matching=is_its)
+        elif fault.kind == "leave":
+            self._leaving.add(upstream.id)
+            time.sleep(fault.seconds)
+            upstream.born += 1
+            self._leaving.discard(upstream.id)
+        else:
+            upstream.fault = fault.kind.removeprefix("upstream_")
+            time.sleep(fault.seconds)
+            upstream.fault = ""
+
+    def _start_upstreams(self) -> None:
+        for number, zone in enumerate(UPSTREAM_ZONES):
+            name = f"u-{number}"
+            upstream = Upstream(
+                upstream_id=name,
+                ip=self._deployment.ip(name),
+                service="desk",
+                zone=zone,
+            )
+            self._upstreams.append(upstream)
+            link = self._proxy.link(LINK, name, upstream.address)
+            self._addresses.append(link)
+        threading.Thread(target=self._beat, daemon=True).start()
+
+    def _beat(self) -> None:
+        zones = list(ZONES)
+        rng = Random(f"{self._seed}/beats")
+        while not self._beating.wait(BEAT_SECONDS):
+            for upstream, address in zip(self._upstreams, self._addresses, strict=True):
+                control = self._deployment.control_address(rng.choice(zones))
+                is_leaving = upstream.id in self._leaving
+                phase: UpstreamPhase = "leaving" if is_leaving else "serving"
+                try:
+                    upstream.beat(control, phase, address)
+                except OSError:
+                    # The replica is down; the next beat goes to another one.
+                    continue
+
+    def _operator(self) -> Operator:
+        zones = list(ZONES)
+
+        def put(replica: int, version: int) -> bool:
+            address = self._deployment.control_address(zones[replica])
+            document = self._document(version)
+            answer = self._deployment.call(
+                address, "PUT", configuration_path(), document, seconds=2.0
+            )
+            return answer.status == 200
+
+        def read(replica: int) -> int | None:
+            address = self._deployment.control_address(zones[replica])
+            answer = self._deployment.call(
+                address, "GET", configuration_path(), seconds=2.0
+            )
+            return version_of(answer.body) if answer.status == 200 else None
+
+        return Operator(
+            replicas=len(zones),
+            first_version=1,
+            put=put,
+            read=read,
+            rng=Random(f"{self._seed}/operator"),
+        )
+
+    def _read_any(self) -> int:
+        answer = self._deployment.operate("GET", configuration_path())
+        return version_of(answer.body)
+
+    def _document(self, version: int) -> bytes:
+        kinds: dict[str, tuple[RouteKind, bool, int]] = {
+            "look": ("safe", False, 2),
+            "book": ("unsafe", False, 1),
+            "stream": ("streaming", False, 1),
+            "resume": ("streaming", True, 2),
+        }
+        routes = tuple(
+            Route(
+                name=name,
+                host=HOST,
+                path_prefix=f"/{name}/",
+                kind=kind,
+                timeout_seconds=5.0,
+                objective_seconds=0.5,
+                rank=0,
+                services=(ServiceWeight("desk", 1.0),),
+                max_attempts=attempts,
+                resumable=resumable,
+            )
+            for name, (kind, resumable, attempts) in kinds.items()
+        )
+        table = RouteTable(version, routes, (RoutedService("desk"),))
+        return encode_configuration(table)
--- /dev/null
+++ b/poplarlug/soak/schedule.py
@@ -0,0 +1,71 @@
+"""Faults at random times, drawn from a seed."""
+
+from random import Random
+from typing import Literal, NamedTuple, TypeAlias, get_args
+
+from poplarlug.types import Seconds
+
+FaultKind: TypeAlias = Literal[
+    "kill",
+    "stop",
+    "pause",
+    "hang_up",
+    "reset",
+    "silence",
+    "delay",
+    "lose_back",
+    "upstream_error",
+    "upstream_cut",
+    "upstream_reset",
+    "leave",
+]
+
+MEAN_GAP_SECONDS = 1.0
+"""Mean time between the starts of two faults; they overlap."""
+
+MIN_FAULT_SECONDS = 0.3
+MAX_FAULT_SECONDS = 4.0
+
+_PROCESS_KINDS: tuple[FaultKind, ...] = ("kill", "stop", "pause", "hang_up")
+
+
+class Fault(NamedTuple):
+    """
+    One fault.
+
+    Parameters
+    ----------
+    at : float
+        Seconds from the start of the load.
+    seconds : float
+        How long it lasts, where it lasts.
+    target : int
+        Number of the process, or of the upstream, among those that it fits.
+    """
+
+    at: Seconds
+    kind: FaultKind
+    seconds: Seconds
+    target: int
+
+    @property
+    def is_of_process(self) -> bool:
+        """Whether a process is hit, or an upstream and the way to it."""
+        return self.kind in _PROCESS_KINDS
+
+
+def draw_schedule(rng: Random, *, seconds: Seconds) -> tuple[Fault, ...]:
+    """Return the faults of one run in the order of their times."""
+    faults = []
+    at = rng.expovariate(1 / MEAN_GAP_SECONDS)
+    while at < seconds:
+        faults.append(
+            Fault(
+                at=round(at, 3),
+                kind=rng.choice(get_args(FaultKind)),
+                seconds=round(rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS), 3),
+                target=rng.randrange(1000),
+            )
+        )
+        at += rng.expovariate(1 / MEAN_GAP_SECONDS)
+    return tuple(faults)
--- a/tests/platform_adapter/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -1,7 +1,6 @@
-"""A small upstream of the platform's kind, with faults to order."""
+"""A small upstream that writes down what it runs, with faults to order."""
 
 import asyncio
-import json
 import threading
 import time
 import urllib.request
@@ -10,10 +9,13 @@
 
 from aiohttp import web
 
-SIGNATURE = "X-Poplarlug-Response-Stamp"
-REQUEST_ID = "X-Poplarlug-Attempt-Id"
-EXPECTED = "X-Poplarlug-Expect-Instance"
-NOT_EXECUTED = "X-Poplarlug-Not-Executed"
+from poplarlug.discovery.records import ServiceUpstream, UpstreamPhase
+from poplarlug.platform.encoding import encode_beat
+from poplarlug.platform.names import DIALECT
+from poplarlug.relay.events import LAST_EVENT_HEADER
+
+PORT = 8300
+SLOTS = 8
 STREAM_EVENTS = 20
 CUT_AFTER_EVENTS = 5
 MUTE_SECONDS = 30.0
@@ -41,7 +43,7 @@
 
     def __init__(self, *, upstream_id: str, ip: str, service: str, zone: str) -> None:
         self.id = upstream_id
-        self.address = f"{ip}:8300"
+        self.address = f"{ip}:{PORT}"
         self.service = service
         self.zone = zone
         self.fault = ""
@@ -49,7 +51,7 @@
         self.arrivals: list[Arrival] = []
         self.abandoned = 0
         self._sequence = 0
-        self._born = time.time_ns() // 1_000_000
+        self.born = time.time_ns() // 1_000_000
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
@@ -58,28 +60,36 @@
     @property
     def runs(self) -> Counter[str]:
         """How often each request id came."""
-        return Counter(a.headers.get(REQUEST_ID, "") for a in self.arrivals)
-
-    def beat(self, control: str, state: str = "ready", **fields: Any) -> int:
-        """Announce this upstream at a control replica; return the status."""
+        return Counter(a.headers.get(DIALECT.request_id, "") for a in self.arrivals)
+
+    def beat(
+        self, control: str, phase: UpstreamPhase = "serving", address: str = ""
+    ) -> int:
+        """
+        Announce this upstream at a control replica; return the status.
+
+        Parameters
+        ----------
+        address : str
+            Where to reach it, if not at its own address; as behind a proxy.
+        """
         self._sequence += 1
-        beat = {
-            "service": self.service,
-            "address": self.address,
-            "zone": self.zone,
-            "version": "v1",
-            "slots": 8,
-            "state": state,
-            "cold_left_ms": 0,
-            "sequence": self._sequence,
-            "born": self._born,
-        }
+        path, body = encode_beat(
+            ServiceUpstream(
+                id=self.id,
+                service=self.service,
+                address=address or self.address,
+                zone=self.zone,
+                born=self.born,
+                sequence=self._sequence,
+                slots=SLOTS,
+                phase=phase,
+            )
+        )
         request = urllib.request.Request(
-            f"http://{control}/instances/{self.id}",
-            data=json.dumps(beat | fields).encode(),
-            method="PUT",
+            f"http://{control}{path}", data=body, method="PUT"
         )
-        with urllib.request.urlopen(request, timeout=5) as answer:
+        with urllib.request.urlopen(request, timeout=2) as answer:
             return answer.status
 
     def close(self) -> None:
@@ -98,17 +108,19 @@
             app, handler_cancellation=True, shutdown_timeout=0.1
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, ip, 8300).start()
+        await web.TCPSite(self._runner, ip, PORT).start()
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
-        headers = {REQUEST_ID: request.headers.get(REQUEST_ID, "")}
-        if request.headers.get(EXPECTED, self.id) != self.id:
+        headers = {DIALECT.request_id: request.headers.get(DIALECT.request_id, "")}
+        if request.headers.get(DIALECT.expected_upstream, self.id) != self.id:
             return web.Response(status=421, headers=headers)
         if self.fault == "refuse":
-            return web.Response(status=503, headers=headers | {NOT_EXECUTED: "1"})
+            return web.Response(
+                status=503, headers=headers | {DIALECT.not_executed: "1"}
+            )
         self.arrivals.append(Arrival(request.raw_path, dict(request.headers), body))
-        headers[SIGNATURE] = f"signed-{self.id}"
+        headers[DIALECT.signature] = f"signed-{self.id}"
         if self.fault == "reset":
             assert request.transport is not None
             request.transport.abort()
@@ -127,7 +139,7 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
-        first = int(request.headers.get("Last-Event-Id", -1)) + 1
+        first = int(request.headers.get(LAST_EVENT_HEADER, -1)) + 1
         try:
             for number in range(first, STREAM_EVENTS):
                 if self.fault == "cut" and number == first + CUT_AFTER_EVENTS:
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -7,27 +7,19 @@
 import uuid
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import ClassVar
+from typing import Any, ClassVar
 from unittest import TestCase
 
-from tests.platform_adapter.deployment import (
-    HOST,
-    ZONES,
-    Answer,
-    SeededDeployment,
-    configuration,
-    wait_until,
-)
-from tests.platform_adapter.upstream import (
-    EXPECTED,
-    REQUEST_ID,
-    SIGNATURE,
-    STREAM_EVENTS,
-    Upstream,
-)
+from poplarlug.platform.names import DIALECT
+from poplarlug.soak.deployment import ZONES, Answer, SeededDeployment, wait_until
+from poplarlug.soak.upstream import STREAM_EVENTS, Upstream
+
+HOST = "app.example"
+REQUEST_ID = DIALECT.request_id
+SIGNATURE = DIALECT.signature
 
 ENTRY_ZONES = ("quito-a", "quito-a", "guayaquil-a")
-DEADLINE = "X-Poplarlug-Deadline-Ms"
+DEADLINE = DIALECT.deadline
 ROUTES = {
     "look": {"route_kind": "safe"},
     "book": {"route_kind": "unsafe", "max_attempts": 1},
@@ -133,7 +125,7 @@
         )
         upstream = next(u for u in self.upstreams if u.arrivals)
         headers = upstream.arrivals[0].headers
-        self.assertEqual(headers[EXPECTED], upstream.id)
+        self.assertEqual(headers[DIALECT.expected_upstream], upstream.id)
         self.assertNotIn("X-Poplarlug-Hold", headers)
         self.assertNotIn("Kv-From", headers)
         self.assertLessEqual(int(headers[DEADLINE]), 4000)
@@ -220,14 +212,14 @@
     def test_leaving_upstream_gets_nothing_more(self) -> None:
         """Within moments of the acknowledgement, requests go elsewhere."""
         leaving, staying = self.upstreams
-        leaving.beat(self.deployment.control_address("cuenca-a"), "draining")
+        leaving.beat(self.deployment.control_address("cuenca-a"), "leaving")
         time.sleep(1.0)
         leaving.arrivals.clear()
         for _ in range(20):
             self.assertEqual(self.send(self.quito, "look").status, 200)
         self.assertEqual(len(leaving.arrivals), 0)
         self.assertGreaterEqual(len(staying.arrivals), 20)
-        leaving._born += 1
+        leaving.born += 1
 
     def test_evacuated_zone_gets_nothing_until_it_is_taken_back(self) -> None:
         """Requests are refused at once while no other zone has upstreams."""
@@ -328,3 +320,25 @@
 
     def control_logs(self) -> str:
         return "".join(self.deployment.log(n) for n in self.deployment.control.values())
+
+
+def configuration(version: int, **routes: dict[str, Any]) -> bytes:
+    """Return an operator's document with a service for each that routes name."""
+    listed = []
+    services = {}
+    for name, fields in routes.items():
+        route = {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "route_kind": "safe",
+            "timeout_ms": 5000,
+            "target_latency_ms": 500,
+            "priority": 0,
+            "service": "desk",
+            "max_attempts": 2,
+        } | fields
+        listed.append(route)
+        services[route["service"]] = {"name": route["service"]}
+    document = {"version": version, "routes": listed, "services": [*services.values()]}
+    return json.dumps(document).encode()
--- a/tests/processes/case.py
+++ b/tests/processes/case.py
@@ -11,7 +11,7 @@
 from unittest import TestCase
 
 from examples.deployment import Deployment, wait_until
-from tests.processes.proxy import FaultProxy
+from poplarlug.soak.proxy import FaultProxy
 
 CALL_SECONDS = 30.0
 
--- a/tests/processes/control_case.py
+++ b/tests/processes/control_case.py
@@ -16,8 +16,8 @@
 from poplarlug.operators.client import OperatorClient
 from poplarlug.schema import operators_pb2 as pb
 from poplarlug.schema.operators_pb2_grpc import OperatorsStub
+from poplarlug.soak.proxy import FaultProxy
 from poplarlug.topology import ControlVm
-from tests.processes.proxy import FaultProxy
 
 CALL_SECONDS = 5.0
 WRITERS = 8
--- a/tests/processes/faults.py
+++ b/tests/processes/faults.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from examples.deployment import Deployment
-from tests.processes.proxy import FaultProxy, LinkMode
+from poplarlug.soak.proxy import FaultProxy, LinkMode
 
 MIN_FAULT_SECONDS = 0.3
 MAX_FAULT_SECONDS = 2.5
--- a/tests/processes/test_claims_faults.py
+++ b/tests/processes/test_claims_faults.py
@@ -9,8 +9,8 @@
 from typing import ClassVar, NamedTuple
 
 from examples.deployment import wait_until
+from poplarlug.soak.proxy import LinkMode
 from tests.processes.case import Answer, ProcessTestCase
-from tests.processes.proxy import LinkMode
 
 QUITO = ("quito-a-1", "quito-a-2", "quito-a-3")
 RUN_SECONDS = 0.25
--- a/tests/processes/test_control_leader.py
+++ b/tests/processes/test_control_leader.py
@@ -6,8 +6,8 @@
 
 from examples.deployment import wait_until
 from poplarlug.schema import operators_pb2 as pb
+from poplarlug.soak.proxy import LinkMode
 from tests.processes.control_case import ControlTestCase
-from tests.processes.proxy import LinkMode
 
 CHANGES = 300
 
--- a/tests/processes/test_distribution_cut.py
+++ b/tests/processes/test_distribution_cut.py
@@ -7,8 +7,8 @@
 from typing import ClassVar
 
 from examples.deployment import is_ready, wait_until
+from poplarlug.soak.proxy import LinkMode
 from tests.processes.case import ProcessTestCase
-from tests.processes.proxy import LinkMode
 
 CHANGES = 5
 CUT_ZONE = "cuenca-a"
--- a/tests/processes/test_membership_entries.py
+++ b/tests/processes/test_membership_entries.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from examples.deployment import wait_until
+from poplarlug.soak.proxy import LinkMode
 from tests.processes.case import Answer, ProcessTestCase
 from tests.processes.counting_upstream import CountingUpstream
-from tests.processes.proxy import LinkMode
 
 FREEZE_SECONDS = 6.0
 STREAMS = 8
--- a/tests/processes/test_operators_changes.py
+++ b/tests/processes/test_operators_changes.py
@@ -14,8 +14,8 @@
 from poplarlug.operators.client import OperatorClient
 from poplarlug.schema import operators_pb2 as pb
 from poplarlug.schema.operators_pb2_grpc import OperatorsStub
+from poplarlug.soak.proxy import LinkMode
 from tests.processes.case import ProcessTestCase
-from tests.processes.proxy import LinkMode
 
 OPERATORS = 20
 ROUNDS = 5
--- a/tests/processes/test_operators_orders.py
+++ b/tests/processes/test_operators_orders.py
@@ -9,8 +9,8 @@
 from examples.deployment import wait_until
 from poplarlug.operators.client import OperatorClient
 from poplarlug.schema import operators_pb2 as pb
+from poplarlug.soak.proxy import LinkMode
 from tests.processes.case import ProcessTestCase
-from tests.processes.proxy import LinkMode
 
 
 class OrderTests(ProcessTestCase):
--- a/tests/processes/test_promise_answers.py
+++ b/tests/processes/test_promise_answers.py
@@ -7,9 +7,9 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from examples.deployment import wait_until
+from poplarlug.soak.proxy import LinkMode
 from tests.processes.case import ProcessTestCase
 from tests.processes.history import Call, CallKind, check_whole_answers
-from tests.processes.proxy import LinkMode
 
 CALLS = 24
 ENTRIES = ("quito-a-1", "cuenca-a-1", "guayaquil-a-1")
--- a/tests/processes/test_promise_cut_off_region.py
+++ b/tests/processes/test_promise_cut_off_region.py
@@ -4,8 +4,8 @@
 from poplarlug.fakes.engine import tokens_of
 from poplarlug.fakes.ledger import read_ledger
 from poplarlug.keys import generate_caller_key
+from poplarlug.soak.proxy import LinkMode
 from tests.processes.case import ProcessTestCase
-from tests.processes.proxy import LinkMode
 from tests.processes.workload import CallerAccount, put_account
 
 REGIONS = ("sierra-norte", "austro", "costa")
--- /dev/null
+++ b/tests/soak/test_promises.py
@@ -0,0 +1,59 @@
+"""Tests that the soak's checks see what breaks a promise."""
+
+from collections import Counter
+from random import Random
+from unittest import TestCase
+
+from poplarlug.soak.callers import Call
+from poplarlug.soak.promises import EVENTS, check_calls
+from poplarlug.soak.schedule import draw_schedule
+
+GOOD = Call("a1", "book", "127.0.0.1:1", 0.0, 200, b"answer to book a1", "a1")
+
+
+class CheckCallsTests(TestCase):
+    def broken(self, runs: int, **fields: object) -> list[str]:
+        call = GOOD._replace(**fields)
+        return check_calls([call], Counter({call.id: runs} if runs else {}))
+
+    def test_good_answer_breaks_nothing(self) -> None:
+        """A booking that ran once and was answered."""
+        self.assertEqual(self.broken(1), [])
+        self.assertEqual(self.broken(1, kind="resume", body=EVENTS), [])
+        self.assertEqual(self.broken(2, kind="resume", body=EVENTS), [])
+
+    def test_unknown_outcomes_break_nothing(self) -> None:
+        """A booking whose connection broke may have run or not."""
+        for runs in (0, 1):
+            for status in (0, 502, 504):
+                self.assertEqual(self.broken(runs, status=status, body=b""), [])
+
+    def test_broken_promises_are_seen(self) -> None:
+        """Each check finds what it is for."""
+        cases = {
+            "twice": self.broken(2),
+            "ran after a refusal": self.broken(1, status=503),
+            "never ran": self.broken(0),
+            "another answer": self.broken(1, answered_id="b2"),
+            "other body": self.broken(1, body=b"answer to book b2"),
+            "short stream": self.broken(1, kind="stream", body=EVENTS[:-20]),
+            "stream joined twice": self.broken(1, kind="resume", body=EVENTS * 2),
+            "denied": self.broken(0, status=404),
+        }
+        for what, broken in cases.items():
+            with self.subTest(what=what):
+                self.assertEqual(len(broken), 1, broken)
+
+    def test_request_that_nobody_sent_is_seen(self) -> None:
+        """Upstreams run only what callers sent."""
+        self.assertEqual(len(check_calls([], Counter({"x": 1}))), 1)
+
+
+class ScheduleTests(TestCase):
+    def test_seed_gives_the_same_faults(self) -> None:
+        """A run can be played again."""
+        first = draw_schedule(Random(5), seconds=60.0)
+        self.assertEqual(draw_schedule(Random(5), seconds=60.0), first)
+        self.assertNotEqual(draw_schedule(Random(6), seconds=60.0), first)
+        self.assertGreater(len(first), 20)
+        self.assertEqual(list(first), sorted(first, key=lambda fault: fault.at))
--- /dev/null
+++ b/tests/soak/test_run.py
@@ -0,0 +1,23 @@
+"""A short seeded soak, and the seeds that broke a promise once."""
+
+import tempfile
+from pathlib import Path
+from unittest import TestCase
+
+from poplarlug.soak.run import SoakRun
+
+SECONDS = 6.0
+SHORT_SEED = 11
+
+
+class SoakTests(TestCase):
+    def play(self, seed: int, seconds: float) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            run = SoakRun(seed=seed, seconds=seconds, folder=Path(folder))
+            report = run.play()
+        self.assertGreater(report.calls, 100)
+        self.assertEqual(report.broken, ())
+
+    def test_short_run(self) -> None:
+        """All promises hold while a few faults come."""
+        self.play(SHORT_SEED, SECONDS)
