--- a/poplarlug/soak/deployment.py
+++ b/poplarlug/soak/deployment.py
@@ -160,6 +160,9 @@
                 START_SECONDS,
             )
 
+    def pid(self, name: str) -> int:
+        return self._processes[name].pid
+
     def is_running(self, name: str) -> bool:
         process = self._processes.get(name)
         return process is not None and process.poll() is None
--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -62,6 +62,7 @@
         self.name = name
         self.disk = MemoryDisk(rng=group.rng)
         self.replica: Replica | None = None
+        self.suspended_seconds = 0.0
         self.machine = RecordingState(history=group.history)
         self._tasks: list[asyncio.Task[Any]] = []
 
@@ -79,6 +80,7 @@
             snapshot_entries=self.group.snapshot_entries,
             kept_entries=4,
             recruit=self.group.recruit(self.name),
+            clock=self.now,
         )
         loaded = self.replica.load()
         assert isinstance(loaded, Success), loaded
@@ -87,6 +89,10 @@
             asyncio.ensure_future(self.replica.run()),
         ]
 
+    def now(self) -> float:
+        """Return the time that counts suspensions too, as the VM's clock has it."""
+        return asyncio.get_running_loop().time() + self.suspended_seconds
+
     def crash(self) -> None:
         """End the process; what was not synced is lost."""
         self.check_failures()
