--- a/poplarlug/soak/deployment.py
+++ b/poplarlug/soak/deployment.py
@@ -102,7 +102,18 @@
         return process.wait(20)
 
     def signal(self, name: str, number: int) -> None:
-        self._processes[name].send_signal(number)
+        """Send a signal to a process, if it runs."""
+        process = self._processes.get(name)
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Let a process stand still; it goes on also when it was told to stop."""
+        process = self._processes[name]
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
 
     def wait_for_exit(self, name: str) -> int:
         return self._processes.pop(name).wait(20)
--- a/poplarlug/soak/run.py
+++ b/poplarlug/soak/run.py
@@ -169,9 +169,7 @@
         if fault.kind == "hang_up":
             deployment.signal(name, signal.SIGHUP)
         elif fault.kind == "pause":
-            deployment.signal(name, signal.SIGSTOP)
-            time.sleep(fault.seconds)
-            deployment.signal(name, signal.SIGCONT)
+            deployment.pause(name, fault.seconds)
         else:
             number = signal.SIGKILL if fault.kind == "kill" else signal.SIGTERM
             deployment.kill(name, number)
