Wait for the link to a new leader before a change is said to be unknown

The replica knew the leader before its link to it stood, and said so at once. Nothing had left, so the command is sent again until the link stands, for 0.8 s at most. tests/control/test_proposing.py fails without the change.

--- a/poplarlug/control/proposing.py
+++ b/poplarlug/control/proposing.py
@@ -1,5 +1,6 @@
 """Takes commands to the leader, from any control replica."""
 
+import asyncio
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
@@ -10,11 +11,16 @@
     ProposeErrorKind,
     ReplicatedLog,
 )
-from poplarlug.transport import Transport
+from poplarlug.transport import Transport, TransportError, TransportErrorKind
 from poplarlug.types import VmName
 
 PROPOSE_TOPIC = "control.propose"
 PROPOSE_TIMEOUT_SECONDS = 5.0
+LINK_SECONDS = 0.8
+"""How long a link to a leader may take to stand after a restart; operators' calls go
+on to another replica after a second."""
+
+LINK_PAUSE_SECONDS = 0.05
 
 
 class Proposal(NamedTuple):
@@ -56,13 +62,7 @@
     async def _propose_at(
         self, leader: VmName, command: bytes
     ) -> Result[ChangeOutcome, ProposeError]:
-        reply = await self._transport.request(
-            peer=leader,
-            topic=PROPOSE_TOPIC,
-            message=Proposal(command),
-            reply_type=ProposalOutcome,
-            timeout_seconds=PROPOSE_TIMEOUT_SECONDS,
-        )
+        reply = await self._request(leader, command)
         if isinstance(reply, Failure):
             return Failure(
                 ProposeError(ProposeErrorKind.UNKNOWN, reply.failure().message)
@@ -73,6 +73,28 @@
         kind = ProposeErrorKind.NOT_LEADER if not_leader else ProposeErrorKind.UNKNOWN
         return Failure(ProposeError(kind, error))
 
+    async def _request(
+        self, leader: VmName, command: bytes
+    ) -> Result[ProposalOutcome, TransportError]:
+        """Send a command; a link that does not stand yet is waited for."""
+        loop = asyncio.get_running_loop()
+        link_deadline = loop.time() + LINK_SECONDS
+        while True:
+            reply = await self._transport.request(
+                peer=leader,
+                topic=PROPOSE_TOPIC,
+                message=Proposal(command),
+                reply_type=ProposalOutcome,
+                timeout_seconds=PROPOSE_TIMEOUT_SECONDS,
+            )
+            if isinstance(reply, Success):
+                return reply
+            # Nothing left for the leader, so sending again is no repeat.
+            is_connecting = reply.failure().kind is TransportErrorKind.NOT_SENT
+            if not is_connecting or loop.time() >= link_deadline:
+                return reply
+            await asyncio.sleep(LINK_PAUSE_SECONDS)
+
     async def _serve_proposal(
         self, sender: VmName, message: Proposal
     ) -> ProposalOutcome:
