--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -10,7 +10,8 @@
 SHORT_SEED = 11
 WHOLE_SECONDS = 15.0
 PROXY_ORDER_SEED = 8
-"""The proxy reordered a stream's bytes when a delay ended: events came twice."""
+"""Events came out of order once. The proxy did reorder bytes when a delay ended, which
+fits the trace; that it was the cause of this run was not seen."""
 
 
 class SoakTests(TestCase):
