Elect a leader as soon as a group that lost power is back

Cause: a restarted replica gives no vote for 0.8 s, since it may have renewed a lease just before, and campaigns after 0.8 to 1.6 s.

Change: such a replica says that its vote counts if all voters give theirs. A leader whose lease runs is one of them and gives none, or can't be asked. A leader that is no voter of the newest members holds no lease any more, as nobody would ask it.

--- a/poplarlug/control/raft/consensus_state.py
+++ b/poplarlug/control/raft/consensus_state.py
@@ -13,6 +13,7 @@
 from poplarlug.control.log_storage import Entry, EntryKind, LogStorage
 from poplarlug.control.raft.lease import Lease
 from poplarlug.control.raft.members import Member, Members, decode_members
+from poplarlug.control.raft.timing import MIN_ELECTION_TIMEOUT_SECONDS
 from poplarlug.control.replicated_log import (
     LogEntry,
     ProposeError,
@@ -71,6 +72,7 @@
         self.role = Role.FOLLOWER
         self.leader: VmName | None = None
         self.last_contact: Seconds = 0.0
+        self.started_at: Seconds = 0.0
         self.applied_index = 0
         self.started = asyncio.Event()
         self.appended = asyncio.Event()
@@ -111,6 +113,17 @@
     def is_voter(self) -> bool:
         return self.me in self.members.voters
 
+    @property
+    def may_have_forgotten(self) -> bool:
+        """
+        Whether this process may have renewed a lease before its start that still runs.
+
+        It started within the shortest election timeout and heard of no leader since.
+        """
+        if self.last_contact > self.started_at:
+            return False
+        return self.now() - self.started_at < MIN_ELECTION_TIMEOUT_SECONDS
+
     @property
     def is_empty(self) -> bool:
         return self.log.last_index == 0
--- a/poplarlug/control/raft/leading.py
+++ b/poplarlug/control/raft/leading.py
@@ -30,6 +30,9 @@
         state = self._state
         if state.role is not Role.LEADER or state.commit_index < self._first_index:
             return False
+        if not state.is_voter:
+            # Nobody asks it for a vote, so it can't object to another leader.
+            return False
         return state.now() < self.lease_expires_at
 
     @property
--- a/poplarlug/control/raft/messages.py
+++ b/poplarlug/control/raft/messages.py
@@ -32,9 +32,20 @@
 
 
 class VoteReply(NamedTuple):
+    """
+    A vote, or its refusal.
+
+    Parameters
+    ----------
+    granted_if_unanimous : bool
+        Whether it would count if all voters gave theirs. The sender started lately
+        and doesn't know whose lease it renewed before.
+    """
+
     term: int
     incarnation: str
     granted: bool
+    granted_if_unanimous: bool = False
 
 
 class AppendRequest(NamedTuple):
--- a/poplarlug/control/raft/replica.py
+++ b/poplarlug/control/raft/replica.py
@@ -134,7 +134,7 @@
         state = self.state
         await recover_alone(state, self._recover_incarnation)
         await state.hard_state.save()
-        state.last_contact = state.now()
+        state.last_contact = state.started_at = state.now()
         state.started.set()
         try:
             async with asyncio.TaskGroup() as tasks:
