Ask all control replicas at once at an entry's start, and keep requests for its first routes

Cause: an entry that follows nobody polled the replicas in turn, 0.46 s each between regions (link and answer), and took the first that was out of touch only after the last: 1.05 s after a loss of power. Meanwhile each request was refused with a Retry-After of 1.5 s, longer than the rest of the outage.

Change: the first poll goes to all seeds at the same time; the first replica in touch wins, else the newest 0.3 s after the first answer. In the first 0.8 s of an entry requests wait for its routes; that time counts against their deadline and objective. Later they are refused at once as before.

--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -27,6 +27,10 @@
 LINK_SECONDS = 0.4
 """How long a link to a replica may take to stand; some round trips between regions."""
 
+CURRENT_SECONDS = 0.3
+"""How long an entry that follows nobody waits for a replica in touch with the leader
+after another one answered; the farthest answer takes about that longer."""
+
 LINK_PAUSE_SECONDS = 0.05
 LOOK_NEARER_SECONDS = 5.0
 """How often a replica of the own zone is looked for while another one is used."""
@@ -119,6 +123,52 @@
                 await self._request(self._replica, self._make_poll(False, 0.0), 0.0)
 
     async def _poll_any(self) -> bool:
+        if self._replica is None:
+            return await self._poll_all()
+        return await self._poll_in_turn()
+
+    async def _poll_all(self) -> bool:
+        """
+        Poll all replicas at once, as nothing is served before the first answer.
+
+        Load pattern: all VMs come back after a loss of power, and callers wait.
+        """
+        polls = {
+            asyncio.ensure_future(
+                self._request(replica, self._make_poll(False, 0.0), 0.0)
+            ): replica
+            for replica in self._candidates()
+        }
+        stale: tuple[Address, PollReply] | None = None
+        waits: Seconds | None = None
+        pending = set(polls)
+        try:
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending, timeout=waits, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not done:
+                    break
+                for poll in done:
+                    reply = poll.result()
+                    if reply is None:
+                        continue
+                    self._zones_by_replica[polls[poll]] = reply.zone
+                    if reply.current:
+                        self._follow(polls[poll], reply)
+                        return True
+                    if stale is None or _is_newer(reply, stale[1]):
+                        stale = polls[poll], reply
+                    waits = CURRENT_SECONDS
+        finally:
+            for poll in pending:
+                poll.cancel()
+        if stale is None:
+            return False
+        self._follow(*stale)
+        return True
+
+    async def _poll_in_turn(self) -> bool:
         """Poll replicas in turn until one is in touch with its leader."""
         stale: tuple[Address, PollReply] | None = None
         for replica in self._candidates():
@@ -213,3 +263,9 @@
         self._registry_id = reply.registry_id
         self._revision = reply.revision
         self._known = reply.control
+
+
+def _is_newer(reply: PollReply, other: PollReply) -> bool:
+    """Return whether a replica knows a later state of the routes than another."""
+    known = [0 if r.routing is None else r.routing.revision for r in (reply, other)]
+    return known[0] > known[1]
--- a/poplarlug/relay/face.py
+++ b/poplarlug/relay/face.py
@@ -36,6 +36,10 @@
 MAX_REQUEST_ID_CHARACTERS = 128
 MAX_PROMPT_PARTS = 64
 MAX_TOKENS = 10_000_000
+STARTING_SECONDS = 0.8
+"""How long after its start an entry keeps requests for its first routes. Links to
+control replicas in other regions stand after 0.4 s, and a leader is elected by then."""
+
 NOT_READY_RETRY_SECONDS = 1.5
 """When to come back to an entry without routes; the control group elects a leader
 within this time after all of it was lost."""
@@ -109,6 +113,7 @@
         self._guard = guard
         self._rng = rng
         self._clock = clock
+        self._started = clock()
         self._background: set[asyncio.Task[web.StreamResponse]] = set()
         self.in_progress: Latest[int] = Latest(initial=0)
 
@@ -201,7 +206,12 @@
         if not self._admittance.takes():
             message = "this entry takes no requests now; ask another"
             return Failure(not_run(message, LEAVING_RETRY_SECONDS))
+        came = self._clock()
         routes = self._deployment.routes
+        if routes is None:
+            await self._wait_for_routes()
+            routes = self._deployment.routes
+        held = self._clock() - came
         if routes is None:
             message = "no routes are known yet"
             return Failure(not_run(message, NOT_READY_RETRY_SECONDS))
@@ -230,14 +240,27 @@
                 path=request.raw_path,
                 headers=end_to_end(request.headers, own),
                 body=body.unwrap(),
-                arrived=now,
-                deadline=now + left,
+                arrived=now - held,
+                deadline=now - held + left,
                 prompt=self._prompt(request) if route.prompts else Prompt(),
                 hops=hops,
                 origin=request.headers.get(ORIGIN, "") if hops else "",
             )
         )
 
+    async def _wait_for_routes(self) -> None:
+        """Wait for the first routes while they are due, as they are after a start."""
+        left = self._started + STARTING_SECONDS - self._clock()
+        if left <= 0:
+            return
+        try:
+            async with asyncio.timeout(left):
+                await self._deployment.changed.wait_for(
+                    lambda _: self._deployment.routes is not None
+                )
+        except TimeoutError:
+            _log.debug("no routes came within the time of a start")
+
     def _find_route(
         self, request: web.Request, routes: RouteIndex, hops: int, trace: RelayTrace
     ) -> Result[Route, GatewayError]:
--- /dev/null
+++ b/tests/discovery/test_subscriber.py
@@ -0,0 +1,131 @@
+"""Tests of which control replica an entry follows."""
+
+import asyncio
+from random import Random
+from unittest import TestCase
+
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.messages import POLL_TOPIC, Poll, PollReply
+from poplarlug.discovery.records import EntryRecord
+from poplarlug.discovery.subscriber import (
+    CURRENT_SECONDS,
+    REPLY_SECONDS,
+    OwnLoads,
+    Subscriber,
+)
+from poplarlug.transport import MemoryNetwork, MemoryTransport
+from poplarlug.transport.memory import LinkQuality
+from poplarlug.virtualtime import run_virtual
+from tests.control.quiet import QuietTestCase
+
+ONE_WAY_SECONDS = 0.055
+ROUND_TRIP_SECONDS = 2 * ONE_WAY_SECONDS
+REGIONS_BY_ZONE = {"a": "east", "b": "west", "c": "south"}
+RECORD = EntryRecord("entry-1", "east", "a", "", "", 1)
+
+
+class Replicas:
+    """
+    Control replicas of three zones that answer polls.
+
+    Parameters
+    ----------
+    current : set of str
+        Zones whose replicas are in touch with the leader.
+    silent : set of str
+        Zones whose replicas give no answer.
+    """
+
+    def __init__(self, *, current: set[str], silent: set[str] = frozenset()) -> None:
+        quality = LinkQuality(ONE_WAY_SECONDS, ONE_WAY_SECONDS, 0.0)
+        self.network = MemoryNetwork(rng=Random(1), quality=quality)
+        self.current = current
+        self.silent = silent
+        self.polls_by_zone = dict.fromkeys(REGIONS_BY_ZONE, 0)
+        self.tasks: list[asyncio.Future[None]] = []
+        for zone in REGIONS_BY_ZONE:
+            transport = MemoryTransport(name=zone, network=self.network)
+            transport.serve(POLL_TOPIC, Poll, self._server(zone))
+            self.tasks.append(asyncio.ensure_future(transport.run()))
+
+    def _server(self, zone: str):  # type: ignore[no-untyped-def]
+        async def serve(sender: str, poll: Poll) -> PollReply:
+            self.polls_by_zone[zone] += 1
+            if zone in self.silent:
+                await asyncio.sleep(10 * REPLY_SECONDS)
+            await asyncio.sleep(poll.hold_seconds)
+            return PollReply(
+                registry_id=zone,
+                revision=1,
+                whole=True,
+                current=zone in self.current,
+                zone=zone,
+                entries=(RECORD,),
+            )
+
+        return serve
+
+    def subscribe(self) -> Deployment:
+        """Start an entry's subscriber and return what it keeps up."""
+        clock = asyncio.get_running_loop().time
+        deployment = Deployment(
+            own_region="east", regions_by_zone=REGIONS_BY_ZONE, clock=clock
+        )
+        transport = MemoryTransport(name="entry-1", network=self.network)
+        subscriber = Subscriber(
+            zone="a",
+            deployment=deployment,
+            transport=transport,
+            seeds=tuple(REGIONS_BY_ZONE),
+            record=lambda: RECORD,
+            own_loads=OwnLoads,
+            rng=Random(1),
+            clock=clock,
+        )
+        self.tasks.append(asyncio.ensure_future(transport.run()))
+        self.tasks.append(asyncio.ensure_future(subscriber.run()))
+        return deployment
+
+
+class FirstPollTests(QuietTestCase, TestCase):
+    def seconds_to_first_reply(
+        self, current: set[str], silent: set[str] = frozenset()
+    ) -> float:
+        async def main() -> float:
+            replicas = Replicas(current=current, silent=silent)
+            await asyncio.sleep(0.01)
+            deployment = replicas.subscribe()
+            heard: list[float] = []
+            deployment.changed.subject.subscribe(
+                lambda _: heard.append(deployment.heard_at)
+            )
+            await asyncio.sleep(2 * REPLY_SECONDS)
+            return next(at for at in heard if at > 0) - 0.01
+
+        return run_virtual(main())
+
+    def test_current_replica_is_found_in_one_round_trip(self) -> None:
+        """Replicas that are out of touch are asked at the same time."""
+        for zone in REGIONS_BY_ZONE:
+            with self.subTest(zone=zone):
+                seconds = self.seconds_to_first_reply({zone})
+                self.assertLess(seconds, 1.5 * ROUND_TRIP_SECONDS)
+
+    def test_silent_replicas_do_not_hold_an_entry_up(self) -> None:
+        """An entry of a zone that is cut off starts with the replica it reaches."""
+        seconds = self.seconds_to_first_reply(set(), {"b", "c"})
+        self.assertLess(seconds, ROUND_TRIP_SECONDS + CURRENT_SECONDS + 0.05)
+
+    def test_follower_polls_one_replica(self) -> None:
+        """All are asked at the start only."""
+
+        async def main() -> dict[str, int]:
+            replicas = Replicas(current={"a", "b", "c"})
+            await asyncio.sleep(0.01)
+            replicas.subscribe()
+            await asyncio.sleep(4.0)
+            return replicas.polls_by_zone
+
+        polls = run_virtual(main())
+        self.assertEqual(sorted(polls.values())[:2], [1, 1])
+        self.assertGreaterEqual(max(polls.values()), 3)
--- /dev/null
+++ b/tests/relay/test_face_start.py
@@ -0,0 +1,87 @@
+"""Tests of an entry's face before it knows any routes."""
+
+import asyncio
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from aiohttp.test_utils import TestClient, TestServer
+
+from poplarlug.callers.connections import ConnectionGuard, HttpLimits
+from poplarlug.control.routing_state import encode_table
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.messages import PollReply, RoutingNews
+from poplarlug.relay.budgets import RetryLimits, WarmupLimits
+from poplarlug.relay.client import RelayClient
+from poplarlug.relay.dialect import Dialect
+from poplarlug.relay.dispatcher import Dispatcher
+from poplarlug.relay.face import STARTING_SECONDS, Admittance, RelayFace
+from poplarlug.relay.gateway import RelayGateway
+from poplarlug.relay.in_flight import InFlight
+from poplarlug.relay.view import FleetView
+from poplarlug.routes import RouteTable
+
+REPLY = PollReply(
+    registry_id="r",
+    revision=1,
+    whole=True,
+    current=True,
+    zone="a",
+    routing=RoutingNews(1, encode_table(RouteTable(1)), ()),
+)
+
+
+class StartTests(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        clock = asyncio.get_running_loop().time
+        self.deployment = Deployment(
+            own_region="east", regions_by_zone={"a": "east"}, clock=clock
+        )
+        rng = Random(1)
+        view = FleetView(
+            name="entry-1",
+            deployment=self.deployment,
+            in_flight=InFlight(clock=clock, others=lambda _: None),
+            warmup=WarmupLimits(),
+            rng=rng,
+            clock=clock,
+        )
+        client = RelayClient()
+        gateway = RelayGateway(
+            name="entry-1",
+            view=view,
+            dispatcher=Dispatcher(view=view, clock=clock),
+            client=client,
+            far_client=client,
+            dialect=Dialect(),
+            retry_limits=RetryLimits(),
+            clock=clock,
+        )
+        face = RelayFace(
+            gateway=gateway,
+            deployment=self.deployment,
+            dialect=Dialect(),
+            admittance=Admittance(lambda: True, lambda: False),
+            guard=ConnectionGuard(limits=HttpLimits()),
+            rng=rng,
+            clock=clock,
+        )
+        self.caller = TestClient(TestServer(face.build()))
+        await self.caller.start_server()
+        self.addAsyncCleanup(self.caller.close)
+
+    async def test_request_waits_for_the_first_routes(self) -> None:
+        """Right after a start they are due, and a refusal would cost more time."""
+        asyncio.get_running_loop().call_later(0.2, self.deployment.take, REPLY)
+        async with self.caller.get("/x/") as answer:
+            self.assertEqual(answer.status, 404)
+
+    async def test_request_is_refused_when_no_routes_come(self) -> None:
+        """Later an entry without routes answers at once."""
+        async with self.caller.get("/x/") as answer:
+            self.assertEqual(answer.status, 503)
+            self.assertIn("Retry-After", answer.headers)
+        clock = asyncio.get_running_loop().time
+        started = clock()
+        async with self.caller.get("/x/") as answer:
+            self.assertEqual(answer.status, 503)
+        self.assertLess(clock() - started, STARTING_SECONDS / 2)
