Give each shared part a home engine in each region, and replay load patterns in virtual time

Each of some 20 entries a region knows the caches only by its own sends, a twentieth of them.

Change: a home engine a part and region by rendezvous hash, expected to hold it with 1 - 1.5 / entries; the expected tokens count in reading time, harm and tokens read again. EARLY_SHARE 0.5 -> 0.3. poplarlug-load replay plays the real dispatchers in virtual time beside three baselines.

--- a/poplarlug/load/main.py
+++ b/poplarlug/load/main.py
@@ -1,6 +1,7 @@
 """Entry point of ``poplarlug-load``."""
 
 import asyncio
+import logging
 import sys
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
@@ -8,6 +9,7 @@
 from typing import Any
 
 import fire
+import structlog
 
 from poplarlug.load.deployments import PLANS_BY_NAME
 from poplarlug.load.experiment import RunKey, run_experiment
@@ -15,6 +17,11 @@
 from poplarlug.load.http_driver import HttpPlan, run_http
 from poplarlug.load.measures import MeasuredRun, measure
 from poplarlug.load.policies import MAKERS_BY_POLICY
+from poplarlug.load.replay import report as replay_report
+from poplarlug.load.replay.patterns import PATTERNS_BY_NAME
+from poplarlug.load.replay.policies import POLICIES_BY_NAME
+from poplarlug.load.replay.region import replay
+from poplarlug.load.replay.report import ReplayMeasures
 from poplarlug.load.report import plot, table, to_json
 
 MAX_WORKERS = 8
@@ -61,6 +68,44 @@
         plot(runs, Path(plot_file))
 
 
+def replay_patterns(
+    patterns: Any = "all",
+    policies: Any = "all",
+    seeds: int = 1,
+    workers: int = 1,
+    plot_file: str = "",
+) -> None:
+    """
+    Replay load patterns on one region against the relay's placement and baselines.
+
+    Parameters
+    ----------
+    patterns, policies : str
+        Names, separated by commas; "all" for all of them.
+    seeds : int
+        Seeds 1 to this one; all policies get the same requests.
+    workers : int
+        Replays at once, each in a process of its own.
+    plot_file : str
+        Where to write the plot.
+    """
+    runs = [
+        (pattern, policy, seed)
+        for pattern in _names(patterns, dict(PATTERNS_BY_NAME))
+        for policy in _names(policies, dict(POLICIES_BY_NAME))
+        for seed in range(1, seeds + 1)
+    ]
+    measures_by_run: dict[tuple[str, str], list[ReplayMeasures]] = {}
+    with ProcessPoolExecutor(min(workers, MAX_WORKERS)) as pool:
+        for (pattern, policy, _), measures in zip(
+            runs, pool.map(_replay_one, runs), strict=True
+        ):
+            measures_by_run.setdefault((pattern, policy), []).append(measures)
+    print(replay_report.table(measures_by_run))
+    if plot_file:
+        replay_report.plot(measures_by_run, Path(plot_file))
+
+
 def drive(
     entries: Any,
     key_file: str,
@@ -99,7 +144,7 @@
 
 def main() -> None:
     """Run ``poplarlug-load``."""
-    fire.Fire({"compare": compare, "drive": drive})
+    fire.Fire({"compare": compare, "drive": drive, "replay": replay_patterns})
 
 
 def _run_all(keys: Sequence[RunKey], workers: int) -> list[MeasuredRun]:
@@ -113,6 +158,16 @@
     return measure(run_experiment(key))
 
 
+def _replay_one(run: tuple[str, str, int]) -> ReplayMeasures:
+    pattern, policy, seed = run
+    # Each replay has dozens of entries, whose lines would hide the table.
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING)
+    )
+    replayed = replay(PATTERNS_BY_NAME[pattern], POLICIES_BY_NAME[policy], seed)
+    return replay_report.measure(replayed)
+
+
 def _names(value: Any, known: dict[str, Any]) -> list[str]:
     names = list(known) if value == "all" else list(_split(value))
     unknown = [name for name in names if name not in known]
--- /dev/null
+++ b/poplarlug/load/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replays of load patterns against the relay's decisions, in virtual time."""
--- /dev/null
+++ b/poplarlug/load/replay/engines.py
@@ -0,0 +1,161 @@
+"""Model engines in virtual time: batches, chunked reading and a prefix cache."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple
+
+from poplarlug.relay.requests import Prompt
+from poplarlug.types import Seconds, UpstreamId
+
+CHUNK_TOKENS = 2048
+"""Prompt tokens that one step reads at most, as the deployments' engines do."""
+
+
+class EngineSpec(NamedTuple):
+    """
+    What an engine can do; the defaults are those of the deployments' engines.
+
+    Parameters
+    ----------
+    step_seconds : float
+        A step of an empty batch.
+    slot_seconds : float
+        What each running request adds to a step.
+    pair_seconds : float
+        Attention: for each pair of a token that is read and one before it.
+    """
+
+    slots: int = 16
+    kv_capacity_tokens: int = 171_000
+    step_seconds: Seconds = 0.0047
+    slot_seconds: Seconds = 0.000014
+    read_tokens_per_second: float = 38_400.0
+    pair_seconds: Seconds = 1.2e-9
+    tokens_per_event: int = 7
+
+
+class EngineRun:
+    """One request at an engine; times are those of the virtual loop."""
+
+    def __init__(self, *, prompt: Prompt, answer_tokens: int) -> None:
+        self.prompt = prompt
+        self.answer_tokens = answer_tokens
+        self.unread = -1
+        self.made = 0
+        self.last_event: Seconds = 0.0
+        self.longest_pause: Seconds = 0.0
+        self.first_event: asyncio.Future[Seconds] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.ended: asyncio.Future[Seconds] = asyncio.get_running_loop().create_future()
+        self.is_cancelled = False
+
+    @property
+    def own_tokens(self) -> int:
+        """Tokens in memory that no other request shares."""
+        own = self.prompt.parts[-1].tokens if self.prompt.parts else self.prompt.tokens
+        return own + self.answer_tokens
+
+
+class VirtualEngine:
+    """
+    Run requests in steps of one token each, beside one chunk of a prompt.
+
+    Parameters
+    ----------
+    clock : callable
+        Time of the virtual loop.
+    """
+
+    def __init__(
+        self, *, id: UpstreamId, spec: EngineSpec, clock: Callable[[], Seconds]
+    ) -> None:
+        self.id = id
+        self._spec = spec
+        self._clock = clock
+        self._queue: list[EngineRun] = []
+        self._running: list[EngineRun] = []
+        self._cache: OrderedDict[str, int] = OrderedDict()
+        self._wake = asyncio.Event()
+        self.read_tokens = 0
+        self.found_tokens = 0
+        self.reread_tokens = 0
+        self._seen: set[str] = set()
+
+    def start(self, run: EngineRun) -> None:
+        """Take a request, which waits while all slots are taken."""
+        self._queue.append(run)
+        self._wake.set()
+
+    def cancel(self, run: EngineRun) -> None:
+        """Stop a request whose caller left."""
+        run.is_cancelled = True
+        self._wake.set()
+
+    async def work(self) -> None:
+        """Take steps until cancelled."""
+        while True:
+            self._admit()
+            if not self._running:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            await asyncio.sleep(self._step_seconds())
+            self._make_tokens()
+
+    def _admit(self) -> None:
+        self._queue = [run for run in self._queue if not run.is_cancelled]
+        self._running = [run for run in self._running if not run.is_cancelled]
+        while self._queue and len(self._running) < self._spec.slots:
+            run = self._queue.pop(0)
+            run.unread = self._count_unread(run.prompt)
+            self._running.append(run)
+
+    def _count_unread(self, prompt: Prompt) -> int:
+        held = 0
+        for part in prompt.parts:
+            if part.id not in self._cache:
+                break
+            held += part.tokens
+        shared = sum(part.tokens for part in prompt.parts[:-1])
+        self.found_tokens += held
+        self.read_tokens += prompt.tokens - held
+        self.reread_tokens += max(0, shared - held)
+        return max(1, prompt.tokens - held)
+
+    def _step_seconds(self) -> Seconds:
+        spec = self._spec
+        seconds = spec.step_seconds + spec.slot_seconds * len(self._running)
+        reading = next((run for run in self._running if run.unread > 0), None)
+        if reading is None:
+            return seconds
+        chunk = min(CHUNK_TOKENS, reading.unread)
+        before = reading.prompt.tokens - reading.unread
+        reading.unread -= chunk
+        if reading.unread == 0:
+            self._keep(reading.prompt)
+        pairs = chunk * (before + chunk / 2)
+        return seconds + chunk / spec.read_tokens_per_second + pairs * spec.pair_seconds
+
+    def _keep(self, prompt: Prompt) -> None:
+        for part in prompt.parts:
+            self._cache[part.id] = part.tokens
+            self._cache.move_to_end(part.id)
+        room = self._spec.kv_capacity_tokens - sum(r.own_tokens for r in self._running)
+        while self._cache and sum(self._cache.values()) > room:
+            self._cache.popitem(last=False)
+
+    def _make_tokens(self) -> None:
+        now = self._clock()
+        for run in [run for run in self._running if run.unread == 0]:
+            run.made += 1
+            if run.made == 1:
+                run.last_event = now
+                run.first_event.set_result(now)
+            elif run.made % self._spec.tokens_per_event == 0:
+                run.longest_pause = max(run.longest_pause, now - run.last_event)
+                run.last_event = now
+            if run.made >= run.answer_tokens:
+                self._running.remove(run)
+                run.ended.set_result(now)
--- /dev/null
+++ b/poplarlug/load/replay/patterns.py
@@ -0,0 +1,158 @@
+"""Load patterns: short chats and long digests that share parts of their prompts."""
+
+from collections.abc import Mapping
+from random import Random
+from typing import NamedTuple
+
+from poplarlug.load.replay.engines import EngineSpec
+from poplarlug.relay.requests import Prompt, PromptPart
+from poplarlug.routes import Route
+from poplarlug.routes.objects import ServiceWeight
+from poplarlug.types import Seconds
+
+SERVICE = "engines"
+
+CHAT = Route(
+    name="chat",
+    host="replay",
+    path_prefix="/chat/",
+    kind="streaming",
+    timeout_seconds=12.0,
+    objective_seconds=0.8,
+    rank=0,
+    services=(ServiceWeight(SERVICE, 1.0),),
+    prompts=True,
+)
+
+DIGEST = Route(
+    name="digest",
+    host="replay",
+    path_prefix="/digest/",
+    kind="streaming",
+    timeout_seconds=5.0,
+    objective_seconds=2.0,
+    rank=1,
+    services=(ServiceWeight(SERVICE, 1.0),),
+    prompts=True,
+)
+
+WORTH_BY_ROUTE: Mapping[str, float] = {"chat": 3.4, "digest": 1.3}
+LATE_SHARE_BY_ROUTE: Mapping[str, float] = {"chat": 0.41, "digest": 0.59}
+
+
+class Pattern(NamedTuple):
+    """
+    A load on one region.
+
+    Parameters
+    ----------
+    engines, entries : int
+        Those of the region, in two zones.
+    chats, digests : float
+        Requests a second and engine.
+    burst : float
+        Factor on the digests' rate in the middle third of the time.
+    subjects : int
+        Different shared parts of the digests; the first ones are asked for most.
+    """
+
+    engines: int = 24
+    entries: int = 20
+    chats: float = 2.3
+    digests: float = 1.5
+    burst: float = 1.0
+    chat_burst: float = 1.0
+    subjects: int = 300
+    seconds: Seconds = 18.0
+    spec: EngineSpec = EngineSpec()
+    max_pause_seconds: Seconds = 0.6
+
+    @property
+    def routes(self) -> tuple[Route, Route]:
+        """Routes of the chats and of the digests."""
+        pause = self.max_pause_seconds
+        return (
+            CHAT._replace(max_pause_seconds=pause),
+            DIGEST._replace(max_pause_seconds=pause),
+        )
+
+
+SMALL = Pattern(
+    engines=3,
+    entries=3,
+    chats=5.6,
+    digests=1.3,
+    subjects=40,
+    spec=EngineSpec(slots=128, kv_capacity_tokens=210_000, tokens_per_event=5),
+    max_pause_seconds=0.4,
+)
+"""Few engines that batch many requests, and callers who mind shorter pauses."""
+
+PATTERNS_BY_NAME: Mapping[str, Pattern] = {
+    "calm": Pattern(),
+    "digest-burst": Pattern(burst=2.5),
+    "chat-burst": Pattern(chat_burst=2.5),
+    "double-burst": Pattern(burst=2.0, chat_burst=1.6),
+    "small-calm": SMALL,
+    "small-digest-burst": SMALL._replace(burst=2.0),
+    "small-chat-burst": SMALL._replace(chat_burst=1.6),
+}
+
+
+class Arrival(NamedTuple):
+    """One request of a replay."""
+
+    at: Seconds
+    number: int
+    route: Route
+    prompt: Prompt
+    answer_tokens: int
+
+
+def draw(pattern: Pattern, rng: Random) -> list[Arrival]:
+    """Return the requests of a pattern in the order of their arrival."""
+    arrivals: list[Arrival] = []
+    tokens_by_subject = [
+        rng.randint(1000, 7000) if rng.random() < 0.85 else rng.randint(7000, 10_000)
+        for _ in range(pattern.subjects)
+    ]
+    weights = [1 / (1 + rank) ** 0.6 for rank in range(pattern.subjects)]
+    chat, digest = pattern.routes
+    for route, rate, burst in (
+        (chat, pattern.chats, pattern.chat_burst),
+        (digest, pattern.digests, pattern.burst),
+    ):
+        now = 0.0
+        while True:
+            in_burst = pattern.seconds / 3 <= now < pattern.seconds * 2 / 3
+            now += rng.expovariate(
+                rate * pattern.engines * (burst if in_burst else 1.0)
+            )
+            if now >= pattern.seconds:
+                break
+            number = len(arrivals)
+            if route is chat:
+                prompt, answer = _chat(rng, number)
+            else:
+                subject = rng.choices(range(pattern.subjects), weights)[0]
+                prompt, answer = _digest(rng, number, subject, tokens_by_subject)
+            arrivals.append(Arrival(now, number, route, prompt, answer))
+    return sorted(arrivals, key=lambda arrival: arrival.at)
+
+
+def _chat(rng: Random, number: int) -> tuple[Prompt, int]:
+    shared = PromptPart(f"c{rng.randrange(20)}", 200)
+    own = PromptPart(f"own{number}", int(rng.lognormvariate(6.2, 0.7)))
+    answer = min(950, max(20, int(rng.lognormvariate(5.5, 0.6))))
+    return Prompt("m", shared.tokens + own.tokens, 955, (shared, own)), answer
+
+
+def _digest(
+    rng: Random, number: int, subject: int, tokens_by_subject: list[int]
+) -> tuple[Prompt, int]:
+    first = PromptPart(f"d{min(3, int(rng.expovariate(1.6)))}", 2600)
+    second = PromptPart(f"{first.id}-s{subject}", tokens_by_subject[subject])
+    own = PromptPart(f"own{number}", min(15_000, int(rng.lognormvariate(7.6, 0.8))))
+    parts = (first, second, own)
+    prompt = Prompt("m", sum(part.tokens for part in parts), 205, parts)
+    return prompt, max(10, int(rng.lognormvariate(3.8, 0.4)))
--- /dev/null
+++ b/poplarlug/load/replay/region.py
@@ -0,0 +1,293 @@
+"""One region's entries and engines in virtual time, with loads told as late as there."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from returns.result import Failure
+
+from poplarlug.control.routing_state import encode_table
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.messages import EntryLoads, PollReply, RoutingNews
+from poplarlug.discovery.records import EntryRecord, ServiceUpstream
+from poplarlug.discovery.region_loads import RegionLoads
+from poplarlug.discovery.registrar import GOSSIP_SECONDS
+from poplarlug.discovery.subscriber import HOLD_SECONDS
+from poplarlug.load.replay.engines import EngineRun, VirtualEngine
+from poplarlug.load.replay.patterns import (
+    LATE_SHARE_BY_ROUTE,
+    SERVICE,
+    WORTH_BY_ROUTE,
+    Arrival,
+    Pattern,
+    draw,
+)
+from poplarlug.relay.budgets import WarmupLimits
+from poplarlug.relay.dispatcher import Dispatcher, FarPlace, LocalPlace
+from poplarlug.relay.in_flight import InFlight
+from poplarlug.relay.placement import Decide
+from poplarlug.relay.requests import RelayRequest
+from poplarlug.relay.view import FleetView, Tried
+from poplarlug.routes import Engine, RoutedService, RouteTable
+from poplarlug.types import Seconds, ZoneName
+from poplarlug.virtualtime import run_virtual
+
+REGION = "region"
+ZONES: tuple[ZoneName, ...] = ("zone-a", "zone-b")
+SEND_SECONDS = 0.002
+"""One way between an entry and an engine."""
+
+DRAIN_SECONDS = 16.0
+"""What a replay takes beyond its last arrival, longer than any deadline."""
+
+
+class Served(NamedTuple):
+    """
+    What came of one arrival.
+
+    Parameters
+    ----------
+    worth : float
+        What its caller gets, 0 when it failed.
+    owed : float
+        What it would get in time.
+    first_seconds : float or None
+        From the first attempt to the first event.
+    error_seconds : float or None
+        By how much the first event came later than was expected at the send.
+    """
+
+    arrival: Arrival
+    worth: float
+    owed: float
+    refused: bool = False
+    first_seconds: Seconds | None = None
+    error_seconds: Seconds | None = None
+
+
+class Replayed(NamedTuple):
+    """A replay's outcome, with sums over all engines."""
+
+    served: tuple[Served, ...]
+    read_tokens: int
+    reread_tokens: int
+    found_tokens: int
+
+
+class _Entry:
+    def __init__(
+        self, *, name: str, zone: ZoneName, decide: Decide, rng: Random
+    ) -> None:
+        clock = asyncio.get_running_loop().time
+        self.name = name
+        self.zone = zone
+        self.deployment = Deployment(
+            own_region=REGION,
+            regions_by_zone=dict.fromkeys(ZONES, REGION),
+            clock=clock,
+        )
+        self.in_flight = InFlight(
+            clock=clock, others=lambda i: self.deployment.others_loads_by_id.get(i)
+        )
+        view = FleetView(
+            name=name,
+            deployment=self.deployment,
+            in_flight=self.in_flight,
+            warmup=WarmupLimits(),
+            rng=rng,
+            clock=clock,
+        )
+        self.dispatcher = Dispatcher(view=view, clock=clock, decide=decide)
+
+
+def replay(pattern: Pattern, decide: Decide, seed: int) -> Replayed:
+    """
+    Play a pattern against a placement decision.
+
+    Parameters
+    ----------
+    decide : callable
+        :func:`poplarlug.relay.placement.place`, or a baseline.
+    """
+    return run_virtual(_replay(pattern, decide, Random(seed)))
+
+
+async def _replay(pattern: Pattern, decide: Decide, rng: Random) -> Replayed:
+    clock = asyncio.get_running_loop().time
+    spec = pattern.spec
+    engines = {
+        f"e-{number}": VirtualEngine(id=f"e-{number}", spec=spec, clock=clock)
+        for number in range(pattern.engines)
+    }
+    entries = [
+        _Entry(
+            name=f"entry-{number}",
+            zone=ZONES[number % len(ZONES)],
+            decide=decide,
+            rng=Random(rng.random()),
+        )
+        for number in range(pattern.entries)
+    ]
+    for entry in entries:
+        entry.deployment.take(_first_reply(pattern, entries))
+    tasks = [
+        *(asyncio.ensure_future(engine.work()) for engine in engines.values()),
+        *(asyncio.ensure_future(entry.dispatcher.run()) for entry in entries),
+        asyncio.ensure_future(_tell_loads(entries, rng)),
+    ]
+    callers = []
+    for arrival in draw(pattern, rng):
+        await asyncio.sleep(max(0.0, arrival.at - clock()))
+        caller = _Caller(arrival=arrival, entries=entries, engines=engines, rng=rng)
+        callers.append(asyncio.ensure_future(caller.run()))
+    await asyncio.wait(callers, timeout=DRAIN_SECONDS)
+    for task in tasks:
+        task.cancel()
+    return Replayed(
+        tuple(caller.result() for caller in callers if caller.done()),
+        sum(engine.read_tokens for engine in engines.values()),
+        sum(engine.reread_tokens for engine in engines.values()),
+        sum(engine.found_tokens for engine in engines.values()),
+    )
+
+
+def _first_reply(pattern: Pattern, entries: list[_Entry]) -> PollReply:
+    spec = pattern.spec
+    engine = Engine(spec.slots, spec.kv_capacity_tokens, spec.tokens_per_event)
+    table = RouteTable(1, pattern.routes, (RoutedService(SERVICE, engine=engine),))
+    return PollReply(
+        registry_id="r",
+        revision=1,
+        whole=True,
+        current=True,
+        zone=ZONES[0],
+        entries=tuple(
+            EntryRecord(entry.name, REGION, entry.zone, "", "", 1, "serving")
+            for entry in entries
+        ),
+        upstreams=tuple(
+            ServiceUpstream(
+                f"e-{number}", SERVICE, "", ZONES[number % 2], 1, 1, spec.slots
+            )
+            for number in range(pattern.engines)
+        ),
+        routing=RoutingNews(1, encode_table(table), ()),
+    )
+
+
+async def _tell_loads(entries: list[_Entry], rng: Random) -> None:
+    """Share loads as polls and gossip do: soon within a zone, later beyond."""
+    clock = asyncio.get_running_loop().time
+    sums_by_zone = {
+        zone: RegionLoads(
+            region=REGION, regions_by_zone=dict.fromkeys(ZONES, REGION), clock=clock
+        )
+        for zone in ZONES
+    }
+
+    async def poll(entry: _Entry) -> None:
+        sums = sums_by_zone[entry.zone]
+        await asyncio.sleep(rng.random() * HOLD_SECONDS)
+        while True:
+            sums.note_entry(EntryLoads(entry.name, entry.in_flight.own_loads(), ()))
+            await asyncio.sleep(HOLD_SECONDS)
+            loads = sums.of_others(entry.name)
+            entry.deployment.others_loads_by_id = {load.id: load for load in loads}
+
+    async def gossip(zone: ZoneName) -> None:
+        names = [entry.name for entry in entries if entry.zone == zone]
+        await asyncio.sleep(rng.random() * GOSSIP_SECONDS)
+        while True:
+            for other in ZONES:
+                if other != zone:
+                    for loads in sums_by_zone[zone].of_entries(names):
+                        sums_by_zone[other].note_entry(loads)
+            await asyncio.sleep(GOSSIP_SECONDS)
+
+    async with asyncio.TaskGroup() as tasks:
+        for entry in entries:
+            tasks.create_task(poll(entry))
+        for zone in ZONES:
+            tasks.create_task(gossip(zone))
+
+
+class _Caller:
+    """One caller, who comes back once after a refusal."""
+
+    def __init__(
+        self,
+        *,
+        arrival: Arrival,
+        entries: list[_Entry],
+        engines: dict[str, VirtualEngine],
+        rng: Random,
+    ) -> None:
+        self._arrival = arrival
+        self._entries = entries
+        self._engines = engines
+        self._rng = rng
+        self._clock: Callable[[], Seconds] = asyncio.get_running_loop().time
+
+    async def run(self) -> Served:
+        arrival = self._arrival
+        owed = WORTH_BY_ROUTE[arrival.route.name]
+        for is_last in (False, True):
+            entry = self._rng.choice(self._entries)
+            request = self._request()
+            found = await entry.dispatcher.find(request, Tried())
+            if not isinstance(found, Failure):
+                place = found.unwrap()
+                assert not isinstance(place, FarPlace)
+                return await self._run_at(entry, place)
+            pause = found.failure().retry_after_seconds or 0.0
+            if is_last or self._clock() + pause > request.deadline:
+                break
+            await asyncio.sleep(pause)
+        return Served(arrival, 0.0, owed, refused=True)
+
+    def _request(self) -> RelayRequest:
+        arrival = self._arrival
+        return RelayRequest(
+            id=str(arrival.number),
+            route=arrival.route,
+            service=SERVICE,
+            method="POST",
+            path="/",
+            headers=(),
+            body=b"",
+            arrived=self._clock(),
+            deadline=arrival.at + arrival.route.timeout_seconds,
+            prompt=arrival.prompt,
+        )
+
+    async def _run_at(self, entry: _Entry, place: LocalPlace) -> Served:
+        arrival, route = self._arrival, self._arrival.route
+        owed = WORTH_BY_ROUTE[route.name]
+        engine = self._engines[place.upstream.id]
+        run = EngineRun(prompt=arrival.prompt, answer_tokens=arrival.answer_tokens)
+        sent = self._clock()
+        deadline = arrival.at + route.timeout_seconds
+        first: Seconds | None = None
+        error: Seconds | None = None
+        try:
+            async with asyncio.timeout_at(deadline):
+                await asyncio.sleep(SEND_SECONDS)
+                engine.start(run)
+                first = await run.first_event + SEND_SECONDS
+                error = first - sent - place.expected_seconds
+                entry.in_flight.first_event(
+                    place.flight, ahead_ms=place.ahead_ms, seconds=first - sent
+                )
+                await run.ended
+        except TimeoutError:
+            engine.cancel(run)
+            return Served(arrival, 0.0, owed, False, first, error)
+        finally:
+            entry.dispatcher.release(place.flight, failed=False)
+        in_time = (
+            first - arrival.at <= route.objective_seconds
+            and run.longest_pause <= route.max_pause_seconds
+        )
+        share = 1.0 if in_time else LATE_SHARE_BY_ROUTE[route.name]
+        return Served(arrival, share * owed, owed, False, first - arrival.at, error)
--- a/poplarlug/relay/affinity.py
+++ b/poplarlug/relay/affinity.py
@@ -1,6 +1,6 @@
-"""Which engine should read the shared parts of a prompt."""
+"""Which engines should read, and probably hold, the shared parts of a prompt."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import xxhash
@@ -8,67 +8,106 @@
 from poplarlug.relay.requests import Prompt
 from poplarlug.types import RegionName, UpstreamId
 
-UNKNOWN_SHARE = 0.5
-"""About half of the shared parts that an entry doesn't know were read elsewhere."""
+OWN_SENDS_SHARE = 1.5
+"""Probability that a part's home engine lacks what this entry never sent there, times
+the entries that send: the fewer they are, the more an entry knows itself."""
 
+FAR_HELD_SHARE = 0.6
+"""Probability that the home engine in another region holds a part; the choice there
+depends on loads that aren't known here."""
 
-class Holders(NamedTuple):
+MAX_REMEMBERED = 4096
+"""Parts whose homes are remembered; some hundred are in use at a time."""
+
+
+class Homes:
     """
-    Shared tokens of one prompt that places are known to hold.
+    The home engine of each shared part in each region, by rendezvous hash.
 
-    Parameters
-    ----------
-    by_upstream : mapping
-        Of the own region's upstreams.
-    by_region : mapping
-        Of other regions, as far as this entry handed such prompts there.
+    Load pattern: thousands of prompts that share long parts, through many entries
+    that don't know what the others sent. All entries send a part to the same engine
+    of a region, unless that one is too busy.
     """
 
-    by_upstream: Mapping[UpstreamId, int]
-    by_region: Mapping[RegionName, int]
+    def __init__(self) -> None:
+        self._regions_by_id: Mapping[UpstreamId, RegionName] = {}
+        self._homes_by_part: dict[str, Mapping[RegionName, UpstreamId]] = {}
 
-    @property
-    def most(self) -> int:
-        held = [*self.by_upstream.values(), *self.by_region.values()]
-        return max(held, default=0)
+    def of(
+        self, prompt: Prompt, regions_by_id: Mapping[UpstreamId, RegionName]
+    ) -> Mapping[RegionName, UpstreamId]:
+        """
+        Return the home engine of a prompt's shared parts in each region.
+
+        Parameters
+        ----------
+        regions_by_id : mapping
+            Regions of the engines that serve it.
+
+        Returns
+        -------
+        mapping
+            Empty for a prompt without shared parts.
+        """
+        if len(prompt.parts) < 2:
+            return {}
+        if regions_by_id != self._regions_by_id:
+            self._regions_by_id = dict(regions_by_id)
+            self._homes_by_part.clear()
+        part = prompt.parts[-2].id
+        homes = self._homes_by_part.get(part)
+        if homes is None:
+            if len(self._homes_by_part) >= MAX_REMEMBERED:
+                self._homes_by_part.clear()
+            homes = self._homes_by_part[part] = _choose(part, regions_by_id)
+        return homes
 
 
 class Affinity(NamedTuple):
     """
-    What a place would read again although another one has read it.
-
-    Load pattern: thousands of prompts that share long parts, through many entries
-    that don't know what the others sent. Where nobody is known to hold a part, all
-    entries prefer the same upstream for it, by rendezvous hash.
+    Shared tokens of one prompt that engines probably hold.
 
     Parameters
     ----------
     shared_tokens : int
         Tokens of all parts but the last, which is the request's own.
-    preferred : UpstreamId or None
-        Where parts should go that no known place holds.
+    home : UpstreamId or None
+        Their home engine in the own region.
+    home_held_share : float
+        Probability that it holds them, see :func:`home_held_share`.
+    known_by_id : mapping
+        Tokens that engines of the own region hold as far as this entry sent them.
+    held_by_region : mapping
+        Expected tokens at the best engine of other regions.
     """
 
-    holders: Holders
-    shared_tokens: int
-    preferred: UpstreamId | None
-
-    def reread_tokens(self, held: int, is_preferred: bool) -> int:
-        """
-        Return the tokens that a place reads again.
+    shared_tokens: int = 0
+    home: UpstreamId | None = None
+    home_held_share: float = 0.0
+    known_by_id: Mapping[UpstreamId, int] = {}
+    held_by_region: Mapping[RegionName, int] = {}
 
-        Parameters
-        ----------
-        held : int
-            Shared tokens that the place itself holds.
-        is_preferred : bool
-            Whether it is, or has, the preferred upstream.
-        """
-        known = max(0, self.holders.most - held)
-        unknown = self.shared_tokens - max(self.holders.most, held)
-        if is_preferred or self.preferred is None:
+    def held_tokens(self, upstream_id: UpstreamId) -> int:
+        """Return the shared tokens that an engine of the own region should hold."""
+        known = self.known_by_id.get(upstream_id, 0)
+        if upstream_id != self.home:
             return known
-        return known + int(UNKNOWN_SHARE * max(0, unknown))
+        return max(known, int(self.home_held_share * self.shared_tokens))
+
+    def reread_tokens(self, held: int) -> int:
+        """Return the tokens that a place reads again although another holds them."""
+        return max(0, self._most - held)
+
+    @property
+    def _most(self) -> int:
+        home = 0 if self.home is None else self.held_tokens(self.home)
+        known = max(self.known_by_id.values(), default=0)
+        return max(home, known, *self.held_by_region.values(), 0)
+
+
+def home_held_share(entries: int) -> float:
+    """Return how probably a part's home holds it, by the entries of the region."""
+    return max(0.0, 1.0 - OWN_SENDS_SHARE / max(1, entries))
 
 
 def shared_tokens(prompt: Prompt) -> int:
@@ -76,17 +115,13 @@
     return sum(part.tokens for part in prompt.parts[:-1])
 
 
-def preferred_upstream(
-    prompt: Prompt, upstream_ids: Iterable[UpstreamId]
-) -> UpstreamId | None:
-    """Return the upstream that all entries choose for a prompt's shared parts."""
-    if len(prompt.parts) < 2:
-        return None
-    part = prompt.parts[-2].id
-    return max(
-        upstream_ids,
-        key=lambda upstream_id: xxhash.xxh3_64_intdigest(
-            f"{part}/{upstream_id}".encode()
-        ),
-        default=None,
-    )
+def _choose(
+    part: str, regions_by_id: Mapping[UpstreamId, RegionName]
+) -> Mapping[RegionName, UpstreamId]:
+    best: dict[RegionName, tuple[int, UpstreamId]] = {}
+    for upstream_id, region in regions_by_id.items():
+        weight = xxhash.xxh3_64_intdigest(f"{part}/{upstream_id}".encode())
+        held = best.get(region)
+        if held is None or (weight, upstream_id) > held:
+            best[region] = weight, upstream_id
+    return {region: upstream_id for region, (_, upstream_id) in best.items()}
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -9,7 +9,7 @@
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.errors import GatewayError, not_run, overloaded
 from poplarlug.relay.in_flight import Flight
-from poplarlug.relay.placement import Away, Full, Local, Nothing, place
+from poplarlug.relay.placement import Away, Decide, Full, Local, Nothing, place
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.view import FleetView, Tried, answer_seconds
 from poplarlug.relay.waiting import Waiter, WaitingLine, retry_after
@@ -69,11 +69,20 @@
     ----------
     view : FleetView
         Upstreams, regions and loads as this entry knows them.
+    decide : callable
+        Another decision than the product's, for comparisons.
     """
 
-    def __init__(self, *, view: FleetView, clock: Callable[[], Seconds]) -> None:
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        clock: Callable[[], Seconds],
+        decide: Decide = place,
+    ) -> None:
         self._view = view
         self._clock = clock
+        self._decide = decide
         self._lines_by_service: dict[ServiceName, _Line] = {}
 
     async def run(self) -> None:
@@ -187,7 +196,7 @@
         candidates = view.candidates(request, service, tried, affinity)
         regions = view.regions(request, tried, affinity) if demand.may_forward else []
         while True:
-            placement = place(demand, candidates, regions)
+            placement = self._decide(demand, candidates, regions)
             if not isinstance(placement, Away):
                 break
             entry = view.entry_of(placement.region)
@@ -197,10 +206,14 @@
             regions = [r for r in regions if r.region != placement.region]
         if not isinstance(placement, Local):
             return placement
-        upstream, flight = view.send_to(placement.upstream_id, service, request)
-        ahead = next(c.load.read_ms for c in candidates if c.id == upstream.id)
+        chosen = next(c for c in candidates if c.id == placement.upstream_id)
+        upstream, flight = view.send_to(chosen, service, request)
         return LocalPlace(
-            upstream, flight, placement.expected_seconds, ahead, placement.loss
+            upstream,
+            flight,
+            placement.expected_seconds,
+            chosen.load.read_ms,
+            placement.loss,
         )
 
     def _to_result(
--- a/poplarlug/relay/in_flight.py
+++ b/poplarlug/relay/in_flight.py
@@ -7,7 +7,6 @@
     LONG_READ_SECONDS,
     EngineLoad,
     EngineSpeed,
-    read_seconds,
 )
 from poplarlug.relay.part_cache import PartCache
 from poplarlug.relay.requests import Prompt, RelayRequest
@@ -139,12 +138,21 @@
         return 0.0 if at is None else max(0.0, at.cold_until - self._clock())
 
     def started(
-        self, upstream: ServiceUpstream, engine: Engine | None, request: RelayRequest
+        self,
+        upstream: ServiceUpstream,
+        engine: Engine | None,
+        request: RelayRequest,
+        read: Seconds,
     ) -> Flight:
-        """Note that ``request`` is on its way to ``upstream``."""
+        """
+        Note that ``request`` is on its way to ``upstream``.
+
+        Parameters
+        ----------
+        read : float
+            Time that it takes there to read the prompt.
+        """
         at = self._at(upstream.id, engine)
-        cached = at.cache.hit_tokens(request.prompt)
-        read = read_seconds(max(0, request.prompt.tokens - cached), cached)
         flight = Flight(upstream_id=upstream.id, request=request, read=read)
         at.flights.add(flight)
         at.cache.used(request.prompt)
--- a/poplarlug/relay/placement.py
+++ b/poplarlug/relay/placement.py
@@ -1,6 +1,6 @@
 """Where a request runs: an upstream of the region, another region, or nowhere now."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, TypeAlias
 
 from poplarlug.relay.engine_model import (
@@ -24,7 +24,7 @@
 """What a forward has to gain beyond its time, as a share of the answer's worth; its
 bytes between regions and its second entry cost about that."""
 
-EARLY_SHARE = 0.5
+EARLY_SHARE = 0.3
 """An answer expected within this share of its objective comes in time."""
 
 WAITING_LOSS = 8.0
@@ -187,6 +187,10 @@
 
 Placement: TypeAlias = Local | Away | Full | Nothing
 
+Decide: TypeAlias = Callable[
+    [Demand, Sequence[Candidate], Sequence[RemoteRegion]], Placement
+]
+
 
 def place(
     demand: Demand, candidates: Sequence[Candidate], regions: Sequence[RemoteRegion]
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -9,9 +9,10 @@
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.records import EntryRecord, RegionLoad, ServiceUpstream
 from poplarlug.relay.affinity import (
+    FAR_HELD_SHARE,
     Affinity,
-    Holders,
-    preferred_upstream,
+    Homes,
+    home_held_share,
     shared_tokens,
 )
 from poplarlug.relay.budgets import WarmupBudget, WarmupLimits
@@ -69,17 +70,21 @@
         self._clock = clock
         self._warmups_by_id: dict[UpstreamId, WarmupBudget] = {}
         self._caches_by_region: dict[RegionName, PartCache] = {}
+        self._homes = Homes()
         self._avoided_until_by_entry: dict[VmName, Seconds] = {}
 
     def send_to(
-        self, upstream_id: UpstreamId, service: RoutedService, request: RelayRequest
+        self, candidate: Candidate, service: RoutedService, request: RelayRequest
     ) -> tuple[ServiceUpstream, Flight]:
         """Note that a request goes to an upstream of the region."""
-        upstream = self.deployment.upstream(upstream_id)
+        upstream = self.deployment.upstream(candidate.id)
         assert upstream is not None
         if self._is_cold(upstream):
             self._warmup_of(upstream.id).note_sent()
-        return upstream, self.in_flight.started(upstream, service.engine, request)
+        flight = self.in_flight.started(
+            upstream, service.engine, request, candidate.read_seconds
+        )
+        return upstream, flight
 
     def hand_to(self, region: RegionName, request: RelayRequest) -> None:
         """Note that a request goes to another region, whose caches get its parts."""
@@ -99,26 +104,30 @@
     def affinity(self, request: RelayRequest, demand: Demand) -> Affinity:
         """Return who holds, or should hold, the shared parts of a prompt."""
         prompt = request.prompt
+        shared = shared_tokens(prompt)
+        if not shared:
+            return Affinity()
         regions_by_id = self.deployment.serving_regions(request.service)
-        usable = [
-            upstream_id
-            for upstream_id, region in regions_by_id.items()
-            if request.route.allows(region)
-            and (demand.may_forward or region == self.deployment.own_region)
-        ]
-        holders = Holders(
-            {
+        homes = self._homes.of(prompt, regions_by_id)
+        own = self.deployment.own_region
+        return Affinity(
+            shared_tokens=shared,
+            home=None if demand.must_forward else homes.get(own),
+            home_held_share=home_held_share(len(self.deployment.sharers(own))),
+            known_by_id={
                 upstream_id: self.in_flight.cached_shared_tokens(upstream_id, prompt)
-                for upstream_id in usable
+                for upstream_id, region in regions_by_id.items()
+                if region == own
             },
-            {
-                region: cache.hit_tokens(prompt, last=False)
-                for region, cache in self._caches_by_region.items()
-                if demand.may_forward
+            held_by_region={
+                region: max(
+                    int(FAR_HELD_SHARE * shared),
+                    self._cache_of(region).hit_tokens(prompt, last=False),
+                )
+                for region in homes
+                if demand.may_forward and region != own and request.route.allows(region)
             },
         )
-        preferred = preferred_upstream(prompt, usable)
-        return Affinity(holders, shared_tokens(prompt), preferred)
 
     def candidates(
         self,
@@ -160,13 +169,12 @@
         )
         if service.engine is None or affinity is None:
             return candidate
-        cached = self.in_flight.cached_tokens(upstream_id, request.prompt)
-        held = affinity.holders.by_upstream.get(upstream_id, 0)
-        is_preferred = upstream_id == affinity.preferred
+        held = affinity.held_tokens(upstream_id)
+        cached = max(held, self.in_flight.cached_tokens(upstream_id, request.prompt))
         return candidate._replace(
             kv_capacity=service.engine.kv_capacity_tokens,
             read_seconds=read_seconds(max(0, request.prompt.tokens - cached), cached),
-            reread_tokens=affinity.reread_tokens(held, is_preferred),
+            reread_tokens=affinity.reread_tokens(held),
             speed=self.in_flight.speed(upstream_id),
         )
 
@@ -210,13 +218,11 @@
         if affinity is None:
             return region
         prompt = request.prompt
-        cached = self._cache_of(load.region).hit_tokens(prompt)
-        held = affinity.holders.by_region.get(load.region, 0)
-        regions_by_id = self.deployment.serving_regions(request.service)
-        is_preferred = regions_by_id.get(affinity.preferred or "") == load.region
+        held = affinity.held_by_region.get(load.region, 0)
+        cached = max(held, self._cache_of(load.region).hit_tokens(prompt))
         return region._replace(
             read_seconds=read_seconds(max(0, prompt.tokens - cached), cached),
-            reread_tokens=affinity.reread_tokens(held, is_preferred),
+            reread_tokens=affinity.reread_tokens(held),
         )
 
     def _cache_of(self, region: RegionName) -> PartCache:
--- /dev/null
+++ b/tests/load/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of replays of load patterns."""
--- /dev/null
+++ b/tests/load/replay/test_region.py
@@ -0,0 +1,50 @@
+"""Replays of the load patterns that the relay's placement answers."""
+
+from unittest import TestCase
+
+from poplarlug.load.replay.patterns import PATTERNS_BY_NAME, Pattern
+from poplarlug.load.replay.policies import POLICIES_BY_NAME
+from poplarlug.load.replay.region import replay
+from poplarlug.load.replay.report import ReplayMeasures, measure, table
+from tests.control.quiet import QuietTestCase
+
+TARGET_SHARE = 0.9
+"""Share of the worth that the project aims at on the users' deployments."""
+
+
+def play(pattern: Pattern, policy: str, seed: int = 1) -> ReplayMeasures:
+    return measure(replay(pattern, POLICIES_BY_NAME[policy], seed))
+
+
+class RegionTests(QuietTestCase, TestCase):
+    def test_burst_of_digests_among_chats(self) -> None:
+        """Many entries, none of which knows what the others sent just now."""
+        pattern = PATTERNS_BY_NAME["digest-burst"]
+        ours = play(pattern, "product")
+        self.assertGreaterEqual(ours.chat, TARGET_SHARE)
+        self.assertGreaterEqual(ours.digest, TARGET_SHARE)
+        self.assertGreaterEqual(ours.largest, ours.digest / 2)
+        baseline = play(pattern, "least-loaded")
+        self.assertLess(1 - ours.worth, (1 - baseline.worth) / 2)
+        self.assertLess(ours.reread, baseline.reread)
+
+    def test_burst_of_digests_in_a_small_region(self) -> None:
+        """Three engines, where each entry knows a third of the load itself."""
+        ours = play(PATTERNS_BY_NAME["small-digest-burst"], "product")
+        self.assertGreaterEqual(ours.chat, TARGET_SHARE)
+        self.assertGreaterEqual(ours.digest, TARGET_SHARE)
+        self.assertGreaterEqual(ours.largest, ours.digest / 2)
+
+    def test_same_seed_gives_the_same_replay(self) -> None:
+        """A change is judged by its effect alone."""
+        pattern = PATTERNS_BY_NAME["small-calm"]._replace(seconds=3.0)
+        self.assertEqual(play(pattern, "product"), play(pattern, "product"))
+        self.assertNotEqual(play(pattern, "product"), play(pattern, "product", 2))
+
+    def test_table_has_a_row_for_each_policy(self) -> None:
+        """Rows give the mean of all seeds and the spread of the worth."""
+        pattern = PATTERNS_BY_NAME["small-calm"]._replace(seconds=2.0)
+        measures = [play(pattern, "first-come", seed) for seed in (1, 2)]
+        lines = table({("small-calm", "first-come"): measures}).splitlines()
+        self.assertEqual(len(lines), 2)
+        self.assertIn("..", lines[1])
