--- a/poplarlug/relay/face.py
+++ b/poplarlug/relay/face.py
@@ -36,11 +36,11 @@
 MAX_REQUEST_ID_CHARACTERS = 128
 MAX_PROMPT_PARTS = 64
 MAX_TOKENS = 10_000_000
-STARTING_SECONDS = 0.8
-"""How long after its start an entry keeps requests for its first routes. Links to
-control replicas in other regions stand after 0.4 s, and a leader is elected by then."""
+STARTING_SECONDS = 1.5
+"""How long after its start an entry keeps requests for its first routes. After a loss
+of power control VMs may be back some 0.5 s later, and elect a leader within 0.8 s."""
 
-NOT_READY_RETRY_SECONDS = 1.5
+NOT_READY_RETRY_SECONDS = 1.0
 """When to come back to an entry without routes; the control group elects a leader
 within this time after all of it was lost."""
 
