End no stream for its upstream's silence unless it can go on elsewhere

Change: a silent stream is left only when another place is free for it at that moment and an attempt and the budget allow it; never at the entry it was handed on to. Tests fail before (no way to say so; the stream was cut).

--- a/poplarlug/relay/course.py
+++ b/poplarlug/relay/course.py
@@ -1,5 +1,6 @@
 """The course of one request: where it was, what came of it, whether it may go on."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from poplarlug.errors import GatewayError
@@ -45,6 +46,11 @@
     ----------
     sink : AnswerSink
         Where its answer goes.
+
+    Attributes
+    ----------
+    may_move : callable
+        Returns whether the rest of the stream in progress can run elsewhere now.
     """
 
     def __init__(
@@ -56,6 +62,7 @@
         self.tried = Tried()
         self.events = _progress_of(request)
         self.arrivals = 0
+        self.may_move: Callable[[], bool] = lambda: False
         self._attempts = 0
         self._last: GatewayError | None = None
         self._error: GatewayError | None = None
@@ -71,8 +78,7 @@
 
     def ran_at_upstream(self, upstream_id: UpstreamId, outcome: Outcome) -> None:
         """Note what came of a send to an upstream."""
-        tried = self.tried.upstreams | {upstream_id}
-        self.tried = self.tried._replace(upstreams=tried)
+        self.tried = self.tried.with_upstream(upstream_id)
         self._note(outcome)
 
     def ran_in_region(self, region: RegionName, outcome: Outcome) -> None:
@@ -82,8 +88,7 @@
         The region isn't asked again: its entries see the same upstreams, and where
         one of them is out of reach, mostly all are.
         """
-        tried = self.tried.regions | {region}
-        self.tried = self.tried._replace(regions=tried)
+        self.tried = self.tried.with_region(region)
         self._note(outcome)
 
     def may_go_on(self, now: Seconds) -> bool:
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -1,7 +1,7 @@
 """Joins placement and waiting: where and when a request runs."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, TypeAlias
 
 from returns.result import Failure, Result, Success
@@ -9,10 +9,21 @@
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.errors import GatewayError, not_run, overloaded
 from poplarlug.relay.in_flight import Flight
-from poplarlug.relay.placement import Away, Decide, Full, Local, Nothing, place
+from poplarlug.relay.placement import (
+    Away,
+    Candidate,
+    Decide,
+    Demand,
+    Full,
+    Local,
+    Nothing,
+    RemoteRegion,
+    place,
+)
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.view import FleetView, Tried, answer_seconds
 from poplarlug.relay.waiting import Waiter, WaitingLine, retry_after
+from poplarlug.routes import RoutedService
 from poplarlug.types import Seconds, ServiceName
 
 RECHECK_SECONDS = 0.05
@@ -46,6 +57,13 @@
 Place: TypeAlias = LocalPlace | FarPlace
 
 
+class _Options(NamedTuple):
+    service: RoutedService
+    demand: Demand
+    candidates: Sequence[Candidate]
+    regions: Sequence[RemoteRegion]
+
+
 class _Waiting:
     def __init__(self, *, request: RelayRequest, tried: Tried) -> None:
         self.request = request
@@ -183,18 +201,34 @@
         if not line.by_waiter:
             line.order.idle()
 
-    def _try(self, request: RelayRequest, tried: Tried) -> "Place | Full | Nothing":
+    def has_place(self, request: RelayRequest, tried: Tried) -> bool:
+        """Return whether a request would get a place now, without taking it."""
+        options = self._options(request, tried)
+        if options is None:
+            return False
+        placement = self._decide(options.demand, options.candidates, options.regions)
+        return isinstance(placement, Local | Away)
+
+    def _options(self, request: RelayRequest, tried: Tried) -> "_Options | None":
         view = self._view
         routes = view.deployment.routes
         service = (
             None if routes is None else routes.services_by_name.get(request.service)
         )
         if service is None:
-            return Nothing()
+            return None
         demand = view.demand(request)
         affinity = view.affinity(request, demand) if service.engine else None
         candidates = view.candidates(request, service, tried, affinity)
         regions = view.regions(request, tried, affinity) if demand.may_forward else []
+        return _Options(service, demand, candidates, regions)
+
+    def _try(self, request: RelayRequest, tried: Tried) -> "Place | Full | Nothing":
+        view = self._view
+        options = self._options(request, tried)
+        if options is None:
+            return Nothing()
+        service, demand, candidates, regions = options
         while True:
             placement = self._decide(demand, candidates, regions)
             if not isinstance(placement, Away):
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 import aiohttp
 from prometheus_client import Counter, Histogram
@@ -14,7 +15,7 @@
 from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
 from poplarlug.relay.course import Course, Outcome
 from poplarlug.relay.dialect import Dialect
-from poplarlug.relay.dispatcher import Dispatcher, FarPlace, LocalPlace
+from poplarlug.relay.dispatcher import Dispatcher, FarPlace, LocalPlace, Place
 from poplarlug.relay.hop_headers import (
     HOPS,
     ORIGIN,
@@ -123,6 +124,7 @@
                 trace.step("no repeat", self._clock(), reason="retry budget")
                 return await course.give_up()
             patience = self._patience(course, budget)
+            course.may_move = partial(self._may_move, course, budget, placed)
             if isinstance(placed, LocalPlace):
                 outcome = await self._run_local(course, placed, patience)
                 course.ran_at_upstream(placed.upstream.id, outcome)
@@ -143,6 +145,17 @@
         objective = request.route.objective_seconds
         return min(left, max(MIN_PATIENCE_SECONDS, PATIENCE_SHARE * objective))
 
+    def _may_move(self, course: Course, budget: RetryBudget, placed: Place) -> bool:
+        """Return whether a stream that stands still would get another place now."""
+        if not course.may_repeat_later or not budget.has_room(self._entries()):
+            return False
+        tried = course.tried
+        if isinstance(placed, LocalPlace):
+            tried = tried.with_upstream(placed.upstream.id)
+        else:
+            tried = tried.with_region(placed.entry.region)
+        return self._dispatcher.has_place(course.request, tried)
+
     async def _run_local(
         self, course: Course, placed: LocalPlace, patience: Seconds
     ) -> Outcome:
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -16,8 +16,8 @@
 can be answered by a failure or by another attempt."""
 
 STALL_SECONDS = 2.0
-"""A stream that stands still so long is taken up elsewhere where that is allowed;
-callers leave after three seconds and more."""
+"""A stream that stands still so long is taken up elsewhere where that is allowed and a
+place is free; else it goes on waiting. Callers leave after three seconds and more."""
 
 EVENT_STREAM = "text/event-stream"
 
@@ -60,8 +60,7 @@
     try:
         async with asyncio.timeout_at(request.deadline) as whole:
             while True:
-                async with asyncio.timeout(STALL_SECONDS):
-                    data = await content.readany()
+                data = await _read(content, course)
                 if not data and content.at_eof():
                     break
                 whole_events = events.feed(data)
@@ -78,6 +77,25 @@
     return DONE
 
 
+async def _read(content: aiohttp.StreamReader, course: Course) -> bytes:
+    """
+    Return what comes next.
+
+    Raises
+    ------
+    TimeoutError
+        If nothing comes and the stream can be taken up elsewhere. An upstream's
+        silence alone ends no stream: it may be busy with other prompts.
+    """
+    while True:
+        try:
+            async with asyncio.timeout(STALL_SECONDS):
+                return await content.readany()
+        except TimeoutError:
+            if course.may_move():
+                raise
+
+
 async def _pass_on_whole(course: Course, response: aiohttp.ClientResponse) -> Outcome:
     request = course.request
     try:
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -41,6 +41,12 @@
     upstreams: frozenset[UpstreamId] = frozenset()
     regions: frozenset[RegionName] = frozenset()
 
+    def with_upstream(self, upstream_id: UpstreamId) -> "Tried":
+        return self._replace(upstreams=self.upstreams | {upstream_id})
+
+    def with_region(self, region: RegionName) -> "Tried":
+        return self._replace(regions=self.regions | {region})
+
 
 class FleetView:
     """
--- /dev/null
+++ b/tests/relay/test_passing.py
@@ -0,0 +1,97 @@
+"""Tests of passing a stream on to its caller."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+from unittest import TestCase
+
+from poplarlug.relay.course import Course, Outcome
+from poplarlug.relay.passing import STALL_SECONDS, pass_on
+from poplarlug.relay.trace import RelayTrace
+from poplarlug.serving.answers import AnswerHead, AnswerSink
+from poplarlug.virtualtime import run_virtual
+from tests.relay.test_view import make_request
+from tests.routes.test_checks import make_route
+
+EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+
+
+class CollectingSink(AnswerSink):
+    """Keep what a caller gets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.data = b""
+        self.is_finished = False
+
+    async def start(self, head: AnswerHead) -> None:
+        self.started = True
+
+    async def write(self, data: bytes) -> None:
+        self.data += data
+
+    async def finish(self) -> None:
+        self.is_finished = True
+
+
+class PausingContent:
+    """Give one event, then nothing for some time, then the other one."""
+
+    def __init__(self, pause: float) -> None:
+        self._left = list(EVENTS)
+        self._pause = pause
+        self._resumes_at: float | None = None
+
+    async def readany(self) -> bytes:
+        if len(self._left) == 1:
+            loop = asyncio.get_running_loop()
+            if self._resumes_at is None:
+                self._resumes_at = loop.time() + self._pause
+            await asyncio.sleep(self._resumes_at - loop.time())
+        return self._left.pop(0) if self._left else b""
+
+    def at_eof(self) -> bool:
+        return not self._left
+
+
+class StallTests(TestCase):
+    def play(self, *, pause: float, may_move: bool) -> tuple[Outcome, CollectingSink]:
+        """Pass on a resumable stream that stands still once."""
+
+        async def main() -> tuple[Outcome, CollectingSink]:
+            route = make_route(
+                kind="streaming", prompts=True, resumable=True, timeout_seconds=20.0
+            )
+            request = make_request(route=route, deadline=20.0)
+            sink = CollectingSink()
+            trace = RelayTrace(request_id=request.id, started=0.0)
+            course = Course(request=request, sink=sink, trace=trace)
+            course.may_move = lambda: may_move
+            response: Any = SimpleNamespace(
+                status=200,
+                headers={"Content-Type": "text/event-stream"},
+                content_length=None,
+                content=PausingContent(pause),
+            )
+            return await pass_on(course, response), sink
+
+        return run_virtual(main())
+
+    def test_silent_stream_goes_on_where_it_is(self) -> None:
+        """An engine that reads long prompts is silent; nothing else would be better."""
+        outcome, sink = self.play(pause=3 * STALL_SECONDS, may_move=False)
+        self.assertIsNone(outcome.error)
+        self.assertEqual(sink.data, b"".join(EVENTS))
+        self.assertTrue(sink.is_finished)
+
+    def test_silent_stream_is_left_for_a_free_place(self) -> None:
+        """Its engine may be gone without a word."""
+        outcome, sink = self.play(pause=3 * STALL_SECONDS, may_move=True)
+        self.assertIsNotNone(outcome.error)
+        self.assertEqual(sink.data, EVENTS[0])
+        self.assertFalse(sink.is_finished)
+
+    def test_short_pause_moves_nothing(self) -> None:
+        """Pauses below the bound are usual."""
+        outcome, _ = self.play(pause=STALL_SECONDS / 2, may_move=True)
+        self.assertIsNone(outcome.error)
