Make a region that failed the last choice for a while

Cause: a region whose only engine is dead looks idle, so entries of other regions handed requests on to it until its record expired, 58 in 6 s, 230 ms each; and entries behind a cut were tried one by one. What was learned held for one request.

Change: pauses by service and region (0.5 to 4 s, doubling), when it refuses for want of an upstream or two of its entries could not be reached. It is asked still where no other place exists.

Ruled out: to tell failures with the loads (costs bytes between regions, and the sender learns it at the first refusal anyway); to pause at the first entry that can't be reached (a restart would pause a region).

--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -281,18 +281,24 @@
         )
         now = self._clock()
         if isinstance(sent, Failure):
+            error = sent.failure()
             self._view.avoid_entry(entry.name, ENTRY_PAUSE_SECONDS)
-            return self._note_failed("entry", sent.failure(), trace, now)
+            if error.kind is not SendErrorKind.TIMEOUT:
+                self._view.note_entry_failed(request.service, entry.region)
+            return self._note_failed("entry", error, trace, now)
         response = sent.unwrap()
         try:
             self._note_head("entry", response, trace, now, started)
             refused = response.headers.get(REFUSED)
             if refused is not None:
-                error = decode_refusal(refused, f"refused by {entry.name}")
+                refusal = decode_refusal(refused, f"refused by {entry.name}")
+                if refusal is not None and refusal.status == 503:
+                    self._view.note_region_failed(request.service, entry.region)
                 unknown = outcome_unknown("the entry's refusal can't be read")
-                return Outcome(error or unknown)
+                return Outcome(refusal or unknown)
             if response.headers.get(self._dialect.request_id, request.id) != request.id:
                 return Outcome(outcome_unknown("the entry answered another request"))
+            self._view.note_region_served(request.service, entry.region)
             return await pass_on(course, response)
         finally:
             response.close()
--- a/poplarlug/relay/placement.py
+++ b/poplarlug/relay/placement.py
@@ -107,6 +107,8 @@
         Time to read the request's prompt there.
     reread_tokens : int
         See :class:`Candidate`.
+    avoided : bool
+        Whether it could not be reached, or had no upstream in reach, lately.
     """
 
     region: RegionName
@@ -117,6 +119,7 @@
     quick: EngineLoad = EngineLoad()
     read_seconds: Seconds = 0.0
     reread_tokens: int = 0
+    avoided: bool = False
 
 
 class Demand(NamedTuple):
@@ -208,9 +211,15 @@
     In a burst of long prompts, one whose best place would cost the others more
     than ``HOLD_LOSS`` is held back until that place has calmed down; so is one
     whose answer would not be whole before its caller's deadline.
+
+    A region that failed lately looks idle, since nothing runs there. It is asked
+    only where no other place exists.
     """
     own = None if demand.must_forward else _best_local(demand, candidates)
-    away = _best_away(demand, regions) if demand.may_forward else None
+    usable = [region for region in regions if not region.avoided]
+    if not usable and (demand.must_forward or not candidates):
+        usable = list(regions)
+    away = _best_away(demand, usable) if demand.may_forward else None
     if own is None and away is None:
         if not demand.must_forward and candidates:
             return Full(_free_in(candidates))
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -26,7 +26,7 @@
 from poplarlug.relay.placement import Candidate, Demand, RemoteRegion
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.routes import RoutedService
-from poplarlug.types import RegionName, Seconds, UpstreamId, VmName
+from poplarlug.types import RegionName, Seconds, ServiceName, UpstreamId, VmName
 
 ANSWER_SHARE = 0.2
 """Part of a route's time that is kept for the answer after its first event."""
@@ -48,6 +48,19 @@
         return self._replace(regions=self.regions | {region})
 
 
+REGION_PAUSE_SECONDS = 0.5
+"""First time for which a region that failed is the last choice for a service."""
+
+MAX_REGION_PAUSE_SECONDS = 4.0
+"""The time doubles with each failure in a row up to this; an upstream that gives no
+sign is known to be lost after six seconds."""
+
+
+class _Pause(NamedTuple):
+    until: Seconds
+    failures: int
+
+
 class FleetView:
     """
     Views of the deployment for one request's placement, and what they depend on.
@@ -78,6 +91,7 @@
         self._caches_by_region: dict[RegionName, PartCache] = {}
         self._homes = Homes()
         self._avoided_until_by_entry: dict[VmName, Seconds] = {}
+        self._pauses_by_region: dict[tuple[ServiceName, RegionName], _Pause] = {}
 
     def send_to(
         self, candidate: Candidate, service: RoutedService, request: RelayRequest
@@ -100,6 +114,28 @@
         """Hand nothing to an entry for a while."""
         self._avoided_until_by_entry[name] = self._clock() + seconds
 
+    def note_region_failed(self, service: ServiceName, region: RegionName) -> None:
+        """Make a region the last choice for a while; it may be cut off or empty."""
+        key = service, region
+        failures = self._pauses_by_region.get(key, _Pause(0.0, 0)).failures
+        seconds = min(MAX_REGION_PAUSE_SECONDS, REGION_PAUSE_SECONDS * 2**failures)
+        pause = _Pause(self._clock() + seconds, min(failures + 1, 10))
+        self._pauses_by_region[key] = pause
+
+    def note_entry_failed(self, service: ServiceName, region: RegionName) -> None:
+        """Make a region the last choice once two of its entries are avoided."""
+        now = self._clock()
+        entries = self.deployment.entries_of(region)
+        avoided = sum(
+            self._avoided_until_by_entry.get(entry.name, now) > now for entry in entries
+        )
+        if avoided >= min(2, len(entries)):
+            self.note_region_failed(service, region)
+
+    def note_region_served(self, service: ServiceName, region: RegionName) -> None:
+        """Trust a region again that took a request."""
+        self._pauses_by_region.pop((service, region), None)
+
     def forget_gone(self) -> None:
         """Drop what is held of upstreams that are gone."""
         known = self.deployment.upstream_ids()
@@ -213,8 +249,10 @@
     def _region(
         self, request: RelayRequest, load: RegionLoad, affinity: Affinity | None
     ) -> RemoteRegion:
+        pause = self._pauses_by_region.get((load.service, load.region))
         region = RemoteRegion(
             region=load.region,
+            avoided=pause is not None and self._clock() < pause.until,
             slots=load.slots,
             running=load.running,
             waiting=load.waiting,
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -71,6 +71,19 @@
         some = make_region(waiting=20)
         self.assertIsInstance(place(DEMAND, [], [some]), Away)
 
+    def test_region_that_failed_is_asked_only_without_another_place(self) -> None:
+        """Nothing runs in a region whose upstreams are dead, so it looks idle."""
+        busy = make_engine("e-1", EngineLoad(running=60, read_ms=2000))
+        failed = make_region(avoided=True)
+        self.assert_local(place(DEMAND, [busy], [failed]), "e-1")
+        other = make_region(region="austro", running=60)
+        placed = place(DEMAND, [busy], [failed, other])
+        assert isinstance(placed, Away), placed
+        self.assertEqual(placed.region, "austro")
+        self.assertIsInstance(place(DEMAND, [], [failed]), Away)
+        outside = DEMAND._replace(must_forward=True)
+        self.assertIsInstance(place(outside, [busy], [failed]), Away)
+
     def test_border_is_kept(self) -> None:
         """What may not run in the own region runs away or nowhere."""
         idle = make_engine("e-1")
--- a/tests/relay/test_view.py
+++ b/tests/relay/test_view.py
@@ -1,9 +1,21 @@
 """Tests of what a placement is decided on."""
 
+from random import Random
 from unittest import TestCase
 
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.messages import PollReply
+from poplarlug.discovery.records import EntryRecord, RegionLoad
+from poplarlug.relay.budgets import WarmupLimits
+from poplarlug.relay.in_flight import InFlight
 from poplarlug.relay.requests import Prompt, RelayRequest
-from poplarlug.relay.view import answer_seconds
+from poplarlug.relay.view import (
+    MAX_REGION_PAUSE_SECONDS,
+    REGION_PAUSE_SECONDS,
+    FleetView,
+    Tried,
+    answer_seconds,
+)
 from tests.routes.test_checks import make_route
 
 
@@ -37,3 +49,73 @@
         """They are passed on whole."""
         plain = make_request(route=make_route(), prompt=Prompt())
         self.assertEqual(answer_seconds(plain), 0.0)
+
+
+class RegionPauseTests(TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        deployment = Deployment(
+            own_region="east",
+            regions_by_zone={"a": "east", "b": "west"},
+            clock=lambda: self.now,
+        )
+        entries = tuple(
+            EntryRecord(name, "west", "b", "", "", 1, "serving")
+            for name in ("w-1", "w-2", "w-3")
+        )
+        deployment.take(
+            PollReply(
+                registry_id="r",
+                revision=1,
+                whole=True,
+                current=True,
+                zone="a",
+                entries=entries,
+                regions=(RegionLoad("west", "engine", 1, 8),),
+            )
+        )
+        self.view = FleetView(
+            name="entry-1",
+            deployment=deployment,
+            in_flight=InFlight(clock=lambda: self.now, others=lambda _: None),
+            warmup=WarmupLimits(),
+            rng=Random(1),
+            clock=lambda: self.now,
+        )
+
+    def is_avoided(self) -> bool:
+        (region,) = self.view.regions(make_request(), Tried(), None)
+        return region.avoided
+
+    def test_region_without_upstreams_is_paused_for_longer_each_time(self) -> None:
+        """A dead engine is on the list for some seconds more."""
+        self.view.note_region_failed("engine", "west")
+        self.assertTrue(self.is_avoided())
+        self.now += REGION_PAUSE_SECONDS + 0.01
+        self.assertFalse(self.is_avoided())
+        for _ in range(9):
+            self.view.note_region_failed("engine", "west")
+        self.now += MAX_REGION_PAUSE_SECONDS - 0.01
+        self.assertTrue(self.is_avoided())
+        self.now += 0.02
+        self.assertFalse(self.is_avoided())
+
+    def test_served_request_ends_the_pause(self) -> None:
+        """The region's engine is back."""
+        self.view.note_region_failed("engine", "west")
+        self.view.note_region_served("engine", "west")
+        self.assertFalse(self.is_avoided())
+
+    def test_one_entry_out_of_reach_pauses_no_region(self) -> None:
+        """It may have been killed; with two of them the way may be cut."""
+        self.view.avoid_entry("w-1", 2.0)
+        self.view.note_entry_failed("engine", "west")
+        self.assertFalse(self.is_avoided())
+        self.view.avoid_entry("w-2", 2.0)
+        self.view.note_entry_failed("engine", "west")
+        self.assertTrue(self.is_avoided())
+
+    def test_pause_counts_for_its_service_alone(self) -> None:
+        """Other services of the region have other upstreams."""
+        self.view.note_region_failed("bookings", "west")
+        self.assertFalse(self.is_avoided())
