--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -8,6 +8,7 @@
 
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.records import EntryRecord, RegionLoad, ServiceUpstream
+from poplarlug.logs import PartLog
 from poplarlug.relay.affinity import (
     FAR_HELD_SHARE,
     Affinity,
@@ -28,6 +29,8 @@
 from poplarlug.routes import RoutedService
 from poplarlug.types import RegionName, Seconds, ServiceName, UpstreamId, VmName
 
+_log = PartLog(prefix="relay")
+
 ANSWER_SHARE = 0.2
 """Part of a route's time that is kept for the answer after its first event."""
 
@@ -121,6 +124,13 @@
         seconds = min(MAX_REGION_PAUSE_SECONDS, REGION_PAUSE_SECONDS * 2**failures)
         pause = _Pause(self._clock() + seconds, min(failures + 1, 10))
         self._pauses_by_region[key] = pause
+        _log.info(
+            "a region is the last choice",
+            service=service,
+            region=region,
+            seconds=seconds,
+            failures=pause.failures,
+        )
 
     def note_entry_failed(self, service: ServiceName, region: RegionName) -> None:
         """Make a region the last choice once two of its entries are avoided."""
@@ -134,7 +144,14 @@
 
     def note_region_served(self, service: ServiceName, region: RegionName) -> None:
         """Trust a region again that took a request."""
-        self._pauses_by_region.pop((service, region), None)
+        pause = self._pauses_by_region.pop((service, region), None)
+        if pause is not None:
+            _log.info(
+                "a region serves again",
+                service=service,
+                region=region,
+                failures=pause.failures,
+            )
 
     def forget_gone(self) -> None:
         """Drop what is held of upstreams that are gone."""
--- a/tests/relay/test_view.py
+++ b/tests/relay/test_view.py
@@ -16,6 +16,7 @@
     Tried,
     answer_seconds,
 )
+from tests.control.quiet import QuietTestCase
 from tests.routes.test_checks import make_route
 
 
@@ -51,8 +52,9 @@
         self.assertEqual(answer_seconds(plain), 0.0)
 
 
-class RegionPauseTests(TestCase):
+class RegionPauseTests(QuietTestCase):
     def setUp(self) -> None:
+        super().setUp()
         self.now = 0.0
         deployment = Deployment(
             own_region="east",
