--- /dev/null
+++ b/tests/control/raft/test_disk_faults.py
@@ -0,0 +1,155 @@
+"""Tests of control replicas whose disks are full, slow or hang."""
+
+import asyncio
+import errno
+from itertools import repeat
+from random import Random
+
+from poplarlug.control.memory_disk import MemoryDisk
+from poplarlug.virtualtime import run_virtual
+from tests.control.group import GroupMember, SimulatedGroup
+from tests.control.quiet import QuietTestCase
+
+SEEDS = range(10)
+ACCEPT_SECONDS = 8.0
+"""Time within which the users' deployments want a change acknowledged."""
+
+RETRY_SECONDS = 0.1
+
+
+class FaultyDisk(MemoryDisk):
+    """
+    A disk that is full, slow or hangs when it is told so.
+
+    Attributes
+    ----------
+    is_full : bool
+    answers : asyncio.Event
+        Cleared while it hangs.
+    extra_seconds : float
+        What each write takes beyond its usual time.
+    """
+
+    def __init__(self, *, rng: Random) -> None:
+        super().__init__(rng=rng)
+        self.is_full = False
+        self.answers = asyncio.Event()
+        self.answers.set()
+        self.extra_seconds = 0.0
+
+    async def append(self, name: str, data: bytes) -> None:
+        await self._suffer()
+        await super().append(name, data)
+
+    async def replace(self, name: str, data: bytes) -> None:
+        await self._suffer()
+        await super().replace(name, data)
+
+    async def _suffer(self) -> None:
+        if self.is_full:
+            raise OSError(errno.ENOSPC, "no space left")
+        await asyncio.sleep(self.extra_seconds)
+        await self.answers.wait()
+
+
+class DiskFaultTests(QuietTestCase):
+    async def start(self, seed: int) -> tuple[SimulatedGroup, GroupMember]:
+        """Start a group on faulty disks that work, and return its leader."""
+        group = SimulatedGroup(rng=Random(seed))
+        for member in group.members_by_name.values():
+            member.disk = FaultyDisk(rng=group.rng)
+        group.start()
+        leader = await group.wait_for_leader()
+        self.assertTrue(await group.propose(b"before"))
+        return group, leader
+
+    def disk_of(self, member: GroupMember) -> FaultyDisk:
+        assert isinstance(member.disk, FaultyDisk)
+        return member.disk
+
+    async def accept(self, group: SimulatedGroup, command: bytes) -> None:
+        """Propose until some leader accepts; fail when it takes too long."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + ACCEPT_SECONDS
+        for pause in repeat(RETRY_SECONDS):
+            if await group.propose(command):
+                break
+            self.assertLess(loop.time() + pause, deadline, f"{command!r} not accepted")
+            await asyncio.sleep(pause)
+
+    def commands_on_disks(self, group: SimulatedGroup, command: bytes) -> int:
+        """Return how many disks hold a command."""
+        return sum(
+            any(command in data for data in member.disk.files_by_name.values())
+            for member in group.members_by_name.values()
+        )
+
+    def test_full_disk_of_a_follower_stops_only_that_replica(self) -> None:
+        """It ends rather than say that it keeps what it can't; later it catches up."""
+
+        async def main(seed: int) -> None:
+            group, leader = await self.start(seed)
+            full = next(m for m in group.live() if m is not leader)
+            self.disk_of(full).is_full = True
+            await self.accept(group, b"while-full")
+            self.assertEqual(self.commands_on_disks(group, b"while-full"), 2)
+            await asyncio.sleep(1.0)
+            full.crash_failed()
+            self.disk_of(full).is_full = False
+            full.start()
+            await self.accept(group, b"after")
+            await asyncio.sleep(2.0)
+            self.assertEqual(self.commands_on_disks(group, b"while-full"), 3)
+
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                run_virtual(main(seed))
+
+    def test_full_disk_of_the_leader_makes_another_one_lead(self) -> None:
+        """Its replica ends, as it can take nothing more."""
+
+        async def main(seed: int) -> None:
+            group, leader = await self.start(seed)
+            self.disk_of(leader).is_full = True
+            await group.propose(b"refused")
+            await asyncio.sleep(0.5)
+            leader.crash_failed()
+            await self.accept(group, b"accepted")
+            self.assertGreaterEqual(self.commands_on_disks(group, b"accepted"), 2)
+
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                run_virtual(main(seed))
+
+    def test_hanging_disk_of_any_replica_holds_nothing_up(self) -> None:
+        """What two disks hold is accepted; one that hangs counts for nothing."""
+
+        async def main(seed: int, *, at_leader: bool) -> None:
+            group, leader = await self.start(seed)
+            hanging = next(m for m in group.live() if (m is leader) == at_leader)
+            self.disk_of(hanging).answers.clear()
+            await self.accept(group, b"while-hanging")
+            self.assertGreaterEqual(self.commands_on_disks(group, b"while-hanging"), 2)
+            self.disk_of(hanging).answers.set()
+            await self.accept(group, b"after")
+            group.check()
+
+        for seed in SEEDS:
+            for at_leader in (False, True):
+                with self.subTest(seed=seed, at_leader=at_leader):
+                    run_virtual(main(seed, at_leader=at_leader))
+
+    def test_slow_disks_delay_a_change_and_lose_no_lease(self) -> None:
+        """Half a second a write is slower than a heartbeat, yet the leader stays."""
+
+        async def main(seed: int) -> None:
+            group, leader = await self.start(seed)
+            for member in group.live():
+                self.disk_of(member).extra_seconds = 0.5
+            for number in range(3):
+                await self.accept(group, b"slow-%d" % number)
+            self.assertIs(group.leader(), leader)
+
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                run_virtual(main(seed))
