--- a/poplarlug/soak/deployment.py
+++ b/poplarlug/soak/deployment.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -10,12 +11,17 @@
 from collections.abc import Callable, Mapping
 from functools import partial
 from pathlib import Path
+from random import Random
 from typing import Any, NamedTuple
 
+from poplarlug.control.log_storage import LOG_FILE
+from poplarlug.control.records import encode_record
 from poplarlug.platform.names import READINESS_PATH, SETTINGS_VARIABLE
 
 ZONES = {"quito-a": "sierra", "cuenca-a": "austro", "guayaquil-a": "costa"}
 START_SECONDS = 20.0
+TORN_BYTES = 200
+"""Payload of a record that is cut short."""
 
 
 class Answer(NamedTuple):
@@ -189,6 +195,17 @@
         else:
             self.start_control(self.zone_of(name), name, bootstrap=False)
 
+    def lose_disk(self, name: str) -> None:
+        """Remove the data of a control replica that does not run."""
+        shutil.rmtree(self.folder / name)
+
+    def tear_log(self, name: str, rng: Random) -> None:
+        """Leave the beginning of a record at the end of a stopped replica's log."""
+        path = self.folder / name / LOG_FILE
+        record = encode_record(bytes(TORN_BYTES), path.stat().st_size)
+        with path.open("ab") as log:
+            log.write(record[: rng.randrange(1, len(record))])
+
     def log(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text()
 
--- a/poplarlug/soak/run.py
+++ b/poplarlug/soak/run.py
@@ -25,7 +25,7 @@
 from poplarlug.soak.deployment import ZONES, SeededDeployment
 from poplarlug.soak.promises import check_calls
 from poplarlug.soak.proxy import FaultProxy, LinkMode
-from poplarlug.soak.schedule import Fault, draw_schedule
+from poplarlug.soak.schedule import Fault, draw_schedule, draw_storage_faults
 from poplarlug.soak.upstream import Upstream
 from poplarlug.types import Seconds
 
@@ -74,7 +74,11 @@
         self._seed = seed
         self._seconds = seconds
         self._rng = Random(seed)
-        self.faults = draw_schedule(self._rng, seconds=seconds)
+        drawn = draw_schedule(self._rng, seconds=seconds)
+        # Drawn apart, so that the seeds that failed once keep their faults.
+        self._storage_rng = Random(f"{seed}/storage")
+        storage = draw_storage_faults(self._storage_rng, seconds=seconds)
+        self.faults = tuple(sorted([*drawn, *storage], key=lambda fault: fault.at))
         folder.mkdir(parents=True, exist_ok=True)
         self._deployment = SeededDeployment(folder=folder, entry_zones=ENTRY_ZONES)
         self._proxy = FaultProxy()
@@ -155,7 +159,9 @@
         self._proxy.heal()
 
     def _apply(self, fault: Fault) -> None:
-        if fault.is_of_process:
+        if fault.is_of_storage:
+            self._hit_storage(fault)
+        elif fault.is_of_process:
             self._hit_process(fault)
         else:
             self._hit_upstream(fault)
@@ -176,6 +182,20 @@
             time.sleep(fault.seconds)
             deployment.start(name)
 
+    def _hit_storage(self, fault: Fault) -> None:
+        deployment = self._deployment
+        names = [*deployment.control.values()]
+        name = names[fault.target % len(names)]
+        if not deployment.is_running(name):
+            return
+        deployment.kill(name)
+        if fault.kind == "lose_disk":
+            deployment.lose_disk(name)
+        else:
+            deployment.tear_log(name, self._storage_rng)
+        time.sleep(fault.seconds)
+        deployment.start(name)
+
     def _hit_upstream(self, fault: Fault) -> None:
         upstream = self._upstreams[fault.target % len(self._upstreams)]
         modes = {
--- a/poplarlug/soak/schedule.py
+++ b/poplarlug/soak/schedule.py
@@ -20,6 +20,9 @@
     "leave",
 ]
 
+StorageFaultKind: TypeAlias = Literal["lose_disk", "tear_log"]
+"""A control replica comes back without its data, or with a record half written."""
+
 MEAN_GAP_SECONDS = 1.0
 """Mean time between the starts of two faults; they overlap."""
 
@@ -44,7 +47,7 @@
     """
 
     at: Seconds
-    kind: FaultKind
+    kind: FaultKind | StorageFaultKind
     seconds: Seconds
     target: int
 
@@ -53,6 +56,11 @@
         """Whether a process is hit, or an upstream and the way to it."""
         return self.kind in _PROCESS_KINDS
 
+    @property
+    def is_of_storage(self) -> bool:
+        """Whether a control replica's data folder is hit."""
+        return self.kind in get_args(StorageFaultKind)
+
 
 def draw_schedule(rng: Random, *, seconds: Seconds) -> tuple[Fault, ...]:
     """Return the faults of one run in the order of their times."""
@@ -69,3 +77,21 @@
         )
         at += rng.expovariate(1 / MEAN_GAP_SECONDS)
     return tuple(faults)
+
+
+def draw_storage_faults(rng: Random, *, seconds: Seconds) -> tuple[Fault, ...]:
+    """
+    Return the storage faults of one run: one lost disk and two torn logs.
+
+    One disk may be lost at a time, until another replica has its content again.
+    """
+    kinds: tuple[StorageFaultKind, ...] = ("lose_disk", "tear_log", "tear_log")
+    return tuple(
+        Fault(
+            at=round(rng.uniform(0.0, seconds), 3),
+            kind=kind,
+            seconds=round(rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS), 3),
+            target=rng.randrange(1000),
+        )
+        for kind in kinds
+    )
