Work out once a request what is held where

The most that any place holds was computed again for each candidate, so a decision's time grew with their square. Homes are remembered by service, as two services with engines drop each other's.

--- a/poplarlug/relay/affinity.py
+++ b/poplarlug/relay/affinity.py
@@ -1,6 +1,6 @@
 """Which engines should read, and probably hold, the shared parts of a prompt."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 import xxhash
@@ -77,15 +77,15 @@
         Probability that it holds them, see :func:`home_held_share`.
     known_by_id : mapping
         Tokens that engines of the own region hold as far as this entry sent them.
-    held_by_region : mapping
-        Expected tokens at the best engine of other regions.
+    most_held : int
+        Expected tokens where most are, in any region.
     """
 
     shared_tokens: int = 0
     home: UpstreamId | None = None
     home_held_share: float = 0.0
     known_by_id: Mapping[UpstreamId, int] = {}
-    held_by_region: Mapping[RegionName, int] = {}
+    most_held: int = 0
 
     def held_tokens(self, upstream_id: UpstreamId) -> int:
         """Return the shared tokens that an engine of the own region should hold."""
@@ -96,13 +96,7 @@
 
     def reread_tokens(self, held: int) -> int:
         """Return the tokens that a place reads again although another holds them."""
-        return max(0, self._most - held)
-
-    @property
-    def _most(self) -> int:
-        home = 0 if self.home is None else self.held_tokens(self.home)
-        known = max(self.known_by_id.values(), default=0)
-        return max(home, known, *self.held_by_region.values(), 0)
+        return max(0, self.most_held - held)
 
 
 def home_held_share(entries: int) -> float:
@@ -110,6 +104,32 @@
     return max(0.0, 1.0 - OWN_SENDS_SHARE / max(1, entries))
 
 
+def make_affinity(
+    *,
+    shared: int,
+    home: UpstreamId | None,
+    entries: int,
+    known_by_id: Mapping[UpstreamId, int],
+    held_elsewhere: Iterable[int],
+) -> Affinity:
+    """
+    Return what engines probably hold of a prompt's shared parts.
+
+    Parameters
+    ----------
+    shared : int
+        Tokens of these parts.
+    entries : int
+        Entries of the own region.
+    held_elsewhere : iterable of int
+        Expected tokens at the best engine of each other region.
+    """
+    affinity = Affinity(shared, home, home_held_share(entries), known_by_id)
+    at_home = 0 if home is None else affinity.held_tokens(home)
+    most = max(at_home, *known_by_id.values(), *held_elsewhere, 0)
+    return affinity._replace(most_held=most)
+
+
 def shared_tokens(prompt: Prompt) -> int:
     """Return the tokens of all parts but the last one."""
     return sum(part.tokens for part in prompt.parts[:-1])
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -13,7 +13,7 @@
     FAR_HELD_SHARE,
     Affinity,
     Homes,
-    home_held_share,
+    make_affinity,
     shared_tokens,
 )
 from poplarlug.relay.budgets import WarmupBudget, WarmupLimits
@@ -25,7 +25,7 @@
 from poplarlug.relay.in_flight import Flight, InFlight
 from poplarlug.relay.part_cache import PartCache
 from poplarlug.relay.placement import Candidate, Demand, RemoteRegion
-from poplarlug.relay.requests import RelayRequest
+from poplarlug.relay.requests import Prompt, RelayRequest
 from poplarlug.routes import RoutedService
 from poplarlug.types import RegionName, Seconds, ServiceName, UpstreamId, VmName
 
@@ -92,7 +92,7 @@
         self._clock = clock
         self._warmups_by_id: dict[UpstreamId, WarmupBudget] = {}
         self._caches_by_region: dict[RegionName, PartCache] = {}
-        self._homes = Homes()
+        self._homes_by_service: dict[ServiceName, Homes] = {}
         self._avoided_until_by_entry: dict[VmName, Seconds] = {}
         self._pauses_by_region: dict[tuple[ServiceName, RegionName], _Pause] = {}
 
@@ -166,28 +166,32 @@
         shared = shared_tokens(prompt)
         if not shared:
             return Affinity()
-        regions_by_id = self.deployment.serving_regions(request.service)
-        homes = self._homes.of(prompt, regions_by_id)
         own = self.deployment.own_region
-        return Affinity(
-            shared_tokens=shared,
+        regions_by_id = self.deployment.serving_regions(request.service)
+        homes = self._homes_by_service.setdefault(request.service, Homes()).of(
+            prompt, regions_by_id
+        )
+        return make_affinity(
+            shared=shared,
             home=None if demand.must_forward else homes.get(own),
-            home_held_share=home_held_share(len(self.deployment.sharers(own))),
+            entries=len(self.deployment.sharers(own)),
             known_by_id={
                 upstream_id: self.in_flight.cached_shared_tokens(upstream_id, prompt)
                 for upstream_id, region in regions_by_id.items()
                 if region == own
             },
-            held_by_region={
-                region: max(
-                    int(FAR_HELD_SHARE * shared),
-                    self._cache_of(region).hit_tokens(prompt, last=False),
-                )
+            held_elsewhere=[
+                self._held_in(region, prompt)
                 for region in homes
                 if demand.may_forward and region != own and request.route.allows(region)
-            },
+            ],
         )
 
+    def _held_in(self, region: RegionName, prompt: Prompt) -> int:
+        """Return the shared tokens expected at the best engine of another region."""
+        known = self._cache_of(region).hit_tokens(prompt, last=False)
+        return max(int(FAR_HELD_SHARE * shared_tokens(prompt)), known)
+
     def candidates(
         self,
         request: RelayRequest,
@@ -279,7 +283,7 @@
         if affinity is None:
             return region
         prompt = request.prompt
-        held = affinity.held_by_region.get(load.region, 0)
+        held = self._held_in(load.region, prompt)
         cached = max(held, self._cache_of(load.region).hit_tokens(prompt))
         return region._replace(
             read_seconds=read_seconds(max(0, prompt.tokens - cached), cached),
--- a/tests/relay/test_affinity.py
+++ b/tests/relay/test_affinity.py
@@ -1,12 +1,13 @@
 """Tests of which engine reads a prompt's shared parts."""
 
+from typing import Any
 from unittest import TestCase
 
 from poplarlug.relay.affinity import (
     Affinity,
     Homes,
     home_held_share,
-    shared_tokens,
+    make_affinity,
 )
 from poplarlug.relay.part_cache import PART_LIFE_SECONDS, PartCache
 from poplarlug.relay.requests import Prompt, PromptPart
@@ -62,13 +63,24 @@
 
 
 class AffinityTests(TestCase):
+    def make(self, **fields: Any) -> Affinity:
+        given = {
+            "shared": 1200,
+            "home": "e-2",
+            "entries": 10,
+            "known_by_id": {},
+            "held_elsewhere": (),
+        }
+        return make_affinity(**{**given, **fields})
+
     def test_home_is_expected_to_hold_what_this_entry_never_sent(self) -> None:
         """Other entries sent it there; elsewhere it would be read again."""
-        affinity = Affinity(shared_tokens(PROMPT), "e-2", 0.8)
-        self.assertEqual(affinity.held_tokens("e-2"), 960)
-        self.assertEqual(affinity.reread_tokens(affinity.held_tokens("e-2")), 0)
+        affinity = self.make()
+        held = affinity.held_tokens("e-2")
+        self.assertEqual(held, int(home_held_share(10) * 1200))
+        self.assertEqual(affinity.reread_tokens(held), 0)
         self.assertEqual(affinity.held_tokens("e-1"), 0)
-        self.assertEqual(affinity.reread_tokens(0), 960)
+        self.assertEqual(affinity.reread_tokens(0), held)
 
     def test_home_is_trusted_more_the_less_an_entry_sees_itself(self) -> None:
         """An entry alone sent everything; one of many sent nearly nothing."""
@@ -79,14 +91,15 @@
 
     def test_known_holder_goes_before_the_home(self) -> None:
         """Reading a part again that is known elsewhere counts in full."""
-        affinity = Affinity(1200, "e-2", 0.8, {"e-1": 1200, "e-2": 0})
+        affinity = self.make(known_by_id={"e-1": 1200, "e-2": 0})
         self.assertEqual(affinity.held_tokens("e-1"), 1200)
         self.assertEqual(affinity.reread_tokens(1200), 0)
-        self.assertEqual(affinity.reread_tokens(affinity.held_tokens("e-2")), 240)
+        at_home = affinity.held_tokens("e-2")
+        self.assertEqual(affinity.reread_tokens(at_home), 1200 - at_home)
 
     def test_holder_in_another_region_counts(self) -> None:
         """A place here reads again what the other region's engine holds."""
-        affinity = Affinity(1200, None, 0.0, {}, {"west": 720})
+        affinity = self.make(home=None, held_elsewhere=(720,))
         self.assertEqual(affinity.reread_tokens(0), 720)
         self.assertEqual(affinity.reread_tokens(720), 0)
 
