Refuse streams while their callers are still there, and let requests wait for a cold upstream

Callers of a stream leave when nothing came for 2 s, four objectives or eight pauses, whichever is longest; the line reckoned with the deadline of 15 s.

Change: the latest useful first answer of a stream is bounded by its caller's patience, in the line and in the placement; an own region whose upstreams are all cold and without room counts as full.

--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -21,7 +21,7 @@
     place,
 )
 from poplarlug.relay.requests import RelayRequest
-from poplarlug.relay.view import FleetView, Tried, answer_seconds
+from poplarlug.relay.view import FleetView, Tried, latest_first_answer
 from poplarlug.relay.waiting import Waiter, WaitingLine, retry_after
 from poplarlug.routes import RoutedService
 from poplarlug.types import Seconds, ServiceName
@@ -32,6 +32,9 @@
 NO_UPSTREAM_RETRY_SECONDS = 1.2
 """When to come back where no upstream is there; one announces itself in a beat."""
 
+COLD_RETRY_SECONDS = 0.5
+"""When a cold upstream bears the next request; its bound counts by the second."""
+
 MIN_RUN_SECONDS = 0.05
 """A request with less time left can't be answered."""
 
@@ -176,7 +179,7 @@
     def _start_by(self, request: RelayRequest) -> Seconds:
         """Return the latest start that still serves the caller."""
         first = max(MIN_RUN_SECONDS, 0.5 * request.route.objective_seconds)
-        return request.deadline - first - answer_seconds(request)
+        return latest_first_answer(request) - first
 
     def _serve_line(self, service: ServiceName) -> None:
         line = self._lines_by_service.get(service)
@@ -238,6 +241,11 @@
                 view.hand_to(placement.region, request)
                 return FarPlace(entry, placement.expected_seconds, placement.loss)
             regions = [r for r in regions if r.region != placement.region]
+        if isinstance(placement, Nothing) and view.has_upstreams(
+            request, service, tried
+        ):
+            # All of them are cold and have got what they bear for this second.
+            return Full(COLD_RETRY_SECONDS)
         if not isinstance(placement, Local):
             return placement
         chosen = next(c for c in candidates if c.id == placement.upstream_id)
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -34,6 +34,12 @@
 ANSWER_SHARE = 0.2
 """Part of a route's time that is kept for the answer after its first event."""
 
+MIN_PATIENCE_SECONDS = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
+"""Callers leave a stream that gives nothing for the longest of these: a time, some
+objectives, some of the longest pauses; the users' deployments say so."""
+
 REGION_CACHE_TOKENS = 400_000
 """Cached tokens that an entry counts on in another region; two engines hold more."""
 
@@ -192,6 +198,15 @@
         known = self._cache_of(region).hit_tokens(prompt, last=False)
         return max(int(FAR_HELD_SHARE * shared_tokens(prompt)), known)
 
+    def has_upstreams(
+        self, request: RelayRequest, service: RoutedService, tried: Tried
+    ) -> bool:
+        """Return whether the own region has upstreams, also cold ones without room."""
+        return request.route.allows(self.deployment.own_region) and any(
+            upstream.id not in tried.upstreams
+            for upstream in self.deployment.serving(service.name)
+        )
+
     def candidates(
         self,
         request: RelayRequest,
@@ -250,7 +265,7 @@
             kv_tokens=prompt.tokens + prompt.max_tokens if request.route.prompts else 0,
             objective_seconds=request.arrived + objective - now,
             whole_objective_seconds=objective,
-            latest_seconds=request.deadline - answer_seconds(request) - now,
+            latest_seconds=latest_first_answer(request) - now,
             may_forward=request.hops == 0,
             must_forward=not request.route.allows(self.deployment.own_region),
         )
@@ -335,6 +350,25 @@
         return budget
 
 
+def latest_first_answer(request: RelayRequest) -> Seconds:
+    """
+    Return the loop time after which a first answer is of no use any more.
+
+    The rest of it would come after the deadline, or the caller of a stream that has
+    not begun has left by then.
+    """
+    latest = request.deadline - answer_seconds(request)
+    route = request.route
+    if route.kind != "streaming":
+        return latest
+    patience = max(
+        MIN_PATIENCE_SECONDS,
+        PATIENCE_OBJECTIVES * route.objective_seconds,
+        PATIENCE_PAUSES * route.max_pause_seconds,
+    )
+    return min(latest, request.arrived + patience)
+
+
 def answer_seconds(request: RelayRequest) -> Seconds:
     """
     Return how long a request's answer takes after its first event.
--- /dev/null
+++ b/tests/relay/test_dispatcher.py
@@ -0,0 +1,104 @@
+"""Tests of where and when a request runs."""
+
+import asyncio
+from random import Random
+
+from returns.result import Failure
+
+from poplarlug.control.routing_state import encode_table
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.messages import PollReply, RoutingNews
+from poplarlug.discovery.records import ServiceUpstream
+from poplarlug.errors import GatewayError
+from poplarlug.relay.budgets import WarmupLimits
+from poplarlug.relay.dispatcher import Dispatcher, LocalPlace
+from poplarlug.relay.in_flight import InFlight
+from poplarlug.relay.requests import RelayRequest
+from poplarlug.relay.view import FleetView, Tried
+from poplarlug.routes import Engine, RoutedService, RouteTable
+from poplarlug.virtualtime import run_virtual
+from tests.control.quiet import QuietTestCase
+from tests.relay.test_view import make_request
+from tests.routes.test_checks import make_route
+
+ROUTE = make_route(
+    kind="streaming",
+    prompts=True,
+    timeout_seconds=15.0,
+    objective_seconds=0.5,
+    max_pause_seconds=0.4,
+)
+PATIENCE_SECONDS = 3.2
+"""Eight pauses of 0.4 s."""
+
+
+class DispatcherTests(QuietTestCase):
+    def make(self, *, cold_seconds: float = 0.0, slots: int = 1) -> Dispatcher:
+        """Return a dispatcher of a region with one engine."""
+        clock = asyncio.get_running_loop().time
+        deployment = Deployment(
+            own_region="east", regions_by_zone={"a": "east"}, clock=clock
+        )
+        service = RoutedService(
+            "engine", warmup_per_second=1.0, engine=Engine(slots, 100_000)
+        )
+        table = RouteTable(1, (ROUTE,), (service,))
+        upstream = ServiceUpstream(
+            "e-1", "engine", "", "a", 1, 1, slots, cold_seconds=cold_seconds
+        )
+        deployment.take(
+            PollReply(
+                registry_id="r",
+                revision=1,
+                whole=True,
+                current=True,
+                zone="a",
+                upstreams=(upstream,),
+                routing=RoutingNews(1, encode_table(table), ()),
+            )
+        )
+        view = FleetView(
+            name="entry-1",
+            deployment=deployment,
+            in_flight=InFlight(clock=clock, others=lambda _: None),
+            warmup=WarmupLimits(overage=1.0, slack=0.0),
+            rng=Random(1),
+            clock=clock,
+        )
+        return Dispatcher(view=view, clock=clock)
+
+    def request(self) -> RelayRequest:
+        now = asyncio.get_running_loop().time()
+        return make_request(route=ROUTE, arrived=now, deadline=now + 15.0)
+
+    def test_cold_upstream_without_room_is_not_missing(self) -> None:
+        """The next request waits for its turn and isn't told that nobody is there."""
+
+        async def main() -> tuple[float, object]:
+            dispatcher = self.make(cold_seconds=30.0, slots=4)
+            running = asyncio.ensure_future(dispatcher.run())
+            await dispatcher.find(self.request(), Tried())
+            found = await dispatcher.find(self.request(), Tried())
+            running.cancel()
+            return asyncio.get_running_loop().time(), found.unwrap()
+
+        waited, place = run_virtual(main())
+        self.assertIsInstance(place, LocalPlace)
+        self.assertGreater(waited, 0.5)
+
+    def test_stream_is_refused_before_its_caller_leaves(self) -> None:
+        """All places stay taken; who waits learns it while there is time to return."""
+
+        async def main() -> tuple[float, GatewayError]:
+            dispatcher = self.make()
+            running = asyncio.ensure_future(dispatcher.run())
+            await dispatcher.find(self.request(), Tried())
+            found = await dispatcher.find(self.request(), Tried())
+            running.cancel()
+            assert isinstance(found, Failure)
+            return asyncio.get_running_loop().time(), found.failure()
+
+        waited, refusal = run_virtual(main())
+        self.assertEqual(refusal.status, 429)
+        self.assertIs(refusal.ran, False)
+        self.assertLess(waited, PATIENCE_SECONDS)
--- a/tests/relay/test_view.py
+++ b/tests/relay/test_view.py
@@ -15,6 +15,7 @@
     FleetView,
     Tried,
     answer_seconds,
+    latest_first_answer,
 )
 from tests.control.quiet import QuietTestCase
 from tests.routes.test_checks import make_route
@@ -52,6 +53,32 @@
         self.assertEqual(answer_seconds(plain), 0.0)
 
 
+class LatestFirstAnswerTests(TestCase):
+    def make(self, **fields: object) -> RelayRequest:
+        route = make_route(
+            kind="streaming",
+            prompts=True,
+            timeout_seconds=15.0,
+            objective_seconds=0.5,
+            max_pause_seconds=0.4,
+        )
+        return make_request(route=route, arrived=1.0, deadline=16.0, **fields)
+
+    def test_caller_of_a_silent_stream_leaves_before_its_deadline(self) -> None:
+        """Eight pauses of 0.4 s; who can't begin by then is told so at once."""
+        self.assertAlmostEqual(latest_first_answer(self.make()), 4.2)
+
+    def test_deadline_comes_first_for_hurried_callers(self) -> None:
+        """The whole answer has to come by then."""
+        hurried = self.make()._replace(deadline=3.0)
+        self.assertLess(latest_first_answer(hurried), 3.0)
+
+    def test_plain_answers_wait_for_their_deadline(self) -> None:
+        """Nobody leaves a booking for its silence."""
+        plain = make_request(route=make_route(), prompt=Prompt(), deadline=16.0)
+        self.assertEqual(latest_first_answer(plain), 16.0)
+
+
 class RegionPauseTests(QuietTestCase):
     def setUp(self) -> None:
         super().setUp()
