Ask a key's holders again before its owner's silence makes a booking unknown

Cause: another zone's entry tried to own the key, its claims arrived and its votes were lost on the way back. It gave up after 1.5 s and sent the release. The home booking asked the holders a millisecond before the release came, so it found the key claimed, asked the owner, which was cut off, twice (3.0 s and a lost link), and answered "unknown" without looking at the holders again.

Change: a silent owner sends the booking back to the holders; it is unknown only if they still show the same claim after two silences. The vote itself is untouched, so at most once holds as before.

Test: tests/serving/test_at_most_once, in virtual time; before the change it fails with 502 outcome_unknown.

--- a/poplarlug/claims/holder.py
+++ b/poplarlug/claims/holder.py
@@ -13,6 +13,7 @@
     ClaimRecord,
     ClaimReply,
     ClaimRequest,
+    ClaimState,
     ClaimUpdate,
     CopyPage,
     CopyRequest,
@@ -130,7 +131,15 @@
 
     async def update(self, update: ClaimUpdate) -> UpdateReply:
         """Take in how an attempt ended."""
+        held = self._table.get(update.key)
         if self._table.update(update):
+            if update.state is ClaimState.RELEASED and _is_claim(held, update):
+                _log.info(
+                    "a claim was released",
+                    key=update.key.key,
+                    owner=update.attempt.owner,
+                    attempt=update.attempt.number,
+                )
             await self._sync(update.key)
         return UpdateReply(True)
 
@@ -235,6 +244,14 @@
             await self._journal.append(record, self._table)
 
 
+def _is_claim(held: ClaimRecord | None, update: ClaimUpdate) -> bool:
+    return (
+        held is not None
+        and held.state is ClaimState.CLAIMED
+        and held.attempt == update.attempt
+    )
+
+
 def _pages(items: Iterator[tuple[ClaimRecord, Seconds]]) -> Iterator[CopyPage]:
     records: list[ClaimRecord] = []
     lives: list[Seconds] = []
--- a/poplarlug/claims/owner.py
+++ b/poplarlug/claims/owner.py
@@ -130,16 +130,15 @@
         """Do what :meth:`finish` does without a wait."""
         self._start_update(request, state, None)
 
-    async def join(self, record: ClaimRecord, seconds: Seconds) -> JoinReply:
+    async def join(self, record: ClaimRecord, seconds: Seconds) -> JoinReply | None:
         """
         Wait up to ``seconds`` for the end of another's attempt.
 
-        ``CLAIMED`` says that it still runs, ``UNKNOWN`` that its owner can't
-        be reached or knows nothing of it.
+        ``CLAIMED`` says that it still runs, ``UNKNOWN`` that its owner knows
+        nothing of it, ``None`` that its owner can't be reached.
         """
         deadline = self._clock() + seconds
         attempt = record.attempt
-        silent = 0
         while True:
             wait = min(JOIN_POLL_SECONDS, max(0.0, deadline - self._clock()))
             request = JoinRequest(record.key, attempt, wait)
@@ -148,10 +147,7 @@
             else:
                 reply = await self._ask_owner(request)
             if reply is None:
-                silent += 1
-                if silent == 2:
-                    return JoinReply(ClaimState.UNKNOWN)
-                continue
+                return None
             if reply.state is not ClaimState.CLAIMED or self._clock() >= deadline:
                 return reply
 
@@ -228,6 +224,13 @@
         )
         if isinstance(reply, Success):
             return reply.unwrap()
+        _log.warning(
+            "the owner of a claim is silent",
+            key=request.key.key,
+            owner=request.attempt.owner,
+            attempt=request.attempt.number,
+            error=reply.failure().message,
+        )
         await asyncio.sleep(RESEND_SECONDS)
         return None
 
--- a/poplarlug/serving/at_most_once.py
+++ b/poplarlug/serving/at_most_once.py
@@ -1,6 +1,7 @@
 """Runs requests that may not be repeated at most once."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -10,6 +11,7 @@
 from poplarlug.claims.owner import ClaimOwner
 from poplarlug.claims.placement import home_zone
 from poplarlug.claims.records import (
+    ClaimAttempt,
     ClaimKey,
     ClaimRecord,
     ClaimRequest,
@@ -35,6 +37,9 @@
 JOIN_SECONDS = 10.0
 MAX_RUN_SECONDS = 300.0
 MAX_ACQUIRES = 6
+MAX_SILENCES = 2
+"""An owner that didn't answer this often is taken as lost, as one message may be."""
+
 FIRST_BACKOFF_SECONDS = 0.01
 RETRY_AFTER_SECONDS = 1.0
 RECOVERING_RETRY_AFTER_SECONDS = 5.0
@@ -79,6 +84,7 @@
         key = ClaimKey(zone, account.name, request.key)
         fingerprint = fingerprint_of(request)
         backoff = FIRST_BACKOFF_SECONDS
+        silences_by_attempt: Counter[ClaimAttempt] = Counter()
         for _ in range(MAX_ACQUIRES):
             result = await self._owner.acquire(key, fingerprint)
             if isinstance(result, Owned):
@@ -87,7 +93,7 @@
                 return _refusal(zone, result.reason, request.first_send)
             if result.record.fingerprint != fingerprint:
                 return key_reused(request.key)
-            joined = await self._join(result.record)
+            joined = await self._join(result.record, silences_by_attempt)
             if isinstance(joined, GatewayError):
                 return joined
             if joined is not None:
@@ -97,11 +103,20 @@
             backoff *= 2
         return in_progress(RETRY_AFTER_SECONDS)
 
-    async def _join(self, record: ClaimRecord) -> StoredAnswer | GatewayError | None:
+    async def _join(
+        self, record: ClaimRecord, silences_by_attempt: Counter[ClaimAttempt]
+    ) -> StoredAnswer | GatewayError | None:
         """Return the first run's answer or error, ``None`` to claim again."""
         state, answer = record.state, record.answer
         if state is ClaimState.CLAIMED:
-            state, answer = await self._owner.join(record, JOIN_SECONDS)
+            if silences_by_attempt[record.attempt] >= MAX_SILENCES:
+                return _may_have_run()
+            reply = await self._owner.join(record, JOIN_SECONDS)
+            if reply is None:
+                # The holders may have learned of the attempt's end meanwhile.
+                silences_by_attempt[record.attempt] += 1
+                return None
+            state, answer = reply
             if state is ClaimState.DONE and answer is None:
                 # The owner has forgotten the answer; the holders have it.
                 return None
@@ -111,9 +126,7 @@
             return in_progress(RETRY_AFTER_SECONDS)
         if state is ClaimState.DONE:
             return answer or answer_not_kept()
-        return outcome_unknown(
-            "An earlier request with this key may have run; it won't run again."
-        )
+        return _may_have_run()
 
     async def _run_owned(
         self,
@@ -142,6 +155,12 @@
         return error
 
 
+def _may_have_run() -> GatewayError:
+    return outcome_unknown(
+        "An earlier request with this key may have run; it won't run again."
+    )
+
+
 def fingerprint_of(request: GatewayRequest) -> str:
     """Return a hash of all that makes two requests the same one."""
     parts = (request.method, request.service or "", request.path, request.content_type)
--- /dev/null
+++ b/tests/serving/test_at_most_once.py
@@ -0,0 +1,45 @@
+"""Tests of bookings whose key another entry tried to own."""
+
+import asyncio
+from random import Random
+from unittest import TestCase
+
+from poplarlug.logs import configure_logs
+from poplarlug.transport.memory import LinkQuality
+from poplarlug.virtualtime import run_virtual
+from tests.properties.claims_cluster import ClaimsCluster
+
+KEY = "quito-a:late-release"
+DELAYED = LinkQuality(min_delay=0.3, max_delay=0.3)
+STARTED_SECONDS = 4.0
+ATTEMPTED_SECONDS = 1.0
+
+
+class AtMostOnceTests(TestCase):
+    def setUp(self) -> None:
+        configure_logs(log_format="json", level="error")
+
+    def test_books_once_a_silent_owner_has_released_the_key(self) -> None:
+        """A release that comes while its owner is silent lets a booking run."""
+        # Guards against 502 "may have run" for a key that was never owned, because
+        # its holders were not asked again after its owner had been silent.
+        cluster = run_virtual(self.book_beside_a_late_release())
+        refused, booked = cluster.told
+        self.assertEqual(refused.error and refused.error.type, "claims_unreachable")
+        self.assertIsNone(booked.error)
+        self.assertEqual([run.sending for run in cluster.ledger], ["second"])
+
+    async def book_beside_a_late_release(self) -> ClaimsCluster:
+        cluster = ClaimsCluster(rng=Random(1), entries=3)
+        cluster.network.copies = 0.0
+        await asyncio.sleep(STARTED_SECONDS)
+        owner, *others = [vm.name for vm in cluster.topology.entries]
+        for other in others:
+            cluster.network.cut(other, owner)
+        first = asyncio.ensure_future(cluster.send(owner, KEY, "first"))
+        await asyncio.sleep(ATTEMPTED_SECONDS)
+        for other in others:
+            cluster.network.quality_by_link[(owner, other)] = DELAYED
+        await first
+        await cluster.send(others[0], KEY, "second")
+        return cluster
