Take no share of common budgets while an entry doesn't know how many share them

Callers could see: cold upstreams sent more than they bear, and repeats beyond their bound, after the loss of a region or of all processes.

Cause: budgets are divided by the entries that an entry knows. An entry that starts learns them from its first control replica, which may have started with it and then names only those that asked it before. The first few of a region's 21 entries each took a share as if they were all; repeats beyond the ratio, too.

Change: poll replies say whether the replica has settled, that is, took another's tables or has run for five announcements. Until one has said so, an entry sends nothing to cold upstreams, which the rest of the region or others serve, and repeats within the ratio of its own requests. One log line says when all entries are known.

Tests: tests/relay/test_warmup_shares, tests/relay/test_budgets. Stand-ins that play a whole deployment say that they are settled.

--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -40,6 +40,12 @@
     ----------
     regions_by_zone : mapping
         Zones of the deployment.
+
+    Attributes
+    ----------
+    knows_all_entries : bool
+        Whether a replica that knew all of them has named them since the start of
+        this entry. Until then no share of a common budget can be worked out.
     """
 
     def __init__(
@@ -62,6 +68,7 @@
         self.others_loads_by_id: dict[UpstreamId, UpstreamLoad] = {}
         self.region_loads: tuple[RegionLoad, ...] = ()
         self.heard_at: Seconds = float("-inf")
+        self.knows_all_entries = False
         self.changed: Latest[int] = Latest(initial=0)
 
     @property
@@ -121,6 +128,7 @@
         Return the entries of a region, those that were lost lately included.
 
         Budgets are divided among them: one that is out of sight may spend its share.
+        See :attr:`knows_all_entries` for when they are all of them.
         """
         oldest = self._clock() - REMEMBER_SECONDS
         return [
@@ -153,6 +161,9 @@
         self.region_loads = reply.regions
         if reply.routing is not None:
             self._take_routing(reply.routing)
+        if reply.settled and not self.knows_all_entries:
+            self.knows_all_entries = True
+            _log.info("all entries are known", entries=self.count_sharers())
         if reply.entries or reply.upstreams or reply.routing:
             self._forget_lost()
             self.changed.set(self.changed.value + 1)
--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -84,6 +84,8 @@
         Loads of the other regions.
     control : tuple of Address
         Control replicas that are there.
+    settled : bool
+        Whether the replica has learned of all that is there since its start.
     """
 
     registry_id: str
@@ -97,6 +99,7 @@
     loads: tuple[UpstreamLoad, ...] = ()
     regions: tuple[RegionLoad, ...] = ()
     control: tuple[Address, ...] = ()
+    settled: bool = False
 
 
 class EntryLoads(NamedTuple):
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -294,6 +294,7 @@
             loads=self._loads.of_others(poll.record.name),
             regions=self._loads.other_regions(),
             control=self._peers.present(2 * GOSSIP_SECONDS),
+            settled=self.is_settled,
         )
 
 
--- a/poplarlug/load/replay/region.py
+++ b/poplarlug/load/replay/region.py
@@ -173,6 +173,7 @@
             for number in range(pattern.engines)
         ),
         routing=RoutingNews(1, encode_table(table), ()),
+        settled=True,
     )
 
 
--- a/poplarlug/relay/budgets.py
+++ b/poplarlug/relay/budgets.py
@@ -37,7 +37,8 @@
     Load pattern: upstreams that fail many requests while their load is high; a
     repeat of each would double the load. The ratio counts this entry's own
     requests, which holds whatever the other entries see. The extra repeats are
-    divided by the entries that were there lately.
+    divided by the entries that were there lately; while these are not known
+    (``None``) an entry has no part of them.
     """
 
     def __init__(self, *, limits: RetryLimits, clock: Callable[[], Seconds]) -> None:
@@ -50,14 +51,16 @@
         """Count a caller's request to the service."""
         self._requests.append(self._clock())
 
-    def has_room(self, entries: int) -> bool:
+    def has_room(self, entries: int | None) -> bool:
         """Return whether one more repeat is within the share."""
         self._drop_old()
         limits = self._limits
-        allowed = limits.ratio * len(self._requests) + limits.extra / max(1, entries)
+        allowed = limits.ratio * len(self._requests)
+        if entries is not None:
+            allowed += limits.extra / max(1, entries)
         return len(self._repeats) + 1 <= limits.share * allowed
 
-    def take(self, entries: int) -> bool:
+    def take(self, entries: int | None) -> bool:
         """Return whether one more repeat is within the share, and count it."""
         if not self.has_room(entries):
             return False
@@ -108,14 +111,12 @@
         Parameters
         ----------
         rate : float
-            Requests a second that the service says it bears while cold.
+            Requests a second that the service says it bears while cold, above 0.
         entries : int
             Entries of the region.
         position : int
             Rank of this entry among them for this upstream, from 0.
         """
-        if rate <= 0:
-            return True
         whole = int(rate * self._limits.overage + self._limits.slack)
         share, rest = divmod(whole, max(1, entries))
         share += position < rest
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -335,7 +335,10 @@
             self._budgets_by_service[service] = budget
         return budget
 
-    def _entries(self) -> int:
+    def _entries(self) -> int | None:
+        """Return how many entries share the budgets, ``None`` while unknown."""
+        if not self._deployment.knows_all_entries:
+            return None
         return self._deployment.count_sharers()
 
 
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -330,8 +330,10 @@
 
     def _bears(self, upstream: ServiceUpstream, service: RoutedService) -> bool:
         """Return whether a cold upstream bears one more request from this entry."""
-        if not self._is_cold(upstream):
+        if not self._is_cold(upstream) or service.warmup_per_second <= 0:
             return True
+        if not self.deployment.knows_all_entries:
+            return False
         names = {*self.deployment.sharers(self.deployment.own_region), self._name}
         ranked = sorted(
             names, key=lambda n: xxhash.xxh3_64_intdigest(f"{upstream.id}/{n}".encode())
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -38,6 +38,17 @@
         repeats = sum(budget.take(6) for budget in budgets for _ in range(100))
         self.assertLessEqual(repeats, LIMITS.extra)
 
+    def test_entries_that_know_few_others_take_no_part_of_the_extra(self) -> None:
+        """After a common start each would take the extra repeats for itself."""
+        # Guards against a multiple of the bound while entries don't know how many
+        # they are.
+        budgets = [RetryBudget(limits=LIMITS, clock=lambda: self.now) for _ in range(8)]
+        repeats = sum(budget.take(None) for budget in budgets for _ in range(100))
+        self.assertEqual(repeats, 0)
+        for _ in range(10):
+            budgets[0].note_request()
+        self.assertTrue(budgets[0].take(None))
+
 
 class WarmupBudgetTests(TestCase):
     def setUp(self) -> None:
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -55,6 +55,7 @@
                 zone="a",
                 upstreams=(upstream,),
                 routing=RoutingNews(1, encode_table(table), ()),
+                settled=True,
             )
         )
         view = FleetView(
--- a/tests/relay/test_warmup_shares.py
+++ b/tests/relay/test_warmup_shares.py
@@ -27,6 +27,7 @@
     zone="a",
     entries=ENTRIES,
     upstreams=(UPSTREAM,),
+    settled=True,
 )
 
 
@@ -83,3 +84,18 @@
             view.deployment.take(SETTLED)
             sent += self.send_all(view)
         self.assertLessEqual(sent, BOUND)
+
+    def test_entries_that_know_few_others_send_nothing(self) -> None:
+        """A replica that has just started names those that asked it so far."""
+        # Guards against shares of a bound among the first few of a region's
+        # entries, whose sum over all of them is a multiple of the bound.
+        sent = 0
+        for number, view in enumerate(self.views):
+            entries = ENTRIES[: number + 1]
+            view.deployment.take(SETTLED._replace(entries=entries, settled=False))
+            sent += self.send_all(view)
+        self.assertLessEqual(sent, BOUND)
+        for view in self.views:
+            view.deployment.take(SETTLED)
+            sent += self.send_all(view)
+        self.assertEqual(sent, int(BOUND))
