Let a control replica outlive a full disk

Operators saw two lines of traceback five times a second and processes that ended.

Cause: after the first failed write the log refused all others for the life of the process, each append request of the leader ended in a traceback, the supervisor restarted the replica on the same refusing log eight times, and the process ended with status 1 some 7 s later. For that time the group was one voter short, also when the disk had long had room again; a second full disk then left it without a quorum for 5 s.

Ruled out: that the failed write itself lost something (the log is rewritten from memory and never was behind).

Change: a failed write makes the next one replace the whole file, so that nothing is appended to a part of a record and no sync that failed once is trusted. A follower answers that it holds no more than its disk does, half a second later; a leader steps down; a candidate asks for votes once its log and vote are durable; a vote that isn't durable isn't given. One line says that the disk refuses, one that it takes writes again. The rest of a file that could not be written whole is removed.

Tests: test_full_disk_heals_without_a_restart and test_entries_after_a_failed_write_are_kept fail before. The test test_replica_with_a_failing_disk_ends demanded the end of the process, which is what was wrong; in its place test_replica_with_a_failing_disk_counts_for_nothing checks what that end stood for: such a replica leads nothing, and with a second one away nothing is accepted.

--- a/poplarlug/control/disk.py
+++ b/poplarlug/control/disk.py
@@ -77,10 +77,15 @@
 
     def _replace(self, name: str, data: bytes) -> None:
         new = self._folder / f"{name}.new"
-        with new.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
+        try:
+            with new.open("wb") as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+        except OSError:
+            # What was written of it takes up space that a full disk lacks.
+            new.unlink(missing_ok=True)
+            raise
         new.replace(self._folder / name)
         self._sync_folder()
 
--- a/poplarlug/control/hard_state.py
+++ b/poplarlug/control/hard_state.py
@@ -71,9 +71,14 @@
 
     async def save(self) -> None:
         """Return when the present term and vote, or later ones, are synced."""
-        if self._saved != self._content():
+        if not self.is_saved:
             await self._save.run()
 
+    @property
+    def is_saved(self) -> bool:
+        """Whether the present term and vote are synced."""
+        return self._saved == self._content()
+
     def _content(self) -> _Content:
         return _Content(self.incarnation, self.term, self.voted_for)
 
--- a/poplarlug/control/log_storage.py
+++ b/poplarlug/control/log_storage.py
@@ -68,7 +68,6 @@
         self._entries: list[Entry] = []
         self._size = 0
         self._must_rewrite = True
-        self.has_failed = False
         self._lowest_cut = 0
         self._write = CoalescedWrite(write=self._write_batch)
 
@@ -158,10 +157,21 @@
         self._must_rewrite = True
 
     async def sync(self, log_index: int) -> None:
-        """Return when the entries up to ``log_index`` that remain are durable."""
-        while self.durable_index < min(log_index, self.last_index):
+        """
+        Return when the entries up to ``log_index`` that remain are durable.
+
+        Raises
+        ------
+        OSError
+            When the disk refuses a write; the next call writes the whole file anew.
+        """
+        while not self.is_durable(log_index):
             await self._write.run()
 
+    def is_durable(self, log_index: int) -> bool:
+        """Return whether the entries up to ``log_index`` that remain are durable."""
+        return self.durable_index >= min(log_index, self.last_index)
+
     async def rewrite(self) -> None:
         """Shorten the file to the entries that are held."""
         await self._write.run()
@@ -176,8 +186,6 @@
             self.append(batch.entries)
 
     async def _write_batch(self) -> None:
-        if self.has_failed:
-            raise OSError("an earlier write of the log failed; restart the process")
         if not self._must_rewrite and self.durable_index == self.last_index:
             return
         last_index = self._lowest_cut = self.last_index
@@ -196,7 +204,9 @@
         try:
             await write(LOG_FILE, record)
         except BaseException:
-            self.has_failed = True
+            # Part of the record may be in the file, durable or not: nothing may be
+            # appended to it any more.
+            self._must_rewrite = True
             raise
         self._size = offset + len(record)
         written = min(last_index, self._lowest_cut)
--- a/poplarlug/control/raft/consensus_state.py
+++ b/poplarlug/control/raft/consensus_state.py
@@ -80,6 +80,7 @@
         self.broken: Exception | None = None
         self.waiters_by_index: dict[int, Waiter] = {}
         self._members_by_index: dict[int, Members] = {0: Members()}
+        self._disk_refuses = False
 
     def now(self) -> Seconds:
         """Return the time by which leases and timeouts are counted."""
@@ -151,6 +152,35 @@
         self._apply_committed()
         return Success(None)
 
+    async def persist(self, log_index: int = 0) -> bool:
+        """
+        Save the hard state and sync the log up to ``log_index``.
+
+        Returns
+        -------
+        bool
+            Whether all of it is durable. Where the disk refuses, as a full one does,
+            the next call tries again.
+        """
+        writes = not self.hard_state.is_saved or not self.log.is_durable(log_index)
+        try:
+            await self.hard_state.save()
+            await self.log.sync(log_index)
+        except OSError as error:
+            self.note_disk(error)
+            return False
+        if writes:
+            self.note_disk(None)
+        return True
+
+    def note_disk(self, error: OSError | None) -> None:
+        """Log when the disk begins to refuse writes and when it takes them again."""
+        if error is not None and not self._disk_refuses:
+            _log.error("the disk refuses writes", name=self.name, error=repr(error))
+        elif error is None and self._disk_refuses:
+            _log.info("the disk takes writes again", name=self.name)
+        self._disk_refuses = error is not None
+
     def members_at(self, log_index: int) -> Members:
         """Return the members as of the entry at ``log_index``."""
         index = max(i for i in self._members_by_index if i <= log_index)
--- a/poplarlug/control/raft/election.py
+++ b/poplarlug/control/raft/election.py
@@ -62,6 +62,8 @@
         """Return whether this replica was elected and is the leader now."""
         state = self._state
         state.leader = None
+        if not await state.persist(state.log.last_index):
+            return False
         if not await self._poll(state.term + 1, pre_vote=True):
             return False
         if self._knows_of_leader() or not state.is_voter:
@@ -70,7 +72,8 @@
         state.hard_state.voted_for = state.me.vote_id
         state.role = Role.CANDIDATE
         term = state.term
-        await state.hard_state.save()
+        if not await state.persist():
+            return False
         won = await self._poll(term, pre_vote=False)
         if not won or state.term != term or state.role is not Role.CANDIDATE:
             return False
@@ -140,7 +143,8 @@
         await state.started.wait()
         forgot = state.may_have_forgotten
         granted = self._decide(Member(sender, request.candidate_incarnation), request)
-        await state.hard_state.save()
+        if not await state.persist():
+            granted = False
         return VoteReply(
             state.term,
             state.hard_state.incarnation,
--- a/poplarlug/control/raft/following.py
+++ b/poplarlug/control/raft/following.py
@@ -1,5 +1,7 @@
 """A follower's answers to its leader."""
 
+import asyncio
+
 from returns.result import Failure
 
 from poplarlug.control.raft.consensus_state import ConsensusState
@@ -11,6 +13,8 @@
     InstallReply,
     InstallRequest,
 )
+from poplarlug.control.raft.snapshotting import shorten_log
+from poplarlug.control.raft.timing import DISK_RETRY_SECONDS
 from poplarlug.control.snapshot_store import Snapshot, decode_snapshot
 from poplarlug.logs import PartLog
 from poplarlug.transport import Transport
@@ -37,12 +41,12 @@
             return self._append_reply(False, 0)
         previous = request.previous_index
         if not self._holds(previous, request.previous_term):
-            await state.hard_state.save()
+            await self._persist()
             return self._append_reply(False, self._try_from(previous))
         state.store(request.entries)
         last_index = previous + len(request.entries)
-        await state.hard_state.save()
-        await state.log.sync(last_index)
+        if not await self._persist(last_index):
+            return self._append_reply(False, state.log.durable_index)
         if state.term != request.term:
             return self._append_reply(False, 0)
         state.commit(min(request.commit_index, last_index))
@@ -55,7 +59,8 @@
         await state.started.wait()
         if not self._accepts(sender, request.term, request.member_incarnation):
             return self._install_reply(0, False)
-        await state.hard_state.save()
+        if not await self._persist():
+            return self._install_reply(0, False)
         if request.log_index <= state.applied_index:
             return self._install_reply(0, True)
         if request.log_index != self._incoming_index or request.offset == 0:
@@ -76,14 +81,26 @@
 
     async def _install(self, snapshot: Snapshot, term: int) -> bool:
         state = self._state
-        await state.snapshots.save(snapshot)
+        try:
+            await state.snapshots.save(snapshot)
+        except OSError as error:
+            state.note_disk(error)
+            return False
         if state.snapshots.log_index < snapshot.log_index or state.term != term:
             return False
         state.install(snapshot)
         _log.info("installed a snapshot", log_index=snapshot.log_index)
-        await state.log.rewrite()
+        await shorten_log(state)
         return True
 
+    async def _persist(self, log_index: int = 0) -> bool:
+        """Make durable what a reply rests on; pause where the disk refuses."""
+        if await self._state.persist(log_index):
+            return True
+        # The leader asks again at once.
+        await asyncio.sleep(DISK_RETRY_SECONDS)
+        return False
+
     def _accepts(self, sender: str, term: int, incarnation: str) -> bool:
         state = self._state
         if incarnation != state.hard_state.incarnation or term < state.term:
--- a/poplarlug/control/raft/leading.py
+++ b/poplarlug/control/raft/leading.py
@@ -83,7 +83,10 @@
             state.appended.clear()
             self._follow_members()
             self._wake_peers()
-            await state.log.sync(state.log.last_index)
+            if not await state.persist(state.log.last_index):
+                if state.leads(term):
+                    state.step_down("its disk refuses writes")
+                return
             if state.leads(term):
                 self.advance_commit()
             if state.log.durable_index >= state.log.last_index:
--- a/poplarlug/control/raft/replica.py
+++ b/poplarlug/control/raft/replica.py
@@ -22,7 +22,10 @@
     SNAPSHOT_ENTRIES,
     Snapshotting,
 )
-from poplarlug.control.raft.timing import MAX_ELECTION_TIMEOUT_SECONDS
+from poplarlug.control.raft.timing import (
+    DISK_RETRY_SECONDS,
+    MAX_ELECTION_TIMEOUT_SECONDS,
+)
 from poplarlug.control.replicated_log import (
     ProposeError,
     ProposeErrorKind,
@@ -133,7 +136,7 @@
     async def run(self) -> None:
         state = self.state
         await recover_alone(state, self._recover_incarnation)
-        await state.hard_state.save()
+        await self._persist_first()
         state.last_contact = state.started_at = state.now()
         state.started.set()
         try:
@@ -146,6 +149,13 @@
         finally:
             state.step_down("the replica stops")
 
+    async def _persist_first(self) -> None:
+        """Return once the disk holds what the answers to peers rest on."""
+        while True:
+            if await self.state.persist():
+                return
+            await asyncio.sleep(DISK_RETRY_SECONDS)
+
     async def _take_part(self) -> None:
         while True:
             await self._election.wait_until_due()
@@ -159,8 +169,6 @@
         while True:
             if self.state.broken is not None:
                 raise self.state.broken
-            if self.state.log.has_failed:
-                raise OSError("the log can't be written; look at the disk")
             await asyncio.sleep(WATCH_SECONDS)
 
     def _refusal(self, command: bytes) -> str | None:
--- a/poplarlug/control/raft/snapshotting.py
+++ b/poplarlug/control/raft/snapshotting.py
@@ -51,9 +51,22 @@
         snapshot = Snapshot(
             log_index, term, state.members_at(log_index), state.state_machine.snapshot()
         )
-        if not await state.snapshots.save(snapshot):
+        try:
+            if not await state.snapshots.save(snapshot):
+                return
+        except OSError as error:
+            state.note_disk(error)
             return
         state.forget_members_before(log_index)
         state.log.drop_until(log_index - self._kept_entries)
-        await state.log.rewrite()
+        await shorten_log(state)
         _log.info("saved a snapshot", name=state.name, log_index=log_index)
+
+
+async def shorten_log(state: ConsensusState) -> None:
+    """Rewrite the log's file, which holds entries that a snapshot holds too."""
+    try:
+        await state.log.rewrite()
+    except OSError as error:
+        # The longer file is as good; the next sync rewrites it.
+        state.note_disk(error)
--- a/poplarlug/control/raft/timing.py
+++ b/poplarlug/control/raft/timing.py
@@ -11,6 +11,10 @@
 LEASE_SECONDS = MIN_ELECTION_TIMEOUT_SECONDS * (1 - MAX_CLOCK_DRIFT)
 """How long after a heartbeat was sent its receivers elect no other leader."""
 
+DISK_RETRY_SECONDS = 0.5
+"""Pause after the disk refused a write; shorter than the timeout of a leader's
+request, which is answered after it."""
+
 VOTE_TIMEOUT_SECONDS = 1.0
 APPEND_TIMEOUT_SECONDS = 1.0
 IDENTITY_TIMEOUT_SECONDS = 1.0
--- a/tests/control/raft/test_disk_faults.py
+++ b/tests/control/raft/test_disk_faults.py
@@ -4,8 +4,11 @@
 import errno
 from itertools import repeat
 from random import Random
+from unittest.mock import patch
 
 from poplarlug.control.memory_disk import MemoryDisk
+from poplarlug.control.raft import consensus_state
+from poplarlug.transport import services
 from poplarlug.virtualtime import run_virtual
 from tests.control.group import GroupMember, SimulatedGroup
 from tests.control.quiet import QuietTestCase
@@ -121,6 +124,39 @@
             with self.subTest(seed=seed):
                 run_virtual(main(seed))
 
+    def test_full_disk_heals_without_a_restart(self) -> None:
+        """Once the disk has room the replica holds all, and counts for a quorum."""
+        # Guards against a replica that gave up its log at the first failed write,
+        # answered each request by a traceback and ended some seconds later.
+
+        async def main(seed: int, *, at_leader: bool) -> None:
+            group, leader = await self.start(seed)
+            full = next(m for m in group.live() if (m is leader) == at_leader)
+            other = next(m for m in group.live() if m is not full)
+            self.disk_of(full).is_full = True
+            for number in range(10):
+                await self.accept(group, b"while-full-%d" % number)
+                await asyncio.sleep(0.5)
+            self.assertEqual(self.commands_on_disks(group, b"while-full-9"), 2)
+            self.disk_of(full).is_full = False
+            await asyncio.sleep(2.0)
+            full.check_failures()
+            self.assertEqual(self.commands_on_disks(group, b"while-full-9"), 3)
+            other.crash()
+            await self.accept(group, b"with-the-healed-one")
+            group.check()
+
+        for seed in SEEDS:
+            for at_leader in (False, True):
+                with (
+                    self.subTest(seed=seed, at_leader=at_leader),
+                    patch.object(consensus_state, "_log") as log,
+                    patch.object(services, "_log") as transport_log,
+                ):
+                    run_virtual(main(seed, at_leader=at_leader))
+                    self.assertEqual(log.error.call_count, 1)
+                    transport_log.error.assert_not_called()
+
     def test_hanging_disk_of_any_replica_holds_nothing_up(self) -> None:
         """What two disks hold is accepted; one that hangs counts for nothing."""
 
--- a/tests/control/raft/test_replica.py
+++ b/tests/control/raft/test_replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from random import Random
+from unittest.mock import patch
 
 from poplarlug.control.replicated_log import LogEntry
 from poplarlug.virtualtime import run_virtual
@@ -23,20 +24,36 @@
         await group.wait_for_leader()
         self.assertTrue(await group.propose(b"y"))
 
-    def test_replica_with_a_failing_disk_ends(self) -> None:
-        """Leader or follower, it stops instead of going on without its log."""
+    def test_replica_with_a_failing_disk_counts_for_nothing(self) -> None:
+        """Leader or follower, it holds and leads nothing without its log."""
 
         async def main(leads: bool) -> None:
             group = SimulatedGroup(rng=Random(1))
             group.start()
             leader = await group.wait_for_leader()
             member = next(m for m in group.live() if (m is leader) == leads)
+            other = next(m for m in group.live() if m is not member)
 
-            async def append(name: str, data: bytes) -> None:
+            async def refuse(name: str, data: bytes) -> None:
                 raise OSError("no space left")
 
-            member.disk.append = append  # type: ignore[method-assign]
-            await self.check_ends(member)
+            with (
+                patch.object(member.disk, "append", refuse),
+                patch.object(member.disk, "replace", refuse),
+            ):
+                await group.propose(b"x")
+                await asyncio.sleep(5.0)
+                self.assertIsNot(await group.wait_for_leader(), member)
+                self.assertTrue(await group.propose(b"y"))
+                other.crash()
+                for _ in range(50):
+                    self.assertFalse(await group.propose(b"z"))
+                    await asyncio.sleep(0.1)
+                self.assertFalse(
+                    any(b"y" in data for data in member.disk.files_by_name.values())
+                )
+            await group.wait_for_leader()
+            self.assertTrue(await group.propose(b"z"))
 
         run_virtual(main(True))
         run_virtual(main(False))
--- a/tests/control/test_log_storage.py
+++ b/tests/control/test_log_storage.py
@@ -3,6 +3,7 @@
 import asyncio
 from random import Random
 from unittest import TestCase
+from unittest.mock import patch
 
 from returns.result import Failure, Success
 
@@ -126,6 +127,29 @@
         run_virtual(main())
         self.assertEqual(self.held(self.load()), [(1, 1), (2, 2)])
 
+    def test_entries_after_a_failed_write_are_kept(self) -> None:
+        """The next write replaces the file, which may end in a part of a record."""
+        # Guards against a log that takes nothing more once its disk was full.
+
+        async def main() -> None:
+            log = LogStorage(disk=self.disk)
+            log.append([entry(1), entry(2)])
+            await log.sync(2)
+            log.append([entry(3)])
+            held = self.disk.files_by_name[LOG_FILE]
+            with (
+                patch.object(self.disk, "append", side_effect=OSError("full")),
+                self.assertRaises(OSError),
+            ):
+                await log.sync(3)
+            self.assertEqual(log.durable_index, 2)
+            self.disk.files_by_name[LOG_FILE] = held + b"a part"
+            log.append([entry(4)])
+            await log.sync(4)
+
+        run_virtual(main())
+        self.assertEqual(self.held(self.load()), [(1, 1), (1, 2), (1, 3), (1, 4)])
+
     def test_many_waiting_entries_are_synced_together(self) -> None:
         """Entries that came during a write share the next one."""
 
