--- a/poplarlug/metrics.py
+++ b/poplarlug/metrics.py
@@ -6,6 +6,8 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
+from poplarlug.logs import PartLog
+
 REGISTRY = CollectorRegistry()
 
 SUPERVISOR_FAILURES = Counter(
@@ -34,6 +36,10 @@
 )
 
 LAG_SAMPLE_SECONDS = 0.5
+LONG_LAG_SECONDS = 0.25
+"""A lag that is logged: half of the time within which a caller's end has to be seen."""
+
+_log = PartLog(prefix="event loop")
 
 
 async def serve_metrics(request: web.Request) -> web.Response:
@@ -49,7 +55,10 @@
     while True:
         due = loop.time() + LAG_SAMPLE_SECONDS
         await asyncio.sleep(LAG_SAMPLE_SECONDS)
-        LOOP_LAG.observe(max(0.0, loop.time() - due))
+        lag = max(0.0, loop.time() - due)
+        LOOP_LAG.observe(lag)
+        if lag >= LONG_LAG_SECONDS:
+            _log.warning("was late", seconds=round(lag, 3))
 
 
 def count_frame(direction: str, payload_bytes: int) -> None:
