--- /dev/null
+++ b/tests/platform_adapter/test_start.py
@@ -0,0 +1,33 @@
+"""Tests of what the start of the platform's programs costs."""
+
+import os
+import subprocess
+import sys
+from unittest import TestCase
+
+COUNT_AUTHORITIES = """
+import poplarlug.platform.{program}
+from aiohttp.connector import _SSL_CONTEXT_VERIFIED as context
+print(context.cert_store_stats()["x509_ca"])
+"""
+
+
+class StartTests(TestCase):
+    def test_start_reads_no_certificate_authorities(self) -> None:
+        """They cost a quarter of a start, and nothing here uses them."""
+        # Guards against days with many starts that take too much processor time.
+        environment = {
+            name: value
+            for name, value in os.environ.items()
+            if not name.startswith("SSL_CERT")
+        }
+        for program in ("entry", "control"):
+            with self.subTest(program=program):
+                counted = subprocess.run(
+                    [sys.executable, "-c", COUNT_AUTHORITIES.format(program=program)],
+                    env=environment,
+                    capture_output=True,
+                    check=True,
+                    text=True,
+                )
+                self.assertEqual(int(counted.stdout), 0)
