--- a/poplarlug/relay/client.py
+++ b/poplarlug/relay/client.py
@@ -3,8 +3,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import Sequence
 from enum import Enum
 from functools import partial
 from typing import Any, NamedTuple
@@ -22,10 +21,6 @@
 FAR_CONNECT_SECONDS = 1.0
 """Several round trips between regions."""
 
-RECHECK_SECONDS = 0.25
-"""How often another place is looked for while a target is silent; loads of others
-are reported as often."""
-
 IDLE_SECONDS = 4.0
 """How long an idle connection is kept; shorter than the idle timeout of upstreams."""
 
@@ -57,23 +52,6 @@
     message: str
 
 
-class Patience(NamedTuple):
-    """
-    How long a target may be silent where the request can run elsewhere.
-
-    Parameters
-    ----------
-    seconds : float
-        From the send on.
-    may_move : callable
-        Returns whether another place is free for it now; without one, the silent
-        target may be busy and is waited for.
-    """
-
-    seconds: Seconds
-    may_move: Callable[[], bool]
-
-
 class _StrictHandler(ResponseHandler):
     """
     Take no answer for whole whose connection was reset, and reset unanswered ones.
@@ -171,7 +149,6 @@
         headers: Sequence[tuple[str, str]],
         body: bytes,
         timeout_seconds: Seconds,
-        patience: Patience | None = None,
     ) -> Result[aiohttp.ClientResponse, SendError]:
         """
         Return the answer once its head has come; the caller closes it.
@@ -180,15 +157,10 @@
         ----------
         timeout_seconds : float
             Longest time until the head has come.
-        patience : Patience, optional
-            When to give up before that.
         """
         assert self._session is not None
         try:
-            async with (
-                asyncio.timeout(max(0.0, timeout_seconds)) as limit,
-                _give_up_early(limit, patience),
-            ):
+            async with asyncio.timeout(max(0.0, timeout_seconds)):
                 response = await self._session.request(
                     method,
                     URL(f"http://{target}{path}", encoded=True),
@@ -200,39 +172,12 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(SendError(SendErrorKind.NOT_SENT, repr(error)))
         except TimeoutError:
-            message = "no answer came in time"
+            message = f"no answer in {timeout_seconds:.3f} s"
             return Failure(SendError(SendErrorKind.TIMEOUT, message))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Failure(SendError(SendErrorKind.BROKEN, repr(error)))
 
 
-@asynccontextmanager
-async def _give_up_early(
-    limit: asyncio.Timeout, patience: Patience | None
-) -> AsyncIterator[None]:
-    """Bring ``limit`` forward once patience is over and another place is free."""
-    if patience is None:
-        yield
-        return
-    loop = asyncio.get_running_loop()
-    may_move = patience.may_move
-
-    timer: asyncio.TimerHandle
-
-    def check() -> None:
-        nonlocal timer
-        if may_move():
-            limit.reschedule(loop.time())
-        else:
-            timer = loop.call_later(RECHECK_SECONDS, check)
-
-    timer = loop.call_later(patience.seconds, check)
-    try:
-        yield
-    finally:
-        timer.cancel()
-
-
 def _reset(transport: asyncio.BaseTransport) -> None:
     """End a connection and drop what the kernel still holds to be sent."""
     sock = transport.get_extra_info("socket")
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -12,7 +12,7 @@
 from poplarlug.logs import PartLog
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.budgets import RetryBudget, RetryLimits
-from poplarlug.relay.client import Patience, RelayClient, SendError, SendErrorKind
+from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
 from poplarlug.relay.course import Course, Outcome
 from poplarlug.relay.dialect import Dialect
 from poplarlug.relay.dispatcher import Dispatcher, FarPlace, LocalPlace, Place
@@ -40,8 +40,7 @@
 """How long the rest of a refusal's body may take, so that its connection is kept."""
 
 PATIENCE_SHARE = 2.5
-"""What may be repeated is sent elsewhere after this many objectives without an
-answer, if a place is free there."""
+"""What may be repeated is sent elsewhere after this many objectives."""
 
 MIN_PATIENCE_SECONDS = 0.8
 
@@ -124,8 +123,8 @@
                     self._dispatcher.release(placed.flight, failed=False)
                 trace.step("no repeat", self._clock(), reason="retry budget")
                 return await course.give_up()
+            patience = self._patience(course, budget)
             course.may_move = partial(self._may_move, course, budget, placed)
-            patience = self._patience(course)
             if isinstance(placed, LocalPlace):
                 outcome = await self._run_local(course, placed, patience)
                 course.ran_at_upstream(placed.upstream.id, outcome)
@@ -137,16 +136,17 @@
             if not course.may_go_on(self._clock()):
                 return await course.give_up()
 
-    def _patience(self, course: Course) -> Patience | None:
+    def _patience(self, course: Course, budget: RetryBudget) -> Seconds:
         """Return how long one send may take to its first answer."""
-        if not course.may_repeat_later:
-            return None
-        objective = course.request.route.objective_seconds
-        seconds = max(MIN_PATIENCE_SECONDS, PATIENCE_SHARE * objective)
-        return Patience(seconds, course.may_move)
+        request = course.request
+        left = request.deadline - self._clock()
+        if not course.may_repeat_later or not budget.has_room(self._entries()):
+            return left
+        objective = request.route.objective_seconds
+        return min(left, max(MIN_PATIENCE_SECONDS, PATIENCE_SHARE * objective))
 
     def _may_move(self, course: Course, budget: RetryBudget, placed: Place) -> bool:
-        """Return whether a request without news would get another place now."""
+        """Return whether a stream that stands still would get another place now."""
         if not course.may_repeat_later or not budget.has_room(self._entries()):
             return False
         tried = course.tried
@@ -157,7 +157,7 @@
         return self._dispatcher.has_place(course.request, tried)
 
     async def _run_local(
-        self, course: Course, placed: LocalPlace, patience: Patience | None
+        self, course: Course, placed: LocalPlace, patience: Seconds
     ) -> Outcome:
         upstream = placed.upstream
         now = self._clock()
@@ -184,7 +184,7 @@
             self._dispatcher.release(placed.flight, failed=failed)
 
     async def _attempt(
-        self, course: Course, placed: LocalPlace, patience: Patience | None
+        self, course: Course, placed: LocalPlace, patience: Seconds
     ) -> Outcome:
         request, trace = course.request, course.trace
         dialect = self._dialect
@@ -203,8 +203,7 @@
             path=request.path,
             headers=headers,
             body=request.body,
-            timeout_seconds=left,
-            patience=patience,
+            timeout_seconds=patience,
         )
         now = self._clock()
         if isinstance(sent, Failure):
@@ -249,7 +248,7 @@
         return None
 
     async def _run_far(
-        self, course: Course, placed: FarPlace, patience: Patience | None
+        self, course: Course, placed: FarPlace, patience: Seconds
     ) -> Outcome:
         request, trace = course.request, course.trace
         entry = placed.entry
@@ -278,8 +277,7 @@
                 (TABLE_VERSION, str(routes.version)),
             ],
             body=request.body,
-            timeout_seconds=left,
-            patience=patience,
+            timeout_seconds=patience,
         )
         now = self._clock()
         if isinstance(sent, Failure):
--- a/tests/relay/test_client.py
+++ b/tests/relay/test_client.py
@@ -9,7 +9,7 @@
 import aiohttp
 from returns.result import Failure
 
-from poplarlug.relay.client import Patience, RelayClient, SendErrorKind
+from poplarlug.relay.client import RelayClient, SendErrorKind
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
@@ -168,51 +168,3 @@
         asyncio.run(main())
         self.assertEqual(ends, ["reset"])
         self.assertLess(sum(read), len(body))
-
-
-class PatienceTests(TestCase):
-    def answer_after(self, seconds: float, *, may_move: bool) -> object:
-        """Return the answer of a target that is silent for a while, or the error."""
-
-        async def talk(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            await asyncio.sleep(seconds)
-            writer.write(HEAD + b"Content-Length: 5\r\n\r\nwhole")
-            await writer.drain()
-            writer.close()
-
-        async def main() -> object:
-            server = await asyncio.start_server(talk, "127.0.0.1", 0)
-            host, port = server.sockets[0].getsockname()
-            client = RelayClient()
-            await client.open()
-            sent = await client.send(
-                target=f"{host}:{port}",
-                method="GET",
-                path="/x",
-                headers=(),
-                body=b"",
-                timeout_seconds=5.0,
-                patience=Patience(0.1, lambda: may_move),
-            )
-            if isinstance(sent, Failure):
-                result: object = sent.failure().kind
-            else:
-                result = await sent.unwrap().read()
-            await client.close()
-            server.close()
-            return result
-
-        return asyncio.run(main())
-
-    def test_silent_target_is_waited_for_while_no_other_place_is_free(self) -> None:
-        """It may be busy with others; giving it up would lose its answer."""
-        # Guards against answers that are given up for an upstream's silence alone.
-        self.assertEqual(self.answer_after(0.6, may_move=False), b"whole")
-
-    def test_silent_target_is_left_for_a_free_place(self) -> None:
-        """It may be frozen; another upstream can still be in time."""
-        found = self.answer_after(0.6, may_move=True)
-        self.assertEqual(found, SendErrorKind.TIMEOUT)
