Give a place back whose caller leaves at the moment it comes

Callers could see: fewer places than there are. A request that waits in line and whose caller leaves in the same round of the event loop in which its place comes kept that place for the life of the entry: it counts as running in this entry's choices and in what it reports to others.

Cause: the place is taken when it is handed to the waiting task, and the task's cancellation goes before the result.

Change: a cancelled wait releases the place that it was given.

Test: test_place_of_a_caller_that_leaves_at_that_moment_is_given_back, one request running for good before.

--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -192,10 +192,21 @@
         self._has_waiters.set()
         try:
             return await waiting.placed
+        except asyncio.CancelledError:
+            self._give_back(waiting.placed)
+            raise
         finally:
             line.order.leave(waiter)
             line.by_waiter.pop(waiter, None)
 
+    def _give_back(self, placed: "asyncio.Future[Result[Place, GatewayError]]") -> None:
+        """Release a place that came together with the end of its caller."""
+        if placed.cancelled() or not placed.done():
+            return
+        place = placed.result().value_or(None)
+        if isinstance(place, LocalPlace):
+            self.release(place.flight, failed=False)
+
     def _start_by(self, request: RelayRequest) -> Seconds:
         """Return the latest start that still serves the caller."""
         first = max(MIN_RUN_SECONDS, 0.5 * request.route.objective_seconds)
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -88,6 +88,24 @@
         self.assertIsInstance(place, LocalPlace)
         self.assertGreater(waited, 0.5)
 
+    def test_place_of_a_caller_that_leaves_at_that_moment_is_given_back(self) -> None:
+        """The place is free again for the next request."""
+        # Guards against places that stay taken for good: the place came in the same
+        # round of the event loop as the end of its caller.
+
+        async def main() -> int:
+            dispatcher = self.make()
+            first = (await dispatcher.find(self.request(), Tried())).unwrap()
+            assert isinstance(first, LocalPlace)
+            waiting = asyncio.ensure_future(dispatcher.find(self.request(), Tried()))
+            await asyncio.sleep(0.01)
+            dispatcher.release(first.flight, failed=False)
+            waiting.cancel()
+            await asyncio.gather(waiting, return_exceptions=True)
+            return dispatcher._view.in_flight.own_running("e-1")
+
+        self.assertEqual(run_virtual(main()), 0)
+
     def test_idle_dispatcher_wakes_up_about_once_a_second(self) -> None:
         """Nobody waits, so there is nothing to look for."""
         # Guards against twenty wake-ups a second of an idle entry, two thirds of all.
