End no stream for silence while its upstream is known to be there

Cause: after 2 s of silence a stream left its upstream when another place was free. "Free" is what this entry believes; of other regions it is up to 1 s old.

Ruled out: the deadline (4.8 s, 3.3 s used), a lost link, the far entry's loss.

Change: silence alone ends no stream. It is taken up elsewhere when its connection breaks, which probes find in 4 s where the upstream's VM is gone, or when it stands still and its upstream is lost to the view of the deployment.

Test: tests/relay/test_gateway; without the change a silent upstream that is there is left.

--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -146,8 +146,15 @@
         return min(left, max(MIN_PATIENCE_SECONDS, PATIENCE_SHARE * objective))
 
     def _may_move(self, course: Course, budget: RetryBudget, placed: Place) -> bool:
-        """Return whether a stream that stands still would get another place now."""
-        if not course.may_repeat_later or not budget.has_room(self._entries()):
+        """
+        Return whether a stream that stands still is to be taken up elsewhere.
+
+        Its upstream or entry has to be lost for that. One that is there may be busy
+        with others, and a place that looks free may be refused when it is asked for.
+        """
+        if not self._is_lost(placed) or not course.may_repeat_later:
+            return False
+        if not budget.has_room(self._entries()):
             return False
         tried = course.tried
         if isinstance(placed, LocalPlace):
@@ -156,6 +163,12 @@
             tried = tried.with_region(placed.entry.region)
         return self._dispatcher.has_place(course.request, tried)
 
+    def _is_lost(self, placed: Place) -> bool:
+        """Return whether where a request runs gave no sign for long, or is gone."""
+        if isinstance(placed, LocalPlace):
+            return self._deployment.upstream(placed.upstream.id) is None
+        return placed.entry.name not in self._deployment.entries_by_name
+
     async def _run_local(
         self, course: Course, placed: LocalPlace, patience: Seconds
     ) -> Outcome:
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -16,7 +16,7 @@
 can be answered by a failure or by another attempt."""
 
 STALL_SECONDS = 2.0
-"""A stream that stands still so long is taken up elsewhere where that is allowed and a
+"""A stream that stands still so long is taken up elsewhere if its upstream is lost and a
 place is free; else it goes on waiting. Callers leave after three seconds and more."""
 
 EVENT_STREAM = "text/event-stream"
--- /dev/null
+++ b/tests/relay/test_gateway.py
@@ -0,0 +1,92 @@
+"""Tests of when a request leaves the upstream where it runs."""
+
+from random import Random
+from types import SimpleNamespace
+from typing import Any, cast
+
+from poplarlug.control.routing_state import encode_table
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.messages import PollReply, RoutingNews
+from poplarlug.discovery.records import ServiceUpstream
+from poplarlug.platform.names import DIALECT
+from poplarlug.relay.budgets import RetryLimits, WarmupLimits
+from poplarlug.relay.client import RelayClient
+from poplarlug.relay.course import Course
+from poplarlug.relay.dispatcher import Dispatcher, LocalPlace
+from poplarlug.relay.gateway import RelayGateway
+from poplarlug.relay.in_flight import InFlight
+from poplarlug.relay.trace import RelayTrace
+from poplarlug.relay.view import FleetView
+from poplarlug.routes import Engine, RoutedService, RouteTable
+from tests.control.quiet import QuietTestCase
+from tests.relay.test_view import make_request
+from tests.routes.test_checks import make_route
+
+ROUTE = make_route(kind="streaming", prompts=True, resumable=True, max_attempts=2)
+UPSTREAMS = tuple(
+    ServiceUpstream(f"e-{number}", "engine", "", "a", 1, 1, 8) for number in (1, 2)
+)
+SERVICE = RoutedService("engine", engine=Engine(8, 100_000))
+REPLY = PollReply(
+    registry_id="r",
+    revision=1,
+    whole=True,
+    current=True,
+    zone="a",
+    upstreams=UPSTREAMS,
+    routing=RoutingNews(1, encode_table(RouteTable(1, (ROUTE,), (SERVICE,))), ()),
+    settled=True,
+)
+
+
+class SilentStreamTests(QuietTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.deployment = Deployment(
+            own_region="east", regions_by_zone={"a": "east"}, clock=lambda: 0.0
+        )
+        self.deployment.take(REPLY)
+        self.view = FleetView(
+            name="entry-1",
+            deployment=self.deployment,
+            in_flight=InFlight(clock=lambda: 0.0, others=lambda _: None),
+            warmup=WarmupLimits(),
+            rng=Random(1),
+            clock=lambda: 0.0,
+        )
+        dispatcher = Dispatcher(view=self.view, clock=lambda: 0.0)
+        self.gateway = RelayGateway(
+            name="entry-1",
+            view=self.view,
+            dispatcher=dispatcher,
+            client=RelayClient(),
+            far_client=RelayClient(),
+            dialect=DIALECT,
+            retry_limits=RetryLimits(),
+            clock=lambda: 0.0,
+        )
+
+    def may_move(self) -> bool:
+        """Return whether a silent stream at the first upstream is to be moved."""
+        request = make_request(route=ROUTE)
+        course = Course(
+            request=request,
+            sink=cast(Any, SimpleNamespace(started=True)),
+            trace=RelayTrace(request_id="r-1", started=0.0),
+        )
+        upstream = UPSTREAMS[0]
+        flight = self.view.in_flight.started(upstream, SERVICE.engine, request, 0.0)
+        placed = LocalPlace(upstream, flight, 0.1, 0, 0.0)
+        return self.gateway._may_move(course, self.gateway._budget_of("engine"), placed)
+
+    def test_silent_upstream_that_is_there_keeps_its_stream(self) -> None:
+        """It may be busy with others, also while another place looks free."""
+        # Guards against streams cut for 2 s of silence, as the place that looked
+        # free in another region was refused.
+        self.assertFalse(self.may_move())
+
+    def test_silent_upstream_that_is_lost_is_left(self) -> None:
+        """Its announcements have stopped; a free place takes the stream up."""
+        lost = UPSTREAMS[0]._replace(phase="lost")
+        self.deployment.take(REPLY._replace(whole=False, upstreams=(lost,)))
+        self.assertTrue(self.may_move())
