--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -39,10 +39,21 @@
         ``""``, ``reset`` (broken connection after the request was read), ``error``
         (status 500), ``refuse`` (not executed), ``mute`` (no answer) or ``cut`` (a
         stream that breaks off within an event).
+    deadly : bytes
+        A request whose body has this ends the upstream; empty for none.
+    deadly_after : int
+        Events of a stream that such a request gets first.
+    down_seconds : float
+        How long it is away then; it comes back under a new id.
+    is_silent : bool
+        Whether it keeps its connections when it ends and answers nothing on them.
+    ends : list of float
+        Monotonic times at which it ended.
     """
 
     def __init__(self, *, upstream_id: str, ip: str, service: str, zone: str) -> None:
-        self.id = upstream_id
+        self.id = self._name = upstream_id
+        self._ip = ip
         self.address = f"{ip}:{PORT}"
         self.service = service
         self.zone = zone
@@ -50,12 +61,19 @@
         self.event_seconds = 0.01
         self.arrivals: list[Arrival] = []
         self.abandoned = 0
+        self.deadly = b""
+        self.deadly_after = 0
+        self.down_seconds = 0.5
+        self.is_silent = False
+        self.is_up = True
+        self.ends: list[float] = []
+        self._ending: asyncio.Task[None] | None = None
         self._sequence = 0
         self.born = time.time_ns() // 1_000_000
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
-        self._call(self._start(ip))
+        self._call(self._start())
 
     @property
     def runs(self) -> Counter[str]:
@@ -92,8 +110,12 @@
         with urllib.request.urlopen(request, timeout=2) as answer:
             return answer.status
 
+    def end(self) -> None:
+        """End now, as by a fault that no request caused, and come back later."""
+        self._call(self._end())
+
     def close(self) -> None:
-        self._call(self._runner.cleanup())
+        self._call(self._stop())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
         self._loop.close()
@@ -101,14 +123,50 @@
     def _call(self, coroutine: Any) -> Any:
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(20)
 
-    async def _start(self, ip: str) -> None:
+    async def _start(self) -> None:
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._serve)
         self._runner = web.AppRunner(
             app, handler_cancellation=True, shutdown_timeout=0.1
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, ip, PORT).start()
+        await self._listen()
+
+    async def _listen(self) -> None:
+        self._site = web.TCPSite(self._runner, self._ip, PORT)
+        await self._site.start()
+
+    async def _stop(self) -> None:
+        if self._ending is not None:
+            self._ending.cancel()
+        await self._runner.cleanup()
+
+    async def _end(self) -> None:
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.ends.append(time.monotonic())
+        if not self.is_silent:
+            await self._site.stop()
+            assert self._runner.server is not None
+            for handler in self._runner.server.connections:
+                if handler.transport is not None:
+                    handler.transport.abort()
+        self._ending = asyncio.ensure_future(self._come_back())
+
+    async def _come_back(self) -> None:
+        await asyncio.sleep(self.down_seconds)
+        self.id = f"{self._name}-{len(self.ends)}"
+        self.born = time.time_ns() // 1_000_000
+        self._sequence = 0
+        if not self.is_silent:
+            await self._listen()
+        self.is_up = True
+
+    async def _run_deadly(self) -> None:
+        """Run what ends this upstream; nothing comes after it."""
+        await self._end()
+        await asyncio.sleep(MUTE_SECONDS)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
@@ -120,6 +178,11 @@
                 status=503, headers=headers | {DIALECT.not_executed: "1"}
             )
         self.arrivals.append(Arrival(request.raw_path, dict(request.headers), body))
+        if not self.is_up:
+            await asyncio.sleep(MUTE_SECONDS)
+        is_deadly = bool(self.deadly) and self.deadly in body
+        if is_deadly and not self.deadly_after:
+            await self._run_deadly()
         headers[DIALECT.signature] = f"signed-{self.id}"
         if self.fault == "reset":
             assert request.transport is not None
@@ -130,18 +193,21 @@
         if self.fault == "mute":
             await asyncio.sleep(MUTE_SECONDS)
         if "/stream/" in request.path or "/resume/" in request.path:
-            return await self._stream(request, headers)
+            last = first_event(request) + self.deadly_after if is_deadly else None
+            return await self._stream(request, headers, last)
         return web.Response(headers=headers, body=b"answer to " + body)
 
     async def _stream(
-        self, request: web.Request, headers: dict[str, str]
+        self, request: web.Request, headers: dict[str, str], last: int | None
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
-        first = int(request.headers.get(LAST_EVENT_HEADER, -1)) + 1
+        first = first_event(request)
         try:
             for number in range(first, STREAM_EVENTS):
+                if number == last:
+                    await self._run_deadly()
                 if self.fault == "cut" and number == first + CUT_AFTER_EVENTS:
                     await response.write(b"id: %d\nda" % number)
                     await asyncio.sleep(0.05)
@@ -155,3 +221,8 @@
             raise
         await response.write_eof()
         return response
+
+
+def first_event(request: web.Request) -> int:
+    """Return the number of the first event that a request asks for."""
+    return int(request.headers.get(LAST_EVENT_HEADER, -1)) + 1
