Log which upstream crashed under which requests

No log line connected two sends of the same request, or said whether the upstream of a broken send was gone. Each broken send is now watched until it is known what became of its upstream: refused connections, a later run at its id or address, or no sign for its life show a crash; a farewell, a whole answer and a return in the same run show that it was none. Nothing is decided by it yet.

--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -1,6 +1,7 @@
 """An entry's view of the deployment."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from enum import Enum
 from typing import NamedTuple
 
 from poplarlug.control.routing_state import decode_table
@@ -10,6 +11,7 @@
     RegionLoad,
     ServiceUpstream,
     UpstreamLoad,
+    UpstreamRun,
 )
 from poplarlug.latest import Latest
 from poplarlug.logs import PartLog
@@ -22,9 +24,30 @@
 PRESUMED_COLD_SECONDS = 2.5
 """Two announcements: a zone's upstreams may have become cold while it was evacuated."""
 
+REMEMBER_RUN_SECONDS = 30.0
+"""How long the end of an upstream's run is known; longer than anyone asks for it."""
+
 _log = PartLog(prefix="discovery")
 
 
+class RunFate(Enum):
+    """What is known of an upstream's run."""
+
+    SERVING = "serving"
+    LEFT = "left"
+    """It said that it leaves, or that it is gone."""
+    REPLACED = "replaced"
+    """A later run has its id or its address, and it had said nothing before."""
+    LOST = "lost"
+    """It gave no sign for its life."""
+    UNKNOWN = "unknown"
+
+
+class _Ended(NamedTuple):
+    fate: RunFate
+    at: Seconds
+
+
 class _Noted(NamedTuple):
     record: ServiceUpstream
     at: Seconds
@@ -62,6 +85,7 @@
         self._seen_by_entry: dict[VmName, tuple[RegionName, Seconds]] = {}
         self._taken_back_by_zone: dict[ZoneName, Seconds] = {}
         self._upstreams_by_id: dict[UpstreamId, _Noted] = {}
+        self._ended_by_run: dict[UpstreamRun, _Ended] = {}
         self.routes: RouteIndex | None = None
         self.routing_revision = 0
         self.evacuated_zones: frozenset[ZoneName] = frozenset()
@@ -83,6 +107,21 @@
         noted = self._upstreams_by_id.get(upstream_id)
         return None if noted is None else noted.record
 
+    def fate(self, upstream: ServiceUpstream) -> RunFate:
+        """Return what became of the run that ``upstream`` describes."""
+        ended = self._ended_by_run.get(upstream.run)
+        if ended is not None and ended.fate is RunFate.LEFT:
+            return RunFate.LEFT
+        for noted in self._upstreams_by_id.values():
+            record = noted.record
+            if record.run == upstream.run:
+                is_leaving = record.phase == "leaving"
+                return RunFate.LEFT if is_leaving else RunFate.SERVING
+            is_its = upstream.id == record.id or upstream.address == record.address
+            if is_its and record.born > upstream.born:
+                return RunFate.REPLACED
+        return RunFate.UNKNOWN if ended is None else ended.fate
+
     def cold_seconds(self, upstream_id: UpstreamId) -> Seconds:
         """Return how much longer an upstream is cold; 0 when it is warm."""
         noted = self._upstreams_by_id.get(upstream_id)
@@ -154,6 +193,7 @@
             self.entries_by_name[entry.name] = entry
             self._seen_by_entry[entry.name] = entry.region, now
         for upstream in reply.upstreams:
+            self._note_end(upstream, reply.upstreams)
             held = self._upstreams_by_id.get(upstream.id)
             if held is None or upstream.born >= held.record.born:
                 self._upstreams_by_id[upstream.id] = _Noted(upstream, now)
@@ -188,6 +228,24 @@
         self.evacuated_zones = zones
         self.routing_revision = news.revision
 
+    def _note_end(
+        self, upstream: ServiceUpstream, others: Iterable[ServiceUpstream]
+    ) -> None:
+        """Remember how a run ends, so that a crash can be told from a farewell."""
+        now = self._clock()
+        if upstream.phase == "lost":
+            self._ended_by_run.setdefault(upstream.run, _Ended(RunFate.LOST, now))
+        elif upstream.phase == "leaving" or (
+            upstream.phase == "gone" and not _is_replaced(upstream, others)
+        ):
+            self._ended_by_run[upstream.run] = _Ended(RunFate.LEFT, now)
+        elif upstream.phase == "serving":
+            self._ended_by_run.pop(upstream.run, None)
+        oldest = now - REMEMBER_RUN_SECONDS
+        for run, ended in list(self._ended_by_run.items()):
+            if ended.at < oldest:
+                del self._ended_by_run[run]
+
     def _forget_all_but(self, reply: PollReply) -> None:
         names = {entry.name for entry in reply.entries}
         ids = {upstream.id for upstream in reply.upstreams}
@@ -203,3 +261,11 @@
         for upstream_id, noted in list(self._upstreams_by_id.items()):
             if noted.record.phase in ("lost", "gone"):
                 del self._upstreams_by_id[upstream_id]
+
+
+def _is_replaced(upstream: ServiceUpstream, others: Iterable[ServiceUpstream]) -> bool:
+    """Return whether one of ``others`` is a later run at the same address."""
+    return any(
+        other.address == upstream.address and other.born > upstream.born
+        for other in others
+    )
--- a/poplarlug/discovery/records.py
+++ b/poplarlug/discovery/records.py
@@ -57,6 +57,13 @@
         return _hash(f"{self.key}/{self.incarnation}/{self.state}")
 
 
+class UpstreamRun(NamedTuple):
+    """One run of an upstream, from its start to its end; see ServiceUpstream."""
+
+    id: UpstreamId
+    born: int
+
+
 class ServiceUpstream(NamedTuple):
     """
     An upstream of one service, as it announced itself.
@@ -89,6 +96,10 @@
     def key(self) -> str:
         return f"u:{self.id}"
 
+    @property
+    def run(self) -> UpstreamRun:
+        return UpstreamRun(self.id, self.born)
+
     @property
     def is_over(self) -> bool:
         return self.phase in ("lost", "gone")
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -19,6 +19,7 @@
 from poplarlug.metrics import sample_loop_lag
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
 from poplarlug.relay.client import FAR_CONNECT_SECONDS, RelayClient
+from poplarlug.relay.crash_watch import CrashWatch
 from poplarlug.relay.dialect import Dialect
 from poplarlug.relay.dispatcher import Dispatcher
 from poplarlug.relay.face import Admittance, RelayFace
@@ -105,12 +106,19 @@
         self.dispatcher = Dispatcher(view=view, clock=clock)
         self.client = RelayClient()
         self.far_client = RelayClient(connect_seconds=FAR_CONNECT_SECONDS)
+        watch = CrashWatch(
+            deployment=self.deployment,
+            clock=clock,
+            on_crash=lambda crash: None,
+            on_return=lambda run: None,
+        )
         gateway = RelayGateway(
             name=settings.name,
             view=view,
             dispatcher=self.dispatcher,
             client=self.client,
             far_client=self.far_client,
+            watch=watch,
             dialect=dialect,
             retry_limits=RetryLimits(
                 ratio=budgets.retry_ratio,
--- a/poplarlug/relay/course.py
+++ b/poplarlug/relay/course.py
@@ -5,6 +5,7 @@
 
 from poplarlug.errors import GatewayError
 from poplarlug.relay.events import LAST_EVENT_HEADER, EventProgress
+from poplarlug.relay.fingerprint import Fingerprint, fingerprint_of
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import Tried
@@ -28,11 +29,29 @@
     answer : tuple or None
         An upstream's own failure, head and body, that is passed on when there is
         no other attempt.
+    broke : bool
+        Whether the connection ended before the answer was whole.
     """
 
     error: GatewayError | None
     arrived: bool = True
     answer: tuple[AnswerHead, bytes] | None = None
+    broke: bool = False
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether an upstream's answer came to its end, be it a failure."""
+        return self.error is None or self.answer is not None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether it may have run without an answer that came whole."""
+        return (
+            self.error is not None
+            and self.arrived
+            and self.error.ran is None
+            and self.answer is None
+        )
 
 
 DONE = Outcome(None)
@@ -66,10 +85,18 @@
         self._attempts = 0
         self._last: GatewayError | None = None
         self._error: GatewayError | None = None
+        self._fingerprint: Fingerprint | None = None
         self._answer: tuple[AnswerHead, bytes] | None = None
         # The entry that handed a request on counts it as one attempt.
         self._allowed = 1 if request.hops else request.route.max_attempts
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """What other sends of the same request have in common with this one."""
+        if self._fingerprint is None:
+            self._fingerprint = fingerprint_of(self.request)
+        return self._fingerprint
+
     @property
     def may_repeat_later(self) -> bool:
         """Whether another attempt is left after the one that begins."""
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -8,14 +8,17 @@
 from prometheus_client import Counter, Histogram
 from returns.result import Failure
 
+from poplarlug.discovery.records import ServiceUpstream
 from poplarlug.errors import GatewayError, not_run, outcome_unknown
 from poplarlug.logs import PartLog
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.budgets import RetryBudget, RetryLimits
 from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
 from poplarlug.relay.course import Course, Outcome
+from poplarlug.relay.crash_watch import BrokenSend, CrashWatch
 from poplarlug.relay.dialect import Dialect
 from poplarlug.relay.dispatcher import Dispatcher, FarPlace, LocalPlace, Place
+from poplarlug.relay.fingerprint import short
 from poplarlug.relay.hop_headers import (
     HOPS,
     ORIGIN,
@@ -70,6 +73,8 @@
     ----------
     name : VmName
         This entry, as the origin of what it hands on.
+    watch : CrashWatch
+        Finds out what became of upstreams that gave no whole answer.
     """
 
     def __init__(
@@ -80,6 +85,7 @@
         dispatcher: Dispatcher,
         client: RelayClient,
         far_client: RelayClient,
+        watch: CrashWatch,
         dialect: Dialect,
         retry_limits: RetryLimits,
         clock: Callable[[], Seconds],
@@ -91,6 +97,7 @@
         self._dispatcher = dispatcher
         self._client = client
         self._far_client = far_client
+        self._watch = watch
         self._dialect = dialect
         self._retry_limits = retry_limits
         self._clock = clock
@@ -186,6 +193,7 @@
             view_age_ms=round(self._deployment.age_seconds * 1000),
         )
         failed = True
+        outcome: Outcome | None = None
         try:
             outcome = await self._attempt(course, placed, patience)
             failed = outcome.error is not None and outcome.error.ran is None
@@ -195,6 +203,33 @@
             raise
         finally:
             self._dispatcher.release(placed.flight, failed=failed)
+            self._watch_upstream(course, upstream, outcome)
+
+    def _watch_upstream(
+        self, course: Course, upstream: ServiceUpstream, outcome: Outcome | None
+    ) -> None:
+        """
+        Find out what became of an upstream that gave no whole answer.
+
+        Parameters
+        ----------
+        outcome : Outcome or None
+            ``None`` when the caller left before.
+        """
+        if outcome is not None and outcome.is_whole:
+            self._watch.answered(upstream)
+            return
+        if outcome is not None and not outcome.may_have_run:
+            return
+        course.trace.note(fingerprint=short(course.fingerprint))
+        self._watch.broke(
+            BrokenSend(
+                fingerprint=course.fingerprint,
+                upstream=upstream,
+                is_silent=outcome is None or not outcome.broke,
+                alone=False,
+            )
+        )
 
     async def _attempt(
         self, course: Course, placed: LocalPlace, patience: Seconds
@@ -339,7 +374,8 @@
         if error.kind is SendErrorKind.TIMEOUT:
             message = "no answer came within the time"
             return Outcome(GatewayError(504, "timed_out", message, None, None))
-        return Outcome(outcome_unknown("the connection was lost before an answer"))
+        failed = outcome_unknown("the connection was lost before an answer")
+        return Outcome(failed, broke=True)
 
     def _budget_of(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets_by_service.get(service)
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -47,7 +47,8 @@
     except TimeoutError:
         return Outcome(truncated_answer("the answer took too long"))
     except (aiohttp.ClientError, OSError) as error:
-        return Outcome(truncated_answer(f"the answer broke off: {error!r}"))
+        failed = truncated_answer(f"the answer broke off: {error!r}")
+        return Outcome(failed, broke=True)
     await sink.finish()
     return DONE
 
@@ -70,9 +71,11 @@
         reason = "took too long" if whole.expired() else "stood still"
         return Outcome(truncated_answer(f"the answer {reason}"))
     except (aiohttp.ClientError, OSError) as error:
-        return Outcome(truncated_answer(f"the answer broke off: {error!r}"))
+        failed = truncated_answer(f"the answer broke off: {error!r}")
+        return Outcome(failed, broke=True)
     if not events.is_whole:
-        return Outcome(truncated_answer("the answer ended within an event"))
+        failed = truncated_answer("the answer ended within an event")
+        return Outcome(failed, broke=True)
     await sink.finish()
     return DONE
 
@@ -104,7 +107,8 @@
     except TimeoutError:
         return Outcome(outcome_unknown("the answer took too long"))
     except (aiohttp.ClientError, OSError) as error:
-        return Outcome(outcome_unknown(f"the answer broke off: {error!r}"))
+        failed = outcome_unknown(f"the answer broke off: {error!r}")
+        return Outcome(failed, broke=True)
     head = _head_of(response)._replace(content_length=len(body))
     if response.status >= 500 and request.route.is_repeatable:
         message = f"the upstream failed with status {response.status}"
--- /dev/null
+++ b/tests/relay/test_crash_watch.py
@@ -0,0 +1,139 @@
+"""Tests of what shows that an upstream crashed, and what doesn't."""
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.messages import PollReply
+from poplarlug.discovery.records import ServiceUpstream, UpstreamRun
+from poplarlug.relay.crash_watch import (
+    FIRST_PROBE_SECONDS,
+    PROBE_SECONDS,
+    SECOND_PROBE_SECONDS,
+    BrokenSend,
+    Crash,
+    CrashWatch,
+)
+
+PROBED_SECONDS = 2 * (FIRST_PROBE_SECONDS + SECOND_PROBE_SECONDS + PROBE_SECONDS)
+
+
+def make_watch(deployment: Deployment) -> CrashWatch:
+    """Return a watch whose findings nobody uses."""
+    return CrashWatch(
+        deployment=deployment,
+        clock=lambda: 0.0,
+        on_crash=lambda crash: None,
+        on_return=lambda run: None,
+    )
+
+
+class CrashWatchTests(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        clock = asyncio.get_running_loop().time
+        self.deployment = Deployment(
+            own_region="east", regions_by_zone={"a": "east"}, clock=clock
+        )
+        self.crashes: list[Crash] = []
+        self.returned: list[UpstreamRun] = []
+        self.watch = CrashWatch(
+            deployment=self.deployment,
+            clock=clock,
+            on_crash=self.crashes.append,
+            on_return=self.returned.append,
+        )
+        self.server = await asyncio.start_server(
+            lambda _, writer: writer.close(), "127.0.0.1", 0
+        )
+        self.addCleanup(self.server.close)
+        port = self.server.sockets[0].getsockname()[1]
+        self.upstream = ServiceUpstream(
+            "u-1", "desk", f"127.0.0.1:{port}", "a", born=10, sequence=1, slots=4
+        )
+        self.take(self.upstream)
+
+    def take(self, *upstreams: ServiceUpstream) -> None:
+        reply = PollReply("r", 1, False, True, "a", upstreams=upstreams)
+        self.deployment.take(reply)
+
+    def broke(
+        self, fingerprint: int = 1, *, is_silent: bool = False, alone: bool = False
+    ) -> "asyncio.Future[bool]":
+        send = BrokenSend(fingerprint, self.upstream, is_silent, alone)
+        return self.watch.broke(send)
+
+    async def test_closed_port_is_a_crash_under_all_that_broke(self) -> None:
+        """Nothing listens where the sends broke."""
+        self.server.close()
+        judged = [self.broke(1), self.broke(2, alone=True)]
+        self.assertEqual(await asyncio.gather(*judged), [True, True])
+        self.assertEqual(self.crashes[0].alone_by_fingerprint, {1: False, 2: True})
+
+    async def test_later_broken_sends_of_a_crashed_run_count_at_once(self) -> None:
+        """Some of its connections break later than others."""
+        self.server.close()
+        await self.broke(1)
+        self.assertTrue(self.broke(2).done())
+        self.assertEqual(len(self.crashes), 2)
+
+    async def test_reset_connection_is_no_crash(self) -> None:
+        """The upstream takes connections and stays in its run."""
+        judged = self.broke()
+        await asyncio.sleep(PROBED_SECONDS)
+        self.take(self.upstream._replace(sequence=2, cold_seconds=1.0))
+        self.assertFalse(judged.done())
+        self.assertEqual(self.crashes, [])
+
+    async def test_new_id_at_the_address_is_a_crash(self) -> None:
+        """It is back before a probe could find it away."""
+        judged = self.broke()
+        await asyncio.sleep(PROBED_SECONDS)
+        gone = self.upstream._replace(phase="gone")
+        self.take(gone, self.upstream._replace(id="u-2", born=20))
+        self.assertTrue(await judged)
+
+    async def test_later_run_under_the_same_id_is_a_crash(self) -> None:
+        """Upstreams may come back under the id that they had."""
+        judged = self.broke(is_silent=True)
+        self.take(self.upstream._replace(born=20))
+        self.assertTrue(await judged)
+
+    async def test_farewell_is_no_crash(self) -> None:
+        """What said that it leaves may end as it likes."""
+        self.take(self.upstream._replace(sequence=2, phase="leaving"))
+        self.server.close()
+        self.assertFalse(await self.broke())
+        self.assertFalse(await self.broke(2, is_silent=True))
+        gone = self.upstream._replace(phase="gone")
+        self.take(gone, self.upstream._replace(id="u-2", born=20))
+        self.assertFalse(await self.broke(3))
+        self.assertEqual(self.crashes, [])
+
+    async def test_farewell_while_watched_is_no_crash(self) -> None:
+        """The word of the upstream may come after the end of its connections."""
+        judged = self.broke(is_silent=True)
+        self.take(self.upstream._replace(phase="gone"))
+        self.assertFalse(await judged)
+
+    async def test_cut_link_is_taken_back(self) -> None:
+        """A silent upstream that is back in the same run was only out of reach."""
+        judged = self.broke(is_silent=True)
+        self.take(self.upstream._replace(phase="lost"))
+        self.assertTrue(await judged)
+        self.take(self.upstream._replace(sequence=9))
+        self.assertEqual(self.returned, [self.upstream.run])
+
+    async def test_answer_takes_a_crash_back(self) -> None:
+        """An upstream that answers is there, whatever a probe said."""
+        self.server.close()
+        await self.broke()
+        self.watch.answered(self.upstream)
+        self.assertEqual(self.returned, [self.upstream.run])
+
+    async def test_pending_counts_each_upstream_once(self) -> None:
+        """What isn't judged yet is known as such."""
+        judged = [self.broke(1), self.broke(1), self.broke(2)]
+        self.assertEqual(self.watch.pending(1), 1)
+        self.server.close()
+        await asyncio.gather(*judged)
+        self.assertEqual(self.watch.pending(1), 0)
