--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -19,6 +19,7 @@
 from poplarlug.control.state import ControlState
 from poplarlug.daemon import Site, add_health_routes, serve_http, stop_event
 from poplarlug.discovery.control_peers import ControlPeers
+from poplarlug.discovery.crash_marks import CrashMarks
 from poplarlug.discovery.registrar import Registrar
 from poplarlug.discovery.registry import Registry
 from poplarlug.discovery.registry_file import RegistryFile
@@ -79,11 +80,15 @@
             leader_calls=leader_calls,
         )
         registry = Registry(clock=clock, beat_seconds=settings.beat_milliseconds / 1000)
-        self.registry_file = RegistryFile(disk=self.disk, registry=registry)
+        marks = CrashMarks(clock=clock)
+        self.registry_file = RegistryFile(
+            disk=self.disk, registry=registry, marks=marks
+        )
         self.registrar = Registrar(
             zone=settings.zone,
             regions_by_zone=settings.regions_by_zone,
             registry=registry,
+            marks=marks,
             peers=self.peers,
             routing=self.state.routing,
             transport=self.transport,
--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -107,6 +107,17 @@
         noted = self._upstreams_by_id.get(upstream_id)
         return None if noted is None else noted.record
 
+    def upstreams_of(self, service: str) -> list[ServiceUpstream]:
+        """Return a service's upstreams of all regions, also those that leave."""
+        return [
+            noted.record
+            for noted in self._upstreams_by_id.values()
+            if noted.record.service == service
+        ]
+
+    def region_of(self, zone: ZoneName) -> RegionName | None:
+        return self._regions_by_zone.get(zone)
+
     def fate(self, upstream: ServiceUpstream) -> RunFate:
         """Return what became of the run that ``upstream`` describes."""
         ended = self._ended_by_run.get(upstream.run)
--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from poplarlug.discovery.crash_marks import CrashMark
 from poplarlug.discovery.records import (
     EntryRecord,
     RegionLoad,
@@ -13,6 +14,7 @@
 POLL_TOPIC = "discovery.poll"
 GOSSIP_TOPIC = "discovery.gossip"
 TABLES_TOPIC = "discovery.tables"
+MARKS_TOPIC = "discovery.marks"
 
 
 class WaitingCount(NamedTuple):
@@ -38,6 +40,8 @@
         What the entry has running now.
     hold_seconds : float
         How long the reply may wait for news.
+    marks_known : int
+        Revision of the crash marks up to which the entry knows them.
     """
 
     record: EntryRecord
@@ -47,6 +51,7 @@
     loads: tuple[UpstreamLoad, ...] = ()
     waiting: tuple[WaitingCount, ...] = ()
     hold_seconds: Seconds = 0.0
+    marks_known: int = 0
 
 
 class RoutingNews(NamedTuple):
@@ -86,6 +91,10 @@
         Control replicas that are there.
     settled : bool
         Whether the replica has learned of all that is there since its start.
+    marks : tuple of CrashMark
+        Those that changed after what the entry knows, the first of them if many.
+    marks_revision : int
+        What the entry knows of them with this reply.
     """
 
     registry_id: str
@@ -100,6 +109,18 @@
     regions: tuple[RegionLoad, ...] = ()
     control: tuple[Address, ...] = ()
     settled: bool = False
+    marks: tuple[CrashMark, ...] = ()
+    marks_revision: int = 0
+
+
+class MarksReport(NamedTuple):
+    """Crash marks that an entry made, for all others."""
+
+    marks: tuple[CrashMark, ...]
+
+
+class MarksReceived(NamedTuple):
+    """The receiver holds the marks and tells them on."""
 
 
 class EntryLoads(NamedTuple):
@@ -135,6 +156,7 @@
     regions: tuple[RegionLoad, ...] = ()
     entry_loads: tuple[EntryLoads, ...] = ()
     control: tuple[Address, ...] = ()
+    marks: tuple[CrashMark, ...] = ()
 
 
 class GossipReply(NamedTuple):
@@ -161,3 +183,4 @@
     upstreams: tuple[ServiceUpstream, ...]
     control: tuple[Address, ...]
     settled: bool
+    marks: tuple[CrashMark, ...] = ()
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -8,13 +8,17 @@
 
 from poplarlug.control.routing_state import RoutingState
 from poplarlug.discovery.control_peers import ControlPeers
+from poplarlug.discovery.crash_marks import MAX_MARKS, CrashMark, CrashMarks
 from poplarlug.discovery.messages import (
     GOSSIP_TOPIC,
+    MARKS_TOPIC,
     POLL_TOPIC,
     TABLES_TOPIC,
     EntryLoads,
     Gossip,
     GossipReply,
+    MarksReceived,
+    MarksReport,
     Poll,
     PollReply,
     RoutingNews,
@@ -46,6 +50,12 @@
 SPREAD_TIMEOUT_SECONDS = 0.5
 """How long a farewell waits for another replica before it is acknowledged."""
 
+MAX_MARKS_A_REPLY = 128
+"""Crash marks in one reply, some 6 KB; an entry that lacks more polls again at once."""
+
+EXPIRE_MARKS_SECONDS = 60.0
+"""How often old crash marks are dropped; their life is an hour."""
+
 _log = PartLog(prefix="discovery")
 
 
@@ -67,6 +77,7 @@
         zone: ZoneName,
         regions_by_zone: Mapping[ZoneName, RegionName],
         registry: Registry,
+        marks: CrashMarks,
         peers: ControlPeers,
         routing: RoutingState,
         transport: Transport,
@@ -75,6 +86,7 @@
         clock: Callable[[], Seconds],
     ) -> None:
         self.registry = registry
+        self.marks = marks
         self.id = f"{rng.getrandbits(48):012x}"
         self._zone = zone
         self._region = regions_by_zone[zone]
@@ -95,15 +107,21 @@
         self._news: Latest[int] = Latest(initial=0)
         registry.revision.subject.subscribe(lambda _: self._bump())
         routing.revision.subject.subscribe(lambda _: self._bump())
+        marks.revision.subject.subscribe(lambda _: self._bump())
         transport.serve(POLL_TOPIC, Poll, self._serve_poll)
         transport.serve(GOSSIP_TOPIC, Gossip, self._serve_gossip)
         transport.serve(TABLES_TOPIC, TablesRequest, self._serve_tables)
+        transport.serve(MARKS_TOPIC, MarksReport, self._serve_marks)
 
     async def run(self) -> None:
         """Keep in step with the other replicas until cancelled."""
+        expired_marks_at = self._clock()
         try:
             while True:
                 self.registry.expire()
+                if self._clock() - expired_marks_at >= EXPIRE_MARKS_SECONDS:
+                    expired_marks_at = self._clock()
+                    self.marks.expire()
                 self._follow_peers()
                 self._spread_changes()
                 await asyncio.sleep(EXPIRE_SECONDS)
@@ -131,6 +149,21 @@
             for task in sent:
                 task.cancel()
 
+    def release(self, fingerprint: int) -> int:
+        """
+        Let a request run again that is held back; return the crashes forgotten.
+
+        All replicas and entries are told.
+        """
+        crashes = self.marks.withdraw(fingerprint)
+        self._spread_marks()
+        return crashes
+
+    def _spread_marks(self) -> None:
+        news = Records(marks=self.marks.take_news())
+        for outbox in self._outboxes_by_peer.values():
+            outbox.add(news)
+
     @property
     def is_settled(self) -> bool:
         """Whether what the registry lacks is not there."""
@@ -205,6 +238,7 @@
             regions=self._loads.own_region(self._usable_upstreams()),
             entry_loads=self._loads.of_entries(own) if is_near else (),
             control=self._peers.present(2 * GOSSIP_SECONDS),
+            marks=records.marks,
         )
 
     def _usable_upstreams(self) -> list[ServiceUpstream]:
@@ -228,6 +262,8 @@
             tables = reply.unwrap()
             self.registry.take(Records(tables.entries, tables.upstreams))
             self._peers.learn(tables.control)
+            for mark in tables.marks:
+                self.marks.add(mark)
             if tables.settled:
                 _log.info("took another replica's tables", peer=peer)
                 self._settled = True
@@ -237,6 +273,8 @@
         self._peers.learn(message.control)
         self._regions_by_peer[sender] = message.region
         self.registry.take(Records(message.entries, message.upstreams))
+        for mark in message.marks:
+            self.marks.add(mark)
         self._loads.note_regions(message.regions)
         for loads in message.entry_loads:
             if loads.entry not in self._own_entries():
@@ -247,7 +285,14 @@
         # Those that are over count too: entries share budgets with lost ones.
         held = self.registry.changed_after(0)
         control = self._peers.present(2 * GOSSIP_SECONDS)
-        return Tables(held.entries, held.upstreams, control, self.is_settled)
+        marks = tuple(self.marks.lasting())
+        return Tables(held.entries, held.upstreams, control, self.is_settled, marks)
+
+    async def _serve_marks(self, sender: VmName, report: MarksReport) -> MarksReceived:
+        for mark in report.marks:
+            self.marks.note(mark)
+        self._spread_marks()
+        return MarksReceived()
 
     async def _serve_poll(self, sender: VmName, poll: Poll) -> PollReply:
         name = poll.record.name
@@ -264,6 +309,7 @@
             poll.registry_id != self.id
             or poll.known < self.registry.revision.value
             or poll.routing_revision < self._routing.revision.value
+            or poll.marks_known < self.marks.revision.value
         )
 
     async def _wait_for_news(self, poll: Poll) -> None:
@@ -278,6 +324,9 @@
         whole = poll.registry_id != self.id
         known = 0 if whole else poll.known
         records = self.registry.changed_after(known)
+        marks, marks_revision = self.marks.changed_after(
+            0 if whole else poll.marks_known, MAX_MARKS_A_REPLY
+        )
         image = self._routing.image
         routing = None
         if poll.routing_revision < image.revision:
@@ -295,6 +344,8 @@
             regions=self._loads.other_regions(),
             control=self._peers.present(2 * GOSSIP_SECONDS),
             settled=self.is_settled,
+            marks=tuple(marks),
+            marks_revision=marks_revision,
         )
 
 
@@ -303,29 +354,37 @@
 
     def __init__(self) -> None:
         self._records_by_key: dict[str, Record] = {}
+        self._marks_by_key: dict[str, CrashMark] = {}
         self._wake = asyncio.Event()
         self._emptied = asyncio.Event()
 
     def add(self, records: Records) -> None:
         for record in records.all:
             self._records_by_key[record.key] = record
+        for mark in records.marks:
+            self._marks_by_key[mark.key] = mark
+        while len(self._marks_by_key) > MAX_MARKS:
+            del self._marks_by_key[next(iter(self._marks_by_key))]
         self._emptied.clear()
         self._wake.set()
 
     def take(self) -> Records:
         held, self._records_by_key = self._records_by_key, {}
+        marks, self._marks_by_key = self._marks_by_key, {}
         self._wake.clear()
         upstreams = tuple(r for r in held.values() if isinstance(r, ServiceUpstream))
         entries = tuple(r for r in held.values() if isinstance(r, EntryRecord))
-        return Records(entries, upstreams)
+        return Records(entries, upstreams, tuple(marks.values()))
 
     def put_back(self, records: Records) -> None:
         """Keep what was not delivered, unless something newer waits."""
         for record in records.all:
             self._records_by_key.setdefault(record.key, record)
+        for mark in records.marks:
+            self._marks_by_key.setdefault(mark.key, mark)
 
     def confirm(self) -> None:
-        if not self._records_by_key:
+        if not self._records_by_key and not self._marks_by_key:
             self._emptied.set()
 
     async def wait_empty(self) -> None:
--- a/poplarlug/discovery/registry.py
+++ b/poplarlug/discovery/registry.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, TypeAlias
 
+from poplarlug.discovery.crash_marks import CrashMark
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream, UpstreamPhase
 from poplarlug.latest import Latest
 from poplarlug.logs import PartLog
@@ -29,10 +30,11 @@
 
 
 class Records(NamedTuple):
-    """Entries and upstreams together."""
+    """Entries and upstreams together, and the crash marks that go with them."""
 
     entries: tuple[EntryRecord, ...] = ()
     upstreams: tuple[ServiceUpstream, ...] = ()
+    marks: tuple[CrashMark, ...] = ()
 
     @property
     def all(self) -> list[Record]:
--- a/poplarlug/discovery/registry_file.py
+++ b/poplarlug/discovery/registry_file.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from poplarlug.control.disk import Disk
+from poplarlug.discovery.crash_marks import CrashMark, CrashMarks
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.discovery.registry import Records, Registry
 from poplarlug.logs import PartLog
@@ -20,6 +21,7 @@
 class _Content(NamedTuple):
     entries: tuple[EntryRecord, ...]
     upstreams: tuple[ServiceUpstream, ...]
+    marks: tuple[CrashMark, ...] = ()
 
 
 class RegistryFile:
@@ -28,13 +30,18 @@
 
     What is read counts as heard some time ago, so it is gone soon unless its VM
     or upstream gives a sign. After all replicas were lost together, requests can
-    be sent before the upstreams announce themselves again.
+    be sent before the upstreams announce themselves again. The crash marks of requests
+    that are held back are kept with them.
     """
 
-    def __init__(self, *, disk: Disk, registry: Registry) -> None:
+    def __init__(self, *, disk: Disk, registry: Registry, marks: CrashMarks) -> None:
         self._disk = disk
         self._registry = registry
-        self._written = -1
+        self._marks = marks
+        self._written: tuple[int, frozenset[str]] | None = None
+        self._changed = asyncio.Event()
+        registry.revision.subject.subscribe(lambda _: self._changed.set())
+        marks.revision.subject.subscribe(lambda _: self._changed.set())
 
     def load(self) -> None:
         """Take the records from the disk; a damaged file is passed over."""
@@ -47,20 +54,26 @@
             _log.warning("passed over a damaged file", error=str(error))
             return
         self._registry.recall(Records(content.entries, content.upstreams))
+        for mark in content.marks:
+            self._marks.add(mark)
         _log.info(
             "read records from disk",
             entries=len(content.entries),
             upstreams=len(content.upstreams),
+            marks=len(content.marks),
         )
 
     async def run(self) -> None:
         """Write the records after changes until cancelled."""
         while True:
-            await self._registry.revision.wait_for(
-                lambda revision: revision != self._written
-            )
-            self._written = self._registry.revision.value
-            present = self._registry.present()
+            await self._changed.wait()
+            self._changed.clear()
+            marks = self._marks.lasting()
+            state = self._registry.revision.value, frozenset(m.key for m in marks)
+            if state == self._written:
+                continue
+            self._written = state
+            present = self._registry.present()._replace(marks=tuple(marks))
             try:
                 await self._disk.replace(FILE_NAME, msgspec.msgpack.encode(present))
             except OSError as error:
--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -5,10 +5,19 @@
 from random import Random
 from typing import NamedTuple
 
-from returns.result import Success
+from returns.result import Failure, Success
 
+from poplarlug.discovery.crash_marks import CrashMarks
 from poplarlug.discovery.deployment import Deployment
-from poplarlug.discovery.messages import POLL_TOPIC, Poll, PollReply, WaitingCount
+from poplarlug.discovery.messages import (
+    MARKS_TOPIC,
+    POLL_TOPIC,
+    MarksReceived,
+    MarksReport,
+    Poll,
+    PollReply,
+    WaitingCount,
+)
 from poplarlug.discovery.records import EntryRecord, UpstreamLoad
 from poplarlug.logs import PartLog
 from poplarlug.transport import Transport, TransportErrorKind
@@ -63,6 +72,8 @@
         Returns this entry's record of the moment.
     own_loads : callable
         Returns what this entry has running and waiting.
+    marks : CrashMarks
+        This entry's, kept in step with those of all others.
     """
 
     def __init__(
@@ -70,6 +81,7 @@
         *,
         zone: ZoneName,
         deployment: Deployment,
+        marks: CrashMarks,
         transport: Transport,
         seeds: Iterable[Address],
         record: Callable[[], EntryRecord],
@@ -79,6 +91,8 @@
     ) -> None:
         self._zone = zone
         self._deployment = deployment
+        self._marks = marks
+        self._marks_known = 0
         self._transport = transport
         self._seeds = tuple(seeds)
         self._known: tuple[Address, ...] = ()
@@ -103,7 +117,10 @@
 
     async def run(self) -> None:
         """Poll until cancelled."""
-        reporting = asyncio.ensure_future(self._report_changes())
+        reporting = [
+            asyncio.ensure_future(self._report_changes()),
+            asyncio.ensure_future(self._report_marks()),
+        ]
         try:
             while True:
                 started = self._clock()
@@ -113,7 +130,30 @@
                 if rest > 0:
                     await asyncio.sleep(rest)
         finally:
-            reporting.cancel()
+            for task in reporting:
+                task.cancel()
+
+    async def _report_marks(self) -> None:
+        """Tell the followed replica what this entry marked, until cancelled."""
+        while True:
+            await self._marks.has_news.wait()
+            replica = self._replica
+            if replica is None:
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            news = self._marks.take_news()
+            reply = await self._transport.request(
+                peer=replica,
+                topic=MARKS_TOPIC,
+                message=MarksReport(news),
+                reply_type=MarksReceived,
+                timeout_seconds=REPLY_SECONDS,
+            )
+            if isinstance(reply, Failure):
+                reason = reply.failure().message
+                _log.warning("can't report marks", replica=replica, reason=reason)
+                self._marks.put_back(news)
+                await asyncio.sleep(RETRY_SECONDS)
 
     async def _report_changes(self) -> None:
         while True:
@@ -225,6 +265,7 @@
             loads=own.loads,
             waiting=own.waiting,
             hold_seconds=hold,
+            marks_known=self._marks_known if is_followed else 0,
         )
 
     async def _request(
@@ -259,6 +300,12 @@
                 revision=reply.revision,
             )
         self._deployment.take(reply)
+        for mark in reply.marks:
+            self._marks.add(mark)
+        self._marks_known = reply.marks_revision
+        if reply.registry_id != self._registry_id:
+            # A replica that has just started may know nothing of them.
+            self._marks.tell_again()
         self._replica = replica
         self._registry_id = reply.registry_id
         self._revision = reply.revision
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -10,6 +10,7 @@
 
 from poplarlug.callers.connections import ConnectionGuard, HttpLimits
 from poplarlug.daemon import Site, add_health_routes, serve_http, stop_event
+from poplarlug.discovery.crash_marks import CrashMarks
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import WaitingCount
 from poplarlug.discovery.ranking import rank_entries
@@ -19,12 +20,12 @@
 from poplarlug.metrics import sample_loop_lag
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
 from poplarlug.relay.client import FAR_CONNECT_SECONDS, RelayClient
-from poplarlug.relay.crash_watch import CrashWatch
 from poplarlug.relay.dialect import Dialect
 from poplarlug.relay.dispatcher import Dispatcher
 from poplarlug.relay.face import Admittance, RelayFace
 from poplarlug.relay.gateway import RelayGateway
 from poplarlug.relay.in_flight import InFlight
+from poplarlug.relay.suspects import Suspects
 from poplarlug.relay.view import FleetView
 from poplarlug.seeded_settings import (
     SeededEntrySettings,
@@ -106,19 +107,16 @@
         self.dispatcher = Dispatcher(view=view, clock=clock)
         self.client = RelayClient()
         self.far_client = RelayClient(connect_seconds=FAR_CONNECT_SECONDS)
-        watch = CrashWatch(
-            deployment=self.deployment,
-            clock=clock,
-            on_crash=lambda crash: None,
-            on_return=lambda run: None,
-        )
+        marks = CrashMarks(clock=clock)
         gateway = RelayGateway(
             name=settings.name,
             view=view,
             dispatcher=self.dispatcher,
             client=self.client,
             far_client=self.far_client,
-            watch=watch,
+            suspects=Suspects(
+                deployment=self.deployment, marks=marks, rng=rng, clock=clock
+            ),
             dialect=dialect,
             retry_limits=RetryLimits(
                 ratio=budgets.retry_ratio,
@@ -144,6 +142,7 @@
         self.subscriber = Subscriber(
             zone=settings.zone,
             deployment=self.deployment,
+            marks=marks,
             transport=self.transport,
             seeds=seed_peers(settings.seeds, settings.peers_port),
             record=self.record,
--- a/poplarlug/errors.py
+++ b/poplarlug/errors.py
@@ -4,6 +4,13 @@
 
 import msgspec
 
+QUARANTINED = "quarantined"
+"""Type of the error of a request that crashes the upstreams that run it."""
+
+
+HELD_APART = "held_apart"
+"""Type of the error of a request whose turn apart from others did not come."""
+
 
 class GatewayError(NamedTuple):
     """
@@ -84,6 +91,18 @@
     return GatewayError(503, "not_run", message, False, retry_after_seconds)
 
 
+def held_apart(retry_after_seconds: float) -> GatewayError:
+    """Return the error of a suspect that got no turn; it was not run."""
+    return GatewayError(
+        503,
+        HELD_APART,
+        "Upstreams crashed while this request ran, so it runs apart from others; its "
+        "turn did not come in time.",
+        False,
+        retry_after_seconds,
+    )
+
+
 def outcome_unknown(message: str) -> GatewayError:
     """Return the error of a request that may or may not have run."""
     return GatewayError(502, "outcome_unknown", message, None, None)
@@ -165,7 +184,7 @@
     """Return the error of a request that crashes the upstreams that run it."""
     return GatewayError(
         422,
-        "quarantined",
+        QUARANTINED,
         f"This request took part in {crashes} crashes of upstreams and won't be run "
         f"again; change it.",
         None,
--- a/poplarlug/relay/course.py
+++ b/poplarlug/relay/course.py
@@ -1,7 +1,8 @@
 """The course of one request: where it was, what came of it, whether it may go on."""
 
+import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from poplarlug.errors import GatewayError
 from poplarlug.relay.events import LAST_EVENT_HEADER, EventProgress
@@ -68,6 +69,9 @@
 
     Attributes
     ----------
+    settled : asyncio.Future or None
+        Done once it is known what the last send tells of the request; ``None`` where
+        it is known already.
     may_move : callable
         Returns whether the rest of the stream in progress can run elsewhere now.
     """
@@ -81,6 +85,7 @@
         self.tried = Tried()
         self.events = _progress_of(request)
         self.arrivals = 0
+        self.settled: asyncio.Future[Any] | None = None
         self.may_move: Callable[[], bool] = lambda: False
         self._attempts = 0
         self._last: GatewayError | None = None
@@ -133,6 +138,11 @@
         self.request = _resumed(request, self.events)
         return True
 
+    def refuse(self, refusal: GatewayError) -> GatewayError:
+        """Return a final refusal; it says whether an earlier send may have run."""
+        ran = False if self._error is None else self._error.ran
+        return refusal._replace(ran=ran)
+
     async def give_up(self, refusal: GatewayError | None = None) -> GatewayError | None:
         """
         Return the final error, or pass on the failure that an upstream answered.
--- /dev/null
+++ b/poplarlug/relay/crash_scope.py
@@ -0,0 +1,93 @@
+"""Tells the crash of one upstream from that of many at once."""
+
+import asyncio
+from collections.abc import Container
+from random import Random
+
+from poplarlug.discovery.deployment import Deployment, RunFate
+from poplarlug.discovery.records import ServiceUpstream, UpstreamRun
+from poplarlug.relay.crash_watch import Listening, probe
+
+MAX_PEERS = 6
+"""Upstreams looked at beside one that crashed; half of them tell a zone's loss."""
+
+MANY_SHARE = 0.5
+"""Share of the others that crashed too, from which one cause of all is likely."""
+
+CONFIRM_SECONDS = 2.0
+"""Upstreams that are back at once announce themselves as new within this time."""
+
+
+class CrashScope:
+    """
+    Look at other upstreams after one crashed.
+
+    Load pattern: a zone loses its power, or a bad release ends upstream after upstream,
+    while a request that did nothing runs at one of them.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Draws the upstreams that are looked at.
+    """
+
+    def __init__(self, *, deployment: Deployment, rng: Random) -> None:
+        self._deployment = deployment
+        self._rng = rng
+
+    async def is_wide(
+        self, crashed: ServiceUpstream, aside: Container[UpstreamRun]
+    ) -> bool:
+        """
+        Return whether others crashed together with an upstream.
+
+        That is known at once where they don't listen any more, else after
+        :data:`CONFIRM_SECONDS`.
+
+        Parameters
+        ----------
+        aside : container of UpstreamRun
+            Others that don't count, as the same request ran there.
+        """
+        peers = self._peers(crashed, aside)
+        if not peers:
+            return False
+        own = self._deployment.region_of(crashed.zone)
+        near = [p for p in peers if self._deployment.region_of(p.zone) == own]
+        found = await asyncio.gather(*(probe(peer.address) for peer in near))
+        down = {
+            peer.run
+            for peer, listening in zip(near, found, strict=True)
+            if listening is not Listening.ACCEPTED
+        }
+        if not self._are_many(down, peers):
+            await asyncio.sleep(CONFIRM_SECONDS)
+        return self._are_many(down, peers)
+
+    def _are_many(
+        self, down: Container[UpstreamRun], peers: list[ServiceUpstream]
+    ) -> bool:
+        over = (RunFate.REPLACED, RunFate.LOST)
+        crashed = sum(
+            peer.run in down or self._deployment.fate(peer) in over for peer in peers
+        )
+        return crashed >= MANY_SHARE * len(peers)
+
+    def _peers(
+        self, crashed: ServiceUpstream, aside: Container[UpstreamRun]
+    ) -> list[ServiceUpstream]:
+        """Return others of its service: of its zone, else its region, else all."""
+        region_of = self._deployment.region_of
+        others = [
+            upstream
+            for upstream in self._deployment.upstreams_of(crashed.service)
+            if upstream.run != crashed.run
+            and upstream.address != crashed.address
+            and upstream.run not in aside
+        ]
+        zone = [one for one in others if one.zone == crashed.zone]
+        region = [
+            one for one in others if region_of(one.zone) == region_of(crashed.zone)
+        ]
+        nearest = zone or region or others
+        return self._rng.sample(nearest, min(MAX_PEERS, len(nearest)))
--- a/poplarlug/relay/crash_watch.py
+++ b/poplarlug/relay/crash_watch.py
@@ -1,7 +1,8 @@
 """Finds out whether an upstream crashed under the requests whose sends broke there."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
+from enum import Enum
 from typing import NamedTuple
 
 from prometheus_client import Counter
@@ -53,34 +54,23 @@
     is_silent : bool
         Whether it ended without a sign of the upstream: nothing came in time, or its
         caller left before.
-    alone : bool
-        Whether it ran apart from other suspects.
     """
 
     fingerprint: Fingerprint
     upstream: ServiceUpstream
     is_silent: bool
-    alone: bool
 
 
 class Crash(NamedTuple):
-    """
-    An upstream's end under requests.
-
-    Parameters
-    ----------
-    alone_by_fingerprint : mapping
-        The requests that ran there, and whether each ran apart from other suspects.
-    """
+    """An upstream's end, and the requests whose sends broke there."""
 
     upstream: ServiceUpstream
     evidence: str
-    alone_by_fingerprint: Mapping[Fingerprint, bool]
+    fingerprints: tuple[Fingerprint, ...]
 
 
 class _Watched:
-    def __init__(self, *, alone: bool, until: Seconds) -> None:
-        self.alone = alone
+    def __init__(self, *, until: Seconds) -> None:
         self.until = until
         self.judged: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
 
@@ -147,9 +137,8 @@
         watched = watch.sends_by_fingerprint.get(send.fingerprint)
         limit = SILENT_SECONDS if send.is_silent else RESTART_SECONDS
         if watched is None:
-            watched = _Watched(alone=send.alone, until=now + limit)
+            watched = _Watched(until=now + limit)
             watch.sends_by_fingerprint[send.fingerprint] = watched
-        watched.alone = watched.alone or send.alone
         watched.until = max(watched.until, now + limit)
         if run in self._crashed_at_by_run:
             self._crashed(watch, "known")
@@ -172,6 +161,10 @@
             self._lost_by_run.pop(upstream.run, None)
             self._on_return(upstream.run)
 
+    @property
+    def is_idle(self) -> bool:
+        return not self._watches_by_run
+
     def pending(self, fingerprint: Fingerprint) -> int:
         """Return how many upstreams are watched for a request's broken sends."""
         return sum(
@@ -207,11 +200,11 @@
     def _crashed(self, watch: _Watch, evidence: str) -> None:
         upstream = watch.upstream
         now = self._clock()
-        sends = {
-            fingerprint: send
+        fingerprints = tuple(
+            fingerprint
             for fingerprint, send in watch.sends_by_fingerprint.items()
             if send.until >= now
-        }
+        )
         is_new = upstream.run not in self._crashed_at_by_run
         self._crashed_at_by_run.setdefault(upstream.run, now)
         self._forget_old()
@@ -223,12 +216,11 @@
                 born=upstream.born,
                 service=upstream.service,
                 evidence=evidence,
-                requests=len(sends),
-                fingerprints=[short(f) for f in list(sends)[:LISTED_FINGERPRINTS]],
+                requests=len(fingerprints),
+                fingerprints=[short(f) for f in fingerprints[:LISTED_FINGERPRINTS]],
             )
-        if sends:
-            alone = {fingerprint: send.alone for fingerprint, send in sends.items()}
-            self._on_crash(Crash(upstream, evidence, alone))
+        if fingerprints:
+            self._on_crash(Crash(upstream, evidence, fingerprints))
         self._end(watch, crashed=True)
 
     def _end(self, watch: _Watch, *, crashed: bool) -> None:
@@ -259,26 +251,33 @@
 
     async def _probe(self, watch: _Watch) -> None:
         await asyncio.sleep(FIRST_PROBE_SECONDS)
-        if not await _is_refused(watch.upstream.address):
-            watch.probing = None
-            return
-        await asyncio.sleep(SECOND_PROBE_SECONDS)
-        refused = await _is_refused(watch.upstream.address)
+        listening = await probe(watch.upstream.address)
+        if listening is Listening.REFUSED:
+            await asyncio.sleep(SECOND_PROBE_SECONDS)
+            listening = await probe(watch.upstream.address)
         watch.probing = None
-        if refused and watch.sends_by_fingerprint:
-            self._crashed(watch, "refused")
+        if listening is Listening.REFUSED and watch.sends_by_fingerprint:
+            self._crashed(watch, listening.value)
+
+
+class Listening(Enum):
+    """What a new connection to an address shows."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    SILENT = "silent"
 
 
-async def _is_refused(address: Address) -> bool:
-    """Return whether nothing listens at an address."""
+async def probe(address: Address) -> Listening:
+    """Open a connection and close it."""
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(PROBE_SECONDS):
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
-        return True
+        return Listening.REFUSED
     except (OSError, TimeoutError) as error:
         _log.debug("a probe got no answer", address=address, error=repr(error))
-        return False
+        return Listening.SILENT
     writer.close()
-    return False
+    return Listening.ACCEPTED
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -8,17 +8,21 @@
 from prometheus_client import Counter, Histogram
 from returns.result import Failure
 
-from poplarlug.discovery.records import ServiceUpstream
-from poplarlug.errors import GatewayError, not_run, outcome_unknown
+from poplarlug.errors import (
+    HELD_APART,
+    QUARANTINED,
+    GatewayError,
+    held_apart,
+    not_run,
+    outcome_unknown,
+)
 from poplarlug.logs import PartLog
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.budgets import RetryBudget, RetryLimits
 from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
 from poplarlug.relay.course import Course, Outcome
-from poplarlug.relay.crash_watch import BrokenSend, CrashWatch
 from poplarlug.relay.dialect import Dialect
 from poplarlug.relay.dispatcher import Dispatcher, FarPlace, LocalPlace, Place
-from poplarlug.relay.fingerprint import short
 from poplarlug.relay.hop_headers import (
     HOPS,
     ORIGIN,
@@ -28,6 +32,7 @@
 )
 from poplarlug.relay.passing import pass_on
 from poplarlug.relay.requests import RelayRequest
+from poplarlug.relay.suspects import Suspects, Verdict
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import FleetView
 from poplarlug.serving.answers import AnswerSink
@@ -39,6 +44,9 @@
 REFUSED_RETRY_SECONDS = 0.2
 """When to come back after an upstream refused; its queue moves on within that."""
 
+TURN_RETRY_SECONDS = 0.5
+"""When to come back for a turn; the run before it ends within that, or is judged."""
+
 REST_SECONDS = 0.2
 """How long the rest of a refusal's body may take, so that its connection is kept."""
 
@@ -73,8 +81,8 @@
     ----------
     name : VmName
         This entry, as the origin of what it hands on.
-    watch : CrashWatch
-        Finds out what became of upstreams that gave no whole answer.
+    suspects : Suspects
+        Holds back requests under which upstreams crash.
     """
 
     def __init__(
@@ -85,7 +93,7 @@
         dispatcher: Dispatcher,
         client: RelayClient,
         far_client: RelayClient,
-        watch: CrashWatch,
+        suspects: Suspects,
         dialect: Dialect,
         retry_limits: RetryLimits,
         clock: Callable[[], Seconds],
@@ -97,7 +105,7 @@
         self._dispatcher = dispatcher
         self._client = client
         self._far_client = far_client
-        self._watch = watch
+        self._suspects = suspects
         self._dialect = dialect
         self._retry_limits = retry_limits
         self._clock = clock
@@ -119,6 +127,9 @@
             budget.note_request()
         course = Course(request=request, sink=sink, trace=trace)
         while True:
+            if self._suspects.verdict(course) is Verdict.QUARANTINED:
+                refusal = self._suspects.refusal(course, self._clock())
+                return course.refuse(refusal)
             found = await self._dispatcher.find(course.request, course.tried)
             if isinstance(found, Failure):
                 refusal = found.failure()
@@ -126,23 +137,87 @@
                 return await course.give_up(refusal)
             placed = found.unwrap()
             if course.arrivals and not budget.take(self._entries()):
-                if isinstance(placed, LocalPlace):
-                    self._dispatcher.release(placed.flight, failed=False)
+                self._give_back(placed)
                 trace.step("no repeat", self._clock(), reason="retry budget")
                 return await course.give_up()
-            patience = self._patience(course, budget)
-            course.may_move = partial(self._may_move, course, budget, placed)
-            if isinstance(placed, LocalPlace):
-                outcome = await self._run_local(course, placed, patience)
-                course.ran_at_upstream(placed.upstream.id, outcome)
+            is_suspect = self._suspects.verdict(course) is not Verdict.CLEAR
+            if is_suspect:
+                outcome = await self._run_suspect(course, placed)
             else:
-                outcome = await self._run_far(course, placed, patience)
-                course.ran_in_region(placed.entry.region, outcome)
+                patience = self._patience(course, budget)
+                course.may_move = partial(self._may_move, course, budget, placed)
+                outcome = await self._run(course, placed, patience)
             if outcome.error is None:
                 return None
+            if outcome.error.type == QUARANTINED:
+                return course.refuse(outcome.error)
+            if outcome.error.type == HELD_APART or (
+                is_suspect and outcome.may_have_run
+            ):
+                return await course.give_up()
             if not course.may_go_on(self._clock()):
                 return await course.give_up()
 
+    async def _run(self, course: Course, placed: Place, patience: Seconds) -> Outcome:
+        if isinstance(placed, LocalPlace):
+            outcome = await self._run_local(course, placed, patience)
+            course.ran_at_upstream(placed.upstream.id, outcome)
+        else:
+            outcome = await self._run_far(course, placed, patience)
+            course.ran_in_region(placed.entry.region, outcome)
+        return outcome
+
+    async def _run_suspect(self, course: Course, placed: Place) -> Outcome:
+        """Run a suspect in its turn, at the entry of the region that runs it."""
+        patience = course.request.deadline - self._clock()
+        far = self._far_holder(course, placed)
+        if far is not None:
+            self._give_back(placed)
+            return await self._run(course, far, patience)
+        assert isinstance(placed, LocalPlace)
+        outcome = await self._run_in_turn(course, placed, patience)
+        course.ran_at_upstream(placed.upstream.id, outcome)
+        return outcome
+
+    def _far_holder(self, course: Course, placed: Place) -> FarPlace | None:
+        """Return where a suspect is handed to, ``None`` if it runs here."""
+        if isinstance(placed, FarPlace):
+            region = placed.entry.region
+            holder = self._view.holder_of(region, course.fingerprint)
+            return placed if holder is None else placed._replace(entry=holder)
+        if course.request.hops:
+            return None
+        region = self._deployment.own_region
+        holder = self._view.holder_of(region, course.fingerprint)
+        if holder is None:
+            return None
+        return FarPlace(holder, placed.expected_seconds, placed.loss)
+
+    async def _run_in_turn(
+        self, course: Course, placed: LocalPlace, patience: Seconds
+    ) -> Outcome:
+        turn = None
+        try:
+            turn = await self._suspects.take_turn(course, placed.upstream, patience)
+        finally:
+            if turn is None:
+                self._give_back(placed)
+        if turn is None:
+            return Outcome(held_apart(TURN_RETRY_SECONDS), arrived=False)
+        if self._suspects.verdict(course) is Verdict.QUARANTINED:
+            self._give_back(placed)
+            turn.end(None)
+            return Outcome(self._suspects.refusal(course, self._clock()), arrived=False)
+        course.settled = None
+        try:
+            return await self._run_local(course, placed, patience, alone=True)
+        finally:
+            turn.end(course.settled)
+
+    def _give_back(self, placed: Place) -> None:
+        if isinstance(placed, LocalPlace):
+            self._dispatcher.release(placed.flight, failed=False)
+
     def _patience(self, course: Course, budget: RetryBudget) -> Seconds:
         """Return how long one send may take to its first answer."""
         request = course.request
@@ -177,7 +252,12 @@
         return placed.entry.name not in self._deployment.entries_by_name
 
     async def _run_local(
-        self, course: Course, placed: LocalPlace, patience: Seconds
+        self,
+        course: Course,
+        placed: LocalPlace,
+        patience: Seconds,
+        *,
+        alone: bool = False,
     ) -> Outcome:
         upstream = placed.upstream
         now = self._clock()
@@ -188,6 +268,7 @@
             running=self._in_flight.load(upstream.id).running,
             ahead_ms=placed.ahead_ms,
             read_ms=placed.flight.read_ms,
+            alone=alone,
             loss=round(placed.loss, 3),
             expected_ms=round(placed.expected_seconds * 1000),
             view_age_ms=round(self._deployment.age_seconds * 1000),
@@ -203,33 +284,7 @@
             raise
         finally:
             self._dispatcher.release(placed.flight, failed=failed)
-            self._watch_upstream(course, upstream, outcome)
-
-    def _watch_upstream(
-        self, course: Course, upstream: ServiceUpstream, outcome: Outcome | None
-    ) -> None:
-        """
-        Find out what became of an upstream that gave no whole answer.
-
-        Parameters
-        ----------
-        outcome : Outcome or None
-            ``None`` when the caller left before.
-        """
-        if outcome is not None and outcome.is_whole:
-            self._watch.answered(upstream)
-            return
-        if outcome is not None and not outcome.may_have_run:
-            return
-        course.trace.note(fingerprint=short(course.fingerprint))
-        self._watch.broke(
-            BrokenSend(
-                fingerprint=course.fingerprint,
-                upstream=upstream,
-                is_silent=outcome is None or not outcome.broke,
-                alone=False,
-            )
-        )
+            course.settled = self._suspects.note(course, upstream, outcome, alone=alone)
 
     async def _attempt(
         self, course: Course, placed: LocalPlace, patience: Seconds
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -22,6 +22,7 @@
     EngineLoad,
     read_seconds,
 )
+from poplarlug.relay.fingerprint import Fingerprint
 from poplarlug.relay.in_flight import Flight, InFlight
 from poplarlug.relay.part_cache import PartCache
 from poplarlug.relay.placement import Candidate, Demand, RemoteRegion
@@ -328,6 +329,30 @@
         ]
         return self._rng.choice(entries) if entries else None
 
+    def holder_of(
+        self, region: RegionName, fingerprint: Fingerprint
+    ) -> EntryRecord | None:
+        """
+        Return the entry of a region at which a suspect runs, ``None`` for this one.
+
+        Entries that know of the same ones agree without asking each other.
+        """
+        now = self._clock()
+        entries_by_name: dict[VmName, EntryRecord | None] = {
+            entry.name: entry
+            for entry in self.deployment.entries_of(region)
+            if self._avoided_until_by_entry.get(entry.name, now) <= now
+        }
+        if region == self.deployment.own_region:
+            entries_by_name[self._name] = None
+        if not entries_by_name:
+            return None
+        holder = max(
+            entries_by_name,
+            key=lambda n: xxhash.xxh3_64_intdigest(f"{fingerprint:x}/{n}".encode()),
+        )
+        return entries_by_name[holder]
+
     def _bears(self, upstream: ServiceUpstream, service: RoutedService) -> bool:
         """Return whether a cold upstream bears one more request from this entry."""
         if not self._is_cold(upstream) or service.warmup_per_second <= 0:
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -39,6 +39,8 @@
         ``""``, ``reset`` (broken connection after the request was read), ``error``
         (status 500), ``refuse`` (not executed), ``mute`` (no answer) or ``cut`` (a
         stream that breaks off within an event).
+    answer_seconds : float
+        How long it works on a request before its answer.
     deadly : bytes
         A request whose body has this ends the upstream; empty for none.
     deadly_after : int
@@ -59,6 +61,7 @@
         self.zone = zone
         self.fault = ""
         self.event_seconds = 0.01
+        self.answer_seconds = 0.0
         self.arrivals: list[Arrival] = []
         self.abandoned = 0
         self.deadly = b""
@@ -140,6 +143,8 @@
         if self._ending is not None:
             self._ending.cancel()
         await self._runner.cleanup()
+        # Transports that were aborted are closed in the loop's next turn.
+        await asyncio.sleep(0)
 
     async def _end(self) -> None:
         if not self.is_up:
@@ -195,6 +200,8 @@
         if "/stream/" in request.path or "/resume/" in request.path:
             last = first_event(request) + self.deadly_after if is_deadly else None
             return await self._stream(request, headers, last)
+        if self.answer_seconds:
+            await asyncio.sleep(self.answer_seconds)
         return web.Response(headers=headers, body=b"answer to " + body)
 
     async def _stream(
--- /dev/null
+++ b/tests/discovery/test_crash_marks.py
@@ -0,0 +1,113 @@
+"""Tests of how crash marks are merged, told on, withdrawn and bounded."""
+
+from unittest import TestCase
+
+from hypothesis import given, strategies as st
+
+from poplarlug.discovery.crash_marks import (
+    MARK_LIFE_SECONDS,
+    MAX_MARKS,
+    MAX_NEWS,
+    CrashMark,
+    CrashMarks,
+)
+from poplarlug.discovery.records import UpstreamRun
+
+
+def make_mark(fingerprint: int = 7, number: int = 1, **fields: bool) -> CrashMark:
+    return CrashMark(fingerprint, UpstreamRun(f"u-{number}", 1), **fields)
+
+
+class CrashMarksTests(TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.marks = CrashMarks(clock=lambda: self.now)
+
+    def test_crash_that_two_entries_saw_counts_once(self) -> None:
+        """Marks are those of distinct runs; one that ran alone stays so."""
+        self.assertTrue(self.marks.add(make_mark(alone=True)))
+        self.assertFalse(self.marks.add(make_mark()))
+        self.assertTrue(self.marks.counted(7)[0].alone)
+
+    def test_withdrawn_mark_is_not_brought_back(self) -> None:
+        """An older message may come after the whole answer."""
+        self.marks.add(make_mark())
+        self.assertEqual(self.marks.withdraw(7), 1)
+        self.marks.add(make_mark())
+        self.assertEqual(self.marks.counted(7), [])
+
+    def test_run_that_had_not_crashed_counts_for_nobody(self) -> None:
+        """All marks of it are withdrawn."""
+        for fingerprint in (7, 8):
+            self.marks.add(make_mark(fingerprint, 1))
+            self.marks.add(make_mark(fingerprint, 2))
+        self.marks.withdraw_run(UpstreamRun("u-1", 1))
+        self.assertEqual([len(self.marks.counted(f)) for f in (7, 8)], [1, 1])
+
+    def test_marks_end_with_their_life(self) -> None:
+        """Their age goes with them from VM to VM."""
+        self.marks.add(make_mark()._replace(age_seconds=100.0))
+        self.now = MARK_LIFE_SECONDS - 101.0
+        self.assertEqual(len(self.marks.counted(7)), 1)
+        self.now += 2.0
+        self.assertEqual(self.marks.counted(7), [])
+        self.marks.expire()
+        self.assertTrue(self.marks.is_empty)
+
+    def test_flood_of_requests_does_not_push_out_a_culprit(self) -> None:
+        """Those with the fewest marks are forgotten first."""
+        for number in range(3):
+            self.marks.add(make_mark(7, number))
+        for fingerprint in range(100, 100 + 3 * MAX_MARKS):
+            self.now += 0.001
+            self.marks.add(make_mark(fingerprint))
+        held, _ = self.marks.changed_after(0, 10 * MAX_MARKS)
+        self.assertLessEqual(len(held), MAX_MARKS)
+        self.assertEqual(len(self.marks.counted(7)), 3)
+
+    def test_news_is_bounded_and_told_once(self) -> None:
+        """What could not be told is kept, with its age."""
+        for fingerprint in range(2 * MAX_NEWS):
+            self.marks.note(make_mark(fingerprint))
+        self.now = 5.0
+        first = self.marks.take_news(10)
+        self.assertEqual([mark.age_seconds for mark in first], [5.0] * 10)
+        self.marks.put_back(first[:3])
+        self.assertEqual(len(self.marks.take_news()), MAX_NEWS - 7)
+        self.assertFalse(self.marks.has_news.is_set())
+
+    def test_readers_catch_up_in_steps(self) -> None:
+        """Each step ends at the revision from which the next one goes on."""
+        for number in range(5):
+            self.marks.add(make_mark(7, number))
+        other = CrashMarks(clock=lambda: self.now)
+        known = 0
+        for _ in range(3):
+            marks, known = self.marks.changed_after(known, 2)
+            for mark in marks:
+                other.add(mark)
+        self.assertEqual(known, self.marks.revision.value)
+        self.assertEqual(len(other.counted(7)), 5)
+
+    @given(
+        st.lists(
+            st.builds(
+                make_mark,
+                st.integers(1, 3),
+                st.integers(1, 3),
+                alone=st.booleans(),
+                withdrawn=st.booleans(),
+            )
+        ),
+        st.randoms(),
+    )
+    def test_order_of_marks_does_not_matter(self, marks, random) -> None:  # type: ignore[no-untyped-def]
+        """All VMs that got the same marks hold the same."""
+        views = []
+        for _ in range(2):
+            view = CrashMarks(clock=lambda: 0.0)
+            for mark in marks:
+                view.add(mark)
+            views.append(sorted(view.changed_after(0, MAX_MARKS)[0]))
+            random.shuffle(marks)
+        self.assertEqual(*views)
--- a/tests/discovery/test_registry_file.py
+++ b/tests/discovery/test_registry_file.py
@@ -5,6 +5,8 @@
 from unittest import TestCase
 
 from poplarlug.control.memory_disk import MemoryDisk
+from poplarlug.discovery.crash_marks import CrashMark, CrashMarks
+from poplarlug.discovery.records import UpstreamRun
 from poplarlug.discovery.registry import RECALL_SECONDS, Registry
 from poplarlug.discovery.registry_file import FILE_NAME, RegistryFile
 from poplarlug.virtualtime import run_virtual
@@ -19,15 +21,17 @@
             clock = asyncio.get_running_loop().time
             disk = MemoryDisk(rng=Random(1))
             first = Registry(clock=clock, beat_seconds=1.2)
+            marks = CrashMarks(clock=clock)
             writing = asyncio.ensure_future(
-                RegistryFile(disk=disk, registry=first).run()
+                RegistryFile(disk=disk, registry=first, marks=marks).run()
             )
             first.hear(make_upstream())
             first.hear(make_entry())
             await asyncio.sleep(3.0)
             writing.cancel()
             second = Registry(clock=clock, beat_seconds=1.2)
-            RegistryFile(disk=disk, registry=second).load()
+            restored = CrashMarks(clock=clock)
+            RegistryFile(disk=disk, registry=second, marks=restored).load()
             self.assertEqual(len(second.present().all), 2)
             await asyncio.sleep(RECALL_SECONDS + 0.1)
             second.expire()
@@ -35,6 +39,30 @@
 
         run_virtual(main())
 
+    def test_crash_marks_come_back(self) -> None:
+        """A request that is held back stays it when all replicas lose power."""
+
+        async def main() -> None:
+            clock = asyncio.get_running_loop().time
+            disk = MemoryDisk(rng=Random(1))
+            registry = Registry(clock=clock, beat_seconds=1.2)
+            marks = CrashMarks(clock=clock)
+            file = RegistryFile(disk=disk, registry=registry, marks=marks)
+            writing = asyncio.ensure_future(file.run())
+            marks.add(CrashMark(7, UpstreamRun("u-1", 1), alone=True))
+            marks.add(CrashMark(7, UpstreamRun("u-2", 1)))
+            marks.add(CrashMark(8, UpstreamRun("u-1", 1)))
+            await asyncio.sleep(3.0)
+            writing.cancel()
+            restored = CrashMarks(clock=clock)
+            RegistryFile(disk=disk, registry=registry, marks=restored).load()
+            self.assertEqual(
+                [mark.alone for mark in restored.counted(7)], [True, False]
+            )
+            self.assertEqual(restored.counted(8), [])
+
+        run_virtual(main())
+
     def test_damaged_file_is_passed_over(self) -> None:
         """A file that can't be read is as none."""
 
@@ -42,7 +70,8 @@
             disk = MemoryDisk(rng=Random(1))
             await disk.replace(FILE_NAME, b"\xc1damaged")
             registry = Registry(clock=lambda: 0.0, beat_seconds=1.2)
-            RegistryFile(disk=disk, registry=registry).load()
+            marks = CrashMarks(clock=lambda: 0.0)
+            RegistryFile(disk=disk, registry=registry, marks=marks).load()
             self.assertEqual(registry.present().all, [])
 
         run_virtual(main())
--- a/tests/discovery/test_subscriber.py
+++ b/tests/discovery/test_subscriber.py
@@ -4,6 +4,7 @@
 from random import Random
 from unittest import TestCase
 
+from poplarlug.discovery.crash_marks import CrashMarks
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import POLL_TOPIC, Poll, PollReply
 from poplarlug.discovery.records import EntryRecord
@@ -75,6 +76,7 @@
         subscriber = Subscriber(
             zone="a",
             deployment=deployment,
+            marks=CrashMarks(clock=clock),
             transport=transport,
             seeds=tuple(REGIONS_BY_ZONE),
             record=lambda: RECORD,
--- a/tests/platform_adapter/test_deadly_requests.py
+++ b/tests/platform_adapter/test_deadly_requests.py
@@ -4,6 +4,7 @@
 import threading
 import time
 import uuid
+from concurrent.futures import ThreadPoolExecutor
 from itertools import cycle
 from pathlib import Path
 from random import Random
@@ -25,6 +26,9 @@
 CONTACT_SECONDS = 5.0
 """The rule counts sends later than this after the third end."""
 
+PATIENCE_SECONDS = 5.0
+"""How long callers come back after a refusal; the longest deadline of most routes."""
+
 ROUTES = {
     "look": {"route_kind": "safe"},
     "book": {"route_kind": "unsafe", "max_attempts": 1},
@@ -105,11 +109,11 @@
             upstream.arrivals.clear()
 
     def send(
-        self, entry: str, route: str, body: bytes, seconds: float = 10.0
+        self, entry: str, route: str, body: bytes | None, seconds: float = 10.0
     ) -> Answer:
         return self.deployment.call(
             self.deployment.entry_address(entry),
-            "POST",
+            "GET" if body is None else "POST",
             f"/{route}/7",
             body,
             {
@@ -120,6 +124,16 @@
             seconds,
         )
 
+    def send_again(self, entry: str, route: str, body: bytes | None) -> Answer:
+        """Send a request, and again as long as it is told when to come back."""
+        until = time.monotonic() + PATIENCE_SECONDS
+        while True:
+            answer = self.send(entry, route, body)
+            wait = answer.headers.get("Retry-After")
+            if answer.status != 503 or wait is None or time.monotonic() > until:
+                return answer
+            time.sleep(float(wait))
+
     def ends(self) -> list[float]:
         return sorted(at for upstream in self.upstreams for at in upstream.ends)
 
@@ -167,3 +181,126 @@
         for upstream in self.upstreams:
             upstream.deadly_after = 3
         self.check_refused("resume")
+
+    def test_upstreams_that_end_silently_count(self) -> None:
+        """Their connections stay, nothing comes, and they are back under new ids."""
+        for upstream in self.upstreams:
+            upstream.is_silent = True
+            upstream.down_seconds = 1.0
+        body = DEADLY + b" silent"
+        sent_at = []
+        with ThreadPoolExecutor(3) as pool:
+            for _ in range(12):
+                arrived = self.deadly_arrivals()
+                for entry in self.deployment.entries:
+                    # The caller leaves before its deadline, as many do.
+                    pool.submit(self.send, entry, "stream", body, 1.5)
+                time.sleep(2.0)
+                sent_at += [time.monotonic()] * (self.deadly_arrivals() - arrived)
+        third = sent_at[2]
+        late = [at for at in sent_at if at > third + CONTACT_SECONDS]
+        self.assertLessEqual(len(late), RETRIES)
+        for entry in self.deployment.entries:
+            self.assertEqual(self.send(entry, "stream", body).status, 422)
+
+    def deadly_arrivals(self) -> int:
+        return sum(DEADLY in a.body for u in self.upstreams for a in u.arrivals)
+
+    def test_callers_that_repeat_at_once_are_counted_together(self) -> None:
+        """Many connections send it at the same moment, to all entries, in waves."""
+        body = DEADLY + b" burst"
+        with ThreadPoolExecutor(18) as pool:
+            for _ in range(5):
+                for entry in self.deployment.entries * 6:
+                    pool.submit(self.send, entry, "book", body)
+                time.sleep(3.0)
+        ends = self.ends()
+        late = [at for at in ends if at > ends[2] + CONTACT_SECONDS]
+        self.assertLessEqual(len(late), RETRIES)
+        for entry in self.deployment.entries:
+            self.assertEqual(self.send(entry, "book", body).status, 422)
+
+    def test_quarantine_outlives_restarts(self) -> None:
+        """Entries and control replicas are all killed, and start again."""
+        body = DEADLY + b" restart"
+        self.insist("book", body, CONTACT_SECONDS + 4.0)
+        ends = self.ends()
+        names = [*self.deployment.control.values(), *self.deployment.entries]
+        for name in names:
+            self.deployment.kill(name)
+        for name in names:
+            self.deployment.start(name)
+        self.deployment.wait_ready()
+        self.wait_served()
+        for entry in self.deployment.entries:
+            self.assertEqual(self.send(entry, "book", body).status, 422)
+        self.assertEqual(self.ends(), ends)
+
+    def test_neighbours_of_a_deadly_request_are_served(self) -> None:
+        """They run beside each of its crashes and are never refused for them."""
+        for upstream in self.upstreams:
+            upstream.event_seconds = 0.05
+        bodies = [b"healthy %d" % number for number in range(12)]
+        statuses: set[int] = set()
+        stopped = threading.Event()
+
+        def repeat(body: bytes, entry: str) -> None:
+            while not stopped.is_set():
+                statuses.add(self.send(entry, "stream", body).status)
+
+        with ThreadPoolExecutor(len(bodies)) as pool:
+            for body, entry in zip(bodies, cycle(self.deployment.entries)):
+                pool.submit(repeat, body, entry)
+            time.sleep(0.5)
+            self.insist("book", DEADLY + b" beside", 5.0)
+            stopped.set()
+        self.assertNotIn(422, statuses)
+        for body, entry in zip(bodies, cycle(self.deployment.entries)):
+            self.assertEqual(self.send(entry, "stream", body).status, 200)
+        for entry in self.deployment.entries:
+            self.assertEqual(self.send(entry, "book", DEADLY + b" beside").status, 422)
+
+    def crash_under(self, route: str, body: bytes | None, times: int) -> set[int]:
+        """Let each upstream that gets a request end under it, without its fault."""
+        statuses: set[int] = set()
+        for _ in range(times):
+            with ThreadPoolExecutor(len(self.deployment.entries)) as pool:
+                sent = [
+                    pool.submit(self.send, entry, route, body)
+                    for entry in self.deployment.entries
+                ]
+                time.sleep(0.2)
+                for upstream in self.upstreams:
+                    upstream.end()
+                statuses |= {future.result().status for future in sent}
+            wait_until(lambda: all(u.is_up for u in self.upstreams), "it stays away")
+            # The upstreams announce themselves.
+            time.sleep(3 * BEAT_SECONDS)
+        return statuses
+
+    def test_healthy_request_is_served_after_crashes_that_it_ran_beside(self) -> None:
+        """All upstreams end three times within seconds, and it ran at some of them."""
+        for upstream in self.upstreams:
+            upstream.event_seconds = 0.1
+            upstream.down_seconds = 0.2
+        for route in ("stream", "resume"):
+            body = b"healthy " + route.encode()
+            self.assertNotIn(422, self.crash_under(route, body, 3))
+            for entry in self.deployment.entries:
+                self.assertEqual(self.send_again(entry, route, body).status, 200)
+
+    def test_common_request_without_a_body_is_served_after_crashes(self) -> None:
+        """Many callers send the same, so that it ran wherever an upstream ended."""
+        for upstream in self.upstreams:
+            upstream.answer_seconds = 0.5
+            upstream.down_seconds = 0.2
+        self.assertNotIn(422, self.crash_under("look", None, 4))
+        for upstream in self.upstreams:
+            upstream.answer_seconds = 0.02
+        with ThreadPoolExecutor(9) as pool:
+            sent = [
+                pool.submit(self.send_again, entry, "look", None)
+                for entry in self.deployment.entries * 3
+            ]
+            statuses = [future.result().status for future in sent]
+        self.assertEqual(statuses, [200] * 9)
--- a/tests/relay/test_crash_watch.py
+++ b/tests/relay/test_crash_watch.py
@@ -18,16 +18,6 @@
 PROBED_SECONDS = 2 * (FIRST_PROBE_SECONDS + SECOND_PROBE_SECONDS + PROBE_SECONDS)
 
 
-def make_watch(deployment: Deployment) -> CrashWatch:
-    """Return a watch whose findings nobody uses."""
-    return CrashWatch(
-        deployment=deployment,
-        clock=lambda: 0.0,
-        on_crash=lambda crash: None,
-        on_return=lambda run: None,
-    )
-
-
 class CrashWatchTests(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         clock = asyncio.get_running_loop().time
@@ -57,17 +47,17 @@
         self.deployment.take(reply)
 
     def broke(
-        self, fingerprint: int = 1, *, is_silent: bool = False, alone: bool = False
+        self, fingerprint: int = 1, *, is_silent: bool = False
     ) -> "asyncio.Future[bool]":
-        send = BrokenSend(fingerprint, self.upstream, is_silent, alone)
+        send = BrokenSend(fingerprint, self.upstream, is_silent)
         return self.watch.broke(send)
 
     async def test_closed_port_is_a_crash_under_all_that_broke(self) -> None:
         """Nothing listens where the sends broke."""
         self.server.close()
-        judged = [self.broke(1), self.broke(2, alone=True)]
+        judged = [self.broke(1), self.broke(2)]
         self.assertEqual(await asyncio.gather(*judged), [True, True])
-        self.assertEqual(self.crashes[0].alone_by_fingerprint, {1: False, 2: True})
+        self.assertEqual(self.crashes[0].fingerprints, (1, 2))
 
     async def test_later_broken_sends_of_a_crashed_run_count_at_once(self) -> None:
         """Some of its connections break later than others."""
--- a/tests/relay/test_face.py
+++ b/tests/relay/test_face.py
@@ -19,7 +19,7 @@
 from poplarlug.relay.in_flight import InFlight
 from poplarlug.relay.view import FleetView
 from poplarlug.routes import RouteTable
-from tests.relay.test_crash_watch import make_watch
+from tests.relay.test_suspects import make_suspects
 
 REPLY = PollReply(
     registry_id="r",
@@ -53,7 +53,7 @@
             dispatcher=Dispatcher(view=view, clock=clock),
             client=client,
             far_client=client,
-            watch=make_watch(self.deployment),
+            suspects=make_suspects(self.deployment),
             dialect=Dialect(),
             retry_limits=RetryLimits(),
             clock=clock,
--- a/tests/relay/test_gateway.py
+++ b/tests/relay/test_gateway.py
@@ -19,7 +19,7 @@
 from poplarlug.relay.view import FleetView
 from poplarlug.routes import Engine, RoutedService, RouteTable
 from tests.control.quiet import QuietTestCase
-from tests.relay.test_crash_watch import make_watch
+from tests.relay.test_suspects import make_suspects
 from tests.relay.test_view import make_request
 from tests.routes.test_checks import make_route
 
@@ -62,7 +62,7 @@
             dispatcher=dispatcher,
             client=RelayClient(),
             far_client=RelayClient(),
-            watch=make_watch(self.deployment),
+            suspects=make_suspects(self.deployment),
             dialect=DIALECT,
             retry_limits=RetryLimits(),
             clock=lambda: 0.0,
--- /dev/null
+++ b/tests/relay/test_suspects.py
@@ -0,0 +1,177 @@
+"""Tests of which requests are held back after crashes, and of their turns."""
+
+import asyncio
+from random import Random
+from typing import Any, cast
+from unittest import IsolatedAsyncioTestCase, TestCase
+
+from poplarlug.discovery.crash_marks import CrashMark, CrashMarks
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.records import ServiceUpstream, UpstreamRun
+from poplarlug.errors import outcome_unknown
+from poplarlug.relay.course import DONE, Course, Outcome
+from poplarlug.relay.fingerprint import fingerprint_of
+from poplarlug.relay.suspects import Suspects, Turns, Verdict, judge
+from poplarlug.relay.trace import RelayTrace
+from tests.relay.test_view import make_request
+
+
+def make_suspects(deployment: Deployment) -> Suspects:
+    clock = deployment._clock
+    return Suspects(
+        deployment=deployment,
+        marks=CrashMarks(clock=clock),
+        rng=Random(1),
+        clock=clock,
+    )
+
+
+def make_marks(number: int, alone: int = 0) -> list[CrashMark]:
+    """Return marks against one request, ``alone`` of them while it ran apart."""
+    return [
+        CrashMark(7, UpstreamRun(f"u-{i}", 1), alone=i < alone) for i in range(number)
+    ]
+
+
+def make_course(**fields: Any) -> Course:
+    return Course(
+        request=make_request(**fields),
+        sink=cast(Any, None),
+        trace=RelayTrace(request_id="r-1", started=0.0),
+    )
+
+
+class JudgeTests(TestCase):
+    def test_one_crash_changes_nothing(self) -> None:
+        """A whole batch of healthy requests runs beside a culprit."""
+        self.assertIs(judge(make_marks(1)), Verdict.CLEAR)
+
+    def test_two_crashes_make_a_suspect(self) -> None:
+        """Sends that broke and aren't judged yet count for this."""
+        self.assertIs(judge(make_marks(2)), Verdict.SUSPECT)
+        self.assertIs(judge(make_marks(1), pending=1), Verdict.SUSPECT)
+
+    def test_crashes_beside_others_never_quarantine(self) -> None:
+        """Many upstreams may end at once, and again, for another reason."""
+        self.assertIs(judge(make_marks(30)), Verdict.SUSPECT)
+        self.assertIs(judge(make_marks(30, alone=1)), Verdict.SUSPECT)
+
+    def test_crashes_apart_from_others_quarantine(self) -> None:
+        """Two of three or more are the request's own."""
+        self.assertIs(judge(make_marks(2, alone=2)), Verdict.SUSPECT)
+        self.assertIs(judge(make_marks(3, alone=2)), Verdict.QUARANTINED)
+        self.assertIs(judge(make_marks(4, alone=2)), Verdict.QUARANTINED)
+
+
+class FingerprintTests(TestCase):
+    def test_repeats_are_the_same_request(self) -> None:
+        """Their ids and the events that they have seen differ."""
+        first = make_request(headers=(("X-Model", "m"),))
+        again = first._replace(id="other", headers=(("Last-Event-Id", "5"),), hops=1)
+        self.assertEqual(fingerprint_of(first), fingerprint_of(again))
+
+    def test_other_content_or_caller_is_another_request(self) -> None:
+        """Method, path, body and the caller's key count."""
+        first = make_request()
+        others = [
+            first._replace(method="PUT"),
+            first._replace(path="/x/8"),
+            first._replace(body=b"other"),
+            first._replace(headers=(("Authorization", "Bearer k"),)),
+        ]
+        fingerprints = {fingerprint_of(one) for one in [first, *others]}
+        self.assertEqual(len(fingerprints), 5)
+
+
+class TurnsTests(IsolatedAsyncioTestCase):
+    async def test_upstream_runs_one_suspect_at_a_time(self) -> None:
+        """Another one waits, and gives up after its time."""
+        turns = Turns()
+        turn = await turns.take(1, "u-1", 0.1)
+        assert turn is not None
+        self.assertIsNone(await turns.take(2, "u-1", 0.05))
+        waiting = asyncio.ensure_future(turns.take(2, "u-1", 1.0))
+        await asyncio.sleep(0)
+        turn.end(None)
+        self.assertIsNotNone(await waiting)
+
+    async def test_suspect_runs_once_at_a_time(self) -> None:
+        """Callers repeat it at once from many connections; the first one tells."""
+        turns = Turns()
+        turn = await turns.take(1, "u-1", 0.1)
+        assert turn is not None
+        judged: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        turn.end(judged)
+        self.assertIsNone(await turns.take(1, "u-2", 0.05))
+        self.assertIsNotNone(await turns.take(2, "u-1", 0.05))
+        judged.set_result(True)
+        self.assertIsNotNone(await turns.take(1, "u-2", 0.05))
+
+    async def test_caller_that_leaves_takes_no_turn(self) -> None:
+        """Its place in the line goes with it."""
+        turns = Turns()
+        turn = await turns.take(1, "u-1", 0.1)
+        assert turn is not None
+        waiting = asyncio.ensure_future(turns.take(2, "u-1", 1.0))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        turn.end(None)
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertIsNotNone(await turns.take(3, "u-1", 0.05))
+
+
+class SuspectsTests(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        clock = asyncio.get_running_loop().time
+        self.deployment = Deployment(
+            own_region="east", regions_by_zone={"a": "east"}, clock=clock
+        )
+        self.marks = CrashMarks(clock=clock)
+        self.suspects = Suspects(
+            deployment=self.deployment, marks=self.marks, rng=Random(1), clock=clock
+        )
+        self.course = make_course()
+        self.upstream = ServiceUpstream(
+            "u-1", "desk", "127.0.0.1:9", "a", born=1, sequence=1, slots=4
+        )
+
+    def mark(self, number: int, alone: int) -> None:
+        for mark in make_marks(number, alone):
+            self.marks.add(mark._replace(fingerprint=self.course.fingerprint))
+
+    async def test_broken_send_whose_upstream_is_gone_marks_the_request(self) -> None:
+        """Nothing listens at its address any more."""
+        broken = Outcome(outcome_unknown("lost"), broke=True)
+        judged = self.suspects.note(self.course, self.upstream, broken, alone=True)
+        assert judged is not None
+        await judged
+        [mark] = self.marks.counted(self.course.fingerprint)
+        self.assertEqual((mark.run, mark.alone), (self.upstream.run, True))
+
+    async def test_whole_answer_clears_a_request(self) -> None:
+        """Also a failure that the upstream itself answered; the others are told."""
+        self.mark(5, alone=1)
+        self.assertIs(self.suspects.verdict(self.course), Verdict.SUSPECT)
+        self.suspects.note(self.course, self.upstream, DONE, alone=True)
+        self.assertIs(self.suspects.verdict(self.course), Verdict.CLEAR)
+        self.assertEqual({mark.withdrawn for mark in self.marks.take_news()}, {True})
+
+    async def test_refusal_is_final_and_true(self) -> None:
+        """It says that the request wasn't run, unless an earlier send may have."""
+        self.mark(3, alone=2)
+        self.assertIs(self.suspects.verdict(self.course), Verdict.QUARANTINED)
+        refusal = self.suspects.refusal(self.course, 0.0)
+        refused = self.course.refuse(refusal)
+        self.assertEqual(
+            (refused.status, refused.ran, refused.retry_after_seconds),
+            (422, False, None),
+        )
+        self.course.ran_at_upstream("u-1", Outcome(outcome_unknown("lost")))
+        self.assertIsNone(self.course.refuse(refusal).ran)
+
+    async def test_release_lets_it_run_again(self) -> None:
+        """An operator's release reaches an entry as withdrawn marks."""
+        self.mark(3, alone=2)
+        for mark in self.marks.counted(self.course.fingerprint):
+            self.marks.add(mark._replace(withdrawn=True))
+        self.assertIs(self.suspects.verdict(self.course), Verdict.CLEAR)
