--- a/poplarlug/discovery/registry_file.py
+++ b/poplarlug/discovery/registry_file.py
@@ -38,7 +38,7 @@
         self._disk = disk
         self._registry = registry
         self._marks = marks
-        self._written: tuple[int, frozenset[str]] | None = None
+        self._written: tuple[int, frozenset[CrashMark]] | None = None
         self._changed = asyncio.Event()
         registry.revision.subject.subscribe(lambda _: self._changed.set())
         marks.revision.subject.subscribe(lambda _: self._changed.set())
@@ -69,7 +69,8 @@
             await self._changed.wait()
             self._changed.clear()
             marks = self._marks.lasting()
-            state = self._registry.revision.value, frozenset(m.key for m in marks)
+            ageless = frozenset(mark._replace(age_seconds=0.0) for mark in marks)
+            state = self._registry.revision.value, ageless
             if state == self._written:
                 continue
             self._written = state
--- a/tests/discovery/test_registry_file.py
+++ b/tests/discovery/test_registry_file.py
@@ -53,12 +53,13 @@
             marks.add(CrashMark(7, UpstreamRun("u-2", 1)))
             marks.add(CrashMark(8, UpstreamRun("u-1", 1)))
             await asyncio.sleep(3.0)
+            # Learned later than the crash itself.
+            marks.add(CrashMark(7, UpstreamRun("u-2", 1), alone=True))
+            await asyncio.sleep(3.0)
             writing.cancel()
             restored = CrashMarks(clock=clock)
             RegistryFile(disk=disk, registry=registry, marks=restored).load()
-            self.assertEqual(
-                [mark.alone for mark in restored.counted(7)], [True, False]
-            )
+            self.assertEqual([mark.alone for mark in restored.counted(7)], [True, True])
             self.assertEqual(restored.counted(8), [])
 
         run_virtual(main())
