List and release requests that are held back, by gRPC and command line

Operators could not see a quarantine, or end a wrong one. 'poplarlug suspects list' shows each request with its crashes, upstreams and their ages, 'suspects release' withdraws its marks at all replicas and entries (test_mark_sharing: within a second, in three regions, with cuts, and after restarts of all entries and of all replicas).

--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -175,11 +175,13 @@
         return None
     # The library takes 10 MB, so it is imported only where it is used.
     from poplarlug.control.grpc_server import build_server
-    from poplarlug.control.routes_servicer import RoutesServicer
+    from poplarlug.control.suspects_servicer import SuspectsServicer
 
     hashes = (folder / settings.operator_key_hashes_file).read_text().split()
     return build_server(
-        service=RoutesServicer(routing=control.routing, group=control.group),
+        service=SuspectsServicer(
+            registrar=control.registrar, routing=control.routing, group=control.group
+        ),
         address=settings.grpc,
         key_hashes=hashes,
     )
--- /dev/null
+++ b/poplarlug/control/suspects_servicer.py
@@ -0,0 +1,65 @@
+"""The operators' calls about requests under which upstreams crashed."""
+
+from typing import Any
+
+import grpc
+
+from poplarlug.control.routes_servicer import RoutesServicer
+from poplarlug.discovery.crash_marks import (
+    CRASHES_TO_SUSPECT,
+    format_fingerprint,
+    judge,
+    parse_fingerprint,
+)
+from poplarlug.discovery.registrar import Registrar
+from poplarlug.logs import PartLog
+from poplarlug.schema import operators_pb2 as pb
+
+_log = PartLog(prefix="marks")
+
+
+class SuspectsServicer(RoutesServicer):
+    """
+    Serve the list of suspects and their release, beside the routes.
+
+    Parameters
+    ----------
+    registrar : Registrar
+        Holds the crash marks of this replica and tells the others.
+    """
+
+    def __init__(self, *, registrar: Registrar, **parts: Any) -> None:
+        super().__init__(**parts)
+        self._registrar = registrar
+
+    async def GetSuspects(self, request: Any, context: Any) -> Any:  # noqa: N802
+        reply = pb.GetSuspectsReply()
+        marks = self._registrar.marks.counted_by_fingerprint(CRASHES_TO_SUSPECT)
+        for fingerprint, counted in marks.items():
+            ages = [mark.age_seconds for mark in counted]
+            reply.suspects.append(
+                pb.Suspect(
+                    fingerprint=format_fingerprint(fingerprint),
+                    verdict=judge(counted).value,
+                    crashes=len(counted),
+                    alone=sum(mark.alone for mark in counted),
+                    upstreams=[mark.run.id for mark in counted],
+                    newest_seconds=min(ages),
+                    oldest_seconds=max(ages),
+                )
+            )
+        return reply
+
+    async def ReleaseSuspect(self, request: Any, context: Any) -> Any:  # noqa: N802
+        fingerprint = parse_fingerprint(request.fingerprint)
+        if fingerprint is None:
+            message = f"got {request.fingerprint!r}, expected a name as in the list"
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, message)
+        assert fingerprint is not None
+        crashes = self._registrar.release(fingerprint)
+        _log.warning(
+            "an operator released a request",
+            fingerprint=request.fingerprint,
+            crashes=crashes,
+        )
+        return pb.ReleaseSuspectReply(crashes=crashes)
--- a/poplarlug/discovery/crash_marks.py
+++ b/poplarlug/discovery/crash_marks.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from enum import Enum
 from typing import NamedTuple
 
 from poplarlug.discovery.records import UpstreamRun
 from poplarlug.latest import Latest
 from poplarlug.logs import PartLog
-from poplarlug.types import Seconds
+from poplarlug.types import Fingerprint, Seconds
 
 MARK_LIFE_SECONDS = 3600.0
 """A crash counts against a request for so long; callers that insist come sooner."""
@@ -21,9 +22,19 @@
 MAX_NEWS = 512
 """Own changes that wait to be told; beyond it the newest are dropped."""
 
-LASTING_MARKS = 2
-"""Requests with so many marks that count are kept on disk, and told again to a control
-replica that has just started. One mark is common, and costs one more crash if lost."""
+CRASHES_TO_SUSPECT = 2
+"""One crash marks all that ran there, up to a whole batch of an engine. Two without a
+whole answer between them are rare for a request that caused neither."""
+
+CRASHES_TO_QUARANTINE = 3
+"""From this many on, the users' rule bounds how often a request is sent again."""
+
+ALONE_TO_QUARANTINE = 2
+"""Of these crashes so many have to come while the request runs apart from other
+suspects and no other upstreams crash: it may have run beside the others by chance."""
+
+FINGERPRINT_PREFIX = "r-"
+FINGERPRINT_DIGITS = 16
 
 _log = PartLog(prefix="marks")
 
@@ -36,7 +47,7 @@
 
     Parameters
     ----------
-    fingerprint : int
+    fingerprint : Fingerprint
         Hash of the request.
     run : UpstreamRun
         What crashed.
@@ -50,7 +61,7 @@
         Time since the crash was noticed.
     """
 
-    fingerprint: int
+    fingerprint: Fingerprint
     run: UpstreamRun
     alone: bool = False
     withdrawn: bool = False
@@ -62,7 +73,7 @@
 
 
 class _Place(NamedTuple):
-    fingerprint: int
+    fingerprint: Fingerprint
     run: UpstreamRun
 
 
@@ -72,6 +83,38 @@
     revision: int
 
 
+class Verdict(Enum):
+    """
+    What the crashes under a request mean for its next send.
+
+    A ``SUSPECT`` runs apart from other suspects, once at a time and without repeats.
+    A ``QUARANTINED`` one isn't sent at all.
+    """
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+def judge(marks: list[CrashMark], pending: int = 0) -> Verdict:
+    """
+    Return the verdict on a request.
+
+    Parameters
+    ----------
+    marks : list of CrashMark
+        Those that count against it.
+    pending : int
+        Upstreams of broken sends of which it isn't known yet whether they crashed.
+    """
+    alone = sum(mark.alone for mark in marks)
+    if len(marks) >= CRASHES_TO_QUARANTINE and alone >= ALONE_TO_QUARANTINE:
+        return Verdict.QUARANTINED
+    if len(marks) + pending >= CRASHES_TO_SUSPECT:
+        return Verdict.SUSPECT
+    return Verdict.CLEAR
+
+
 class CrashMarks:
     """
     Crash marks by request, with what is to be told to others.
@@ -90,9 +133,10 @@
 
     def __init__(self, *, clock: Callable[[], Seconds]) -> None:
         self._clock = clock
-        self._held_by_fingerprint: dict[int, dict[UpstreamRun, _Held]] = {}
+        self._held_by_fingerprint: dict[Fingerprint, dict[UpstreamRun, _Held]] = {}
         self._count = 0
         self._news: dict[_Place, None] = {}
+        self._dropped = 0
         self.revision: Latest[int] = Latest(initial=0)
         self.has_news = asyncio.Event()
 
@@ -131,7 +175,7 @@
         self._tell([mark])
         return True
 
-    def counted(self, fingerprint: int) -> list[CrashMark]:
+    def counted(self, fingerprint: Fingerprint) -> list[CrashMark]:
         """Return the marks that count against a request, with their ages."""
         now = self._clock()
         return [
@@ -140,12 +184,12 @@
             if not held.mark.withdrawn and now - held.noted < MARK_LIFE_SECONDS
         ]
 
-    def counted_by_fingerprint(self, least: int) -> dict[int, list[CrashMark]]:
+    def counted_by_fingerprint(self, least: int) -> dict[Fingerprint, list[CrashMark]]:
         """Return the requests with so many marks that count."""
         found = {f: self.counted(f) for f in list(self._held_by_fingerprint)}
         return {f: marks for f, marks in found.items() if len(marks) >= least}
 
-    def withdraw(self, fingerprint: int) -> int:
+    def withdraw(self, fingerprint: Fingerprint) -> int:
         """Withdraw all marks against a request; return how many counted."""
         marks = self.counted(fingerprint)
         for mark in marks:
@@ -184,8 +228,12 @@
         return marks, self.revision.value
 
     def lasting(self) -> list[CrashMark]:
-        """Return the marks of requests with :data:`LASTING_MARKS` that count."""
-        by_fingerprint = self.counted_by_fingerprint(LASTING_MARKS)
+        """
+        Return the marks of suspects, which are kept on disk and told again.
+
+        A single mark is common, and costs one more crash if it is lost.
+        """
+        by_fingerprint = self.counted_by_fingerprint(CRASHES_TO_SUSPECT)
         return [mark for marks in by_fingerprint.values() for mark in marks]
 
     def tell_again(self) -> None:
@@ -204,6 +252,9 @@
                 news.append(_aged(held, now))
         if not self._news:
             self.has_news.clear()
+        if self._dropped:
+            _log.warning("too many marks waited to be told", dropped=self._dropped)
+            self._dropped = 0
         return tuple(news)
 
     def put_back(self, marks: Iterable[CrashMark]) -> None:
@@ -219,15 +270,12 @@
                     self._drop(fingerprint, run)
 
     def _tell(self, marks: Iterable[CrashMark]) -> None:
-        dropped = 0
         for mark in marks:
             place = _Place(mark.fingerprint, mark.run)
             if place in self._news or len(self._news) < MAX_NEWS:
                 self._news[place] = None
             else:
-                dropped += 1
-        if dropped:
-            _log.warning("too many marks wait to be told", dropped=dropped)
+                self._dropped += 1
         if self._news:
             self.has_news.set()
 
@@ -249,7 +297,7 @@
             for run in list(self._held_by_fingerprint[fingerprint]):
                 self._drop(fingerprint, run)
 
-    def _drop(self, fingerprint: int, run: UpstreamRun) -> None:
+    def _drop(self, fingerprint: Fingerprint, run: UpstreamRun) -> None:
         by_run = self._held_by_fingerprint[fingerprint]
         del by_run[run]
         self._count -= 1
@@ -259,3 +307,19 @@
 
 def _aged(held: _Held, now: Seconds) -> CrashMark:
     return held.mark._replace(age_seconds=round(now - held.noted, 1))
+
+
+def format_fingerprint(fingerprint: Fingerprint) -> str:
+    """Return how logs and operators name a request; it never reads as a number."""
+    return f"{FINGERPRINT_PREFIX}{fingerprint:016x}"
+
+
+def parse_fingerprint(text: str) -> Fingerprint | None:
+    """Return what :func:`format_fingerprint` named, ``None`` for another text."""
+    digits = text.removeprefix(FINGERPRINT_PREFIX)
+    if digits == text or len(digits) != FINGERPRINT_DIGITS:
+        return None
+    try:
+        return int(digits, 16)
+    except ValueError:
+        return None
--- a/poplarlug/operators/commands.py
+++ b/poplarlug/operators/commands.py
@@ -31,6 +31,7 @@
     split,
 )
 from poplarlug.operators.status_commands import ConfigCommands, print_status
+from poplarlug.operators.suspect_commands import SuspectCommands
 from poplarlug.settings import load_settings
 from poplarlug.topology import Topology
 
@@ -111,6 +112,7 @@
         self.control = ControlCommands(session)
         self.routes = RouteCommands(session)
         self.zones = ZoneCommands(session)
+        self.suspects = SuspectCommands(session)
         self.keys = KeyCommands()
 
     def status(self) -> None:
--- /dev/null
+++ b/poplarlug/operators/suspect_commands.py
@@ -0,0 +1,40 @@
+"""Commands for requests under which upstreams crashed."""
+
+from poplarlug.operators.output import print_rows
+from poplarlug.operators.session import EXIT_REFUSED, Session, fail
+from poplarlug.schema import operators_pb2 as pb
+
+
+class SuspectCommands:
+    """Requests that run apart from others, or aren't run any more."""
+
+    def __init__(self, session: Session) -> None:
+        self._session = session
+
+    def list(self) -> None:
+        """Show them with the crashes that count against each."""
+        request = pb.GetSuspectsRequest()
+        reply = self._session.call(lambda stub: stub.GetSuspects, request)
+        rows = [
+            {
+                "fingerprint": suspect.fingerprint,
+                "verdict": suspect.verdict,
+                "crashes": suspect.crashes,
+                "alone": suspect.alone,
+                "upstreams": [*suspect.upstreams],
+                "newest_seconds": round(suspect.newest_seconds, 1),
+                "oldest_seconds": round(suspect.oldest_seconds, 1),
+            }
+            for suspect in reply.suspects
+        ]
+        print_rows(rows, self._session.options.output)
+
+    def release(self, fingerprint: str) -> None:
+        """Let a request run again; crashes so far don't count any more."""
+        name = str(fingerprint)
+        request = pb.ReleaseSuspectRequest(fingerprint=name)
+        reply = self._session.call(lambda stub: stub.ReleaseSuspect, request)
+        if not reply.crashes:
+            fail(EXIT_REFUSED, f"no crash counts against {name!r}; see suspects list")
+        row = {"fingerprint": name, "crashes": reply.crashes}
+        print_rows([row], self._session.options.output)
--- a/poplarlug/relay/course.py
+++ b/poplarlug/relay/course.py
@@ -6,12 +6,12 @@
 
 from poplarlug.errors import GatewayError
 from poplarlug.relay.events import LAST_EVENT_HEADER, EventProgress
-from poplarlug.relay.fingerprint import Fingerprint, fingerprint_of
+from poplarlug.relay.fingerprint import fingerprint_of
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import Tried
 from poplarlug.serving.answers import AnswerHead, AnswerSink
-from poplarlug.types import RegionName, Seconds, UpstreamId
+from poplarlug.types import Fingerprint, RegionName, Seconds, UpstreamId
 
 LAST_SEND_SHARE = 0.1
 """A repeat with less than this share of the objective left as its deadline is no use."""
--- a/poplarlug/relay/crash_watch.py
+++ b/poplarlug/relay/crash_watch.py
@@ -7,12 +7,12 @@
 
 from prometheus_client import Counter
 
+from poplarlug.discovery.crash_marks import format_fingerprint
 from poplarlug.discovery.deployment import Deployment, RunFate
 from poplarlug.discovery.records import ServiceUpstream, UpstreamRun
 from poplarlug.logs import PartLog
 from poplarlug.metrics import REGISTRY
-from poplarlug.relay.fingerprint import Fingerprint, short
-from poplarlug.types import Address, Seconds
+from poplarlug.types import Address, Fingerprint, Seconds
 
 FIRST_PROBE_SECONDS = 0.03
 """A process that ended takes a moment until its port is closed."""
@@ -217,7 +217,9 @@
                 service=upstream.service,
                 evidence=evidence,
                 requests=len(fingerprints),
-                fingerprints=[short(f) for f in fingerprints[:LISTED_FINGERPRINTS]],
+                fingerprints=[
+                    format_fingerprint(f) for f in fingerprints[:LISTED_FINGERPRINTS]
+                ],
             )
         if fingerprints:
             self._on_crash(Crash(upstream, evidence, fingerprints))
--- a/poplarlug/relay/fingerprint.py
+++ b/poplarlug/relay/fingerprint.py
@@ -1,13 +1,9 @@
 """What makes two requests the same one to an upstream."""
 
-from typing import TypeAlias
-
 import xxhash
 
 from poplarlug.relay.requests import RelayRequest
-
-Fingerprint: TypeAlias = int
-"""A hash of 64 bits; see :func:`fingerprint_of`."""
+from poplarlug.types import Fingerprint
 
 ACCOUNT_HEADER = "authorization"
 """Names the caller where callers have keys."""
@@ -29,8 +25,3 @@
     hashed = xxhash.xxh3_64(head.encode("utf-8", "surrogateescape"))
     hashed.update(request.body)
     return hashed.intdigest()
-
-
-def short(fingerprint: Fingerprint) -> str:
-    """Return how logs and operators name a fingerprint."""
-    return f"{fingerprint:016x}"
--- a/poplarlug/relay/suspects.py
+++ b/poplarlug/relay/suspects.py
@@ -2,13 +2,19 @@
 
 import asyncio
 from collections.abc import Callable
-from enum import Enum
 from random import Random
 from typing import Any, TypeAlias
 
 from prometheus_client import Counter
 
-from poplarlug.discovery.crash_marks import MAX_MARKS, CrashMark, CrashMarks
+from poplarlug.discovery.crash_marks import (
+    MAX_MARKS,
+    CrashMark,
+    CrashMarks,
+    Verdict,
+    format_fingerprint,
+    judge,
+)
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.records import ServiceUpstream
 from poplarlug.errors import GatewayError, quarantined
@@ -18,19 +24,7 @@
 from poplarlug.relay.course import Course, Outcome
 from poplarlug.relay.crash_scope import CrashScope
 from poplarlug.relay.crash_watch import BrokenSend, Crash, CrashWatch
-from poplarlug.relay.fingerprint import Fingerprint, short
-from poplarlug.types import Seconds, UpstreamId
-
-CRASHES_TO_SUSPECT = 2
-"""One crash marks all that ran there, up to a whole batch of an engine. Two without a
-whole answer between them are rare for a request that caused neither."""
-
-CRASHES_TO_QUARANTINE = 3
-"""From this many on, the users' rule bounds how often a request is sent again."""
-
-ALONE_TO_QUARANTINE = 2
-"""Of these crashes so many have to come while the request runs apart from other
-suspects and no other upstreams crash: it may have run beside the others by chance."""
+from poplarlug.types import Fingerprint, Seconds, UpstreamId
 
 TURN_SECONDS = 1.0
 """How long a suspect waits for its turn; two plain requests or a short stream end."""
@@ -57,38 +51,6 @@
 _log = PartLog(prefix="relay")
 
 
-class Verdict(Enum):
-    """
-    What the crashes under a request mean for its next send.
-
-    A ``SUSPECT`` runs apart from other suspects, once at a time and without repeats.
-    A ``QUARANTINED`` one isn't sent at all.
-    """
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    QUARANTINED = "quarantined"
-
-
-def judge(marks: list[CrashMark], pending: int = 0) -> Verdict:
-    """
-    Return the verdict on a request.
-
-    Parameters
-    ----------
-    marks : list of CrashMark
-        Those that count against it.
-    pending : int
-        Upstreams of broken sends of which it isn't known yet whether they crashed.
-    """
-    alone = sum(mark.alone for mark in marks)
-    if len(marks) >= CRASHES_TO_QUARANTINE and alone >= ALONE_TO_QUARANTINE:
-        return Verdict.QUARANTINED
-    if len(marks) + pending >= CRASHES_TO_SUSPECT:
-        return Verdict.SUSPECT
-    return Verdict.CLEAR
-
-
 class Turns:
     """Lets suspects run one at a time: at each upstream, and each of them once."""
 
@@ -190,7 +152,9 @@
             self._marks.counted(fingerprint), self._watch.pending(fingerprint)
         )
         if verdict is not Verdict.CLEAR:
-            course.trace.note(fingerprint=short(fingerprint), verdict=verdict.value)
+            course.trace.note(
+                fingerprint=format_fingerprint(fingerprint), verdict=verdict.value
+            )
         if verdict is not Verdict.QUARANTINED:
             self._quarantined.discard(fingerprint)
         return verdict
@@ -215,7 +179,7 @@
             _QUARANTINED.inc()
             _log.warning(
                 "quarantined a request",
-                fingerprint=short(fingerprint),
+                fingerprint=format_fingerprint(fingerprint),
                 route=course.request.route.name,
                 request_id=course.request.id,
                 **evidence,
@@ -262,7 +226,7 @@
         if outcome is not None and not outcome.may_have_run:
             return None
         fingerprint = course.fingerprint
-        course.trace.note(fingerprint=short(fingerprint))
+        course.trace.note(fingerprint=format_fingerprint(fingerprint))
         is_silent = outcome is None or not outcome.broke
         judged = self._watch.broke(BrokenSend(fingerprint, upstream, is_silent))
         if not alone:
@@ -282,7 +246,7 @@
         is_wide = await self._scope.is_wide(upstream, aside)
         _log.info(
             "a suspect ran apart when its upstream crashed",
-            fingerprint=short(fingerprint),
+            fingerprint=format_fingerprint(fingerprint),
             upstream=upstream.id,
             others_crashed=is_wide,
         )
@@ -296,7 +260,7 @@
         if crashes:
             _log.info(
                 "cleared a request by a whole answer",
-                fingerprint=short(course.fingerprint),
+                fingerprint=format_fingerprint(course.fingerprint),
                 request_id=course.request.id,
                 crashes=crashes,
             )
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -22,13 +22,19 @@
     EngineLoad,
     read_seconds,
 )
-from poplarlug.relay.fingerprint import Fingerprint
 from poplarlug.relay.in_flight import Flight, InFlight
 from poplarlug.relay.part_cache import PartCache
 from poplarlug.relay.placement import Candidate, Demand, RemoteRegion
 from poplarlug.relay.requests import Prompt, RelayRequest
 from poplarlug.routes import RoutedService
-from poplarlug.types import RegionName, Seconds, ServiceName, UpstreamId, VmName
+from poplarlug.types import (
+    Fingerprint,
+    RegionName,
+    Seconds,
+    ServiceName,
+    UpstreamId,
+    VmName,
+)
 
 _log = PartLog(prefix="relay")
 
--- a/poplarlug/types.py
+++ b/poplarlug/types.py
@@ -19,6 +19,9 @@
 RequestId: TypeAlias = str
 AttemptId: TypeAlias = str
 
+Fingerprint: TypeAlias = int
+"""A hash of 64 bits of what all sends of the same request have in common."""
+
 Address: TypeAlias = str
 """An IP number and a port, as ``"127.0.0.1:8101"``."""
 
--- /dev/null
+++ b/tests/discovery/test_mark_sharing.py
@@ -0,0 +1,200 @@
+"""Tests of how crash marks reach all entries, through cuts, starts and releases."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from poplarlug.control.routing_state import RoutingState
+from poplarlug.discovery.control_peers import ControlPeers
+from poplarlug.discovery.crash_marks import CrashMark, CrashMarks
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.records import EntryRecord, UpstreamRun
+from poplarlug.discovery.registrar import Registrar
+from poplarlug.discovery.registry import Registry
+from poplarlug.discovery.subscriber import OwnLoads, Subscriber
+from poplarlug.transport import MemoryNetwork, MemoryTransport
+from poplarlug.transport.memory import LinkQuality
+from poplarlug.virtualtime import run_virtual
+from tests.control.quiet import QuietTestCase
+
+REGIONS_BY_ZONE = {"a": "east", "b": "west", "c": "south"}
+REPLICAS = tuple(f"control-{zone}" for zone in REGIONS_BY_ZONE)
+SPREAD_SECONDS = 1.0
+"""Some round trips between regions."""
+
+START_SECONDS = 3.0
+
+
+class Fleet:
+    """A control replica and an entry in each of three regions."""
+
+    def __init__(self) -> None:
+        quality = LinkQuality(0.055, 0.06)
+        self.network = MemoryNetwork(rng=Random(1), quality=quality)
+        self.registrars: dict[str, Registrar] = {}
+        self.marks_by_zone: dict[str, CrashMarks] = {}
+        self.tasks_by_name: dict[str, list[asyncio.Future[None]]] = {}
+        for zone in REGIONS_BY_ZONE:
+            self.start_replica(zone)
+            self.start_entry(zone)
+
+    def start_replica(self, zone: str) -> None:
+        clock = asyncio.get_running_loop().time
+        name = f"control-{zone}"
+        transport = MemoryTransport(name=name, network=self.network)
+        registrar = Registrar(
+            zone=zone,
+            regions_by_zone=REGIONS_BY_ZONE,
+            registry=Registry(clock=clock, beat_seconds=1.2),
+            marks=CrashMarks(clock=clock),
+            peers=ControlPeers(
+                own=name, seeds=REPLICAS, members=lambda: REPLICAS, clock=clock
+            ),
+            routing=RoutingState(),
+            transport=transport,
+            is_current=lambda: True,
+            rng=Random(f"{name}/{clock()}"),
+            clock=clock,
+        )
+        self.registrars[zone] = registrar
+        self._run(name, transport.run(), registrar.run())
+
+    def start_entry(self, zone: str) -> None:
+        clock = asyncio.get_running_loop().time
+        name = f"entry-{zone}"
+        transport = MemoryTransport(name=name, network=self.network)
+        marks = self.marks_by_zone[zone] = CrashMarks(clock=clock)
+        subscriber = Subscriber(
+            zone=zone,
+            deployment=Deployment(
+                own_region=REGIONS_BY_ZONE[zone],
+                regions_by_zone=REGIONS_BY_ZONE,
+                clock=clock,
+            ),
+            marks=marks,
+            transport=transport,
+            seeds=REPLICAS,
+            record=lambda: EntryRecord(name, REGIONS_BY_ZONE[zone], zone, "", "", 1),
+            own_loads=OwnLoads,
+            rng=Random(zone),
+            clock=clock,
+        )
+        self._run(name, transport.run(), subscriber.run())
+
+    def stop(self, name: str) -> None:
+        for task in self.tasks_by_name.pop(name):
+            task.cancel()
+
+    def cut_off(self, zone: str) -> None:
+        """Cut a zone's replica and entry off from those of other zones."""
+        own = {f"control-{zone}", f"entry-{zone}"}
+        names = {*REPLICAS, *(f"entry-{other}" for other in REGIONS_BY_ZONE)}
+        for inside in own:
+            for outside in names - own:
+                self.network.cut(inside, outside)
+                self.network.cut(outside, inside)
+
+    def counts(self) -> list[int]:
+        """Return how many marks count against request 7 at each entry."""
+        return [len(marks.counted(7)) for marks in self.marks_by_zone.values()]
+
+    def _run(self, name: str, *parts: Awaitable[None]) -> None:
+        tasks = [asyncio.ensure_future(part) for part in parts]
+        self.tasks_by_name[name] = tasks
+
+
+def make_mark(number: int) -> CrashMark:
+    return CrashMark(7, UpstreamRun(f"u-{number}", 1))
+
+
+class MarkSharingTests(QuietTestCase):
+    def play(self, scene: Callable[[Fleet], Awaitable[None]]) -> None:
+        async def main() -> None:
+            fleet = Fleet()
+            await asyncio.sleep(START_SECONDS)
+            await scene(fleet)
+            for name in list(fleet.tasks_by_name):
+                fleet.stop(name)
+
+        run_virtual(main())
+
+    def test_crash_counts_at_all_entries(self) -> None:
+        """Within a second of the crash, in other regions too."""
+
+        async def scene(fleet: Fleet) -> None:
+            fleet.marks_by_zone["a"].note(make_mark(1))
+            fleet.marks_by_zone["b"].note(make_mark(2))
+            await asyncio.sleep(SPREAD_SECONDS)
+            self.assertEqual(fleet.counts(), [2, 2, 2])
+
+        self.play(scene)
+
+    def test_zone_that_was_cut_off_catches_up(self) -> None:
+        """It goes by what it saw itself; the others learn that too."""
+
+        async def scene(fleet: Fleet) -> None:
+            fleet.cut_off("c")
+            fleet.marks_by_zone["a"].note(make_mark(1))
+            fleet.marks_by_zone["c"].note(make_mark(2))
+            await asyncio.sleep(10.0)
+            self.assertEqual(fleet.counts(), [1, 1, 1])
+            fleet.network.heal()
+            await asyncio.sleep(5.0)
+            self.assertEqual(fleet.counts(), [2, 2, 2])
+
+        self.play(scene)
+
+    def test_started_entry_and_replica_learn_what_counts(self) -> None:
+        """One after the other is replaced, and nothing is forgotten."""
+
+        async def scene(fleet: Fleet) -> None:
+            for number in range(2):
+                fleet.marks_by_zone["a"].note(make_mark(number))
+            await asyncio.sleep(SPREAD_SECONDS)
+            for zone in REGIONS_BY_ZONE:
+                fleet.stop(f"entry-{zone}")
+                fleet.start_entry(zone)
+                await asyncio.sleep(START_SECONDS)
+                fleet.stop(f"control-{zone}")
+                fleet.start_replica(zone)
+                await asyncio.sleep(START_SECONDS)
+            self.assertEqual(fleet.counts(), [2, 2, 2])
+
+        self.play(scene)
+
+    def test_entries_tell_replicas_that_were_all_lost(self) -> None:
+        """All replicas start anew, with empty disks."""
+
+        async def scene(fleet: Fleet) -> None:
+            for number in range(2):
+                fleet.marks_by_zone["a"].note(make_mark(number))
+            await asyncio.sleep(SPREAD_SECONDS)
+            for zone in REGIONS_BY_ZONE:
+                fleet.stop(f"control-{zone}")
+            for zone in REGIONS_BY_ZONE:
+                fleet.start_replica(zone)
+            await asyncio.sleep(10.0)
+            fleet.stop("entry-b")
+            fleet.start_entry("b")
+            await asyncio.sleep(START_SECONDS)
+            self.assertEqual(fleet.counts(), [2, 2, 2])
+
+        self.play(scene)
+
+    def test_release_and_whole_answer_reach_all(self) -> None:
+        """An operator's release at one replica, an answer at one entry."""
+
+        async def scene(fleet: Fleet) -> None:
+            for number in range(2):
+                fleet.marks_by_zone["a"].note(make_mark(number))
+            await asyncio.sleep(SPREAD_SECONDS)
+            self.assertEqual(fleet.registrars["b"].release(7), 2)
+            await asyncio.sleep(SPREAD_SECONDS)
+            self.assertEqual(fleet.counts(), [0, 0, 0])
+            fleet.marks_by_zone["a"].note(make_mark(5))
+            await asyncio.sleep(SPREAD_SECONDS)
+            fleet.marks_by_zone["c"].withdraw(7)
+            await asyncio.sleep(SPREAD_SECONDS)
+            self.assertEqual(fleet.counts(), [0, 0, 0])
+
+        self.play(scene)
