Hold nothing back for sends that merely broke

Sends whose upstream was not judged yet counted as crashes for a suspect; after two resets within milliseconds the third send was held until it was judged.

--- a/poplarlug/discovery/crash_marks.py
+++ b/poplarlug/discovery/crash_marks.py
@@ -1,7 +1,7 @@
 """Which requests ran at upstreams when these crashed, as all VMs tell each other."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from enum import Enum
 from typing import NamedTuple
 
@@ -96,21 +96,12 @@
     QUARANTINED = "quarantined"
 
 
-def judge(marks: list[CrashMark], pending: int = 0) -> Verdict:
-    """
-    Return the verdict on a request.
-
-    Parameters
-    ----------
-    marks : list of CrashMark
-        Those that count against it.
-    pending : int
-        Upstreams of broken sends of which it isn't known yet whether they crashed.
-    """
+def judge(marks: Sequence[CrashMark]) -> Verdict:
+    """Return the verdict on a request by the marks that count against it."""
     alone = sum(mark.alone for mark in marks)
     if len(marks) >= CRASHES_TO_QUARANTINE and alone >= ALONE_TO_QUARANTINE:
         return Verdict.QUARANTINED
-    if len(marks) + pending >= CRASHES_TO_SUSPECT:
+    if len(marks) >= CRASHES_TO_SUSPECT:
         return Verdict.SUSPECT
     return Verdict.CLEAR
 
--- a/poplarlug/relay/crash_watch.py
+++ b/poplarlug/relay/crash_watch.py
@@ -161,17 +161,6 @@
             self._lost_by_run.pop(upstream.run, None)
             self._on_return(upstream.run)
 
-    @property
-    def is_idle(self) -> bool:
-        return not self._watches_by_run
-
-    def pending(self, fingerprint: Fingerprint) -> int:
-        """Return how many upstreams are watched for a request's broken sends."""
-        return sum(
-            fingerprint in watch.sends_by_fingerprint
-            for watch in self._watches_by_run.values()
-        )
-
     def _count(self) -> int:
         return sum(
             len(watch.sends_by_fingerprint) for watch in self._watches_by_run.values()
--- a/poplarlug/relay/suspects.py
+++ b/poplarlug/relay/suspects.py
@@ -145,12 +145,10 @@
 
     def verdict(self, course: Course) -> Verdict:
         """Return the verdict on a request; it takes no time while nothing crashed."""
-        if self._marks.is_empty and self._watch.is_idle:
+        if self._marks.is_empty:
             return Verdict.CLEAR
         fingerprint = course.fingerprint
-        verdict = judge(
-            self._marks.counted(fingerprint), self._watch.pending(fingerprint)
-        )
+        verdict = judge(self._marks.counted(fingerprint))
         if verdict is not Verdict.CLEAR:
             course.trace.note(
                 fingerprint=format_fingerprint(fingerprint), verdict=verdict.value
