Let no log line or error body fail a request for odd bytes

What callers saw: 500 for a request by route whose id had bytes beyond ASCII, also after an upstream had run it. Cause: such bytes arrive as surrogates, which the JSON encoder of log lines refuses; the line is written as the request ends. The same for error bodies that name a path.

--- a/poplarlug/errors.py
+++ b/poplarlug/errors.py
@@ -1,5 +1,6 @@
 """Errors that reach a caller, as values with one JSON form."""
 
+import json
 from typing import NamedTuple, TypedDict
 
 import msgspec
@@ -56,7 +57,12 @@
         ran=error.ran,
         retry_after_seconds=error.retry_after_seconds,
     )
-    return msgspec.json.encode(ErrorBody(error=detail))
+    body = ErrorBody(error=detail)
+    try:
+        return msgspec.json.encode(body)
+    except UnicodeEncodeError:
+        # The message names a path or host with bytes beyond ASCII.
+        return json.dumps(body).encode()
 
 
 def unknown_key() -> GatewayError:
--- a/poplarlug/logs.py
+++ b/poplarlug/logs.py
@@ -1,5 +1,6 @@
 """Structured logs: short sentences with a fixed prefix for each part."""
 
+import json
 import logging
 import sys
 from typing import Any, Literal, TextIO, TypeAlias, cast
@@ -57,4 +58,8 @@
 
 
 def _encode(fields: Any, **_: Any) -> str:
-    return msgspec.json.encode(fields, enc_hook=repr).decode()
+    try:
+        return msgspec.json.encode(fields, enc_hook=repr).decode()
+    except UnicodeEncodeError:
+        # Bytes beyond ASCII in a caller's header or path arrive as surrogates.
+        return json.dumps(fields, default=repr)
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -232,4 +232,5 @@
 
 def first_event(request: web.Request) -> int:
     """Return the number of the first event that a request asks for."""
-    return int(request.headers.get(LAST_EVENT_HEADER, -1)) + 1
+    last = request.headers.get(LAST_EVENT_HEADER, "")
+    return int(last) + 1 if last.isascii() and last.isdecimal() else 0
