--- a/poplarlug/soak/callers.py
+++ b/poplarlug/soak/callers.py
@@ -15,6 +15,10 @@
 KINDS = ("look", "book", "stream", "resume")
 PAUSE_SECONDS = 0.02
 CALL_SECONDS = 6.0
+INSIST_SECONDS = 0.4
+DEADLY = b"deadly"
+"""Body of a request that ends the upstream that runs it."""
+
 RENEW_SHARE = 0.3
 """Share of requests before which a caller opens a new connection."""
 
@@ -72,7 +76,7 @@
     def _call(self, kind: str) -> Call:
         request_id = f"{next(self._numbers):08x}"
         started = time.monotonic()
-        body = f"{kind} {request_id}".encode()
+        path, body = self._address(kind, request_id)
         headers = {
             "Host": HOST,
             DIALECT.request_id: request_id,
@@ -81,7 +85,7 @@
         status, answer, answered = 0, b"", ""
         try:
             connection = self._connect()
-            connection.request("POST", f"/{kind}/{request_id}", body, headers)
+            connection.request("POST", path, body, headers)
             response = connection.getresponse()
             answered = response.headers.get(DIALECT.request_id, "")
             answer = response.read()
@@ -92,6 +96,10 @@
             self._close()
         return Call(request_id, kind, self._entry, started, status, answer, answered)
 
+    def _address(self, kind: str, request_id: str) -> tuple[str, bytes]:
+        """Return the path and the body of a request."""
+        return f"/{kind}/{request_id}", f"{kind} {request_id}".encode()
+
     def _connect(self) -> http.client.HTTPConnection:
         if self._connection is None or self._rng.random() < RENEW_SHARE:
             self._close()
@@ -108,6 +116,18 @@
             self._connection = None
 
 
+class Insister(Caller):
+    """Send one request that ends its upstreams, again and again."""
+
+    def run(self) -> None:
+        kind = self._rng.choice(KINDS)
+        while not self._stopping.wait(INSIST_SECONDS):
+            self.calls.append(self._call(kind))
+
+    def _address(self, kind: str, request_id: str) -> tuple[str, bytes]:
+        return f"/{kind}/same", DEADLY
+
+
 class Operator(threading.Thread):
     """
     Change and read the configuration at random control replicas.
--- a/poplarlug/soak/main.py
+++ b/poplarlug/soak/main.py
@@ -13,7 +13,11 @@
 
 
 def soak(
-    seeds: int = 5, first: int = 1, seconds: float = 15.0, folder: str = "run/soak"
+    seeds: int = 5,
+    first: int = 1,
+    seconds: float = 15.0,
+    folder: str = "run/soak",
+    deadly: bool = False,
 ) -> None:
     """
     Run real processes under faults that seeds draw, and check the promises.
@@ -29,13 +33,15 @@
         How long faults come; each run takes about 25 s more.
     folder : str
         Where settings, data and logs go.
+    deadly : bool
+        Whether one caller insists on a request that ends the upstreams that run it.
     """
     base = Path(folder).resolve()
     failed = 0
     for seed in range(first, first + seeds):
         own = base / f"seed-{seed}"
         shutil.rmtree(own, ignore_errors=True)
-        run = SoakRun(seed=seed, seconds=seconds, folder=own)
+        run = SoakRun(seed=seed, seconds=seconds, folder=own, deadly=deadly)
         report = run.play()
         print(json.dumps(report._asdict()), flush=True)
         if report.broken:
--- a/poplarlug/soak/promises.py
+++ b/poplarlug/soak/promises.py
@@ -12,6 +12,9 @@
 SAFE_RUNS = 2
 """Upstreams to which one request may be sent, as the soak's routes say."""
 
+DEADLY_RUNS = 3
+"""How often a request under which three upstreams ended may be sent again."""
+
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(STREAM_EVENTS))
 
 
@@ -40,7 +43,7 @@
         yield f"ran {count} times"
     if once and call.status in NOT_RUN_STATUSES and count:
         yield f"was said not to have run by {call.status}, and ran"
-    if call.status in (400, 401, 403, 404, 413):
+    if call.status in (400, 401, 403, 404, 413, 422):
         yield f"was refused with {call.status} though its route is there"
     if call.status != 200:
         return
--- a/poplarlug/soak/run.py
+++ b/poplarlug/soak/run.py
@@ -21,9 +21,16 @@
     RouteTable,
     ServiceWeight,
 )
-from poplarlug.soak.callers import HOST, Call, Caller, Operator
+from poplarlug.soak.callers import (
+    DEADLY,
+    HOST,
+    Call,
+    Caller,
+    Insister,
+    Operator,
+)
 from poplarlug.soak.deployment import ZONES, SeededDeployment
-from poplarlug.soak.promises import check_calls
+from poplarlug.soak.promises import DEADLY_RUNS, check_calls
 from poplarlug.soak.proxy import FaultProxy, LinkMode
 from poplarlug.soak.schedule import Fault, draw_schedule, draw_storage_faults
 from poplarlug.soak.upstream import Upstream
@@ -68,10 +75,15 @@
     ----------
     folder : pathlib.Path
         Gets settings, data and logs of all processes.
+    deadly : bool
+        Whether one caller insists on a request that ends the upstreams that run it.
     """
 
-    def __init__(self, *, seed: int, seconds: Seconds, folder: Path) -> None:
+    def __init__(
+        self, *, seed: int, seconds: Seconds, folder: Path, deadly: bool = False
+    ) -> None:
         self._seed = seed
+        self._deadly = deadly
         self._seconds = seconds
         self._rng = Random(seed)
         drawn = draw_schedule(self._rng, seconds=seconds)
@@ -112,7 +124,10 @@
             for number in range(CALLERS)
         ]
         operator = self._operator()
+        insister = Insister(entries=entries, rng=Random(f"{self._seed}/insister"))
         threads: list[Caller | Operator] = [*callers, operator]
+        if self._deadly:
+            threads.append(insister)
         for thread in threads:
             thread.start()
         self._inject()
@@ -124,19 +139,26 @@
         for thread in threads:
             thread.join()
         calls = [call for caller in callers for call in caller.calls]
-        return self._report(calls, operator, recovered)
+        return self._report(calls, insister.calls, operator, recovered)
 
     def _report(
-        self, calls: list[Call], operator: Operator, recovered: Seconds
+        self,
+        calls: list[Call],
+        insisted: list[Call],
+        operator: Operator,
+        recovered: Seconds,
     ) -> SoakReport:
         runs: Counter[str] = Counter()
         for upstream in self._upstreams:
             runs += upstream.runs
+        for call in insisted:
+            del runs[call.id]
         broken = check_calls(calls, runs) + operator.broken
         late = [call for call in calls if call.sent > recovered]
         served = sum(call.status == 200 for call in late)
         if not late or served < SERVED_SHARE * len(late):
             broken.append(f"{served} of {len(late)} requests served after recovery")
+        broken += self._check_deadly(recovered)
         held = self._read_any()
         if held < operator.acknowledged:
             broken.append(f"version {held} is left of {operator.acknowledged}")
@@ -145,6 +167,18 @@
             self._seed, len(self.faults), len(calls), whole, tuple(broken)
         )
 
+    def _check_deadly(self, recovered: Seconds) -> list[str]:
+        """Return whether a request that ended upstreams was sent on for too long."""
+        ends = sum(len(upstream.ends) for upstream in self._upstreams)
+        late = sum(
+            arrival.body == DEADLY and arrival.at > recovered
+            for upstream in self._upstreams
+            for arrival in upstream.arrivals
+        )
+        if ends < DEADLY_RUNS or late <= DEADLY_RUNS:
+            return []
+        return [f"what had ended {ends} upstreams was sent {late} times after recovery"]
+
     def _inject(self) -> None:
         """Start each fault at its time; faults overlap."""
         started = time.monotonic()
@@ -205,7 +239,7 @@
         }
 
         def is_its(source: str, target: str) -> bool:
-            return target == upstream.id
+            return target == upstream.name
 
         if fault.kind in modes:
             self._proxy.set_mode(modes[fault.kind], matching=is_its)
@@ -216,10 +250,10 @@
             time.sleep(fault.seconds)
             self._proxy.set_delay(0.0, matching=is_its)
         elif fault.kind == "leave":
-            self._leaving.add(upstream.id)
+            self._leaving.add(upstream.name)
             time.sleep(fault.seconds)
             upstream.born += 1
-            self._leaving.discard(upstream.id)
+            self._leaving.discard(upstream.name)
         else:
             upstream.fault = fault.kind.removeprefix("upstream_")
             time.sleep(fault.seconds)
@@ -234,6 +268,7 @@
                 service="desk",
                 zone=zone,
             )
+            upstream.deadly = DEADLY
             self._upstreams.append(upstream)
             link = self._proxy.link(LINK, name, upstream.address)
             self._addresses.append(link)
@@ -245,7 +280,9 @@
         while not self._beating.wait(BEAT_SECONDS):
             for upstream, address in zip(self._upstreams, self._addresses, strict=True):
                 control = self._deployment.control_address(rng.choice(zones))
-                is_leaving = upstream.id in self._leaving
+                if not upstream.is_up:
+                    continue
+                is_leaving = upstream.name in self._leaving
                 phase: UpstreamPhase = "leaving" if is_leaving else "serving"
                 try:
                     upstream.beat(control, phase, address)
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -13,6 +13,7 @@
 from poplarlug.platform.encoding import encode_beat
 from poplarlug.platform.names import DIALECT
 from poplarlug.relay.events import LAST_EVENT_HEADER
+from poplarlug.types import Seconds
 
 PORT = 8300
 SLOTS = 8
@@ -22,8 +23,9 @@
 
 
 class Arrival(NamedTuple):
-    """A request as it came to an upstream."""
+    """A request as it came to an upstream, at a monotonic time."""
 
+    at: Seconds
     path: str
     headers: dict[str, str]
     body: bytes
@@ -54,7 +56,7 @@
     """
 
     def __init__(self, *, upstream_id: str, ip: str, service: str, zone: str) -> None:
-        self.id = self._name = upstream_id
+        self.id = self.name = upstream_id
         self._ip = ip
         self.address = f"{ip}:{PORT}"
         self.service = service
@@ -161,7 +163,7 @@
 
     async def _come_back(self) -> None:
         await asyncio.sleep(self.down_seconds)
-        self.id = f"{self._name}-{len(self.ends)}"
+        self.id = f"{self.name}-{len(self.ends)}"
         self.born = time.time_ns() // 1_000_000
         self._sequence = 0
         if not self.is_silent:
@@ -182,7 +184,10 @@
             return web.Response(
                 status=503, headers=headers | {DIALECT.not_executed: "1"}
             )
-        self.arrivals.append(Arrival(request.raw_path, dict(request.headers), body))
+        now = time.monotonic()
+        self.arrivals.append(
+            Arrival(now, request.raw_path, dict(request.headers), body)
+        )
         if not self.is_up:
             await asyncio.sleep(MUTE_SECONDS)
         is_deadly = bool(self.deadly) and self.deadly in body
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -19,9 +19,11 @@
 
 
 class SoakTests(TestCase):
-    def play(self, seed: int, seconds: float) -> None:
+    def play(self, seed: int, seconds: float, *, deadly: bool = False) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            run = SoakRun(seed=seed, seconds=seconds, folder=Path(folder))
+            run = SoakRun(
+                seed=seed, seconds=seconds, folder=Path(folder), deadly=deadly
+            )
             report = run.play()
         self.assertGreater(report.calls, 100)
         self.assertEqual(report.broken, ())
@@ -30,6 +32,10 @@
         """All promises hold while a few faults come."""
         self.play(SHORT_SEED, SECONDS)
 
+    def test_short_run_beside_a_deadly_request(self) -> None:
+        """Its neighbours are served, and it is refused in the end."""
+        self.play(SHORT_SEED, SECONDS, deadly=True)
+
     def test_stream_behind_a_delay_that_ends(self) -> None:
         """Events come once and in order, while the way to an upstream changes."""
         self.play(PROXY_ORDER_SEED, WHOLE_SECONDS)
