--- a/poplarlug/discovery/crash_marks.py
+++ b/poplarlug/discovery/crash_marks.py
@@ -14,7 +14,7 @@
 """A crash counts against a request for so long; callers that insist come sooner."""
 
 MAX_MARKS = 4096
-"""Marks held; at some 300 bytes each they take 1.2 MB."""
+"""Marks held; at some 700 bytes each they take 2.9 MB."""
 
 EVICTED_SHARE = 16
 """One in so many marks makes room at a time, so that a flood costs little."""
