Bound the retries of a suspect when several requests crash upstreams at once

A further case of the incident, found on reading it again: a crash in a suspect's turn didn't count as its own while half of the nearby upstreams crashed too. With two such requests in a zone of two upstreams that is the usual case, so both went on; and each region gave turns of its own. Three crashes in turns are now the most, whatever else crashes, and one entry of all regions gives a suspect its turns. Tested by two such requests at once, and by views of three regions that name the same holder. That the old code would have gone on was reasoned, not run.

--- a/poplarlug/discovery/crash_marks.py
+++ b/poplarlug/discovery/crash_marks.py
@@ -33,6 +33,10 @@
 """Of these crashes so many have to come while the request runs apart from other
 suspects and no other upstreams crash: it may have run beside the others by chance."""
 
+APART_TO_QUARANTINE = 3
+"""Or so many while it runs apart, whatever else crashes: more retries after the third
+crash are not allowed, and several culprits may crash upstreams at the same time."""
+
 FINGERPRINT_PREFIX = "r-"
 FINGERPRINT_DIGITS = 16
 
@@ -43,7 +47,7 @@
     """
     One crash of an upstream against one request that ran there.
 
-    Marks are merged, whatever their order: ``alone`` and ``withdrawn`` are never unset.
+    Marks are merged, whatever their order: no flag is ever unset.
 
     Parameters
     ----------
@@ -51,9 +55,10 @@
         Hash of the request.
     run : UpstreamRun
         What crashed.
+    apart : bool
+        Whether the request ran apart from other suspects.
     alone : bool
-        Whether the request ran apart from other suspects, and its upstream crashed
-        apart from others.
+        Whether it did, and its upstream crashed while others stayed up.
     withdrawn : bool
         Whether it doesn't count any more: the upstream is back in the same run, the
         request got a whole answer since, or an operator released it.
@@ -63,6 +68,7 @@
 
     fingerprint: Fingerprint
     run: UpstreamRun
+    apart: bool = False
     alone: bool = False
     withdrawn: bool = False
     age_seconds: Seconds = 0.0
@@ -98,8 +104,11 @@
 
 def judge(marks: Sequence[CrashMark]) -> Verdict:
     """Return the verdict on a request by the marks that count against it."""
-    alone = sum(mark.alone for mark in marks)
-    if len(marks) >= CRASHES_TO_QUARANTINE and alone >= ALONE_TO_QUARANTINE:
+    is_culprit = (
+        sum(mark.alone for mark in marks) >= ALONE_TO_QUARANTINE
+        or sum(mark.apart for mark in marks) >= APART_TO_QUARANTINE
+    )
+    if len(marks) >= CRASHES_TO_QUARANTINE and is_culprit:
         return Verdict.QUARANTINED
     if len(marks) >= CRASHES_TO_SUSPECT:
         return Verdict.SUSPECT
@@ -144,6 +153,7 @@
         noted = now - max(0.0, mark.age_seconds)
         if held is not None:
             mark = mark._replace(
+                apart=mark.apart or held.mark.apart,
                 alone=mark.alone or held.mark.alone,
                 withdrawn=mark.withdrawn or held.mark.withdrawn,
             )
--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -16,7 +16,14 @@
 from poplarlug.latest import Latest
 from poplarlug.logs import PartLog
 from poplarlug.routes import RouteIndex
-from poplarlug.types import RegionName, Seconds, UpstreamId, VmName, ZoneName
+from poplarlug.types import (
+    Address,
+    RegionName,
+    Seconds,
+    UpstreamId,
+    VmName,
+    ZoneName,
+)
 
 REMEMBER_SECONDS = 120.0
 """How long an entry counts among those that share a budget after it was lost."""
@@ -85,6 +92,7 @@
         self._seen_by_entry: dict[VmName, tuple[RegionName, Seconds]] = {}
         self._taken_back_by_zone: dict[ZoneName, Seconds] = {}
         self._upstreams_by_id: dict[UpstreamId, _Noted] = {}
+        self._ids_by_address: dict[Address, UpstreamId] = {}
         self._ended_by_run: dict[UpstreamRun, _Ended] = {}
         self.routes: RouteIndex | None = None
         self.routing_revision = 0
@@ -123,14 +131,14 @@
         ended = self._ended_by_run.get(upstream.run)
         if ended is not None and ended.fate is RunFate.LEFT:
             return RunFate.LEFT
-        for noted in self._upstreams_by_id.values():
-            record = noted.record
-            if record.run == upstream.run:
-                is_leaving = record.phase == "leaving"
-                return RunFate.LEFT if is_leaving else RunFate.SERVING
-            is_its = upstream.id == record.id or upstream.address == record.address
-            if is_its and record.born > upstream.born:
-                return RunFate.REPLACED
+        held = self.upstream(upstream.id)
+        if held is not None and held.run == upstream.run:
+            return RunFate.LEFT if held.phase == "leaving" else RunFate.SERVING
+        there = self.upstream(self._ids_by_address.get(upstream.address, ""))
+        if there is not None and there.address != upstream.address:
+            there = None
+        if any(one and one.born > upstream.born for one in (held, there)):
+            return RunFate.REPLACED
         return RunFate.UNKNOWN if ended is None else ended.fate
 
     def cold_seconds(self, upstream_id: UpstreamId) -> Seconds:
@@ -210,6 +218,8 @@
             held = self._upstreams_by_id.get(upstream.id)
             if held is None or upstream.born >= held.record.born:
                 self._upstreams_by_id[upstream.id] = _Noted(upstream, now)
+                if not upstream.is_over:
+                    self._ids_by_address[upstream.address] = upstream.id
         self.others_loads_by_id = {load.id: load for load in reply.loads}
         self.region_loads = reply.regions
         if reply.routing is not None:
@@ -219,6 +229,7 @@
             _log.info("all entries are known", entries=self.count_sharers())
         if reply.entries or reply.upstreams or reply.routing:
             self._forget_lost()
+            self._forget_ended()
             self.changed.set(self.changed.value + 1)
 
     def _take_routing(self, news: RoutingNews) -> None:
@@ -254,10 +265,15 @@
             self._ended_by_run[upstream.run] = _Ended(RunFate.LEFT, now)
         elif upstream.phase == "serving":
             self._ended_by_run.pop(upstream.run, None)
-        oldest = now - REMEMBER_RUN_SECONDS
+
+    def _forget_ended(self) -> None:
+        oldest = self._clock() - REMEMBER_RUN_SECONDS
         for run, ended in list(self._ended_by_run.items()):
             if ended.at < oldest:
                 del self._ended_by_run[run]
+        for address, upstream_id in list(self._ids_by_address.items()):
+            if upstream_id not in self._upstreams_by_id:
+                del self._ids_by_address[address]
 
     def _forget_all_but(self, reply: PollReply) -> None:
         names = {entry.name for entry in reply.entries}
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -168,31 +168,23 @@
         return outcome
 
     async def _run_suspect(self, course: Course, placed: Place) -> Outcome:
-        """Run a suspect in its turn, at the entry of the region that runs it."""
+        """Run a suspect in its turn, at the entry that runs it."""
         patience = course.request.deadline - self._clock()
-        far = self._far_holder(course, placed)
-        if far is not None:
+        course.may_move = lambda: False
+        holder = None
+        if not course.request.hops:
+            holder = self._view.holder_of(
+                course.request, course.fingerprint, course.tried
+            )
+        if holder is not None:
             self._give_back(placed)
-            return await self._run(course, far, patience)
-        assert isinstance(placed, LocalPlace)
+            placed = FarPlace(holder, placed.expected_seconds, placed.loss)
+        if isinstance(placed, FarPlace):
+            return await self._run(course, placed, patience)
         outcome = await self._run_in_turn(course, placed, patience)
         course.ran_at_upstream(placed.upstream.id, outcome)
         return outcome
 
-    def _far_holder(self, course: Course, placed: Place) -> FarPlace | None:
-        """Return where a suspect is handed to, ``None`` if it runs here."""
-        if isinstance(placed, FarPlace):
-            region = placed.entry.region
-            holder = self._view.holder_of(region, course.fingerprint)
-            return placed if holder is None else placed._replace(entry=holder)
-        if course.request.hops:
-            return None
-        region = self._deployment.own_region
-        holder = self._view.holder_of(region, course.fingerprint)
-        if holder is None:
-            return None
-        return FarPlace(holder, placed.expected_seconds, placed.loss)
-
     async def _run_in_turn(
         self, course: Course, placed: LocalPlace, patience: Seconds
     ) -> Outcome:
--- a/poplarlug/relay/suspects.py
+++ b/poplarlug/relay/suspects.py
@@ -115,8 +115,8 @@
     any entry, while up to a whole batch of healthy ones runs beside it; or many
     upstreams crash at once for another reason. A first crash changes nothing for a
     request. After two it is a suspect and runs apart from other suspects, at one
-    entry of a region, so that a further crash tells it from those that only ran
-    beside the culprit. A whole answer clears it everywhere.
+    entry, so that a further crash tells it from those that only ran beside the
+    culprit. A whole answer clears it everywhere.
 
     Parameters
     ----------
@@ -163,6 +163,7 @@
         marks = self._marks.counted(fingerprint)
         evidence: dict[str, Any] = {
             "crashes": len(marks),
+            "apart": sum(mark.apart for mark in marks),
             "alone": sum(mark.alone for mark in marks),
             "upstreams": [mark.run.id for mark in marks[:LISTED_RUNS]],
             "newest_seconds": round(min(mark.age_seconds for mark in marks), 1),
@@ -240,6 +241,8 @@
         """Hold a crash against the request that ran apart, unless many crashed."""
         if not await judged:
             return
+        mark = CrashMark(fingerprint, upstream.run, apart=True)
+        self._marks.note(mark)
         aside = {mark.run for mark in self._marks.counted(fingerprint)}
         is_wide = await self._scope.is_wide(upstream, aside)
         _log.info(
@@ -249,7 +252,7 @@
             others_crashed=is_wide,
         )
         if not is_wide:
-            self._marks.note(CrashMark(fingerprint, upstream.run, alone=True))
+            self._marks.note(mark._replace(alone=True))
 
     def _clear(self, course: Course) -> None:
         if self._marks.is_empty:
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -1,6 +1,6 @@
 """What a placement is decided on: upstreams, regions and caches as this entry sees them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import NamedTuple
 
@@ -342,28 +342,33 @@
         return self._rng.choice(entries) if entries else None
 
     def holder_of(
-        self, region: RegionName, fingerprint: Fingerprint
+        self, request: RelayRequest, fingerprint: Fingerprint, tried: Tried
     ) -> EntryRecord | None:
         """
-        Return the entry of a region at which a suspect runs, ``None`` for this one.
+        Return the entry at which a suspect runs, ``None`` for this one.
 
-        Entries that know of the same ones agree without asking each other.
+        It is one of a region that has upstreams for it. Entries that know of the
+        same ones agree without asking each other, in a cut those of each side.
         """
+        own = self.deployment.own_region
         now = self._clock()
-        entries_by_name: dict[VmName, EntryRecord | None] = {
-            entry.name: entry
-            for entry in self.deployment.entries_of(region)
-            if self._avoided_until_by_entry.get(entry.name, now) <= now
-        }
-        if region == self.deployment.own_region:
-            entries_by_name[self._name] = None
-        if not entries_by_name:
+        entries_by_region: dict[RegionName, dict[VmName, EntryRecord | None]] = {}
+        for region in set(self.deployment.serving_regions(request.service).values()):
+            if request.route.allows(region) and region not in tried.regions:
+                entries_by_name: dict[VmName, EntryRecord | None] = {
+                    entry.name: entry
+                    for entry in self.deployment.entries_of(region)
+                    if self._avoided_until_by_entry.get(entry.name, now) <= now
+                }
+                if region == own:
+                    entries_by_name[self._name] = None
+                if entries_by_name:
+                    entries_by_region[region] = entries_by_name
+        if not entries_by_region:
             return None
-        holder = max(
-            entries_by_name,
-            key=lambda n: xxhash.xxh3_64_intdigest(f"{fingerprint:x}/{n}".encode()),
-        )
-        return entries_by_name[holder]
+        region = _first_by_hash(fingerprint, entries_by_region)
+        entries_by_name = entries_by_region[region]
+        return entries_by_name[_first_by_hash(fingerprint, entries_by_name)]
 
     def _bears(self, upstream: ServiceUpstream, service: RoutedService) -> bool:
         """Return whether a cold upstream bears one more request from this entry."""
@@ -395,6 +400,13 @@
         return budget
 
 
+def _first_by_hash(fingerprint: Fingerprint, names: Iterable[str]) -> str:
+    """Return the name that rendezvous hashing puts first for a request."""
+    return max(
+        names, key=lambda n: xxhash.xxh3_64_intdigest(f"{fingerprint:x}/{n}".encode())
+    )
+
+
 def latest_first_answer(request: RelayRequest) -> Seconds:
     """
     Return the loop time after which a first answer is of no use any more.
--- a/tests/platform_adapter/test_deadly_requests.py
+++ b/tests/platform_adapter/test_deadly_requests.py
@@ -220,6 +220,24 @@
         for entry in self.deployment.entries:
             self.assertEqual(self.send(entry, "book", body).status, 422)
 
+    def test_two_deadly_requests_are_both_refused(self) -> None:
+        """Each looks like a wide crash beside the other, and may not go on for that."""
+        bodies = [DEADLY + b" one", DEADLY + b" two"]
+        with ThreadPoolExecutor(2) as pool:
+            for body in bodies:
+                pool.submit(self.insist, "book", body, 2 * CONTACT_SECONDS + 2.0)
+        for body in bodies:
+            arrivals = sorted(
+                arrival.at
+                for upstream in self.upstreams
+                for arrival in upstream.arrivals
+                if arrival.body == body
+            )
+            late = [at for at in arrivals if at > arrivals[2] + CONTACT_SECONDS]
+            self.assertLessEqual(len(late), RETRIES)
+            for entry in self.deployment.entries:
+                self.assertEqual(self.send(entry, "book", body).status, 422)
+
     def test_quarantine_outlives_restarts(self) -> None:
         """Entries and control replicas are all killed, and start again."""
         body = DEADLY + b" restart"
--- a/tests/relay/test_suspects.py
+++ b/tests/relay/test_suspects.py
@@ -26,10 +26,16 @@
     )
 
 
-def make_marks(number: int, alone: int = 0) -> list[CrashMark]:
-    """Return marks against one request, ``alone`` of them while it ran apart."""
+def make_marks(number: int, alone: int = 0, apart: int = 0) -> list[CrashMark]:
+    """Return marks against one request, the first of them with these flags."""
     return [
-        CrashMark(7, UpstreamRun(f"u-{i}", 1), alone=i < alone) for i in range(number)
+        CrashMark(
+            7,
+            UpstreamRun(f"u-{i}", 1),
+            apart=i < max(alone, apart),
+            alone=i < alone,
+        )
+        for i in range(number)
     ]
 
 
@@ -61,6 +67,11 @@
         self.assertIs(judge(make_marks(3, alone=2)), Verdict.QUARANTINED)
         self.assertIs(judge(make_marks(4, alone=2)), Verdict.QUARANTINED)
 
+    def test_no_more_than_three_retries_are_made(self) -> None:
+        """Several culprits may crash upstreams of a zone at the same time."""
+        self.assertIs(judge(make_marks(5, apart=2)), Verdict.SUSPECT)
+        self.assertIs(judge(make_marks(6, apart=3)), Verdict.QUARANTINED)
+
 
 class FingerprintTests(TestCase):
     def test_repeats_are_the_same_request(self) -> None:
--- a/tests/relay/test_view.py
+++ b/tests/relay/test_view.py
@@ -5,7 +5,7 @@
 
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import PollReply
-from poplarlug.discovery.records import EntryRecord, RegionLoad
+from poplarlug.discovery.records import EntryRecord, RegionLoad, ServiceUpstream
 from poplarlug.relay.budgets import WarmupLimits
 from poplarlug.relay.in_flight import InFlight
 from poplarlug.relay.requests import Prompt, RelayRequest
@@ -79,6 +79,78 @@
         self.assertEqual(latest_first_answer(plain), 16.0)
 
 
+class HolderTests(QuietTestCase):
+    """Three regions with upstreams and two entries each."""
+
+    def make_view(self, name: str, region: str) -> FleetView:
+        regions_by_zone = {"a": "east", "b": "west", "c": "south"}
+        deployment = Deployment(
+            own_region=region, regions_by_zone=regions_by_zone, clock=lambda: 0.0
+        )
+        deployment.take(
+            PollReply(
+                registry_id="r",
+                revision=1,
+                whole=True,
+                current=True,
+                zone="a",
+                entries=tuple(
+                    EntryRecord(f"{zone}-{n}", of, zone, "", "", 1, "serving")
+                    for zone, of in regions_by_zone.items()
+                    for n in (1, 2)
+                ),
+                upstreams=tuple(
+                    ServiceUpstream(f"u-{zone}", "engine", zone, zone, 1, 1, 8)
+                    for zone in regions_by_zone
+                ),
+            )
+        )
+        return FleetView(
+            name=name,
+            deployment=deployment,
+            in_flight=InFlight(clock=lambda: 0.0, others=lambda _: None),
+            warmup=WarmupLimits(),
+            rng=Random(1),
+            clock=lambda: 0.0,
+        )
+
+    def holders(self, fingerprint: int, **fields: object) -> set[str]:
+        """Return the holders of a request that the entries name."""
+        request = make_request(**fields)
+        named = set()
+        for name, region in (("a-1", "east"), ("b-2", "west"), ("c-1", "south")):
+            view = self.make_view(name, region)
+            holder = view.holder_of(request, fingerprint, Tried())
+            named.add(name if holder is None else holder.name)
+        return named
+
+    def test_all_entries_name_the_same_holder(self) -> None:
+        """Without asking each other; requests are spread over the entries."""
+        chosen = [self.holders(fingerprint) for fingerprint in range(40)]
+        self.assertEqual({len(names) for names in chosen}, {1})
+        self.assertEqual(len(set.union(*chosen)), 6)
+
+    def test_holder_is_in_a_home_region_of_the_route(self) -> None:
+        """The body goes nowhere else."""
+        route = make_route(home_regions=("west",))
+        for fingerprint in range(10):
+            (name,) = self.holders(fingerprint, route=route)
+            self.assertIn(name, ("b-1", "b-2"))
+
+    def test_region_that_was_tried_has_no_holder(self) -> None:
+        """It was out of reach, or refused the request."""
+        view = self.make_view("a-1", "east")
+        tried = Tried().with_region("west").with_region("south")
+        names = {
+            "a-1" if holder is None else holder.name
+            for holder in (
+                view.holder_of(make_request(), fingerprint, tried)
+                for fingerprint in range(20)
+            )
+        }
+        self.assertEqual(names, {"a-1", "a-2"})
+
+
 class RegionPauseTests(QuietTestCase):
     def setUp(self) -> None:
         super().setUp()
