Freeze a booking's owner while its run is in progress, however busy the machine is

The bound was the test's own, so a signal takes its place: no run ends while a file is there, which goes once the owner is stopped.

--- a/poplarlug/fakes/service.py
+++ b/poplarlug/fakes/service.py
@@ -9,6 +9,9 @@
 
 from poplarlug.fakes.ledger import RequestLedger
 
+GATE_SECONDS = 0.02
+"""How often a held run looks whether it may end."""
+
 
 class ServiceOptions(NamedTuple):
     """
@@ -22,6 +25,8 @@
         How long a booking takes.
     requests_file : str
         Each run also appends its request id and key here; empty for none.
+    gate_file : str
+        No run ends while this file is there; empty for none.
     """
 
     upstream_id: str
@@ -29,6 +34,7 @@
     ledger_file: str
     run_seconds: float = 0.0
     requests_file: str = ""
+    gate_file: str = ""
 
 
 class FakeService:
@@ -62,6 +68,9 @@
             self._requests.write(request.headers.get("X-Request-Id", ""), key)
             if self._options.run_seconds > 0:
                 await asyncio.sleep(self._options.run_seconds)
+            gate = self._options.gate_file
+            while gate and Path(gate).exists():  # noqa: ASYNC110, ASYNC240
+                await asyncio.sleep(GATE_SECONDS)
             return web.json_response(
                 {
                     "booked": key,
--- a/poplarlug/fakes/service_main.py
+++ b/poplarlug/fakes/service_main.py
@@ -18,6 +18,7 @@
     ledger_file: str,
     run_seconds: float = 0.0,
     requests_file: str = "",
+    gate_file: str = "",
     announced: str = "",
 ) -> None:
     """Run a stand-in service; lists are separated by commas."""
@@ -27,6 +28,7 @@
         ledger_file=ledger_file,
         run_seconds=run_seconds,
         requests_file=requests_file,
+        gate_file=gate_file,
     )
     service = FakeService(options=options)
     asyncio.run(
--- a/tests/processes/test_claims_faults.py
+++ b/tests/processes/test_claims_faults.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
 from random import Random
 from time import sleep
 from typing import ClassVar, NamedTuple
@@ -28,6 +29,7 @@
 
     entries_per_zone = 3
     threads: ClassVar[ThreadPoolExecutor]
+    gate: ClassVar[Path]
 
     @classmethod
     def start_upstreams(cls) -> None:
@@ -37,8 +39,9 @@
 
     @classmethod
     def start_service(cls) -> None:
-        options = f"--run_seconds={RUN_SECONDS}"
-        cls.ledger = cls.deployment.start_service("s1", "quito-a", "depot", options)
+        cls.gate = Path(cls.deployment.folder).resolve() / "runs-are-held"
+        options = (f"--run_seconds={RUN_SECONDS}", f"--gate_file={cls.gate}")
+        cls.ledger = cls.deployment.start_service("s1", "quito-a", "depot", *options)
 
     def setUp(self) -> None:
         self.warm_ups = 0
@@ -124,8 +127,12 @@
     def test_frozen_owner_is_not_outrun(self) -> None:
         """While its owner is frozen a booking isn't run by another entry."""
         key = "quito-a:owner-frozen"
+        # The run has to be in progress when its owner stops, however late that is.
+        self.gate.touch()
+        self.addCleanup(self.gate.unlink, missing_ok=True)
         first = self.book_until_running("quito-a-1", key)
         self.deployment.signal("quito-a-1", signal.SIGSTOP)
+        self.gate.unlink()
         resent = self.book("quito-a-2", key)
         self.deployment.signal("quito-a-1", signal.SIGCONT)
         self.assertEqual(resent.error_type, "outcome_unknown")
