--- a/poplarlug/operators/status_commands.py
+++ b/poplarlug/operators/status_commands.py
@@ -17,8 +17,9 @@
         """
         Show the version in force on each entry VM and how far it lags.
 
-        The first row is the accepted version. LAG counts changes; AGE_SECONDS is
-        the time since the VM last reported, -1 when it never did. STATE_HASH is
+        The first row is the accepted version. LAG counts the changes that the VM
+        lacked when it last reported, AGE_SECONDS ago, -1 when it never did; one that
+        is cut off may have a later change in force. STATE_HASH is
         the same on all processes that hold the same version.
         """
         reply = read_config_status(self._session)
