Let the whole-path tests begin once entries know who shares their budgets

An entry that has not learned since its start of all entries takes no share of the common repeats, and waits for a silent upstream until the caller's deadline: seen, a request sent in that state got 504 after 4.0 s, the next ones 200. That state ended 10.6 s after the start of the class and 4.5 s before the test in a run with a log, as an earlier test kills all control replicas; how late it was in the failed run was not logged. The set-up waits now for the log line that tells the end of that state; the check is unchanged.

test_broken_stream_is_taken_up_by_another_upstream failed in 2 of some 13 runs beside load: by their logs all six streams went to the other of two upstreams, equal in every input. It sends until the faulty one got one, 60 at most, with each answer checked as before.

--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -20,6 +20,12 @@
 
 ENTRY_ZONES = ("quito-a", "quito-a", "guayaquil-a")
 DEADLINE = DIALECT.deadline
+SETTLED_SECONDS = 30.0
+"""Control replicas settle six seconds after they all started, also after a kill."""
+
+MAX_SENDS = 60
+"""An upstream of two that gets none of these isn't left out by chance."""
+
 ROUTES = {
     "look": {"route_kind": "safe"},
     "book": {"route_kind": "unsafe", "max_attempts": 1},
@@ -60,6 +66,13 @@
         self.quito, self.other_quito, self.guayaquil = self.deployment.entries
         self.configure(**ROUTES)
         self.deployment.wait_ready()
+        for entry in self.deployment.entries:
+            # Until then it repeats by the ratio of its own requests alone.
+            wait_until(
+                lambda entry=entry: self.knows_all(entry),
+                f"{entry} does not know all entries",
+                SETTLED_SECONDS,
+            )
         for zone in ZONES:
             address = self.deployment.control_address(zone)
             wait_until(
@@ -80,6 +93,12 @@
         for upstream in self.upstreams:
             upstream.arrivals.clear()
 
+    def knows_all(self, entry: str) -> bool:
+        """Return whether an entry has learned since its start who shares budgets."""
+        log = self.deployment.log(entry)
+        known = log.count("discovery: all entries are known")
+        return known >= log.count("entry: started")
+
     def announce(self) -> None:
         for upstream in self.upstreams:
             self.assertEqual(upstream.beat(self.deployment.control_address()), 200)
@@ -149,9 +168,11 @@
         """The caller gets each event once and in order, in one answer."""
         self.upstreams[0].fault = "cut"
         expected = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(STREAM_EVENTS))
-        for _ in range(6):
+        for sends in range(MAX_SENDS):
             answer = self.send(self.quito, "resume")
             self.assertEqual((answer.status, answer.body), (200, expected))
+            if sends >= 5 and self.upstreams[0].arrivals:
+                break
         self.assertGreater(len(self.upstreams[0].arrivals), 0)
 
     def test_stream_that_may_not_be_resumed_breaks_off(self) -> None:
