Name a suspect's turn alike in calls, log lines and marks; test the look at other upstreams

A send 'alone' was one in a turn, a mark 'alone' one while others stayed up. Sends in a turn are 'apart' now, in the log too. No change of what is decided.

--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -202,7 +202,7 @@
             return Outcome(self._suspects.refusal(course, self._clock()), arrived=False)
         course.settled = None
         try:
-            return await self._run_local(course, placed, patience, alone=True)
+            return await self._run_local(course, placed, patience, apart=True)
         finally:
             turn.end(course.settled)
 
@@ -249,7 +249,7 @@
         placed: LocalPlace,
         patience: Seconds,
         *,
-        alone: bool = False,
+        apart: bool = False,
     ) -> Outcome:
         upstream = placed.upstream
         now = self._clock()
@@ -260,7 +260,7 @@
             running=self._in_flight.load(upstream.id).running,
             ahead_ms=placed.ahead_ms,
             read_ms=placed.flight.read_ms,
-            alone=alone,
+            apart=apart,
             loss=round(placed.loss, 3),
             expected_ms=round(placed.expected_seconds * 1000),
             view_age_ms=round(self._deployment.age_seconds * 1000),
@@ -276,7 +276,7 @@
             raise
         finally:
             self._dispatcher.release(placed.flight, failed=failed)
-            course.settled = self._suspects.note(course, upstream, outcome, alone=alone)
+            course.settled = self._suspects.note(course, upstream, outcome, apart=apart)
 
     async def _attempt(
         self, course: Course, placed: LocalPlace, patience: Seconds
--- a/poplarlug/relay/suspects.py
+++ b/poplarlug/relay/suspects.py
@@ -202,7 +202,7 @@
         upstream: ServiceUpstream,
         outcome: Outcome | None,
         *,
-        alone: bool,
+        apart: bool,
     ) -> "asyncio.Future[Any] | None":
         """
         Take in how a send to an upstream ended.
@@ -211,6 +211,8 @@
         ----------
         outcome : Outcome or None
             ``None`` when the caller left before.
+        apart : bool
+            Whether it was sent in a suspect's turn.
 
         Returns
         -------
@@ -228,7 +230,7 @@
         course.trace.note(fingerprint=format_fingerprint(fingerprint))
         is_silent = outcome is None or not outcome.broke
         judged = self._watch.broke(BrokenSend(fingerprint, upstream, is_silent))
-        if not alone:
+        if not apart:
             return judged
         return asyncio.ensure_future(self._settle(fingerprint, upstream, judged))
 
--- /dev/null
+++ b/tests/relay/test_crash_scope.py
@@ -0,0 +1,97 @@
+"""Tests of what tells the crash of one upstream from that of many."""
+
+import asyncio
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.messages import PollReply
+from poplarlug.discovery.records import ServiceUpstream, UpstreamRun
+from poplarlug.relay.crash_scope import CONFIRM_SECONDS, CrashScope
+
+REGIONS_BY_ZONE = {"a": "east", "b": "east", "c": "west"}
+
+
+class CrashScopeTests(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.deployment = Deployment(
+            own_region="east",
+            regions_by_zone=REGIONS_BY_ZONE,
+            clock=asyncio.get_running_loop().time,
+        )
+        self.scope = CrashScope(deployment=self.deployment, rng=Random(1))
+        self.servers: dict[str, asyncio.Server] = {}
+        self.crashed = await self.add("crashed", "a")
+        self.servers["crashed"].close()
+
+    async def add(self, name: str, zone: str) -> ServiceUpstream:
+        """Start an upstream that takes connections and announce it."""
+        server = await asyncio.start_server(
+            lambda _, writer: writer.close(), "127.0.0.1", 0
+        )
+        self.addCleanup(server.close)
+        self.servers[name] = server
+        port = server.sockets[0].getsockname()[1]
+        upstream = ServiceUpstream(
+            name, "desk", f"127.0.0.1:{port}", zone, born=10, sequence=1, slots=4
+        )
+        self.take(upstream)
+        return upstream
+
+    def take(self, *upstreams: ServiceUpstream) -> None:
+        self.deployment.take(PollReply("r", 1, False, True, "a", upstreams=upstreams))
+
+    async def is_wide(self, *aside: UpstreamRun) -> tuple[bool, float]:
+        """Return what the scope says, and how long that took."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        wide = await self.scope.is_wide(self.crashed, aside)
+        return wide, loop.time() - started
+
+    async def test_others_that_stay_up_show_a_crash_of_one(self) -> None:
+        """They are looked at again after a moment."""
+        for name in ("u-1", "u-2"):
+            await self.add(name, "a")
+        wide, seconds = await self.is_wide()
+        self.assertFalse(wide)
+        self.assertGreaterEqual(seconds, CONFIRM_SECONDS)
+
+    async def test_half_of_the_others_down_show_a_wide_crash(self) -> None:
+        """That is known at once, so that a suspect needn't wait."""
+        for name in ("u-1", "u-2"):
+            await self.add(name, "a")
+        self.servers["u-1"].close()
+        wide, seconds = await self.is_wide()
+        self.assertTrue(wide)
+        self.assertLess(seconds, CONFIRM_SECONDS)
+
+    async def test_others_that_are_back_as_new_show_a_wide_crash(self) -> None:
+        """They take connections again before they are looked at."""
+        upstream = await self.add("u-1", "a")
+        asking = asyncio.ensure_future(self.is_wide())
+        await asyncio.sleep(0.2)
+        self.take(upstream._replace(phase="gone"), upstream._replace(id="n", born=20))
+        self.assertTrue((await asking)[0])
+
+    async def test_nearest_others_are_looked_at(self) -> None:
+        """What is down in another zone says nothing while the own one has others."""
+        await self.add("u-1", "a")
+        for number in range(4):
+            await self.add(f"far-{number}", "b")
+            self.servers[f"far-{number}"].close()
+        self.assertFalse((await self.is_wide())[0])
+
+    async def test_others_that_the_request_crashed_say_nothing(self) -> None:
+        """A culprit may run at several upstreams at the same moment."""
+        upstream = await self.add("u-1", "a")
+        self.servers["u-1"].close()
+        self.assertTrue((await self.is_wide())[0])
+        self.assertFalse((await self.is_wide(upstream.run))[0])
+
+    async def test_upstreams_of_other_regions_are_not_connected_to(self) -> None:
+        """They take connections of their own region only; their records tell."""
+        upstream = await self.add("u-1", "c")
+        self.servers["u-1"].close()
+        self.assertFalse((await self.is_wide())[0])
+        self.take(upstream._replace(phase="lost"))
+        self.assertFalse((await self.is_wide())[0], "it isn't there any more")
--- a/tests/relay/test_suspects.py
+++ b/tests/relay/test_suspects.py
@@ -152,7 +152,7 @@
     async def test_broken_send_whose_upstream_is_gone_marks_the_request(self) -> None:
         """Nothing listens at its address any more."""
         broken = Outcome(outcome_unknown("lost"), broke=True)
-        judged = self.suspects.note(self.course, self.upstream, broken, alone=True)
+        judged = self.suspects.note(self.course, self.upstream, broken, apart=True)
         assert judged is not None
         await judged
         [mark] = self.marks.counted(self.course.fingerprint)
@@ -170,7 +170,7 @@
                 id=f"u-{number}", address=f"127.0.0.1:{port}"
             )
             broken = Outcome(outcome_unknown("lost"), broke=True)
-            self.suspects.note(self.course, upstream, broken, alone=False)
+            self.suspects.note(self.course, upstream, broken, apart=False)
             self.assertIs(self.suspects.verdict(self.course), Verdict.CLEAR)
         await asyncio.sleep(0.5)
         self.assertIs(self.suspects.verdict(self.course), Verdict.CLEAR)
@@ -179,7 +179,7 @@
         """Also a failure that the upstream itself answered; the others are told."""
         self.mark(5, alone=1)
         self.assertIs(self.suspects.verdict(self.course), Verdict.SUSPECT)
-        self.suspects.note(self.course, self.upstream, DONE, alone=True)
+        self.suspects.note(self.course, self.upstream, DONE, apart=True)
         self.assertIs(self.suspects.verdict(self.course), Verdict.CLEAR)
         self.assertEqual({mark.withdrawn for mark in self.marks.take_news()}, {True})
 
