Log the limit that an upstream names with the answer that named it

Nothing in the logs told whether an entry had got a limit, which the first two hypotheses of the incident differ in. The step 'answered' of a request's line carries it now, cut at 32 characters.

--- a/poplarlug/platform/names.py
+++ b/poplarlug/platform/names.py
@@ -17,6 +17,7 @@
     signature="X-Poplarlug-Response-Stamp",
     not_executed="X-Poplarlug-Not-Executed",
     cold_left="X-Poplarlug-Cold-Ms",
+    limit="Server-Limit",
     priority="X-Poplarlug-Request-Priority",
     model="X-Poplarlug-Model",
     token_counts="X-Poplarlug-Token-Count",
--- a/poplarlug/relay/dialect.py
+++ b/poplarlug/relay/dialect.py
@@ -21,6 +21,9 @@
         Set by an upstream that refused a request without running it.
     cold_left : str
         Milliseconds that an upstream stays cold, in health answers.
+    limit : str
+        Requests a second that an upstream takes from all entries together, set in
+        its answers for as long as that holds.
     priority : str
         Rank of a request towards an engine, 0 to 9, 0 the most urgent.
     model, token_counts, prompt_parts : str
@@ -35,6 +38,7 @@
     signature: str = "X-Upstream-Signature"
     not_executed: str = "X-Not-Executed"
     cold_left: str = "X-Cold-Ms"
+    limit: str = "X-Rate-Limit"
     priority: str = "X-Priority"
     model: str = "X-Model"
     token_counts: str = "X-Token-Counts"
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 import aiohttp
 from prometheus_client import Counter, Histogram
@@ -55,6 +56,9 @@
 
 MIN_PATIENCE_SECONDS = 0.8
 
+MAX_LOGGED_CHARACTERS = 32
+"""Of a header that an upstream sent; a proper limit has a few digits."""
+
 _SENDS = Counter(
     "poplarlug_relay_sends_total",
     "Sends to upstreams and other entries, by target and how they ended.",
@@ -408,7 +412,11 @@
     ) -> None:
         _SENDS.labels(target, "answered").inc()
         _FIRST_ANSWER_SECONDS.labels(target).observe(now - started)
-        trace.step("answered", now, status=response.status)
+        fields: dict[str, Any] = {"status": response.status}
+        limit = response.headers.get(self._dialect.limit)
+        if limit is not None:
+            fields["limit"] = limit[:MAX_LOGGED_CHARACTERS]
+        trace.step("answered", now, **fields)
 
     def _note_failed(
         self, target: str, error: SendError, trace: RelayTrace, now: Seconds
