Reproduce an upstream that names a limit and gets the full load

Stand-in that names its limit in all answers, six entries in its region, some 50 requests/s: 110 (safe), 119 (unsafe), 66 (streams), 122 (all upstreams limited) and 122 (refusals) requests in 4 s, where 11 to 20 are allowed. All entries alike, every kind of route, never less than before: the limit isn't heard (hypothesis 1).

--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -43,6 +43,11 @@
         stream that breaks off within an event).
     answer_seconds : float
         How long it works on a request before its answer.
+    limit : str
+        What it names in its answers as the requests a second that it takes, in the
+        deployment's header; empty for nothing.
+    received : list of float
+        Monotonic times of all requests, also those that it refused.
     deadly : bytes
         A request whose body has this ends the upstream; empty for none.
     deadly_after : int
@@ -62,6 +67,8 @@
         self.service = service
         self.zone = zone
         self.fault = ""
+        self.limit = ""
+        self.received: list[float] = []
         self.event_seconds = 0.01
         self.answer_seconds = 0.0
         self.arrivals: list[Arrival] = []
@@ -177,7 +184,10 @@
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
+        self.received.append(time.monotonic())
         headers = {DIALECT.request_id: request.headers.get(DIALECT.request_id, "")}
+        if self.limit:
+            headers[DIALECT.limit] = self.limit
         if request.headers.get(DIALECT.expected_upstream, self.id) != self.id:
             return web.Response(status=421, headers=headers)
         if self.fault == "refuse":
--- /dev/null
+++ b/tests/platform_adapter/test_named_limits.py
@@ -0,0 +1,218 @@
+"""Tests of upstreams that name a limit, with real processes on loopback."""
+
+import tempfile
+import threading
+import time
+import uuid
+from collections import Counter
+from collections.abc import Sequence
+from itertools import count
+from pathlib import Path
+from unittest import TestCase
+
+from poplarlug.platform.names import DIALECT
+from poplarlug.soak.deployment import Answer, SeededDeployment, wait_until
+from poplarlug.soak.upstream import Upstream
+from tests.platform_adapter.test_deadly_requests import Announcer
+from tests.platform_adapter.test_whole_path import (
+    HOST,
+    SETTLED_SECONDS,
+    configuration,
+)
+
+ENTRY_ZONES = (*("quito-a",) * 6, "guayaquil-a")
+CALLERS = 16
+CALLER_SECONDS = 0.3
+"""Time between two requests of a caller; together some 50 a second."""
+
+CONTACT_SECONDS = 5.0
+"""The users' rule binds from then on after a limit was first named."""
+
+WINDOW_SECONDS = 4.0
+OVERAGE = 1.5
+SLACK = 5
+"""The users' rule: in any window so many times the limit, and so many more."""
+
+LEAST_SHARE = 0.5
+"""Of what an upstream names it should get, where callers ask for far more."""
+
+ROUTES = {
+    "look": {"route_kind": "safe"},
+    "book": {"route_kind": "unsafe", "max_attempts": 1},
+    "stream": {"route_kind": "streaming", "max_attempts": 1},
+}
+
+
+class Callers:
+    """Send requests from several connections to entries in turn until stopped."""
+
+    def __init__(
+        self, *, deployment: SeededDeployment, entries: Sequence[str], route: str
+    ) -> None:
+        self._deployment = deployment
+        self._entries = entries
+        self._route = route
+        self._stopped = threading.Event()
+        self.answers: list[Answer] = []
+        self.slowest_refusal = 0.0
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,))
+            for number in range(CALLERS)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> Counter[int]:
+        """End after the requests in progress; return how many got each status."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+        return Counter(answer.status for answer in self.answers)
+
+    def _run(self, first: int) -> None:
+        for number in count(first):
+            if self._stopped.wait(CALLER_SECONDS):
+                return
+            entry = self._entries[number % len(self._entries)]
+            started = time.monotonic()
+            answer = send(self._deployment, entry, self._route)
+            if answer.status == 503:
+                seconds = time.monotonic() - started
+                self.slowest_refusal = max(self.slowest_refusal, seconds)
+            self.answers.append(answer)
+
+
+def send(deployment: SeededDeployment, entry: str, route: str) -> Answer:
+    return deployment.call(
+        deployment.entry_address(entry),
+        "POST",
+        f"/{route}/7",
+        b"hello",
+        {
+            "Host": HOST,
+            DIALECT.request_id: uuid.uuid4().hex,
+            DIALECT.deadline: "4000",
+        },
+    )
+
+
+def most_in_window(times: Sequence[float], since: float) -> int:
+    """Return the most times in any window that begins at ``since`` or later."""
+    counted = sorted(at for at in times if at >= since)
+    return max(
+        (
+            sum(start <= at < start + WINDOW_SECONDS for at in counted[index:])
+            for index, start in enumerate(counted)
+        ),
+        default=0,
+    )
+
+
+class NamedLimitTests(TestCase):
+    """Two upstreams and six entries in Quito, one entry in Guayaquil."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.deployment = SeededDeployment(
+            folder=Path(folder.name), entry_zones=ENTRY_ZONES
+        )
+        self.addCleanup(self.deployment.close)
+        self.deployment.start_all()
+        self.upstreams: list[Upstream] = []
+        for name in ("u-1", "u-2"):
+            upstream = Upstream(
+                upstream_id=name,
+                ip=self.deployment.ip(name),
+                service="desk",
+                zone="quito-a",
+            )
+            self.addCleanup(upstream.close)
+            self.upstreams.append(upstream)
+        announcer = Announcer(deployment=self.deployment, upstreams=self.upstreams)
+        announcer.start()
+        self.addCleanup(announcer.stop)
+        answer = self.deployment.operate("PUT", "/config", configuration(1, **ROUTES))
+        self.assertEqual(answer.status, 200, answer.body)
+        self.deployment.wait_ready()
+        for entry in self.deployment.entries:
+            wait_until(
+                lambda entry=entry: (
+                    "all entries are known" in self.deployment.log(entry)
+                ),
+                f"{entry} does not know all entries",
+                SETTLED_SECONDS,
+            )
+            wait_until(
+                lambda entry=entry: send(self.deployment, entry, "look").status == 200,
+                f"{entry} serves nothing",
+            )
+
+    def allowed(self, limit: float) -> float:
+        return OVERAGE * WINDOW_SECONDS * limit + SLACK
+
+    def call(
+        self, route: str, seconds: float, *, limits: Sequence[str]
+    ) -> tuple[Counter[int], float, float]:
+        """
+        Send requests while upstreams name limits.
+
+        Returns
+        -------
+        tuple
+            The number of answers by status, the slowest refusal, and when the rule
+            begins to bind.
+        """
+        callers = Callers(
+            deployment=self.deployment, entries=self.deployment.entries, route=route
+        )
+        time.sleep(1.0)
+        for upstream, limit in zip(self.upstreams, limits, strict=True):
+            upstream.limit = limit
+        named_at = time.monotonic()
+        time.sleep(seconds)
+        statuses = callers.stop()
+        return statuses, callers.slowest_refusal, named_at + CONTACT_SECONDS
+
+    def check(self, limits: Sequence[float], since: float) -> None:
+        """Check the rule for each upstream, and that none is starved."""
+        for upstream, limit in zip(self.upstreams, limits, strict=True):
+            if limit:
+                most = most_in_window(upstream.received, since)
+                self.assertLessEqual(most, self.allowed(limit), upstream.id)
+                seconds = upstream.received[-1] - since
+                got = sum(at >= since for at in upstream.received)
+                self.assertGreaterEqual(got, LEAST_SHARE * limit * seconds - 1)
+
+    # Guards against upstreams that get the full load though they name a limit.
+    def test_limited_upstream_is_spared_and_the_other_one_serves(self) -> None:
+        """What exceeds the limit of one goes to the other at once."""
+        statuses, _, since = self.call("look", 12.0, limits=("1", ""))
+        self.check((1.0, 0.0), since)
+        self.assertEqual(set(statuses), {200})
+
+    def test_bookings_keep_a_limit(self) -> None:
+        """What is never repeated counts as well."""
+        statuses, _, since = self.call("book", 12.0, limits=("1", ""))
+        self.check((1.0, 0.0), since)
+        self.assertEqual(set(statuses), {200})
+
+    def test_streams_keep_a_limit(self) -> None:
+        """So do streams."""
+        statuses, _, since = self.call("stream", 12.0, limits=("1.0", ""))
+        self.check((1.0, 0.0), since)
+        self.assertEqual(set(statuses), {200})
+
+    def test_limits_of_all_upstreams_are_kept(self) -> None:
+        """What exceeds them is refused at once, with a time to come back."""
+        statuses, slowest, since = self.call("look", 14.0, limits=("2", "2.5"))
+        self.check((2.0, 2.5), since)
+        self.assertEqual(set(statuses), {200, 503})
+        self.assertLess(slowest, 2.0)
+
+    def test_limit_that_comes_with_refusals_is_kept(self) -> None:
+        """An upstream that refuses what comes names its limit all the same."""
+        self.upstreams[0].fault = "refuse"
+        statuses, _, since = self.call("look", 12.0, limits=("1", ""))
+        self.check((1.0, 0.0), since)
+        self.assertEqual(set(statuses), {200})
