Refuse a handed-on request before its sender gives it up

What callers saw: 504 after 1.25 s for safe requests that never ran. The entry that hands a request on asks elsewhere after 2.5 objectives; the other one let it wait for a place until its deadline, and the sender could not tell that it had only waited.

What may be repeated now waits for the sender's patience at most, and comes back as not run.

--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -32,7 +32,7 @@
     decode_refusal,
 )
 from poplarlug.relay.passing import pass_on
-from poplarlug.relay.requests import RelayRequest
+from poplarlug.relay.requests import RelayRequest, patience_seconds
 from poplarlug.relay.suspects import Suspects, Verdict
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import FleetView
@@ -51,11 +51,6 @@
 REST_SECONDS = 0.2
 """How long the rest of a refusal's body may take, so that its connection is kept."""
 
-PATIENCE_SHARE = 2.5
-"""What may be repeated is sent elsewhere after this many objectives."""
-
-MIN_PATIENCE_SECONDS = 0.8
-
 MAX_LOGGED_CHARACTERS = 32
 """Of a header that an upstream sent; a proper limit has a few digits."""
 
@@ -220,8 +215,7 @@
         left = request.deadline - self._clock()
         if not course.may_repeat_later or not budget.has_room(self._entries()):
             return left
-        objective = request.route.objective_seconds
-        return min(left, max(MIN_PATIENCE_SECONDS, PATIENCE_SHARE * objective))
+        return min(left, patience_seconds(request))
 
     def _may_move(self, course: Course, budget: RetryBudget, placed: Place) -> bool:
         """
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -14,7 +14,8 @@
 from poplarlug.relay.budgets import WarmupLimits
 from poplarlug.relay.dispatcher import Dispatcher, LocalPlace
 from poplarlug.relay.in_flight import InFlight
-from poplarlug.relay.requests import RelayRequest
+from poplarlug.relay.placement import FORWARD_SECONDS
+from poplarlug.relay.requests import RelayRequest, patience_seconds
 from poplarlug.relay.view import FleetView, Tried
 from poplarlug.routes import Engine, RoutedService, RouteTable
 from poplarlug.virtualtime import run_virtual
@@ -121,6 +122,29 @@
 
         self.assertLessEqual(run_virtual(main()), 15)
 
+    # Guards against answers 504 for requests that had only waited at another entry.
+    def test_handed_on_request_is_refused_before_its_sender_asks_elsewhere(
+        self,
+    ) -> None:
+        """The sender learns that it has not run, and has time for another place."""
+
+        async def main() -> tuple[float, GatewayError]:
+            dispatcher = self.make()
+            running = asyncio.ensure_future(dispatcher.run())
+            await dispatcher.find(self.request(), Tried())
+            route = ROUTE._replace(kind="safe")
+            handed_on = self.request()._replace(route=route, hops=1)
+            found = await dispatcher.find(handed_on, Tried())
+            running.cancel()
+            assert isinstance(found, Failure)
+            return asyncio.get_running_loop().time(), found.failure()
+
+        waited, refusal = run_virtual(main())
+        self.assertIs(refusal.ran, False)
+        self.assertLess(
+            waited, patience_seconds(make_request(route=ROUTE)) - FORWARD_SECONDS
+        )
+
     def test_stream_is_refused_before_its_caller_leaves(self) -> None:
         """All places stay taken; who waits learns it while there is time to return."""
 
