--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from poplarlug.control.routing_state import decode_table
-from poplarlug.discovery.messages import PollReply, RoutingNews
+from poplarlug.discovery.messages import EntryDemand, PollReply, RoutingNews
 from poplarlug.discovery.records import (
     EntryRecord,
     RegionLoad,
@@ -20,6 +20,7 @@
     Address,
     RegionName,
     Seconds,
+    ServiceName,
     UpstreamId,
     VmName,
     ZoneName,
@@ -99,6 +100,7 @@
         self.evacuated_zones: frozenset[ZoneName] = frozenset()
         self.others_loads_by_id: dict[UpstreamId, UpstreamLoad] = {}
         self.region_loads: tuple[RegionLoad, ...] = ()
+        self._demands: tuple[EntryDemand, ...] = ()
         self.heard_at: Seconds = float("-inf")
         self.knows_all_entries = False
         self.changed: Latest[int] = Latest(initial=0)
@@ -111,6 +113,9 @@
     def upstream_ids(self) -> frozenset[UpstreamId]:
         return frozenset(self._upstreams_by_id)
 
+    def upstream_runs(self) -> set[UpstreamRun]:
+        return {noted.record.run for noted in self._upstreams_by_id.values()}
+
     def upstream(self, upstream_id: UpstreamId) -> ServiceUpstream | None:
         noted = self._upstreams_by_id.get(upstream_id)
         return None if noted is None else noted.record
@@ -183,6 +188,10 @@
             if entry.region == region and entry.state == "serving"
         ]
 
+    def demands_of_others(self, service: ServiceName) -> dict[VmName, float]:
+        """Return the demand for a service at the region's other entries."""
+        return {d.entry: d.per_second for d in self._demands if d.service == service}
+
     def sharers(self, region: RegionName) -> list[VmName]:
         """
         Return the entries of a region, those that were lost lately included.
@@ -222,6 +231,7 @@
                     self._ids_by_address[upstream.address] = upstream.id
         self.others_loads_by_id = {load.id: load for load in reply.loads}
         self.region_loads = reply.regions
+        self._demands = reply.demands
         if reply.routing is not None:
             self._take_routing(reply.routing)
         if reply.settled and not self.knows_all_entries:
--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -3,18 +3,20 @@
 from typing import NamedTuple
 
 from poplarlug.discovery.crash_marks import CrashMark
+from poplarlug.discovery.named_limits import NamedLimit
 from poplarlug.discovery.records import (
     EntryRecord,
     RegionLoad,
     ServiceUpstream,
     UpstreamLoad,
 )
-from poplarlug.types import Address, RegionName, Seconds, ServiceName, ZoneName
+from poplarlug.types import Address, RegionName, Seconds, ServiceName, VmName, ZoneName
 
 POLL_TOPIC = "discovery.poll"
 GOSSIP_TOPIC = "discovery.gossip"
 TABLES_TOPIC = "discovery.tables"
 MARKS_TOPIC = "discovery.marks"
+LIMITS_TOPIC = "discovery.limits"
 
 
 class WaitingCount(NamedTuple):
@@ -24,6 +26,21 @@
     waiting: int
 
 
+class ServiceDemand(NamedTuple):
+    """Requests a second for a service at an entry, where its upstreams name limits."""
+
+    service: ServiceName
+    per_second: float
+
+
+class EntryDemand(NamedTuple):
+    """The same as told to the other entries of the region."""
+
+    entry: VmName
+    service: ServiceName
+    per_second: float
+
+
 class Poll(NamedTuple):
     """
     An entry's report and its question for news.
@@ -42,6 +59,8 @@
         How long the reply may wait for news.
     marks_known : int
         Revision of the crash marks up to which the entry knows them.
+    limits_known : int
+        The same for the limits that upstreams named.
     """
 
     record: EntryRecord
@@ -52,6 +71,8 @@
     waiting: tuple[WaitingCount, ...] = ()
     hold_seconds: Seconds = 0.0
     marks_known: int = 0
+    limits_known: int = 0
+    demands: tuple[ServiceDemand, ...] = ()
 
 
 class RoutingNews(NamedTuple):
@@ -95,6 +116,12 @@
         Those that changed after what the entry knows, the first of them if many.
     marks_revision : int
         What the entry knows of them with this reply.
+    limits : tuple of NamedLimit
+        Those that changed after what the entry knows.
+    limits_revision : int
+        What the entry knows of them with this reply.
+    demands : tuple of EntryDemand
+        What the other entries of the region report.
     """
 
     registry_id: str
@@ -111,6 +138,9 @@
     settled: bool = False
     marks: tuple[CrashMark, ...] = ()
     marks_revision: int = 0
+    limits: tuple[NamedLimit, ...] = ()
+    limits_revision: int = 0
+    demands: tuple[EntryDemand, ...] = ()
 
 
 class MarksReport(NamedTuple):
@@ -123,12 +153,23 @@
     """The receiver holds the marks and tells them on."""
 
 
+class LimitsReport(NamedTuple):
+    """Limits that an entry heard of from upstreams, for all others."""
+
+    limits: tuple[NamedLimit, ...]
+
+
+class LimitsReceived(NamedTuple):
+    """The receiver holds the limits and tells them on."""
+
+
 class EntryLoads(NamedTuple):
     """One entry's loads, shared with the region's other control replicas."""
 
     entry: str
     loads: tuple[UpstreamLoad, ...]
     waiting: tuple[WaitingCount, ...]
+    demands: tuple[ServiceDemand, ...] = ()
 
 
 class Gossip(NamedTuple):
@@ -157,6 +198,7 @@
     entry_loads: tuple[EntryLoads, ...] = ()
     control: tuple[Address, ...] = ()
     marks: tuple[CrashMark, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
 
 
 class GossipReply(NamedTuple):
@@ -184,3 +226,4 @@
     control: tuple[Address, ...]
     settled: bool
     marks: tuple[CrashMark, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
--- a/poplarlug/discovery/region_loads.py
+++ b/poplarlug/discovery/region_loads.py
@@ -3,8 +3,13 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
-from poplarlug.discovery.messages import EntryLoads
-from poplarlug.discovery.records import RegionLoad, ServiceUpstream, UpstreamLoad
+from poplarlug.discovery.messages import EntryDemand, EntryLoads
+from poplarlug.discovery.records import (
+    RegionLoad,
+    ServiceUpstream,
+    UpstreamLoad,
+    UpstreamRun,
+)
 from poplarlug.types import (
     RegionName,
     Seconds,
@@ -74,15 +79,33 @@
         told = [one for name, one in self._fresh().items() if name != entry]
         return tuple(_sum_by_id(told).values())
 
+    def demands_of_others(self, entry: VmName) -> tuple[EntryDemand, ...]:
+        """Return what the entries of the region but one report as their demand."""
+        return tuple(
+            EntryDemand(name, demand.service, demand.per_second)
+            for name, one in self._fresh().items()
+            if name != entry
+            for demand in one.loads.demands
+        )
+
     def other_regions(self) -> tuple[RegionLoad, ...]:
         """Return the loads of other regions that are not too old."""
         oldest = self._clock() - REGION_LOAD_LIFE_SECONDS
         return tuple(load for at, load in self._others_by_key.values() if at >= oldest)
 
     def own_region(
-        self, upstreams: Iterable[ServiceUpstream]
+        self,
+        upstreams: Iterable[ServiceUpstream],
+        rates_by_run: Mapping[UpstreamRun, float],
     ) -> tuple[RegionLoad, ...]:
-        """Return the own region's loads for each service of ``upstreams``."""
+        """
+        Return the own region's loads for each service of ``upstreams``.
+
+        Parameters
+        ----------
+        rates_by_run : mapping
+            Limits that upstreams named, in requests a second.
+        """
         loads_by_id = _sum_by_id(self._fresh().values())
         serving: dict[ServiceName, list[ServiceUpstream]] = {}
         for upstream in upstreams:
@@ -90,7 +113,7 @@
             if is_own and upstream.phase == "serving":
                 serving.setdefault(upstream.service, []).append(upstream)
         return tuple(
-            self._region_load(service, members, loads_by_id)
+            self._region_load(service, members, loads_by_id, rates_by_run)
             for service, members in serving.items()
         )
 
@@ -99,14 +122,23 @@
         service: ServiceName,
         upstreams: Sequence[ServiceUpstream],
         loads_by_id: Mapping[UpstreamId, UpstreamLoad],
+        rates_by_run: Mapping[UpstreamRun, float],
     ) -> RegionLoad:
-        loads = [loads_by_id.get(u.id, UpstreamLoad(u.id)) for u in upstreams]
+        # A limited upstream has little to do, and attracts no others for that.
+        free = [u for u in upstreams if u.run not in rates_by_run]
+        loads = [loads_by_id.get(u.id, UpstreamLoad(u.id)) for u in free or upstreams]
+        running_by_id = {
+            u.id: loads_by_id.get(u.id, UpstreamLoad(u.id)).running for u in upstreams
+        }
         return RegionLoad(
             region=self._region,
             service=service,
             upstreams=len(upstreams),
-            slots=sum(upstream.slots for upstream in upstreams),
-            running=sum(load.running for load in loads),
+            slots=sum(
+                _slots(u, running_by_id[u.id], rates_by_run.get(u.run))
+                for u in upstreams
+            ),
+            running=sum(running_by_id.values()),
             waiting=sum(
                 count.waiting
                 for told in self._fresh().values()
@@ -127,6 +159,17 @@
         return self._told_by_entry
 
 
+def _slots(upstream: ServiceUpstream, running: int, rate: float | None) -> int:
+    """
+    Return the requests that an upstream runs at a time.
+
+    A limited one has room for what it takes in a second, beside what it runs.
+    """
+    if rate is None:
+        return upstream.slots
+    return min(upstream.slots, running + max(1, int(rate)))
+
+
 def _sum_by_id(told: Iterable[_Told]) -> dict[UpstreamId, UpstreamLoad]:
     sums: dict[UpstreamId, UpstreamLoad] = {}
     for one in told:
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -11,12 +11,15 @@
 from poplarlug.discovery.crash_marks import MAX_MARKS, CrashMark, CrashMarks
 from poplarlug.discovery.messages import (
     GOSSIP_TOPIC,
+    LIMITS_TOPIC,
     MARKS_TOPIC,
     POLL_TOPIC,
     TABLES_TOPIC,
     EntryLoads,
     Gossip,
     GossipReply,
+    LimitsReceived,
+    LimitsReport,
     MarksReceived,
     MarksReport,
     Poll,
@@ -25,6 +28,7 @@
     Tables,
     TablesRequest,
 )
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.discovery.region_loads import RegionLoads
 from poplarlug.discovery.registry import Record, Records, Registry
@@ -87,6 +91,7 @@
     ) -> None:
         self.registry = registry
         self.marks = marks
+        self.limits = NamedLimits(clock=clock)
         self.id = f"{rng.getrandbits(48):012x}"
         self._zone = zone
         self._region = regions_by_zone[zone]
@@ -108,10 +113,12 @@
         registry.revision.subject.subscribe(lambda _: self._bump())
         routing.revision.subject.subscribe(lambda _: self._bump())
         marks.revision.subject.subscribe(lambda _: self._bump())
+        self.limits.revision.subject.subscribe(lambda _: self._bump_limits())
         transport.serve(POLL_TOPIC, Poll, self._serve_poll)
         transport.serve(GOSSIP_TOPIC, Gossip, self._serve_gossip)
         transport.serve(TABLES_TOPIC, TablesRequest, self._serve_tables)
         transport.serve(MARKS_TOPIC, MarksReport, self._serve_marks)
+        transport.serve(LIMITS_TOPIC, LimitsReport, self._serve_limits)
 
     async def run(self) -> None:
         """Keep in step with the other replicas until cancelled."""
@@ -122,6 +129,7 @@
                 if self._clock() - expired_marks_at >= EXPIRE_MARKS_SECONDS:
                     expired_marks_at = self._clock()
                     self.marks.expire()
+                self.limits.keep_only(u.run for u in self.registry.present().upstreams)
                 self._follow_peers()
                 self._spread_changes()
                 await asyncio.sleep(EXPIRE_SECONDS)
@@ -175,6 +183,11 @@
     def _bump(self) -> None:
         self._news.set(self._news.value + 1)
 
+    def _bump_limits(self) -> None:
+        self._bump()
+        for outbox in self._outboxes_by_peer.values():
+            outbox.wake()
+
     def _spread_changes(self) -> "list[_Outbox]":
         changes = self.registry.take_changes()
         if not changes.entries and not changes.upstreams:
@@ -199,9 +212,11 @@
         """Tell one replica what is new, at once, and what was heard, periodically."""
         outbox = self._outboxes_by_peer[peer]
         in_touch = False
+        limits_told = 0
         while True:
             records = outbox.take()
-            message = self._gossip(peer, records)
+            limits_revision = self.limits.revision.value
+            message = self._gossip(peer, records, limits_told)
             reply = await self._transport.request(
                 peer=peer,
                 topic=GOSSIP_TOPIC,
@@ -219,6 +234,7 @@
                 continue
             self._peers.saw(peer)
             outbox.confirm()
+            limits_told = limits_revision
             if not self._settled:
                 await self._fetch_tables(peer)
             unknown = reply.unwrap().unknown
@@ -227,7 +243,7 @@
                 outbox.add(self.registry.by_tag(unknown))
             await outbox.wait_for_news(GOSSIP_SECONDS)
 
-    def _gossip(self, peer: Address, records: Records) -> Gossip:
+    def _gossip(self, peer: Address, records: Records, limits_told: int) -> Gossip:
         is_near = self._regions_by_peer.get(peer) == self._region
         own = self._own_entries()
         return Gossip(
@@ -235,10 +251,13 @@
             entries=records.entries,
             upstreams=records.upstreams,
             heard=self.registry.heard_within(HEARD_SECONDS),
-            regions=self._loads.own_region(self._usable_upstreams()),
+            regions=self._loads.own_region(
+                self._usable_upstreams(), self.limits.rates_by_run()
+            ),
             entry_loads=self._loads.of_entries(own) if is_near else (),
             control=self._peers.present(2 * GOSSIP_SECONDS),
             marks=records.marks,
+            limits=self.limits.changed_after(limits_told),
         )
 
     def _usable_upstreams(self) -> list[ServiceUpstream]:
@@ -264,6 +283,8 @@
             self._peers.learn(tables.control)
             for mark in tables.marks:
                 self.marks.add(mark)
+            for limit in tables.limits:
+                self.limits.add(limit)
             if tables.settled:
                 _log.info("took another replica's tables", peer=peer)
                 self._settled = True
@@ -275,6 +296,8 @@
         self.registry.take(Records(message.entries, message.upstreams))
         for mark in message.marks:
             self.marks.add(mark)
+        for limit in message.limits:
+            self.limits.add(limit)
         self._loads.note_regions(message.regions)
         for loads in message.entry_loads:
             if loads.entry not in self._own_entries():
@@ -286,7 +309,14 @@
         held = self.registry.changed_after(0)
         control = self._peers.present(2 * GOSSIP_SECONDS)
         marks = tuple(self.marks.lasting())
-        return Tables(held.entries, held.upstreams, control, self.is_settled, marks)
+        return Tables(
+            entries=held.entries,
+            upstreams=held.upstreams,
+            control=control,
+            settled=self.is_settled,
+            marks=marks,
+            limits=self.limits.changed_after(0),
+        )
 
     async def _serve_marks(self, sender: VmName, report: MarksReport) -> MarksReceived:
         for mark in report.marks:
@@ -294,10 +324,17 @@
         self._spread_marks()
         return MarksReceived()
 
+    async def _serve_limits(
+        self, sender: VmName, report: LimitsReport
+    ) -> LimitsReceived:
+        for limit in report.limits:
+            self.limits.add(limit)
+        return LimitsReceived()
+
     async def _serve_poll(self, sender: VmName, poll: Poll) -> PollReply:
         name = poll.record.name
         self._polled_by_entry[name] = self._clock()
-        self._loads.note_entry(EntryLoads(name, poll.loads, poll.waiting))
+        self._loads.note_entry(EntryLoads(name, poll.loads, poll.waiting, poll.demands))
         if self.registry.hear(poll.record):
             self._spread_changes()
         if not self._has_news(poll):
@@ -310,6 +347,7 @@
             or poll.known < self.registry.revision.value
             or poll.routing_revision < self._routing.revision.value
             or poll.marks_known < self.marks.revision.value
+            or poll.limits_known < self.limits.revision.value
         )
 
     async def _wait_for_news(self, poll: Poll) -> None:
@@ -346,6 +384,9 @@
             settled=self.is_settled,
             marks=tuple(marks),
             marks_revision=marks_revision,
+            limits=self.limits.changed_after(0 if whole else poll.limits_known),
+            limits_revision=self.limits.revision.value,
+            demands=self._loads.demands_of_others(poll.record.name),
         )
 
 
@@ -368,6 +409,10 @@
         self._emptied.clear()
         self._wake.set()
 
+    def wake(self) -> None:
+        """Let what is not kept here be told at once."""
+        self._wake.set()
+
     def take(self) -> Records:
         held, self._records_by_key = self._records_by_key, {}
         marks, self._marks_by_key = self._marks_by_key, {}
--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -10,14 +10,19 @@
 from poplarlug.discovery.crash_marks import CrashMarks
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import (
+    LIMITS_TOPIC,
     MARKS_TOPIC,
     POLL_TOPIC,
+    LimitsReceived,
+    LimitsReport,
     MarksReceived,
     MarksReport,
     Poll,
     PollReply,
+    ServiceDemand,
     WaitingCount,
 )
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord, UpstreamLoad
 from poplarlug.logs import PartLog
 from poplarlug.transport import Transport, TransportErrorKind
@@ -51,10 +56,11 @@
 
 
 class OwnLoads(NamedTuple):
-    """What this entry has running and waiting."""
+    """What this entry has running and waiting, and what it is asked for."""
 
     loads: tuple[UpstreamLoad, ...] = ()
     waiting: tuple[WaitingCount, ...] = ()
+    demands: tuple[ServiceDemand, ...] = ()
 
 
 class Subscriber:
@@ -74,6 +80,8 @@
         Returns what this entry has running and waiting.
     marks : CrashMarks
         This entry's, kept in step with those of all others.
+    limits : NamedLimits
+        The same for limits that upstreams named.
     """
 
     def __init__(
@@ -82,6 +90,7 @@
         zone: ZoneName,
         deployment: Deployment,
         marks: CrashMarks,
+        limits: NamedLimits,
         transport: Transport,
         seeds: Iterable[Address],
         record: Callable[[], EntryRecord],
@@ -93,6 +102,8 @@
         self._deployment = deployment
         self._marks = marks
         self._marks_known = 0
+        self._limits = limits
+        self._limits_known = 0
         self._transport = transport
         self._seeds = tuple(seeds)
         self._known: tuple[Address, ...] = ()
@@ -120,6 +131,7 @@
         reporting = [
             asyncio.ensure_future(self._report_changes()),
             asyncio.ensure_future(self._report_marks()),
+            asyncio.ensure_future(self._report_limits()),
         ]
         try:
             while True:
@@ -155,6 +167,28 @@
                 self._marks.put_back(news)
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def _report_limits(self) -> None:
+        """Tell the followed replica what upstreams named here, until cancelled."""
+        while True:
+            await self._limits.has_news.wait()
+            replica = self._replica
+            if replica is None:
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            news = self._limits.take_news()
+            reply = await self._transport.request(
+                peer=replica,
+                topic=LIMITS_TOPIC,
+                message=LimitsReport(news),
+                reply_type=LimitsReceived,
+                timeout_seconds=REPLY_SECONDS,
+            )
+            if isinstance(reply, Failure):
+                reason = reply.failure().message
+                _log.warning("can't report limits", replica=replica, reason=reason)
+                self._limits.put_back(news)
+                await asyncio.sleep(RETRY_SECONDS)
+
     async def _report_changes(self) -> None:
         while True:
             await self._poke.wait()
@@ -266,6 +300,8 @@
             waiting=own.waiting,
             hold_seconds=hold,
             marks_known=self._marks_known if is_followed else 0,
+            limits_known=self._limits_known if is_followed else 0,
+            demands=own.demands,
         )
 
     async def _request(
@@ -303,9 +339,13 @@
         for mark in reply.marks:
             self._marks.add(mark)
         self._marks_known = reply.marks_revision
+        for limit in reply.limits:
+            self._limits.add(limit)
+        self._limits_known = reply.limits_revision
         if reply.registry_id != self._registry_id:
             # A replica that has just started may know nothing of them.
             self._marks.tell_again()
+            self._limits.tell_again()
         self._replica = replica
         self._registry_id = reply.registry_id
         self._revision = reply.revision
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -13,6 +13,7 @@
 from poplarlug.discovery.crash_marks import CrashMarks
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import WaitingCount
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.ranking import rank_entries
 from poplarlug.discovery.records import EntryRecord, EntryState
 from poplarlug.discovery.subscriber import OwnLoads, Subscriber
@@ -96,21 +97,23 @@
             clock=clock, others=lambda i: self.deployment.others_loads_by_id.get(i)
         )
         budgets = settings.budgets
-        view = FleetView(
+        limits = NamedLimits(clock=clock)
+        self.view = FleetView(
             name=settings.name,
             deployment=self.deployment,
             in_flight=self.in_flight,
             warmup=WarmupLimits(budgets.warmup_overage, budgets.warmup_slack),
+            limits=limits,
             rng=rng,
             clock=clock,
         )
-        self.dispatcher = Dispatcher(view=view, clock=clock)
+        self.dispatcher = Dispatcher(view=self.view, clock=clock)
         self.client = RelayClient()
         self.far_client = RelayClient(connect_seconds=FAR_CONNECT_SECONDS)
         marks = CrashMarks(clock=clock)
         gateway = RelayGateway(
             name=settings.name,
-            view=view,
+            view=self.view,
             dispatcher=self.dispatcher,
             client=self.client,
             far_client=self.far_client,
@@ -143,6 +146,7 @@
             zone=settings.zone,
             deployment=self.deployment,
             marks=marks,
+            limits=limits,
             transport=self.transport,
             seeds=seed_peers(settings.seeds, settings.peers_port),
             record=self.record,
@@ -222,7 +226,8 @@
             WaitingCount(service, count)
             for service, count in self.dispatcher.waiting().items()
         )
-        return OwnLoads(self.in_flight.own_loads(), waiting)
+        demands = self.view.limiter.demands()
+        return OwnLoads(self.in_flight.own_loads(), waiting, demands)
 
 
 MakeSites = Callable[[SeededEntry, SeededEntrySettings], Sequence[Site]]
--- a/poplarlug/load/replay/region.py
+++ b/poplarlug/load/replay/region.py
@@ -10,6 +10,7 @@
 from poplarlug.control.routing_state import encode_table
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import EntryLoads, PollReply, RoutingNews
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.discovery.region_loads import RegionLoads
 from poplarlug.discovery.registrar import GOSSIP_SECONDS
@@ -95,6 +96,7 @@
             deployment=self.deployment,
             in_flight=self.in_flight,
             warmup=WarmupLimits(),
+            limits=NamedLimits(clock=clock),
             rng=rng,
             clock=clock,
         )
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -9,6 +9,7 @@
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.errors import GatewayError, not_run, overloaded
 from poplarlug.relay.in_flight import Flight
+from poplarlug.relay.limiter import NO_SHARE_SECONDS
 from poplarlug.relay.placement import (
     FORWARD_SECONDS,
     Away,
@@ -23,7 +24,7 @@
 )
 from poplarlug.relay.requests import RelayRequest, patience_seconds
 from poplarlug.relay.view import FleetView, Tried, latest_first_answer
-from poplarlug.relay.waiting import Waiter, WaitingLine, retry_after
+from poplarlug.relay.waiting import Pace, Waiter, WaitingLine, retry_after
 from poplarlug.routes import RoutedService
 from poplarlug.types import Seconds, ServiceName
 
@@ -36,8 +37,9 @@
 NO_UPSTREAM_RETRY_SECONDS = 1.2
 """When to come back where no upstream is there; one announces itself in a beat."""
 
-COLD_RETRY_SECONDS = 0.5
-"""When a cold upstream bears the next request; its bound counts by the second."""
+PACE_MARGIN = 1.5
+"""Who waits behind a limit has to bear a wait so many times the expected one: an
+entry's share of the limit moves with the demand at the others."""
 
 MIN_RUN_SECONDS = 0.05
 """A request with less time left can't be answered."""
@@ -83,8 +85,20 @@
 class _Line:
     def __init__(self) -> None:
         self.order = WaitingLine()
+        self.pace: Pace | None = None
         self.by_waiter: dict[Waiter, _Waiting] = {}
 
+    def note(self, result: "Place | Full | Nothing") -> None:
+        """Take in what a request at the head of the line got."""
+        self.pace = None
+        if isinstance(result, Full) and result.pace_seconds is not None:
+            self.pace = Pace(result.free_in_seconds, result.pace_seconds)
+
+    def expected_wait(self, order: tuple[int, Seconds], free_in: Seconds) -> Seconds:
+        if self.pace is None:
+            return self.order.expected_wait(order, free_in)
+        return PACE_MARGIN * self.pace.wait(self.order.position(order))
+
 
 class Dispatcher:
     """
@@ -163,10 +177,12 @@
         now = self._clock()
         if request.deadline - now < MIN_RUN_SECONDS:
             return Failure(not_run("the deadline has come", 0.0))
+        self._view.limiter.note_request(request.service)
         line = self._lines_by_service.setdefault(request.service, _Line())
         order = (request.route.rank, request.arrived + request.route.objective_seconds)
         if line.order.position(order) == 0:
             result = self._try(request, tried)
+            line.note(result)
             if not isinstance(result, Full):
                 return self._to_result(request, result)
             free_in = result.free_in_seconds
@@ -183,7 +199,7 @@
         free_in: Seconds,
     ) -> Result[Place, GatewayError]:
         now = self._clock()
-        wait = line.order.expected_wait(order, free_in)
+        wait = line.expected_wait(order, free_in)
         start_by = self._start_by(request)
         if now + wait > start_by:
             return Failure(_turned_away(request, now, wait))
@@ -229,15 +245,17 @@
             if waiting.placed.done():
                 continue
             result = self._try(waiting.request, waiting.tried)
+            line.note(result)
             if isinstance(result, Full):
                 continue
             line.order.started(now)
             line.order.leave(waiter)
             waiting.placed.set_result(self._to_result(waiting.request, result))
-        for waiter in line.order.late(now):
+        wait = RECHECK_SECONDS if line.pace is None else line.pace.first_seconds
+        for waiter in line.order.late(now, line.pace):
             waiting = line.by_waiter[waiter]
             if not waiting.placed.done():
-                refusal = _turned_away(waiting.request, now, RECHECK_SECONDS)
+                refusal = _turned_away(waiting.request, now, wait)
                 waiting.placed.set_result(Failure(refusal))
         if not line.by_waiter:
             line.order.idle()
@@ -279,11 +297,9 @@
                 view.hand_to(placement.region, request)
                 return FarPlace(entry, placement.expected_seconds, placement.loss)
             regions = [r for r in regions if r.region != placement.region]
-        if isinstance(placement, Nothing) and view.has_upstreams(
-            request, service, tried
-        ):
-            # All of them are cold and have got what they bear for this second.
-            return Full(COLD_RETRY_SECONDS)
+        if isinstance(placement, Nothing):
+            # Cold or limited ones may have got what they bear for now.
+            return view.next_place(request, service, tried) or placement
         if not isinstance(placement, Local):
             return placement
         chosen = next(c for c in candidates if c.id == placement.upstream_id)
@@ -307,5 +323,7 @@
 
 
 def _turned_away(request: RelayRequest, now: Seconds, wait: Seconds) -> GatewayError:
-    message = f"all places are taken; one is expected in {wait:.2f} s"
+    message = "all places are taken; none comes to this entry"
+    if wait < NO_SHARE_SECONDS:
+        message = f"all places are taken; one is expected in {wait:.2f} s"
     return overloaded(message, retry_after(wait, request.deadline - now))
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -259,6 +259,7 @@
             ahead_ms=placed.ahead_ms,
             read_ms=placed.flight.read_ms,
             apart=apart,
+            **self._view.limiter.describe(upstream),
             loss=round(placed.loss, 3),
             expected_ms=round(placed.expected_seconds * 1000),
             view_age_ms=round(self._deployment.age_seconds * 1000),
@@ -304,6 +305,7 @@
         response = sent.unwrap()
         try:
             self._note_head("upstream", response, trace, now, started)
+            self._hear_limit(request, placed, response, started)
             refused = await self._check_head(request, placed, response)
             if refused is not None:
                 return refused
@@ -315,6 +317,26 @@
         finally:
             response.close()
 
+    def _hear_limit(
+        self,
+        request: RelayRequest,
+        placed: LocalPlace,
+        response: aiohttp.ClientResponse,
+        asked: Seconds,
+    ) -> None:
+        """Take in what an answer says of a limit, if it is the upstream's own."""
+        dialect = self._dialect
+        headers = response.headers
+        has_run = dialect.signature in headers
+        is_own = response.status != 421 and (has_run or dialect.not_executed in headers)
+        if is_own and headers.get(dialect.request_id) == request.id:
+            self._view.limiter.hear(
+                placed.upstream,
+                headers.getall(dialect.limit, ()),
+                asked=asked,
+                has_run=has_run,
+            )
+
     async def _check_head(
         self,
         request: RelayRequest,
--- a/poplarlug/relay/placement.py
+++ b/poplarlug/relay/placement.py
@@ -179,9 +179,17 @@
 
 
 class Full(NamedTuple):
-    """All places are taken; one is expected to be free then."""
+    """
+    All places are taken; one is expected to be free then.
+
+    Parameters
+    ----------
+    pace_seconds : float or None
+        Time between further ones where a limit sets it, however soon requests end.
+    """
 
     free_in_seconds: Seconds
+    pace_seconds: Seconds | None = None
 
 
 class Nothing(NamedTuple):
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord, RegionLoad, ServiceUpstream
 from poplarlug.logs import PartLog
 from poplarlug.relay.affinity import (
@@ -23,8 +24,10 @@
     read_seconds,
 )
 from poplarlug.relay.in_flight import Flight, InFlight
+from poplarlug.relay.limiter import Limiter
 from poplarlug.relay.part_cache import PartCache
-from poplarlug.relay.placement import Candidate, Demand, RemoteRegion
+from poplarlug.relay.placement import Candidate, Demand, Full, RemoteRegion
+from poplarlug.relay.rate_shares import rank_by_hash
 from poplarlug.relay.requests import Prompt, RelayRequest
 from poplarlug.routes import RoutedService
 from poplarlug.types import (
@@ -47,6 +50,9 @@
 """Callers leave a stream that gives nothing for the longest of these: a time, some
 objectives, some of the longest pauses; the users' deployments say so."""
 
+COLD_RETRY_SECONDS = 0.5
+"""When a cold upstream bears the next request; its bound counts by the second."""
+
 REGION_CACHE_TOKENS = 400_000
 """Cached tokens that an entry counts on in another region; two engines hold more."""
 
@@ -85,6 +91,8 @@
     ----------
     name : VmName
         This entry.
+    limits : NamedLimits
+        Limits that upstreams named, shared with all VMs.
     """
 
     def __init__(
@@ -94,11 +102,15 @@
         deployment: Deployment,
         in_flight: InFlight,
         warmup: WarmupLimits,
+        limits: NamedLimits,
         rng: Random,
         clock: Callable[[], Seconds],
     ) -> None:
         self.deployment = deployment
         self.in_flight = in_flight
+        self.limiter = Limiter(
+            name=name, deployment=deployment, limits=limits, clock=clock
+        )
         self._name = name
         self._warmup_limits = warmup
         self._rng = rng
@@ -117,6 +129,7 @@
         assert upstream is not None
         if self._is_cold(upstream):
             self._warmup_of(upstream.id).note_sent()
+        self.limiter.note_sent(upstream)
         flight = self.in_flight.started(
             upstream, service.engine, request, candidate.read_seconds
         )
@@ -175,6 +188,7 @@
         """
         known = self.deployment.upstream_ids()
         self.in_flight.keep_only(known)
+        self.limiter.forget_gone()
         for upstream_id, budget in list(self._warmups_by_id.items()):
             if upstream_id not in known and budget.is_unspent:
                 del self._warmups_by_id[upstream_id]
@@ -186,7 +200,14 @@
         if not shared:
             return Affinity()
         own = self.deployment.own_region
-        regions_by_id = self.deployment.serving_regions(request.service)
+        # A limited upstream bears too few requests to be a home.
+        regions_by_id = {
+            upstream_id: region
+            for upstream_id, region in self.deployment.serving_regions(
+                request.service
+            ).items()
+            if not self.limiter.is_limited_id(upstream_id)
+        }
         homes = self._homes_by_service.setdefault(request.service, Homes()).of(
             prompt, regions_by_id
         )
@@ -211,14 +232,27 @@
         known = self._cache_of(region).hit_tokens(prompt, last=False)
         return max(int(FAR_HELD_SHARE * shared_tokens(prompt)), known)
 
-    def has_upstreams(
+    def next_place(
         self, request: RelayRequest, service: RoutedService, tried: Tried
-    ) -> bool:
-        """Return whether the own region has upstreams, also cold ones without room."""
-        return request.route.allows(self.deployment.own_region) and any(
-            upstream.id not in tried.upstreams
+    ) -> Full | None:
+        """
+        Return when the own region's upstreams bear a request, if they bear none now.
+
+        Returns
+        -------
+        Full or None
+            ``None`` where there are none for it.
+        """
+        if not request.route.allows(self.deployment.own_region):
+            return None
+        upstreams = [
+            upstream
             for upstream in self.deployment.serving(service.name)
-        )
+            if upstream.id not in tried.upstreams
+        ]
+        if not upstreams:
+            return None
+        return self.limiter.next_place(upstreams) or Full(COLD_RETRY_SECONDS)
 
     def candidates(
         self,
@@ -371,15 +405,15 @@
         return entries_by_name[_first_by_hash(fingerprint, entries_by_name)]
 
     def _bears(self, upstream: ServiceUpstream, service: RoutedService) -> bool:
-        """Return whether a cold upstream bears one more request from this entry."""
+        """Return whether an upstream bears one more request from this entry."""
+        if not self.limiter.bears(upstream):
+            return False
         if not self._is_cold(upstream) or service.warmup_per_second <= 0:
             return True
         if not self.deployment.knows_all_entries:
             return False
         names = {*self.deployment.sharers(self.deployment.own_region), self._name}
-        ranked = sorted(
-            names, key=lambda n: xxhash.xxh3_64_intdigest(f"{upstream.id}/{n}".encode())
-        )
+        ranked = rank_by_hash(names, upstream.id)
         return self._warmup_of(upstream.id).allows(
             rate=service.warmup_per_second,
             entries=len(ranked),
--- a/poplarlug/relay/waiting.py
+++ b/poplarlug/relay/waiting.py
@@ -33,6 +33,17 @@
     number: int
 
 
+class Pace(NamedTuple):
+    """When the first place comes, and the time between further ones."""
+
+    first_seconds: Seconds
+    interval_seconds: Seconds
+
+    def wait(self, position: int) -> Seconds:
+        """Return the wait behind so many others."""
+        return self.first_seconds + position * self.interval_seconds
+
+
 class WaitingLine:
     """
     Requests of one service that wait at this entry.
@@ -83,13 +94,21 @@
         """Forget the pace of the places, since nobody waits."""
         self._interval = self._last_start = None
 
-    def late(self, now: Seconds) -> tuple[Waiter, ...]:
-        """Return those whose place is expected too late, at the pace of the places."""
-        interval = 0.0 if self._interval is None else self._interval
+    def late(self, now: Seconds, pace: Pace | None = None) -> tuple[Waiter, ...]:
+        """
+        Return those whose place is expected too late.
+
+        Parameters
+        ----------
+        pace : Pace, optional
+            When places come, if that is known; else it is learned from starts.
+        """
+        if pace is None:
+            pace = Pace(0.0, 0.0 if self._interval is None else self._interval)
         return tuple(
             waiter
             for position, waiter in enumerate(self._waiters)
-            if now + position * interval > waiter.start_by
+            if now + pace.wait(position) > waiter.start_by
         )
 
     def join(self, order: tuple[int, Seconds], start_by: Seconds) -> Waiter:
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -43,6 +43,8 @@
         stream that breaks off within an event).
     answer_seconds : float
         How long it works on a request before its answer.
+    slots : int
+        Requests that it says it runs at a time.
     limit : str
         What it names in its answers as the requests a second that it takes, in the
         deployment's header; empty for nothing.
@@ -67,6 +69,7 @@
         self.service = service
         self.zone = zone
         self.fault = ""
+        self.slots = SLOTS
         self.limit = ""
         self.received: list[float] = []
         self.event_seconds = 0.01
@@ -112,7 +115,7 @@
                 zone=self.zone,
                 born=self.born,
                 sequence=self._sequence,
-                slots=SLOTS,
+                slots=self.slots,
                 phase=phase,
             )
         )
--- /dev/null
+++ b/tests/discovery/test_limit_sharing.py
@@ -0,0 +1,103 @@
+"""Tests of how limits reach all entries, through cuts, starts and ends."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from poplarlug.discovery.named_limits import NamedLimits
+from poplarlug.discovery.records import UpstreamRun
+from poplarlug.virtualtime import run_virtual
+from tests.control.quiet import QuietTestCase
+from tests.discovery.test_mark_sharing import Fleet
+
+RUN = UpstreamRun("u-1", 1)
+SPREAD_SECONDS = 1.0
+"""Some round trips between regions; the users' rule leaves five seconds."""
+
+START_SECONDS = 3.0
+ALL = {"a", "b", "c"}
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class LimitSharingTests(QuietTestCase):
+    def play(self, scene: Callable[[Fleet], Awaitable[None]]) -> None:
+        async def main() -> None:
+            fleet = Fleet()
+            await asyncio.sleep(START_SECONDS)
+            await scene(fleet)
+            for name in list(fleet.tasks_by_name):
+                fleet.stop(name)
+
+        run_virtual(main())
+
+    def held(self, fleet: Fleet) -> dict[str, float | None]:
+        return {zone: limits.rate(RUN) for zone, limits in fleet.limits_by_zone.items()}
+
+    def hear(self, limits: NamedLimits, rate: float | None) -> None:
+        limits.hear(RUN, rate, now())
+
+    def test_limit_reaches_all_entries_at_once(self) -> None:
+        """So do its changes and its end."""
+
+        async def scene(fleet: Fleet) -> None:
+            for zone, rate in (("a", 2.0), ("b", 1.0), ("c", None)):
+                self.hear(fleet.limits_by_zone[zone], rate)
+                await asyncio.sleep(SPREAD_SECONDS)
+                self.assertEqual(self.held(fleet), dict.fromkeys(ALL, rate))
+
+        self.play(scene)
+
+    def test_limit_is_known_after_starts(self) -> None:
+        """An entry and a replica that lost their memory learn it from the others."""
+
+        async def scene(fleet: Fleet) -> None:
+            self.hear(fleet.limits_by_zone["a"], 2.0)
+            await asyncio.sleep(SPREAD_SECONDS)
+            fleet.stop("entry-b")
+            fleet.start_entry("b")
+            await asyncio.sleep(SPREAD_SECONDS)
+            self.assertEqual(self.held(fleet), dict.fromkeys(ALL, 2.0))
+            for zone in ALL:
+                fleet.stop(f"control-{zone}")
+            for zone in ALL:
+                fleet.start_replica(zone)
+            await asyncio.sleep(START_SECONDS)
+            fleet.stop("entry-c")
+            fleet.start_entry("c")
+            await asyncio.sleep(SPREAD_SECONDS)
+            self.assertEqual(self.held(fleet), dict.fromkeys(ALL, 2.0))
+
+        self.play(scene)
+
+    def test_cut_off_zone_brings_no_old_limit_back(self) -> None:
+        """It learns of the end when the cut heals, and the others keep it."""
+
+        async def scene(fleet: Fleet) -> None:
+            self.hear(fleet.limits_by_zone["c"], 2.0)
+            await asyncio.sleep(SPREAD_SECONDS)
+            fleet.cut_off("c")
+            self.hear(fleet.limits_by_zone["a"], None)
+            await asyncio.sleep(START_SECONDS)
+            self.assertEqual(self.held(fleet), {"a": None, "b": None, "c": 2.0})
+            fleet.network.heal()
+            await asyncio.sleep(START_SECONDS)
+            self.assertEqual(self.held(fleet), dict.fromkeys(ALL))
+
+        self.play(scene)
+
+    def test_limit_named_in_a_cut_off_zone_is_known_after_it(self) -> None:
+        """What could not be told is told when the cut heals."""
+
+        async def scene(fleet: Fleet) -> None:
+            fleet.cut_off("c")
+            await asyncio.sleep(SPREAD_SECONDS)
+            self.hear(fleet.limits_by_zone["c"], 2.0)
+            await asyncio.sleep(START_SECONDS)
+            self.assertEqual(self.held(fleet), {"a": None, "b": None, "c": 2.0})
+            fleet.network.heal()
+            await asyncio.sleep(START_SECONDS)
+            self.assertEqual(self.held(fleet), dict.fromkeys(ALL, 2.0))
+
+        self.play(scene)
--- a/tests/discovery/test_mark_sharing.py
+++ b/tests/discovery/test_mark_sharing.py
@@ -8,6 +8,7 @@
 from poplarlug.discovery.control_peers import ControlPeers
 from poplarlug.discovery.crash_marks import CrashMark, CrashMarks
 from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord, UpstreamRun
 from poplarlug.discovery.registrar import Registrar
 from poplarlug.discovery.registry import Registry
@@ -33,6 +34,7 @@
         self.network = MemoryNetwork(rng=Random(1), quality=quality)
         self.registrars: dict[str, Registrar] = {}
         self.marks_by_zone: dict[str, CrashMarks] = {}
+        self.limits_by_zone: dict[str, NamedLimits] = {}
         self.tasks_by_name: dict[str, list[asyncio.Future[None]]] = {}
         for zone in REGIONS_BY_ZONE:
             self.start_replica(zone)
@@ -64,6 +66,7 @@
         name = f"entry-{zone}"
         transport = MemoryTransport(name=name, network=self.network)
         marks = self.marks_by_zone[zone] = CrashMarks(clock=clock)
+        limits = self.limits_by_zone[zone] = NamedLimits(clock=clock)
         subscriber = Subscriber(
             zone=zone,
             deployment=Deployment(
@@ -72,6 +75,7 @@
                 clock=clock,
             ),
             marks=marks,
+            limits=limits,
             transport=transport,
             seeds=REPLICAS,
             record=lambda: EntryRecord(name, REGIONS_BY_ZONE[zone], zone, "", "", 1),
--- /dev/null
+++ b/tests/discovery/test_named_limits.py
@@ -0,0 +1,146 @@
+"""Tests of limits that upstreams name, and of which of two counts."""
+
+from itertools import permutations
+from random import Random
+
+from hypothesis import given, strategies as st
+
+from poplarlug.discovery.named_limits import (
+    UNKNOWN_RUN_SECONDS,
+    NamedLimit,
+    NamedLimits,
+)
+from poplarlug.discovery.records import UpstreamRun
+from tests.control.quiet import QuietTestCase
+
+RUN = UpstreamRun("u-1", 1)
+RATES = st.none() | st.sampled_from([0.0, 0.25, 1.0, 2.5, 40.0])
+
+
+class NamedLimitsTests(QuietTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.now = 100.0
+        self.limits = NamedLimits(clock=lambda: self.now)
+
+    def hear(self, rate: float | None, *, asked: float) -> bool:
+        return self.limits.hear(RUN, rate, asked)
+
+    def test_limit_holds_until_an_answer_names_none(self) -> None:
+        """It has no life of its own."""
+        self.assertTrue(self.hear(2.0, asked=99.0))
+        self.now = 10_000.0
+        self.assertEqual(self.limits.rate(RUN), 2.0)
+        self.assertTrue(self.hear(None, asked=9_999.0))
+        self.assertIsNone(self.limits.rate(RUN))
+        self.assertEqual(self.limits.rates_by_run(), {})
+
+    def test_answer_without_a_limit_is_no_news_where_there_was_none(self) -> None:
+        """Nothing is kept for the many upstreams that never name one."""
+        self.assertFalse(self.hear(None, asked=99.0))
+        self.assertTrue(self.limits.is_empty)
+
+    def test_answer_asked_for_before_the_limit_was_known_does_not_end_it(self) -> None:
+        """It may have been made before the upstream was in need."""
+        self.hear(2.0, asked=99.0)
+        self.assertFalse(self.hear(None, asked=99.5))
+        self.assertFalse(self.hear(5.0, asked=99.5))
+        self.assertTrue(self.hear(1.0, asked=99.5))
+        self.assertEqual(self.limits.rate(RUN), 1.0)
+
+    def test_two_entries_that_hear_at_once_agree_on_the_stricter(self) -> None:
+        """Each tells the other, in either order."""
+        others = NamedLimits(clock=lambda: self.now)
+        self.hear(2.0, asked=99.0)
+        others.hear(RUN, 3.0, 99.0)
+        for one, other in ((self.limits, others), (others, self.limits)):
+            for limit in one.take_news():
+                other.add(limit)
+        self.assertEqual((self.limits.rate(RUN), others.rate(RUN)), (2.0, 2.0))
+
+    def test_late_news_undoes_nothing(self) -> None:
+        """A VM that was frozen or cut off tells what it knew then."""
+        self.hear(2.0, asked=99.0)
+        (old,) = self.limits.changed_after(0)
+        self.now = 200.0
+        self.hear(None, asked=199.0)
+        self.assertFalse(self.limits.add(old))
+        self.assertIsNone(self.limits.rate(RUN))
+        self.now = 300.0
+        (ended,) = self.limits.changed_after(0)
+        self.hear(1.0, asked=299.0)
+        self.assertFalse(self.limits.add(ended))
+        self.assertEqual(self.limits.rate(RUN), 1.0)
+
+    @given(st.lists(st.tuples(st.integers(1, 3), RATES), min_size=1, max_size=4))
+    def test_order_in_which_news_comes_does_not_matter(
+        self, said: list[tuple[int, float | None]]
+    ) -> None:
+        """All VMs that got the same news hold the same limit."""
+        news = [NamedLimit(RUN, version, rate) for version, rate in said]
+        outcomes = set()
+        for order in permutations(news):
+            limits = NamedLimits(clock=lambda: 0.0)
+            for limit in order:
+                limits.add(limit)
+            outcomes.add(limits.rate(RUN))
+        self.assertEqual(len(outcomes), 1)
+
+    def test_later_run_starts_without_a_limit(self) -> None:
+        """What a former run needed says nothing of the next one."""
+        self.hear(2.0, asked=99.0)
+        self.assertIsNone(self.limits.rate(UpstreamRun("u-1", 2)))
+
+    def test_limits_of_runs_that_are_over_are_forgotten(self) -> None:
+        """Those of upstreams that are there stay, also while they aren't known yet."""
+        self.hear(2.0, asked=99.0)
+        self.limits.keep_only([])
+        self.assertEqual(self.limits.rate(RUN), 2.0)
+        self.now += UNKNOWN_RUN_SECONDS + 1.0
+        self.limits.keep_only([RUN])
+        self.assertEqual(self.limits.rate(RUN), 2.0)
+        self.limits.keep_only([])
+        self.assertTrue(self.limits.is_empty)
+
+    def test_what_could_not_be_told_is_told_as_it_is_then(self) -> None:
+        """The newest state of each upstream is sent."""
+        self.hear(2.0, asked=99.0)
+        news = self.limits.take_news()
+        self.assertFalse(self.limits.has_news.is_set())
+        self.hear(1.0, asked=100.0)
+        self.limits.put_back(news)
+        self.assertEqual([limit.rate for limit in self.limits.take_news()], [1.0])
+
+
+class RandomHistoryTests(QuietTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.now = 0.0
+
+    def test_entries_agree_with_the_upstream_in_the_end(self) -> None:
+        """Whatever was lost or late, one answer after the news tells all."""
+        for seed in range(200):
+            self.check(Random(seed), f"seed {seed}")
+
+    def check(self, rng: Random, case: str) -> None:
+        entries = [NamedLimits(clock=lambda: self.now) for _ in range(4)]
+        wire: list[NamedLimit] = []
+        rate: float | None = None
+        for _ in range(60):
+            self.now += rng.random()
+            if rng.random() < 0.2:
+                rate = rng.choice([None, 1.0, 2.0, 5.0])
+            entry = rng.choice(entries)
+            entry.hear(RUN, rate, self.now - rng.random())
+            wire += entry.take_news()
+            for limit in rng.sample(wire, min(len(wire), 2)):
+                rng.choice(entries).add(limit)
+        for _ in range(2):
+            for limit in wire:
+                for entry in entries:
+                    entry.add(limit)
+            self.now += 1.0
+            for entry in entries:
+                entry.hear(RUN, rate, self.now)
+                wire += entry.take_news()
+        self.assertEqual({entry.rate(RUN) for entry in entries}, {rate}, case)
--- a/tests/discovery/test_subscriber.py
+++ b/tests/discovery/test_subscriber.py
@@ -7,6 +7,7 @@
 from poplarlug.discovery.crash_marks import CrashMarks
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import POLL_TOPIC, Poll, PollReply
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord
 from poplarlug.discovery.subscriber import (
     CURRENT_SECONDS,
@@ -77,6 +78,7 @@
             zone="a",
             deployment=deployment,
             marks=CrashMarks(clock=clock),
+            limits=NamedLimits(clock=clock),
             transport=transport,
             seeds=tuple(REGIONS_BY_ZONE),
             record=lambda: RECORD,
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -9,6 +9,7 @@
 from poplarlug.control.routing_state import encode_table
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import PollReply, RoutingNews
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import ServiceUpstream
 from poplarlug.errors import GatewayError
 from poplarlug.relay.budgets import WarmupLimits
@@ -66,6 +67,7 @@
             in_flight=InFlight(clock=clock, others=lambda _: None),
             warmup=WarmupLimits(overage=1.0, slack=0.0),
             rng=Random(1),
+            limits=NamedLimits(clock=clock),
             clock=clock,
         )
         return Dispatcher(view=view, clock=clock)
--- a/tests/relay/test_face.py
+++ b/tests/relay/test_face.py
@@ -10,6 +10,7 @@
 from poplarlug.control.routing_state import encode_table
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import PollReply, RoutingNews
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
 from poplarlug.relay.client import RelayClient
 from poplarlug.relay.dialect import Dialect
@@ -43,6 +44,7 @@
             deployment=self.deployment,
             in_flight=InFlight(clock=clock, others=lambda _: None),
             warmup=WarmupLimits(),
+            limits=NamedLimits(clock=clock),
             rng=rng,
             clock=clock,
         )
--- a/tests/relay/test_gateway.py
+++ b/tests/relay/test_gateway.py
@@ -7,6 +7,7 @@
 from poplarlug.control.routing_state import encode_table
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import PollReply, RoutingNews
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import ServiceUpstream
 from poplarlug.platform.names import DIALECT
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
@@ -53,6 +54,7 @@
             in_flight=InFlight(clock=lambda: 0.0, others=lambda _: None),
             warmup=WarmupLimits(),
             rng=Random(1),
+            limits=NamedLimits(clock=lambda: 0.0),
             clock=lambda: 0.0,
         )
         dispatcher = Dispatcher(view=self.view, clock=lambda: 0.0)
--- /dev/null
+++ b/tests/relay/test_limiter.py
@@ -0,0 +1,296 @@
+"""Tests of an entry's share of upstreams that name a limit, and of where it sends."""
+
+import asyncio
+from random import Random
+from types import SimpleNamespace
+from typing import Any, cast
+
+from multidict import CIMultiDict
+from returns.result import Failure
+
+from poplarlug.control.routing_state import encode_table
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.messages import EntryDemand, PollReply, RoutingNews
+from poplarlug.discovery.named_limits import NamedLimits
+from poplarlug.discovery.records import EntryRecord, ServiceUpstream
+from poplarlug.errors import GatewayError
+from poplarlug.platform.names import DIALECT
+from poplarlug.relay.budgets import RetryLimits, WarmupLimits
+from poplarlug.relay.client import RelayClient
+from poplarlug.relay.dispatcher import Dispatcher, LocalPlace
+from poplarlug.relay.gateway import RelayGateway
+from poplarlug.relay.in_flight import InFlight
+from poplarlug.relay.requests import Prompt, PromptPart, RelayRequest
+from poplarlug.relay.view import FleetView, Tried
+from poplarlug.routes import Engine, RoutedService, RouteTable
+from poplarlug.virtualtime import run_virtual
+from tests.control.quiet import QuietTestCase
+from tests.relay.test_suspects import make_suspects
+from tests.relay.test_view import make_request
+from tests.routes.test_checks import make_route
+
+ROUTE = make_route(
+    kind="streaming",
+    prompts=True,
+    timeout_seconds=15.0,
+    objective_seconds=0.5,
+    max_pause_seconds=0.4,
+)
+SERVICE = RoutedService("engine", engine=Engine(64, 100_000))
+UPSTREAMS = tuple(
+    ServiceUpstream(f"e-{number}", "engine", "", "a", 1, 1, 64) for number in (1, 2)
+)
+ENTRIES = tuple(
+    EntryRecord(f"entry-{number}", "east", "a", "", "", 1, "serving")
+    for number in (1, 2)
+)
+SEND_SECONDS = 0.05
+
+
+class Entry:
+    """One entry of two in a region with two engines, in virtual time."""
+
+    def __init__(self, *, settled: bool = True) -> None:
+        self.clock = asyncio.get_running_loop().time
+        self.refused_after: list[float] = []
+        self.deployment = Deployment(
+            own_region="east", regions_by_zone={"a": "east"}, clock=self.clock
+        )
+        self.reply = PollReply(
+            registry_id="r",
+            revision=1,
+            whole=True,
+            current=True,
+            zone="a",
+            entries=ENTRIES,
+            upstreams=UPSTREAMS,
+            routing=RoutingNews(1, encode_table(RouteTable(1, (ROUTE,), (SERVICE,)))),
+            settled=settled,
+        )
+        self.deployment.take(self.reply)
+        self.limits = NamedLimits(clock=self.clock)
+        self.view = FleetView(
+            name="entry-1",
+            deployment=self.deployment,
+            in_flight=InFlight(clock=self.clock, others=lambda _: None),
+            warmup=WarmupLimits(),
+            limits=self.limits,
+            rng=Random(1),
+            clock=self.clock,
+        )
+        self.dispatcher = Dispatcher(view=self.view, clock=self.clock)
+        self.gateway = RelayGateway(
+            name="entry-1",
+            view=self.view,
+            dispatcher=self.dispatcher,
+            client=RelayClient(),
+            far_client=RelayClient(),
+            suspects=make_suspects(self.deployment),
+            dialect=DIALECT,
+            retry_limits=RetryLimits(),
+            clock=self.clock,
+        )
+
+    def name_limits(self, *rates: float | None) -> None:
+        for upstream, rate in zip(UPSTREAMS, rates, strict=True):
+            self.limits.hear(upstream.run, rate, self.clock())
+
+    def request(self, **fields: object) -> RelayRequest:
+        now = self.clock()
+        request = make_request(route=ROUTE, arrived=now, deadline=now + 15.0)
+        return request._replace(**fields)
+
+    async def send(self, **fields: object) -> LocalPlace | GatewayError:
+        """Find a place for a request, which is answered at once."""
+        started = self.clock()
+        found = await self.dispatcher.find(self.request(**fields), Tried())
+        if isinstance(found, Failure):
+            self.refused_after.append(self.clock() - started)
+            return found.failure()
+        place = found.unwrap()
+        assert isinstance(place, LocalPlace)
+        self.dispatcher.release(place.flight, failed=False)
+        return place
+
+    async def send_for(self, seconds: float) -> list[LocalPlace | GatewayError]:
+        """Send requests one after the other, each with a wait of its own."""
+        running = asyncio.ensure_future(self.dispatcher.run())
+        sent = []
+        until = self.clock() + seconds
+        while self.clock() < until:
+            sent.append(asyncio.ensure_future(self.send()))
+            await asyncio.sleep(SEND_SECONDS)
+        found = await asyncio.gather(*sent)
+        running.cancel()
+        return found
+
+
+def count_by_upstream(found: list[LocalPlace | GatewayError]) -> dict[str, int]:
+    counts = {upstream.id: 0 for upstream in UPSTREAMS}
+    for place in found:
+        if isinstance(place, LocalPlace):
+            counts[place.upstream.id] += 1
+    return counts
+
+
+class PlacementTests(QuietTestCase):
+    def test_limited_upstream_gets_its_limit_and_the_other_the_rest(self) -> None:
+        """An empty queue there attracts nothing beyond it."""
+
+        async def main() -> dict[str, int]:
+            entry = Entry()
+            entry.name_limits(1.0, None)
+            return count_by_upstream(await entry.send_for(40.0))
+
+        counts = run_virtual(main())
+        self.assertGreaterEqual(sum(counts.values()), 40.0 / SEND_SECONDS)
+        # The other entry doesn't report, so that half of the limit is left to it.
+        self.assertGreaterEqual(counts["e-1"], 15)
+        self.assertLessEqual(counts["e-1"], 21)
+
+    def test_part_of_an_idle_entry_is_used(self) -> None:
+        """It reports that nothing is asked of it."""
+
+        async def main() -> dict[str, int]:
+            entry = Entry()
+            entry.name_limits(1.0, None)
+            idle = EntryDemand("entry-2", "engine", 0.0)
+            entry.deployment.take(entry.reply._replace(demands=(idle,)))
+            return count_by_upstream(await entry.send_for(40.0))
+
+        counts = run_virtual(main())
+        self.assertGreaterEqual(counts["e-1"], 32)
+        self.assertLessEqual(counts["e-1"], 41)
+
+    def test_entry_that_does_not_know_the_others_has_no_share(self) -> None:
+        """They may be many."""
+
+        async def main() -> dict[str, int]:
+            entry = Entry(settled=False)
+            entry.name_limits(40.0, None)
+            return count_by_upstream(await entry.send_for(4.0))
+
+        self.assertEqual(run_virtual(main())["e-1"], 0)
+
+    def test_end_of_a_limit_is_in_force_at_once(self) -> None:
+        """The upstream is one like all others again."""
+
+        async def main() -> dict[str, int]:
+            entry = Entry()
+            entry.name_limits(1.0, None)
+            await entry.send_for(4.0)
+            entry.name_limits(None, None)
+            return count_by_upstream(await entry.send_for(4.0))
+
+        self.assertGreater(run_virtual(main())["e-1"], 20)
+
+    def test_part_of_a_prompt_held_by_a_limited_upstream_insists_on_nothing(
+        self,
+    ) -> None:
+        """Another engine becomes the home of the shared part."""
+
+        async def main() -> set[str | None]:
+            entry = Entry()
+            entry.name_limits(1.0, None)
+            homes = set()
+            for number in range(20):
+                parts = (PromptPart(f"p{number}", 900), PromptPart("own", 10))
+                request = entry.request(prompt=Prompt("m", 910, 10, parts))
+                demand = entry.view.demand(request)
+                homes.add(entry.view.affinity(request, demand).home)
+            return homes
+
+        self.assertEqual(run_virtual(main()), {"e-2"})
+
+
+class AllLimitedTests(QuietTestCase):
+    def test_what_exceeds_all_limits_is_refused_at_once(self) -> None:
+        """With a time to come back; what is taken waits no longer than it can."""
+
+        async def main() -> tuple[list[LocalPlace | GatewayError], list[float]]:
+            entry = Entry()
+            entry.name_limits(1.0, 1.0)
+            return await entry.send_for(20.0), entry.refused_after
+
+        found, waits = run_virtual(main())
+        refused = [one for one in found if isinstance(one, GatewayError)]
+        self.assertGreater(len(refused), 300)
+        self.assertEqual({refusal.ran for refusal in refused}, {False})
+        self.assertTrue(all(refusal.retry_after_seconds for refusal in refused))
+        self.assertLess(max(waits), SEND_SECONDS)
+        self.assertGreaterEqual(len(found) - len(refused), 16)
+
+    def test_urgent_requests_go_first(self) -> None:
+        """A patient one waits, or is refused."""
+
+        async def main() -> list[str]:
+            entry = Entry()
+            entry.name_limits(1.0, 1.0)
+            running = asyncio.ensure_future(entry.dispatcher.run())
+            served = []
+
+            async def send(name: str, rank: int) -> None:
+                found = await entry.send(route=ROUTE._replace(rank=rank))
+                if isinstance(found, LocalPlace):
+                    served.append(name)
+
+            sent = [asyncio.ensure_future(send("patient", 5))]
+            await asyncio.sleep(SEND_SECONDS)
+            sent.append(asyncio.ensure_future(send("urgent", 0)))
+            await asyncio.gather(*sent)
+            running.cancel()
+            return served
+
+        self.assertEqual(run_virtual(main())[0], "urgent")
+
+
+class HearTests(QuietTestCase):
+    def hear(
+        self, limit: str | None, *, status: int = 200, **changed: str | None
+    ) -> float | None:
+        """Return the limit in force after an answer, 7 before it."""
+
+        async def main() -> float | None:
+            entry = Entry()
+            entry.name_limits(7.0, None)
+            await asyncio.sleep(1.0)
+            asked = entry.clock()
+            place = await entry.send()
+            assert isinstance(place, LocalPlace)
+            place = place._replace(upstream=UPSTREAMS[0])
+            headers: CIMultiDict[str] = CIMultiDict()
+            fields = {
+                DIALECT.request_id: "r-1",
+                DIALECT.signature: "signed",
+                DIALECT.limit: limit,
+            }
+            for name, value in (fields | changed).items():
+                if value is not None:
+                    headers[name] = value
+            response = cast(Any, SimpleNamespace(status=status, headers=headers))
+            request = entry.request()
+            entry.gateway._hear_limit(request, place, response, asked)
+            return entry.limits.rate(UPSTREAMS[0].run)
+
+        return run_virtual(main())
+
+    def test_answer_names_or_ends_a_limit(self) -> None:
+        """Also a failure or a refusal names one; a refusal without it ends none."""
+        unsigned = {DIALECT.signature: None, DIALECT.not_executed: "1"}
+        self.assertEqual(self.hear("2.5"), 2.5)
+        self.assertEqual(self.hear("2.5", status=500), 2.5)
+        self.assertEqual(self.hear("2.5", status=503, **unsigned), 2.5)
+        self.assertEqual(self.hear(None, status=503, **unsigned), 7.0)
+        self.assertIsNone(self.hear(None))
+
+    def test_answer_that_is_not_the_upstreams_own_says_nothing(self) -> None:
+        """It came from another one, or for another request."""
+        self.assertEqual(self.hear("2.5", status=421), 7.0)
+        self.assertEqual(self.hear("2.5", **{DIALECT.request_id: "r-2"}), 7.0)
+        self.assertEqual(self.hear("2.5", **{DIALECT.signature: None}), 7.0)
+        self.assertEqual(self.hear(None, **{DIALECT.signature: None}), 7.0)
+
+    def test_odd_value_changes_nothing(self) -> None:
+        """Whatever it is."""
+        for value in ("", "nan", "inf", "-1", "1e3", "9" * 10_000):
+            self.assertEqual(self.hear(value), 7.0, value[:9])
--- a/tests/relay/test_view.py
+++ b/tests/relay/test_view.py
@@ -5,6 +5,7 @@
 
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import PollReply
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord, RegionLoad, ServiceUpstream
 from poplarlug.relay.budgets import WarmupLimits
 from poplarlug.relay.in_flight import InFlight
@@ -111,6 +112,7 @@
             in_flight=InFlight(clock=lambda: 0.0, others=lambda _: None),
             warmup=WarmupLimits(),
             rng=Random(1),
+            limits=NamedLimits(clock=lambda: 0.0),
             clock=lambda: 0.0,
         )
 
@@ -181,6 +183,7 @@
             in_flight=InFlight(clock=lambda: self.now, others=lambda _: None),
             warmup=WarmupLimits(),
             rng=Random(1),
+            limits=NamedLimits(clock=lambda: self.now),
             clock=lambda: self.now,
         )
 
--- a/tests/relay/test_warmup_shares.py
+++ b/tests/relay/test_warmup_shares.py
@@ -4,6 +4,7 @@
 
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import PollReply
+from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.relay.budgets import WarmupLimits
 from poplarlug.relay.in_flight import InFlight
@@ -50,6 +51,7 @@
             in_flight=InFlight(clock=clock, others=lambda _: None),
             warmup=WarmupLimits(),
             rng=Random(1),
+            limits=NamedLimits(clock=clock),
             clock=clock,
         )
 
