Hold a bounded part of answers, and give up heads without end

What callers saw: with four requests to one upstream that sends a signed body without end, an entry came to 2.5 GB within 2.5 s (4.4 GB for streams that may be resumed), where the smallest VMs have 160 MB, so it would end with all that it holds. Interim answers without end kept the event loop from its turn: a neighbour's small request took 1.4 s.

Cause: a body that isn't a stream, or has no length, was held until it was whole, however long; a part of an event up to 1 MB for each stream; the rest of a refusal whatever came in 0.2 s. The library reads interim answers in a loop that never waits while bytes are there.

Now one room of 16 MB for all answers, 256 KB for each: what finds no room is passed on at the pace of its caller, so that the upstream's window closes. A failure that could be tried elsewhere is one without its body. An event that was let through in part is taken up by no other upstream: one would have been joined from two runs. At most eight heads an exchange, parsed 8 KB at a time.

After: 11 kinds of endless answers, four callers each: below 160 MB and neighbours within 0.5 s.

--- a/poplarlug/relay/client.py
+++ b/poplarlug/relay/client.py
@@ -28,6 +28,12 @@
 PROBES = 3
 """Keepalive probes find a silent peer in four seconds while an answer is awaited."""
 
+HEAD_SLICE_BYTES = 8 * 1024
+"""Bytes parsed at a time while an answer's head is awaited; most heads are shorter."""
+
+MAX_HEADS = 8
+"""Heads of one exchange, interim ones included; servers send one or two."""
+
 NO_LINGER = struct.pack("ii", 1, 0)
 """Option of a socket whose end is a reset."""
 
@@ -56,19 +62,39 @@
     """
     Take no answer for whole whose connection was reset, and reset unanswered ones.
 
+    Interim answers without end are none, and keep no other exchange from its turn.
     The library ends a body without a length at any end of its connection. It closes
     a connection in good order also where the exchange was given up: the rest of the
     request would still be sent, and run for a caller that has left.
     """
 
     _in_exchange = False
+    _heads = 0
 
     def set_response_params(self, **options: Any) -> None:
         self._in_exchange = True
+        self._heads = 0
         # The former answer's; the new one is not there yet.
         self._payload = None
         super().set_response_params(**options)
 
+    def data_received(self, data: bytes) -> None:
+        if self._payload is not None or len(data) <= HEAD_SLICE_BYTES:
+            super().data_received(data)
+            return
+        for start in range(0, len(data), HEAD_SLICE_BYTES):
+            if self.transport is None or self.transport.is_closing():
+                return
+            super().data_received(data[start : start + HEAD_SLICE_BYTES])
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        self._heads += 1
+        if self._heads <= MAX_HEADS:
+            super().feed_data(data, size)
+        elif self.transport is not None and not self.transport.is_closing():
+            self.set_exception(aiohttp.ClientPayloadError("too many interim answers"))
+            _reset(self.transport)
+
     def close(self) -> None:
         if self._in_exchange and not self._is_answered and self.transport is not None:
             _reset(self.transport)
--- a/poplarlug/relay/course.py
+++ b/poplarlug/relay/course.py
@@ -134,6 +134,8 @@
             return False
         if self.events is None:
             return not self.sink.started
+        if not self.events.may_go_on:
+            return False
         self.events.restart()
         self.request = _resumed(request, self.events)
         return True
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -24,6 +24,7 @@
 from poplarlug.relay.course import Course, Outcome
 from poplarlug.relay.dialect import Dialect
 from poplarlug.relay.dispatcher import Dispatcher, FarPlace, LocalPlace, Place
+from poplarlug.relay.held_bytes import HeldBytes
 from poplarlug.relay.hop_headers import (
     HOPS,
     ORIGIN,
@@ -31,7 +32,7 @@
     TABLE_VERSION,
     decode_refusal,
 )
-from poplarlug.relay.passing import pass_on
+from poplarlug.relay.passing import drop_rest, pass_on
 from poplarlug.relay.requests import RelayRequest, patience_seconds
 from poplarlug.relay.suspects import Suspects, Verdict
 from poplarlug.relay.trace import RelayTrace
@@ -108,6 +109,7 @@
         self._dialect = dialect
         self._retry_limits = retry_limits
         self._clock = clock
+        self._held_bytes = HeldBytes()
         self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
 
     async def serve(
@@ -313,7 +315,7 @@
             self._in_flight.first_event(
                 placed.flight, ahead_ms=placed.ahead_ms, seconds=now - started
             )
-            return await pass_on(course, response)
+            return await pass_on(course, response, self._held_bytes)
         finally:
             response.close()
 
@@ -414,7 +416,7 @@
             if response.headers.get(self._dialect.request_id, request.id) != request.id:
                 return Outcome(outcome_unknown("the entry answered another request"))
             self._view.note_region_served(request.service, entry.region)
-            return await pass_on(course, response)
+            return await pass_on(course, response, self._held_bytes)
         finally:
             response.close()
 
@@ -465,7 +467,7 @@
 async def _read_rest(response: aiohttp.ClientResponse) -> None:
     try:
         async with asyncio.timeout(REST_SECONDS):
-            await response.read()
+            await drop_rest(response.content)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         _log.debug("the rest of a refusal did not come", error=repr(error))
 
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -7,13 +7,13 @@
 from poplarlug.errors import GatewayError, outcome_unknown, truncated_answer
 from poplarlug.relay.course import DONE, Course, Outcome, answer_whole
 from poplarlug.relay.events import EventProgress
+from poplarlug.relay.held_bytes import HeldBytes, Hold
 from poplarlug.relay.hop_headers import end_to_end
 from poplarlug.serving.answers import AnswerHead
 from poplarlug.serving.relay import BodyRelay
 
-HELD_BODY_BYTES = 256 * 1024
-"""A body of known length up to this is held until it is whole, so that a broken one
-can be answered by a failure or by another attempt."""
+DROPPED_BYTES = 16 * 1024
+"""A refusal's body is shorter; more would cost as much as a new connection."""
 
 STALL_SECONDS = 2.0
 """A stream that stands still so long is taken up elsewhere if its upstream is lost and a
@@ -22,12 +22,15 @@
 EVENT_STREAM = "text/event-stream"
 
 
-async def pass_on(course: Course, response: aiohttp.ClientResponse) -> Outcome:
+async def pass_on(
+    course: Course, response: aiohttp.ClientResponse, room: HeldBytes
+) -> Outcome:
     """
     Pass an answer on whose head has come, and return how that ended.
 
-    A body that isn't a stream is held until it is whole. A stream that may be
-    resumed passes on whole events, so that another upstream can take it up.
+    A body that isn't a stream is held until it is whole, if there is room for it. A
+    stream that may be resumed passes on whole events, so that another upstream can
+    take it up.
     """
     sink, events = course.sink, course.events
     length = response.content_length
@@ -35,12 +38,19 @@
     if sink.started and (is_held or response.status != 200):
         message = f"the stream was not taken up again: status {response.status}"
         return Outcome(truncated_answer(message))
-    if is_held and (length is None or length <= HELD_BODY_BYTES):
-        return await _pass_on_whole(course, response)
+    if is_held and (length is None or length <= room.answer_bytes):
+        return await _pass_on_whole(course, response, room)
     if not sink.started:
         await sink.start(_head_of(response))
     if events is not None:
-        return await _pass_on_events(course, response, events)
+        with room.hold() as hold:
+            return await _pass_on_events(course, response, events, hold)
+    return await _pass_on_rest(course, response)
+
+
+async def _pass_on_rest(course: Course, response: aiohttp.ClientResponse) -> Outcome:
+    """Pass a body on as it comes, at the pace of its caller."""
+    sink = course.sink
     try:
         async with asyncio.timeout_at(course.request.deadline):
             await BodyRelay(response=response, sink=sink).run()
@@ -54,7 +64,10 @@
 
 
 async def _pass_on_events(
-    course: Course, response: aiohttp.ClientResponse, events: EventProgress
+    course: Course,
+    response: aiohttp.ClientResponse,
+    events: EventProgress,
+    hold: Hold,
 ) -> Outcome:
     request, sink = course.request, course.sink
     content = response.content
@@ -65,6 +78,8 @@
                 if not data and content.at_eof():
                     break
                 whole_events = events.feed(data)
+                if not hold.resize(events.held_bytes):
+                    whole_events += events.let_go()
                 if whole_events:
                     await sink.write(whole_events)
     except TimeoutError:
@@ -99,23 +114,57 @@
                 raise
 
 
-async def _pass_on_whole(course: Course, response: aiohttp.ClientResponse) -> Outcome:
-    request = course.request
-    try:
-        async with asyncio.timeout_at(request.deadline):
-            body = await response.read()
-    except TimeoutError:
-        return Outcome(outcome_unknown("the answer took too long"))
-    except (aiohttp.ClientError, OSError) as error:
-        failed = outcome_unknown(f"the answer broke off: {error!r}")
-        return Outcome(failed, broke=True)
-    head = _head_of(response)._replace(content_length=len(body))
-    if response.status >= 500 and request.route.is_repeatable:
-        message = f"the upstream failed with status {response.status}"
-        failed = GatewayError(response.status, "upstream_failed", message, None)
-        return Outcome(failed, answer=(head, body))
-    await answer_whole(head, body, course.sink)
-    return DONE
+async def _pass_on_whole(
+    course: Course, response: aiohttp.ClientResponse, room: HeldBytes
+) -> Outcome:
+    request, sink = course.request, course.sink
+    is_failure = response.status >= 500 and request.route.is_repeatable
+    with room.hold() as hold:
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                body, is_whole = await _read_held(response.content, hold)
+        except TimeoutError:
+            return Outcome(outcome_unknown("the answer took too long"))
+        except (aiohttp.ClientError, OSError) as error:
+            failed = outcome_unknown(f"the answer broke off: {error!r}")
+            return Outcome(failed, broke=True)
+        if is_failure:
+            message = f"the upstream failed with status {response.status}"
+            failed = GatewayError(response.status, "upstream_failed", message, None)
+            head = _head_of(response)._replace(content_length=len(body))
+            return Outcome(failed, answer=(head, body) if is_whole else None)
+        if is_whole:
+            head = _head_of(response)._replace(content_length=len(body))
+            await answer_whole(head, body, sink)
+            return DONE
+        course.trace.note(held_bytes=len(body))
+        await sink.start(_head_of(response))
+        await sink.write(body)
+    return await _pass_on_rest(course, response)
+
+
+async def _read_held(content: aiohttp.StreamReader, hold: Hold) -> tuple[bytes, bool]:
+    """Return a body and whether it is whole; if not, there is no room for the rest."""
+    parts = []
+    count = 0
+    while not content.at_eof():
+        part = await content.readany()
+        parts.append(part)
+        count += len(part)
+        if not hold.resize(count):
+            return b"".join(parts), False
+    return b"".join(parts), True
+
+
+async def drop_rest(content: aiohttp.StreamReader) -> None:
+    """
+    Read what is left of a short body that nobody needs, so its connection is kept.
+
+    A long one is left unread, and its connection closed by the caller.
+    """
+    count = 0
+    while not content.at_eof() and count <= DROPPED_BYTES:
+        count += len(await content.readany())
 
 
 def _is_stream(response: aiohttp.ClientResponse) -> bool:
--- /dev/null
+++ b/tests/platform_adapter/test_endless_answers.py
@@ -0,0 +1,207 @@
+"""Tests of upstreams that send without end, with real processes on loopback."""
+
+import http.client
+import socket
+import tempfile
+import threading
+import time
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from unittest import TestCase
+
+from poplarlug.platform.names import DIALECT
+from poplarlug.soak.deployment import Answer, SeededDeployment, wait_until
+from poplarlug.soak.upstream import Upstream
+from tests.platform_adapter.test_deadly_requests import Announcer
+from tests.platform_adapter.test_whole_path import HOST, configuration
+
+PORT = 8301
+CALLERS = 4
+CALL_SECONDS = 3.0
+READ_BYTES = 1024 * 1024
+"""What a caller takes before it stands still."""
+
+MEMORY_BYTES = 160 * 1024 * 1024
+"""Of the smallest entry VMs."""
+
+NEIGHBOUR_SECONDS = 0.5
+"""The objective of most plain routes; a neighbour is answered at once else."""
+
+CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+OK = b"HTTP/1.1 200 OK\r\n"
+SIGNED = f"{DIALECT.signature}: signed\r\n".encode()
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+EVENTS = b"Content-Type: text/event-stream\r\n"
+
+BEGIN_AND_REST_BY_NAME = {
+    "chunks": (OK + SIGNED + CHUNKED, CHUNK),
+    "no-length": (OK + SIGNED + b"\r\n", b"x" * 65536),
+    "error": (b"HTTP/1.1 500 Failed\r\n" + SIGNED + CHUNKED, CHUNK),
+    "refusal": (
+        b"HTTP/1.1 503 Full\r\n" + f"{DIALECT.not_executed}: 1\r\n".encode() + CHUNKED,
+        CHUNK,
+    ),
+    "event": (OK + SIGNED + EVENTS + CHUNKED, CHUNK),
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
+    "status-line": (b"HTTP/1.1 200 ", b"x" * 65536),
+    "field": (OK + b"X-Long: ", b"x" * 65536),
+    "fields": (OK, b"X-Many: x\r\n" * 6000),
+    "chunk-size": (OK + SIGNED + CHUNKED, b"0" * 65536),
+    "trailers": (OK + SIGNED + CHUNKED + b"1\r\nx\r\n0\r\n", b"X-Many: x\r\n" * 6000),
+}
+
+
+class EndlessUpstream(threading.Thread):
+    """Answer each request with a beginning and a rest that has no end."""
+
+    def __init__(self, *, ip: str) -> None:
+        super().__init__(daemon=True)
+        self.name_of_rest = ""
+        self._listener = socket.create_server((ip, PORT))
+        self.start()
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def run(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        begin, rest = BEGIN_AND_REST_BY_NAME[self.name_of_rest]
+        with connection:
+            data = connection.recv(65536).decode("latin-1")
+            for line in data.split("\r\n"):
+                name, _, value = line.partition(": ")
+                if name.lower() == DIALECT.request_id.lower() and begin.endswith(
+                    b"\r\n"
+                ):
+                    line_end = begin.index(b"\r\n") + 2
+                    echo = f"{DIALECT.request_id}: {value}\r\n".encode()
+                    begin = begin[:line_end] + echo + begin[line_end:]
+            try:
+                connection.sendall(begin)
+                while True:
+                    connection.sendall(rest)
+            except OSError:
+                # The entry has closed the connection.
+                return
+
+
+class EndlessAnswerTests(TestCase):
+    """One entry; an upstream that sends without end and a sound one beside it."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.deployment = SeededDeployment(
+            folder=Path(folder.name), entry_zones=("quito-a",)
+        )
+        self.addCleanup(self.deployment.close)
+        self.deployment.start_all()
+        (self.entry,) = self.deployment.entries
+        self.endless = EndlessUpstream(ip=self.deployment.ip("u-1"))
+        self.addCleanup(self.endless.close)
+        upstreams = []
+        for name, service in (("u-1", "endless"), ("u-2", "desk")):
+            upstream = Upstream(
+                upstream_id=name,
+                ip=self.deployment.ip(name),
+                service=service,
+                zone="quito-a",
+            )
+            self.addCleanup(upstream.close)
+            upstreams.append(upstream)
+        upstreams[0].address = f"{self.deployment.ip('u-1')}:{PORT}"
+        announcer = Announcer(deployment=self.deployment, upstreams=upstreams)
+        announcer.start()
+        self.addCleanup(announcer.stop)
+        body = configuration(
+            1,
+            look={"route_kind": "safe"},
+            safe={"service": "endless", "max_attempts": 1},
+            book={"service": "endless", "route_kind": "unsafe", "max_attempts": 1},
+            resume={
+                "service": "endless",
+                "route_kind": "streaming",
+                "resumable": True,
+            },
+        )
+        self.assertEqual(self.deployment.operate("PUT", "/config", body).status, 200)
+        self.deployment.wait_ready()
+        wait_until(lambda: self.look().status == 200, "the entry serves nothing")
+
+    def headers(self) -> dict[str, str]:
+        return {
+            "Host": HOST,
+            DIALECT.request_id: uuid.uuid4().hex,
+            DIALECT.deadline: "2500",
+        }
+
+    def look(self) -> Answer:
+        address = self.deployment.entry_address(self.entry)
+        return self.deployment.call(address, "GET", "/look/1", None, self.headers())
+
+    def call(self, route: str) -> None:
+        """Read a part of an answer, then stand still until the time is over."""
+        until = time.monotonic() + CALL_SECONDS
+        host, _, port = self.deployment.entry_address(self.entry).rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=CALL_SECONDS)
+        try:
+            connection.request("POST", f"/{route}/1", b"x", self.headers())
+            connection.getresponse().read(READ_BYTES)
+            time.sleep(max(0.0, until - time.monotonic()))
+        except (OSError, http.client.HTTPException):
+            # The entry broke the answer off.
+            pass
+        finally:
+            connection.close()
+
+    def resident_bytes(self) -> int:
+        status = Path(f"/proc/{self.deployment.pid(self.entry)}/status").read_text()
+        line = next(row for row in status.splitlines() if row.startswith("VmHWM"))
+        return int(line.split()[1]) * 1024
+
+    def check(self, name: str, *routes: str) -> None:
+        """Call an endless upstream, and see that the entry bears it."""
+        self.endless.name_of_rest = name
+        for route in routes:
+            with ThreadPoolExecutor(CALLERS) as pool:
+                calls = [pool.submit(self.call, route) for _ in range(CALLERS)]
+                slowest = 0.0
+                while not all(call.done() for call in calls):
+                    started = time.monotonic()
+                    self.assertEqual(self.look().status, 200)
+                    slowest = max(slowest, time.monotonic() - started)
+                    time.sleep(0.05)
+            self.assertLess(slowest, NEIGHBOUR_SECONDS, f"{name} on {route}")
+            self.assertLess(self.resident_bytes(), MEMORY_BYTES, f"{name} on {route}")
+        self.assertTrue(self.deployment.is_running(self.entry))
+
+    # Guards against an entry that holds what an upstream sends without end.
+    def test_bodies_without_end_are_not_held(self) -> None:
+        """They pass at the pace of their callers, or are dropped."""
+        for name in ("chunks", "no-length", "error", "refusal"):
+            self.check(name, "safe", "book")
+
+    def test_events_without_end_are_not_held(self) -> None:
+        """A stream that may be resumed holds no more than another answer."""
+        self.check("event", "resume")
+        self.check("chunks", "resume")
+
+    def test_heads_without_end_are_given_up(self) -> None:
+        """Neighbours are served meanwhile."""
+        for name in ("interim", "status-line", "field", "fields"):
+            self.check(name, "safe")
+
+    def test_framing_without_end_is_given_up(self) -> None:
+        """A chunk's size, or trailers."""
+        for name in ("chunk-size", "trailers"):
+            self.check(name, "safe", "resume")
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -44,3 +44,28 @@
         progress = EventProgress()
         progress.feed(b"x-version: 2\r\nid: 41\r\ndata: x\r\n\r\n")
         self.assertEqual(progress.last_id, "41")
+
+    def test_part_that_was_let_through_is_taken_up_nowhere_else(self) -> None:
+        """Another upstream would send the event again, from its beginning."""
+        progress = EventProgress()
+        progress.feed(b"id: 1\ndata: a\n\nid: 2\ndata: ")
+        self.assertEqual(progress.held_bytes, len(b"id: 2\ndata: "))
+        self.assertTrue(progress.may_go_on)
+        self.assertEqual(progress.let_go(), b"id: 2\ndata: ")
+        self.assertFalse(progress.may_go_on)
+        self.assertFalse(progress.is_whole)
+        self.assertEqual(progress.feed(b"b\n\n"), b"b\n\n")
+        self.assertTrue(progress.may_go_on)
+        self.assertTrue(progress.is_whole)
+        self.assertEqual(progress.last_id, "2")
+
+    def test_end_that_comes_byte_by_byte_is_found(self) -> None:
+        """Wherever the pieces begin."""
+        progress = EventProgress()
+        parts = [bytes([byte]) for byte in b"id: 1\r\ndata: a\r\n\r\nid: 2\n\n"]
+        events = [progress.feed(part) for part in parts]
+        self.assertEqual(
+            [event for event in events if event],
+            [b"id: 1\r\ndata: a\r\n\r\n", b"id: 2\n\n"],
+        )
+        self.assertEqual(progress.last_id, "2")
--- a/tests/relay/test_passing.py
+++ b/tests/relay/test_passing.py
@@ -6,6 +6,7 @@
 from unittest import TestCase
 
 from poplarlug.relay.course import Course, Outcome
+from poplarlug.relay.held_bytes import HeldBytes
 from poplarlug.relay.passing import STALL_SECONDS, pass_on
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.serving.answers import AnswerHead, AnswerSink
@@ -73,7 +74,7 @@
                 content_length=None,
                 content=PausingContent(pause),
             )
-            return await pass_on(course, response), sink
+            return await pass_on(course, response, HeldBytes()), sink
 
         return run_virtual(main())
 
