Answer the connections that were made before a stopping entry's listener closed

Cause: the listener was closed with its backlog in it. The kernel had accepted those connections and the entry had not, and closing resets them; those just accepted got 0.1 s, whether or not their request was on its way.

Now the backlog is shrunk to nothing, what it holds is taken, the listener is closed, and connections whose first request has not come get 0.3 s for it; then what is in progress may end as before. The accounts' entry does the same.

The control replicas' and the directory's listeners still close at once: their callers ask the next one.

--- a/poplarlug/callers/connections.py
+++ b/poplarlug/callers/connections.py
@@ -16,6 +16,10 @@
 MAX_HEADERS = 64
 BACKLOG_CONNECTIONS = 1024
 SHUTDOWN_SECONDS = 60.0
+STOP_CHECK_SECONDS = 0.02
+FIRST_REQUEST_SECONDS = 0.3
+"""How long a connection that was made last may take to send its request; callers send
+it at once, and the farthest one takes two round trips."""
 
 Count = Annotated[int, Meta(ge=1)]
 Duration = Annotated[float, Meta(gt=0, le=3600)]
@@ -65,6 +69,7 @@
         self.limits = limits
         self.refused = 0
         self._connections_by_protocol: dict[Any, _GuardedConnection] = {}
+        self._sites: list[_GuardedSite] = []
 
     @property
     def open_connections(self) -> int:
@@ -128,9 +133,29 @@
             shutdown_timeout=shutdown_seconds,
         )
         await runner.setup()
-        await _GuardedSite(runner, guard=self, host=host, port=int(port)).start()
+        site = _GuardedSite(runner, guard=self, host=host, port=int(port))
+        await site.start()
+        self._sites.append(site)
         return runner
 
+    async def stop_listening(self) -> None:
+        """Take no new connections, and let those that were made send their requests."""
+        loop = asyncio.get_running_loop()
+        for site in self._sites:
+            site.stop_listening()
+        self._sites.clear()
+        deadline = loop.time() + FIRST_REQUEST_SECONDS
+        while True:
+            await asyncio.sleep(STOP_CHECK_SECONDS)
+            if loop.time() >= deadline or not self._awaits_requests():
+                return
+
+    def _awaits_requests(self) -> bool:
+        return any(
+            connection.awaits_request
+            for connection in self._connections_by_protocol.values()
+        )
+
     def add(self, protocol: Any, connection: "_GuardedConnection") -> bool:
         """Count a connection; return whether it is within the bound."""
         self._connections_by_protocol[protocol] = connection
@@ -187,6 +212,11 @@
     def end_request(self) -> None:
         self._in_request = False
 
+    @property
+    def awaits_request(self) -> bool:
+        """Whether a first or a begun request has not come whole."""
+        return self._waiting_since is not None
+
     def waits_since(self, oldest: Seconds) -> bool:
         """Return whether headers have been awaited since before ``oldest``."""
         return self._waiting_since is not None and self._waiting_since < oldest
@@ -205,6 +235,7 @@
         self._guard = guard
         self._host = host
         self._port = port
+        self._taking: set[asyncio.Task[Any]] = set()
 
     @property
     def name(self) -> str:
@@ -212,15 +243,47 @@
 
     async def start(self) -> None:
         await super().start()
-        factory = self._runner.server
-        assert factory is not None
+        self._socket = socket.create_server(
+            (self._host, self._port), backlog=BACKLOG_CONNECTIONS
+        )
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: _GuardedConnection(guard=self._guard, inner=factory()),
-            self._host,
-            self._port,
-            backlog=BACKLOG_CONNECTIONS,
+            self._make_connection, sock=self._socket, backlog=BACKLOG_CONNECTIONS
         )
 
+    def stop_listening(self) -> None:
+        """
+        Close the listener once the connections that it holds are taken.
+
+        The kernel resets those that are not. A backlog of nothing lets hardly any
+        come in between.
+        """
+        if self._server is None:
+            return
+        loop = asyncio.get_running_loop()
+        self._socket.listen(0)
+        loop.remove_reader(self._socket.fileno())
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except BlockingIOError:
+                break
+            except OSError as error:
+                _log.warning("could not take a connection", error=repr(error))
+                break
+            connection.setblocking(False)
+            taking = loop.create_task(
+                loop.connect_accepted_socket(self._make_connection, connection)
+            )
+            self._taking.add(taking)
+            taking.add_done_callback(self._taking.discard)
+        self._server.close()
+        self._server = None
+
+    def _make_connection(self) -> "_GuardedConnection":
+        factory = self._runner.server
+        assert factory is not None
+        return _GuardedConnection(guard=self._guard, inner=factory())
+
 
 def _set_timeouts(transport: asyncio.Transport, limits: HttpLimits) -> None:
     # A client that went away without a word is found by probes while idle, and
--- a/poplarlug/entry/entry.py
+++ b/poplarlug/entry/entry.py
@@ -185,6 +185,7 @@
                 await self.transport.finish_streams()
         except TimeoutError:
             _log.warning("stopped with requests in progress")
+        await self.guard.stop_listening()
 
     def _add_children(self, request_log: RequestLog) -> None:
         self.supervisor.add_child("request log", request_log.run)
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -219,6 +219,10 @@
             is_idle = self.face.in_progress.value == 0
             if since > END_SHARE * grace or (is_idle and since > STAY_SHARE * grace):
                 break
+        await self.guard.stop_listening()
+        while self.face.in_progress.value and since <= END_SHARE * grace:
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+            since = self._clock() - started
         _log.info("drained", in_progress=self.face.in_progress.value, seconds=since)
 
     def _own_loads(self) -> OwnLoads:
