Keep an upstream that left away through restarts

Cause: a replica writes its records at most once a second, so a farewell could be acknowledged with the older record on every disk; those that had left altogether were not written at all. Entries took what a restarted replica said for the newest, though they had heard the farewell themselves.

--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -93,6 +93,7 @@
             routing=self.state.routing,
             transport=self.transport,
             is_current=lambda: self.replica.leader is not None,
+            flush=self.registry_file.flush,
             rng=rng,
             clock=clock,
         )
--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -222,7 +222,8 @@
         for entry in reply.entries:
             self.entries_by_name[entry.name] = entry
             self._seen_by_entry[entry.name] = entry.region, now
-        for upstream in reply.upstreams:
+        for record in reply.upstreams:
+            upstream = self._unless_left(record)
             self._note_end(upstream, reply.upstreams)
             held = self._upstreams_by_id.get(upstream.id)
             if held is None or upstream.born >= held.record.born:
@@ -276,6 +277,20 @@
         elif upstream.phase == "serving":
             self._ended_by_run.pop(upstream.run, None)
 
+    def _unless_left(self, upstream: ServiceUpstream) -> ServiceUpstream:
+        """
+        Return what is known of an upstream with what a replica says.
+
+        A replica that has just started may know less: one that said that it leaves
+        doesn't come back in the same run.
+        """
+        ended = self._ended_by_run.get(upstream.run)
+        if upstream.phase != "serving" or ended is None:
+            return upstream
+        if ended.fate is not RunFate.LEFT:
+            return upstream
+        return upstream._replace(phase="leaving")
+
     def _forget_ended(self) -> None:
         oldest = self._clock() - REMEMBER_RUN_SECONDS
         for run, ended in list(self._ended_by_run.items()):
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -1,7 +1,7 @@
 """The part of a control replica that entries and other replicas ask for news."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from random import Random
 
 from returns.result import Failure, Success
@@ -73,6 +73,8 @@
         The replicated routing state of this replica.
     is_current : callable
         Returns whether this replica is in touch with the group's leader.
+    flush : callable
+        Returns once the registry's changes are on this replica's disk.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         routing: RoutingState,
         transport: Transport,
         is_current: Callable[[], bool],
+        flush: Callable[[], Awaitable[None]],
         rng: Random,
         clock: Callable[[], Seconds],
     ) -> None:
@@ -99,6 +102,7 @@
         self._routing = routing
         self._transport = transport
         self._is_current = is_current
+        self._flush = flush
         self._clock = clock
         self._loads = RegionLoads(
             region=self._region, regions_by_zone=regions_by_zone, clock=clock
@@ -141,21 +145,26 @@
         """
         Take in an upstream's announcement.
 
-        A farewell returns once another replica has it too, or after
-        ``SPREAD_TIMEOUT_SECONDS``.
+        A farewell returns once it is on this replica's disk, and on that of another
+        one if one is in reach, or after ``SPREAD_TIMEOUT_SECONDS``.
         """
         if not self.registry.hear(record):
             return
         outboxes = self._spread_changes()
-        if record.phase != "serving" and outboxes:
-            sent = [asyncio.ensure_future(box.wait_empty()) for box in outboxes]
-            await asyncio.wait(
-                sent,
-                timeout=SPREAD_TIMEOUT_SECONDS,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            for task in sent:
-                task.cancel()
+        if record.phase == "serving":
+            return
+        try:
+            async with asyncio.timeout(SPREAD_TIMEOUT_SECONDS):
+                await asyncio.gather(self._flush(), _wait_for_one_empty(outboxes))
+        except TimeoutError:
+            _log.warning("a farewell may be lost with this replica", upstream=record.id)
+
+    async def _flush_soon(self) -> None:
+        try:
+            async with asyncio.timeout(SPREAD_TIMEOUT_SECONDS):
+                await self._flush()
+        except TimeoutError:
+            _log.warning("the disk takes no farewells in time")
 
     def release(self, fingerprint: int) -> int:
         """
@@ -294,6 +303,8 @@
         self._peers.learn(message.control)
         self._regions_by_peer[sender] = message.region
         self.registry.take(Records(message.entries, message.upstreams))
+        if any(upstream.phase != "serving" for upstream in message.upstreams):
+            await self._flush_soon()
         for mark in message.marks:
             self.marks.add(mark)
         for limit in message.limits:
@@ -390,6 +401,18 @@
         )
 
 
+async def _wait_for_one_empty(outboxes: "list[_Outbox]") -> None:
+    """Return once one of several replicas has all that it was to be told."""
+    if not outboxes:
+        return
+    sent = [asyncio.ensure_future(outbox.wait_empty()) for outbox in outboxes]
+    try:
+        await asyncio.wait(sent, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in sent:
+            task.cancel()
+
+
 class _Outbox:
     """Records on their way to one replica; the newest of each is sent."""
 
--- a/poplarlug/discovery/registry.py
+++ b/poplarlug/discovery/registry.py
@@ -147,6 +147,14 @@
             key for key, held in self._held_by_key.items() if not held.record.is_over
         )
 
+    def lasting(self) -> Records:
+        """Return what a restart should know: what is there, and upstreams that left."""
+        return self._split(
+            key
+            for key, held in self._held_by_key.items()
+            if not held.record.is_over or _has_left(held.record)
+        )
+
     def entry(self, name: VmName) -> EntryRecord | None:
         held = self._held_by_key.get(f"e:{name}")
         return held.record if held and isinstance(held.record, EntryRecord) else None
@@ -268,6 +276,10 @@
     return record
 
 
+def _has_left(record: Record) -> bool:
+    return isinstance(record, ServiceUpstream) and record.phase == "gone"
+
+
 def _is_same(former: Record, record: Record) -> bool:
     if isinstance(former, ServiceUpstream) and isinstance(record, ServiceUpstream):
         return record.says_the_same(former)
--- a/poplarlug/discovery/registry_file.py
+++ b/poplarlug/discovery/registry_file.py
@@ -9,11 +9,12 @@
 from poplarlug.discovery.crash_marks import CrashMark, CrashMarks
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.discovery.registry import Records, Registry
+from poplarlug.latest import Latest
 from poplarlug.logs import PartLog
 
 FILE_NAME = "registry"
 WRITE_SECONDS = 1.0
-"""Shortest time between two writes."""
+"""Shortest time between two writes that nobody waits for."""
 
 _log = PartLog(prefix="discovery")
 
@@ -26,12 +27,12 @@
 
 class RegistryFile:
     """
-    Write the records that are there, and read them at the start.
+    Write the records that are there or have left, and read them at the start.
 
     What is read counts as heard some time ago, so it is gone soon unless its VM
     or upstream gives a sign. After all replicas were lost together, requests can
-    be sent before the upstreams announce themselves again. The crash marks of requests
-    that are held back are kept with them.
+    be sent before the upstreams announce themselves again, but to none that had left.
+    The crash marks of requests that are held back are kept with them.
     """
 
     def __init__(self, *, disk: Disk, registry: Registry, marks: CrashMarks) -> None:
@@ -40,6 +41,8 @@
         self._marks = marks
         self._written: tuple[int, frozenset[CrashMark]] | None = None
         self._changed = asyncio.Event()
+        self._wanted = asyncio.Event()
+        self._finished: Latest[int] = Latest(initial=0)
         registry.revision.subject.subscribe(lambda _: self._changed.set())
         marks.revision.subject.subscribe(lambda _: self._changed.set())
 
@@ -63,21 +66,38 @@
             marks=len(content.marks),
         )
 
+    async def flush(self) -> None:
+        """Return once what is known now was written, or could not be."""
+        revision = self._registry.revision.value
+        self._wanted.set()
+        await self._finished.wait_for(lambda written: written >= revision)
+
     async def run(self) -> None:
         """Write the records after changes until cancelled."""
         while True:
             await self._changed.wait()
             self._changed.clear()
-            marks = self._marks.lasting()
-            ageless = frozenset(mark._replace(age_seconds=0.0) for mark in marks)
-            state = self._registry.revision.value, ageless
-            if state == self._written:
-                continue
-            self._written = state
-            present = self._registry.present()._replace(marks=tuple(marks))
+            self._wanted.clear()
+            revision = self._registry.revision.value
+            await self._write(revision)
+            self._finished.set(revision)
             try:
-                await self._disk.replace(FILE_NAME, msgspec.msgpack.encode(present))
-            except OSError as error:
-                # The records are a convenience; the replica goes on without.
-                _log.warning("can't write records", error=str(error))
-            await asyncio.sleep(WRITE_SECONDS)
+                async with asyncio.timeout(WRITE_SECONDS):
+                    await self._wanted.wait()
+            except TimeoutError:
+                # Nobody waits for the next write.
+                pass
+
+    async def _write(self, revision: int) -> None:
+        marks = self._marks.lasting()
+        ageless = frozenset(mark._replace(age_seconds=0.0) for mark in marks)
+        state = revision, ageless
+        if state == self._written:
+            return
+        self._written = state
+        kept = self._registry.lasting()._replace(marks=tuple(marks))
+        try:
+            await self._disk.replace(FILE_NAME, msgspec.msgpack.encode(kept))
+        except OSError as error:
+            # The records are a convenience; the replica goes on without.
+            _log.warning("can't write records", error=str(error))
--- a/tests/discovery/test_deployment.py
+++ b/tests/discovery/test_deployment.py
@@ -51,6 +51,17 @@
         self.take(whole=True)
         self.assertEqual(self.serving(), [])
 
+    # Guards against upstreams that had left and were in use again.
+    def test_upstream_that_left_is_not_brought_back_by_a_replica(self) -> None:
+        """One that was restarted may know it as it was before; a new run is new."""
+        for phase in ("leaving", "gone"):
+            self.take(upstreams=(make_upstream(),))
+            self.take(upstreams=(make_upstream(phase=phase, sequence=2),))
+            self.take(upstreams=(make_upstream(),))
+            self.assertEqual(self.serving(), [], phase)
+        self.take(upstreams=(make_upstream(born=make_upstream().born + 1),))
+        self.assertEqual(self.serving(), ["e-1"])
+
     def test_evacuated_zone_serves_nothing_and_comes_back_as_if_cold(self) -> None:
         """Its upstreams may have become cold before they announce that."""
         self.take(upstreams=(make_upstream(),))
--- a/tests/discovery/test_mark_sharing.py
+++ b/tests/discovery/test_mark_sharing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 
 from poplarlug.control.routing_state import RoutingState
@@ -55,6 +56,7 @@
             routing=RoutingState(),
             transport=transport,
             is_current=lambda: True,
+            flush=partial(asyncio.sleep, 0.0),
             rng=Random(f"{name}/{clock()}"),
             clock=clock,
         )
