Let no message with senseless values end a part of a process

What operators would have seen: one message with an address that is none, as its sender or among the replicas that it names, and each control replica's log failed at every round (ZMQError 'Invalid argument' out of the recruiting of members), up to the end of the process when its restarts were used up; entries were told of that address as a replica.

Cause: texts from messages went to the socket's connect unchecked. A beat's sequence beyond 64 bits could be taken and not be told on, and a limit of nan or infinity would have ended the placement of requests.

Now a peer's name that is no address has none, control replicas keep no such name, a connect that fails is a link that isn't there, beats with such numbers or addresses are refused, and limits that no VM of ours could have said are passed over. One check of addresses serves all.

Evidence: fuzz tests with real processes on every topic of the peers' port, with senseless values, cut and changed messages and random frames, and bytes and calls on each HTTP port.

--- a/poplarlug/discovery/control_peers.py
+++ b/poplarlug/discovery/control_peers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from poplarlug.addresses import is_address
 from poplarlug.types import Address, Seconds
 
 FORGET_SECONDS = 60.0
@@ -20,6 +21,8 @@
         Where to begin.
     members : callable
         Returns the addresses of the control group's members.
+    is_address : callable
+        Tells addresses from other texts, which messages may hold.
     """
 
     def __init__(
@@ -29,21 +32,26 @@
         seeds: Iterable[Address],
         members: Callable[[], Iterable[Address]],
         clock: Callable[[], Seconds],
+        is_address: Callable[[Address], bool] = is_address,
     ) -> None:
         self._own = own
+        self._is_address = is_address
         self._seeds = tuple(seeds)
         self._members = members
         self._clock = clock
         self._seen_by_address: dict[Address, Seconds] = {}
 
     def saw(self, address: Address) -> None:
-        """Note a message of the replica at ``address``."""
+        """Note a message of the replica at ``address``; none is at another text."""
+        if not self._is_address(address):
+            return
         self._seen_by_address[address] = self._clock()
 
     def learn(self, addresses: Iterable[Address]) -> None:
         """Note replicas that another one named."""
         for address in addresses:
-            self._seen_by_address.setdefault(address, self._clock())
+            if self._is_address(address):
+                self._seen_by_address.setdefault(address, self._clock())
 
     def replace_seeds(self, seeds: Iterable[Address]) -> None:
         """Take new seeds from changed settings."""
--- a/poplarlug/discovery/named_limits.py
+++ b/poplarlug/discovery/named_limits.py
@@ -14,6 +14,9 @@
 """How long a limit stays whose upstream isn't known; a replica that has just started
 knows all that are there after five announcements, some six seconds."""
 
+MAX_VERSION = 2**48
+"""An upstream that changed its limit each millisecond would take an age to get there."""
+
 _log = PartLog(prefix="limits")
 
 
@@ -37,6 +40,12 @@
     version: int
     rate: float | None
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether a VM of ours could have said this."""
+        is_rate = self.rate is None or (math.isfinite(self.rate) and self.rate >= 0)
+        return is_rate and 0 < self.version <= MAX_VERSION
+
     def overrides(self, other: "NamedLimit") -> bool:
         """
         Return whether this one is in force where both are known.
@@ -124,6 +133,9 @@
 
     def add(self, limit: NamedLimit) -> bool:
         """Take in what another VM told; return whether it was news."""
+        if not limit.is_sound:
+            _log.warning("passed over a limit that makes no sense", limit=str(limit))
+            return False
         held = self._held_by_run.get(limit.run)
         if held is not None and not limit.overrides(held.limit):
             return False
--- a/poplarlug/platform/documents.py
+++ b/poplarlug/platform/documents.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from poplarlug.addresses import is_address
 from poplarlug.discovery.records import ServiceUpstream, UpstreamPhase
 from poplarlug.discovery.registry import ANY_RUN
 from poplarlug.routes import (
@@ -20,6 +21,9 @@
 from poplarlug.routes.checks import RouteProblem
 
 MILLISECONDS = 1000.0
+MAX_SEQUENCE = 2**63
+"""What fits into messages between processes; no run announces itself so often."""
+
 MAX_BORN = 2**53
 MAX_SLOTS = 100_000
 
@@ -126,11 +130,12 @@
         beat = msgspec.json.decode(body, type=_Beat)
     except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
         return Failure(str(error))
-    host, _, port = beat["address"].rpartition(":")
-    if not host or not port.isdecimal():
+    if not is_address(beat["address"]):
         return Failure(f"got address {beat['address']!r}, expected IP:PORT")
     if not 0 < beat["slots"] <= MAX_SLOTS or not 0 <= beat.get("born", 1) < MAX_BORN:
         return Failure("slots or born are out of range")
+    if not 0 <= beat["sequence"] < MAX_SEQUENCE:
+        return Failure(f"got sequence {beat['sequence']}, expected a 63-bit number")
     phase: UpstreamPhase = "serving" if beat["state"] == "ready" else "leaving"
     remaining = beat.get("remaining_ms")
     return Success(
--- a/poplarlug/topology.py
+++ b/poplarlug/topology.py
@@ -1,11 +1,11 @@
 """The VMs of a deployment, as its topology file lists them."""
 
-import ipaddress
 from collections import Counter
 from collections.abc import Iterable
 from pathlib import Path
 from typing import NamedTuple
 
+from poplarlug.addresses import is_address
 from poplarlug.logs import LogFormat, LogLevel
 from poplarlug.settings import SettingsError
 from poplarlug.types import Address, RegionName, VmName, ZoneName
@@ -91,7 +91,7 @@
         errors = []
         for path, address in self._addresses():
             paths_by_address.setdefault(address, []).append(path)
-            if not _is_address(address):
+            if not is_address(address):
                 message = (
                     f"got {address!r}, expected an IP number and a port, "
                     "as '10.0.0.7:8101'"
@@ -160,12 +160,3 @@
 
 def _repeated(names: Iterable[str]) -> list[str]:
     return sorted(name for name, count in Counter(names).items() if count > 1)
-
-
-def _is_address(address: Address) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return port.isascii() and port.isdigit() and 0 < int(port[:9]) <= MAX_PORT
--- a/poplarlug/transport/zeromq.py
+++ b/poplarlug/transport/zeromq.py
@@ -10,6 +10,7 @@
 import zmq.auth
 from zmq.auth.asyncio import AsyncioAuthenticator
 
+from poplarlug.addresses import is_address
 from poplarlug.logs import PartLog
 from poplarlug.metrics import count_frame
 from poplarlug.topology import KeyFiles
@@ -129,7 +130,12 @@
             dealer.curve_serverkey, _ = zmq.auth.load_certificate(
                 str(_key_file(self._keys, peer))
             )
-        dealer.connect(f"tcp://{address}")
+        try:
+            dealer.connect(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            _log.warning("can't connect", peer=peer, address=address, error=str(error))
+            dealer.close()
+            return None
         self._dealers_by_name[peer] = dealer
         self._receivers_by_name[peer] = (
             asyncio.ensure_future(self._receive_from(peer, dealer)),
@@ -224,9 +230,15 @@
 
 
 class NamedByAddress(Mapping[VmName, Address]):
-    """Addresses of peers that are named by them, as where no list of VMs exists."""
+    """
+    Addresses of peers that are named by them, as where no list of VMs exists.
+
+    A name that is no address has none, whoever sent it.
+    """
 
     def __getitem__(self, name: VmName) -> Address:
+        if not is_address(name):
+            raise KeyError(name)
         return name
 
     def __iter__(self) -> Iterator[VmName]:
--- a/tests/discovery/test_mark_sharing.py
+++ b/tests/discovery/test_mark_sharing.py
@@ -51,7 +51,11 @@
             registry=Registry(clock=clock, beat_seconds=1.2),
             marks=CrashMarks(clock=clock),
             peers=ControlPeers(
-                own=name, seeds=REPLICAS, members=lambda: REPLICAS, clock=clock
+                own=name,
+                seeds=REPLICAS,
+                members=lambda: REPLICAS,
+                clock=clock,
+                is_address=lambda address: address in REPLICAS,
             ),
             routing=RoutingState(),
             transport=transport,
--- /dev/null
+++ b/tests/platform_adapter/test_malformed_messages.py
@@ -0,0 +1,326 @@
+"""Tests of messages that no process of ours sends, with real processes on loopback."""
+
+import math
+import socket
+import tempfile
+import time
+import uuid
+from collections.abc import Iterator
+from pathlib import Path
+from random import Random
+from unittest import TestCase
+
+import msgspec
+import zmq
+
+from poplarlug.discovery.crash_marks import CrashMark
+from poplarlug.discovery.messages import (
+    GOSSIP_TOPIC,
+    LIMITS_TOPIC,
+    MARKS_TOPIC,
+    POLL_TOPIC,
+    TABLES_TOPIC,
+    Gossip,
+    LimitsReport,
+    MarksReport,
+    Poll,
+    ServiceDemand,
+    TablesRequest,
+    WaitingCount,
+)
+from poplarlug.discovery.named_limits import NamedLimit
+from poplarlug.discovery.records import (
+    EntryRecord,
+    RegionLoad,
+    ServiceUpstream,
+    UpstreamLoad,
+    UpstreamRun,
+)
+from poplarlug.platform.names import DIALECT
+from poplarlug.soak.deployment import ZONES, Answer, SeededDeployment, wait_until
+from poplarlug.soak.upstream import Upstream
+from poplarlug.transport.frames import FrameKind, Header, encode_header
+from tests.platform_adapter.test_deadly_requests import Announcer
+from tests.platform_adapter.test_whole_path import HOST, configuration
+
+SEED = 11
+ROUNDS = 12
+PEERS_PORT = 7660
+ODD_TEXTS = ("", "nonsense", "no:port", "127.0.0.1:99999", "::", "\x00", "x" * 5000)
+ODD_NUMBERS = (-1, 0, 2**63 - 1, -(2**63), 2**40)
+ODD_FLOATS = (math.nan, math.inf, -math.inf, -1.0, 1e308, 0.0)
+RECOVERED_SECONDS = 15.0
+BEAT = (
+    b'{"service": "desk", "address": "%s", "zone": "quito-a", "version": "v1",'
+    b' "slots": 4, "state": "ready", "cold_left_ms": 0, "sequence": %s, "born": %s}'
+)
+
+
+class Oddities:
+    """Messages of the right shape with values that make no sense."""
+
+    def __init__(self, *, rng: Random) -> None:
+        self._rng = rng
+
+    def text(self) -> str:
+        return self._rng.choice(ODD_TEXTS)
+
+    def number(self) -> int:
+        return self._rng.choice(ODD_NUMBERS)
+
+    def real(self) -> float:
+        return self._rng.choice(ODD_FLOATS)
+
+    def entry(self) -> EntryRecord:
+        text = self.text
+        return EntryRecord(
+            text(), "sierra", "quito-a", text(), text(), self.number(), "serving"
+        )
+
+    def upstream(self) -> ServiceUpstream:
+        return ServiceUpstream(
+            id=f"odd-{self._rng.random()}",
+            service="desk",
+            address=self.text(),
+            zone=self._rng.choice(("quito-a", "nowhere")),
+            born=self.number(),
+            sequence=self.number(),
+            slots=self.number(),
+            cold_seconds=self.real(),
+            ends_in_seconds=self.real(),
+        )
+
+    def load(self) -> UpstreamLoad:
+        number = self.number
+        return UpstreamLoad("u-1", number(), number(), number(), number())
+
+    def region(self) -> RegionLoad:
+        number = self.number
+        return RegionLoad(
+            "austro",
+            "desk",
+            upstreams=number(),
+            slots=number(),
+            running=number(),
+            waiting=number(),
+            calm=self.load(),
+            quick=self.load(),
+        )
+
+    def limit(self) -> NamedLimit:
+        run = UpstreamRun(self._rng.choice(("u-1", "odd")), self.number())
+        return NamedLimit(run, self.number(), self.real())
+
+    def mark(self) -> CrashMark:
+        run = UpstreamRun(self.text(), self.number())
+        return CrashMark(self._rng.getrandbits(60), run, age_seconds=self.real())
+
+    def messages(self) -> Iterator[tuple[str, object]]:
+        yield (
+            GOSSIP_TOPIC,
+            Gossip(
+                region=self.text(),
+                entries=(self.entry(),),
+                upstreams=(self.upstream(),),
+                heard=(self._rng.getrandbits(32),),
+                regions=(self.region(),),
+                control=(self.text(), self.text()),
+                marks=(self.mark(),),
+                limits=(self.limit(),),
+            ),
+        )
+        yield (
+            POLL_TOPIC,
+            Poll(
+                record=self.entry(),
+                registry_id=self.text(),
+                known=self.number(),
+                routing_revision=self.number(),
+                loads=(self.load(),),
+                waiting=(WaitingCount("desk", self.number()),),
+                hold_seconds=self.real(),
+                marks_known=self.number(),
+                limits_known=self.number(),
+                demands=(ServiceDemand("desk", self.real()),),
+            ),
+        )
+        yield MARKS_TOPIC, MarksReport((self.mark(),))
+        yield LIMITS_TOPIC, LimitsReport((self.limit(),))
+        yield TABLES_TOPIC, TablesRequest()
+
+
+class MalformedMessageTests(TestCase):
+    """One entry and one upstream in Quito; a control replica in each zone."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.deployment = SeededDeployment(
+            folder=Path(folder.name), entry_zones=("quito-a", "quito-a")
+        )
+        self.addCleanup(self.deployment.close)
+        self.deployment.start_all()
+        self.rng = Random(SEED)
+        self.names = [*self.deployment.control.values(), *self.deployment.entries]
+        upstream = Upstream(
+            upstream_id="u-1",
+            ip=self.deployment.ip("u-1"),
+            service="desk",
+            zone="quito-a",
+        )
+        self.addCleanup(upstream.close)
+        announcer = Announcer(deployment=self.deployment, upstreams=[upstream])
+        announcer.start()
+        self.addCleanup(announcer.stop)
+        body = configuration(1, look={"route_kind": "safe"})
+        self.assertEqual(self.deployment.operate("PUT", "/config", body).status, 200)
+        self.deployment.wait_ready()
+        self.wait_served()
+        self.pids = {name: self.deployment.pid(name) for name in self.names}
+
+    def call(self, entry: str) -> Answer:
+        return self.deployment.call(
+            self.deployment.entry_address(entry),
+            "GET",
+            "/look/1",
+            None,
+            {
+                "Host": HOST,
+                DIALECT.request_id: uuid.uuid4().hex,
+                DIALECT.deadline: "3000",
+            },
+        )
+
+    def wait_served(self) -> None:
+        for entry in self.deployment.entries:
+            wait_until(
+                lambda entry=entry: self.call(entry).status == 200,
+                f"{entry} serves nothing",
+                RECOVERED_SECONDS,
+            )
+
+    def check_all_go_on(self) -> None:
+        """Check that no process ended or gave up a part, and that all serve."""
+        self.wait_served()
+        for name in self.names:
+            self.assertTrue(self.deployment.is_running(name), name)
+            log = self.deployment.log(name).splitlines()
+            failures = [line for line in log if "child failed" in line]
+            self.assertEqual(failures[:1], [], name)
+        body = configuration(2, look={"route_kind": "safe"})
+        self.assertEqual(self.deployment.operate("PUT", "/config", body).status, 200)
+
+    def send_frames(self, address: str, frames: list[list[bytes]]) -> None:
+        context = zmq.Context()
+        dealer = context.socket(zmq.DEALER)
+        dealer.linger = 500
+        dealer.connect(f"tcp://{address}")
+        for frame in frames:
+            dealer.send_multipart(frame)
+        time.sleep(0.2)
+        dealer.close()
+        context.term()
+
+    def peers(self) -> list[str]:
+        return [f"{self.deployment.ip(name)}:{PEERS_PORT}" for name in self.names]
+
+    # Guards against one malformed message that takes a whole process down.
+    def test_messages_with_values_that_make_no_sense_end_nothing(self) -> None:
+        """Whoever they say that they come from, on every topic."""
+        oddities = Oddities(rng=self.rng)
+        for _ in range(ROUNDS):
+            frames = []
+            for topic, message in oddities.messages():
+                header = Header(
+                    FrameKind.REQUEST, oddities.text(), self.rng.getrandbits(30), topic
+                )
+                payload = msgspec.msgpack.encode(message)
+                frames.append([encode_header(header), payload])
+            for peer in self.peers():
+                self.send_frames(peer, frames)
+        time.sleep(2.0)
+        self.check_all_go_on()
+
+    def test_frames_that_are_no_messages_end_nothing(self) -> None:
+        """Random bytes, cut and changed messages, too many parts."""
+        rng = self.rng
+        whole = []
+        for topic, message in Oddities(rng=rng).messages():
+            header = Header(FrameKind.REQUEST, "127.0.0.1:1", 1, topic)
+            whole.append([encode_header(header), msgspec.msgpack.encode(message)])
+        frames: list[list[bytes]] = [[b""], [b"", b""], [b"x"] * 9]
+        for _ in range(200):
+            header_data, payload = rng.choice(whole)
+            cut = rng.randrange(len(payload))
+            changed = bytearray(payload)
+            changed[cut] ^= 1 << rng.randrange(8)
+            frames += [
+                [rng.randbytes(rng.randrange(60)), rng.randbytes(rng.randrange(60))],
+                [header_data, payload[:cut]],
+                [header_data, bytes(changed)],
+                [header_data[: rng.randrange(len(header_data))], payload],
+            ]
+        for peer in self.peers():
+            self.send_frames(peer, frames)
+        time.sleep(1.0)
+        self.check_all_go_on()
+
+    def test_bytes_that_are_no_calls_end_nothing(self) -> None:
+        """On every port that speaks HTTP, and on that of the peers."""
+        rng = self.rng
+        bodies = [
+            b"",
+            b"{",
+            b"null",
+            b"[]",
+            b"1",
+            b"\xff\xfe",
+            b'{"version": 1e999}',
+            b'{"version": 99999999999999999999999999}',
+            b"[" * 10_000,
+            BEAT % (b"127.0.0.1:9", b"1" * 25, b"5"),
+            BEAT % (b"127.0.0.1:9", b"5", b"1" * 25),
+            BEAT % (b"127.0.0.1:99999", b"5", b"5"),
+            BEAT % (b"nonsense:80", b"5", b"5"),
+            b'{"version": %s, "routes": [], "services": []}' % (b"1" * 25),
+            b'{"service": 5, "born": "x", "sequence": []}',
+            b'{"service":"desk","address":"x","zone":"quito-a","slots":-1,'
+            b'"state":"ready","sequence":1e308,"born":1.5}',
+        ]
+        for name in self.names:
+            ip = self.deployment.ip(name)
+            is_control = name in self.deployment.control.values()
+            ports = [8146] if is_control else [8140, 8143, 8144, 7661]
+            for port in [*ports, PEERS_PORT, 9464]:
+                for _ in range(6):
+                    self.send_bytes(ip, port, rng.randbytes(rng.randrange(1, 4000)))
+                    self.send_bytes(ip, port, b"GET / HTTP/1.1\r\n" + b"a" * 3000)
+                for body in bodies:
+                    for method, path in (
+                        ("PUT", "/config"),
+                        ("PUT", "/instances/odd"),
+                        ("DELETE", "/instances/%00%ff"),
+                        ("POST", "/evacuations/%F0%9F"),
+                        ("GET", "/resolve?name=%ff&region=&zone=%00"),
+                    ):
+                        head = (
+                            f"{method} {path} HTTP/1.1\r\nHost: x\r\n"
+                            f"Content-Length: {len(body)}\r\n\r\n"
+                        )
+                        if port != PEERS_PORT:
+                            self.send_bytes(ip, port, head.encode() + body)
+        self.check_all_go_on()
+
+    def send_bytes(self, ip: str, port: int, data: bytes) -> None:
+        try:
+            with socket.create_connection((ip, port), timeout=2.0) as connection:
+                connection.settimeout(0.05)
+                connection.sendall(data)
+                connection.recv(1000)
+        except OSError:
+            # It was closed, or nothing was answered.
+            pass
+
+    def test_all_zones_have_a_replica(self) -> None:
+        """What the other tests send reaches each of them."""
+        self.assertEqual(set(self.deployment.control), set(ZONES))
