Give all turns of a region's suspects at one entry

Cause, by reading and a unit test: turns keep suspects apart at an upstream, but each entry gives its own, and the entry was chosen by the request. Two suspects with different entries had turns at one upstream at the same time; the healthy one got a mark 'apart' and 'alone' for the other's crash, and two of these are a quarantine.

Ruled out: one entry for each upstream. A request then moves to another entry with each crash, before it is known what came of the last send: a common request in four waves of crashes was quarantined (test).

Not shown: the quarantine itself.

--- a/poplarlug/relay/rate_shares.py
+++ b/poplarlug/relay/rate_shares.py
@@ -47,10 +47,10 @@
     return min(rates, default=None)
 
 
-def rank_by_hash(names: Iterable[VmName], upstream_id: UpstreamId) -> list[VmName]:
-    """Return entries in an order that differs for each upstream, alike at all VMs."""
+def rank_by_hash(names: Iterable[VmName], key: str) -> list[VmName]:
+    """Return entries in an order that differs for each key, alike at all VMs."""
     return sorted(
-        names, key=lambda n: xxhash.xxh3_64_intdigest(f"{upstream_id}/{n}".encode())
+        names, key=lambda name: xxhash.xxh3_64_intdigest(f"{key}/{name}".encode())
     )
 
 
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -381,8 +381,10 @@
         """
         Return the entry at which a suspect runs, ``None`` for this one.
 
-        It is one of a region that has upstreams for it. Entries that know of the
-        same ones agree without asking each other, in a cut those of each side.
+        The request tells the region, of those that have upstreams for it, and the
+        service the entry there: so all suspects that may meet at an upstream take
+        their turns at one entry. Entries that know of the same ones agree without
+        asking each other, in a cut those of each side.
         """
         own = self.deployment.own_region
         now = self._clock()
@@ -402,7 +404,7 @@
             return None
         region = _first_by_hash(fingerprint, entries_by_region)
         entries_by_name = entries_by_region[region]
-        return entries_by_name[_first_by_hash(fingerprint, entries_by_name)]
+        return entries_by_name[rank_by_hash(entries_by_name, request.service)[0]]
 
     def _bears(self, upstream: ServiceUpstream, service: RoutedService) -> bool:
         """Return whether an upstream bears one more request from this entry."""
--- a/tests/platform_adapter/test_deadly_requests.py
+++ b/tests/platform_adapter/test_deadly_requests.py
@@ -278,6 +278,22 @@
         for entry in self.deployment.entries:
             self.assertEqual(self.send(entry, "book", DEADLY + b" beside").status, 422)
 
+    def test_healthy_request_sent_beside_each_deadly_one_is_served(self) -> None:
+        """Both are suspects at the same time, and only one of them ends upstreams."""
+        for upstream in self.upstreams:
+            upstream.event_seconds = 0.06
+        deadly = DEADLY + b" beside"
+        healthy = b"healthy beside"
+        with ThreadPoolExecutor(6) as pool:
+            for entry in self.deployment.entries * 2:
+                pool.submit(self.send, entry, "book", deadly)
+                for other in self.deployment.entries:
+                    pool.submit(self.send, other, "stream", healthy)
+                time.sleep(1.5)
+        for entry in self.deployment.entries:
+            self.assertEqual(self.send(entry, "book", deadly).status, 422)
+            self.assertEqual(self.send_again(entry, "stream", healthy).status, 200)
+
     def crash_under(self, route: str, body: bytes | None, times: int) -> set[int]:
         """Let each upstream that gets a request end under it, without its fault."""
         statuses: set[int] = set()
