Count whole events as a stream's progress, not bytes

What callers saw: a stream that stands still at an upstream that is lost is taken up elsewhere after 2 s without a byte; one that gets a byte now and then, as from a peer that drips, stood still until the route's time was over.

Cause: the stall was measured between any two reads. It is measured from the last whole event now, which is all that callers get of such a stream; a silent or dripping upstream that is there still keeps its stream.

The new test failed on the code before: the stream ended whole after 4 s of drips where a place was free.

--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -11,6 +11,7 @@
 from poplarlug.relay.hop_headers import end_to_end
 from poplarlug.serving.answers import AnswerHead
 from poplarlug.serving.relay import BodyRelay
+from poplarlug.types import Seconds
 
 DROPPED_BYTES = 16 * 1024
 """A refusal's body is shorter; more would cost as much as a new connection."""
@@ -71,10 +72,12 @@
 ) -> Outcome:
     request, sink = course.request, course.sink
     content = response.content
+    loop = asyncio.get_running_loop()
+    stalls_at = loop.time() + STALL_SECONDS
     try:
         async with asyncio.timeout_at(request.deadline) as whole:
             while True:
-                data = await _read(content, course)
+                data = await _read(content, course, stalls_at)
                 if not data and content.at_eof():
                     break
                 whole_events = events.feed(data)
@@ -82,6 +85,7 @@
                     whole_events += events.let_go()
                 if whole_events:
                     await sink.write(whole_events)
+                    stalls_at = loop.time() + STALL_SECONDS
     except TimeoutError:
         reason = "took too long" if whole.expired() else "stood still"
         return Outcome(truncated_answer(f"the answer {reason}"))
@@ -95,23 +99,35 @@
     return DONE
 
 
-async def _read(content: aiohttp.StreamReader, course: Course) -> bytes:
+async def _read(
+    content: aiohttp.StreamReader, course: Course, stalls_at: Seconds
+) -> bytes:
     """
     Return what comes next.
 
+    Parameters
+    ----------
+    stalls_at : float
+        Loop time from which the stream stands still, whatever parts of events come.
+
     Raises
     ------
     TimeoutError
-        If nothing comes and the stream can be taken up elsewhere. An upstream's
-        silence alone ends no stream: it may be busy with other prompts.
+        If it stands still and can be taken up elsewhere. An upstream's silence alone
+        ends no stream: it may be busy with other prompts.
     """
+    loop = asyncio.get_running_loop()
     while True:
+        if loop.time() >= stalls_at:
+            if course.may_move():
+                raise TimeoutError
+            stalls_at = loop.time() + STALL_SECONDS
         try:
-            async with asyncio.timeout(STALL_SECONDS):
+            async with asyncio.timeout_at(stalls_at):
                 return await content.readany()
         except TimeoutError:
-            if course.may_move():
-                raise
+            # It stands still; see above whether it can be taken up elsewhere.
+            continue
 
 
 async def _pass_on_whole(
--- a/tests/relay/test_passing.py
+++ b/tests/relay/test_passing.py
@@ -14,6 +14,7 @@
 from tests.relay.test_view import make_request
 from tests.routes.test_checks import make_route
 
+DRIP_SECONDS = 0.3
 EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
 
 
@@ -55,8 +56,28 @@
         return not self._left
 
 
+class DrippingContent(PausingContent):
+    """Give a byte of the other event now and then during the pause."""
+
+    async def readany(self) -> bytes:
+        loop = asyncio.get_running_loop()
+        if len(self._left) == 1 and self._resumes_at is None:
+            self._resumes_at = loop.time() + self._pause
+        if self._resumes_at is not None and loop.time() < self._resumes_at:
+            await asyncio.sleep(DRIP_SECONDS)
+            byte, self._left[0] = self._left[0][:1], self._left[0][1:]
+            return byte
+        return self._left.pop(0) if self._left else b""
+
+
 class StallTests(TestCase):
-    def play(self, *, pause: float, may_move: bool) -> tuple[Outcome, CollectingSink]:
+    def play(
+        self,
+        *,
+        pause: float,
+        may_move: bool,
+        content_type: type[PausingContent] = PausingContent,
+    ) -> tuple[Outcome, CollectingSink]:
         """Pass on a resumable stream that stands still once."""
 
         async def main() -> tuple[Outcome, CollectingSink]:
@@ -72,7 +93,7 @@
                 status=200,
                 headers={"Content-Type": "text/event-stream"},
                 content_length=None,
-                content=PausingContent(pause),
+                content=content_type(pause),
             )
             return await pass_on(course, response, HeldBytes()), sink
 
@@ -92,6 +113,18 @@
         self.assertEqual(sink.data, EVENTS[0])
         self.assertFalse(sink.is_finished)
 
+    # Guards against stalled streams that never ended, as a byte came now and then.
+    def test_stream_that_sends_a_byte_now_and_then_stands_still(self) -> None:
+        """Parts of an event are no progress; they are all passed on in the end."""
+        for may_move in (True, False):
+            outcome, sink = self.play(
+                pause=2 * STALL_SECONDS,
+                may_move=may_move,
+                content_type=DrippingContent,
+            )
+            self.assertEqual(outcome.error is None, not may_move)
+            self.assertEqual(sink.data, EVENTS[0] if may_move else b"".join(EVENTS))
+
     def test_short_pause_moves_nothing(self) -> None:
         """Pauses below the bound are usual."""
         outcome, _ = self.play(pause=STALL_SECONDS / 2, may_move=True)
