Ask what is new before serving on after a pause

Cause: an entry's view is used however old it is, as a zone that is cut off has to go on. After a pause the requests that the kernel took meanwhile are read before the next poll's answer, and the answer that waits in the socket is older than the pause.

Now a process that did nothing for 1.5 s by the clock that counts suspended time holds requests until a poll that it sent since is answered, 1 s at most.

--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -74,6 +74,8 @@
 
     Attributes
     ----------
+    asked : Latest of float
+        Loop time at which the question was sent whose answer came last.
     knows_all_entries : bool
         Whether a replica that knew all of them has named them since the start of
         this entry. Until then no share of a common budget can be worked out.
@@ -102,6 +104,7 @@
         self.region_loads: tuple[RegionLoad, ...] = ()
         self._demands: tuple[EntryDemand, ...] = ()
         self.heard_at: Seconds = float("-inf")
+        self.asked: Latest[Seconds] = Latest(initial=float("-inf"))
         self.knows_all_entries = False
         self.changed: Latest[int] = Latest(initial=0)
 
@@ -211,8 +214,15 @@
         oldest = self._clock() - REMEMBER_SECONDS
         return sum(seen >= oldest for _, seen in self._seen_by_entry.values())
 
-    def take(self, reply: PollReply) -> None:
-        """Bring a replica's news into force."""
+    def take(self, reply: PollReply, asked: Seconds | None = None) -> None:
+        """
+        Bring a replica's news into force.
+
+        Parameters
+        ----------
+        asked : float, optional
+            Loop time at which it was asked; now, if left out.
+        """
         now = self._clock()
         self.heard_at = now
         for name, entry in self.entries_by_name.items():
@@ -242,6 +252,7 @@
             self._forget_lost()
             self._forget_ended()
             self.changed.set(self.changed.value + 1)
+        self.asked.set(now if asked is None else asked)
 
     def _take_routing(self, news: RoutingNews) -> None:
         if news.revision <= self.routing_revision:
--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -207,6 +207,7 @@
 
         Load pattern: all VMs come back after a loss of power, and callers wait.
         """
+        asked = self._clock()
         polls = {
             asyncio.ensure_future(
                 self._request(replica, self._make_poll(False, 0.0), 0.0)
@@ -229,7 +230,7 @@
                         continue
                     self._zones_by_replica[polls[poll]] = reply.zone
                     if reply.current:
-                        self._follow(polls[poll], reply)
+                        self._follow(polls[poll], reply, asked)
                         return True
                     if stale is None or _is_newer(reply, stale[1]):
                         stale = polls[poll], reply
@@ -239,24 +240,25 @@
                 poll.cancel()
         if stale is None:
             return False
-        self._follow(*stale)
+        self._follow(*stale, asked)
         return True
 
     async def _poll_in_turn(self) -> bool:
         """Poll replicas in turn until one is in touch with its leader."""
-        stale: tuple[Address, PollReply] | None = None
+        stale: tuple[Address, PollReply, Seconds] | None = None
         for replica in self._candidates():
             is_followed = replica == self._replica
             hold = self._hold_seconds(replica) if is_followed else 0.0
             poll = self._make_poll(is_followed, hold)
+            asked = self._clock()
             reply = await self._request(replica, poll, hold)
             if reply is None:
                 continue
             self._zones_by_replica[replica] = reply.zone
             if reply.current:
-                self._follow(replica, reply)
+                self._follow(replica, reply, asked)
                 return True
-            stale = stale or (replica, reply)
+            stale = stale or (replica, reply, asked)
         if stale is not None:
             # A zone that is cut off goes on with the replica that it reaches.
             self._follow(*stale)
@@ -325,7 +327,7 @@
                 return None
             await asyncio.sleep(LINK_PAUSE_SECONDS)
 
-    def _follow(self, replica: Address, reply: PollReply) -> None:
+    def _follow(self, replica: Address, reply: PollReply, asked: Seconds) -> None:
         if replica != self._replica:
             _log.info(
                 "follows a control replica",
@@ -335,7 +337,7 @@
                 whole=reply.whole,
                 revision=reply.revision,
             )
-        self._deployment.take(reply)
+        self._deployment.take(reply, asked)
         for mark in reply.marks:
             self._marks.add(mark)
         self._marks_known = reply.marks_revision
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -14,6 +14,7 @@
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import WaitingCount
 from poplarlug.discovery.named_limits import NamedLimits
+from poplarlug.discovery.pauses import PauseWatch
 from poplarlug.discovery.ranking import rank_entries
 from poplarlug.discovery.records import EntryRecord, EntryState
 from poplarlug.discovery.subscriber import OwnLoads, Subscriber
@@ -30,6 +31,7 @@
 from poplarlug.relay.view import FleetView
 from poplarlug.seeded_settings import (
     SeededEntrySettings,
+    boot_time,
     seed_peers,
     watch_settings,
 )
@@ -133,9 +135,13 @@
                 max_header_bytes=HEADER_BYTES, keepalive_seconds=IDLE_SECONDS
             )
         )
+        self.pauses = PauseWatch(
+            deployment=self.deployment, uptime=boot_time, clock=clock
+        )
         self.face = RelayFace(
             gateway=gateway,
             deployment=self.deployment,
+            pauses=self.pauses,
             dialect=dialect,
             admittance=Admittance(self.takes, lambda: self.is_stopping),
             guard=self.guard,
@@ -158,6 +164,7 @@
         self.supervisor.add_child("loop lag", sample_loop_lag)
         self.supervisor.add_child("transport", self.transport.run)
         self.supervisor.add_child("subscriber", self.subscriber.run)
+        self.supervisor.add_child("pauses", self.pauses.run)
         self.supervisor.add_child("dispatcher", self.dispatcher.run)
         self.supervisor.add_child("connections", self.guard.run)
 
--- a/poplarlug/relay/face.py
+++ b/poplarlug/relay/face.py
@@ -14,6 +14,7 @@
 from poplarlug.callers.connections import ConnectionGuard
 from poplarlug.callers.http_sink import HttpSink
 from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.pauses import PauseWatch
 from poplarlug.errors import GatewayError, bad_request, not_run, to_body
 from poplarlug.latest import Latest
 from poplarlug.logs import PartLog
@@ -89,6 +90,8 @@
 
     Parameters
     ----------
+    pauses : PauseWatch
+        Holds requests while the view may be from before a pause.
     dialect : Dialect
         Names of the headers.
     guard : ConnectionGuard
@@ -100,6 +103,7 @@
         *,
         gateway: RelayGateway,
         deployment: Deployment,
+        pauses: PauseWatch,
         dialect: Dialect,
         admittance: Admittance,
         guard: ConnectionGuard,
@@ -108,6 +112,7 @@
     ) -> None:
         self._gateway = gateway
         self._deployment = deployment
+        self._pauses = pauses
         self._dialect = dialect
         self._admittance = admittance
         self._guard = guard
@@ -207,6 +212,7 @@
             message = "this entry takes no requests now; ask another"
             return Failure(not_run(message, LEAVING_RETRY_SECONDS))
         came = self._clock()
+        await self._pauses.wait_for_view()
         routes = self._deployment.routes
         if routes is None:
             await self._wait_for_routes()
--- a/tests/platform_adapter/test_restarts.py
+++ b/tests/platform_adapter/test_stale_state.py
@@ -1,9 +1,11 @@
-"""Tests of what restarted processes believe, with real processes on loopback."""
+"""Tests of stale state after restarts and pauses, with real processes on loopback."""
 
+import signal
 import tempfile
 import time
 import uuid
 from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from unittest import TestCase
 
@@ -16,12 +18,14 @@
     configuration,
 )
 
+PAUSES = 2
+PAUSED_SECONDS = 2.0
 RECALLED_SECONDS = 5.0
 """Longer than a restarted replica keeps what it read from its disk without a sign."""
 
 
-class RestartTests(TestCase):
-    """Two upstreams and two entries in Quito."""
+class StaleStateTests(TestCase):
+    """Upstreams and two entries in Quito."""
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -72,20 +76,20 @@
 
     def send(self) -> list[Answer]:
         """Send a request through each entry."""
-        return [
-            self.deployment.call(
-                self.deployment.entry_address(entry),
-                "GET",
-                "/look/1",
-                None,
-                {
-                    "Host": HOST,
-                    DIALECT.request_id: uuid.uuid4().hex,
-                    DIALECT.deadline: "2000",
-                },
-            )
-            for entry in self.deployment.entries
-        ]
+        return [self.send_to(entry) for entry in self.deployment.entries]
+
+    def send_to(self, entry: str) -> Answer:
+        return self.deployment.call(
+            self.deployment.entry_address(entry),
+            "GET",
+            "/look/1",
+            None,
+            {
+                "Host": HOST,
+                DIALECT.request_id: uuid.uuid4().hex,
+                DIALECT.deadline: "2000",
+            },
+        )
 
     def leave_and_kill(self, names: Sequence[str]) -> None:
         """Let one upstream leave, kill processes at once and see who is used."""
@@ -120,3 +124,28 @@
         self.leave_and_kill(
             [*self.deployment.control.values(), *self.deployment.entries]
         )
+
+    # Guards against requests sent by a permission that ended during a pause.
+    def test_entry_that_stood_still_sends_nothing_to_an_evacuated_zone(self) -> None:
+        """It asks what is new before it serves what came meanwhile."""
+        entry = self.deployment.entries[0]
+        for _ in range(PAUSES):
+            self.deployment.signal(entry, signal.SIGSTOP)
+            time.sleep(PAUSED_SECONDS)
+            path = "/evacuations/quito-a"
+            self.assertEqual(self.deployment.operate("POST", path).status, 200)
+            for upstream in self.upstreams:
+                upstream.arrivals.clear()
+            with ThreadPoolExecutor(4) as pool:
+                # The kernel takes the connections and the requests.
+                sent = [pool.submit(self.send_to, entry) for _ in range(4)]
+                time.sleep(0.2)
+                self.deployment.signal(entry, signal.SIGCONT)
+                statuses = {future.result().status for future in sent}
+            self.assertEqual(statuses, {503})
+            self.assertEqual([len(u.arrivals) for u in self.upstreams], [0, 0, 0])
+            self.assertEqual(self.deployment.operate("DELETE", path).status, 200)
+            self.beat(self.upstreams)
+            wait_until(
+                lambda: self.send_to(entry).status == 200, "the zone serves nothing"
+            )
--- a/tests/relay/test_face.py
+++ b/tests/relay/test_face.py
@@ -11,6 +11,7 @@
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import PollReply, RoutingNews
 from poplarlug.discovery.named_limits import NamedLimits
+from poplarlug.discovery.pauses import PauseWatch
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
 from poplarlug.relay.client import RelayClient
 from poplarlug.relay.dialect import Dialect
@@ -63,6 +64,7 @@
         face = RelayFace(
             gateway=gateway,
             deployment=self.deployment,
+            pauses=PauseWatch(deployment=self.deployment, uptime=clock, clock=clock),
             dialect=Dialect(),
             admittance=Admittance(lambda: True, lambda: False),
             guard=ConnectionGuard(limits=HttpLimits()),
