Let limits cost nothing while no upstream names one

Views asked for each upstream's limit, and replicas listed all records twice a second to forget old ones; both only where there are limits now.

--- a/poplarlug/discovery/named_limits.py
+++ b/poplarlug/discovery/named_limits.py
@@ -75,6 +75,8 @@
 
     Attributes
     ----------
+    rates_by_run : dict
+        The limits in force, in requests a second.
     revision : Latest of int
         Grows with each change.
     has_news : asyncio.Event
@@ -84,6 +86,7 @@
     def __init__(self, *, clock: Callable[[], Seconds]) -> None:
         self._clock = clock
         self._held_by_run: dict[UpstreamRun, _Held] = {}
+        self.rates_by_run: dict[UpstreamRun, float] = {}
         self._news: dict[UpstreamRun, None] = {}
         self.revision: Latest[int] = Latest(initial=0)
         self.has_news = asyncio.Event()
@@ -94,16 +97,7 @@
 
     def rate(self, run: UpstreamRun) -> float | None:
         """Return the limit in force, ``None`` where there is none."""
-        held = self._held_by_run.get(run)
-        return None if held is None else held.limit.rate
-
-    def rates_by_run(self) -> dict[UpstreamRun, float]:
-        """Return all limits in force."""
-        return {
-            run: held.limit.rate
-            for run, held in self._held_by_run.items()
-            if held.limit.rate is not None
-        }
+        return self.rates_by_run.get(run)
 
     def hear(self, run: UpstreamRun, rate: float | None, asked: Seconds) -> bool:
         """
@@ -141,7 +135,9 @@
             return False
         revision = self.revision.value + 1
         self._held_by_run[limit.run] = _Held(limit, self._clock(), revision)
-        former = None if held is None else held.limit.rate
+        former = self.rates_by_run.pop(limit.run, None)
+        if limit.rate is not None:
+            self.rates_by_run[limit.run] = limit.rate
         if limit.rate != former:
             _log.info(
                 "an upstream's limit changed",
@@ -185,6 +181,7 @@
         for run, held in list(self._held_by_run.items()):
             if run not in kept and held.learned < oldest:
                 del self._held_by_run[run]
+                self.rates_by_run.pop(run, None)
 
     def _note(self, limit: NamedLimit) -> bool:
         if not self.add(limit):
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -133,7 +133,9 @@
                 if self._clock() - expired_marks_at >= EXPIRE_MARKS_SECONDS:
                     expired_marks_at = self._clock()
                     self.marks.expire()
-                self.limits.keep_only(u.run for u in self.registry.present().upstreams)
+                if not self.limits.is_empty:
+                    present = self.registry.present().upstreams
+                    self.limits.keep_only(upstream.run for upstream in present)
                 self._follow_peers()
                 self._spread_changes()
                 await asyncio.sleep(EXPIRE_SECONDS)
@@ -261,7 +263,7 @@
             upstreams=records.upstreams,
             heard=self.registry.heard_within(HEARD_SECONDS),
             regions=self._loads.own_region(
-                self._usable_upstreams(), self.limits.rates_by_run()
+                self._usable_upstreams(), self.limits.rates_by_run
             ),
             entry_loads=self._loads.of_entries(own) if is_near else (),
             control=self._peers.present(2 * GOSSIP_SECONDS),
--- a/poplarlug/relay/limiter.py
+++ b/poplarlug/relay/limiter.py
@@ -86,7 +86,7 @@
         self._demands_by_service: dict[ServiceName, Demand] = {}
         self._unreadable: set[UpstreamRun] = set()
         limits.revision.subject.subscribe(
-            lambda _: _LIMITED.set(len(limits.rates_by_run()))
+            lambda _: _LIMITED.set(len(limits.rates_by_run))
         )
 
     def hear(
@@ -129,7 +129,7 @@
 
     def demands(self) -> tuple[ServiceDemand, ...]:
         """Return the demand for services whose upstreams in the region have limits."""
-        if self._limits.is_empty:
+        if self.is_idle:
             return ()
         services = {
             upstream.service
@@ -142,16 +142,17 @@
             for service in sorted(services)
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no upstream has a limit."""
+        return not self._limits.rates_by_run
+
     def is_limited(self, upstream: ServiceUpstream) -> bool:
         """Return whether an upstream named a limit that is in force."""
-        if self._limits.is_empty:
-            return False
         return self._limits.rate(upstream.run) is not None
 
     def is_limited_id(self, upstream_id: UpstreamId) -> bool:
         """Return the same for an upstream that is known by its id."""
-        if self._limits.is_empty:
-            return False
         upstream = self._deployment.upstream(upstream_id)
         return upstream is not None and self.is_limited(upstream)
 
@@ -210,8 +211,6 @@
 
     def _share(self, upstream: ServiceUpstream) -> RateShare | None:
         """Return the share of a limited upstream as it is now."""
-        if self._limits.is_empty:
-            return None
         rate = self._limits.rate(upstream.run)
         if rate is None:
             return None
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -129,7 +129,8 @@
         assert upstream is not None
         if self._is_cold(upstream):
             self._warmup_of(upstream.id).note_sent()
-        self.limiter.note_sent(upstream)
+        if not self.limiter.is_idle:
+            self.limiter.note_sent(upstream)
         flight = self.in_flight.started(
             upstream, service.engine, request, candidate.read_seconds
         )
@@ -200,14 +201,14 @@
         if not shared:
             return Affinity()
         own = self.deployment.own_region
-        # A limited upstream bears too few requests to be a home.
-        regions_by_id = {
-            upstream_id: region
-            for upstream_id, region in self.deployment.serving_regions(
-                request.service
-            ).items()
-            if not self.limiter.is_limited_id(upstream_id)
-        }
+        regions_by_id = self.deployment.serving_regions(request.service)
+        if not self.limiter.is_idle:
+            # A limited upstream bears too few requests to be a home.
+            regions_by_id = {
+                upstream_id: region
+                for upstream_id, region in regions_by_id.items()
+                if not self.limiter.is_limited_id(upstream_id)
+            }
         homes = self._homes_by_service.setdefault(request.service, Homes()).of(
             prompt, regions_by_id
         )
@@ -408,7 +409,7 @@
 
     def _bears(self, upstream: ServiceUpstream, service: RoutedService) -> bool:
         """Return whether an upstream bears one more request from this entry."""
-        if not self.limiter.bears(upstream):
+        if not self.limiter.is_idle and not self.limiter.bears(upstream):
             return False
         if not self._is_cold(upstream) or service.warmup_per_second <= 0:
             return True
--- a/tests/discovery/test_named_limits.py
+++ b/tests/discovery/test_named_limits.py
@@ -33,7 +33,7 @@
         self.assertEqual(self.limits.rate(RUN), 2.0)
         self.assertTrue(self.hear(None, asked=9_999.0))
         self.assertIsNone(self.limits.rate(RUN))
-        self.assertEqual(self.limits.rates_by_run(), {})
+        self.assertEqual(self.limits.rates_by_run, {})
 
     def test_answer_without_a_limit_is_no_news_where_there_was_none(self) -> None:
         """Nothing is kept for the many upstreams that never name one."""
