--- a/poplarlug/soak/main.py
+++ b/poplarlug/soak/main.py
@@ -18,6 +18,7 @@
     seconds: float = 15.0,
     folder: str = "run/soak",
     deadly: bool = False,
+    limits: bool = False,
 ) -> None:
     """
     Run real processes under faults that seeds draw, and check the promises.
@@ -35,13 +36,17 @@
         Where settings, data and logs go.
     deadly : bool
         Whether one caller insists on a request that ends the upstreams that run it.
+    limits : bool
+        Whether some upstreams name limits for a while.
     """
     base = Path(folder).resolve()
     failed = 0
     for seed in range(first, first + seeds):
         own = base / f"seed-{seed}"
         shutil.rmtree(own, ignore_errors=True)
-        run = SoakRun(seed=seed, seconds=seconds, folder=own, deadly=deadly)
+        run = SoakRun(
+            seed=seed, seconds=seconds, folder=own, deadly=deadly, limits=limits
+        )
         report = run.play()
         print(json.dumps(report._asdict()), flush=True)
         if report.broken:
--- a/poplarlug/soak/promises.py
+++ b/poplarlug/soak/promises.py
@@ -1,10 +1,13 @@
 """Checks of the promises, from what callers and upstreams saw."""
 
+from bisect import bisect_right
 from collections import Counter
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 from poplarlug.soak.callers import Call
 from poplarlug.soak.upstream import STREAM_EVENTS
+from poplarlug.types import Seconds
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that promise that a request has not run."""
@@ -15,6 +18,14 @@
 DEADLY_RUNS = 3
 """How often a request under which three upstreams ended may be sent again."""
 
+CONTACT_SECONDS = 5.0
+"""A limit binds from then on after an upstream first named it, says the users' rule."""
+
+WINDOW_SECONDS = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_SLACK = 5
+"""In any window so many times the limit, and so many more."""
+
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(STREAM_EVENTS))
 
 
@@ -36,6 +47,38 @@
     return broken
 
 
+class LimitedTime(NamedTuple):
+    """From when to when an upstream named a limit, in monotonic time."""
+
+    began: Seconds
+    ended: Seconds
+    rate: float
+
+
+def check_limits(received: Sequence[Seconds], limited: LimitedTime) -> list[str]:
+    """
+    Return whether an upstream got more than a limit that it named.
+
+    Parameters
+    ----------
+    received : sequence of float
+        Monotonic times of all requests that it got.
+    """
+    times = sorted(
+        at for at in received if limited.began + CONTACT_SECONDS <= at <= limited.ended
+    )
+    allowed = LIMIT_OVERAGE * WINDOW_SECONDS * limited.rate + LIMIT_SLACK
+    for first, start in enumerate(times):
+        count = bisect_right(times, start + WINDOW_SECONDS) - first
+        if count > allowed:
+            after = round(start - limited.began, 1)
+            return [
+                f"{count} requests in {WINDOW_SECONDS} s to an upstream that named "
+                f"{limited.rate} a second {after} s before; allowed {allowed}"
+            ]
+    return []
+
+
 def _check(call: Call, runs: Counter[str]) -> Iterable[str]:
     count = runs[call.id]
     once = call.kind in ("book", "stream")
--- a/poplarlug/soak/run.py
+++ b/poplarlug/soak/run.py
@@ -30,9 +30,20 @@
     Operator,
 )
 from poplarlug.soak.deployment import ZONES, SeededDeployment
-from poplarlug.soak.promises import DEADLY_RUNS, check_calls
+from poplarlug.soak.promises import (
+    DEADLY_RUNS,
+    LimitedTime,
+    check_calls,
+    check_limits,
+)
 from poplarlug.soak.proxy import FaultProxy, LinkMode
-from poplarlug.soak.schedule import Fault, draw_schedule, draw_storage_faults
+from poplarlug.soak.schedule import (
+    Fault,
+    Limitation,
+    draw_limitations,
+    draw_schedule,
+    draw_storage_faults,
+)
 from poplarlug.soak.upstream import Upstream
 from poplarlug.types import Seconds
 
@@ -77,10 +88,18 @@
         Gets settings, data and logs of all processes.
     deadly : bool
         Whether one caller insists on a request that ends the upstreams that run it.
+    limits : bool
+        Whether some upstreams name limits for a while.
     """
 
     def __init__(
-        self, *, seed: int, seconds: Seconds, folder: Path, deadly: bool = False
+        self,
+        *,
+        seed: int,
+        seconds: Seconds,
+        folder: Path,
+        deadly: bool = False,
+        limits: bool = False,
     ) -> None:
         self._seed = seed
         self._deadly = deadly
@@ -91,6 +110,9 @@
         self._storage_rng = Random(f"{seed}/storage")
         storage = draw_storage_faults(self._storage_rng, seconds=seconds)
         self.faults = tuple(sorted([*drawn, *storage], key=lambda fault: fault.at))
+        drawn_limits = draw_limitations(Random(f"{seed}/limits"), seconds=seconds)
+        self._limitations = drawn_limits if limits else ()
+        self._limited_times: list[tuple[Upstream, LimitedTime]] = []
         folder.mkdir(parents=True, exist_ok=True)
         self._deployment = SeededDeployment(folder=folder, entry_zones=ENTRY_ZONES)
         self._proxy = FaultProxy()
@@ -159,6 +181,8 @@
         if not late or served < SERVED_SHARE * len(late):
             broken.append(f"{served} of {len(late)} requests served after recovery")
         broken += self._check_deadly(recovered)
+        for upstream, limited in self._limited_times:
+            broken += check_limits(upstream.received, limited)
         held = self._read_any()
         if held < operator.acknowledged:
             broken.append(f"version {held} is left of {operator.acknowledged}")
@@ -182,7 +206,12 @@
     def _inject(self) -> None:
         """Start each fault at its time; faults overlap."""
         started = time.monotonic()
-        threads = []
+        threads = [
+            threading.Thread(target=self._limit, args=(limitation,), daemon=True)
+            for limitation in self._limitations
+        ]
+        for thread in threads:
+            thread.start()
         for fault in self.faults:
             time.sleep(max(0.0, started + fault.at - time.monotonic()))
             thread = threading.Thread(target=self._apply, args=(fault,), daemon=True)
@@ -192,6 +221,19 @@
             thread.join()
         self._proxy.heal()
 
+    def _limit(self, limitation: Limitation) -> None:
+        """Let an upstream name a limit for a while."""
+        time.sleep(limitation.at)
+        upstream = self._upstreams[limitation.target % len(self._upstreams)]
+        upstream.limit = str(limitation.rate)
+        began = time.monotonic()
+        time.sleep(limitation.seconds)
+        ended = time.monotonic()
+        upstream.limit = ""
+        self._limited_times.append(
+            (upstream, LimitedTime(began, ended, limitation.rate))
+        )
+
     def _apply(self, fault: Fault) -> None:
         if fault.is_of_storage:
             self._hit_storage(fault)
--- a/poplarlug/soak/schedule.py
+++ b/poplarlug/soak/schedule.py
@@ -29,6 +29,8 @@
 MIN_FAULT_SECONDS = 0.3
 MAX_FAULT_SECONDS = 4.0
 
+LIMITED_UPSTREAMS = 2
+
 _PROCESS_KINDS: tuple[FaultKind, ...] = ("kill", "stop", "pause", "hang_up")
 
 
@@ -95,3 +97,42 @@
         )
         for kind in kinds
     )
+
+
+class Limitation(NamedTuple):
+    """
+    A time in which an upstream names a limit.
+
+    Parameters
+    ----------
+    at, seconds : float
+        Its start from that of the load, and how long it lasts.
+    rate : float
+        Requests a second that it names.
+    target : int
+        Number of the upstream.
+    """
+
+    at: Seconds
+    seconds: Seconds
+    rate: float
+    target: int
+
+
+LIMITED_SECONDS = (7.0, 12.0)
+"""Limits bind after five seconds, in windows of four."""
+
+LIMIT_RATES = (0.5, 1.0, 2.5)
+
+
+def draw_limitations(rng: Random, *, seconds: Seconds) -> tuple[Limitation, ...]:
+    """Return when upstreams name limits in one run, one of them at a time each."""
+    return tuple(
+        Limitation(
+            at=round(rng.uniform(0.0, seconds / 2), 3),
+            seconds=round(rng.uniform(*LIMITED_SECONDS), 3),
+            rate=rng.choice(LIMIT_RATES),
+            target=target,
+        )
+        for target in rng.sample(range(LIMITED_UPSTREAMS + 1), LIMITED_UPSTREAMS)
+    )
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -84,11 +84,9 @@
         for upstream in self.upstreams:
             upstream.fault = ""
             upstream.event_seconds = 0.01
-        self.announce()
         for entry in self.deployment.entries:
             wait_until(
-                lambda entry=entry: self.send(entry, "look").status == 200,
-                f"{entry} serves nothing",
+                lambda entry=entry: self.serves(entry), f"{entry} serves nothing"
             )
         for upstream in self.upstreams:
             upstream.arrivals.clear()
@@ -99,6 +97,11 @@
         known = log.count("discovery: all entries are known")
         return known >= log.count("entry: started")
 
+    def serves(self, entry: str) -> bool:
+        """Return whether an entry serves, with upstreams that announce themselves."""
+        self.announce()
+        return self.send(entry, "look").status == 200
+
     def announce(self) -> None:
         for upstream in self.upstreams:
             self.assertEqual(upstream.beat(self.deployment.control_address()), 200)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -5,7 +5,7 @@
 from unittest import TestCase
 
 from poplarlug.soak.callers import Call
-from poplarlug.soak.promises import EVENTS, check_calls
+from poplarlug.soak.promises import EVENTS, LimitedTime, check_calls, check_limits
 from poplarlug.soak.schedule import draw_schedule
 
 GOOD = Call("a1", "book", "127.0.0.1:1", 0.0, 200, b"answer to book a1", "a1")
@@ -57,3 +57,15 @@
         self.assertNotEqual(draw_schedule(Random(6), seconds=60.0), first)
         self.assertGreater(len(first), 20)
         self.assertEqual(list(first), sorted(first, key=lambda fault: fault.at))
+
+
+class LimitTests(TestCase):
+    def test_more_than_a_limit_allows_is_told(self) -> None:
+        """Only what came while the limit was binding counts."""
+        limited = LimitedTime(100.0, 112.0, 1.0)
+        early = [100.0 + 0.1 * number for number in range(40)]
+        late = [113.0 + 0.1 * number for number in range(40)]
+        kept = [105.0 + 0.4 * number for number in range(11)]
+        self.assertEqual(check_limits([*early, *kept, *late], limited), [])
+        (broken,) = check_limits([*early, *kept, 106.01, *late], limited)
+        self.assertIn("12 requests in 4.0 s", broken)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -19,10 +19,16 @@
 
 
 class SoakTests(TestCase):
-    def play(self, seed: int, seconds: float, *, deadly: bool = False) -> None:
+    def play(
+        self, seed: int, seconds: float, *, deadly: bool = False, limits: bool = False
+    ) -> None:
         with tempfile.TemporaryDirectory() as folder:
             run = SoakRun(
-                seed=seed, seconds=seconds, folder=Path(folder), deadly=deadly
+                seed=seed,
+                seconds=seconds,
+                folder=Path(folder),
+                deadly=deadly,
+                limits=limits,
             )
             report = run.play()
         self.assertGreater(report.calls, 100)
@@ -36,6 +42,10 @@
         """Its neighbours are served, and it is refused in the end."""
         self.play(SHORT_SEED, SECONDS, deadly=True)
 
+    def test_run_with_upstreams_that_name_limits(self) -> None:
+        """All entries together keep them, while processes are killed and paused."""
+        self.play(SHORT_SEED, WHOLE_SECONDS, limits=True)
+
     def test_stream_behind_a_delay_that_ends(self) -> None:
         """Events come once and in order, while the way to an upstream changes."""
         self.play(PROXY_ORDER_SEED, WHOLE_SECONDS)
