--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -305,8 +305,6 @@
         self._peers.learn(message.control)
         self._regions_by_peer[sender] = message.region
         self.registry.take(Records(message.entries, message.upstreams))
-        if any(upstream.phase != "serving" for upstream in message.upstreams):
-            await self._flush_soon()
         for mark in message.marks:
             self.marks.add(mark)
         for limit in message.limits:
@@ -315,6 +313,9 @@
         for loads in message.entry_loads:
             if loads.entry not in self._own_entries():
                 self._loads.note_entry(loads)
+        if any(upstream.phase != "serving" for upstream in message.upstreams):
+            # The replica that took a farewell waits for this one's answer.
+            await self._flush_soon()
         return GossipReply(self.registry.touch(message.heard))
 
     async def _serve_tables(self, sender: VmName, message: TablesRequest) -> Tables:
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -240,13 +240,16 @@
         if line is None:
             return
         now = self._clock()
+        is_head = True
         for waiter in line.order.in_order():
             waiting = line.by_waiter[waiter]
             if waiting.placed.done():
                 continue
             result = self._try(waiting.request, waiting.tried)
-            line.note(result)
+            if is_head:
+                line.note(result)
             if isinstance(result, Full):
+                is_head = False
                 continue
             line.order.started(now)
             line.order.leave(waiter)
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -32,6 +32,7 @@
     TABLE_VERSION,
     decode_refusal,
 )
+from poplarlug.relay.limiter import MAX_LOGGED_CHARACTERS
 from poplarlug.relay.passing import drop_rest, pass_on
 from poplarlug.relay.requests import RelayRequest, patience_seconds
 from poplarlug.relay.suspects import Suspects, Verdict
@@ -52,9 +53,6 @@
 REST_SECONDS = 0.2
 """How long the rest of a refusal's body may take, so that its connection is kept."""
 
-MAX_LOGGED_CHARACTERS = 32
-"""Of a header that an upstream sent; a proper limit has a few digits."""
-
 _SENDS = Counter(
     "poplarlug_relay_sends_total",
     "Sends to upstreams and other entries, by target and how they ended.",
--- a/poplarlug/relay/limiter.py
+++ b/poplarlug/relay/limiter.py
@@ -28,7 +28,7 @@
 """When an entry without a share may send; longer than any request waits."""
 
 MAX_LOGGED_CHARACTERS = 32
-"""Of a limit that can't be read; a proper one has a few digits."""
+"""Of a limit as it came; a proper one has a few digits."""
 
 _LIMITED = Gauge(
     "poplarlug_relay_limited_upstreams",
