Refuse at once who could not bear twice the wait for others before it

The wait for those before it counts twice now, that for the next request of the share once (twice for both left one urgent request without a place, seen in a unit test).

--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -37,8 +37,8 @@
 NO_UPSTREAM_RETRY_SECONDS = 1.2
 """When to come back where no upstream is there; one announces itself in a beat."""
 
-PACE_MARGIN = 1.5
-"""Who waits behind a limit has to bear a wait so many times the expected one: an
+PACE_MARGIN = 2.0
+"""Who waits behind others for a limit has to bear so many times the wait for them: an
 entry's share of the limit moves with the demand at the others."""
 
 MIN_RUN_SECONDS = 0.05
@@ -97,7 +97,8 @@
     def expected_wait(self, order: tuple[int, Seconds], free_in: Seconds) -> Seconds:
         if self.pace is None:
             return self.order.expected_wait(order, free_in)
-        return PACE_MARGIN * self.pace.wait(self.order.position(order))
+        first, interval = self.pace
+        return first + PACE_MARGIN * interval * self.order.position(order)
 
 
 class Dispatcher:
--- a/tests/relay/test_face.py
+++ b/tests/relay/test_face.py
@@ -61,10 +61,13 @@
             retry_limits=RetryLimits(),
             clock=clock,
         )
+        pauses = PauseWatch(deployment=self.deployment, uptime=clock, clock=clock)
+        watching = asyncio.ensure_future(pauses.run())
+        self.addCleanup(watching.cancel)
         face = RelayFace(
             gateway=gateway,
             deployment=self.deployment,
-            pauses=PauseWatch(deployment=self.deployment, uptime=clock, clock=clock),
+            pauses=pauses,
             dialect=Dialect(),
             admittance=Admittance(lambda: True, lambda: False),
             guard=ConnectionGuard(limits=HttpLimits()),
