Hand nothing to a region whose upstreams are all limited, but what must run there

By reading: such a region told others of room and of idle engines, its own callers used up its shares, and a request handed there came back refused, at the price of two ways between regions and of a repeat from the budget.

Now a region says that all of its upstreams name limits, and others with upstreams of their own leave it alone. What may run nowhere else goes there as before, and so does what comes where no upstream is.

Tests of the placement, of the view and of what a region tells.

--- a/poplarlug/discovery/records.py
+++ b/poplarlug/discovery/records.py
@@ -164,6 +164,8 @@
         The upstream with the fewest streams beside long prompts.
     quick : UpstreamLoad
         The upstream with the fewest long prompts and the least to read.
+    is_limited : bool
+        Whether all of its upstreams name limits, which its own callers use up.
     """
 
     region: RegionName
@@ -174,6 +176,7 @@
     waiting: int = 0
     calm: UpstreamLoad = UpstreamLoad("")
     quick: UpstreamLoad = UpstreamLoad("")
+    is_limited: bool = False
 
 
 def _hash(text: str) -> int:
--- a/poplarlug/discovery/region_loads.py
+++ b/poplarlug/discovery/region_loads.py
@@ -147,6 +147,7 @@
             ),
             calm=min(loads, key=lambda load: (load.running - load.long, load.read_ms)),
             quick=min(loads, key=lambda load: (load.long, load.read_ms)),
+            is_limited=not free,
         )
 
     def _fresh(self) -> dict[VmName, _Told]:
--- a/poplarlug/relay/placement.py
+++ b/poplarlug/relay/placement.py
@@ -109,6 +109,8 @@
         See :class:`Candidate`.
     avoided : bool
         Whether it could not be reached, or had no upstream in reach, lately.
+    spared : bool
+        Whether all of its upstreams name limits, and the own region has upstreams too.
     """
 
     region: RegionName
@@ -120,6 +122,7 @@
     read_seconds: Seconds = 0.0
     reread_tokens: int = 0
     avoided: bool = False
+    spared: bool = False
 
 
 class Demand(NamedTuple):
@@ -224,6 +227,9 @@
     only where no other place exists.
     """
     own = None if demand.must_forward else _best_local(demand, candidates)
+    if not demand.must_forward:
+        # Callers there use up the limits; a request would come back refused.
+        regions = [region for region in regions if not region.spared]
     usable = [region for region in regions if not region.avoided]
     if not usable and (demand.must_forward or not candidates):
         usable = list(regions)
--- a/tests/discovery/test_region_loads.py
+++ b/tests/discovery/test_region_loads.py
@@ -54,6 +54,15 @@
         (load,) = self.loads.own_region(upstreams, rates)
         self.assertEqual((load.slots, load.running), (4 + 8, 8))
         self.assertEqual((load.calm.id, load.quick.id), ("e-2", "e-2"))
+        self.assertFalse(load.is_limited)
+
+    def test_region_whose_upstreams_are_all_limited_says_so(self) -> None:
+        """They look idle, and have room for what must run there alone."""
+        upstreams = [make_upstream(), make_upstream(id="e-2")]
+        rates = {upstream.run: 1.0 for upstream in upstreams}
+        (load,) = self.loads.own_region(upstreams, rates)
+        self.assertTrue(load.is_limited)
+        self.assertEqual(load.slots, 2)
 
     def test_demand_of_the_other_entries_is_told(self) -> None:
         """An entry knows its own."""
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -84,6 +84,17 @@
         outside = DEMAND._replace(must_forward=True)
         self.assertIsInstance(place(outside, [busy], [failed]), Away)
 
+    def test_region_whose_upstreams_are_all_limited_gets_what_must_run_there(
+        self,
+    ) -> None:
+        """It looks idle, and would refuse what others hand to it."""
+        busy = make_engine("e-1", EngineLoad(running=60, read_ms=2000))
+        spared = make_region(spared=True)
+        self.assert_local(place(DEMAND, [busy], [spared]), "e-1")
+        self.assertIsInstance(place(DEMAND, [], [spared]), Nothing)
+        outside = DEMAND._replace(must_forward=True)
+        self.assertIsInstance(place(outside, [busy], [spared]), Away)
+
     def test_border_is_kept(self) -> None:
         """What may not run in the own region runs away or nowhere."""
         idle = make_engine("e-1")
--- a/tests/relay/test_view.py
+++ b/tests/relay/test_view.py
@@ -232,3 +232,41 @@
         """Other services of the region have other upstreams."""
         self.view.note_region_failed("bookings", "west")
         self.assertFalse(self.is_avoided())
+
+
+class LimitedRegionTests(QuietTestCase):
+    def spared(self, *, own_upstreams: bool) -> bool:
+        """Return whether a region whose upstreams are all limited is left alone."""
+        deployment = Deployment(
+            own_region="east",
+            regions_by_zone={"a": "east", "b": "west"},
+            clock=lambda: 0.0,
+        )
+        upstream = ServiceUpstream("u-1", "engine", "", "a", 1, 1, 8)
+        deployment.take(
+            PollReply(
+                registry_id="r",
+                revision=1,
+                whole=True,
+                current=True,
+                zone="a",
+                upstreams=(upstream,) if own_upstreams else (),
+                regions=(RegionLoad("west", "engine", 1, 8, is_limited=True),),
+            )
+        )
+        view = FleetView(
+            name="entry-1",
+            deployment=deployment,
+            in_flight=InFlight(clock=lambda: 0.0, others=lambda _: None),
+            warmup=WarmupLimits(),
+            limits=NamedLimits(clock=lambda: 0.0),
+            rng=Random(1),
+            clock=lambda: 0.0,
+        )
+        (region,) = view.regions(make_request(), Tried(), None)
+        return region.spared
+
+    def test_limited_region_is_left_alone_by_those_with_upstreams(self) -> None:
+        """One without any has nowhere else to go."""
+        self.assertTrue(self.spared(own_upstreams=True))
+        self.assertFalse(self.spared(own_upstreams=False))
