Let the entry that hands a request on say how long it waits

The first fix capped the wait of every handed-on request that may be repeated by 2.5 objectives.

Now the sender's patience goes along as a header between entries, and the other one refuses what can't have a first answer within it.

--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -11,7 +11,6 @@
 from poplarlug.relay.in_flight import Flight
 from poplarlug.relay.limiter import NO_SHARE_SECONDS
 from poplarlug.relay.placement import (
-    FORWARD_SECONDS,
     Away,
     Candidate,
     Decide,
@@ -22,7 +21,7 @@
     RemoteRegion,
     place,
 )
-from poplarlug.relay.requests import RelayRequest, patience_seconds
+from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.view import FleetView, Tried, latest_first_answer
 from poplarlug.relay.waiting import Pace, Waiter, WaitingLine, retry_after
 from poplarlug.routes import RoutedService
@@ -229,12 +228,8 @@
         """Return the latest start that still serves the caller."""
         first = max(MIN_RUN_SECONDS, 0.5 * request.route.objective_seconds)
         latest = latest_first_answer(request)
-        if request.hops and request.route.is_repeatable:
-            # The entry that handed it on asks elsewhere then, and could not tell
-            # that it had only waited here.
-            patience = patience_seconds(request) - FORWARD_SECONDS
-            latest = min(latest, request.arrived + patience)
-        return latest - first
+        # The entry that handed it on could not tell later that it had only waited.
+        return min(latest, request.answer_by) - first
 
     def _serve_line(self, service: ServiceName) -> None:
         line = self._lines_by_service.get(service)
--- a/poplarlug/relay/face.py
+++ b/poplarlug/relay/face.py
@@ -23,11 +23,13 @@
 from poplarlug.relay.gateway import RelayGateway
 from poplarlug.relay.hop_headers import (
     ORIGIN,
+    PATIENCE,
     REFUSED,
     TABLE_VERSION,
     encode_refusal,
     end_to_end,
 )
+from poplarlug.relay.placement import FORWARD_SECONDS
 from poplarlug.relay.requests import Prompt, PromptPart, RelayRequest
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.routes import Route, RouteIndex
@@ -236,6 +238,10 @@
         left = min(route.timeout_seconds, math.inf if wait is None else wait)
         service = draw_service(route, self._rng)
         trace.note(service=service, left_ms=round(left * 1000))
+        answer_by = math.inf
+        patience = _milliseconds(request.headers.get(PATIENCE, "")) if hops else None
+        if patience is not None:
+            answer_by = came + patience - FORWARD_SECONDS
         own = {self._dialect.deadline.lower(), *self._dialect.reserved}
         return Success(
             RelayRequest(
@@ -251,6 +257,7 @@
                 prompt=self._prompt(request) if route.prompts else Prompt(),
                 hops=hops,
                 origin=request.headers.get(ORIGIN, "") if hops else "",
+                answer_by=answer_by,
             )
         )
 
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -28,13 +28,14 @@
 from poplarlug.relay.hop_headers import (
     HOPS,
     ORIGIN,
+    PATIENCE,
     REFUSED,
     TABLE_VERSION,
     decode_refusal,
 )
 from poplarlug.relay.limiter import MAX_LOGGED_CHARACTERS
 from poplarlug.relay.passing import drop_rest, pass_on
-from poplarlug.relay.requests import RelayRequest, patience_seconds
+from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.suspects import Suspects, Verdict
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import FleetView
@@ -53,6 +54,11 @@
 REST_SECONDS = 0.2
 """How long the rest of a refusal's body may take, so that its connection is kept."""
 
+PATIENCE_SHARE = 2.5
+"""What may be repeated is sent elsewhere after this many objectives."""
+
+MIN_PATIENCE_SECONDS = 0.8
+
 _SENDS = Counter(
     "poplarlug_relay_sends_total",
     "Sends to upstreams and other entries, by target and how they ended.",
@@ -215,7 +221,8 @@
         left = request.deadline - self._clock()
         if not course.may_repeat_later or not budget.has_room(self._entries()):
             return left
-        return min(left, patience_seconds(request))
+        objective = request.route.objective_seconds
+        return min(left, max(MIN_PATIENCE_SECONDS, PATIENCE_SHARE * objective))
 
     def _may_move(self, course: Course, budget: RetryBudget, placed: Place) -> bool:
         """
@@ -390,6 +397,7 @@
                 (HOPS, str(request.hops + 1)),
                 (ORIGIN, self._name),
                 (TABLE_VERSION, str(routes.version)),
+                (PATIENCE, str(int(patience * 1000))),
             ],
             body=request.body,
             timeout_seconds=patience,
--- a/poplarlug/relay/hop_headers.py
+++ b/poplarlug/relay/hop_headers.py
@@ -7,6 +7,9 @@
 HOPS = "X-Relay-Hops"
 ORIGIN = "X-Relay-Origin"
 TABLE_VERSION = "X-Relay-Table"
+PATIENCE = "X-Relay-Patience-Ms"
+"""How long the sending entry waits for the first answer before it asks elsewhere."""
+
 REFUSED = "X-Relay-Refused"
 """Marks the answer of a serving entry that is its own: type, ran, Retry-After."""
 
@@ -26,7 +29,7 @@
     }
 )
 _BETWEEN_ENTRIES = frozenset(
-    name.lower() for name in (HOPS, ORIGIN, TABLE_VERSION, REFUSED)
+    name.lower() for name in (HOPS, ORIGIN, TABLE_VERSION, PATIENCE, REFUSED)
 )
 _RAN_BY_TEXT = {"yes": True, "no": False, "unknown": None}
 _TEXT_BY_RAN = {ran: text for text, ran in _RAN_BY_TEXT.items()}
--- a/poplarlug/relay/requests.py
+++ b/poplarlug/relay/requests.py
@@ -1,15 +1,11 @@
 """A caller's request on a route, on its way to an upstream."""
 
+import math
 from typing import NamedTuple
 
 from poplarlug.routes import Route
 from poplarlug.types import RequestId, Seconds, ServiceName, VmName
 
-PATIENCE_SHARE = 2.5
-"""What may be repeated is sent elsewhere after this many objectives."""
-
-MIN_PATIENCE_SECONDS = 0.8
-
 
 class PromptPart(NamedTuple):
     """A part of a prompt that requests may share; all before it belong to it."""
@@ -56,6 +52,8 @@
         Loop time after which nobody waits for the answer.
     hops : int
         How often another entry handed it on.
+    answer_by : float
+        Loop time after which the entry that handed it on asks elsewhere.
     """
 
     id: RequestId
@@ -70,9 +68,4 @@
     prompt: Prompt = Prompt()
     hops: int = 0
     origin: VmName = ""
-
-
-def patience_seconds(request: RelayRequest) -> Seconds:
-    """Return how long a send may take to its first answer before another one."""
-    objective = request.route.objective_seconds
-    return max(MIN_PATIENCE_SECONDS, PATIENCE_SHARE * objective)
+    answer_by: Seconds = math.inf
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -15,8 +15,7 @@
 from poplarlug.relay.budgets import WarmupLimits
 from poplarlug.relay.dispatcher import Dispatcher, LocalPlace
 from poplarlug.relay.in_flight import InFlight
-from poplarlug.relay.placement import FORWARD_SECONDS
-from poplarlug.relay.requests import RelayRequest, patience_seconds
+from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.view import FleetView, Tried
 from poplarlug.routes import Engine, RoutedService, RouteTable
 from poplarlug.virtualtime import run_virtual
@@ -31,6 +30,9 @@
     objective_seconds=0.5,
     max_pause_seconds=0.4,
 )
+ANSWER_SECONDS = 1.1
+"""Within which an entry that handed a request on wants the first answer."""
+
 PATIENCE_SECONDS = 3.2
 """Eight pauses of 0.4 s."""
 
@@ -134,8 +136,8 @@
             dispatcher = self.make()
             running = asyncio.ensure_future(dispatcher.run())
             await dispatcher.find(self.request(), Tried())
-            route = ROUTE._replace(kind="safe")
-            handed_on = self.request()._replace(route=route, hops=1)
+            answer_by = asyncio.get_running_loop().time() + ANSWER_SECONDS
+            handed_on = self.request()._replace(hops=1, answer_by=answer_by)
             found = await dispatcher.find(handed_on, Tried())
             running.cancel()
             assert isinstance(found, Failure)
@@ -143,9 +145,7 @@
 
         waited, refusal = run_virtual(main())
         self.assertIs(refusal.ran, False)
-        self.assertLess(
-            waited, patience_seconds(make_request(route=ROUTE)) - FORWARD_SECONDS
-        )
+        self.assertLess(waited, ANSWER_SECONDS)
 
     def test_stream_is_refused_before_its_caller_leaves(self) -> None:
         """All places stay taken; who waits learns it while there is time to return."""
