--- a/tests/summary.py
+++ b/tests/summary.py
@@ -5,6 +5,9 @@
 
 from nose2 import events
 
+MAX_SEEN_CHARACTERS = 300
+"""Of what a known failure shows this time; its first line tells which check it was."""
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
@@ -27,7 +30,8 @@
         known = self.known_red.get(event.test.id())
         if event.outcome in ("error", "failed") and known is not None:
             event.outcome = "skipped"
-            event.reason = f"KNOWN-RED {known}"
+            seen = repr(event.exc_info[1])[:MAX_SEEN_CHARACTERS]
+            event.reason = f"KNOWN-RED {known} | now: {seen}"
 
     def testOutcome(self, event: Any) -> None:  # noqa: N802
         test_id = event.test.id()
