Let a restarted replica tell what it knew once it heard a majority

Cause: a farewell was on two disks before its acknowledgement, but a third replica that had not heard of it told entries the upstream as serving until gossip came. Restarted entries follow whichever replica answers first.

Change: records of a former run are told after a sign of their own or once the tables of a majority of voters were read; after 1 s a replica that reaches no majority goes by its disk. A farewell waits for a majority of voters, not for any one other replica. Tables mark what their sender can't vouch for.

test_records_come_back_for_a_while asserted that a recalled record is present at once, which is the fault; it now asserts that it waits, and is present once confirmed.

--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -56,7 +56,11 @@
         )
         self.state = ControlState()
         self.peers = ControlPeers(
-            own=own, seeds=seeds, members=self._members, clock=clock
+            own=own,
+            seeds=seeds,
+            members=self._members,
+            voters=self._voters,
+            clock=clock,
         )
         self.disk = FileDisk(folder=Path(settings.data_folder))
         self.replica = Replica(
@@ -118,6 +122,9 @@
     def _members(self) -> list[Address]:
         return [member.name for member in self.replica.state.members.all]
 
+    def _voters(self) -> list[Address]:
+        return [member.name for member in self.replica.state.members.voters]
+
 
 MakeSites = Callable[[SeededControl, SeededControlSettings], list[Site]]
 
--- a/poplarlug/discovery/control_peers.py
+++ b/poplarlug/discovery/control_peers.py
@@ -1,6 +1,6 @@
 """The control replicas that one of them knows, in place of a list of VMs."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from poplarlug.addresses import is_address
 from poplarlug.types import Address, Seconds
@@ -21,6 +21,8 @@
         Where to begin.
     members : callable
         Returns the addresses of the control group's members.
+    voters : callable
+        Returns the addresses of those that vote.
     is_address : callable
         Tells addresses from other texts, which messages may hold.
     """
@@ -31,6 +33,7 @@
         own: Address,
         seeds: Iterable[Address],
         members: Callable[[], Iterable[Address]],
+        voters: Callable[[], Collection[Address]],
         clock: Callable[[], Seconds],
         is_address: Callable[[Address], bool] = is_address,
     ) -> None:
@@ -38,6 +41,7 @@
         self._is_address = is_address
         self._seeds = tuple(seeds)
         self._members = members
+        self._voters = voters
         self._clock = clock
         self._seen_by_address: dict[Address, Seconds] = {}
 
@@ -69,6 +73,16 @@
         known.pop(self._own, None)
         return tuple(known)
 
+    def missing_for_majority(self, reached: Iterable[Address]) -> int:
+        """Return how many voters besides this replica and ``reached`` make a majority."""
+        voters = self.voters
+        return max(0, len(voters) // 2 + 1 - len(voters & {self._own, *reached}))
+
+    @property
+    def voters(self) -> frozenset[Address]:
+        """The group's voters; the seeds before any are known."""
+        return frozenset(self._voters() or self._seeds)
+
     def present(self, within_seconds: Seconds) -> tuple[Address, ...]:
         """Return the own address and those of others that spoke lately."""
         oldest = self._clock() - within_seconds
--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -219,11 +219,15 @@
     ----------
     settled : bool
         Whether what they lack is not there.
+    recalled_entries, recalled_upstreams : tuple
+        Records of a former run of the sender that it can't vouch for yet.
     """
 
     entries: tuple[EntryRecord, ...]
     upstreams: tuple[ServiceUpstream, ...]
     control: tuple[Address, ...]
     settled: bool
+    recalled_entries: tuple[EntryRecord, ...] = ()
+    recalled_upstreams: tuple[ServiceUpstream, ...] = ()
     marks: tuple[CrashMark, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -54,6 +54,13 @@
 SPREAD_TIMEOUT_SECONDS = 0.5
 """How long a farewell waits for another replica before it is acknowledged."""
 
+CONFIRM_SECONDS = 1.0
+"""How long records of a former run wait for the other replicas; a replica that starts
+together with others reaches them in less, one that is cut off goes on by its disk."""
+
+CONFIRM_PAUSE_SECONDS = 0.1
+"""Between two attempts to reach a replica while records wait for it."""
+
 MAX_MARKS_A_REPLY = 128
 """Crash marks in one reply, some 6 KB; an entry that lacks more polls again at once."""
 
@@ -113,6 +120,9 @@
         self._outboxes_by_peer: dict[Address, _Outbox] = {}
         self._started = clock()
         self._settled = False
+        self._has_confirmed = False
+        self._read_from: set[Address] = set()
+        self._readings: set[asyncio.Task[None]] = set()
         self._news: Latest[int] = Latest(initial=0)
         registry.revision.subject.subscribe(lambda _: self._bump())
         routing.revision.subject.subscribe(lambda _: self._bump())
@@ -127,6 +137,7 @@
     async def run(self) -> None:
         """Keep in step with the other replicas until cancelled."""
         expired_marks_at = self._clock()
+        confirming = asyncio.ensure_future(self._confirm_in_time())
         try:
             while True:
                 self.registry.expire()
@@ -135,20 +146,40 @@
                     self.marks.expire()
                 if not self.limits.is_empty:
                     present = self.registry.present().upstreams
-                    self.limits.keep_only(upstream.run for upstream in present)
+                    recalled = self.registry.recalled().upstreams
+                    self.limits.keep_only(one.run for one in (*present, *recalled))
                 self._follow_peers()
                 self._spread_changes()
                 await asyncio.sleep(EXPIRE_SECONDS)
         finally:
-            for link in self._links_by_peer.values():
-                link.cancel()
+            for task in (confirming, *self._readings, *self._links_by_peer.values()):
+                task.cancel()
+
+    async def _confirm_in_time(self) -> None:
+        """Confirm what the disk held when too few of the others can be asked."""
+        if self._peers.missing_for_majority(()):
+            await asyncio.sleep(CONFIRM_SECONDS)
+        self._confirm()
+
+    def _confirm(self) -> None:
+        """Tell entries the records of former runs that no replica knew better."""
+        if self._has_confirmed:
+            return
+        self._has_confirmed = True
+        confirmed = self.registry.confirm()
+        _log.info(
+            "confirmed records of former runs",
+            records=confirmed,
+            replicas=sorted(self._read_from),
+            seconds=round(self._clock() - self._started, 2),
+        )
 
     async def hear_upstream(self, record: ServiceUpstream) -> None:
         """
         Take in an upstream's announcement.
 
-        A farewell returns once it is on this replica's disk, and on that of another
-        one if one is in reach, or after ``SPREAD_TIMEOUT_SECONDS``.
+        A farewell returns once it is on the disks of a majority of the voters, or
+        of all that there are links to, or after ``SPREAD_TIMEOUT_SECONDS``.
         """
         if not self.registry.hear(record):
             return
@@ -157,7 +188,8 @@
             return
         try:
             async with asyncio.timeout(SPREAD_TIMEOUT_SECONDS):
-                await asyncio.gather(self._flush(), _wait_for_one_empty(outboxes))
+                others = self._peers.missing_for_majority(())
+                await asyncio.gather(self._flush(), _wait_for_empty(outboxes, others))
         except TimeoutError:
             _log.warning("a farewell may be lost with this replica", upstream=record.id)
 
@@ -200,13 +232,14 @@
             outbox.wake()
 
     def _spread_changes(self) -> "list[_Outbox]":
+        """Tell all replicas what is new; return the way to the group's voters."""
         changes = self.registry.take_changes()
         if not changes.entries and not changes.upstreams:
             return []
-        outboxes = list(self._outboxes_by_peer.values())
-        for outbox in outboxes:
+        for outbox in self._outboxes_by_peer.values():
             outbox.add(changes)
-        return outboxes
+        voters = self._peers.voters
+        return [box for peer, box in self._outboxes_by_peer.items() if peer in voters]
 
     def _follow_peers(self) -> None:
         others = self._peers.others()
@@ -241,7 +274,10 @@
                 _log.info(f"{state} a control replica", peer=peer)
             if isinstance(reply, Failure):
                 outbox.put_back(records)
-                await asyncio.sleep(GOSSIP_SECONDS)
+                confirmed = self._has_confirmed
+                await asyncio.sleep(
+                    GOSSIP_SECONDS if confirmed else CONFIRM_PAUSE_SECONDS
+                )
                 continue
             self._peers.saw(peer)
             outbox.confirm()
@@ -280,6 +316,12 @@
         oldest = self._clock() - ENTRIES_SPEAK_SECONDS
         return [name for name, at in self._polled_by_entry.items() if at >= oldest]
 
+    def _read_soon(self, peer: Address) -> None:
+        """Ask a replica that has just come up for its records, beside its link."""
+        reading = asyncio.ensure_future(self._fetch_tables(peer))
+        self._readings.add(reading)
+        reading.add_done_callback(self._readings.discard)
+
     async def _fetch_tables(self, peer: Address) -> None:
         reply = await self._transport.request(
             peer=peer,
@@ -291,6 +333,9 @@
         if isinstance(reply, Success):
             tables = reply.unwrap()
             self.registry.take(Records(tables.entries, tables.upstreams))
+            self.registry.recall(
+                Records(tables.recalled_entries, tables.recalled_upstreams)
+            )
             self._peers.learn(tables.control)
             for mark in tables.marks:
                 self.marks.add(mark)
@@ -299,11 +344,17 @@
             if tables.settled:
                 _log.info("took another replica's tables", peer=peer)
                 self._settled = True
+            self._read_from.add(peer)
+            missing = self._peers.missing_for_majority(self._read_from)
+            if tables.settled or not missing:
+                self._confirm()
 
     async def _serve_gossip(self, sender: VmName, message: Gossip) -> GossipReply:
         self._peers.saw(sender)
         self._peers.learn(message.control)
         self._regions_by_peer[sender] = message.region
+        if not self._has_confirmed and sender not in self._read_from:
+            self._read_soon(sender)
         self.registry.take(Records(message.entries, message.upstreams))
         for mark in message.marks:
             self.marks.add(mark)
@@ -321,6 +372,7 @@
     async def _serve_tables(self, sender: VmName, message: TablesRequest) -> Tables:
         # Those that are over count too: entries share budgets with lost ones.
         held = self.registry.changed_after(0)
+        recalled = self.registry.recalled()
         control = self._peers.present(2 * GOSSIP_SECONDS)
         marks = tuple(self.marks.lasting())
         return Tables(
@@ -328,6 +380,8 @@
             upstreams=held.upstreams,
             control=control,
             settled=self.is_settled,
+            recalled_entries=recalled.entries,
+            recalled_upstreams=recalled.upstreams,
             marks=marks,
             limits=self.limits.changed_after(0),
         )
@@ -404,13 +458,12 @@
         )
 
 
-async def _wait_for_one_empty(outboxes: "list[_Outbox]") -> None:
-    """Return once one of several replicas has all that it was to be told."""
-    if not outboxes:
-        return
+async def _wait_for_empty(outboxes: "list[_Outbox]", count: int) -> None:
+    """Return once that many replicas, or all, have all that they were to be told."""
     sent = [asyncio.ensure_future(outbox.wait_empty()) for outbox in outboxes]
     try:
-        await asyncio.wait(sent, return_when=asyncio.FIRST_COMPLETED)
+        for done in list(asyncio.as_completed(sent))[:count]:
+            await done
     finally:
         for task in sent:
             task.cancel()
--- a/poplarlug/discovery/registry.py
+++ b/poplarlug/discovery/registry.py
@@ -46,6 +46,7 @@
     heard: Seconds
     noted: Seconds
     revision: int
+    is_recalled: bool
 
 
 class Registry:
@@ -54,7 +55,8 @@
 
     Records come from their VMs and upstreams themselves or from other control
     replicas. One that gave no sign for its life is marked lost; it stays for
-    ``FORGET_SECONDS`` so that an older message can't bring it back.
+    ``FORGET_SECONDS`` so that an older message can't bring it back. Those of a
+    former run are told to nobody as present before they are confirmed.
 
     Parameters
     ----------
@@ -91,14 +93,27 @@
             self._take(record)
 
     def recall(self, records: Records) -> None:
-        """Take in records of a former run; they are over soon without a sign."""
+        """
+        Take in records of a former run, this replica's or another one's.
+
+        They are held back until :meth:`confirm` or a sign of their own, and over
+        soon without a sign.
+        """
         for record in records.all:
-            if self._take(record):
-                held = self._held_by_key[record.key]
+            self._take(record, is_recalled=True)
+            held = self._held_by_key[record.key]
+            if held.is_recalled:
                 left = min(RECALL_SECONDS, self._life(record))
                 heard = self._clock() - (self._life(record) - left)
                 self._held_by_key[record.key] = held._replace(heard=heard)
 
+    def confirm(self) -> int:
+        """Tell the records of a former run from now on; return how many."""
+        recalled = [held for held in self._held_by_key.values() if held.is_recalled]
+        for held in recalled:
+            self._put(held.record, heard=held.heard)
+        return len(recalled)
+
     def touch(self, tags: Iterable[int]) -> tuple[int, ...]:
         """Note that others heard records lately; return the tags not held."""
         unknown = []
@@ -107,8 +122,12 @@
             key = self._keys_by_tag.get(tag)
             if key is None:
                 unknown.append(tag)
+                continue
+            held = self._held_by_key[key]
+            if held.is_recalled:
+                self._put(held.record, heard=now)
             else:
-                self._held_by_key[key] = self._held_by_key[key]._replace(heard=now)
+                self._held_by_key[key] = held._replace(heard=now)
         return tuple(unknown)
 
     def heard_within(self, seconds: Seconds) -> tuple[int, ...]:
@@ -138,13 +157,23 @@
     def changed_after(self, revision: int) -> Records:
         """Return the records that changed after ``revision``."""
         return self._split(
-            key for key, held in self._held_by_key.items() if held.revision > revision
+            key
+            for key, held in self._held_by_key.items()
+            if held.revision > revision and not held.is_recalled
         )
 
     def present(self) -> Records:
         """Return the records that are not over."""
         return self._split(
-            key for key, held in self._held_by_key.items() if not held.record.is_over
+            key
+            for key, held in self._held_by_key.items()
+            if not held.record.is_over and not held.is_recalled
+        )
+
+    def recalled(self) -> Records:
+        """Return the records of a former run that are not confirmed."""
+        return self._split(
+            key for key, held in self._held_by_key.items() if held.is_recalled
         )
 
     def lasting(self) -> Records:
@@ -186,20 +215,27 @@
             return ENTRY_LIFE_SECONDS
         return self._upstream_life
 
-    def _take(self, record: Record) -> bool:
+    def _take(self, record: Record, *, is_recalled: bool = False) -> bool:
         held = self._held_by_key.get(record.key)
         former = None if held is None else held.record
         news = self._merge(former, record)
         if news is None:
-            return False
-        if former is not None and _is_same(former, news):
+            if held is None or is_recalled or not held.is_recalled:
+                return False
+            if held.record.tag != record.tag:
+                return False
+            news = held.record
+        if held is None:
+            self._put(news, heard=self._clock(), is_recalled=is_recalled)
+            return True
+        is_recalled = is_recalled and held.is_recalled
+        if is_recalled == held.is_recalled and _is_same(held.record, news):
             now = self._clock()
-            assert held is not None
             self._held_by_key[record.key] = held._replace(
                 record=news, heard=now, noted=now
             )
             return False
-        self._put(news, heard=self._clock())
+        self._put(news, heard=self._clock(), is_recalled=is_recalled)
         return True
 
     def _merge(self, former: Record | None, record: Record) -> Record | None:
@@ -225,12 +261,16 @@
         self._upstream_ids_by_address[record.address] = record.id
         return True
 
-    def _put(self, record: Record, *, heard: Seconds) -> None:
+    def _put(
+        self, record: Record, *, heard: Seconds, is_recalled: bool = False
+    ) -> None:
         former = self._held_by_key.get(record.key)
         if former is not None:
             self._keys_by_tag.pop(former.record.tag, None)
         revision = self.revision.value + 1
-        self._held_by_key[record.key] = _Held(record, heard, self._clock(), revision)
+        self._held_by_key[record.key] = _Held(
+            record, heard, self._clock(), revision, is_recalled
+        )
         self._keys_by_tag[record.tag] = record.key
         self.revision.set(revision)
 
--- /dev/null
+++ b/tests/discovery/test_farewell_sharing.py
@@ -0,0 +1,97 @@
+"""Tests of what a replica tells of its former run before it heard the others."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from poplarlug.virtualtime import run_virtual
+from tests.control.quiet import QuietTestCase
+from tests.discovery.test_mark_sharing import REGIONS_BY_ZONE, Fleet
+from tests.discovery.test_registry import make_upstream
+
+START_SECONDS = 3.0
+WRITTEN_SECONDS = 1.5
+"""Longer than a replica takes to write what nobody waits for."""
+
+UPSTREAM = make_upstream(zone="a")
+ALL = [f"{kind}-{zone}" for kind in ("control", "entry") for zone in REGIONS_BY_ZONE]
+
+
+class FarewellSharingTests(QuietTestCase):
+    """An upstream in zone a that all replicas have on their disks."""
+
+    def play(self, scene: Callable[[Fleet], Awaitable[None]]) -> None:
+        async def main() -> None:
+            fleet = Fleet()
+            await asyncio.sleep(START_SECONDS)
+            await fleet.registrars["a"].hear_upstream(UPSTREAM)
+            await asyncio.sleep(WRITTEN_SECONDS)
+            for zone in REGIONS_BY_ZONE:
+                self.assertEqual(self.serving(fleet, zone), [UPSTREAM.id])
+            await scene(fleet)
+            for name in list(fleet.tasks_by_name):
+                fleet.stop(name)
+
+        run_virtual(main())
+
+    def serving(self, fleet: Fleet, zone: str) -> list[str]:
+        """Return the upstreams that an entry would send requests to."""
+        return [*fleet.deployments_by_zone[zone].serving_regions(UPSTREAM.service)]
+
+    async def lose_power(self, fleet: Fleet, *, first: str, after: float) -> None:
+        """Stop all processes at once; those of one zone are back before the others."""
+        for name in ALL:
+            fleet.stop(name)
+        fleet.deployments_by_zone.clear()
+        fleet.network.heal()
+        fleet.start_replica(first)
+        fleet.start_entry(first)
+        await asyncio.sleep(after)
+        for zone in REGIONS_BY_ZONE:
+            if zone != first:
+                fleet.start_replica(zone)
+                fleet.start_entry(zone)
+
+    async def watch(self, fleet: Fleet, seconds: float) -> set[str]:
+        """Return all upstreams that any entry would have sent requests to."""
+        seen = set()
+        until = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < until:
+            for zone in fleet.deployments_by_zone:
+                seen.update(self.serving(fleet, zone))
+            await asyncio.sleep(0.01)
+        return seen
+
+    # Guards against upstreams that had left and were in use again.
+    def test_upstream_that_left_unheard_by_one_replica_stays_away(self) -> None:
+        """Whichever replica answers first, it asks the others before it tells."""
+        for first in REGIONS_BY_ZONE:
+            for after in (0.0, 0.2, 0.5):
+                with self.subTest(first=first, after=after):
+
+                    async def scene(
+                        fleet: Fleet, first: str = first, after: float = after
+                    ) -> None:
+                        fleet.cut_off("c")
+                        leaving = UPSTREAM._replace(sequence=9, phase="leaving")
+                        await fleet.registrars["a"].hear_upstream(leaving)
+                        back = self.lose_power(fleet, first=first, after=after)
+                        watched = self.watch(fleet, START_SECONDS)
+                        _, seen = await asyncio.gather(back, watched)
+                        self.assertEqual(seen, set())
+
+                    self.play(scene)
+
+    def test_upstream_that_stayed_is_used_soon_after_a_loss_of_power(self) -> None:
+        """Also by a zone that reaches no other one."""
+        for cut in (False, True):
+            with self.subTest(cut=cut):
+
+                async def scene(fleet: Fleet, cut: bool = cut) -> None:
+                    await self.lose_power(fleet, first="c", after=0.0)
+                    if cut:
+                        fleet.cut_off("c")
+                    await asyncio.sleep(1.5)
+                    for zone in REGIONS_BY_ZONE:
+                        self.assertEqual(self.serving(fleet, zone), [UPSTREAM.id])
+
+                self.play(scene)
--- a/tests/discovery/test_mark_sharing.py
+++ b/tests/discovery/test_mark_sharing.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from functools import partial
 from random import Random
 
+from poplarlug.control.memory_disk import MemoryDisk
 from poplarlug.control.routing_state import RoutingState
 from poplarlug.discovery.control_peers import ControlPeers
 from poplarlug.discovery.crash_marks import CrashMark, CrashMarks
@@ -13,6 +13,7 @@
 from poplarlug.discovery.records import EntryRecord, UpstreamRun
 from poplarlug.discovery.registrar import Registrar
 from poplarlug.discovery.registry import Registry
+from poplarlug.discovery.registry_file import RegistryFile
 from poplarlug.discovery.subscriber import OwnLoads, Subscriber
 from poplarlug.transport import MemoryNetwork, MemoryTransport
 from poplarlug.transport.memory import LinkQuality
@@ -34,6 +35,10 @@
         quality = LinkQuality(0.055, 0.06)
         self.network = MemoryNetwork(rng=Random(1), quality=quality)
         self.registrars: dict[str, Registrar] = {}
+        self.disks_by_zone = {
+            zone: MemoryDisk(rng=Random(zone)) for zone in REGIONS_BY_ZONE
+        }
+        self.deployments_by_zone: dict[str, Deployment] = {}
         self.marks_by_zone: dict[str, CrashMarks] = {}
         self.limits_by_zone: dict[str, NamedLimits] = {}
         self.tasks_by_name: dict[str, list[asyncio.Future[None]]] = {}
@@ -45,27 +50,34 @@
         clock = asyncio.get_running_loop().time
         name = f"control-{zone}"
         transport = MemoryTransport(name=name, network=self.network)
+        registry = Registry(clock=clock, beat_seconds=1.2)
+        marks = CrashMarks(clock=clock)
+        file = RegistryFile(
+            disk=self.disks_by_zone[zone], registry=registry, marks=marks
+        )
         registrar = Registrar(
             zone=zone,
             regions_by_zone=REGIONS_BY_ZONE,
-            registry=Registry(clock=clock, beat_seconds=1.2),
-            marks=CrashMarks(clock=clock),
+            registry=registry,
+            marks=marks,
             peers=ControlPeers(
                 own=name,
                 seeds=REPLICAS,
                 members=lambda: REPLICAS,
+                voters=lambda: REPLICAS,
                 clock=clock,
                 is_address=lambda address: address in REPLICAS,
             ),
             routing=RoutingState(),
             transport=transport,
             is_current=lambda: True,
-            flush=partial(asyncio.sleep, 0.0),
+            flush=file.flush,
             rng=Random(f"{name}/{clock()}"),
             clock=clock,
         )
         self.registrars[zone] = registrar
-        self._run(name, transport.run(), registrar.run())
+        file.load()
+        self._run(name, transport.run(), registrar.run(), file.run())
 
     def start_entry(self, zone: str) -> None:
         clock = asyncio.get_running_loop().time
@@ -73,13 +85,14 @@
         transport = MemoryTransport(name=name, network=self.network)
         marks = self.marks_by_zone[zone] = CrashMarks(clock=clock)
         limits = self.limits_by_zone[zone] = NamedLimits(clock=clock)
+        deployment = self.deployments_by_zone[zone] = Deployment(
+            own_region=REGIONS_BY_ZONE[zone],
+            regions_by_zone=REGIONS_BY_ZONE,
+            clock=clock,
+        )
         subscriber = Subscriber(
             zone=zone,
-            deployment=Deployment(
-                own_region=REGIONS_BY_ZONE[zone],
-                regions_by_zone=REGIONS_BY_ZONE,
-                clock=clock,
-            ),
+            deployment=deployment,
             marks=marks,
             limits=limits,
             transport=transport,
@@ -94,6 +107,9 @@
     def stop(self, name: str) -> None:
         for task in self.tasks_by_name.pop(name):
             task.cancel()
+        kind, _, zone = name.partition("-")
+        if kind == "control":
+            self.disks_by_zone[zone].crash()
 
     def cut_off(self, zone: str) -> None:
         """Cut a zone's replica and entry off from those of other zones."""
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -154,3 +154,36 @@
         unknown = self.registry.touch(other.heard_within(1.0))
         self.registry.take(other.by_tag(unknown))
         self.assertEqual(self.phase(), "leaving")
+
+    def test_record_of_a_former_run_is_told_after_a_sign(self) -> None:
+        """Of its own, at this replica or at another one; and it stays on the disk."""
+        same = make_upstream()
+        tag = same.tag
+        signs = {
+            "beat": lambda registry: registry.hear(make_upstream(sequence=2)),
+            "told": lambda registry: registry.take(Records(upstreams=(same,))),
+            "heard elsewhere": lambda registry: registry.touch([tag]),
+            "confirmed": lambda registry: registry.confirm(),
+        }
+        for name, give_sign in signs.items():
+            with self.subTest(sign=name):
+                registry = self.make()
+                registry.recall(Records(upstreams=(same,)))
+                self.assertEqual(registry.present().all, [])
+                self.assertEqual(registry.changed_after(0).all, [])
+                self.assertEqual(len(registry.lasting().upstreams), 1)
+                revision = registry.revision.value
+                give_sign(registry)
+                self.assertEqual(len(registry.present().upstreams), 1)
+                self.assertEqual(len(registry.changed_after(revision).all), 1)
+
+    def test_record_of_a_former_run_hides_nothing_heard_since(self) -> None:
+        """Whichever of the two comes first."""
+        recalled = Records(upstreams=(make_upstream(sequence=5),))
+        self.registry.hear(make_upstream(sequence=6))
+        self.registry.recall(recalled)
+        self.assertEqual(len(self.registry.present().upstreams), 1)
+        leaving = Records(upstreams=(make_upstream(sequence=7, phase="leaving"),))
+        self.registry.recall(leaving)
+        self.assertEqual(self.phase(), "leaving")
+        self.assertEqual(len(self.registry.present().upstreams), 1)
--- a/tests/discovery/test_registry_file.py
+++ b/tests/discovery/test_registry_file.py
@@ -15,7 +15,7 @@
 
 class RegistryFileTests(TestCase):
     def test_records_come_back_for_a_while(self) -> None:
-        """What was there before is used at once, and forgotten without a sign."""
+        """What was there before waits to be confirmed, and is over without a sign."""
 
         async def main() -> None:
             clock = asyncio.get_running_loop().time
@@ -32,6 +32,9 @@
             second = Registry(clock=clock, beat_seconds=1.2)
             restored = CrashMarks(clock=clock)
             RegistryFile(disk=disk, registry=second, marks=restored).load()
+            self.assertEqual(second.present().all, [])
+            self.assertEqual(len(second.recalled().all), 2)
+            self.assertEqual(second.confirm(), 2)
             self.assertEqual(len(second.present().all), 2)
             await asyncio.sleep(RECALL_SECONDS + 0.1)
             second.expire()
--- a/tests/platform_adapter/test_stale_state.py
+++ b/tests/platform_adapter/test_stale_state.py
@@ -44,13 +44,22 @@
         """Send a request through each entry."""
         return [self.call(entry, "look") for entry in self.entries]
 
-    def leave_and_kill(self, names: Sequence[str]) -> None:
-        """Let one upstream leave, kill processes at once and see who is used."""
+    def leave_and_kill(self, names: Sequence[str], paused: Sequence[str] = ()) -> None:
+        """
+        Let one upstream leave, kill processes at once and see who is used.
+
+        Those ``paused`` do not hear of it before they are killed.
+        """
         leaving, staying, new = self.upstreams
         # What a replica writes for this one may hold up what comes next.
         self.beat([new])
         time.sleep(0.1)
-        status = leaving.beat(self.deployment.control_address(), "leaving")
+        for name in paused:
+            self.deployment.signal(name, signal.SIGSTOP)
+        zone = next(
+            z for z, name in self.deployment.control.items() if name not in paused
+        )
+        status = leaving.beat(self.deployment.control_address(zone), "leaving")
         self.assertEqual(status, 200)
         for name in names:
             self.deployment.kill(name)
@@ -76,6 +85,12 @@
         """A farewell that was acknowledged is on a disk."""
         self.leave_and_kill([*self.deployment.control.values(), *self.entries])
 
+    def test_upstream_that_left_unheard_by_one_replica_stays_away(self) -> None:
+        """A replica's former knowledge waits for that of the others."""
+        replicas = [*self.deployment.control.values()]
+        time.sleep(1.5)
+        self.leave_and_kill([*replicas, *self.entries], paused=replicas[:1])
+
     # Guards against requests sent by a permission that ended during a pause.
     def test_entry_that_stood_still_sends_nothing_to_an_evacuated_zone(self) -> None:
         """It asks what is new before it serves what came meanwhile."""
