--- a/poplarlug/soak/run.py
+++ b/poplarlug/soak/run.py
@@ -58,6 +58,12 @@
 SERVED_SHARE = 0.9
 """Share of requests that have to be served once everything is back."""
 
+SHOWN_KINDS = 4
+"""Kinds of unserved requests that a broken promise names."""
+
+SHOWN_BYTES = 80
+"""Bytes of a refusal's text that it quotes."""
+
 LINK = "entries"
 
 
@@ -78,6 +84,11 @@
     broken: tuple[str, ...]
 
 
+def _problem(body: bytes) -> str:
+    """Return the start of a refusal's text."""
+    return body[:SHOWN_BYTES].decode(errors="replace")
+
+
 class SoakRun:
     """
     Play one seed.
@@ -179,7 +190,10 @@
         late = [call for call in calls if call.sent > recovered]
         served = sum(call.status == 200 for call in late)
         if not late or served < SERVED_SHARE * len(late):
-            broken.append(f"{served} of {len(late)} requests served after recovery")
+            broken.append(
+                f"{served} of {len(late)} requests served after recovery"
+                f" ({self._describe_unserved(late, recovered)})"
+            )
         broken += self._check_deadly(recovered)
         for upstream, limited in self._limited_times:
             broken += check_limits(upstream.received, limited)
@@ -191,6 +205,20 @@
             self._seed, len(self.faults), len(calls), whole, tuple(broken)
         )
 
+    def _describe_unserved(self, calls: list[Call], recovered: Seconds) -> str:
+        """Say how calls ended, when and at which entry, and when upstreams ended."""
+        unserved = [call for call in calls if call.status != 200]
+        kinds = Counter(
+            (call.status, call.entry, _problem(call.body)) for call in unserved
+        )
+        parts = [f"{count} x {kind}" for kind, count in kinds.most_common(SHOWN_KINDS)]
+        times = [call.sent - recovered for call in unserved]
+        if times:
+            parts.append(f"sent {min(times):.2f} to {max(times):.2f} s after it")
+        ends = [end - recovered for u in self._upstreams for end in u.ends]
+        parts.append(f"upstreams ended at {[round(end, 2) for end in sorted(ends)]} s")
+        return ", ".join(parts)
+
     def _check_deadly(self, recovered: Seconds) -> list[str]:
         """Return whether a request that ended upstreams was sent on for too long."""
         ends = sum(len(upstream.ends) for upstream in self._upstreams)
