Acknowledge no farewell that is on no disk

Callers: an upstream whose farewell was acknowledged may be used again after all processes lost power. A failed write was not tried again either before the next change.

Now 503, on which the upstream asks the next replica; one disk is enough where others are out of reach. Gossip's reply says whether farewells are on the receiver's disk, and they are told again until they are.

--- a/poplarlug/control/memory_disk.py
+++ b/poplarlug/control/memory_disk.py
@@ -1,6 +1,7 @@
 """A disk in memory that loses unsynced data at a crash, for tests and trials."""
 
 import asyncio
+import errno
 from random import Random
 from typing import NamedTuple
 
@@ -24,11 +25,17 @@
         Source of delays and of what a crash leaves of a write in progress.
     max_delay : float
         Longest time of a write, in seconds.
+
+    Attributes
+    ----------
+    is_full : bool
+        Whether writes fail; none of their data is kept then.
     """
 
     def __init__(self, *, rng: Random, max_delay: Seconds = 0.005) -> None:
         self._rng = rng
         self.max_delay = max_delay
+        self.is_full = False
         self._session = 0
         self._writes_by_id: dict[int, _Write] = {}
         self._last_id = 0
@@ -69,6 +76,8 @@
             # The process is gone; nothing of it goes on.
             await self._never()
         del self._writes_by_id[write_id]
+        if self.is_full:
+            raise OSError(errno.ENOSPC, "no space left")
         self._store(write)
 
     async def _never(self) -> None:
--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -202,9 +202,19 @@
 
 
 class GossipReply(NamedTuple):
-    """Tags of the heard records that the receiver doesn't hold."""
+    """
+    What the receiver of gossip says of it.
+
+    Parameters
+    ----------
+    unknown : tuple of int
+        Tags of the heard records that it doesn't hold.
+    is_durable : bool
+        Whether the farewells are on its disk.
+    """
 
     unknown: tuple[int, ...] = ()
+    is_durable: bool = True
 
 
 class TablesRequest(NamedTuple):
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -81,7 +81,7 @@
     is_current : callable
         Returns whether this replica is in touch with the group's leader.
     flush : callable
-        Returns once the registry's changes are on this replica's disk.
+        Writes the registry to this replica's disk; returns whether that went well.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
         routing: RoutingState,
         transport: Transport,
         is_current: Callable[[], bool],
-        flush: Callable[[], Awaitable[None]],
+        flush: Callable[[], Awaitable[bool]],
         rng: Random,
         clock: Callable[[], Seconds],
     ) -> None:
@@ -174,31 +174,52 @@
             seconds=round(self._clock() - self._started, 2),
         )
 
-    async def hear_upstream(self, record: ServiceUpstream) -> None:
+    async def hear_upstream(self, record: ServiceUpstream) -> bool:
         """
-        Take in an upstream's announcement.
+        Take in an upstream's announcement; return whether to acknowledge it.
 
-        A farewell returns once it is on the disks of a majority of the voters, or
-        of all that there are links to, or after ``SPREAD_TIMEOUT_SECONDS``.
+        A farewell returns once it is on the disks of a majority of the voters, or of
+        all that there are links to, or after ``SPREAD_TIMEOUT_SECONDS``. One that no
+        disk holds has to be said again.
         """
-        if not self.registry.hear(record):
-            return
+        self.registry.hear(record)
         outboxes = self._spread_changes()
         if record.phase == "serving":
-            return
+            return True
+        copies = await self._wait_for_copies(outboxes)
+        if not copies:
+            _log.error("a farewell is on no disk", upstream=record.id)
+        return copies > 0
+
+    async def _wait_for_copies(self, outboxes: "list[_Outbox]") -> int:
+        """Return how many disks hold what is known now, once enough do or in time."""
+        wanted = 1 + self._peers.missing_for_majority(())
+        tasks = [
+            asyncio.ensure_future(self._flush()),
+            *(asyncio.ensure_future(outbox.wait_empty()) for outbox in outboxes),
+        ]
+        copies = 0
         try:
             async with asyncio.timeout(SPREAD_TIMEOUT_SECONDS):
-                others = self._peers.missing_for_majority(())
-                await asyncio.gather(self._flush(), _wait_for_empty(outboxes, others))
+                for task in asyncio.as_completed(tasks):
+                    copies += await task
+                    if copies >= wanted:
+                        break
         except TimeoutError:
-            _log.warning("a farewell may be lost with this replica", upstream=record.id)
+            _log.warning("too few disks in time", copies=copies, wanted=wanted)
+        finally:
+            for pending in tasks:
+                pending.cancel()
+        return copies
 
-    async def _flush_soon(self) -> None:
+    async def _flush_soon(self) -> bool:
+        """Return whether this replica's disk took what is known now in time."""
         try:
             async with asyncio.timeout(SPREAD_TIMEOUT_SECONDS):
-                await self._flush()
+                return await self._flush()
         except TimeoutError:
             _log.warning("the disk takes no farewells in time")
+            return False
 
     def release(self, fingerprint: int) -> int:
         """
@@ -234,10 +255,9 @@
     def _spread_changes(self) -> "list[_Outbox]":
         """Tell all replicas what is new; return the way to the group's voters."""
         changes = self.registry.take_changes()
-        if not changes.entries and not changes.upstreams:
-            return []
-        for outbox in self._outboxes_by_peer.values():
-            outbox.add(changes)
+        if changes.entries or changes.upstreams:
+            for outbox in self._outboxes_by_peer.values():
+                outbox.add(changes)
         voters = self._peers.voters
         return [box for peer, box in self._outboxes_by_peer.items() if peer in voters]
 
@@ -280,14 +300,16 @@
                 )
                 continue
             self._peers.saw(peer)
+            told = reply.unwrap()
+            if not told.is_durable:
+                outbox.put_back(_farewells(records))
             outbox.confirm()
             limits_told = limits_revision
             if not self._settled:
                 await self._fetch_tables(peer)
-            unknown = reply.unwrap().unknown
-            if unknown:
+            if told.unknown:
                 # Their senders were heard here, and the other one lacks them.
-                outbox.add(self.registry.by_tag(unknown))
+                outbox.add(self.registry.by_tag(told.unknown))
             await outbox.wait_for_news(GOSSIP_SECONDS)
 
     def _gossip(self, peer: Address, records: Records, limits_told: int) -> Gossip:
@@ -364,10 +386,12 @@
         for loads in message.entry_loads:
             if loads.entry not in self._own_entries():
                 self._loads.note_entry(loads)
-        if any(upstream.phase != "serving" for upstream in message.upstreams):
+        unknown = self.registry.touch(message.heard)
+        is_durable = True
+        if _farewells(Records(upstreams=message.upstreams)).upstreams:
             # The replica that took a farewell waits for this one's answer.
-            await self._flush_soon()
-        return GossipReply(self.registry.touch(message.heard))
+            is_durable = await self._flush_soon()
+        return GossipReply(unknown, is_durable)
 
     async def _serve_tables(self, sender: VmName, message: TablesRequest) -> Tables:
         # Those that are over count too: entries share budgets with lost ones.
@@ -458,15 +482,9 @@
         )
 
 
-async def _wait_for_empty(outboxes: "list[_Outbox]", count: int) -> None:
-    """Return once that many replicas, or all, have all that they were to be told."""
-    sent = [asyncio.ensure_future(outbox.wait_empty()) for outbox in outboxes]
-    try:
-        for done in list(asyncio.as_completed(sent))[:count]:
-            await done
-    finally:
-        for task in sent:
-            task.cancel()
+def _farewells(records: Records) -> Records:
+    leaving = tuple(one for one in records.upstreams if one.phase != "serving")
+    return Records(upstreams=leaving)
 
 
 class _Outbox:
@@ -511,8 +529,9 @@
         if not self._records_by_key and not self._marks_by_key:
             self._emptied.set()
 
-    async def wait_empty(self) -> None:
-        await self._emptied.wait()
+    async def wait_empty(self) -> bool:
+        """Return ``True`` once its replica has all, farewells on its disk."""
+        return await self._emptied.wait()
 
     async def wait_for_news(self, timeout_seconds: Seconds) -> None:
         try:
--- a/poplarlug/discovery/registry_file.py
+++ b/poplarlug/discovery/registry_file.py
@@ -42,7 +42,9 @@
         self._written: tuple[int, frozenset[CrashMark]] | None = None
         self._changed = asyncio.Event()
         self._wanted = asyncio.Event()
-        self._finished: Latest[int] = Latest(initial=0)
+        self._durable_revision = 0
+        self._begun = 0
+        self._ended: Latest[int] = Latest(initial=0)
         registry.revision.subject.subscribe(lambda _: self._changed.set())
         marks.revision.subject.subscribe(lambda _: self._changed.set())
 
@@ -66,11 +68,17 @@
             marks=len(content.marks),
         )
 
-    async def flush(self) -> None:
-        """Return once what is known now was written, or could not be."""
+    async def flush(self) -> bool:
+        """Try to write what is known now; return whether it is on the disk."""
         revision = self._registry.revision.value
-        self._wanted.set()
-        await self._finished.wait_for(lambda written: written >= revision)
+        if self._durable_revision < revision:
+            next_write = self._begun + 1
+            self._wanted.set()
+            self._changed.set()
+            await self._ended.wait_for(
+                lambda ended: self._durable_revision >= revision or ended >= next_write
+            )
+        return self._durable_revision >= revision
 
     async def run(self) -> None:
         """Write the records after changes until cancelled."""
@@ -78,9 +86,11 @@
             await self._changed.wait()
             self._changed.clear()
             self._wanted.clear()
+            self._begun += 1
             revision = self._registry.revision.value
-            await self._write(revision)
-            self._finished.set(revision)
+            if await self._write(revision):
+                self._durable_revision = revision
+            self._ended.set(self._begun)
             try:
                 async with asyncio.timeout(WRITE_SECONDS):
                     await self._wanted.wait()
@@ -88,16 +98,18 @@
                 # Nobody waits for the next write.
                 pass
 
-    async def _write(self, revision: int) -> None:
+    async def _write(self, revision: int) -> bool:
         marks = self._marks.lasting()
         ageless = frozenset(mark._replace(age_seconds=0.0) for mark in marks)
         state = revision, ageless
         if state == self._written:
-            return
-        self._written = state
+            return True
         kept = self._registry.lasting()._replace(marks=tuple(marks))
         try:
             await self._disk.replace(FILE_NAME, msgspec.msgpack.encode(kept))
         except OSError as error:
-            # The records are a convenience; the replica goes on without.
+            # Other replicas have their own; this one goes on without.
             _log.warning("can't write records", error=str(error))
+            return False
+        self._written = state
+        return True
--- a/poplarlug/platform/control.py
+++ b/poplarlug/platform/control.py
@@ -9,6 +9,7 @@
 from poplarlug.control.routing_service import RoutingService
 from poplarlug.control.seeded import SeededControl, run_seeded_control
 from poplarlug.daemon import Site, run_daemon
+from poplarlug.discovery.records import ServiceUpstream
 from poplarlug.discovery.registrar import Registrar
 from poplarlug.logs import PartLog
 from poplarlug.platform.documents import decode_beat, decode_configuration, farewell
@@ -77,12 +78,15 @@
             reason = decoded.failure()
             _log.warning("refused a beat", upstream=upstream_id, reason=reason)
             return web.json_response({"problem": reason}, status=400)
-        await self._registrar.hear_upstream(decoded.unwrap())
-        return web.json_response({})
+        return await self._hear(decoded.unwrap())
 
     async def delete_upstream(self, request: web.Request) -> web.Response:
-        await self._registrar.hear_upstream(farewell(request.match_info["id"]))
-        return web.json_response({})
+        return await self._hear(farewell(request.match_info["id"]))
+
+    async def _hear(self, record: ServiceUpstream) -> web.Response:
+        if await self._registrar.hear_upstream(record):
+            return web.json_response({})
+        return _unavailable("no disk holds this farewell yet")
 
     async def _set_evacuated(
         self, request: web.Request, evacuated: bool
--- a/tests/discovery/test_farewell_sharing.py
+++ b/tests/discovery/test_farewell_sharing.py
@@ -95,3 +95,35 @@
                         self.assertEqual(self.serving(fleet, zone), [UPSTREAM.id])
 
                 self.play(scene)
+
+    # Guards against farewells that were acknowledged and on no disk.
+    def test_farewell_that_no_disk_took_is_not_acknowledged(self) -> None:
+        """It is said again then; one disk is enough where others are out of reach."""
+
+        async def scene(fleet: Fleet) -> None:
+            leaving = UPSTREAM._replace(sequence=9, phase="leaving")
+            fleet.cut_off("a")
+            disk = fleet.disks_by_zone["a"]
+            disk.max_delay = 1e6
+            hear = fleet.registrars["a"].hear_upstream
+            self.assertFalse(await hear(leaving))
+            self.assertFalse(await hear(leaving._replace(sequence=10)))
+            fleet.network.heal()
+            await asyncio.sleep(START_SECONDS)
+            self.assertTrue(await hear(leaving._replace(sequence=11)))
+
+        self.play(scene)
+
+    def test_farewell_on_a_full_disk_is_acknowledged_by_another(self) -> None:
+        """A disk that takes nothing counts for none, here and elsewhere."""
+
+        async def scene(fleet: Fleet) -> None:
+            leaving = UPSTREAM._replace(sequence=9, phase="leaving")
+            for zone in REGIONS_BY_ZONE:
+                fleet.disks_by_zone[zone].is_full = True
+            hear = fleet.registrars["a"].hear_upstream
+            self.assertFalse(await hear(leaving))
+            fleet.disks_by_zone["a"].is_full = False
+            self.assertTrue(await hear(leaving._replace(sequence=10)))
+
+        self.play(scene)
