End an earlier run at an address that a later one has, at entries too

Cause: an upstream that ends comes back at its address under a new id. The entry had the former id from a replica that lost its disk later; no other replica ever named it, so nothing ended it, and the entry went on choosing it 15 s later (log: u-2-2 answered 421, next send to u-2-4 at the same address 200). Control replicas know that an address has one holder, entries did not.

Now an entry goes by the same rule. Fixtures of two relay tests gave all upstreams one address; they have their own now.

--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -236,10 +236,10 @@
             upstream = self._unless_left(record)
             self._note_end(upstream, reply.upstreams)
             held = self._upstreams_by_id.get(upstream.id)
-            if held is None or upstream.born >= held.record.born:
+            if held is not None and upstream.born < held.record.born:
+                continue
+            if upstream.is_over or self._owns_address(upstream):
                 self._upstreams_by_id[upstream.id] = _Noted(upstream, now)
-                if not upstream.is_over:
-                    self._ids_by_address[upstream.address] = upstream.id
         self.others_loads_by_id = {load.id: load for load in reply.loads}
         self.region_loads = reply.regions
         self._demands = reply.demands
@@ -288,6 +288,22 @@
         elif upstream.phase == "serving":
             self._ended_by_run.pop(upstream.run, None)
 
+    def _owns_address(self, upstream: ServiceUpstream) -> bool:
+        """Return whether no later run has the address; forget an earlier one there."""
+        other_id = self._ids_by_address.get(upstream.address, upstream.id)
+        other = self.upstream(other_id)
+        if (
+            other is not None
+            and other.id != upstream.id
+            and other.address == upstream.address
+        ):
+            if other.born > upstream.born:
+                return False
+            del self._upstreams_by_id[other.id]
+            _log.info("a later run has the address", former=other.id, now=upstream.id)
+        self._ids_by_address[upstream.address] = upstream.id
+        return True
+
     def _unless_left(self, upstream: ServiceUpstream) -> ServiceUpstream:
         """
         Return what is known of an upstream with what a replica says.
--- a/tests/discovery/test_deployment.py
+++ b/tests/discovery/test_deployment.py
@@ -7,6 +7,7 @@
     PRESUMED_COLD_SECONDS,
     REMEMBER_SECONDS,
     Deployment,
+    RunFate,
 )
 from poplarlug.discovery.messages import PollReply, RoutingNews
 from tests.discovery.test_registry import make_entry, make_upstream
@@ -62,6 +63,20 @@
         self.take(upstreams=(make_upstream(born=make_upstream().born + 1),))
         self.assertEqual(self.serving(), ["e-1"])
 
+    # Guards against upstreams that were used under an id that they no longer had.
+    def test_later_run_at_an_address_ends_the_one_before(self) -> None:
+        """Also where the replica that knew the earlier one is gone."""
+        early = make_upstream()
+        late = make_upstream(id="e-2", born=early.born + 1)
+        for order in ((early, late), (late, early)):
+            for record in order:
+                self.take(upstreams=(record,))
+            self.assertEqual(self.serving(), ["e-2"])
+            self.assertIs(self.deployment.fate(early), RunFate.REPLACED)
+            self.take(whole=True)
+        self.take(upstreams=(early, late._replace(address="10.0.1.9:80")))
+        self.assertEqual(sorted(self.serving()), ["e-1", "e-2"])
+
     def test_evacuated_zone_serves_nothing_and_comes_back_as_if_cold(self) -> None:
         """Its upstreams may have become cold before they announce that."""
         self.take(upstreams=(make_upstream(),))
--- a/tests/relay/test_gateway.py
+++ b/tests/relay/test_gateway.py
@@ -26,7 +26,8 @@
 
 ROUTE = make_route(kind="streaming", prompts=True, resumable=True, max_attempts=2)
 UPSTREAMS = tuple(
-    ServiceUpstream(f"e-{number}", "engine", "", "a", 1, 1, 8) for number in (1, 2)
+    ServiceUpstream(f"e-{number}", "engine", f"10.0.0.{number}:80", "a", 1, 1, 8)
+    for number in (1, 2)
 )
 SERVICE = RoutedService("engine", engine=Engine(8, 100_000))
 REPLY = PollReply(
--- a/tests/relay/test_limiter.py
+++ b/tests/relay/test_limiter.py
@@ -38,7 +38,8 @@
 )
 SERVICE = RoutedService("engine", engine=Engine(64, 100_000))
 UPSTREAMS = tuple(
-    ServiceUpstream(f"e-{number}", "engine", "", "a", 1, 1, 64) for number in (1, 2)
+    ServiceUpstream(f"e-{number}", "engine", f"10.0.0.{number}:80", "a", 1, 1, 64)
+    for number in (1, 2)
 )
 ENTRIES = tuple(
     EntryRecord(f"entry-{number}", "east", "a", "", "", 1, "serving")
