Tell an entry all that is there once the replica that it follows has settled

A poll now says that the entry has had no whole reply of that run, and the replica gives one as soon as it has settled: once a restart and entry.

--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -61,6 +61,8 @@
         Revision of the crash marks up to which the entry knows them.
     limits_known : int
         The same for the limits that upstreams named.
+    lacks_whole : bool
+        Whether the entry has had no whole reply of that run yet.
     """
 
     record: EntryRecord
@@ -73,6 +75,7 @@
     marks_known: int = 0
     limits_known: int = 0
     demands: tuple[ServiceDemand, ...] = ()
+    lacks_whole: bool = False
 
 
 class RoutingNews(NamedTuple):
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -436,6 +436,7 @@
     def _has_news(self, poll: Poll) -> bool:
         return (
             poll.registry_id != self.id
+            or (poll.lacks_whole and self.is_settled)
             or poll.known < self.registry.revision.value
             or poll.routing_revision < self._routing.revision.value
             or poll.marks_known < self.marks.revision.value
@@ -451,11 +452,11 @@
             pass
 
     def _answer(self, poll: Poll) -> PollReply:
-        whole = poll.registry_id != self.id
-        known = 0 if whole else poll.known
-        records = self.registry.changed_after(known)
+        is_first = poll.registry_id != self.id
+        whole = (is_first or poll.lacks_whole) and self.is_settled
+        records = self.registry.changed_after(0 if is_first or whole else poll.known)
         marks, marks_revision = self.marks.changed_after(
-            0 if whole else poll.marks_known, MAX_MARKS_A_REPLY
+            0 if is_first else poll.marks_known, MAX_MARKS_A_REPLY
         )
         image = self._routing.image
         routing = None
@@ -464,7 +465,7 @@
         return PollReply(
             registry_id=self.id,
             revision=self.registry.revision.value,
-            whole=whole and self.is_settled,
+            whole=whole,
             current=self._is_current(),
             zone=self._zone,
             entries=records.entries,
@@ -476,7 +477,7 @@
             settled=self.is_settled,
             marks=tuple(marks),
             marks_revision=marks_revision,
-            limits=self.limits.changed_after(0 if whole else poll.limits_known),
+            limits=self.limits.changed_after(0 if is_first else poll.limits_known),
             limits_revision=self.limits.revision.value,
             demands=self._loads.demands_of_others(poll.record.name),
         )
--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -114,6 +114,7 @@
         self._replica: Address | None = None
         self._registry_id = ""
         self._revision = 0
+        self._lacks_whole = True
         self._zones_by_replica: dict[Address, ZoneName] = {}
         self._looked_nearer_at = float("-inf")
         self._poke = asyncio.Event()
@@ -305,6 +306,7 @@
             marks_known=self._marks_known if is_followed else 0,
             limits_known=self._limits_known if is_followed else 0,
             demands=own.demands,
+            lacks_whole=is_followed and self._lacks_whole,
         )
 
     async def _request(
@@ -345,6 +347,10 @@
         for limit in reply.limits:
             self._limits.add(limit)
         self._limits_known = reply.limits_revision
+        if reply.whole:
+            self._lacks_whole = False
+        elif reply.registry_id != self._registry_id:
+            self._lacks_whole = True
         if reply.registry_id != self._registry_id:
             # A replica that has just started may know nothing of them.
             self._marks.tell_again()
--- a/tests/discovery/test_farewell_sharing.py
+++ b/tests/discovery/test_farewell_sharing.py
@@ -12,6 +12,9 @@
 WRITTEN_SECONDS = 1.5
 """Longer than a replica takes to write what nobody waits for."""
 
+SETTLED_SECONDS = 8.0
+"""A replica that was restarted knows all that is there after five announcements."""
+
 UPSTREAM = make_upstream(zone="a")
 ALL = [f"{kind}-{zone}" for kind in ("control", "entry") for zone in REGIONS_BY_ZONE]
 
@@ -81,6 +84,28 @@
 
                     self.play(scene)
 
+    # Guards against upstreams that nobody has heard of any more.
+    def test_entry_forgets_what_only_a_lost_replica_knew(self) -> None:
+        """Once the replica that it follows knows all that is there."""
+
+        async def scene(fleet: Fleet) -> None:
+            fleet.stop("control-a")
+            fleet.stop("control-b")
+            await asyncio.sleep(START_SECONDS)
+            only_here = UPSTREAM._replace(id="u-9", address="10.0.1.9:80", zone="c")
+            await fleet.registrars["c"].hear_upstream(only_here)
+            await asyncio.sleep(WRITTEN_SECONDS)
+            self.assertIn(only_here.id, self.serving(fleet, "c"))
+            fleet.stop("control-c")
+            fleet.disks_by_zone["c"].wipe()
+            for zone in REGIONS_BY_ZONE:
+                fleet.start_replica(zone)
+            await asyncio.sleep(SETTLED_SECONDS)
+            for zone in REGIONS_BY_ZONE:
+                self.assertNotIn(only_here.id, self.serving(fleet, zone))
+
+        self.play(scene)
+
     def test_upstream_that_stayed_is_used_soon_after_a_loss_of_power(self) -> None:
         """Also by a zone that reaches no other one."""
         for cut in (False, True):
