Exchange tables in one round trip when replicas come up

Cause: a replica gossiped before it asked for tables, and the one that came up first waited out a request that its peers had missed: confirmed after 0.57 to 1.0 s.

--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -220,10 +220,6 @@
     is_durable: bool = True
 
 
-class TablesRequest(NamedTuple):
-    """Ask a control replica for all its records."""
-
-
 class Tables(NamedTuple):
     """
     All records of a control replica, those that are over included.
@@ -244,3 +240,16 @@
     recalled_upstreams: tuple[ServiceUpstream, ...] = ()
     marks: tuple[CrashMark, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
+
+
+class TablesRequest(NamedTuple):
+    """
+    Ask a control replica for all its records.
+
+    Parameters
+    ----------
+    own : Tables, optional
+        Those of the sender, so that one round trip is enough for both.
+    """
+
+    own: Tables | None = None
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -122,7 +122,6 @@
         self._settled = False
         self._has_confirmed = False
         self._read_from: set[Address] = set()
-        self._readings: set[asyncio.Task[None]] = set()
         self._news: Latest[int] = Latest(initial=0)
         registry.revision.subject.subscribe(lambda _: self._bump())
         routing.revision.subject.subscribe(lambda _: self._bump())
@@ -152,7 +151,7 @@
                 self._spread_changes()
                 await asyncio.sleep(EXPIRE_SECONDS)
         finally:
-            for task in (confirming, *self._readings, *self._links_by_peer.values()):
+            for task in (confirming, *self._links_by_peer.values()):
                 task.cancel()
 
     async def _confirm_in_time(self) -> None:
@@ -278,6 +277,10 @@
         in_touch = False
         limits_told = 0
         while True:
+            if not self._settled and not await self._exchange_tables(peer):
+                pause = GOSSIP_SECONDS if self._has_confirmed else CONFIRM_PAUSE_SECONDS
+                await asyncio.sleep(pause)
+                continue
             records = outbox.take()
             limits_revision = self.limits.revision.value
             message = self._gossip(peer, records, limits_told)
@@ -294,10 +297,7 @@
                 _log.info(f"{state} a control replica", peer=peer)
             if isinstance(reply, Failure):
                 outbox.put_back(records)
-                confirmed = self._has_confirmed
-                await asyncio.sleep(
-                    GOSSIP_SECONDS if confirmed else CONFIRM_PAUSE_SECONDS
-                )
+                await asyncio.sleep(GOSSIP_SECONDS)
                 continue
             self._peers.saw(peer)
             told = reply.unwrap()
@@ -305,8 +305,6 @@
                 outbox.put_back(_farewells(records))
             outbox.confirm()
             limits_told = limits_revision
-            if not self._settled:
-                await self._fetch_tables(peer)
             if told.unknown:
                 # Their senders were heard here, and the other one lacks them.
                 outbox.add(self.registry.by_tag(told.unknown))
@@ -338,45 +336,44 @@
         oldest = self._clock() - ENTRIES_SPEAK_SECONDS
         return [name for name, at in self._polled_by_entry.items() if at >= oldest]
 
-    def _read_soon(self, peer: Address) -> None:
-        """Ask a replica that has just come up for its records, beside its link."""
-        reading = asyncio.ensure_future(self._fetch_tables(peer))
-        self._readings.add(reading)
-        reading.add_done_callback(self._readings.discard)
-
-    async def _fetch_tables(self, peer: Address) -> None:
+    async def _exchange_tables(self, peer: Address) -> bool:
+        """Tell a replica all records and take in its own; return whether that went."""
+        is_first = peer not in self._read_from
         reply = await self._transport.request(
             peer=peer,
             topic=TABLES_TOPIC,
-            message=TablesRequest(),
+            message=TablesRequest(self._tables() if is_first else None),
             reply_type=Tables,
             timeout_seconds=GOSSIP_TIMEOUT_SECONDS,
         )
-        if isinstance(reply, Success):
-            tables = reply.unwrap()
-            self.registry.take(Records(tables.entries, tables.upstreams))
-            self.registry.recall(
-                Records(tables.recalled_entries, tables.recalled_upstreams)
-            )
-            self._peers.learn(tables.control)
-            for mark in tables.marks:
-                self.marks.add(mark)
-            for limit in tables.limits:
-                self.limits.add(limit)
-            if tables.settled:
-                _log.info("took another replica's tables", peer=peer)
-                self._settled = True
-            self._read_from.add(peer)
-            missing = self._peers.missing_for_majority(self._read_from)
-            if tables.settled or not missing:
-                self._confirm()
+        if isinstance(reply, Failure):
+            return False
+        self._take_tables(peer, reply.unwrap())
+        return True
+
+    def _take_tables(self, peer: Address, tables: Tables) -> None:
+        self._peers.saw(peer)
+        self.registry.take(Records(tables.entries, tables.upstreams))
+        self.registry.recall(
+            Records(tables.recalled_entries, tables.recalled_upstreams)
+        )
+        self._peers.learn(tables.control)
+        for mark in tables.marks:
+            self.marks.add(mark)
+        for limit in tables.limits:
+            self.limits.add(limit)
+        if tables.settled and not self._settled:
+            _log.info("took another replica's tables", peer=peer)
+            self._settled = True
+        self._read_from.add(peer)
+        missing = self._peers.missing_for_majority(self._read_from)
+        if tables.settled or not missing:
+            self._confirm()
 
     async def _serve_gossip(self, sender: VmName, message: Gossip) -> GossipReply:
         self._peers.saw(sender)
         self._peers.learn(message.control)
         self._regions_by_peer[sender] = message.region
-        if not self._has_confirmed and sender not in self._read_from:
-            self._read_soon(sender)
         self.registry.take(Records(message.entries, message.upstreams))
         for mark in message.marks:
             self.marks.add(mark)
@@ -394,19 +391,23 @@
         return GossipReply(unknown, is_durable)
 
     async def _serve_tables(self, sender: VmName, message: TablesRequest) -> Tables:
+        own = self._tables()
+        if message.own is not None:
+            self._take_tables(sender, message.own)
+        return own
+
+    def _tables(self) -> Tables:
         # Those that are over count too: entries share budgets with lost ones.
         held = self.registry.changed_after(0)
         recalled = self.registry.recalled()
-        control = self._peers.present(2 * GOSSIP_SECONDS)
-        marks = tuple(self.marks.lasting())
         return Tables(
             entries=held.entries,
             upstreams=held.upstreams,
-            control=control,
+            control=self._peers.present(2 * GOSSIP_SECONDS),
             settled=self.is_settled,
             recalled_entries=recalled.entries,
             recalled_upstreams=recalled.upstreams,
-            marks=marks,
+            marks=tuple(self.marks.lasting()),
             limits=self.limits.changed_after(0),
         )
 
