Cut nobody off who connects until a listener closes, at all listeners

Callers that come in this time find the listener closed a second later, when their kernel repeats the packet.

--- a/poplarlug/callers/connections.py
+++ b/poplarlug/callers/connections.py
@@ -1,9 +1,12 @@
 """Callers' connections: bounds on their number and on slow headers."""
 
 import asyncio
+import ctypes
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Annotated, Any, NamedTuple
+from weakref import WeakSet
 
 from aiohttp import web
 from msgspec import Meta
@@ -21,6 +24,20 @@
 """How long a connection that was made last may take to send its request; callers send
 it at once, and the farthest one takes two round trips."""
 
+HANDSHAKE_SECONDS = 0.02
+"""Some round trips between a caller and an entry of its region."""
+
+SO_ATTACH_FILTER = 26
+"""Linux's number of the option; the standard library has no name for it."""
+
+_DROP_SYN = (
+    (0x30, 0, 0, 13),
+    (0x45, 0, 1, 0x02),
+    (0x06, 0, 0, 0),
+    (0x06, 0, 0, 0xFFFF),
+)
+"""Load byte 13 of the TCP header, test its bit SYN, drop the packet or keep it."""
+
 Count = Annotated[int, Meta(ge=1)]
 Duration = Annotated[float, Meta(gt=0, le=3600)]
 
@@ -69,6 +86,7 @@
         self.limits = limits
         self.refused = 0
         self._connections_by_protocol: dict[Any, _GuardedConnection] = {}
+        self._connecting: WeakSet[_GuardedConnection] = WeakSet()
         self._sites: list[_GuardedSite] = []
 
     @property
@@ -141,23 +159,30 @@
     async def stop_listening(self) -> None:
         """Take no new connections, and let those that were made send their requests."""
         loop = asyncio.get_running_loop()
-        for site in self._sites:
-            site.stop_listening()
+        sites = list(self._sites)
         self._sites.clear()
+        for site in sites:
+            await site.stop_listening()
         deadline = loop.time() + FIRST_REQUEST_SECONDS
         while True:
             await asyncio.sleep(STOP_CHECK_SECONDS)
-            if loop.time() >= deadline or not self._awaits_requests():
+            is_taking = any(site.is_taking for site in sites)
+            if loop.time() >= deadline or not (is_taking or self._awaits_requests()):
                 return
 
     def _awaits_requests(self) -> bool:
-        return any(
+        return bool(self._connecting) or any(
             connection.awaits_request
             for connection in self._connections_by_protocol.values()
         )
 
+    def expect(self, connection: "_GuardedConnection") -> None:
+        """Note a connection that was accepted and has no transport yet."""
+        self._connecting.add(connection)
+
     def add(self, protocol: Any, connection: "_GuardedConnection") -> bool:
         """Count a connection; return whether it is within the bound."""
+        self._connecting.discard(connection)
         self._connections_by_protocol[protocol] = connection
         if self.open_connections <= self.limits.max_connections:
             return True
@@ -178,6 +203,7 @@
         self._transport: asyncio.Transport | None = None
         self._waiting_since: Seconds | None = None
         self._in_request = False
+        guard.expect(self)
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
@@ -241,6 +267,11 @@
     def name(self) -> str:
         return f"http://{self._host}:{self._port}"
 
+    @property
+    def is_taking(self) -> bool:
+        """Whether a connection that was taken at the end has no protocol yet."""
+        return bool(self._taking)
+
     async def start(self) -> None:
         await super().start()
         self._socket = socket.create_server(
@@ -250,34 +281,44 @@
             self._make_connection, sock=self._socket, backlog=BACKLOG_CONNECTIONS
         )
 
-    def stop_listening(self) -> None:
+    async def stop_listening(self) -> None:
         """
         Close the listener once the connections that it holds are taken.
 
-        The kernel resets those that are not. A backlog of nothing lets hardly any
-        come in between.
+        The kernel resets those that are not, so first it takes no new ones, while
+        those halfway there get time to stand. What the server accepted last has no
+        transport before the loop's next turn, and a closed server gives it none.
         """
         if self._server is None:
             return
         loop = asyncio.get_running_loop()
-        self._socket.listen(0)
+        _drop_new_connections(self._socket)
+        await asyncio.sleep(HANDSHAKE_SECONDS)
         loop.remove_reader(self._socket.fileno())
+        await asyncio.sleep(0)
+        taken = self._accept_all()
+        self._socket.shutdown(socket.SHUT_RD)
+        self._server.close()
+        self._server = None
+        for connection in taken:
+            taking = loop.create_task(
+                loop.connect_accepted_socket(self._make_connection, connection)
+            )
+            self._taking.add(taking)
+            taking.add_done_callback(self._taking.discard)
+
+    def _accept_all(self) -> list[socket.socket]:
+        taken: list[socket.socket] = []
         while True:
             try:
                 connection, _ = self._socket.accept()
             except BlockingIOError:
-                break
+                return taken
             except OSError as error:
                 _log.warning("could not take a connection", error=repr(error))
-                break
+                return taken
             connection.setblocking(False)
-            taking = loop.create_task(
-                loop.connect_accepted_socket(self._make_connection, connection)
-            )
-            self._taking.add(taking)
-            taking.add_done_callback(self._taking.discard)
-        self._server.close()
-        self._server = None
+            taken.append(connection)
 
     def _make_connection(self) -> "_GuardedConnection":
         factory = self._runner.server
@@ -285,6 +326,17 @@
         return _GuardedConnection(guard=self._guard, inner=factory())
 
 
+def _drop_new_connections(listener: socket.socket) -> None:
+    """Let the kernel pass over the first packets of connections."""
+    code = b"".join(struct.pack("HBBI", *line) for line in _DROP_SYN)
+    with_code = ctypes.create_string_buffer(code)
+    program = struct.pack("HP", len(_DROP_SYN), ctypes.addressof(with_code))
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+    except OSError as error:
+        _log.warning("can't hold off new connections", error=repr(error))
+
+
 def _set_timeouts(transport: asyncio.Transport, limits: HttpLimits) -> None:
     # A client that went away without a word is found by probes while idle, and
     # by unacknowledged bytes while it is written to.
--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
+from poplarlug.callers.connections import ConnectionGuard, HttpLimits
 from poplarlug.control.control_group import ControlGroup
 from poplarlug.control.disk import FileDisk
 from poplarlug.control.leader_calls import LeaderCalls
@@ -17,7 +18,7 @@
 from poplarlug.control.raft.replica import Replica
 from poplarlug.control.routing_service import RoutingService
 from poplarlug.control.state import ControlState
-from poplarlug.daemon import Site, add_health_routes, serve_http, stop_event
+from poplarlug.daemon import Site, add_health_routes, stop_event
 from poplarlug.discovery.control_peers import ControlPeers
 from poplarlug.discovery.crash_marks import CrashMarks
 from poplarlug.discovery.registrar import Registrar
@@ -151,7 +152,9 @@
         *make_sites(control, settings),
         Site(f"{settings.ip}:{settings.metrics_port}", metrics),
     ]
-    runners = [await serve_http(site.app, site.address) for site in sites]
+    guard = ConnectionGuard(limits=HttpLimits())
+    control.supervisor.add_child("connections", guard.run)
+    runners = [await guard.serve(site.app, site.address) for site in sites]
     server = _operators_server(control, settings, settings_file.parent)
     if server is not None:
         await server.start()
@@ -165,6 +168,7 @@
     _log.info("stopping", name=settings.name)
     failed = running.done()
     watching.cancel()
+    await guard.stop_listening()
     if server is not None:
         await server.stop(GRPC_STOP_SECONDS)
     for runner in runners:
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from poplarlug.callers.connections import ConnectionGuard, HttpLimits
-from poplarlug.daemon import Site, add_health_routes, serve_http, stop_event
+from poplarlug.daemon import Site, add_health_routes, stop_event
 from poplarlug.discovery.crash_marks import CrashMarks
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import WaitingCount
@@ -282,8 +282,13 @@
         *make_sites(entry, settings),
         Site(f"{settings.ip}:{settings.metrics_port}", metrics),
     ]
+    guard = ConnectionGuard(limits=HttpLimits())
+    entry.supervisor.add_child("other connections", guard.run)
     for site in sites:
-        runners.append(await serve_http(site.app, site.address))
+        runner = await guard.serve(
+            site.app, site.address, shutdown_seconds=CLOSE_SECONDS
+        )
+        runners.append(runner)
     running = asyncio.ensure_future(entry.supervisor.run())
     watching = asyncio.ensure_future(
         watch_settings(settings_file, SeededEntrySettings, entry.reload)
@@ -294,6 +299,7 @@
     _log.info("stopping", name=settings.name)
     failed = running.done()
     await entry.drain()
+    await guard.stop_listening()
     watching.cancel()
     closing = [runner.cleanup() for runner in runners]
     closing += [entry.client.close(), entry.far_client.close()]
--- a/tests/platform_adapter/test_planned_stop.py
+++ b/tests/platform_adapter/test_planned_stop.py
@@ -6,9 +6,13 @@
 import time
 from collections import Counter
 
+from poplarlug.platform.encoding import configuration_path
+from poplarlug.platform.names import DIRECTORY_PATH
+from poplarlug.types import Address
 from tests.platform_adapter.case import DeploymentTestCase
 
 CALLERS = 24
+DIRECTORY_PORT = 8143
 LOAD_SECONDS = 1.0
 
 
@@ -25,16 +29,16 @@
         self.entry = self.entries[0]
         self.outcomes: Counter[str] = Counter()
 
-    def connect_and_call(self) -> str:
+    def connect_and_call(self, address: Address, path: str) -> str:
         """Send a request on a connection of its own; return how that ended."""
-        host, _, port = self.deployment.entry_address(self.entry).rpartition(":")
+        host, _, port = address.rpartition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=5.0)
         try:
             try:
                 connection.connect()
             except OSError:
                 return "not connected"
-            connection.request("GET", "/look/1", None, self.headers())
+            connection.request("GET", path, None, self.headers())
             answer = connection.getresponse()
             answer.read()
             return str(answer.status)
@@ -43,26 +47,47 @@
         finally:
             connection.close()
 
-    def call_until_it_is_gone(self) -> None:
+    def call_until_it_is_gone(self, address: Address, path: str) -> None:
         while True:
-            outcome = self.connect_and_call()
+            outcome = self.connect_and_call(address, path)
             self.outcomes[outcome] += 1
             if outcome == "not connected":
                 return
 
-    # Guards against requests that were cut off with connections which the kernel
-    # had accepted and the entry had not.
-    def test_callers_that_connect_until_the_end_are_all_answered(self) -> None:
-        """Who is connected gets an answer, though it may be to ask elsewhere."""
+    def stop_beside_callers(self, name: str, address: Address, path: str) -> None:
+        """Stop a process while callers connect to it again and again."""
         callers = [
-            threading.Thread(target=self.call_until_it_is_gone) for _ in range(CALLERS)
+            threading.Thread(target=self.call_until_it_is_gone, args=(address, path))
+            for _ in range(CALLERS)
         ]
         for caller in callers:
             caller.start()
         time.sleep(LOAD_SECONDS)
-        self.deployment.signal(self.entry, signal.SIGTERM)
+        self.deployment.signal(name, signal.SIGTERM)
         for caller in callers:
             caller.join()
-        self.assertEqual(self.deployment.wait_for_exit(self.entry), 0)
+        self.assertEqual(self.deployment.wait_for_exit(name), 0)
+
+    # Guards against requests that were cut off with connections which the kernel
+    # had accepted and the entry had not.
+    def test_callers_that_connect_until_the_end_are_all_answered(self) -> None:
+        """Who is connected gets an answer, though it may be to ask elsewhere."""
+        address = self.deployment.entry_address(self.entry)
+        self.stop_beside_callers(self.entry, address, "/look/1")
         self.assertLessEqual(set(self.outcomes), {"200", "503", "not connected"})
         self.assertGreater(self.outcomes["503"], 0)
+
+    # The same of the directory and of a control replica.
+    def test_all_who_ask_the_directory_until_the_end_are_answered(self) -> None:
+        """With the entries that take requests."""
+        host, _, _ = self.deployment.entry_address(self.entry).rpartition(":")
+        path = f"{DIRECTORY_PATH}?zone=quito-a&region=sierra"
+        self.stop_beside_callers(self.entry, f"{host}:{DIRECTORY_PORT}", path)
+        self.assertEqual(set(self.outcomes), {"200", "not connected"})
+
+    def test_all_who_ask_a_control_replica_until_the_end_are_answered(self) -> None:
+        """With the configuration, or to ask another replica."""
+        name = self.deployment.control["quito-a"]
+        address = self.deployment.control_address("quito-a")
+        self.stop_beside_callers(name, address, configuration_path())
+        self.assertLessEqual(set(self.outcomes), {"200", "503", "not connected"})
