Say nothing of keys before the newest ones are known

Cause: requests waited for the configuration, these two calls did not; each checked keys against whatever the catalog held. One Authenticator answers for all of them now, with 503 until the configuration is known to be the newest.

--- a/poplarlug/callers/application.py
+++ b/poplarlug/callers/application.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from poplarlug.callers.announcements import AnnouncementHandler
-from poplarlug.callers.authentication import authenticate
+from poplarlug.callers.authentication import Authenticator
 from poplarlug.callers.connections import ConnectionGuard
 from poplarlug.callers.directory import Directory
 from poplarlug.callers.http_sink import HttpSink
@@ -54,6 +54,7 @@
         self,
         *,
         catalog: Catalog,
+        authenticator: Authenticator,
         membership: Membership,
         gateway: Gateway,
         directory: Directory,
@@ -63,6 +64,7 @@
         observer: RequestObserver,
     ) -> None:
         self._catalog = catalog
+        self._authenticator = authenticator
         self._membership = membership
         self._gateway = gateway
         self._directory = directory
@@ -108,7 +110,7 @@
         return await self._serve(request, path, parse)
 
     async def serve_models(self, request: web.Request) -> web.Response:
-        found = authenticate(request.headers, self._catalog)
+        found = self._authenticator.authenticate(request.headers)
         if isinstance(found, Failure):
             return error_response(found.failure(), "")
         models = [{"id": name, "object": "model"} for name in found.unwrap().models]
@@ -129,7 +131,7 @@
         request_id = trace.request_id
         if not self._accepts():
             return error_response(_takes_none(request.headers), request_id)
-        found = authenticate(request.headers, self._catalog)
+        found = self._authenticator.authenticate(request.headers)
         if isinstance(found, Failure):
             return error_response(found.failure(), request_id)
         trace.account = found.unwrap().name
--- a/poplarlug/callers/directory.py
+++ b/poplarlug/callers/directory.py
@@ -7,9 +7,8 @@
 from aiohttp import web
 from returns.result import Failure
 
-from poplarlug.callers.authentication import authenticate
+from poplarlug.callers.authentication import Authenticator
 from poplarlug.callers.responses import error_response
-from poplarlug.catalog import Catalog
 from poplarlug.membership.sharing import Membership
 from poplarlug.membership.summaries import ZoneSummary
 from poplarlug.topology import EntryVm
@@ -42,16 +41,16 @@
     """
 
     def __init__(
-        self, *, membership: Membership, catalog: Catalog, rng: Random
+        self, *, membership: Membership, authenticator: Authenticator, rng: Random
     ) -> None:
         self._membership = membership
-        self._catalog = catalog
+        self._authenticator = authenticator
         self._rng = rng
 
     async def serve(self, request: web.Request) -> web.Response:
         regions = None
         if "Authorization" in request.headers:
-            found = authenticate(request.headers, self._catalog)
+            found = self._authenticator.authenticate(request.headers)
             if isinstance(found, Failure):
                 return error_response(found.failure(), "")
             regions = found.unwrap().regions
--- a/poplarlug/entry/entry.py
+++ b/poplarlug/entry/entry.py
@@ -9,6 +9,7 @@
 from poplarlug.admission import RankAdmission
 from poplarlug.callers.announcements import AnnouncementHandler
 from poplarlug.callers.application import CallerApplication
+from poplarlug.callers.authentication import Authenticator
 from poplarlug.callers.connections import ConnectionGuard, HttpLimits
 from poplarlug.callers.directory import Directory
 from poplarlug.callers.observation import RequestObserver
@@ -127,11 +128,16 @@
         self.forwards = ForwardGate(serve=self.gateway.serve, accepts=self.accepts)
         forwarder.serve_by(self.forwards.serve)
         self.guard = ConnectionGuard(limits=limits)
+        authenticator = Authenticator(
+            catalog=self.follower.catalog,
+            knows_newest=lambda: self.follower.accepts,
+        )
         self.directory = Directory(
-            membership=self.membership, catalog=self.follower.catalog, rng=rng
+            membership=self.membership, authenticator=authenticator, rng=rng
         )
         self.callers = CallerApplication(
             catalog=self.follower.catalog,
+            authenticator=authenticator,
             membership=self.membership,
             gateway=self.gateway,
             directory=self.directory,
--- /dev/null
+++ b/tests/callers/test_authentication.py
@@ -0,0 +1,20 @@
+"""Tests of callers' keys."""
+
+from unittest import TestCase
+
+from poplarlug.callers.authentication import Authenticator
+from poplarlug.catalog import Catalog
+
+
+class AuthenticatorTests(TestCase):
+    # Guards against withdrawn keys that were in use again.
+    def test_nothing_is_said_of_keys_before_the_newest_ones_are_known(self) -> None:
+        """Neither that a key is good, nor that it is none."""
+        for knows, status in ((False, 503), (True, 401)):
+            with self.subTest(knows=knows):
+                authenticator = Authenticator(
+                    catalog=Catalog(), knows_newest=lambda knows=knows: knows
+                )
+                headers = {"Authorization": "Bearer some-key"}
+                error = authenticator.authenticate(headers).failure()
+                self.assertEqual(error.status, status)
