--- a/tests/processes/case.py
+++ b/tests/processes/case.py
@@ -1,6 +1,7 @@
 """Base of the tests that run real processes."""
 
 import json
+import signal
 import tempfile
 import urllib.error
 import urllib.request
@@ -63,6 +64,16 @@
     def start_upstreams(cls) -> None:
         """Start the class's upstreams; none by default."""
 
+    def kill_and_start_all(self) -> None:
+        """Kill all daemons at the same moment, as a loss of power does."""
+        names = list(self.deployment.processes_by_name)
+        for name in names:
+            self.deployment.signal(name, signal.SIGKILL)
+        for name in names:
+            self.deployment.processes_by_name[name].wait()
+        for name in names:
+            self.deployment.start(name)
+
     def entry(self, name: str) -> str:
         """Return the HTTP address of an entry."""
         vm = self.deployment.topology.entry(name)
--- a/tests/processes/test_operators_restart.py
+++ b/tests/processes/test_operators_restart.py
@@ -1,6 +1,5 @@
 """Test of a restart of all processes after hundreds of changes."""
 
-import signal
 from typing import Any
 
 from examples.deployment import wait_until
@@ -26,13 +25,7 @@
             )
             self.change(client, account, delete=number % 50 == 7 and number > 50)
         accepted = self.wait_for_same_hash()
-        names = list(self.deployment.processes_by_name)
-        for name in names:
-            self.deployment.signal(name, signal.SIGKILL)
-        for name in names:
-            self.deployment.processes_by_name[name].wait()
-        for name in names:
-            self.deployment.start(name)
+        self.kill_and_start_all()
         self.deployment.wait_ready()
         self.assertEqual(self.wait_for_same_hash(), accepted)
 
--- a/tests/processes/test_withdrawn_keys.py
+++ b/tests/processes/test_withdrawn_keys.py
@@ -57,13 +57,7 @@
                 f"{entry} does not know the new key",
             )
             self.assertEqual(self.statuses(entry, withdrawn), {401})
-        names = list(self.deployment.processes_by_name)
-        for name in names:
-            self.deployment.signal(name, signal.SIGKILL)
-        for name in names:
-            self.deployment.processes_by_name[name].wait()
-        for name in names:
-            self.deployment.start(name)
+        self.kill_and_start_all()
         until = time.monotonic() + WATCHED_SECONDS
         seen_by_key: dict[str, set[int]] = {
             withdrawn: set(),
