--- a/poplarlug/load/replay/region.py
+++ b/poplarlug/load/replay/region.py
@@ -170,7 +170,13 @@
         ),
         upstreams=tuple(
             ServiceUpstream(
-                f"e-{number}", SERVICE, "", ZONES[number % 2], 1, 1, spec.slots
+                id=f"e-{number}",
+                service=SERVICE,
+                address=f"10.0.0.{number}:80",
+                zone=ZONES[number % 2],
+                born=1,
+                sequence=1,
+                slots=spec.slots,
             )
             for number in range(pattern.engines)
         ),
