--- a/poplarlug/callers/connections.py
+++ b/poplarlug/callers/connections.py
@@ -329,8 +329,8 @@
 def _drop_new_connections(listener: socket.socket) -> None:
     """Let the kernel pass over the first packets of connections."""
     code = b"".join(struct.pack("HBBI", *line) for line in _DROP_SYN)
-    with_code = ctypes.create_string_buffer(code)
-    program = struct.pack("HP", len(_DROP_SYN), ctypes.addressof(with_code))
+    buffer = ctypes.create_string_buffer(code)
+    program = struct.pack("HP", len(_DROP_SYN), ctypes.addressof(buffer))
     try:
         listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
     except OSError as error:
--- /dev/null
+++ b/tests/discovery/fleet.py
@@ -0,0 +1,140 @@
+"""Control replicas and entries of three regions in memory, under virtual time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from poplarlug.control.memory_disk import MemoryDisk
+from poplarlug.control.routing_state import RoutingState
+from poplarlug.discovery.control_peers import ControlPeers
+from poplarlug.discovery.crash_marks import CrashMarks
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.named_limits import NamedLimits
+from poplarlug.discovery.records import EntryRecord
+from poplarlug.discovery.registrar import Registrar
+from poplarlug.discovery.registry import Registry
+from poplarlug.discovery.registry_file import RegistryFile
+from poplarlug.discovery.subscriber import OwnLoads, Subscriber
+from poplarlug.transport import MemoryNetwork, MemoryTransport
+from poplarlug.transport.memory import LinkQuality
+from poplarlug.virtualtime import run_virtual
+from tests.control.quiet import QuietTestCase
+
+REGIONS_BY_ZONE = {"a": "east", "b": "west", "c": "south"}
+REPLICAS = tuple(f"control-{zone}" for zone in REGIONS_BY_ZONE)
+START_SECONDS = 3.0
+
+
+class Fleet:
+    """A control replica and an entry in each of three regions."""
+
+    def __init__(self) -> None:
+        quality = LinkQuality(0.055, 0.06)
+        self.network = MemoryNetwork(rng=Random(1), quality=quality)
+        self.registrars: dict[str, Registrar] = {}
+        self.disks_by_zone = {
+            zone: MemoryDisk(rng=Random(zone)) for zone in REGIONS_BY_ZONE
+        }
+        self.deployments_by_zone: dict[str, Deployment] = {}
+        self.marks_by_zone: dict[str, CrashMarks] = {}
+        self.limits_by_zone: dict[str, NamedLimits] = {}
+        self.tasks_by_name: dict[str, list[asyncio.Future[None]]] = {}
+        for zone in REGIONS_BY_ZONE:
+            self.start_replica(zone)
+            self.start_entry(zone)
+
+    def start_replica(self, zone: str) -> None:
+        clock = asyncio.get_running_loop().time
+        name = f"control-{zone}"
+        transport = MemoryTransport(name=name, network=self.network)
+        registry = Registry(clock=clock, beat_seconds=1.2)
+        marks = CrashMarks(clock=clock)
+        file = RegistryFile(
+            disk=self.disks_by_zone[zone], registry=registry, marks=marks
+        )
+        registrar = Registrar(
+            zone=zone,
+            regions_by_zone=REGIONS_BY_ZONE,
+            registry=registry,
+            marks=marks,
+            peers=ControlPeers(
+                own=name,
+                seeds=REPLICAS,
+                members=lambda: REPLICAS,
+                voters=lambda: REPLICAS,
+                clock=clock,
+                is_address=lambda address: address in REPLICAS,
+            ),
+            routing=RoutingState(),
+            transport=transport,
+            is_current=lambda: True,
+            flush=file.flush,
+            rng=Random(f"{name}/{clock()}"),
+            clock=clock,
+        )
+        self.registrars[zone] = registrar
+        file.load()
+        self._run(name, transport.run(), registrar.run(), file.run())
+
+    def start_entry(self, zone: str) -> None:
+        clock = asyncio.get_running_loop().time
+        name = f"entry-{zone}"
+        transport = MemoryTransport(name=name, network=self.network)
+        marks = self.marks_by_zone[zone] = CrashMarks(clock=clock)
+        limits = self.limits_by_zone[zone] = NamedLimits(clock=clock)
+        deployment = self.deployments_by_zone[zone] = Deployment(
+            own_region=REGIONS_BY_ZONE[zone],
+            regions_by_zone=REGIONS_BY_ZONE,
+            clock=clock,
+        )
+        subscriber = Subscriber(
+            zone=zone,
+            deployment=deployment,
+            marks=marks,
+            limits=limits,
+            transport=transport,
+            seeds=REPLICAS,
+            record=lambda: EntryRecord(name, REGIONS_BY_ZONE[zone], zone, "", "", 1),
+            own_loads=OwnLoads,
+            rng=Random(zone),
+            clock=clock,
+        )
+        self._run(name, transport.run(), subscriber.run())
+
+    def stop(self, name: str) -> None:
+        for task in self.tasks_by_name.pop(name):
+            task.cancel()
+        kind, _, zone = name.partition("-")
+        if kind == "control":
+            self.disks_by_zone[zone].crash()
+
+    def cut_off(self, zone: str) -> None:
+        """Cut a zone's replica and entry off from those of other zones."""
+        own = {f"control-{zone}", f"entry-{zone}"}
+        names = {*REPLICAS, *(f"entry-{other}" for other in REGIONS_BY_ZONE)}
+        for inside in own:
+            for outside in names - own:
+                self.network.cut(inside, outside)
+                self.network.cut(outside, inside)
+
+    def counts(self) -> list[int]:
+        """Return how many marks count against request 7 at each entry."""
+        return [len(marks.counted(7)) for marks in self.marks_by_zone.values()]
+
+    def _run(self, name: str, *parts: Awaitable[None]) -> None:
+        tasks = [asyncio.ensure_future(part) for part in parts]
+        self.tasks_by_name[name] = tasks
+
+
+class FleetTestCase(QuietTestCase):
+    def play(self, scene: Callable[[Fleet], Awaitable[None]]) -> None:
+        """Run a scene with a fleet that has started, and end the fleet."""
+
+        async def main() -> None:
+            fleet = Fleet()
+            await asyncio.sleep(START_SECONDS)
+            await scene(fleet)
+            for name in list(fleet.tasks_by_name):
+                fleet.stop(name)
+
+        run_virtual(main())
--- a/tests/discovery/test_farewell_sharing.py
+++ b/tests/discovery/test_farewell_sharing.py
@@ -3,12 +3,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from poplarlug.virtualtime import run_virtual
-from tests.control.quiet import QuietTestCase
-from tests.discovery.test_mark_sharing import REGIONS_BY_ZONE, Fleet
+from tests.discovery.fleet import REGIONS_BY_ZONE, START_SECONDS, Fleet, FleetTestCase
 from tests.discovery.test_registry import make_upstream
 
-START_SECONDS = 3.0
 WRITTEN_SECONDS = 1.5
 """Longer than a replica takes to write what nobody waits for."""
 
@@ -19,22 +16,18 @@
 ALL = [f"{kind}-{zone}" for kind in ("control", "entry") for zone in REGIONS_BY_ZONE]
 
 
-class FarewellSharingTests(QuietTestCase):
+class FarewellSharingTests(FleetTestCase):
     """An upstream in zone a that all replicas have on their disks."""
 
     def play(self, scene: Callable[[Fleet], Awaitable[None]]) -> None:
-        async def main() -> None:
-            fleet = Fleet()
-            await asyncio.sleep(START_SECONDS)
+        async def announced(fleet: Fleet) -> None:
             await fleet.registrars["a"].hear_upstream(UPSTREAM)
             await asyncio.sleep(WRITTEN_SECONDS)
             for zone in REGIONS_BY_ZONE:
                 self.assertEqual(self.serving(fleet, zone), [UPSTREAM.id])
             await scene(fleet)
-            for name in list(fleet.tasks_by_name):
-                fleet.stop(name)
 
-        run_virtual(main())
+        super().play(announced)
 
     def serving(self, fleet: Fleet, zone: str) -> list[str]:
         """Return the upstreams that an entry would send requests to."""
--- a/tests/discovery/test_limit_sharing.py
+++ b/tests/discovery/test_limit_sharing.py
@@ -1,19 +1,15 @@
 """Tests of how limits reach all entries, through cuts, starts and ends."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import UpstreamRun
-from poplarlug.virtualtime import run_virtual
-from tests.control.quiet import QuietTestCase
-from tests.discovery.test_mark_sharing import Fleet
+from tests.discovery.fleet import START_SECONDS, Fleet, FleetTestCase
 
 RUN = UpstreamRun("u-1", 1)
 SPREAD_SECONDS = 1.0
 """Some round trips between regions; the users' rule leaves five seconds."""
 
-START_SECONDS = 3.0
 ALL = {"a", "b", "c"}
 
 
@@ -21,17 +17,7 @@
     return asyncio.get_running_loop().time()
 
 
-class LimitSharingTests(QuietTestCase):
-    def play(self, scene: Callable[[Fleet], Awaitable[None]]) -> None:
-        async def main() -> None:
-            fleet = Fleet()
-            await asyncio.sleep(START_SECONDS)
-            await scene(fleet)
-            for name in list(fleet.tasks_by_name):
-                fleet.stop(name)
-
-        run_virtual(main())
-
+class LimitSharingTests(FleetTestCase):
     def held(self, fleet: Fleet) -> dict[str, float | None]:
         return {zone: limits.rate(RUN) for zone, limits in fleet.limits_by_zone.items()}
 
