--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -8,7 +8,7 @@
 
 from poplarlug.control.routing_state import RoutingState
 from poplarlug.discovery.control_peers import ControlPeers
-from poplarlug.discovery.crash_marks import MAX_MARKS, CrashMark, CrashMarks
+from poplarlug.discovery.crash_marks import CrashMarks
 from poplarlug.discovery.messages import (
     GOSSIP_TOPIC,
     LIMITS_TOPIC,
@@ -29,9 +29,10 @@
     TablesRequest,
 )
 from poplarlug.discovery.named_limits import NamedLimits
-from poplarlug.discovery.records import EntryRecord, ServiceUpstream
+from poplarlug.discovery.outbox import Outbox, farewells
+from poplarlug.discovery.records import ServiceUpstream
 from poplarlug.discovery.region_loads import RegionLoads
-from poplarlug.discovery.registry import Record, Records, Registry
+from poplarlug.discovery.registry import Records, Registry
 from poplarlug.latest import Latest
 from poplarlug.logs import PartLog
 from poplarlug.transport import Transport
@@ -117,7 +118,7 @@
         self._polled_by_entry: dict[VmName, Seconds] = {}
         self._regions_by_peer: dict[Address, RegionName] = {}
         self._links_by_peer: dict[Address, asyncio.Task[None]] = {}
-        self._outboxes_by_peer: dict[Address, _Outbox] = {}
+        self._outboxes_by_peer: dict[Address, Outbox] = {}
         self._started = clock()
         self._settled = False
         self._has_confirmed = False
@@ -190,7 +191,7 @@
             _log.error("a farewell is on no disk", upstream=record.id)
         return copies > 0
 
-    async def _wait_for_copies(self, outboxes: "list[_Outbox]") -> int:
+    async def _wait_for_copies(self, outboxes: list[Outbox]) -> int:
         """Return how many disks hold what is known now, once enough do or in time."""
         wanted = 1 + self._peers.missing_for_majority(())
         tasks = [
@@ -251,7 +252,7 @@
         for outbox in self._outboxes_by_peer.values():
             outbox.wake()
 
-    def _spread_changes(self) -> "list[_Outbox]":
+    def _spread_changes(self) -> list[Outbox]:
         """Tell all replicas what is new; return the way to the group's voters."""
         changes = self.registry.take_changes()
         if changes.entries or changes.upstreams:
@@ -267,7 +268,7 @@
             del self._outboxes_by_peer[peer]
         for peer in others:
             if peer not in self._links_by_peer:
-                self._outboxes_by_peer[peer] = _Outbox()
+                self._outboxes_by_peer[peer] = Outbox()
                 link = asyncio.ensure_future(self._keep_link(peer))
                 self._links_by_peer[peer] = link
 
@@ -302,7 +303,7 @@
             self._peers.saw(peer)
             told = reply.unwrap()
             if not told.is_durable:
-                outbox.put_back(_farewells(records))
+                outbox.put_back(farewells(records))
             outbox.confirm()
             limits_told = limits_revision
             if told.unknown:
@@ -385,7 +386,7 @@
                 self._loads.note_entry(loads)
         unknown = self.registry.touch(message.heard)
         is_durable = True
-        if _farewells(Records(upstreams=message.upstreams)).upstreams:
+        if farewells(Records(upstreams=message.upstreams)).upstreams:
             # The replica that took a farewell waits for this one's answer.
             is_durable = await self._flush_soon()
         return GossipReply(unknown, is_durable)
@@ -482,62 +483,3 @@
             limits_revision=self.limits.revision.value,
             demands=self._loads.demands_of_others(poll.record.name),
         )
-
-
-def _farewells(records: Records) -> Records:
-    leaving = tuple(one for one in records.upstreams if one.phase != "serving")
-    return Records(upstreams=leaving)
-
-
-class _Outbox:
-    """Records on their way to one replica; the newest of each is sent."""
-
-    def __init__(self) -> None:
-        self._records_by_key: dict[str, Record] = {}
-        self._marks_by_key: dict[str, CrashMark] = {}
-        self._wake = asyncio.Event()
-        self._emptied = asyncio.Event()
-
-    def add(self, records: Records) -> None:
-        for record in records.all:
-            self._records_by_key[record.key] = record
-        for mark in records.marks:
-            self._marks_by_key[mark.key] = mark
-        while len(self._marks_by_key) > MAX_MARKS:
-            del self._marks_by_key[next(iter(self._marks_by_key))]
-        self._emptied.clear()
-        self._wake.set()
-
-    def wake(self) -> None:
-        """Let what is not kept here be told at once."""
-        self._wake.set()
-
-    def take(self) -> Records:
-        held, self._records_by_key = self._records_by_key, {}
-        marks, self._marks_by_key = self._marks_by_key, {}
-        self._wake.clear()
-        upstreams = tuple(r for r in held.values() if isinstance(r, ServiceUpstream))
-        entries = tuple(r for r in held.values() if isinstance(r, EntryRecord))
-        return Records(entries, upstreams, tuple(marks.values()))
-
-    def put_back(self, records: Records) -> None:
-        """Keep what was not delivered, unless something newer waits."""
-        for record in records.all:
-            self._records_by_key.setdefault(record.key, record)
-        for mark in records.marks:
-            self._marks_by_key.setdefault(mark.key, mark)
-
-    def confirm(self) -> None:
-        if not self._records_by_key and not self._marks_by_key:
-            self._emptied.set()
-
-    async def wait_empty(self) -> bool:
-        """Return ``True`` once its replica has all, farewells on its disk."""
-        return await self._emptied.wait()
-
-    async def wait_for_news(self, timeout_seconds: Seconds) -> None:
-        try:
-            async with asyncio.timeout(timeout_seconds):
-                await self._wake.wait()
-        except TimeoutError:
-            pass
