--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -206,7 +206,7 @@
     def test_border_is_kept_by_handing_on(self) -> None:
         """A route's home serves what its callers send elsewhere."""
         answer = self.send(self.guayaquil, "bound")
-        self.assertEqual((answer.status, self.arrivals()), (200, 1))
+        self.assertEqual((answer.status, self.arrivals()), (200, 1), answer.body)
 
     def test_unknown_route_is_not_found(self) -> None:
         """Once routes are known, a path without one gets 404."""
