Start with any bound that the platform may set

Going through all settings that the templates fill in, ratios over 100, times over an hour and heartbeats over a minute ended the program as well.

Ruled out: the documents of operators and upstreams; their whole numbers (slots, versions, ranks) are whole on all pages.

--- a/poplarlug/relay/budgets.py
+++ b/poplarlug/relay/budgets.py
@@ -15,7 +15,7 @@
     ----------
     ratio : float
         Retries allowed per request in the window.
-    extra : int
+    extra : float
         Retries allowed in a window in addition to the ratio.
     window_seconds : float
         Length of the sliding window.
@@ -25,7 +25,7 @@
     """
 
     ratio: float = 0.2
-    extra: int = 50
+    extra: float = 50.0
     window_seconds: Seconds = 10.0
     share: float = 0.7
 
--- a/poplarlug/seeded_settings.py
+++ b/poplarlug/seeded_settings.py
@@ -23,9 +23,9 @@
 reload."""
 
 Port = Annotated[int, Meta(ge=1, le=65535)]
-Duration = Annotated[float, Meta(gt=0, le=3600)]
-Ratio = Annotated[float, Meta(ge=0, le=100)]
-Count = Annotated[int, Meta(ge=0)]
+Duration = Annotated[float, Meta(gt=0, le=86_400)]
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+"""A ratio, factor or number of requests; the platform may set fractions."""
 
 _log = ComponentLogger(prefix="settings")
 
@@ -44,11 +44,11 @@
         rate, plus a constant.
     """
 
-    retry_ratio: Ratio = 0.2
-    retry_extra: Count = 50
+    retry_ratio: Amount = 0.2
+    retry_extra: Amount = 50.0
     retry_window_seconds: Duration = 10.0
-    warmup_overage: Ratio = 1.5
-    warmup_slack: Ratio = 3.0
+    warmup_overage: Amount = 1.5
+    warmup_slack: Amount = 3.0
 
 
 class SeededEntrySettings(NamedTuple):
@@ -126,7 +126,7 @@
     seeds: tuple[str, ...]
     data_folder: str
     bootstrap: bool = False
-    beat_milliseconds: Annotated[float, Meta(gt=0, le=60_000)] = 1200.0
+    beat_milliseconds: Annotated[float, Meta(gt=0, le=3_600_000)] = 1200.0
     grpc: Address | None = None
     operator_key_hashes_file: str = ""
     log: LogSettings = LogSettings()
