Leave upstreams alone that say that they leave or ask for a pause

The users' two new rules. Cause: neither header was read; heartbeats alone decided, and a refusal's Retry-After was ignored, so the next request went to the same upstream.

Placement passes over such upstreams; where all of a region pause, callers are refused at once with the shortest pause.

Ruled out: one rule of the shares of named limits. A limit is a rate that all entries divide and agree on; a pause binds one entry and ends by itself, so a share has nothing to say about it. Sharing departures among entries: the rule is about one machine, and the heartbeat tells the others.

--- a/poplarlug/platform/names.py
+++ b/poplarlug/platform/names.py
@@ -18,6 +18,7 @@
     not_executed="X-Poplarlug-Not-Executed",
     cold_left="X-Poplarlug-Cold-Ms",
     limit="Server-Limit",
+    leaving="Server-Leaving",
     priority="X-Poplarlug-Request-Priority",
     model="X-Poplarlug-Model",
     token_counts="X-Poplarlug-Token-Count",
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -15,6 +15,7 @@
     Full,
     Local,
     NoUpstream,
+    Paused,
     PlacementPolicy,
     Remote,
     RemoteRegion,
@@ -88,7 +89,7 @@
         self.pace: Pace | None = None
         self.by_waiter: dict[Waiter, _WaitingRequest] = {}
 
-    def update_pace(self, result: "Target | Full | NoUpstream") -> None:
+    def update_pace(self, result: "Target | Full | Paused | NoUpstream") -> None:
         """Update the pace from the placement of the request at the head of the queue."""
         self.pace = None
         if isinstance(result, Full) and result.interval_seconds is not None:
@@ -294,7 +295,7 @@
 
     def _place_now(
         self, request: RelayRequest, tried: Tried
-    ) -> "Target | Full | NoUpstream":
+    ) -> "Target | Full | Paused | NoUpstream":
         view = self._view
         inputs = self._placement_inputs(request, tried)
         if inputs is None:
@@ -310,7 +311,7 @@
                 return RemoteTarget(entry, placement.expected_seconds, placement.loss)
             regions = [r for r in regions if r.region != placement.region]
         if isinstance(placement, NoUpstream):
-            # Cold or rate-limited upstreams may just have no budget left for now.
+            # Upstreams may be paused, or cold or limited without any budget left.
             return view.next_free_slot(request, service, tried) or placement
         if not isinstance(placement, Local):
             return placement
@@ -325,8 +326,11 @@
         )
 
     def _to_result(
-        self, request: RelayRequest, placed: "Target | NoUpstream"
+        self, request: RelayRequest, placed: "Target | Paused | NoUpstream"
     ) -> Result[Target, GatewayError]:
+        if isinstance(placed, Paused):
+            message = f"all upstreams of {request.service} asked for a pause"
+            return Failure(overloaded(message, placed.seconds))
         if not isinstance(placed, NoUpstream):
             return Success(placed)
         left = request.deadline - self._clock()
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -331,6 +331,7 @@
         try:
             self._note_head("upstream", response, trace, now, started)
             self._record_limit(request, target, response, started)
+            self._record_backoff(request, target, response)
             refused = await self._check_head(request, target, response)
             if refused is not None:
                 return refused
@@ -366,6 +367,24 @@
                 has_run=has_run,
             )
 
+    def _record_backoff(
+        self,
+        request: RelayRequest,
+        target: LocalTarget,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        """Record that an upstream leaves or wants a pause, as its response says."""
+        headers = response.headers
+        echoed = headers.get(self._header_names.request_id, request.id)
+        if response.status == 421 or echoed != request.id:
+            return
+        backoff = self._view.backoff
+        backoff.note_leaving(
+            target.upstream, headers.getall(self._header_names.leaving, ())
+        )
+        if response.status == 503:
+            backoff.note_retry_after(target.upstream, headers.getall("Retry-After", ()))
+
     async def _check_head(
         self,
         request: RelayRequest,
--- a/poplarlug/relay/header_names.py
+++ b/poplarlug/relay/header_names.py
@@ -24,6 +24,8 @@
     limit : str
         Requests per second that an upstream accepts from all entries together, set
         in its responses while the limit is in force.
+    leaving : str
+        Set to ``1`` by an upstream that leaves, in all of its responses.
     priority : str
         Priority of a request at an engine, from 0 (most urgent) to 9.
     model, token_counts, prompt_parts : str
@@ -39,6 +41,7 @@
     not_executed: str = "X-Not-Executed"
     cold_left: str = "X-Cold-Ms"
     limit: str = "X-Rate-Limit"
+    leaving: str = "X-Upstream-Leaving"
     priority: str = "X-Priority"
     model: str = "X-Model"
     token_counts: str = "X-Token-Counts"
--- a/poplarlug/relay/limiter.py
+++ b/poplarlug/relay/limiter.py
@@ -18,7 +18,7 @@
     parse_limit,
     share_of_rate,
 )
-from poplarlug.types import Seconds, ServiceName, UpstreamId, VmName
+from poplarlug.types import Seconds, ServiceName, VmName
 
 SHARE_CACHE_SECONDS = 0.1
 """Lifetime of a computed share; its inputs are reported a few times per second."""
@@ -151,11 +151,6 @@
         """Return whether a limit is in force for an upstream."""
         return self._limits.rate(upstream.run) is not None
 
-    def is_limited_id(self, upstream_id: UpstreamId) -> bool:
-        """Return whether a limit is in force for the upstream with this id."""
-        upstream = self._deployment.upstream(upstream_id)
-        return upstream is not None and self.is_limited(upstream)
-
     def allows_send(self, upstream: ServiceUpstream) -> bool:
         """Return whether this entry may send one more request to an upstream."""
         share = self._share(upstream)
--- a/poplarlug/relay/placement.py
+++ b/poplarlug/relay/placement.py
@@ -206,6 +206,19 @@
     interval_seconds: Seconds | None = None
 
 
+class Paused(NamedTuple):
+    """
+    All upstreams that the request may use asked for a pause; it is refused at once.
+
+    Parameters
+    ----------
+    seconds : float
+        Time until the shortest of these pauses ends.
+    """
+
+    seconds: Seconds
+
+
 class NoUpstream(NamedTuple):
     """There is no upstream that the request may use."""
 
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -26,9 +26,16 @@
 from poplarlug.relay.in_flight import InFlightRequest, InFlightTracker
 from poplarlug.relay.limiter import Limiter
 from poplarlug.relay.part_cache import PartCache
-from poplarlug.relay.placement import Candidate, Full, RemoteRegion, Requirements
+from poplarlug.relay.placement import (
+    Candidate,
+    Full,
+    Paused,
+    RemoteRegion,
+    Requirements,
+)
 from poplarlug.relay.rate_shares import rank_by_hash
 from poplarlug.relay.requests import Prompt, RelayRequest
+from poplarlug.relay.upstream_backoff import UpstreamBackoff
 from poplarlug.routes import RoutedService
 from poplarlug.types import (
     Fingerprint,
@@ -112,6 +119,7 @@
         self.limiter = Limiter(
             name=name, deployment=deployment, limits=limits, clock=clock
         )
+        self.backoff = UpstreamBackoff(clock=clock)
         self._name = name
         self._warmup_limits = warmup
         self._rng = rng
@@ -191,6 +199,7 @@
         known = self.deployment.upstream_ids()
         self.in_flight.keep_only(known)
         self.limiter.forget_gone()
+        self.backoff.keep_only(self.deployment.upstream_runs())
         for upstream_id, budget in list(self._warmups_by_id.items()):
             if upstream_id not in known and budget.is_unused:
                 del self._warmups_by_id[upstream_id]
@@ -203,12 +212,11 @@
             return Affinity()
         own = self.deployment.own_region
         regions_by_id = self.deployment.serving_regions(request.service)
-        if not self.limiter.has_no_limits:
-            # A rate-limited upstream accepts too few requests to be a home.
+        if not self.limiter.has_no_limits or not self.backoff.is_empty:
             regions_by_id = {
                 upstream_id: region
                 for upstream_id, region in regions_by_id.items()
-                if not self.limiter.is_limited_id(upstream_id)
+                if self._may_be_home(upstream_id)
             }
         homes = self._homes_by_service.setdefault(request.service, HomeEngines()).find(
             prompt, regions_by_id
@@ -231,6 +239,15 @@
             ],
         )
 
+    def _may_be_home(self, upstream_id: UpstreamId) -> bool:
+        """Return whether an upstream accepts enough requests to be a home engine."""
+        upstream = self.deployment.upstream(upstream_id)
+        return (
+            upstream is not None
+            and not self.limiter.is_limited(upstream)
+            and self.backoff.allows_send(upstream)
+        )
+
     def _expected_cached_tokens(self, region: RegionName, prompt: Prompt) -> int:
         """Return the shared tokens expected to be cached by a region's best engine."""
         known = self._cache_of(region).hit_tokens(prompt, last=False)
@@ -238,25 +255,31 @@
 
     def next_free_slot(
         self, request: RelayRequest, service: RoutedService, tried: Tried
-    ) -> Full | None:
+    ) -> Full | Paused | None:
         """
         Return when the own region can serve a request, if no upstream accepts one now.
 
         Returns
         -------
-        Full or None
+        Full, Paused or None
             ``None`` if the own region has no upstream for the request.
         """
         if not request.route.allows(self.deployment.own_region):
             return None
-        upstreams = [
+        staying = [
             upstream
             for upstream in self.deployment.serving(service.name)
-            if upstream.id not in tried.upstreams
+            if not self.backoff.is_leaving(upstream)
         ]
-        if not upstreams:
-            return None
-        return self.limiter.next_allowed_send(upstreams) or Full(COLD_RETRY_SECONDS)
+        upstreams = [
+            upstream
+            for upstream in staying
+            if upstream.id not in tried.upstreams and self.backoff.allows_send(upstream)
+        ]
+        if upstreams:
+            return self.limiter.next_allowed_send(upstreams) or Full(COLD_RETRY_SECONDS)
+        pause = self.backoff.shortest_pause(staying)
+        return None if pause is None else Paused(pause)
 
     def candidates(
         self,
@@ -421,6 +444,8 @@
         self, upstream: ServiceUpstream, service: RoutedService
     ) -> bool:
         """Return whether an upstream accepts one more request from this entry."""
+        if not self.backoff.is_empty and not self.backoff.allows_send(upstream):
+            return False
         if not self.limiter.has_no_limits and not self.limiter.allows_send(upstream):
             return False
         if not self._is_cold(upstream) or service.warmup_per_second <= 0:
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -48,8 +48,14 @@
     limit : str
         Rate limit in requests per second that responses announce, in the header of
         the deployment's dialect; empty for none.
+    is_leaving : bool
+        Whether responses say that it leaves; its heartbeats don't.
+    retry_after : str
+        Pause that refusals of the fault ``refuse`` ask for; empty for none.
     received : list of float
         Monotonic times of all requests, including refused ones.
+    refused : list of float
+        Monotonic times of the refusals because of the fault ``refuse``.
     crash_body : bytes
         A request whose body contains this crashes the upstream; empty for none.
     crash_after_events : int
@@ -71,6 +77,9 @@
         self.fault = ""
         self.slots = SLOTS
         self.limit = ""
+        self.is_leaving = False
+        self.retry_after = ""
+        self.refused: list[Seconds] = []
         self.received: list[float] = []
         self.event_seconds = 0.01
         self.answer_seconds = 0.0
@@ -190,17 +199,15 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         self.received.append(time.monotonic())
-        headers = {
-            HEADER_NAMES.request_id: request.headers.get(HEADER_NAMES.request_id, "")
-        }
-        if self.limit:
-            headers[HEADER_NAMES.limit] = self.limit
+        headers = self._common_headers(request)
         if request.headers.get(HEADER_NAMES.expected_upstream, self.id) != self.id:
             return web.Response(status=421, headers=headers)
         if self.fault == "refuse":
-            return web.Response(
-                status=503, headers=headers | {HEADER_NAMES.not_executed: "1"}
-            )
+            self.refused.append(time.monotonic())
+            headers[HEADER_NAMES.not_executed] = "1"
+            if self.retry_after:
+                headers["Retry-After"] = self.retry_after
+            return web.Response(status=503, headers=headers)
         now = time.monotonic()
         self.arrivals.append(
             Arrival(now, request.raw_path, dict(request.headers), body)
@@ -230,6 +237,17 @@
             await asyncio.sleep(self.answer_seconds)
         return web.Response(headers=headers, body=b"answer to " + body)
 
+    def _common_headers(self, request: web.Request) -> dict[str, str]:
+        """Return the headers of every response to a request."""
+        headers = {
+            HEADER_NAMES.request_id: request.headers.get(HEADER_NAMES.request_id, "")
+        }
+        if self.limit:
+            headers[HEADER_NAMES.limit] = self.limit
+        if self.is_leaving:
+            headers[HEADER_NAMES.leaving] = "1"
+        return headers
+
     async def _stream(
         self, request: web.Request, headers: dict[str, str], last: int | None
     ) -> web.StreamResponse:
