Let callers wait while a whole deployment comes back

A request without any upstream now waits while no control replica knows all of them, at most 1.5 s after the entry's first contact; one that would be too late then, and any at an entry that starts alone, is refused at once as before.

--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -33,6 +33,11 @@
 """How long a zone's upstreams are presumed cold after its evacuation ends: they may
 have become cold meanwhile, and report it within two announcements."""
 
+DISCOVERY_SECONDS = 1.5
+"""How long after an entry's first contact its view may lack upstreams that serve, if no
+control replica knows all of them yet; replicas that started together connect, compare
+their records and report them within this time."""
+
 ENDED_RUN_TTL_SECONDS = 30.0
 """How long the end of an upstream's run is remembered; longer than it is queried."""
 
@@ -107,6 +112,7 @@
         self.region_loads: tuple[RegionLoad, ...] = ()
         self._demands: tuple[EntryDemand, ...] = ()
         self.last_reply_at: Seconds = float("-inf")
+        self._first_reply_at: Seconds | None = None
         self.last_reply_requested_at: Latest[Seconds] = Latest(initial=float("-inf"))
         self.knows_all_entries = False
         self.changed: Latest[int] = Latest(initial=0)
@@ -116,6 +122,13 @@
         """Time since the last reply of a control replica."""
         return self._clock() - self.last_reply_at
 
+    @property
+    def discovery_seconds_left(self) -> Seconds:
+        """How much longer upstreams may be missing after a start; 0 if they can't."""
+        if self.knows_all_entries or self._first_reply_at is None:
+            return 0.0
+        return max(0.0, self._first_reply_at + DISCOVERY_SECONDS - self._clock())
+
     def upstream_ids(self) -> frozenset[UpstreamId]:
         return frozenset(self._upstreams_by_id)
 
@@ -234,6 +247,8 @@
         """
         now = self._clock()
         self.last_reply_at = now
+        if self._first_reply_at is None:
+            self._first_reply_at = now
         for name, entry in self.entries_by_name.items():
             self._seen_by_entry[name] = entry.region, now
         if reply.whole:
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -312,7 +312,8 @@
             regions = [r for r in regions if r.region != placement.region]
         if isinstance(placement, NoUpstream):
             # Upstreams may be paused, or cold or limited without any budget left.
-            return view.next_free_slot(request, service, tried) or placement
+            free = view.next_free_slot(request, service, tried)
+            return free or self._wait_for_discovery(tried) or placement
         if not isinstance(placement, Local):
             return placement
         chosen = next(c for c in candidates if c.id == placement.upstream_id)
@@ -325,6 +326,19 @@
             placement.loss,
         )
 
+    def _wait_for_discovery(self, tried: Tried) -> Full | None:
+        """
+        Return when upstreams that serve will be known, ``None`` if they are.
+
+        Load pattern: all processes restart at once and all callers come back, while the
+        control replicas still compare what they knew. Refused callers would come back
+        later than the upstreams are known, and some have no retry left.
+        """
+        left = self._view.deployment.discovery_seconds_left
+        if left <= 0 or tried.upstreams or tried.regions:
+            return None
+        return Full(left, interval_seconds=0.0)
+
     def _to_result(
         self, request: RelayRequest, placed: "Target | Paused | NoUpstream"
     ) -> Result[Target, GatewayError]:
--- a/tests/relay/test_limiter.py
+++ b/tests/relay/test_limiter.py
@@ -51,7 +51,12 @@
 class Entry:
     """One entry of two in a region with two engines, in virtual time."""
 
-    def __init__(self, *, settled: bool = True) -> None:
+    def __init__(
+        self,
+        *,
+        settled: bool = True,
+        upstreams: tuple[ServiceUpstream, ...] = UPSTREAMS,
+    ) -> None:
         self.clock = asyncio.get_running_loop().time
         self.refused_after: list[float] = []
         self.deployment = Deployment(
@@ -64,7 +69,7 @@
             current=True,
             zone="a",
             entries=ENTRIES,
-            upstreams=UPSTREAMS,
+            upstreams=upstreams,
             routing=RoutingUpdate(1, encode_table(RouteTable(1, (ROUTE,), (SERVICE,)))),
             settled=settled,
         )
