Look up a region's upstreams and entries once a reply, not once a candidate

These lists are kept until a reply may change them, a cold upstream's rank until the region's entries change; and once four requests of a route found no slot in a pass over the queue, the rest of that route waits for the next pass.

--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -1,6 +1,6 @@
 """An entry's view of the deployment."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from enum import Enum
 from typing import NamedTuple
 
@@ -38,6 +38,9 @@
 control replica knows all of them yet; replicas that started together connect, compare
 their records and report them within this time."""
 
+SHARING_CACHE_SECONDS = 0.25
+"""How long a list of the entries that share budgets is used without another reply."""
+
 ENDED_RUN_TTL_SECONDS = 30.0
 """How long the end of an upstream's run is remembered; longer than it is queried."""
 
@@ -67,6 +70,11 @@
     recorded_at: Seconds
 
 
+class _SharingEntries(NamedTuple):
+    names: list[VmName]
+    listed_at: Seconds
+
+
 class Deployment:
     """
     Entries, upstreams, routes and loads as known to this entry.
@@ -115,6 +123,11 @@
         self._first_reply_at: Seconds | None = None
         self.last_reply_requested_at: Latest[Seconds] = Latest(initial=float("-inf"))
         self.knows_all_entries = False
+        self._serving_by_service: dict[ServiceName, list[ServiceUpstream]] = {}
+        self._serving_regions_by_service: dict[
+            ServiceName, dict[UpstreamId, RegionName]
+        ] = {}
+        self._sharing_by_region: dict[RegionName, _SharingEntries] = {}
         self.changed: Latest[int] = Latest(initial=0)
 
     @property
@@ -181,27 +194,33 @@
             0.0, stored.record.cold_seconds - (now - stored.recorded_at), presumed
         )
 
-    def serving(self, service: str) -> list[ServiceUpstream]:
+    def serving(self, service: ServiceName) -> Sequence[ServiceUpstream]:
         """Return the own region's upstreams of a service that accept requests."""
-        return [
-            stored.record
-            for stored in self._upstreams_by_id.values()
-            if stored.record.service == service
-            and stored.record.phase == "serving"
-            and self._regions_by_zone.get(stored.record.zone) == self.own_region
-            and stored.record.zone not in self.evacuated_zones
-        ]
-
-    def serving_regions(self, service: str) -> dict[UpstreamId, RegionName]:
+        serving = self._serving_by_service.get(service)
+        if serving is None:
+            serving = self._serving_by_service[service] = [
+                stored.record
+                for stored in self._upstreams_by_id.values()
+                if stored.record.service == service
+                and stored.record.phase == "serving"
+                and self._regions_by_zone.get(stored.record.zone) == self.own_region
+                and stored.record.zone not in self.evacuated_zones
+            ]
+        return serving
+
+    def serving_regions(self, service: ServiceName) -> Mapping[UpstreamId, RegionName]:
         """Return the regions, by id, of a service's upstreams that accept requests."""
-        return {
-            upstream_id: self._regions_by_zone[stored.record.zone]
-            for upstream_id, stored in self._upstreams_by_id.items()
-            if stored.record.service == service
-            and stored.record.phase == "serving"
-            and stored.record.zone in self._regions_by_zone
-            and stored.record.zone not in self.evacuated_zones
-        }
+        regions_by_id = self._serving_regions_by_service.get(service)
+        if regions_by_id is None:
+            regions_by_id = self._serving_regions_by_service[service] = {
+                upstream_id: self._regions_by_zone[stored.record.zone]
+                for upstream_id, stored in self._upstreams_by_id.items()
+                if stored.record.service == service
+                and stored.record.phase == "serving"
+                and stored.record.zone in self._regions_by_zone
+                and stored.record.zone not in self.evacuated_zones
+            }
+        return regions_by_id
 
     def entries_of(self, region: RegionName) -> list[EntryRecord]:
         """Return the entries of a region that accept requests."""
@@ -215,19 +234,27 @@
         """Return the demand for a service at the other entries of the region."""
         return {d.entry: d.per_second for d in self._demands if d.service == service}
 
-    def entries_sharing_budgets(self, region: RegionName) -> list[VmName]:
+    def entries_sharing_budgets(self, region: RegionName) -> Sequence[VmName]:
         """
         Return the entries of a region, including those lost recently.
 
         Budgets are divided among these entries, as an unreachable one may still spend
-        its share. The list is complete once :attr:`knows_all_entries` is set.
+        its share. The list is complete once :attr:`knows_all_entries` is set. It is the
+        same object until its content may have changed.
         """
-        oldest = self._clock() - LOST_ENTRY_TTL_SECONDS
-        return [
-            name
-            for name, (own, seen) in self._seen_by_entry.items()
-            if own == region and seen >= oldest
-        ]
+        now = self._clock()
+        sharing = self._sharing_by_region.get(region)
+        if sharing is None or now >= sharing.listed_at + SHARING_CACHE_SECONDS:
+            oldest = now - LOST_ENTRY_TTL_SECONDS
+            names = [
+                name
+                for name, (own, seen) in self._seen_by_entry.items()
+                if own == region and seen >= oldest
+            ]
+            if sharing is not None and sharing.names == names:
+                names = sharing.names
+            sharing = self._sharing_by_region[region] = _SharingEntries(names, now)
+        return sharing.names
 
     def count_entries_sharing_budgets(self) -> int:
         """Return the number of entries that share budgets, in all regions."""
@@ -274,6 +301,13 @@
             _log.info(
                 "all entries are known", entries=self.count_entries_sharing_budgets()
             )
+        self._sharing_by_region = {
+            region: sharing._replace(listed_at=float("-inf"))
+            for region, sharing in self._sharing_by_region.items()
+        }
+        if reply.whole or reply.entries or reply.upstreams or reply.routing:
+            self._serving_by_service.clear()
+            self._serving_regions_by_service.clear()
         if reply.entries or reply.upstreams or reply.routing:
             self._remove_lost()
             self._remove_expired_runs()
--- a/poplarlug/relay/affinity.py
+++ b/poplarlug/relay/affinity.py
@@ -43,7 +43,7 @@
         Parameters
         ----------
         regions_by_id : mapping
-            Regions of the engines that can serve the prompt.
+            Regions of the engines that can serve the prompt; must not change later.
 
         Returns
         -------
@@ -52,9 +52,10 @@
         """
         if len(prompt.parts) < 2:
             return {}
-        if regions_by_id != self._regions_by_id:
-            self._regions_by_id = dict(regions_by_id)
-            self._homes_by_part.clear()
+        if regions_by_id is not self._regions_by_id:
+            if regions_by_id != self._regions_by_id:
+                self._homes_by_part.clear()
+            self._regions_by_id = regions_by_id
         part = prompt.parts[-2].id
         homes = self._homes_by_part.get(part)
         if homes is None:
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -1,6 +1,7 @@
 """Places requests on upstreams or regions, and queues those that find no free slot."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, TypeAlias
 
@@ -42,6 +43,10 @@
 """Factor on the expected wait behind other requests for a rate limit. The wait may grow,
 since this entry's share of the limit changes with the demand at the other entries."""
 
+MAX_UNPLACED = 4
+"""How many queued requests of a route find no slot until the rest of the route isn't
+looked at in the same pass; requests of a route need about the same."""
+
 MIN_RUN_SECONDS = 0.05
 """A request with less time left is refused, as no response would be in time."""
 
@@ -245,15 +250,18 @@
             return
         now = self._clock()
         is_head = True
+        unplaced_by_route: Counter[str] = Counter()
         for waiter in queue.waiters.in_order():
             waiting = queue.by_waiter[waiter]
-            if waiting.placed.done():
+            route = waiting.request.route.name
+            if waiting.placed.done() or unplaced_by_route[route] >= MAX_UNPLACED:
                 continue
             result = self._place_now(waiting.request, waiting.tried)
             if is_head:
                 queue.update_pace(result)
             if isinstance(result, Full):
                 is_head = False
+                unplaced_by_route[route] += 1
                 continue
             queue.waiters.record_start(now)
             queue.waiters.leave(waiter)
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -1,6 +1,6 @@
 """Inputs of a placement: upstreams, regions and caches as known to this entry."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 from typing import NamedTuple
 
@@ -91,6 +91,14 @@
     failures: int
 
 
+class _WarmupRank(NamedTuple):
+    """Rank of this entry among those that share the budget of a cold upstream."""
+
+    sharing: Sequence[VmName]
+    entries: int
+    position: int
+
+
 class FleetView:
     """
     Derives the inputs of placements from the deployment and from what this entry did.
@@ -125,6 +133,7 @@
         self._rng = rng
         self._clock = clock
         self._warmups_by_id: dict[UpstreamId, WarmupBudget] = {}
+        self._warmup_ranks_by_id: dict[UpstreamId, _WarmupRank] = {}
         self._caches_by_region: dict[RegionName, PartCache] = {}
         self._homes_by_service: dict[ServiceName, HomeEngines] = {}
         self._avoided_until_by_entry: dict[VmName, Seconds] = {}
@@ -203,6 +212,7 @@
         for upstream_id, budget in list(self._warmups_by_id.items()):
             if upstream_id not in known and budget.is_unused:
                 del self._warmups_by_id[upstream_id]
+                self._warmup_ranks_by_id.pop(upstream_id, None)
 
     def affinity(self, request: RelayRequest, requirements: Requirements) -> Affinity:
         """Return which upstreams cache, or should cache, the shared parts of a prompt."""
@@ -452,17 +462,21 @@
             return True
         if not self.deployment.knows_all_entries:
             return False
-        names = {
-            *self.deployment.entries_sharing_budgets(self.deployment.own_region),
-            self._name,
-        }
-        ranked = rank_by_hash(names, upstream.id)
+        rank = self._warmup_rank(upstream.id)
         return self._warmup_of(upstream.id).allows(
-            rate=service.warmup_per_second,
-            entries=len(ranked),
-            position=ranked.index(self._name),
+            rate=service.warmup_per_second, entries=rank.entries, position=rank.position
         )
 
+    def _warmup_rank(self, upstream_id: UpstreamId) -> _WarmupRank:
+        """Return this entry's rank among those that share a cold upstream's budget."""
+        sharing = self.deployment.entries_sharing_budgets(self.deployment.own_region)
+        rank = self._warmup_ranks_by_id.get(upstream_id)
+        if rank is None or rank.sharing is not sharing:
+            ranked = rank_by_hash({*sharing, self._name}, upstream_id)
+            rank = _WarmupRank(sharing, len(ranked), ranked.index(self._name))
+            self._warmup_ranks_by_id[upstream_id] = rank
+        return rank
+
     def _is_cold(self, upstream: ServiceUpstream) -> bool:
         return (
             self.deployment.cold_seconds(upstream.id) > 0
