--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -336,7 +336,7 @@
 
     def _wait_for_discovery(self, tried: Tried) -> Full | None:
         """
-        Return when upstreams that serve will be known, ``None`` if they are.
+        Return when to look for upstreams again, ``None`` if all are known.
 
         Load pattern: all processes restart at once and all callers come back, while the
         control replicas still compare what they knew. Refused callers would come back
@@ -345,7 +345,8 @@
         left = self._view.deployment.discovery_seconds_left
         if left <= 0 or tried.upstreams or tried.regions:
             return None
-        return Full(left, interval_seconds=0.0)
+        # They may be known at any moment, so nobody is refused who can wait a moment.
+        return Full(min(left, RECHECK_SECONDS), interval_seconds=0.0)
 
     def _to_result(
         self, request: RelayRequest, placed: "Target | Paused | NoUpstream"
--- a/tests/relay/test_common_start.py
+++ b/tests/relay/test_common_start.py
@@ -64,6 +64,24 @@
 
         run_virtual(run())
 
+    def test_caller_with_little_time_left_waits_as_long_as_it_can(self) -> None:
+        """Returning callers have spent most of their time before the start."""
+
+        async def run() -> None:
+            entry = Entry(settled=False, upstreams=())
+            running = asyncio.ensure_future(entry.dispatcher.run())
+            short = asyncio.ensure_future(entry.send(deadline=entry.clock() + 1.9))
+            await asyncio.sleep(COMPARING_SECONDS)
+            entry.deployment.apply_reply(
+                entry.reply._replace(
+                    revision=2, whole=False, upstreams=UPSTREAMS, routing=None
+                )
+            )
+            self.assertIsInstance(await short, LocalTarget)
+            running.cancel()
+
+        run_virtual(run())
+
     def test_hurried_request_is_refused_at_once(self) -> None:
         """It would be too late for its caller once upstreams are known."""
 
