--- a/poplarlug/load/replay/patterns.py
+++ b/poplarlug/load/replay/patterns.py
@@ -88,11 +88,17 @@
 )
 """Few engines with large batches, and callers that tolerate only shorter pauses."""
 
+LARGE = Pattern(engines=35, entries=65, chats=1.75, digests=1.15)
+"""Many entries, each of which sends few of the requests to any engine."""
+
 PATTERNS_BY_NAME: Mapping[str, Pattern] = {
     "calm": Pattern(),
     "digest-burst": Pattern(burst=2.5),
     "chat-burst": Pattern(chat_burst=2.5),
     "double-burst": Pattern(burst=2.0, chat_burst=1.6),
+    "large-calm": LARGE,
+    "large-digest-burst": LARGE._replace(burst=2.2),
+    "large-chat-burst": LARGE._replace(chat_burst=2.2),
     "small-calm": SMALL,
     "small-digest-burst": SMALL._replace(burst=2.0),
     "small-chat-burst": SMALL._replace(chat_burst=1.6),
--- a/tests/platform_adapter/test_endless_answers.py
+++ b/tests/platform_adapter/test_endless_answers.py
@@ -62,7 +62,10 @@
         self.start()
 
     def close(self) -> None:
+        # Closing alone leaves the port in use while the thread waits in accept().
+        self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
+        self.join()
 
     def run(self) -> None:
         while True:
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -13,7 +13,12 @@
 from poplarlug.discovery.records import ServiceUpstream
 from poplarlug.errors import GatewayError
 from poplarlug.relay.budgets import WarmupLimits
-from poplarlug.relay.dispatcher import Dispatcher, LocalTarget
+from poplarlug.relay.dispatcher import (
+    MAX_UNPLACED,
+    RECHECK_SECONDS,
+    Dispatcher,
+    LocalTarget,
+)
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.view import FleetView, Tried
@@ -78,6 +83,36 @@
         now = asyncio.get_running_loop().time()
         return make_request(route=ROUTE, arrived=now, deadline=now + 15.0)
 
+    def test_pass_over_a_long_queue_looks_at_few_requests_of_a_route(self) -> None:
+        """Requests of a route need about the same, so the rest need no look."""
+        # Guards against entries whose CPU time goes to their queues under overload.
+        waiting = 50
+
+        async def main() -> tuple[int, float]:
+            dispatcher = self.make()
+            running = asyncio.ensure_future(dispatcher.run())
+            first = (await dispatcher.find(self.request(), Tried())).unwrap()
+            assert isinstance(first, LocalTarget)
+            queued = [
+                asyncio.ensure_future(dispatcher.find(self.request(), Tried()))
+                for _ in range(waiting)
+            ]
+            await asyncio.sleep(0)
+            with patch.object(
+                dispatcher, "_decide", wraps=dispatcher._decide
+            ) as decide:
+                await asyncio.sleep(10.5 * RECHECK_SECONDS)
+                looks = decide.call_count
+            dispatcher.release(first.in_flight_request, failed=False)
+            await asyncio.sleep(0)
+            served = [number for number, one in enumerate(queued) if one.done()]
+            running.cancel()
+            return looks, served[0]
+
+        looks, served = run_virtual(main())
+        self.assertLessEqual(looks, 11 * MAX_UNPLACED)
+        self.assertEqual(served, 0)
+
     def test_cold_upstream_without_budget_does_not_count_as_missing(self) -> None:
         """The next request waits for warm-up budget; it isn't refused for lack of upstreams."""
 
