Keep the sum of a region's loads up to date instead of adding it up for each poll

A report now changes the totals, and a reply takes the asker's own part out.

Checked against plain sums over 3,000 random reports with silences.

--- a/poplarlug/discovery/region_loads.py
+++ b/poplarlug/discovery/region_loads.py
@@ -1,6 +1,7 @@
 """Sums of the requests that entries have running, by upstream and by region."""
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from itertools import takewhile
 from typing import NamedTuple
 
 from poplarlug.discovery.messages import EntryDemand, EntryLoads
@@ -54,14 +55,20 @@
         self._region = region
         self._regions_by_zone = regions_by_zone
         self._clock = clock
+        # In the order of arrival.
         self._received_by_entry: dict[VmName, _ReceivedLoads] = {}
+        self._totals_by_id: dict[UpstreamId, UpstreamLoad] = {}
         self._others_by_key: dict[
             tuple[RegionName, ServiceName], tuple[Seconds, RegionLoad]
         ] = {}
 
     def record_entry(self, loads: EntryLoads) -> None:
         """Store the loads reported by an entry of the region."""
+        self._forget_entry(loads.entry)
         self._received_by_entry[loads.entry] = _ReceivedLoads(self._clock(), loads)
+        for load in loads.loads:
+            total = self._totals_by_id.get(load.id)
+            self._totals_by_id[load.id] = load if total is None else _add(total, load)
 
     def record_regions(self, loads: Iterable[RegionLoad]) -> None:
         """Store the loads sent by a control replica of another region."""
@@ -77,8 +84,13 @@
 
     def loads_of_others(self, entry: VmName) -> tuple[UpstreamLoad, ...]:
         """Return the summed loads of the region's entries except ``entry``."""
-        received = [one for name, one in self._recent().items() if name != entry]
-        return tuple(_sum_by_id(received).values())
+        received = self._recent().get(entry)
+        if received is None or not received.loads.loads:
+            return tuple(self._totals_by_id.values())
+        others_by_id = dict(self._totals_by_id)
+        for load in received.loads.loads:
+            _subtract(others_by_id, load)
+        return tuple(others_by_id.values())
 
     def demands_of_others(self, entry: VmName) -> tuple[EntryDemand, ...]:
         """Return the demands of the region's entries except ``entry``."""
@@ -111,14 +123,14 @@
         rates_by_run : mapping
             Rate limits named by upstreams, in requests per second.
         """
-        loads_by_id = _sum_by_id(self._recent().values())
+        self._recent()
         serving: dict[ServiceName, list[ServiceUpstream]] = {}
         for upstream in upstreams:
             is_own = self._regions_by_zone.get(upstream.zone) == self._region
             if is_own and upstream.phase == "serving":
                 serving.setdefault(upstream.service, []).append(upstream)
         return tuple(
-            self._region_load(service, members, loads_by_id, rates_by_run)
+            self._region_load(service, members, rates_by_run)
             for service, members in serving.items()
         )
 
@@ -126,9 +138,9 @@
         self,
         service: ServiceName,
         upstreams: Sequence[ServiceUpstream],
-        loads_by_id: Mapping[UpstreamId, UpstreamLoad],
         rates_by_run: Mapping[UpstreamRun, float],
     ) -> RegionLoad:
+        loads_by_id = self._totals_by_id
         # Rate-limited upstreams look idle, which must not attract other regions.
         free = [u for u in upstreams if u.run not in rates_by_run]
         loads = [loads_by_id.get(u.id, UpstreamLoad(u.id)) for u in free or upstreams]
@@ -156,14 +168,21 @@
         )
 
     def _recent(self) -> dict[VmName, _ReceivedLoads]:
+        """Return the reports that have not expired, after dropping the others."""
         oldest = self._clock() - ENTRY_LOADS_TTL_SECONDS
-        self._received_by_entry = {
-            name: received
-            for name, received in self._received_by_entry.items()
-            if received.received_at >= oldest
-        }
+        expired = takewhile(
+            lambda item: item[1].received_at < oldest, self._received_by_entry.items()
+        )
+        for name, _ in tuple(expired):
+            self._forget_entry(name)
         return self._received_by_entry
 
+    def _forget_entry(self, name: VmName) -> None:
+        received = self._received_by_entry.pop(name, None)
+        if received is not None:
+            for load in received.loads.loads:
+                _subtract(self._totals_by_id, load)
+
 
 def _slots(upstream: ServiceUpstream, running: int, rate: float | None) -> int:
     """
@@ -177,15 +196,6 @@
     return min(upstream.slots, running + max(1, int(rate)))
 
 
-def _sum_by_id(received: Iterable[_ReceivedLoads]) -> dict[UpstreamId, UpstreamLoad]:
-    sums: dict[UpstreamId, UpstreamLoad] = {}
-    for one in received:
-        for load in one.loads.loads:
-            total = sums.get(load.id)
-            sums[load.id] = load if total is None else _add(total, load)
-    return sums
-
-
 def _add(one: UpstreamLoad, other: UpstreamLoad) -> UpstreamLoad:
     return UpstreamLoad(
         one.id,
@@ -194,3 +204,21 @@
         one.read_ms + other.read_ms,
         one.kv_tokens + other.kv_tokens,
     )
+
+
+def _subtract(totals_by_id: dict[UpstreamId, UpstreamLoad], load: UpstreamLoad) -> None:
+    """Take one load out of the totals, and drop a total of nothing."""
+    total = totals_by_id.get(load.id)
+    if total is None:
+        return
+    rest = UpstreamLoad(
+        load.id,
+        total.running - load.running,
+        total.long - load.long,
+        total.read_ms - load.read_ms,
+        total.kv_tokens - load.kv_tokens,
+    )
+    if rest == UpstreamLoad(load.id):
+        del totals_by_id[load.id]
+    else:
+        totals_by_id[load.id] = rest
--- a/tests/discovery/test_region_loads.py
+++ b/tests/discovery/test_region_loads.py
@@ -1,5 +1,6 @@
 """Tests of the capacity and load that a region reports to others."""
 
+from random import Random
 from unittest import TestCase
 
 from poplarlug.discovery.messages import (
@@ -48,6 +49,37 @@
         self.assertEqual(load.calm.id, "e-2")
         self.assertEqual(load.quick, UpstreamLoad("e-2", 1, 1, 0))
 
+    def test_others_are_the_sum_of_the_latest_reports(self) -> None:
+        """Any order of reports, silences and repeated upstreams gives the plain sum."""
+        rng = Random(1)
+        reports: dict[str, tuple[float, list[UpstreamLoad]]] = {}
+        for _ in range(3000):
+            self.now += rng.random() * 0.2
+            entry = f"entry-{rng.randrange(12)}"
+            loads = [
+                UpstreamLoad(
+                    f"e-{rng.randrange(5)}", *(rng.randrange(4) for _ in "1234")
+                )
+                for _ in range(rng.randrange(4))
+            ]
+            self.record_loads(entry, *loads)
+            reports[entry] = self.now, loads
+            asking = f"entry-{rng.randrange(12)}"
+            sums: dict[str, list[int]] = {}
+            for name, (at, own) in reports.items():
+                if name != asking and at >= self.now - ENTRY_LOADS_TTL_SECONDS:
+                    for load in own:
+                        former = sums.setdefault(load.id, [0, 0, 0, 0])
+                        pairs = zip(former, load[1:], strict=True)
+                        sums[load.id] = [a + b for a, b in pairs]
+            others = {
+                one.id: list(one[1:]) for one in self.loads.loads_of_others(asking)
+            }
+            self.assertEqual(
+                {key: one for key, one in others.items() if any(one)},
+                {key: one for key, one in sums.items() if any(one)},
+            )
+
     def test_limited_upstream_offers_what_it_takes_in_a_second(self) -> None:
         """It reports few free slots, and an unlimited engine as ``calm``."""
         self.record_loads("a", UpstreamLoad("e-1", 3), UpstreamLoad("e-2", 5))
