Weigh pauses by rank: urgent long prompts don't wait for patient streams

Pauses that a prompt of a service's most urgent rank causes now count 0.15. On services whose chats are the most urgent rank nothing changes, as chats' prompts are short.

--- a/poplarlug/load/replay/patterns.py
+++ b/poplarlug/load/replay/patterns.py
@@ -38,6 +38,8 @@
 
 WORTH_BY_ROUTE: Mapping[str, float] = {"chat": 3.4, "digest": 1.3}
 LATE_SHARE_BY_ROUTE: Mapping[str, float] = {"chat": 0.41, "digest": 0.59}
+URGENT_DIGEST_WORTH_BY_ROUTE: Mapping[str, float] = {"chat": 0.96, "digest": 4.4}
+URGENT_DIGEST_LATE_SHARE_BY_ROUTE: Mapping[str, float] = {"chat": 0.75, "digest": 0.89}
 
 
 class Pattern(NamedTuple):
@@ -52,6 +54,9 @@
         Requests per second and engine.
     burst, chat_burst : float
         Factor on the rate of digests or chats in the middle third of the replay.
+    urgent_digests : bool
+        Whether digests have the most urgent rank, a short objective and most of the
+        worth, instead of chats.
     subjects : int
         Number of shared prompt parts of digests; the first ones are the most frequent.
     """
@@ -62,6 +67,7 @@
     digests: float = 1.5
     burst: float = 1.0
     chat_burst: float = 1.0
+    urgent_digests: bool = False
     subjects: int = 300
     seconds: Seconds = 18.0
     spec: EngineSpec = EngineSpec()
@@ -70,12 +76,28 @@
     @property
     def routes(self) -> tuple[Route, Route]:
         """Routes of the chats and of the digests."""
+        chat, digest = CHAT, DIGEST
+        if self.urgent_digests:
+            chat = CHAT._replace(rank=2, objective_seconds=1.5)
+            digest = DIGEST._replace(rank=0, objective_seconds=0.835)
         pause = self.max_pause_seconds
         return (
-            CHAT._replace(max_pause_seconds=pause),
-            DIGEST._replace(max_pause_seconds=pause),
+            chat._replace(max_pause_seconds=pause),
+            digest._replace(max_pause_seconds=pause),
         )
 
+    @property
+    def worth_by_route(self) -> Mapping[str, float]:
+        """Worth of an answer within its objectives."""
+        return URGENT_DIGEST_WORTH_BY_ROUTE if self.urgent_digests else WORTH_BY_ROUTE
+
+    @property
+    def late_share_by_route(self) -> Mapping[str, float]:
+        """Share of the worth that a late answer has."""
+        if self.urgent_digests:
+            return URGENT_DIGEST_LATE_SHARE_BY_ROUTE
+        return LATE_SHARE_BY_ROUTE
+
 
 SMALL = Pattern(
     engines=3,
@@ -91,6 +113,24 @@
 LARGE = Pattern(engines=35, entries=65, chats=1.75, digests=1.15)
 """Many entries, each of which sends few of the requests to any engine."""
 
+URGENT_DIGESTS = Pattern(
+    engines=14,
+    entries=22,
+    chats=8.0,
+    digests=6.0,
+    urgent_digests=True,
+    subjects=400,
+    spec=EngineSpec(
+        slots=64,
+        kv_capacity_tokens=376_000,
+        step_seconds=0.0037,
+        read_tokens_per_second=81_900.0,
+        tokens_per_event=8,
+    ),
+    max_pause_seconds=0.4,
+)
+"""Long prompts of the most urgent rank among many patient streams."""
+
 PATTERNS_BY_NAME: Mapping[str, Pattern] = {
     "calm": Pattern(),
     "digest-burst": Pattern(burst=2.5),
@@ -99,6 +139,9 @@
     "large-calm": LARGE,
     "large-digest-burst": LARGE._replace(burst=2.2),
     "large-chat-burst": LARGE._replace(chat_burst=2.2),
+    "urgent-digests": URGENT_DIGESTS,
+    "urgent-digest-burst": URGENT_DIGESTS._replace(burst=2.2),
+    "urgent-digest-chat-burst": URGENT_DIGESTS._replace(chat_burst=2.5),
     "small-calm": SMALL,
     "small-digest-burst": SMALL._replace(burst=2.0),
     "small-chat-burst": SMALL._replace(chat_burst=1.6),
--- a/poplarlug/load/replay/policies.py
+++ b/poplarlug/load/replay/policies.py
@@ -45,11 +45,21 @@
     return place(demand._replace(latest_seconds=float("inf")), candidates, regions)
 
 
+def rank_blind(
+    demand: Requirements,
+    candidates: Sequence[Candidate],
+    regions: Sequence[RemoteRegion],
+) -> Placement:
+    """Place as the gateway does, but weigh the pauses of all streams alike."""
+    return place(demand._replace(harm_weight=1.0), candidates, regions)
+
+
 POLICIES_BY_NAME: Mapping[str, PlacementPolicy] = {
     "product": place,
     "first-come": first_come,
     "least-loaded": least_loaded,
     "no-refusal": no_refusal,
+    "rank-blind": rank_blind,
 }
 
 
--- a/poplarlug/load/replay/region.py
+++ b/poplarlug/load/replay/region.py
@@ -20,9 +20,7 @@
 from poplarlug.discovery.subscriber import HOLD_SECONDS
 from poplarlug.load.replay.engines import EngineRun, VirtualEngine
 from poplarlug.load.replay.patterns import (
-    LATE_SHARE_BY_ROUTE,
     SERVICE,
-    WORTH_BY_ROUTE,
     Arrival,
     Pattern,
     draw_arrivals,
@@ -149,7 +147,13 @@
     callers = []
     for arrival in draw_arrivals(pattern, rng):
         await asyncio.sleep(max(0.0, arrival.at - clock()))
-        caller = _Caller(arrival=arrival, entries=entries, engines=engines, rng=rng)
+        caller = _Caller(
+            arrival=arrival,
+            pattern=pattern,
+            entries=entries,
+            engines=engines,
+            rng=rng,
+        )
         callers.append(asyncio.ensure_future(caller.run()))
     await asyncio.wait(callers, timeout=DRAIN_SECONDS)
     for task in tasks:
@@ -238,11 +242,13 @@
         self,
         *,
         arrival: Arrival,
+        pattern: Pattern,
         entries: list[_Entry],
         engines: dict[str, VirtualEngine],
         rng: Random,
     ) -> None:
         self._arrival = arrival
+        self._pattern = pattern
         self._entries = entries
         self._engines = engines
         self._rng = rng
@@ -250,7 +256,7 @@
 
     async def run(self) -> ArrivalOutcome:
         arrival = self._arrival
-        max_worth = WORTH_BY_ROUTE[arrival.route.name]
+        max_worth = self._pattern.worth_by_route[arrival.route.name]
         for is_last in (False, True):
             entry = self._rng.choice(self._entries)
             request = self._request()
@@ -282,7 +288,7 @@
 
     async def _run_at(self, entry: _Entry, place: LocalTarget) -> ArrivalOutcome:
         arrival, route = self._arrival, self._arrival.route
-        max_worth = WORTH_BY_ROUTE[route.name]
+        max_worth = self._pattern.worth_by_route[route.name]
         engine = self._engines[place.upstream.id]
         run = EngineRun(prompt=arrival.prompt, answer_tokens=arrival.answer_tokens)
         sent = self._clock()
@@ -310,7 +316,7 @@
             first - arrival.at <= route.objective_seconds
             and run.longest_pause <= route.max_pause_seconds
         )
-        share = 1.0 if in_time else LATE_SHARE_BY_ROUTE[route.name]
+        share = 1.0 if in_time else self._pattern.late_share_by_route[route.name]
         return ArrivalOutcome(
             arrival, share * max_worth, max_worth, False, first - arrival.at, error
         )
--- a/poplarlug/relay/placement.py
+++ b/poplarlug/relay/placement.py
@@ -150,6 +150,9 @@
         Whether another region may serve it.
     must_forward : bool
         Whether the own region may not serve it.
+    harm_weight : float
+        Weight of what the responses of an engine lose through the request; below 1 if
+        it is more urgent than most of them.
     """
 
     kv_tokens: int
@@ -158,6 +161,7 @@
     latest_seconds: Seconds = float("inf")
     may_forward: bool = True
     must_forward: bool = False
+    harm_weight: float = 1.0
 
 
 class Local(NamedTuple):
@@ -281,7 +285,9 @@
         return None
     losses = {c.id: _local_loss(requirements, c) for c in available}
     best = min(available, key=lambda c: (c.avoided, losses[c.id], c.load.running))
-    harm = 0.0 if best.kv_capacity <= 0 else _harm(best.load, best.prefill_seconds)
+    harm = 0.0
+    if best.kv_capacity > 0:
+        harm = _harm(requirements, best.load, best.prefill_seconds)
     return Local(best.id, _expected(best), losses[best.id], harm)
 
 
@@ -309,7 +315,7 @@
     loss += _time_loss(requirements, _expected(candidate))
     if candidate.kv_capacity <= 0:
         return loss
-    loss += _harm(candidate.load, candidate.prefill_seconds)
+    loss += _harm(requirements, candidate.load, candidate.prefill_seconds)
     loss += _risk(candidate.load, candidate.prefill_seconds)
     return loss + RECOMPUTE_LOSS_PER_TOKEN * candidate.recomputed_tokens
 
@@ -325,13 +331,11 @@
     return LATE_LOSS * min(1.0, max(0.0, late)) + delay
 
 
-def _harm(load: EngineLoad, prefill: Seconds) -> float:
+def _harm(requirements: Requirements, load: EngineLoad, prefill: Seconds) -> float:
     """Return what an engine's streams lose through a long prompt; 0 for a short one."""
-    return (
-        PAUSE_LOSS * (load.running - load.long)
-        if prefill > LONG_PREFILL_SECONDS
-        else 0.0
-    )
+    if prefill <= LONG_PREFILL_SECONDS:
+        return 0.0
+    return requirements.harm_weight * PAUSE_LOSS * (load.running - load.long)
 
 
 def _risk(load: EngineLoad, prefill: Seconds) -> float:
@@ -367,7 +371,7 @@
         + FORWARD_SECONDS
     )
     loss = FORWARD_LOSS + _waiting_loss(region) + _time_loss(requirements, expected)
-    harm = _harm(load, region.prefill_seconds)
+    harm = _harm(requirements, load, region.prefill_seconds)
     loss += harm + _risk(load, region.prefill_seconds)
     loss += RECOMPUTE_LOSS_PER_TOKEN * region.recomputed_tokens
     return Remote(region.region, expected, loss, harm)
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -58,6 +58,10 @@
 """Callers abandon a silent stream after the longest of these: a fixed time, a multiple of
 the objective, a multiple of the longest pause; according to the users' deployments."""
 
+URGENT_HARM_WEIGHT = 0.15
+"""Weight of the pauses that a request of the most urgent rank causes: most of the
+streams that pause are of a lower rank, and worth less to their callers."""
+
 COLD_RETRY_SECONDS = 0.5
 """Retry time for a cold upstream; its warm-up budget is counted per second."""
 
@@ -363,6 +367,13 @@
             latest_seconds=latest_response_start(request) - now,
             may_forward=request.hops == 0,
             must_forward=not request.route.allows(self.deployment.own_region),
+            harm_weight=URGENT_HARM_WEIGHT if self._is_most_urgent(request) else 1.0,
+        )
+
+    def _is_most_urgent(self, request: RelayRequest) -> bool:
+        routes = self.deployment.routes
+        return routes is not None and routes.is_most_urgent(
+            request.route, request.service
         )
 
     def regions(
--- a/poplarlug/routes/index.py
+++ b/poplarlug/routes/index.py
@@ -21,6 +21,14 @@
         self.services_by_name: dict[ServiceName, RoutedService] = {
             service.name: service for service in table.services
         }
+        self._prompt_ranks_by_service: dict[ServiceName, set[int]] = {}
+        for route in table.routes:
+            if route.prompts:
+                for weighted in route.services:
+                    ranks = self._prompt_ranks_by_service.setdefault(
+                        weighted.service, set()
+                    )
+                    ranks.add(route.rank)
         self._routes_by_prefix_by_host: dict[str, dict[str, Route]] = {}
         for route in table.routes:
             by_prefix = self._routes_by_prefix_by_host.setdefault(
@@ -32,6 +40,11 @@
     def version(self) -> int:
         return self.table.version
 
+    def is_most_urgent(self, route: Route, service: ServiceName) -> bool:
+        """Return whether a service runs prompts of less urgent routes, and of no more urgent one."""
+        ranks = self._prompt_ranks_by_service.get(service, set())
+        return len(ranks) > 1 and route.rank == min(ranks)
+
     def find(self, host: str, path: str) -> Route | None:
         """
         Return the route of ``path``, or ``None`` if no route matches.
--- a/tests/load/replay/test_region.py
+++ b/tests/load/replay/test_region.py
@@ -35,6 +35,16 @@
         self.assertGreaterEqual(ours.digest, TARGET_SHARE)
         self.assertGreaterEqual(ours.largest, ours.digest / 2)
 
+    # Guards against urgent long prompts that wait for streams of a lower rank.
+    def test_urgent_digests_among_patient_chats(self) -> None:
+        """The most urgent rank gets most of its worth, and the other its target."""
+        pattern = PATTERNS_BY_NAME["urgent-digests"]._replace(seconds=9.0)
+        ours = play(pattern, "product")
+        self.assertGreaterEqual(ours.digest, TARGET_SHARE)
+        self.assertGreaterEqual(ours.chat, TARGET_SHARE)
+        self.assertGreaterEqual(ours.largest, ours.digest / 2)
+        self.assertLess(play(pattern, "rank-blind").digest, ours.digest)
+
     def test_same_seed_gives_the_same_replay(self) -> None:
         """A seed reproduces a replay, so that results differ only by a change's effect."""
         pattern = PATTERNS_BY_NAME["small-calm"]._replace(seconds=3.0)
--- a/tests/routes/test_index.py
+++ b/tests/routes/test_index.py
@@ -38,6 +38,18 @@
         self.assertIsNone(self.find("b.example", "/chat/1"))
         self.assertIsNone(self.find("c.example", "/"))
 
+    def test_most_urgent_route_has_less_urgent_ones_beside_it(self) -> None:
+        """Only prompts of the same service count, and one rank alone is not urgent."""
+        prompts = make_route(name="a", path_prefix="/a/", prompts=True, rank=0)
+        patient = prompts._replace(name="b", path_prefix="/b/", rank=2)
+        plain = make_route(name="c", path_prefix="/c/", rank=5)
+        index = RouteIndex(table=make_table(prompts, patient, plain))
+        service = prompts.services[0].service
+        self.assertTrue(index.is_most_urgent(prompts, service))
+        self.assertFalse(index.is_most_urgent(patient, service))
+        alone = RouteIndex(table=make_table(prompts, plain))
+        self.assertFalse(alone.is_most_urgent(prompts, service))
+
 
 class DrawServiceTests(TestCase):
     def test_weights_share_the_requests(self) -> None:
