--- a/poplarlug/soak/deployment.py
+++ b/poplarlug/soak/deployment.py
@@ -20,6 +20,7 @@
 
 ZONES = {"quito-a": "sierra", "cuenca-a": "austro", "guayaquil-a": "costa"}
 START_SECONDS = 20.0
+LOG_TAIL_CHARACTERS = 2000
 TORN_RECORD_BYTES = 200
 """Payload size of the log record that is written partially."""
 
@@ -162,7 +163,11 @@
                 if answer.status not in (0, 503):
                     return answer
             time.sleep(0.1)
-        raise AssertionError(f"no control replica answers {method} {path}")
+        logs = [self.log(name)[-LOG_TAIL_CHARACTERS:] for name in self.control.values()]
+        raise AssertionError(
+            f"no control replica answers {method} {path}; their logs end with\n"
+            + "\n--\n".join(logs)
+        )
 
     def is_ready(self, name: str) -> bool:
         """Return whether the readiness probe of an entry succeeds."""
