--- a/poplarlug/daemon.py
+++ b/poplarlug/daemon.py
@@ -76,7 +76,8 @@
 
     if settings_file is not None and len(sys.argv) == 1:
         command()
-    # Parsing no arguments would cost more than all settings.
+        return
+    # Not at the top: most daemons have no arguments, and loading it delays their start.
     import fire
 
     fire.Fire(command)
--- a/poplarlug/routes/index.py
+++ b/poplarlug/routes/index.py
@@ -41,7 +41,7 @@
         return self.table.version
 
     def is_most_urgent(self, route: Route, service: ServiceName) -> bool:
-        """Return whether a service runs prompts of less urgent routes, and of no more urgent one."""
+        """Return whether a service's other prompts are of lower or equal rank, some lower."""
         ranks = self._prompt_ranks_by_service.get(service, set())
         return len(ranks) > 1 and route.rank == min(ranks)
 
--- a/poplarlug/settings.py
+++ b/poplarlug/settings.py
@@ -93,7 +93,7 @@
     try:
         return json.loads(_COMMENT_LINE.sub("", text))
     except ValueError:
-        # Loading and using this parser takes long compared with a start.
+        # Not at the top, as it is slow to load and seldom needed.
         import json5
 
         return json5.loads(text)
