--- a/poplarlug/load/replay/patterns.py
+++ b/poplarlug/load/replay/patterns.py
@@ -42,6 +42,10 @@
 URGENT_DIGEST_LATE_SHARE_BY_ROUTE: Mapping[str, float] = {"chat": 0.75, "digest": 0.89}
 
 
+WARMUP_PER_SECOND = 1.5
+"""Requests per second that a cold engine can take, as on the users' deployments."""
+
+
 class Pattern(NamedTuple):
     """
     Load on one region.
@@ -54,6 +58,8 @@
         Requests per second and engine.
     burst, chat_burst : float
         Factor on the rate of digests or chats in the middle third of the replay.
+    cold_engines : int
+        Number of engines that are cold throughout and take few requests per second.
     urgent_digests : bool
         Whether digests have the most urgent rank, a short objective and most of the
         worth, instead of chats.
@@ -67,6 +73,7 @@
     digests: float = 1.5
     burst: float = 1.0
     chat_burst: float = 1.0
+    cold_engines: int = 0
     urgent_digests: bool = False
     subjects: int = 300
     seconds: Seconds = 18.0
@@ -139,6 +146,7 @@
     "large-calm": LARGE,
     "large-digest-burst": LARGE._replace(burst=2.2),
     "large-chat-burst": LARGE._replace(chat_burst=2.2),
+    "large-cold": LARGE._replace(cold_engines=30, burst=2.2),
     "urgent-digests": URGENT_DIGESTS,
     "urgent-digest-burst": URGENT_DIGESTS._replace(burst=2.2),
     "urgent-digest-chat-burst": URGENT_DIGESTS._replace(chat_burst=2.5),
--- a/poplarlug/load/replay/region.py
+++ b/poplarlug/load/replay/region.py
@@ -21,6 +21,7 @@
 from poplarlug.load.replay.engines import EngineRun, VirtualEngine
 from poplarlug.load.replay.patterns import (
     SERVICE,
+    WARMUP_PER_SECOND,
     Arrival,
     Pattern,
     draw_arrivals,
@@ -169,7 +170,8 @@
 def _initial_reply(pattern: Pattern, entries: list[_Entry]) -> PollReply:
     spec = pattern.spec
     engine = Engine(spec.slots, spec.kv_capacity_tokens, spec.tokens_per_event)
-    table = RouteTable(1, pattern.routes, (RoutedService(SERVICE, engine=engine),))
+    service = RoutedService(SERVICE, warmup_per_second=WARMUP_PER_SECOND, engine=engine)
+    table = RouteTable(1, pattern.routes, (service,))
     return PollReply(
         registry_id="r",
         revision=1,
@@ -189,6 +191,7 @@
                 born=1,
                 sequence=1,
                 slots=spec.slots,
+                cold_seconds=pattern.seconds if number < pattern.cold_engines else 0.0,
             )
             for number in range(pattern.engines)
         ),
