--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -43,7 +43,7 @@
 """Factor on the expected wait behind other requests for a rate limit. The wait may grow,
 since this entry's share of the limit changes with the demand at the other entries."""
 
-MAX_UNPLACED = 4
+MAX_UNPLACED = 8
 """How many queued requests of a route find no slot until the rest of the route isn't
 looked at in the same pass; requests of a route need about the same."""
 
