--- a/tests/platform_adapter/test_leaving_and_paused.py
+++ b/tests/platform_adapter/test_leaving_and_paused.py
@@ -28,6 +28,7 @@
     "book": {"route_kind": "unsafe", "max_attempts": 1},
     "stream": {"route_kind": "streaming", "max_attempts": 1},
     "resume": {"route_kind": "streaming", "resumable": True},
+    "other": {"route_kind": "safe", "service": "other"},
 }
 
 
@@ -114,6 +115,17 @@
 
         wait_until(receives_requests, "the new run gets no request")
 
+    def test_address_serves_another_service_afterwards(self) -> None:
+        """The departure belonged to the run that had the address before."""
+        self.check_leaving("look")
+        self.first.is_leaving = False
+        self.first.service = "other"
+        self.first.crash()
+        wait_until(
+            lambda: self.call(self.entries[0], "other").status == 200,
+            "the new service at the address gets no request",
+        )
+
     def test_callers_are_refused_at_once_when_all_leave(self) -> None:
         """No request waits for an upstream that won't take it."""
         for upstream in self.upstreams:
@@ -161,6 +173,13 @@
         self.check_served(self.check_pauses("stream", "2.5"))
         self.check_served(self.check_pauses("resume", "2.5"))
 
+    def test_pause_counts_without_control(self) -> None:
+        """An entry without contact to any control replica applies it all the same."""
+        for name in self.deployment.control.values():
+            self.deployment.signal(name, signal.SIGSTOP)
+            self.addCleanup(self.deployment.signal, name, signal.SIGCONT)
+        self.check_served(self.check_pauses("look", "2.5"))
+
     def test_callers_are_refused_at_once_during_a_pause_of_all(self) -> None:
         """The answer names the shortest pause as the time to come back."""
         for upstream in self.upstreams:
