Log which prompt parts were running when an upstream crashed

The lines on crashes listed fingerprints of requests only. They couldn't tell requests that share a deadly part from crashes that no prompt caused.

--- a/poplarlug/relay/crash_watch.py
+++ b/poplarlug/relay/crash_watch.py
@@ -1,17 +1,19 @@
 """Detects whether an upstream crashed while requests were running on it."""
 
 import asyncio
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable
 from enum import Enum
 from typing import NamedTuple
 
-from prometheus_client import Counter
+from prometheus_client import Counter as MetricCounter
 
 from poplarlug.discovery.crash_marks import format_fingerprint
 from poplarlug.discovery.deployment import Deployment, RunStatus
 from poplarlug.discovery.records import ServiceUpstream, UpstreamRun
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
+from poplarlug.relay.requests import PromptPart
 from poplarlug.types import Address, Fingerprint, Seconds
 
 FIRST_PROBE_SECONDS = 0.03
@@ -35,7 +37,10 @@
 LISTED_FINGERPRINTS = 8
 """Maximum number of fingerprints in one log line."""
 
-_CRASHES = Counter(
+LISTED_PARTS = 16
+"""Maximum number of prompt parts in one log line."""
+
+_CRASHES = MetricCounter(
     "poplarlug_relay_upstream_crashes_total",
     "Upstreams that ended under requests of this entry, by what showed it.",
     ["evidence"],
@@ -54,11 +59,14 @@
     is_silent : bool
         Whether it ended without any signal from the upstream: it timed out, or the
         caller disconnected first.
+    parts : tuple of PromptPart
+        The parts of the prompt that other requests may share.
     """
 
     fingerprint: Fingerprint
     upstream: ServiceUpstream
     is_silent: bool
+    parts: tuple[PromptPart, ...] = ()
 
 
 class Crash(NamedTuple):
@@ -70,8 +78,9 @@
 
 
 class _WatchedSend:
-    def __init__(self, *, until: Seconds) -> None:
+    def __init__(self, *, until: Seconds, parts: tuple[PromptPart, ...]) -> None:
         self.until = until
+        self.parts = parts
         self.crashed: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
 
     def resolve(self, crashed: bool) -> None:
@@ -138,7 +147,7 @@
         watched = watch.sends_by_fingerprint.get(send.fingerprint)
         limit = SILENT_SECONDS if send.is_silent else RESTART_SECONDS
         if watched is None:
-            watched = _WatchedSend(until=now + limit)
+            watched = _WatchedSend(until=now + limit, parts=send.parts)
             watch.sends_by_fingerprint[send.fingerprint] = watched
         watched.until = max(watched.until, now + limit)
         if run in self._crashed_at_by_run:
@@ -213,6 +222,7 @@
                 fingerprints=[
                     format_fingerprint(f) for f in fingerprints[:LISTED_FINGERPRINTS]
                 ],
+                parts=_count_parts(watch.sends_by_fingerprint.values()),
             )
         if fingerprints:
             self._on_crash(Crash(upstream, evidence, fingerprints))
@@ -255,6 +265,12 @@
             self._report_crash(watch, result.value)
 
 
+def _count_parts(sends: Iterable[_WatchedSend]) -> dict[str, int]:
+    """Return how many of the sends hold each prompt part, for a log line."""
+    counts = Counter(part.id for send in sends for part in send.parts)
+    return dict(counts.most_common(LISTED_PARTS))
+
+
 class ProbeResult(Enum):
     """Result of opening a connection to an address."""
 
--- a/poplarlug/relay/requests.py
+++ b/poplarlug/relay/requests.py
@@ -35,6 +35,11 @@
     max_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """All parts but the last, which belongs to the request or its session."""
+        return self.parts[:-1]
+
 
 class RelayRequest(NamedTuple):
     """
--- a/poplarlug/relay/suspects.py
+++ b/poplarlug/relay/suspects.py
@@ -23,7 +23,12 @@
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.context import Outcome, RequestContext
 from poplarlug.relay.crash_scope import CrashScope
-from poplarlug.relay.crash_watch import Crash, CrashWatch, InterruptedSend
+from poplarlug.relay.crash_watch import (
+    LISTED_PARTS,
+    Crash,
+    CrashWatch,
+    InterruptedSend,
+)
 from poplarlug.types import Fingerprint, Seconds, UpstreamId
 
 LOCK_WAIT_SECONDS = 1.0
@@ -227,10 +232,14 @@
         if outcome is not None and not outcome.may_have_run:
             return None
         fingerprint = context.fingerprint
-        context.trace.note(fingerprint=format_fingerprint(fingerprint))
+        parts = context.request.prompt.shared_parts
+        context.trace.note(
+            fingerprint=format_fingerprint(fingerprint),
+            parts=[part.id for part in parts[:LISTED_PARTS]],
+        )
         is_silent = outcome is None or not outcome.connection_lost
         crashed = self._watch.note_interrupted_send(
-            InterruptedSend(fingerprint, upstream, is_silent)
+            InterruptedSend(fingerprint, upstream, is_silent, parts)
         )
         if not apart:
             return crashed
