--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -58,6 +58,9 @@
         Monotonic times of the refusals because of the fault ``refuse``.
     crash_body : bytes
         A request whose body contains this crashes the upstream; empty for none.
+    crash_parts : frozenset of str
+        A request whose prompt has one of these parts, other than as its last, crashes
+        the upstream.
     crash_after_events : int
         Number of events that a stream of such a request sends before the crash.
     down_seconds : float
@@ -86,6 +89,7 @@
         self.arrivals: list[Arrival] = []
         self.abandoned = 0
         self.crash_body = b""
+        self.crash_parts: frozenset[str] = frozenset()
         self.crash_after_events = 0
         self.down_seconds = 0.5
         self.crashes_silently = False
@@ -214,7 +218,7 @@
         )
         if not self.is_up:
             await asyncio.sleep(MUTE_SECONDS)
-        is_crash_request = bool(self.crash_body) and self.crash_body in body
+        is_crash_request = self._is_crash_request(request, body)
         if is_crash_request and not self.crash_after_events:
             await self._crash_during_request()
         headers[HEADER_NAMES.signature] = f"signed-{self.id}"
@@ -237,6 +241,12 @@
             await asyncio.sleep(self.answer_seconds)
         return web.Response(headers=headers, body=b"answer to " + body)
 
+    def _is_crash_request(self, request: web.Request, body: bytes) -> bool:
+        if self.crash_body and self.crash_body in body:
+            return True
+        listed = request.headers.get(HEADER_NAMES.prompt_parts, "").split(",")
+        return any(part.partition(":")[0] in self.crash_parts for part in listed[:-1])
+
     def _common_headers(self, request: web.Request) -> dict[str, str]:
         """Return the headers of every response to a request."""
         headers = {
