Log the software versions of upstreams, and which streams callers take up

Versions weren't decoded at all, so no line could tell streams joined by a caller's retry from those joined within an answer or by a mistaken run.

--- a/poplarlug/discovery/records.py
+++ b/poplarlug/discovery/records.py
@@ -9,6 +9,7 @@
     RegionName,
     Seconds,
     ServiceName,
+    SoftwareVersion,
     UpstreamId,
     VmName,
     ZoneName,
@@ -83,6 +84,8 @@
     ends_in_seconds : float or None
         Time until it terminates regardless of running requests; ``None`` if not
         announced.
+    version : str
+        Version of its software; empty if not announced.
     """
 
     id: UpstreamId
@@ -95,6 +98,7 @@
     phase: UpstreamPhase = "serving"
     cold_seconds: Seconds = 0.0
     ends_in_seconds: Seconds | None = None
+    version: SoftwareVersion = ""
 
     @property
     def key(self) -> str:
--- a/poplarlug/discovery/registry.py
+++ b/poplarlug/discovery/registry.py
@@ -366,5 +366,6 @@
         "address": record.address,
         "born": record.born,
         "sequence": record.sequence,
+        "version": record.version,
         "cold_seconds": round(record.cold_seconds, 2),
     }
--- a/poplarlug/platform/documents.py
+++ b/poplarlug/platform/documents.py
@@ -97,6 +97,8 @@
     cold_left_ms: float
     # Increases with each heartbeat of one run.
     sequence: int
+    # Of its software, not of the weights.
+    version: NotRequired[str]
     # Start of this run, in milliseconds since 1970.
     born: NotRequired[int]
     # Time until the upstream terminates, even with requests in progress.
@@ -160,6 +162,7 @@
             ends_in_seconds=None
             if remaining is None
             else remaining / MILLISECONDS_PER_SECOND,
+            version=heartbeat.get("version", ""),
         )
     )
 
--- a/poplarlug/platform/encoding.py
+++ b/poplarlug/platform/encoding.py
@@ -29,7 +29,7 @@
         "service": upstream.service,
         "address": upstream.address,
         "zone": upstream.zone,
-        "version": "v1",
+        "version": upstream.version,
         "slots": upstream.slots,
         "state": "ready" if upstream.phase == "serving" else "draining",
         "cold_left_ms": upstream.cold_seconds * 1000,
--- a/poplarlug/platform/names.py
+++ b/poplarlug/platform/names.py
@@ -19,6 +19,7 @@
     cold_left="X-Poplarlug-Cold-Ms",
     limit="Server-Limit",
     leaving="Server-Leaving",
+    resumes="Resumes",
     priority="X-Poplarlug-Request-Priority",
     model="X-Poplarlug-Model",
     token_counts="X-Poplarlug-Token-Count",
--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -19,6 +19,7 @@
 from poplarlug.latest import Latest
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
+from poplarlug.relay.events import LAST_EVENT_HEADER
 from poplarlug.relay.gateway import RelayGateway
 from poplarlug.relay.header_names import HeaderNames
 from poplarlug.relay.hop_headers import (
@@ -29,6 +30,7 @@
     encode_refusal,
     end_to_end,
 )
+from poplarlug.relay.limiter import MAX_LOGGED_CHARACTERS
 from poplarlug.relay.placement import FORWARD_SECONDS
 from poplarlug.relay.requests import Prompt, PromptPart, RelayRequest
 from poplarlug.relay.trace import RelayTrace
@@ -240,8 +242,15 @@
         now = self._clock()
         wait = _parse_milliseconds(request.headers.get(self._header_names.deadline, ""))
         left = min(route.timeout_seconds, math.inf if wait is None else wait)
+        resumed_id = request.headers.get(self._header_names.resumes, "")
         service = draw_service(route, self._rng)
         trace.note(service=service, left_ms=round(left * 1000))
+        last_event = request.headers.get(LAST_EVENT_HEADER)
+        if last_event is not None:
+            trace.note(
+                last_event=last_event[:MAX_LOGGED_CHARACTERS],
+                resumes=resumed_id[:MAX_LOGGED_CHARACTERS],
+            )
         answer_by = math.inf
         patience = (
             _parse_milliseconds(request.headers.get(PATIENCE, "")) if hops else None
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -280,6 +280,7 @@
             "sent",
             now,
             upstream=upstream.id,
+            version=upstream.version,
             running=self._in_flight.load(upstream.id).running,
             ahead_ms=target.ahead_ms,
             read_ms=target.in_flight_request.read_ms,
--- a/poplarlug/relay/header_names.py
+++ b/poplarlug/relay/header_names.py
@@ -26,6 +26,9 @@
         in its responses while the limit is in force.
     leaving : str
         Set to ``1`` by an upstream that leaves, in all of its responses.
+    resumes : str
+        Id of the caller's attempt that received the first event of a stream that
+        this attempt resumes.
     priority : str
         Priority of a request at an engine, from 0 (most urgent) to 9.
     model, token_counts, prompt_parts : str
@@ -42,6 +45,7 @@
     cold_left: str = "X-Cold-Ms"
     limit: str = "X-Rate-Limit"
     leaving: str = "X-Upstream-Leaving"
+    resumes: str = "X-Resumes"
     priority: str = "X-Priority"
     model: str = "X-Model"
     token_counts: str = "X-Token-Counts"
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -43,6 +43,10 @@
         stream that breaks off within an event).
     answer_seconds : float
         Processing time of a request before its response.
+    version : str
+        Announced version of its software.
+    event_data : str
+        Data of all events of its streams.
     slots : int
         Announced number of concurrent requests.
     limit : str
@@ -78,6 +82,8 @@
         self.service = service
         self.zone = zone
         self.fault = ""
+        self.version = "v1"
+        self.event_data = "x"
         self.slots = SLOTS
         self.limit = ""
         self.is_leaving = False
@@ -132,6 +138,7 @@
                 sequence=self._sequence,
                 slots=self.slots,
                 phase=phase,
+                version=self.version,
             )
         )
         request = urllib.request.Request(
@@ -265,6 +272,7 @@
         response.content_type = "text/event-stream"
         await response.prepare(request)
         first = first_event(request)
+        data = self.event_data.encode()
         try:
             for number in range(first, STREAM_EVENTS):
                 if number == last:
@@ -275,7 +283,7 @@
                     assert request.transport is not None
                     request.transport.abort()
                     return response
-                await response.write(b"id: %d\ndata: x\n\n" % number)
+                await response.write(b"id: %d\ndata: %s\n\n" % (number, data))
                 await asyncio.sleep(self.event_seconds)
         except (asyncio.CancelledError, ConnectionResetError):
             self.abandoned += 1
--- a/poplarlug/types.py
+++ b/poplarlug/types.py
@@ -8,6 +8,7 @@
 RankName: TypeAlias = str
 RegionName: TypeAlias = str
 ServiceName: TypeAlias = str
+SoftwareVersion: TypeAlias = str
 ZoneName: TypeAlias = str
 
 VmName: TypeAlias = str
