--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -68,7 +68,9 @@
     crash_after_events : int
         Number of events that a stream of such a request sends before the crash.
     down_seconds : float
-        Downtime after a crash; the upstream then restarts with a new id.
+        Downtime after a crash; the upstream then restarts.
+    keeps_id : bool
+        Whether it restarts with its former id instead of a new one.
     crashes_silently : bool
         Whether a crash keeps connections open without responding on them.
     crash_times : list of float
@@ -98,6 +100,7 @@
         self.crash_parts: frozenset[str] = frozenset()
         self.crash_after_events = 0
         self.down_seconds = 0.5
+        self.keeps_id = False
         self.crashes_silently = False
         self.is_up = True
         self.crash_times: list[float] = []
@@ -195,7 +198,8 @@
 
     async def _restart(self) -> None:
         await asyncio.sleep(self.down_seconds)
-        self.id = f"{self.name}-{len(self.crash_times)}"
+        if not self.keeps_id:
+            self.id = f"{self.name}-{len(self.crash_times)}"
         self.born = time.time_ns() // 1_000_000
         self._sequence = 0
         if not self.crashes_silently:
