--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -24,6 +24,7 @@
 from poplarlug.discovery.registrar import Registrar
 from poplarlug.discovery.registry import Registry
 from poplarlug.discovery.registry_file import RegistryFile
+from poplarlug.discovery.software_versions import SoftwareVersions
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import sample_loop_lag
 from poplarlug.seeded_settings import (
@@ -63,6 +64,7 @@
             voters=self._voters,
             clock=clock,
         )
+        self._is_bootstrap = settings.bootstrap
         self.disk = FileDisk(folder=Path(settings.data_folder))
         self.replica = Replica(
             name=own,
@@ -90,14 +92,16 @@
             clock=clock, announcement_seconds=settings.beat_milliseconds / 1000
         )
         marks = CrashMarks(clock=clock)
+        versions = SoftwareVersions(clock=clock)
         self.registry_file = RegistryFile(
-            disk=self.disk, registry=registry, marks=marks
+            disk=self.disk, registry=registry, marks=marks, versions=versions
         )
         self.registrar = Registrar(
             zone=settings.zone,
             regions_by_zone=settings.regions_by_zone,
             registry=registry,
             marks=marks,
+            versions=versions,
             peers=self.peers,
             routing=self.state.routing,
             transport=self.transport,
@@ -117,7 +121,9 @@
         """Lock the data folder and restore the replica's state from it."""
         loaded = self.disk.lock().bind(lambda _: self.replica.load())
         if isinstance(loaded, Success):
-            self.registry_file.load()
+            has_records = self.registry_file.load()
+            if self._is_bootstrap and not has_records:
+                self.registrar.note_first_start()
         return loaded
 
     def reload(self, settings: SeededControlSettings) -> None:
--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -13,6 +13,7 @@
     UpstreamLoad,
     UpstreamRun,
 )
+from poplarlug.discovery.software_versions import ServiceVersions
 from poplarlug.latest import Latest
 from poplarlug.logs import ComponentLogger
 from poplarlug.routes import RouteIndex
@@ -90,6 +91,8 @@
     ----------
     last_reply_requested_at : Latest of float
         Loop time at which the request for the last received reply was sent.
+    versions_by_service : dict
+        Software versions of the services that have more than one.
     knows_all_entries : bool
         Whether a settled replica, whose records are complete, has answered since this
         entry started. Until then the entry's share of a common budget is unknown.
@@ -119,6 +122,7 @@
         self.other_entries_loads_by_id: dict[UpstreamId, UpstreamLoad] = {}
         self.region_loads: tuple[RegionLoad, ...] = ()
         self._demands: tuple[EntryDemand, ...] = ()
+        self.versions_by_service: dict[ServiceName, ServiceVersions] = {}
         self.last_reply_at: Seconds = float("-inf")
         self._first_reply_at: Seconds | None = None
         self.last_reply_requested_at: Latest[Seconds] = Latest(initial=float("-inf"))
@@ -294,6 +298,7 @@
         self.other_entries_loads_by_id = {load.id: load for load in reply.loads}
         self.region_loads = reply.regions
         self._demands = reply.demands
+        self._apply_versions(reply.versions)
         if reply.routing is not None:
             self._apply_routing(reply.routing)
         if reply.settled and not self.knows_all_entries:
@@ -314,6 +319,15 @@
             self.changed.set(self.changed.value + 1)
         self.last_reply_requested_at.set(now if requested_at is None else requested_at)
 
+    def _apply_versions(self, versions: Iterable[ServiceVersions]) -> None:
+        versions_by_service = {one.service: one for one in versions}
+        if versions_by_service != self.versions_by_service:
+            _log.info(
+                "software versions",
+                services=[one._asdict() for one in versions_by_service.values()],
+            )
+        self.versions_by_service = versions_by_service
+
     def _apply_routing(self, update: RoutingUpdate) -> None:
         if update.revision <= self.routing_revision:
             return
--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -10,13 +10,29 @@
     ServiceUpstream,
     UpstreamLoad,
 )
-from poplarlug.types import Address, RegionName, Seconds, ServiceName, VmName, ZoneName
+from poplarlug.discovery.software_versions import (
+    ServiceVersions,
+    StreamKey,
+    StreamStarts,
+    VersionSpan,
+)
+from poplarlug.types import (
+    Address,
+    RegionName,
+    Seconds,
+    ServiceName,
+    SoftwareVersion,
+    VmName,
+    ZoneName,
+)
 
 POLL_TOPIC = "discovery.poll"
 GOSSIP_TOPIC = "discovery.gossip"
 TABLES_TOPIC = "discovery.tables"
 MARKS_TOPIC = "discovery.marks"
 LIMITS_TOPIC = "discovery.limits"
+STREAMS_TOPIC = "discovery.streams"
+STREAM_LOOKUP_TOPIC = "discovery.stream_lookup"
 
 
 class WaitingCount(NamedTuple):
@@ -130,6 +146,8 @@
         Revision of the limits that the entry has reached with this reply.
     demands : tuple of EntryDemand
         Demands reported by the region's other entries.
+    versions : tuple of ServiceVersions
+        The services with more than one software version.
     """
 
     registry_id: str
@@ -149,6 +167,7 @@
     limits: tuple[NamedLimit, ...] = ()
     limits_revision: int = 0
     demands: tuple[EntryDemand, ...] = ()
+    versions: tuple[ServiceVersions, ...] = ()
 
 
 class MarksReport(NamedTuple):
@@ -171,6 +190,38 @@
     """Acknowledgement that the receiver has stored the limits and distributes them."""
 
 
+class StreamsReport(NamedTuple):
+    """Streams that upstreams began for an entry, before their first events are sent."""
+
+    starts: tuple[StreamStarts, ...]
+
+
+class StreamsReceived(NamedTuple):
+    """Acknowledgement that the receiver has the streams and distributes them."""
+
+
+class StreamLookup(NamedTuple):
+    """Question of which software version began a stream."""
+
+    key: StreamKey
+
+
+class StreamFound(NamedTuple):
+    """
+    The version that began a stream.
+
+    Parameters
+    ----------
+    version : SoftwareVersion or None
+        ``None`` if the stream isn't recorded.
+    is_complete : bool
+        Whether no records may be missing.
+    """
+
+    version: SoftwareVersion | None
+    is_complete: bool
+
+
 class EntryLoads(NamedTuple):
     """Loads of one entry, sent to the other control replicas of its region."""
 
@@ -207,6 +258,7 @@
     control: tuple[Address, ...] = ()
     marks: tuple[CrashMark, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
+    streams: tuple[StreamStarts, ...] = ()
 
 
 class GossipReply(NamedTuple):
@@ -236,6 +288,8 @@
         anything not in them is absent.
     recalled_entries, recalled_upstreams : tuple
         Records from an earlier run of the sender that it has not confirmed yet.
+    has_all_streams : bool
+        Whether ``streams`` are all that callers may resume.
     """
 
     entries: tuple[EntryRecord, ...]
@@ -246,6 +300,9 @@
     recalled_upstreams: tuple[ServiceUpstream, ...] = ()
     marks: tuple[CrashMark, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
+    versions: tuple[VersionSpan, ...] = ()
+    streams: tuple[StreamStarts, ...] = ()
+    has_all_streams: bool = False
 
 
 class TablesRequest(NamedTuple):
--- a/poplarlug/discovery/outbox.py
+++ b/poplarlug/discovery/outbox.py
@@ -5,8 +5,13 @@
 from poplarlug.discovery.crash_marks import MAX_MARKS, CrashMark
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.discovery.registry import Record, Records
+from poplarlug.discovery.software_versions import StreamStarts
 from poplarlug.types import Seconds
 
+MAX_QUEUED_STREAMS = 6000
+"""Maximum number of reports of streams kept for a replica that can't be reached. At a
+hundred reports a second they cover the time in which a stream may be resumed."""
+
 
 def departures(records: Records) -> Records:
     """Return the upstreams among ``records`` that are leaving, gone or lost."""
@@ -20,6 +25,7 @@
     def __init__(self) -> None:
         self._records_by_key: dict[str, Record] = {}
         self._marks_by_key: dict[str, CrashMark] = {}
+        self._streams: list[StreamStarts] = []
         self._has_changes = asyncio.Event()
         self._delivered = asyncio.Event()
 
@@ -31,6 +37,7 @@
             self._marks_by_key[mark.key] = mark
         while len(self._marks_by_key) > MAX_MARKS:
             del self._marks_by_key[next(iter(self._marks_by_key))]
+        self._streams += records.streams
         self._delivered.clear()
         self._has_changes.set()
 
@@ -42,10 +49,11 @@
         """Remove all records from the queue and return them."""
         held, self._records_by_key = self._records_by_key, {}
         marks, self._marks_by_key = self._marks_by_key, {}
+        streams, self._streams = self._streams, []
         self._has_changes.clear()
         upstreams = tuple(r for r in held.values() if isinstance(r, ServiceUpstream))
         entries = tuple(r for r in held.values() if isinstance(r, EntryRecord))
-        return Records(entries, upstreams, tuple(marks.values()))
+        return Records(entries, upstreams, tuple(marks.values()), tuple(streams))
 
     def requeue(self, records: Records) -> None:
         """Queue records again that weren't delivered, unless newer ones are queued."""
@@ -53,10 +61,11 @@
             self._records_by_key.setdefault(record.key, record)
         for mark in records.marks:
             self._marks_by_key.setdefault(mark.key, mark)
+        self._streams = [*records.streams, *self._streams][-MAX_QUEUED_STREAMS:]
 
     def confirm(self) -> None:
         """Record that the replica accepted everything taken from the queue."""
-        if not self._records_by_key and not self._marks_by_key:
+        if not (self._records_by_key or self._marks_by_key or self._streams):
             self._delivered.set()
 
     async def wait_delivered(self) -> bool:
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -14,6 +14,8 @@
     LIMITS_TOPIC,
     MARKS_TOPIC,
     POLL_TOPIC,
+    STREAM_LOOKUP_TOPIC,
+    STREAMS_TOPIC,
     TABLES_TOPIC,
     EntryLoads,
     Gossip,
@@ -25,6 +27,10 @@
     Poll,
     PollReply,
     RoutingUpdate,
+    StreamFound,
+    StreamLookup,
+    StreamsReceived,
+    StreamsReport,
     Tables,
     TablesRequest,
 )
@@ -33,6 +39,7 @@
 from poplarlug.discovery.records import ServiceUpstream
 from poplarlug.discovery.region_loads import RegionLoads
 from poplarlug.discovery.registry import Records, Registry
+from poplarlug.discovery.software_versions import SoftwareVersions, StreamVersions
 from poplarlug.latest import Latest
 from poplarlug.logs import ComponentLogger
 from poplarlug.transport import Transport
@@ -84,6 +91,8 @@
         The replicated routing state of this replica.
     is_current : callable
         Returns whether this replica is connected to the group's leader.
+    versions : SoftwareVersions
+        Software versions of the services, restored from the disk.
     flush : callable
         Writes the registry to this replica's disk; returns whether that succeeded.
     """
@@ -95,6 +104,7 @@
         regions_by_zone: Mapping[ZoneName, RegionName],
         registry: Registry,
         marks: CrashMarks,
+        versions: SoftwareVersions,
         peers: ControlPeers,
         routing: RoutingState,
         transport: Transport,
@@ -106,6 +116,8 @@
         self.registry = registry
         self.marks = marks
         self.limits = NamedLimits(clock=clock)
+        self._versions = versions
+        self._streams = StreamVersions(clock=clock)
         self.id = f"{rng.getrandbits(48):012x}"
         self._zone = zone
         self._region = regions_by_zone[zone]
@@ -136,6 +148,8 @@
         transport.serve(TABLES_TOPIC, TablesRequest, self._serve_tables)
         transport.serve(MARKS_TOPIC, MarksReport, self._serve_marks)
         transport.serve(LIMITS_TOPIC, LimitsReport, self._serve_limits)
+        transport.serve(STREAMS_TOPIC, StreamsReport, self._serve_streams)
+        transport.serve(STREAM_LOOKUP_TOPIC, StreamLookup, self._serve_stream_lookup)
 
     async def run(self) -> None:
         """Exchange records with the other replicas until cancelled."""
@@ -144,6 +158,7 @@
         try:
             while True:
                 self.registry.expire()
+                self._note_versions()
                 if self._clock() - expired_marks_at >= MARK_EXPIRY_CHECK_SECONDS:
                     expired_marks_at = self._clock()
                     self.marks.expire()
@@ -252,6 +267,14 @@
             self._settled = age > self.registry.settle_seconds
         return self._settled
 
+    def note_first_start(self) -> None:
+        """Note that the deployment starts for the first time, so no record is lost."""
+        self._streams.set_complete()
+
+    def _note_versions(self) -> None:
+        for known in (self.registry.present(), self.registry.recalled()):
+            self._versions.note_present(known.upstreams)
+
     def _signal_change(self) -> None:
         self._change_count.set(self._change_count.value + 1)
 
@@ -334,6 +357,7 @@
             control=self._peers.recently_seen(2 * GOSSIP_SECONDS),
             marks=records.marks,
             limits=self.limits.changed_after(limits_sent),
+            streams=records.streams,
         )
 
     def _usable_upstreams(self) -> list[ServiceUpstream]:
@@ -371,6 +395,11 @@
             self.marks.add(mark)
         for limit in tables.limits:
             self.limits.add(limit)
+        for span in tables.versions:
+            self._versions.add(span)
+        self._streams.add(tables.streams)
+        if tables.has_all_streams:
+            self._streams.set_complete()
         if tables.settled and not self._settled:
             _log.info("received the tables of a settled replica", peer=peer)
             self._settled = True
@@ -388,6 +417,7 @@
             self.marks.add(mark)
         for limit in message.limits:
             self.limits.add(limit)
+        self._streams.add(message.streams)
         self._loads.record_regions(message.regions)
         for loads in message.entry_loads:
             if loads.entry not in self._own_entries():
@@ -418,6 +448,9 @@
             recalled_upstreams=recalled.upstreams,
             marks=tuple(self.marks.persistent()),
             limits=self.limits.changed_after(0),
+            versions=self._versions.spans(),
+            streams=self._streams.all(),
+            has_all_streams=self._streams.is_complete,
         )
 
     async def _serve_marks(self, sender: VmName, report: MarksReport) -> MarksReceived:
@@ -433,6 +466,19 @@
             self.limits.add(limit)
         return LimitsReceived()
 
+    async def _serve_streams(
+        self, sender: VmName, report: StreamsReport
+    ) -> StreamsReceived:
+        self._streams.add(report.starts)
+        for outbox in self._outboxes_by_peer.values():
+            outbox.add(Records(streams=report.starts))
+        return StreamsReceived()
+
+    async def _serve_stream_lookup(
+        self, sender: VmName, lookup: StreamLookup
+    ) -> StreamFound:
+        return StreamFound(self._streams.get(lookup.key), self._streams.is_complete)
+
     async def _serve_poll(self, sender: VmName, poll: Poll) -> PollReply:
         name = poll.record.name
         self._last_poll_by_entry[name] = self._clock()
@@ -470,6 +516,7 @@
         marks, marks_revision = self.marks.changed_after(
             0 if is_first else poll.marks_known, MAX_MARKS_PER_REPLY
         )
+        self._note_versions()
         image = self._routing.image
         routing = None
         if poll.routing_revision < image.revision:
@@ -492,4 +539,5 @@
             limits=self.limits.changed_after(0 if is_first else poll.limits_known),
             limits_revision=self.limits.revision.value,
             demands=self._loads.demands_of_others(poll.record.name),
+            versions=self._versions.mixed(has_all_streams=self._streams.is_complete),
         )
--- a/poplarlug/discovery/registry.py
+++ b/poplarlug/discovery/registry.py
@@ -5,6 +5,7 @@
 
 from poplarlug.discovery.crash_marks import CrashMark
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream, UpstreamPhase
+from poplarlug.discovery.software_versions import StreamStarts
 from poplarlug.latest import Latest
 from poplarlug.logs import ComponentLogger
 from poplarlug.types import Address, Seconds, UpstreamId, VmName
@@ -32,11 +33,12 @@
 
 
 class Records(NamedTuple):
-    """Records of entries and upstreams, and crash marks sent or stored with them."""
+    """Records of entries and upstreams, and what is sent with them."""
 
     entries: tuple[EntryRecord, ...] = ()
     upstreams: tuple[ServiceUpstream, ...] = ()
     marks: tuple[CrashMark, ...] = ()
+    streams: tuple[StreamStarts, ...] = ()
 
     @property
     def all(self) -> list[Record]:
--- a/poplarlug/discovery/registry_file.py
+++ b/poplarlug/discovery/registry_file.py
@@ -9,6 +9,7 @@
 from poplarlug.discovery.crash_marks import CrashMark, CrashMarks
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.discovery.registry import Records, Registry
+from poplarlug.discovery.software_versions import SoftwareVersions, VersionSpan
 from poplarlug.latest import Latest
 from poplarlug.logs import ComponentLogger
 
@@ -23,6 +24,7 @@
     entries: tuple[EntryRecord, ...]
     upstreams: tuple[ServiceUpstream, ...]
     marks: tuple[CrashMark, ...] = ()
+    versions: tuple[VersionSpan, ...] = ()
 
 
 class RegistryFile:
@@ -32,13 +34,21 @@
     Loaded records are recalled: they expire soon unless their VM or upstream is heard
     from. When all replicas were lost together, requests can thus be sent before the
     upstreams announce themselves again, but to none that had left. The crash marks of
-    suspects are stored with the records.
+    suspects and the software versions of services are stored with the records.
     """
 
-    def __init__(self, *, disk: Disk, registry: Registry, marks: CrashMarks) -> None:
+    def __init__(
+        self,
+        *,
+        disk: Disk,
+        registry: Registry,
+        marks: CrashMarks,
+        versions: SoftwareVersions,
+    ) -> None:
         self._disk = disk
         self._registry = registry
         self._marks = marks
+        self._versions = versions
         self._written: tuple[int, frozenset[CrashMark]] | None = None
         self._changed = asyncio.Event()
         self._flush_requested = asyncio.Event()
@@ -48,25 +58,36 @@
         registry.revision.subject.subscribe(lambda _: self._changed.set())
         marks.revision.subject.subscribe(lambda _: self._changed.set())
 
-    def load(self) -> None:
-        """Load the records from the disk, ignoring a damaged file."""
+    def load(self) -> bool:
+        """
+        Load the records from the disk, ignoring a damaged file.
+
+        Returns
+        -------
+        bool
+            Whether there was a file, even if damaged.
+        """
         data = self._disk.read(FILE_NAME)
         if data is None:
-            return
+            return False
         try:
             content = msgspec.msgpack.decode(data, type=_Content)
         except (ValueError, TypeError, RecursionError) as error:
             _log.warning("ignoring a damaged registry file", error=str(error))
-            return
+            return True
         self._registry.recall(Records(content.entries, content.upstreams))
         for mark in content.marks:
             self._marks.add(mark)
+        for span in content.versions:
+            # How long this replica was down isn't known.
+            self._versions.add(span._replace(absent_seconds=0.0))
         _log.info(
             "read records from disk",
             entries=len(content.entries),
             upstreams=len(content.upstreams),
             marks=len(content.marks),
         )
+        return True
 
     async def flush(self) -> bool:
         """Try to write the current records; return whether they are on the disk."""
@@ -106,9 +127,12 @@
         state = revision, ageless
         if state == self._written:
             return True
-        records = self._registry.persistent()._replace(marks=tuple(marks))
+        records = self._registry.persistent()
+        content = _Content(
+            records.entries, records.upstreams, tuple(marks), self._versions.spans()
+        )
         try:
-            await self._disk.replace(FILE_NAME, msgspec.msgpack.encode(records))
+            await self._disk.replace(FILE_NAME, msgspec.msgpack.encode(content))
         except OSError as error:
             # The other replicas have copies, so this one continues without its own.
             _log.warning("can't write the registry file", error=str(error))
--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -13,6 +13,8 @@
     LIMITS_TOPIC,
     MARKS_TOPIC,
     POLL_TOPIC,
+    STREAM_LOOKUP_TOPIC,
+    STREAMS_TOPIC,
     LimitsReceived,
     LimitsReport,
     MarksReceived,
@@ -20,10 +22,15 @@
     Poll,
     PollReply,
     ServiceDemand,
+    StreamFound,
+    StreamLookup,
+    StreamsReceived,
+    StreamsReport,
     WaitingCount,
 )
 from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord, UpstreamLoad
+from poplarlug.discovery.software_versions import StreamKey, StreamVersions
 from poplarlug.logs import ComponentLogger
 from poplarlug.transport import Transport, TransportErrorKind
 from poplarlug.types import Address, Seconds, ZoneName
@@ -38,6 +45,9 @@
 REPLY_TIMEOUT_SECONDS = 1.0
 """Added to the hold time; a replica that takes longer to reply counts as lost."""
 
+LOOKUP_TIMEOUT_SECONDS = 0.4
+"""Limits the wait of a caller who resumes a stream; a few round trips between regions."""
+
 RETRY_SECONDS = 0.1
 CONNECT_TIMEOUT_SECONDS = 0.4
 """How long connecting to a replica may take; a few round trips between regions."""
@@ -83,6 +93,8 @@
         Crash marks of this entry, synchronized with those of all other VMs.
     limits : NamedLimits
         Rate limits named by upstreams, synchronized likewise.
+    streams : StreamVersions
+        Streams that upstreams began for this entry.
     """
 
     def __init__(
@@ -92,6 +104,7 @@
         deployment: Deployment,
         marks: CrashMarks,
         limits: NamedLimits,
+        streams: StreamVersions,
         transport: Transport,
         seeds: Iterable[Address],
         record: Callable[[], EntryRecord],
@@ -105,6 +118,7 @@
         self._marks_known = 0
         self._limits = limits
         self._limits_known = 0
+        self._streams = streams
         self._transport = transport
         self._seeds = tuple(seeds)
         self._known_replicas: tuple[Address, ...] = ()
@@ -134,6 +148,7 @@
             asyncio.ensure_future(self._report_changes()),
             asyncio.ensure_future(self._report_marks()),
             asyncio.ensure_future(self._report_limits()),
+            asyncio.ensure_future(self._report_streams()),
         ]
         try:
             while True:
@@ -169,6 +184,37 @@
                 self._limits.requeue(pending)
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def _report_streams(self) -> None:
+        """Report which versions began streams to the followed replica until cancelled."""
+        while True:
+            replica = await self._wait_for_report(self._streams.has_pending)
+            pending = self._streams.take_pending()
+            report = StreamsReport(pending)
+            if await self._send_report(replica, STREAMS_TOPIC, report, StreamsReceived):
+                self._streams.confirm(pending)
+            else:
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def look_up_stream(self, key: StreamKey) -> StreamFound | None:
+        """Ask the followed replica who began a stream; ``None`` without an answer."""
+        if self._replica is None:
+            return None
+        reply = await self._transport.request(
+            peer=self._replica,
+            topic=STREAM_LOOKUP_TOPIC,
+            message=StreamLookup(key),
+            reply_type=StreamFound,
+            timeout_seconds=LOOKUP_TIMEOUT_SECONDS,
+        )
+        if isinstance(reply, Failure):
+            _log.warning(
+                "failed to look up a stream",
+                replica=self._replica,
+                reason=reply.failure().message,
+            )
+            return None
+        return reply.unwrap()
+
     async def _wait_for_report(self, has_pending: asyncio.Event) -> Address:
         """Return the followed replica once there is one and a report for it."""
         while True:
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -17,6 +17,7 @@
 from poplarlug.discovery.pauses import PauseWatch
 from poplarlug.discovery.ranking import rank_entries
 from poplarlug.discovery.records import EntryRecord, EntryState
+from poplarlug.discovery.software_versions import StreamVersions
 from poplarlug.discovery.subscriber import OwnLoads, Subscriber
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import sample_loop_lag
@@ -27,6 +28,7 @@
 from poplarlug.relay.gateway import RelayGateway
 from poplarlug.relay.header_names import HeaderNames
 from poplarlug.relay.in_flight import InFlightTracker
+from poplarlug.relay.resumption import Resumption
 from poplarlug.relay.suspects import Suspects
 from poplarlug.relay.view import FleetView
 from poplarlug.seeded_settings import (
@@ -120,6 +122,7 @@
         self.client = RelayClient()
         self.forward_client = RelayClient(connect_seconds=REMOTE_CONNECT_SECONDS)
         crash_marks = CrashMarks(clock=clock)
+        streams = StreamVersions(clock=clock)
         gateway = RelayGateway(
             name=settings.name,
             view=self.view,
@@ -129,6 +132,11 @@
             suspects=Suspects(
                 deployment=self.deployment, marks=crash_marks, rng=rng, clock=clock
             ),
+            resumption=Resumption(
+                deployment=self.deployment,
+                streams=streams,
+                look_up=lambda key: self.subscriber.look_up_stream(key),
+            ),
             header_names=header_names,
             retry_limits=RetryLimits(
                 ratio=budgets.retry_ratio,
@@ -160,6 +168,7 @@
             deployment=self.deployment,
             marks=crash_marks,
             limits=named_limits,
+            streams=streams,
             transport=self.transport,
             seeds=seed_peer_addresses(settings.seeds, settings.peers_port),
             record=self.record,
--- a/poplarlug/errors.py
+++ b/poplarlug/errors.py
@@ -109,6 +109,15 @@
     )
 
 
+def version_gone(message: str) -> GatewayError:
+    """
+    Return the error of a stream that no upstream can resume any more.
+
+    It was not run. The caller may only begin a new stream.
+    """
+    return GatewayError(503, "version_gone", message, False, None)
+
+
 def outcome_unknown(message: str) -> GatewayError:
     """Return the error of a request that may or may not have run."""
     return GatewayError(502, "outcome_unknown", message, None, None)
--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -1,7 +1,7 @@
 """Per-request state: the attempts so far and whether another one is allowed."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from poplarlug.errors import GatewayError
@@ -11,7 +11,13 @@
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import Tried
 from poplarlug.serving.answers import AnswerHead, AnswerSink
-from poplarlug.types import Fingerprint, RegionName, Seconds, UpstreamId
+from poplarlug.types import (
+    Fingerprint,
+    RegionName,
+    Seconds,
+    SoftwareVersion,
+    UpstreamId,
+)
 
 MIN_RETRY_TIME_SHARE = 0.1
 """Retry only if the time left to the deadline is at least this share of the objective;
@@ -83,6 +89,10 @@
         check is pending.
     charged : Fingerprint or None
         What a crash of the last isolated attempt counts against.
+    upstream_version : SoftwareVersion
+        Software version of the upstream that runs the current attempt.
+    record_start : callable
+        Records which version began the stream; awaited before its first events.
     can_resume_elsewhere : callable
         Returns whether another target can serve the rest of the current stream now.
     """
@@ -98,6 +108,8 @@
         self.arrivals = 0
         self.crash_check: asyncio.Future[Any] | None = None
         self.charged: Fingerprint | None = None
+        self.upstream_version: SoftwareVersion = ""
+        self.record_start: Callable[[], Awaitable[None]] = _record_nothing
         self.can_resume_elsewhere: Callable[[], bool] = lambda: False
         self._attempts = 0
         self._last_error: GatewayError | None = None
@@ -134,6 +146,16 @@
         repeatable = self.request.route.is_repeatable
         return repeatable and self._attempts + 1 < self._max_attempts
 
+    def require_version(self, version: SoftwareVersion | None) -> None:
+        """Let only upstreams of a software version run the rest of the stream."""
+        self.request = self.request._replace(version=version)
+
+    async def note_events(self) -> None:
+        """Keep the stream at its upstream's version, before events are passed on."""
+        if self.request.version is None:
+            self.require_version(self.upstream_version)
+            await self.record_start()
+
     def note_upstream_outcome(self, upstream_id: UpstreamId, outcome: Outcome) -> None:
         """Record the outcome of an attempt at an upstream."""
         self.tried = self.tried.with_upstream(upstream_id)
@@ -202,6 +224,10 @@
         self._error_response = outcome.error_response or self._error_response
 
 
+async def _record_nothing() -> None:
+    """Return at once; for attempts whose start needs no record."""
+
+
 async def write_full_response(head: AnswerHead, body: bytes, sink: AnswerSink) -> None:
     """Write a complete response to ``sink``."""
     await sink.start(head)
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
-from poplarlug.errors import GatewayError, not_run, overloaded
+from poplarlug.errors import GatewayError, not_run, overloaded, version_gone
 from poplarlug.relay.in_flight import InFlightRequest
 from poplarlug.relay.limiter import NO_SHARE_SECONDS
 from poplarlug.relay.placement import (
@@ -27,7 +27,7 @@
 from poplarlug.relay.view import FleetView, Tried, latest_response_start
 from poplarlug.relay.waiting import Pace, Waiter, WaitQueue, retry_after
 from poplarlug.routes import RoutedService
-from poplarlug.types import Seconds, ServiceName
+from poplarlug.types import Seconds, ServiceName, SoftwareVersion
 
 RECHECK_SECONDS = 0.05
 """How often queued requests are placed again, as other entries may have freed slots."""
@@ -45,7 +45,8 @@
 
 MAX_UNPLACED = 8
 """How many queued requests of a route find no slot until the rest of the route isn't
-looked at in the same pass; requests of a route need about the same."""
+looked at in the same pass; requests of a route and software version need about the
+same."""
 
 MIN_RUN_SECONDS = 0.05
 """A request with less time left is refused, as no response would be in time."""
@@ -250,18 +251,18 @@
             return
         now = self._clock()
         is_head = True
-        unplaced_by_route: Counter[str] = Counter()
+        unplaced: Counter[tuple[str, SoftwareVersion | None]] = Counter()
         for waiter in queue.waiters.in_order():
             waiting = queue.by_waiter[waiter]
-            route = waiting.request.route.name
-            if waiting.placed.done() or unplaced_by_route[route] >= MAX_UNPLACED:
+            kind = waiting.request.route.name, waiting.request.version
+            if waiting.placed.done() or unplaced[kind] >= MAX_UNPLACED:
                 continue
             result = self._place_now(waiting.request, waiting.tried)
             if is_head:
                 queue.update_pace(result)
             if isinstance(result, Full):
                 is_head = False
-                unplaced_by_route[route] += 1
+                unplaced[kind] += 1
                 continue
             queue.waiters.record_start(now)
             queue.waiters.leave(waiter)
@@ -357,6 +358,9 @@
         if not isinstance(placed, NoUpstream):
             return Success(placed)
         left = request.deadline - self._clock()
+        if not self._view.may_return(request):
+            message = f"no upstream has version {request.version!r} any more"
+            return Failure(version_gone(message))
         message = f"no upstream of {request.service} is in reach"
         return Failure(not_run(message, retry_after(NO_UPSTREAM_RETRY_SECONDS, left)))
 
--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -26,6 +26,7 @@
     ORIGIN,
     PATIENCE,
     REFUSED,
+    SOFTWARE_VERSION,
     TABLE_VERSION,
     encode_refusal,
     end_to_end,
@@ -273,6 +274,8 @@
                 hops=hops,
                 origin=request.headers.get(ORIGIN, "") if hops else "",
                 answer_by=answer_by,
+                resumes=resumed_id,
+                version=request.headers.get(SOFTWARE_VERSION) if hops else None,
             )
         )
 
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -30,12 +30,14 @@
     ORIGIN,
     PATIENCE,
     REFUSED,
+    SOFTWARE_VERSION,
     TABLE_VERSION,
     decode_refusal,
 )
 from poplarlug.relay.limiter import MAX_LOGGED_CHARACTERS
 from poplarlug.relay.passing import drain_short_body, relay_response
 from poplarlug.relay.requests import RelayRequest
+from poplarlug.relay.resumption import Resumption
 from poplarlug.relay.suspects import Suspects, Verdict
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import FleetView
@@ -88,6 +90,8 @@
     ----------
     name : VmName
         This entry, sent as the origin of the requests that it forwards.
+    resumption : Resumption
+        Keeps resumed streams at the software version that began them.
     suspects : Suspects
         Quarantines or isolates requests under which upstreams crash.
     """
@@ -101,6 +105,7 @@
         client: RelayClient,
         forward_client: RelayClient,
         suspects: Suspects,
+        resumption: Resumption,
         header_names: HeaderNames,
         retry_limits: RetryLimits,
         clock: Callable[[], Seconds],
@@ -113,6 +118,7 @@
         self._client = client
         self._forward_client = forward_client
         self._suspects = suspects
+        self._resumption = resumption
         self._header_names = header_names
         self._retry_limits = retry_limits
         self._clock = clock
@@ -134,6 +140,27 @@
         if request.hops == 0:
             budget.note_request()
         context = RequestContext(request=request, sink=sink, trace=trace)
+        refusal = await self._require_version(context)
+        if refusal is not None:
+            return context.refuse(refusal)
+        return await self._run_attempts(context, budget)
+
+    async def _require_version(self, context: RequestContext) -> GatewayError | None:
+        """Keep a stream that a caller resumes at its version, or return a refusal."""
+        request = context.request
+        if context.events is None or not context.events.last_id or request.hops:
+            return None
+        found = await self._resumption.find_version(request)
+        if isinstance(found, Failure):
+            return found.failure()
+        context.trace.note(required_version=found.unwrap())
+        context.require_version(found.unwrap())
+        return None
+
+    async def _run_attempts(
+        self, context: RequestContext, budget: RetryBudget
+    ) -> GatewayError | None:
+        trace = context.trace
         while True:
             if self._suspects.verdict(context) is Verdict.QUARANTINED:
                 refusal = self._suspects.refusal(context, self._clock())
@@ -344,6 +371,10 @@
                 ahead_ms=target.ahead_ms,
                 seconds=now - started,
             )
+            context.upstream_version = target.upstream.version
+            context.record_start = partial(
+                self._resumption.record_start, request, target.upstream.version
+            )
             outcome = await relay_response(context, response, self._held_bytes)
             return outcome._replace(status=response.status)
         finally:
@@ -443,6 +474,7 @@
                 (ORIGIN, self._name),
                 (TABLE_VERSION, str(routes.version)),
                 (PATIENCE, str(int(timeout_seconds * 1000))),
+                *_version_header(request),
             ],
             body=request.body,
             timeout_seconds=timeout_seconds,
@@ -470,6 +502,11 @@
             ):
                 return Outcome(outcome_unknown("the entry answered another request"))
             self._view.note_region_served(request.service, entry.region)
+            version = response.headers.get(SOFTWARE_VERSION, "")
+            context.upstream_version = version
+            context.record_start = partial(
+                self._resumption.note_remote_start, request.id, version
+            )
             return await relay_response(context, response, self._held_bytes)
         finally:
             response.close()
@@ -518,6 +555,12 @@
         return self._deployment.count_entries_sharing_budgets()
 
 
+def _version_header(request: RelayRequest) -> list[tuple[str, str]]:
+    if request.version is None:
+        return []
+    return [(SOFTWARE_VERSION, request.version)]
+
+
 async def _drain_refusal(response: aiohttp.ClientResponse) -> None:
     try:
         async with asyncio.timeout(DRAIN_TIMEOUT_SECONDS):
--- a/poplarlug/relay/hop_headers.py
+++ b/poplarlug/relay/hop_headers.py
@@ -10,6 +10,9 @@
 PATIENCE = "X-Relay-Patience-Ms"
 """Time that the forwarding entry waits for the first response before it retries."""
 
+SOFTWARE_VERSION = "X-Relay-Software-Version"
+"""In a request the version that it requires, in a response the one that ran it."""
+
 REFUSED = "X-Relay-Refused"
 """Marks an error of the serving entry itself: status, type, ran, Retry-After."""
 
@@ -29,7 +32,8 @@
     }
 )
 _BETWEEN_ENTRIES = frozenset(
-    name.lower() for name in (HOPS, ORIGIN, TABLE_VERSION, PATIENCE, REFUSED)
+    name.lower()
+    for name in (HOPS, ORIGIN, TABLE_VERSION, PATIENCE, SOFTWARE_VERSION, REFUSED)
 )
 _RAN_BY_TEXT = {"yes": True, "no": False, "unknown": None}
 _TEXT_BY_RAN = {ran: text for text, ran in _RAN_BY_TEXT.items()}
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -8,7 +8,7 @@
 from poplarlug.relay.context import DONE, Outcome, RequestContext, write_full_response
 from poplarlug.relay.events import EventProgress
 from poplarlug.relay.held_bytes import HeldBytesBudget, HeldBytesReservation
-from poplarlug.relay.hop_headers import end_to_end
+from poplarlug.relay.hop_headers import SOFTWARE_VERSION, end_to_end
 from poplarlug.serving.answers import AnswerHead
 from poplarlug.serving.relay import BodyRelay
 from poplarlug.types import Seconds
@@ -42,7 +42,11 @@
     if is_held and (length is None or length <= budget.max_response_bytes):
         return await _relay_buffered(context, response, budget)
     if not sink.started:
-        await sink.start(_head_of(response))
+        head = _head_of(response)
+        if context.request.hops:
+            version = (SOFTWARE_VERSION, context.upstream_version)
+            head = head._replace(headers=(*head.headers, version))
+        await sink.start(head)
     if events is not None:
         with budget.reserve() as reservation:
             return await _relay_events(context, response, events, reservation)
@@ -86,6 +90,7 @@
                 if not reservation.resize(events.held_bytes):
                     complete_events += events.flush_partial()
                 if complete_events:
+                    await context.note_events()
                     await sink.write(complete_events)
                     stalls_at = loop.time() + STALL_SECONDS
     except TimeoutError:
--- a/poplarlug/relay/requests.py
+++ b/poplarlug/relay/requests.py
@@ -3,8 +3,15 @@
 import math
 from typing import NamedTuple
 
+from poplarlug.discovery.records import ServiceUpstream
 from poplarlug.routes import Route
-from poplarlug.types import RequestId, Seconds, ServiceName, VmName
+from poplarlug.types import (
+    RequestId,
+    Seconds,
+    ServiceName,
+    SoftwareVersion,
+    VmName,
+)
 
 
 class PromptPart(NamedTuple):
@@ -59,6 +66,11 @@
         Number of times that an entry forwarded the request.
     answer_by : float
         Event loop time after which the forwarding entry tries another target.
+    resumes : RequestId
+        The caller's attempt that received the first event of the stream to resume;
+        empty if not named.
+    version : SoftwareVersion or None
+        The only software version that may run the request; ``None`` for any.
     """
 
     id: RequestId
@@ -74,3 +86,13 @@
     hops: int = 0
     origin: VmName = ""
     answer_by: Seconds = math.inf
+    resumes: RequestId = ""
+    version: SoftwareVersion | None = None
+
+    def allows(self, upstream: ServiceUpstream) -> bool:
+        """
+        Return whether an upstream has the required software version.
+
+        An upstream that announces no version can't continue what another one began.
+        """
+        return self.version is None or self.version == upstream.version != ""
--- /dev/null
+++ b/poplarlug/relay/resumption.py
@@ -0,0 +1,143 @@
+"""Keeps streams that are resumed at the software version that began them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from prometheus_client import Counter
+from returns.result import Failure, Result, Success
+
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.messages import StreamFound
+from poplarlug.discovery.software_versions import (
+    StreamKey,
+    StreamStarts,
+    StreamVersions,
+    stream_key,
+)
+from poplarlug.errors import GatewayError, not_run, version_gone
+from poplarlug.logs import ComponentLogger
+from poplarlug.metrics import REGISTRY
+from poplarlug.relay.requests import RelayRequest
+from poplarlug.types import RequestId, ServiceName, SoftwareVersion
+
+RECORD_TIMEOUT_SECONDS = 0.3
+"""How long the first events of a stream wait for its record. An entry that reaches no
+control replica goes on serving."""
+
+LOOKUP_RETRY_SECONDS = 0.3
+"""Retry time while the records of streams can't be reached."""
+
+_LOOKUPS = Counter(
+    "poplarlug_relay_resumed_streams_total",
+    "Streams that callers resumed, by what told the version that began them.",
+    ["source"],
+    registry=REGISTRY,
+)
+_UNRECORDED = Counter(
+    "poplarlug_relay_unrecorded_streams_total",
+    "Streams whose first events were sent before a control replica had their record.",
+    registry=REGISTRY,
+)
+
+_log = ComponentLogger(prefix="relay")
+
+
+class Resumption:
+    """
+    Record which version begins a stream, and find it when a caller resumes the stream.
+
+    Load pattern: while two versions serve, entries are lost and their callers come back
+    at other ones, or at the same ones without a memory. What two versions write doesn't
+    fit together, and upstreams don't check it.
+
+    Parameters
+    ----------
+    streams : StreamVersions
+        Streams of this entry; those that must be recorded are reported to control.
+    look_up : callable
+        Asks a control replica who began a stream; ``None`` without an answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        streams: StreamVersions,
+        look_up: Callable[[StreamKey], Awaitable[StreamFound | None]],
+    ) -> None:
+        self._deployment = deployment
+        self._streams = streams
+        self._look_up = look_up
+
+    async def record_start(
+        self, request: RelayRequest, version: SoftwareVersion
+    ) -> None:
+        """Record the version of a stream; return once its events may be sent."""
+        key = stream_key(request.id)
+        versions = self._deployment.versions_by_service.get(request.service)
+        if versions is None or not versions.must_record(version):
+            self._streams.add([StreamStarts(version, (key,))])
+            return
+        recorded = self._streams.add_and_queue(key, version)
+        try:
+            async with asyncio.timeout(RECORD_TIMEOUT_SECONDS):
+                await asyncio.shield(recorded)
+        except TimeoutError:
+            _UNRECORDED.inc()
+            _log.warning(
+                "no control replica recorded a stream in time",
+                request_id=request.id,
+                version=version,
+            )
+
+    async def note_remote_start(
+        self, request_id: RequestId, version: SoftwareVersion
+    ) -> None:
+        """Remember the version of a stream that runs through another entry."""
+        self._streams.add([StreamStarts(version, (stream_key(request_id),))])
+
+    async def find_version(
+        self, request: RelayRequest
+    ) -> Result[SoftwareVersion | None, GatewayError]:
+        """
+        Return the version that began the stream which a caller resumes.
+
+        Returns
+        -------
+        Success(None)
+            If no upstream of the service is known, nor was of late.
+        Failure(GatewayError)
+            If the version is unknown; the request has not run. ``Retry-After`` is set
+            only if it may become known.
+        """
+        key = stream_key(request.resumes)
+        known = self._streams.get(key)
+        if known is not None:
+            _LOOKUPS.labels("own").inc()
+            return Success(known)
+        versions = self._deployment.versions_by_service.get(request.service)
+        if versions is None:
+            _LOOKUPS.labels("single").inc()
+            return Success(self._single_version(request.service))
+        if not request.resumes:
+            _LOOKUPS.labels("unnamed").inc()
+            return Failure(version_gone("the first attempt of the stream isn't named"))
+        found = await self._look_up(key)
+        if found is None:
+            _LOOKUPS.labels("unreachable").inc()
+            message = "the version that began the stream can't be looked up now"
+            return Failure(not_run(message, LOOKUP_RETRY_SECONDS))
+        if found.version is not None:
+            _LOOKUPS.labels("record").inc()
+            return Success(found.version)
+        if not found.is_complete:
+            _LOOKUPS.labels("lost").inc()
+            message = "nobody knows any more which version began the stream"
+            return Failure(version_gone(message))
+        _LOOKUPS.labels("default").inc()
+        return Success(versions.default)
+
+    def _single_version(self, service: ServiceName) -> SoftwareVersion | None:
+        return next(
+            (one.version for one in self._deployment.upstreams_of(service)), None
+        )
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -283,7 +283,7 @@
         staying = [
             upstream
             for upstream in self.deployment.serving(service.name)
-            if not self.backoff.is_leaving(upstream)
+            if request.allows(upstream) and not self.backoff.is_leaving(upstream)
         ]
         upstreams = [
             upstream
@@ -307,6 +307,7 @@
             upstream
             for upstream in self.deployment.serving(service.name)
             if upstream.id not in tried.upstreams
+            and request.allows(upstream)
             and self._accepts_request(upstream, service)
         ]
         self._rng.shuffle(upstreams)
@@ -380,14 +381,32 @@
         self, request: RelayRequest, tried: Tried, affinity: Affinity | None
     ) -> list[RemoteRegion]:
         """Return the other regions that may serve a request."""
+        able = None if request.version is None else self._able_regions(request)
         return [
             self._region(request, load, affinity)
             for load in self.deployment.region_loads
             if load.service == request.service
             and load.region not in tried.regions
             and request.route.allows(load.region)
+            and (able is None or load.region in able)
         ]
 
+    def _able_regions(self, request: RelayRequest) -> set[RegionName]:
+        """Return the regions with upstreams of the required version."""
+        regions_by_id = self.deployment.serving_regions(request.service)
+        return {
+            regions_by_id[upstream.id]
+            for upstream in self.deployment.upstreams_of(request.service)
+            if upstream.id in regions_by_id and request.allows(upstream)
+        }
+
+    def may_return(self, request: RelayRequest) -> bool:
+        """Return whether an upstream of the required version may accept it later."""
+        return request.version is None or any(
+            request.allows(upstream) and upstream.phase == "serving"
+            for upstream in self.deployment.upstreams_of(request.service)
+        )
+
     def _region(
         self, request: RelayRequest, load: RegionLoad, affinity: Affinity | None
     ) -> RemoteRegion:
@@ -444,7 +463,7 @@
         own = self.deployment.own_region
         now = self._clock()
         entries_by_region: dict[RegionName, dict[VmName, EntryRecord | None]] = {}
-        for region in set(self.deployment.serving_regions(request.service).values()):
+        for region in self._able_regions(request):
             if request.route.allows(region) and region not in tried.regions:
                 entries_by_name: dict[VmName, EntryRecord | None] = {
                     entry.name: entry
--- a/tests/discovery/fleet.py
+++ b/tests/discovery/fleet.py
@@ -14,6 +14,7 @@
 from poplarlug.discovery.registrar import Registrar
 from poplarlug.discovery.registry import Registry
 from poplarlug.discovery.registry_file import RegistryFile
+from poplarlug.discovery.software_versions import SoftwareVersions, StreamVersions
 from poplarlug.discovery.subscriber import OwnLoads, Subscriber
 from poplarlug.transport import MemoryNetwork, MemoryTransport
 from poplarlug.transport.memory import LinkQuality
@@ -38,6 +39,8 @@
         self.deployments_by_zone: dict[str, Deployment] = {}
         self.marks_by_zone: dict[str, CrashMarks] = {}
         self.limits_by_zone: dict[str, NamedLimits] = {}
+        self.streams_by_zone: dict[str, StreamVersions] = {}
+        self.subscribers_by_zone: dict[str, Subscriber] = {}
         self.tasks_by_name: dict[str, list[asyncio.Future[None]]] = {}
         for zone in REGIONS_BY_ZONE:
             self.start_replica(zone)
@@ -49,14 +52,19 @@
         transport = MemoryTransport(name=name, network=self.network)
         registry = Registry(clock=clock, announcement_seconds=1.2)
         marks = CrashMarks(clock=clock)
+        versions = SoftwareVersions(clock=clock)
         file = RegistryFile(
-            disk=self.disks_by_zone[zone], registry=registry, marks=marks
+            disk=self.disks_by_zone[zone],
+            registry=registry,
+            marks=marks,
+            versions=versions,
         )
         registrar = Registrar(
             zone=zone,
             regions_by_zone=REGIONS_BY_ZONE,
             registry=registry,
             marks=marks,
+            versions=versions,
             peers=ControlPeers(
                 own=name,
                 seeds=REPLICAS,
@@ -82,16 +90,18 @@
         transport = MemoryTransport(name=name, network=self.network)
         marks = self.marks_by_zone[zone] = CrashMarks(clock=clock)
         limits = self.limits_by_zone[zone] = NamedLimits(clock=clock)
+        streams = self.streams_by_zone[zone] = StreamVersions(clock=clock)
         deployment = self.deployments_by_zone[zone] = Deployment(
             own_region=REGIONS_BY_ZONE[zone],
             regions_by_zone=REGIONS_BY_ZONE,
             clock=clock,
         )
-        subscriber = Subscriber(
+        subscriber = self.subscribers_by_zone[zone] = Subscriber(
             zone=zone,
             deployment=deployment,
             marks=marks,
             limits=limits,
+            streams=streams,
             transport=transport,
             seeds=REPLICAS,
             record=lambda: EntryRecord(name, REGIONS_BY_ZONE[zone], zone, "", "", 1),
--- a/tests/discovery/test_registry_file.py
+++ b/tests/discovery/test_registry_file.py
@@ -4,15 +4,29 @@
 from random import Random
 from unittest import TestCase
 
+import msgspec
+
 from poplarlug.control.memory_disk import MemoryDisk
 from poplarlug.discovery.crash_marks import CrashMark, CrashMarks
 from poplarlug.discovery.records import UpstreamRun
 from poplarlug.discovery.registry import RECALLED_TTL_SECONDS, Registry
 from poplarlug.discovery.registry_file import FILE_NAME, RegistryFile
+from poplarlug.discovery.software_versions import SoftwareVersions, VersionSpan
 from poplarlug.virtualtime import run_virtual
 from tests.discovery.test_registry import make_entry, make_upstream
 
 
+def make_file(
+    disk: MemoryDisk,
+    registry: Registry,
+    marks: CrashMarks,
+    versions: SoftwareVersions | None = None,
+) -> RegistryFile:
+    if versions is None:
+        versions = SoftwareVersions(clock=lambda: 0.0)
+    return RegistryFile(disk=disk, registry=registry, marks=marks, versions=versions)
+
+
 class RegistryFileTests(TestCase):
     def test_records_come_back_for_a_while(self) -> None:
         """Restored records wait to be confirmed, and expire if not heard from."""
@@ -22,16 +36,14 @@
             disk = MemoryDisk(rng=Random(1))
             first = Registry(clock=clock, announcement_seconds=1.2)
             marks = CrashMarks(clock=clock)
-            writing = asyncio.ensure_future(
-                RegistryFile(disk=disk, registry=first, marks=marks).run()
-            )
+            writing = asyncio.ensure_future(make_file(disk, first, marks).run())
             first.apply_report(make_upstream())
             first.apply_report(make_entry())
             await asyncio.sleep(3.0)
             writing.cancel()
             second = Registry(clock=clock, announcement_seconds=1.2)
             restored = CrashMarks(clock=clock)
-            RegistryFile(disk=disk, registry=second, marks=restored).load()
+            make_file(disk, second, restored).load()
             self.assertEqual(second.present().all, [])
             self.assertEqual(len(second.recalled().all), 2)
             self.assertEqual(second.confirm(), 2)
@@ -50,7 +62,7 @@
             disk = MemoryDisk(rng=Random(1))
             registry = Registry(clock=clock, announcement_seconds=1.2)
             marks = CrashMarks(clock=clock)
-            file = RegistryFile(disk=disk, registry=registry, marks=marks)
+            file = make_file(disk, registry, marks)
             writing = asyncio.ensure_future(file.run())
             marks.add(CrashMark(7, UpstreamRun("u-1", 1), alone=True))
             marks.add(CrashMark(7, UpstreamRun("u-2", 1)))
@@ -61,7 +73,7 @@
             await asyncio.sleep(3.0)
             writing.cancel()
             restored = CrashMarks(clock=clock)
-            RegistryFile(disk=disk, registry=registry, marks=restored).load()
+            make_file(disk, registry, restored).load()
             self.assertEqual(
                 [mark.alone for mark in restored.active_for(7)], [True, True]
             )
@@ -69,6 +81,44 @@
 
         run_virtual(main())
 
+    def test_software_versions_come_back(self) -> None:
+        """A version whose upstreams have all left may have begun streams."""
+
+        async def main() -> None:
+            clock = asyncio.get_running_loop().time
+            disk = MemoryDisk(rng=Random(1))
+            registry = Registry(clock=clock, announcement_seconds=1.2)
+            marks = CrashMarks(clock=clock)
+            versions = SoftwareVersions(clock=clock)
+            for span in (VersionSpan("desk", "v1", 5), VersionSpan("desk", "v2", 9)):
+                versions.add(span)
+            writing = asyncio.ensure_future(
+                make_file(disk, registry, marks, versions).run()
+            )
+            registry.apply_report(make_upstream())
+            await asyncio.sleep(3.0)
+            writing.cancel()
+            restored = SoftwareVersions(clock=clock)
+            make_file(disk, registry, marks, restored).load()
+            [mixed] = restored.mixed(has_all_streams=True)
+            self.assertEqual((mixed.default, mixed.others), ("v1", ("v2",)))
+
+        run_virtual(main())
+
+    def test_file_of_an_earlier_version_is_read(self) -> None:
+        """It has no software versions, neither of services nor of upstreams."""
+
+        async def main() -> None:
+            disk = MemoryDisk(rng=Random(1))
+            former = tuple(make_upstream())[:-1]
+            await disk.replace(FILE_NAME, msgspec.msgpack.encode(((), (former,))))
+            registry = Registry(clock=lambda: 0.0, announcement_seconds=1.2)
+            make_file(disk, registry, CrashMarks(clock=lambda: 0.0)).load()
+            [upstream] = registry.recalled().upstreams
+            self.assertEqual(upstream.version, "")
+
+        run_virtual(main())
+
     def test_damaged_file_is_passed_over(self) -> None:
         """A file that can't be decoded is treated as missing."""
 
@@ -77,7 +127,7 @@
             await disk.replace(FILE_NAME, b"\xc1damaged")
             registry = Registry(clock=lambda: 0.0, announcement_seconds=1.2)
             marks = CrashMarks(clock=lambda: 0.0)
-            RegistryFile(disk=disk, registry=registry, marks=marks).load()
+            make_file(disk, registry, marks).load()
             self.assertEqual(registry.present().all, [])
 
         run_virtual(main())
--- a/tests/discovery/test_subscriber.py
+++ b/tests/discovery/test_subscriber.py
@@ -9,6 +9,7 @@
 from poplarlug.discovery.messages import POLL_TOPIC, Poll, PollReply
 from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord
+from poplarlug.discovery.software_versions import StreamVersions
 from poplarlug.discovery.subscriber import (
     CURRENT_REPLICA_WAIT_SECONDS,
     REPLY_TIMEOUT_SECONDS,
@@ -79,6 +80,7 @@
             deployment=deployment,
             marks=CrashMarks(clock=clock),
             limits=NamedLimits(clock=clock),
+            streams=StreamVersions(clock=clock),
             transport=transport,
             seeds=tuple(REGIONS_BY_ZONE),
             record=lambda: RECORD,
--- a/tests/platform_adapter/test_stream_versions.py
+++ b/tests/platform_adapter/test_stream_versions.py
@@ -25,7 +25,9 @@
 how often new ones begin."""
 
 ATTEMPT_SECONDS = 8.0
-MAX_ATTEMPTS = 6
+CALLER_SECONDS = 10.0
+"""How long a caller resumes its stream; entries take a second or two to start."""
+
 RETRY_SECONDS = 0.15
 OLD, NEW = "v1", "v2"
 
@@ -151,7 +153,8 @@
         """Read a stream, and resume it at the next entries while it breaks off."""
         stream = Stream()
         entries = cycle([*self.entries[first:], *self.entries[:first]])
-        for _ in range(MAX_ATTEMPTS):
+        until = time.monotonic() + CALLER_SECONDS
+        while time.monotonic() < until:
             stream.attempts.append(self.attempt(next(entries), stream.headers))
             if stream.attempts[-1].is_whole:
                 break
--- a/tests/relay/test_endpoint.py
+++ b/tests/relay/test_endpoint.py
@@ -21,6 +21,7 @@
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.view import FleetView
 from poplarlug.routes import RouteTable
+from tests.relay.test_resumption import make_resumption
 from tests.relay.test_suspects import make_suspects
 
 REPLY = PollReply(
@@ -57,6 +58,7 @@
             client=client,
             forward_client=client,
             suspects=make_suspects(self.deployment),
+            resumption=make_resumption(self.deployment),
             header_names=HeaderNames(),
             retry_limits=RetryLimits(),
             clock=clock,
--- a/tests/relay/test_gateway.py
+++ b/tests/relay/test_gateway.py
@@ -20,6 +20,7 @@
 from poplarlug.relay.view import FleetView
 from poplarlug.routes import Engine, RoutedService, RouteTable
 from tests.control.quiet import QuietTestCase
+from tests.relay.test_resumption import make_resumption
 from tests.relay.test_suspects import make_suspects
 from tests.relay.test_view import make_request
 from tests.routes.test_checks import make_route
@@ -66,6 +67,7 @@
             client=RelayClient(),
             forward_client=RelayClient(),
             suspects=make_suspects(self.deployment),
+            resumption=make_resumption(self.deployment),
             header_names=HEADER_NAMES,
             retry_limits=RetryLimits(),
             clock=lambda: 0.0,
--- a/tests/relay/test_limiter.py
+++ b/tests/relay/test_limiter.py
@@ -25,6 +25,7 @@
 from poplarlug.routes import Engine, RoutedService, RouteTable
 from poplarlug.virtualtime import run_virtual
 from tests.control.quiet import QuietTestCase
+from tests.relay.test_resumption import make_resumption
 from tests.relay.test_suspects import make_suspects
 from tests.relay.test_view import make_request
 from tests.routes.test_checks import make_route
@@ -92,6 +93,7 @@
             client=RelayClient(),
             forward_client=RelayClient(),
             suspects=make_suspects(self.deployment),
+            resumption=make_resumption(self.deployment),
             header_names=HEADER_NAMES,
             retry_limits=RetryLimits(),
             clock=self.clock,
--- /dev/null
+++ b/tests/relay/test_resumption.py
@@ -0,0 +1,226 @@
+"""Tests of which software version may go on with a stream."""
+
+import asyncio
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from returns.result import Success
+
+from poplarlug.control.routing_state import encode_table
+from poplarlug.discovery.deployment import Deployment
+from poplarlug.discovery.messages import PollReply, RoutingUpdate, StreamFound
+from poplarlug.discovery.named_limits import NamedLimits
+from poplarlug.discovery.records import RegionLoad, ServiceUpstream
+from poplarlug.discovery.software_versions import (
+    ServiceVersions,
+    StreamKey,
+    StreamVersions,
+    stream_key,
+)
+from poplarlug.relay.budgets import WarmupLimits
+from poplarlug.relay.dispatcher import Dispatcher, LocalTarget
+from poplarlug.relay.in_flight import InFlightTracker
+from poplarlug.relay.requests import RelayRequest
+from poplarlug.relay.resumption import RECORD_TIMEOUT_SECONDS, Resumption
+from poplarlug.relay.view import FleetView, Tried
+from poplarlug.routes import RoutedService, RouteTable
+from tests.relay.test_view import make_request
+from tests.routes.test_checks import make_route
+
+ROUTE = make_route(kind="streaming", resumable=True)
+SERVICE = RoutedService("engine")
+MIXED = ServiceVersions("engine", "v1", ("v2",))
+
+
+async def _find_nothing(key: StreamKey) -> StreamFound | None:
+    return StreamFound(None, True)
+
+
+def make_resumption(deployment: Deployment) -> Resumption:
+    return Resumption(
+        deployment=deployment,
+        streams=StreamVersions(clock=deployment._clock),
+        look_up=_find_nothing,
+    )
+
+
+def make_upstream(number: int, version: str, zone: str = "a") -> ServiceUpstream:
+    return ServiceUpstream(
+        f"e-{number}", "engine", f"10.0.0.{number}:80", zone, 1, 1, 8, version=version
+    )
+
+
+def make_reply(*upstreams: ServiceUpstream, versions: bool = True) -> PollReply:
+    table = encode_table(RouteTable(1, (ROUTE,), (SERVICE,)))
+    return PollReply(
+        "r",
+        1,
+        True,
+        True,
+        "a",
+        upstreams=upstreams,
+        routing=RoutingUpdate(1, table),
+        settled=True,
+        versions=(MIXED,) if versions else (),
+    )
+
+
+class ResumptionTests(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = asyncio.get_running_loop().time
+        self.deployment = Deployment(
+            own_region="east",
+            regions_by_zone={"a": "east", "b": "west"},
+            clock=self.clock,
+        )
+        self.streams = StreamVersions(clock=self.clock)
+        self.found: StreamFound | None = StreamFound(None, True)
+        self.looked_up: list[StreamKey] = []
+        self.resumption = Resumption(
+            deployment=self.deployment, streams=self.streams, look_up=self.look_up
+        )
+        self.request = make_request(route=ROUTE, service="engine", resumes="first")
+
+    async def look_up(self, key: StreamKey) -> StreamFound | None:
+        self.looked_up.append(key)
+        return self.found
+
+    async def test_single_version_needs_no_record(self) -> None:
+        """No control replica is asked or told while one version serves."""
+        reply = make_reply(make_upstream(1, "v1"), versions=False)
+        self.deployment.apply_reply(reply)
+        await self.resumption.record_start(self.request, "v1")
+        self.assertFalse(self.streams.has_pending.is_set())
+        found = await self.resumption.find_version(self.request)
+        self.assertEqual((found, self.looked_up), (Success("v1"), []))
+
+    async def test_only_other_versions_than_the_default_are_recorded(self) -> None:
+        """Unrecorded streams are those of the default."""
+        self.deployment.apply_reply(make_reply())
+        await self.resumption.record_start(self.request, "v1")
+        self.assertFalse(self.streams.has_pending.is_set())
+        recording = asyncio.ensure_future(
+            self.resumption.record_start(self.request, "v2")
+        )
+        await asyncio.sleep(0)
+        self.assertTrue(self.streams.has_pending.is_set())
+
+        recording.cancel()
+        self.assertEqual(
+            await self.resumption.find_version(self.request), Success("v1")
+        )
+
+    async def test_first_events_wait_for_the_record(self) -> None:
+        """An entry that reaches no replica goes on after a while."""
+        self.deployment.apply_reply(make_reply())
+        recording = asyncio.ensure_future(
+            self.resumption.record_start(self.request, "v2")
+        )
+        await asyncio.sleep(RECORD_TIMEOUT_SECONDS / 3)
+        self.assertFalse(recording.done())
+        self.streams.confirm(self.streams.take_pending())
+        await recording
+        started = self.clock()
+        await self.resumption.record_start(self.request._replace(id="other"), "v2")
+        self.assertGreaterEqual(self.clock() - started, RECORD_TIMEOUT_SECONDS)
+        self.assertTrue(self.streams.has_pending.is_set())
+
+    async def test_record_of_this_entry_comes_first(self) -> None:
+        """Also that of a stream that ran through another entry."""
+        self.deployment.apply_reply(make_reply())
+        await self.resumption.note_remote_start("first", "v2")
+        found = await self.resumption.find_version(self.request)
+        self.assertEqual((found, self.looked_up), (Success("v2"), []))
+
+    async def test_record_of_a_replica_is_found(self) -> None:
+        """The entry that began the stream is gone."""
+        self.deployment.apply_reply(make_reply())
+        self.found = StreamFound("v2", False)
+        found = await self.resumption.find_version(self.request)
+        self.assertEqual(found, Success("v2"))
+        self.assertEqual(self.looked_up, [stream_key("first")])
+
+    async def test_stream_is_refused_if_its_record_may_be_lost(self) -> None:
+        """Finally, as the version won't become known."""
+        self.deployment.apply_reply(make_reply())
+        self.found = StreamFound(None, False)
+        refusal = (await self.resumption.find_version(self.request)).failure()
+        self.assertEqual((refusal.status, refusal.ran), (503, False))
+        self.assertIsNone(refusal.retry_after_seconds)
+
+    async def test_stream_is_refused_for_a_while_without_a_replica(self) -> None:
+        """Its version may be found soon."""
+        self.deployment.apply_reply(make_reply())
+        self.found = None
+        refusal = (await self.resumption.find_version(self.request)).failure()
+        self.assertEqual((refusal.status, refusal.ran), (503, False))
+        self.assertIsNotNone(refusal.retry_after_seconds)
+
+
+class PlacementTests(IsolatedAsyncioTestCase):
+    """A resumed stream is placed at upstreams of its version only."""
+
+    async def asyncSetUp(self) -> None:
+        clock = asyncio.get_running_loop().time
+        self.deployment = Deployment(
+            own_region="east",
+            regions_by_zone={"a": "east", "b": "west"},
+            clock=clock,
+        )
+        self.view = FleetView(
+            name="entry-1",
+            deployment=self.deployment,
+            in_flight=InFlightTracker(clock=clock, others=lambda _: None),
+            warmup=WarmupLimits(),
+            limits=NamedLimits(clock=clock),
+            rng=Random(1),
+            clock=clock,
+        )
+        self.dispatcher = Dispatcher(view=self.view, clock=clock)
+        now = clock()
+        self.request = make_request(
+            route=ROUTE, service="engine", arrived=now, deadline=now + 5, version="v1"
+        )
+
+    def show(self, *upstreams: ServiceUpstream) -> None:
+        load = RegionLoad("west", "engine", upstreams=1, slots=8)
+        self.deployment.apply_reply(make_reply(*upstreams)._replace(regions=(load,)))
+
+    def regions(self, request: RelayRequest) -> list[str]:
+        return [one.region for one in self.view.regions(request, Tried(), None)]
+
+    async def test_only_its_version_is_chosen(self) -> None:
+        """However busy that is."""
+        self.show(make_upstream(1, "v1"), make_upstream(2, "v2"))
+        for _ in range(4):
+            found = (await self.dispatcher.find(self.request, Tried())).unwrap()
+            assert isinstance(found, LocalTarget)
+            self.assertEqual(found.upstream.version, "v1")
+
+    async def test_regions_without_its_version_are_left_out(self) -> None:
+        """Their loads don't tell versions."""
+        self.show(make_upstream(1, "v1"), make_upstream(2, "v2", zone="b"))
+        self.assertEqual(self.regions(self.request), [])
+        self.assertEqual(self.regions(self.request._replace(version="v2")), ["west"])
+        self.assertEqual(self.regions(self.request._replace(version=None)), ["west"])
+
+    async def test_version_that_has_left_is_refused_at_once(self) -> None:
+        """Without a time to come back."""
+        leaving = make_upstream(1, "v1")._replace(phase="leaving")
+        self.show(leaving, make_upstream(2, "v2"))
+        refusal = (await self.dispatcher.find(self.request, Tried())).failure()
+        self.assertEqual((refusal.status, refusal.ran), (503, False))
+        self.assertIsNone(refusal.retry_after_seconds)
+
+    async def test_version_that_may_serve_again_has_a_retry_time(self) -> None:
+        """Its upstream was tried and may have room later."""
+        self.show(make_upstream(1, "v1"), make_upstream(2, "v2"))
+        tried = Tried().with_upstream("e-1")
+        refusal = (await self.dispatcher.find(self.request, tried)).failure()
+        self.assertIsNotNone(refusal.retry_after_seconds)
+
+    async def test_unannounced_version_is_not_joined(self) -> None:
+        """Two upstreams without a version may differ."""
+        self.show(make_upstream(1, ""), make_upstream(2, ""))
+        request = self.request._replace(version="")
+        self.assertTrue((await self.dispatcher.find(request, Tried())).failure())
