Hold events back until it is recorded which version began their stream

Cause: an entry that was asked by another to run a stream recorded it, could not, and passed its events on after 0.3 s; the asking entry, which had contact, recorded nothing and was killed.

Now the entry that faces the caller records, holds events until that is done or the stream is whole, and begins streams at the default version, which needs no record, while reports are slow.

--- a/poplarlug/discovery/software_versions.py
+++ b/poplarlug/discovery/software_versions.py
@@ -170,6 +170,11 @@
     recorded_at: Seconds
 
 
+class _PendingStream(NamedTuple):
+    recorded: asyncio.Future[None]
+    queued_at: Seconds
+
+
 class StreamVersions:
     """
     The version that began each recorded stream, for ``RESUME_SECONDS``.
@@ -184,7 +189,7 @@
         self._clock = clock
         self._stored_by_key: dict[StreamKey, _StoredStream] = {}
         self._complete_from = clock() + RESUME_SECONDS
-        self._pending_by_key: dict[StreamKey, asyncio.Future[None]] = {}
+        self._pending_by_key: dict[StreamKey, _PendingStream] = {}
         self.has_pending = asyncio.Event()
 
     @property
@@ -215,10 +220,18 @@
         self.add([StreamStarts(version, (key,))])
         pending = self._pending_by_key.get(key)
         if pending is None:
-            pending = asyncio.get_running_loop().create_future()
+            recorded = asyncio.get_running_loop().create_future()
+            pending = _PendingStream(recorded, self._clock())
             self._pending_by_key[key] = pending
             self.has_pending.set()
-        return pending
+        return pending.recorded
+
+    @property
+    def pending_seconds(self) -> Seconds:
+        """How long the oldest stream has been waiting to be reported."""
+        for pending in self._pending_by_key.values():
+            return self._clock() - pending.queued_at
+        return 0.0
 
     def take_pending(self) -> tuple[StreamStarts, ...]:
         """Return the streams to report, until :meth:`confirm` removes them."""
@@ -229,8 +242,8 @@
         for _, keys in starts:
             for key in keys:
                 pending = self._pending_by_key.pop(key, None)
-                if pending is not None and not pending.done():
-                    pending.set_result(None)
+                if pending is not None and not pending.recorded.done():
+                    pending.recorded.set_result(None)
         if not self._pending_by_key:
             self.has_pending.clear()
 
--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -4,7 +4,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
+from prometheus_client import Counter
+
 from poplarlug.errors import GatewayError
+from poplarlug.logs import ComponentLogger
+from poplarlug.metrics import REGISTRY
 from poplarlug.relay.events import LAST_EVENT_HEADER, EventProgress
 from poplarlug.relay.fingerprint import PartKey, fingerprint_of, part_keys_of
 from poplarlug.relay.requests import RelayRequest
@@ -19,6 +23,18 @@
     UpstreamId,
 )
 
+RECORD_WAIT_SECONDS = 0.3
+"""How long the first events of a stream wait for its record before they are held back;
+a few round trips between regions."""
+
+_UNRECORDED = Counter(
+    "poplarlug_relay_unrecorded_streams_total",
+    "Streams whose events were held back until a control replica had their record.",
+    registry=REGISTRY,
+)
+
+_log = ComponentLogger(prefix="relay")
+
 MIN_RETRY_TIME_SHARE = 0.1
 """Retry only if the time left to the deadline is at least this share of the objective;
 a later retry is no use."""
@@ -92,7 +108,8 @@
     upstream_version : SoftwareVersion
         Software version of the upstream that runs the current attempt.
     record_start : callable
-        Records which version began the stream; awaited before its first events.
+        Records which version began the stream; awaited before its first events. The
+        entry that faces the caller does, as it knows that the caller gets them.
     can_resume_elsewhere : callable
         Returns whether another target can serve the rest of the current stream now.
     """
@@ -111,6 +128,7 @@
         self.upstream_version: SoftwareVersion = ""
         self.record_start: Callable[[], Awaitable[None]] = _record_nothing
         self.can_resume_elsewhere: Callable[[], bool] = lambda: False
+        self._recording: asyncio.Future[None] | None = None
         self._attempts = 0
         self._last_error: GatewayError | None = None
         self._error: GatewayError | None = None
@@ -150,11 +168,44 @@
         """Let only upstreams of a software version run the rest of the stream."""
         self.request = self.request._replace(version=version)
 
-    async def note_events(self) -> None:
-        """Keep the stream at its upstream's version, before events are passed on."""
+    async def may_pass_events(self) -> bool:
+        """
+        Keep the stream at its upstream's version, which must be recorded first.
+
+        Returns
+        -------
+        bool
+            Whether it is recorded, after a short wait in the first call.
+        """
         if self.request.version is None:
             self.require_version(self.upstream_version)
-            await self.record_start()
+            self._recording = asyncio.ensure_future(self.record_start())
+            done, _ = await asyncio.wait({self._recording}, timeout=RECORD_WAIT_SECONDS)
+            if not done:
+                _UNRECORDED.inc()
+                _log.warning(
+                    "holding the events of a stream until a control replica records it",
+                    request_id=self.request.id,
+                    version=self.upstream_version,
+                )
+        return self._recording is None or self._recording.done()
+
+    def stop_recording(self, *, has_passed_events: bool) -> None:
+        """
+        Stop waiting for the record of the stream, which is still sent.
+
+        Parameters
+        ----------
+        has_passed_events : bool
+            Whether events were passed on; else any version may begin the stream again.
+        """
+        if self._recording is None:
+            return
+        if not self._recording.done():
+            self._recording.cancel()
+            if not has_passed_events:
+                self.require_version(None)
+        self._recording = None
 
     def note_upstream_outcome(self, upstream_id: UpstreamId, outcome: Outcome) -> None:
         """Record the outcome of an attempt at an upstream."""
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -146,9 +146,12 @@
         return await self._run_attempts(context, budget)
 
     async def _require_version(self, context: RequestContext) -> GatewayError | None:
-        """Keep a stream that a caller resumes at its version, or return a refusal."""
+        """Choose the version of a stream that may be resumed, or return a refusal."""
         request = context.request
-        if context.events is None or not context.events.last_id or request.hops:
+        if context.events is None or request.hops:
+            return None
+        if not context.events.last_id:
+            context.require_version(self._resumption.preferred_version(request))
             return None
         found = await self._resumption.find_version(request)
         if isinstance(found, Failure):
@@ -372,9 +375,10 @@
                 seconds=now - started,
             )
             context.upstream_version = target.upstream.version
-            context.record_start = partial(
-                self._resumption.record_start, request, target.upstream.version
-            )
+            if not request.hops:
+                context.record_start = partial(
+                    self._resumption.record_start, request, target.upstream.version
+                )
             outcome = await relay_response(context, response, self._held_bytes)
             return outcome._replace(status=response.status)
         finally:
@@ -505,7 +509,7 @@
             version = response.headers.get(SOFTWARE_VERSION, "")
             context.upstream_version = version
             context.record_start = partial(
-                self._resumption.note_remote_start, request.id, version
+                self._resumption.record_start, request, version
             )
             return await relay_response(context, response, self._held_bytes)
         finally:
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -80,6 +80,8 @@
     content = response.content
     loop = asyncio.get_running_loop()
     stalls_at = loop.time() + STALL_SECONDS
+    # Complete events that may not be passed on yet, and the id of the last one before.
+    held, passed_id, has_passed = b"", events.last_id, False
     try:
         async with asyncio.timeout_at(request.deadline) as overall_timeout:
             while True:
@@ -87,18 +89,29 @@
                 if not data and content.at_eof():
                     break
                 complete_events = events.feed(data)
-                if not reservation.resize(events.held_bytes):
+                has_room = reservation.resize(events.held_bytes + len(held))
+                if not has_room:
                     complete_events += events.flush_partial()
                 if complete_events:
-                    await context.note_events()
-                    await sink.write(complete_events)
+                    held += complete_events
                     stalls_at = loop.time() + STALL_SECONDS
+                if held and (await context.may_pass_events() or not has_room):
+                    await sink.write(held)
+                    held, passed_id, has_passed = b"", events.last_id, True
+            if held and events.ends_with_event:
+                # A whole stream is never resumed, so it needs no record.
+                await sink.write(held)
+                held = b""
     except TimeoutError:
         reason = "took too long" if overall_timeout.expired() else "stood still"
         return Outcome(truncated_answer(f"the answer {reason}"))
     except (aiohttp.ClientError, OSError) as error:
         failed = truncated_answer(f"the answer broke off: {error!r}")
         return Outcome(failed, connection_lost=True)
+    finally:
+        context.stop_recording(has_passed_events=has_passed)
+        if held:
+            events.last_id = passed_id
     if not events.ends_with_event:
         failed = truncated_answer("the answer ended within an event")
         return Outcome(failed, connection_lost=True)
--- a/poplarlug/relay/resumption.py
+++ b/poplarlug/relay/resumption.py
@@ -15,14 +15,13 @@
     stream_key,
 )
 from poplarlug.errors import GatewayError, not_run, version_gone
-from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.requests import RelayRequest
-from poplarlug.types import RequestId, ServiceName, SoftwareVersion
+from poplarlug.types import ServiceName, SoftwareVersion
 
-RECORD_TIMEOUT_SECONDS = 0.3
-"""How long the first events of a stream wait for its record. An entry that reaches no
-control replica goes on serving."""
+MAX_REPORT_SECONDS = 0.15
+"""Reports of streams that take longer can't be relied on; a round trip between regions
+takes less."""
 
 LOOKUP_RETRY_SECONDS = 0.3
 """Retry time while the records of streams can't be reached."""
@@ -33,13 +32,6 @@
     ["source"],
     registry=REGISTRY,
 )
-_UNRECORDED = Counter(
-    "poplarlug_relay_unrecorded_streams_total",
-    "Streams whose first events were sent before a control replica had their record.",
-    registry=REGISTRY,
-)
-
-_log = ComponentLogger(prefix="relay")
 
 
 class Resumption:
@@ -72,29 +64,34 @@
     async def record_start(
         self, request: RelayRequest, version: SoftwareVersion
     ) -> None:
-        """Record the version of a stream; return once its events may be sent."""
+        """Record the version of a stream; return once a replica has it, if need be."""
         key = stream_key(request.id)
         versions = self._deployment.versions_by_service.get(request.service)
         if versions is None or not versions.must_record(version):
             self._streams.add([StreamStarts(version, (key,))])
             return
-        recorded = self._streams.add_and_queue(key, version)
-        try:
-            async with asyncio.timeout(RECORD_TIMEOUT_SECONDS):
-                await asyncio.shield(recorded)
-        except TimeoutError:
-            _UNRECORDED.inc()
-            _log.warning(
-                "no control replica recorded a stream in time",
-                request_id=request.id,
-                version=version,
-            )
-
-    async def note_remote_start(
-        self, request_id: RequestId, version: SoftwareVersion
-    ) -> None:
-        """Remember the version of a stream that runs through another entry."""
-        self._streams.add([StreamStarts(version, (stream_key(request_id),))])
+        await asyncio.shield(self._streams.add_and_queue(key, version))
+
+    def preferred_version(self, request: RelayRequest) -> SoftwareVersion | None:
+        """
+        Return the version at which a new stream should begin, ``None`` for any.
+
+        Load pattern: an entry is cut off from control while two versions serve, and its
+        callers leave it. Streams of the default version need no record.
+        """
+        versions = self._deployment.versions_by_service.get(request.service)
+        if versions is None or versions.must_record(versions.default):
+            return None
+        if self._streams.pending_seconds <= MAX_REPORT_SECONDS:
+            return None
+        regions_by_id = self._deployment.serving_regions(request.service)
+        has_upstream = any(
+            upstream.version == versions.default
+            and upstream.id in regions_by_id
+            and request.route.allows(regions_by_id[upstream.id])
+            for upstream in self._deployment.upstreams_of(request.service)
+        )
+        return versions.default if has_upstream else None
 
     async def find_version(
         self, request: RelayRequest
