Break off streams that end within an event, also those that may not be resumed

Callers got a truncated stream as a complete one where an upstream's answer has neither a length nor chunks and its connection ended within an event, on routes whose streams may not be resumed.

Cause: only the relay of resumable streams looks at events; the other one took the graceful end of the connection for the end of the body. Class: one check in one of two paths that need it. Now both end the same way.

Test with real processes, directly and handed on: it failed before (True is not false: stream at the entry of the upstream's zone). Whole and reset answers passed before, too, also on a kept connection.

--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -58,18 +58,26 @@
 ) -> Outcome:
     """Relay a body as it arrives, at the speed of its caller."""
     sink = context.sink
+    body = BodyRelay(response=response, sink=sink)
     try:
         async with asyncio.timeout_at(context.request.deadline):
-            await BodyRelay(response=response, sink=sink).run()
+            await body.run()
     except TimeoutError:
         return Outcome(truncated_answer("the answer took too long"))
     except (aiohttp.ClientError, OSError) as error:
         failed = truncated_answer(f"the answer broke off: {error!r}")
         return Outcome(failed, connection_lost=True)
+    if _is_stream(response) and not body.ends_with_event():
+        return _ended_within_event()
     await sink.finish()
     return DONE
 
 
+def _ended_within_event() -> Outcome:
+    failed = truncated_answer("the answer ended within an event")
+    return Outcome(failed, connection_lost=True)
+
+
 async def _relay_events(
     context: RequestContext,
     response: aiohttp.ClientResponse,
@@ -113,8 +121,7 @@
         if held:
             events.last_id = passed_id
     if not events.ends_with_event:
-        failed = truncated_answer("the answer ended within an event")
-        return Outcome(failed, connection_lost=True)
+        return _ended_within_event()
     await sink.finish()
     return DONE
 
--- a/poplarlug/serving/relay.py
+++ b/poplarlug/serving/relay.py
@@ -9,6 +9,7 @@
 
 TAIL_BYTES = 32
 LAST_EVENT = b"data: [DONE]"
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 
 
 class BodyRelay(asyncio.Protocol):
@@ -69,6 +70,10 @@
         """Return whether the body ended with the final event of a stream."""
         return self._tail.rstrip().endswith(LAST_EVENT)
 
+    def ends_with_event(self) -> bool:
+        """Return whether the body is empty or ended with a complete event."""
+        return not self._tail or self._tail.endswith(EVENT_ENDS)
+
     def count_reads(self) -> int:
         """Return the number of reads from the transport."""
         return self._reads
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -1,6 +1,7 @@
 """Fake upstream that records the requests it executes and injects faults."""
 
 import asyncio
+import socket
 import threading
 import time
 import urllib.request
@@ -12,6 +13,7 @@
 from poplarlug.discovery.records import ServiceUpstream, UpstreamPhase
 from poplarlug.platform.encoding import encode_heartbeat
 from poplarlug.platform.names import HEADER_NAMES
+from poplarlug.relay.client import NO_LINGER
 from poplarlug.relay.events import LAST_EVENT_HEADER
 from poplarlug.types import Seconds
 
@@ -39,8 +41,10 @@
     ----------
     fault : str
         ``""``, ``reset`` (connection reset after the request was read), ``error``
-        (status 500), ``refuse`` (not executed), ``mute`` (no response) or ``cut`` (a
-        stream that breaks off within an event).
+        (status 500), ``refuse`` (not executed), ``mute`` (no response), ``cut`` (a
+        stream that breaks off within an event), ``unframed`` (``unframed_body`` without
+        a length or chunks, ended by closing the connection) or ``unframed reset`` (the
+        same, ended by resetting it).
     answer_seconds : float
         Processing time of a request before its response.
     version : str
@@ -84,6 +88,7 @@
         self.service = service
         self.zone = zone
         self.fault = ""
+        self.unframed_body = b""
         self.version = "v1"
         self.event_data = "x"
         self.slots = SLOTS
@@ -239,6 +244,8 @@
             return web.Response()
         if self.fault == "error":
             return web.Response(status=500, headers=headers, text="failed")
+        if self.fault.startswith("unframed"):
+            return await self._send_unframed(request, headers)
         if self.fault == "mute":
             await asyncio.sleep(MUTE_SECONDS)
         if "/stream/" in request.path or "/resume/" in request.path:
@@ -269,6 +276,27 @@
             headers[HEADER_NAMES.leaving] = "1"
         return headers
 
+    async def _send_unframed(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Send an answer whose end is that of the connection."""
+        transport = request.transport
+        assert transport is not None
+        is_stream = "/stream/" in request.path or "/resume/" in request.path
+        content_type = "text/event-stream" if is_stream else "text/plain"
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(
+            ["HTTP/1.1 200 OK", f"Content-Type: {content_type}", *lines, "", ""]
+        )
+        transport.write(head.encode() + self.unframed_body)
+        # The bytes arrive before the end of the connection.
+        await asyncio.sleep(0.05)
+        if self.fault == "unframed reset":
+            client_socket = transport.get_extra_info("socket")
+            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        transport.close()
+        return web.Response()
+
     async def _stream(
         self, request: web.Request, headers: dict[str, str], last: int | None
     ) -> web.StreamResponse:
