--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -27,8 +27,8 @@
 """How long the first events of a stream wait for its record before they are held back;
 a few round trips between regions."""
 
-_UNRECORDED = Counter(
-    "poplarlug_relay_unrecorded_streams_total",
+_HELD_STREAMS = Counter(
+    "poplarlug_relay_held_streams_total",
     "Streams whose events were held back until a control replica had their record.",
     registry=REGISTRY,
 )
@@ -182,7 +182,7 @@
             self._recording = asyncio.ensure_future(self.record_start())
             done, _ = await asyncio.wait({self._recording}, timeout=RECORD_WAIT_SECONDS)
             if not done:
-                _UNRECORDED.inc()
+                _HELD_STREAMS.inc()
                 _log.warning(
                     "holding the events of a stream until a control replica records it",
                     request_id=self.request.id,
--- a/tests/platform_adapter/case.py
+++ b/tests/platform_adapter/case.py
@@ -32,13 +32,15 @@
         self.deployment.start_all()
         self.entries = self.deployment.entries
 
-    def add_upstream(self, name: str, *, service: str = "desk") -> Upstream:
-        """Start an upstream in Quito without announcing it."""
+    def add_upstream(
+        self, name: str, *, service: str = "desk", zone: str = "quito-a"
+    ) -> Upstream:
+        """Start an upstream without announcing it."""
         upstream = Upstream(
             upstream_id=name,
             ip=self.deployment.ip(name),
             service=service,
-            zone="quito-a",
+            zone=zone,
         )
         self.addCleanup(upstream.close)
         return upstream
--- a/tests/platform_adapter/test_deadly_prompt_parts.py
+++ b/tests/platform_adapter/test_deadly_prompt_parts.py
@@ -1,24 +1,21 @@
 """Tests of prompt parts that crash upstreams, with real processes on loopback."""
 
-import tempfile
 import threading
 import time
 import uuid
 from collections.abc import Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
 from itertools import count, cycle
-from pathlib import Path
 from random import Random
-from typing import NamedTuple
-from unittest import TestCase
+from typing import ClassVar, NamedTuple
 
 from poplarlug.platform.names import HEADER_NAMES
-from poplarlug.soak.deployment import Answer, SeededDeployment, wait_until
-from poplarlug.soak.upstream import Arrival, Upstream
-from tests.platform_adapter.test_deadly_requests import RETRY_PERIOD_SECONDS, Announcer
-from tests.platform_adapter.test_whole_path import HOST, configuration
+from poplarlug.soak.deployment import Answer, SeededDeployment
+from poplarlug.soak.upstream import Arrival
+from tests.platform_adapter.case import DeploymentTestCase
+from tests.platform_adapter.test_deadly_requests import RETRY_PERIOD_SECONDS
+from tests.platform_adapter.test_whole_path import HOST
 
-ENTRY_ZONES = ("quito-a", "quito-a", "guayaquil-a")
 UPSTREAM_ZONES = ("quito-a", "quito-a", "quito-a", "guayaquil-a", "guayaquil-a")
 DEADLY_PART = "dead"
 BEGINNING = "a1"
@@ -136,32 +133,22 @@
     return any(f",{part}:" in listed for part in parts)
 
 
-class DeadlyPromptPartTests(TestCase):
+class DeadlyPromptPartTests(DeploymentTestCase):
     """Three upstreams in Quito, two in Guayaquil; entries in both zones."""
 
+    entry_zones: ClassVar[tuple[str, ...]] = ("quito-a", "quito-a", "guayaquil-a")
+
     def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.deployment = SeededDeployment(
-            folder=Path(folder.name), entry_zones=ENTRY_ZONES
-        )
-        self.addCleanup(self.deployment.close)
-        self.deployment.start_all()
-        self.upstreams: list[Upstream] = []
-        for number, zone in enumerate(UPSTREAM_ZONES):
-            name = f"u-{number}"
-            upstream = Upstream(
-                upstream_id=name, ip=self.deployment.ip(name), service="desk", zone=zone
-            )
+        super().setUp()
+        self.upstreams = [
+            self.add_upstream(f"u-{number}", zone=zone)
+            for number, zone in enumerate(UPSTREAM_ZONES)
+        ]
+        for upstream in self.upstreams:
             upstream.down_seconds = 1.5
             upstream.event_seconds = 0.02
-            self.addCleanup(upstream.close)
-            self.upstreams.append(upstream)
-        announcer = Announcer(deployment=self.deployment, upstreams=self.upstreams)
-        announcer.start()
-        self.addCleanup(announcer.stop)
-        answer = self.deployment.operate("PUT", "/config", configuration(1, **ROUTES))
-        self.assertEqual(answer.status, 200, answer.body)
+        self.keep_announcing(*self.upstreams)
+        self.configure(**ROUTES)
         self.wait_served()
 
     def traffic(self, route: str, *deadly_parts: str) -> Traffic:
@@ -171,15 +158,6 @@
             upstream.crash_parts = frozenset(parts)
         return Traffic(deployment=self.deployment, route=route, deadly_parts=parts)
 
-    def wait_served(self) -> None:
-        self.deployment.wait_ready()
-        healthy = Traffic(deployment=self.deployment, route="look")
-        for entry in self.deployment.entries:
-            wait_until(
-                lambda entry=entry: healthy.send(entry, "b0").status == 200,
-                f"{entry} serves nothing",
-            )
-
     def crash_times(self) -> list[float]:
         return sorted(at for upstream in self.upstreams for at in upstream.crash_times)
 
@@ -286,6 +264,7 @@
             self.deployment.kill(name)
         for name in names:
             self.deployment.start(name)
+        self.deployment.wait_ready()
         self.wait_served()
         self.check_refused(DEADLY_PART)
 
