Pass over recalled upstreams whose address a later run has

Replicas that started again didn't exchange their records for seconds: the handler of the exchange failed, again and again, with KeyError('u:u-2').

Cause: recall() took each record for stored after it was applied; one whose address belongs to a later run under another id isn't stored. The test failed before with KeyError: 'u:e-1'.

--- a/poplarlug/discovery/registry.py
+++ b/poplarlug/discovery/registry.py
@@ -108,8 +108,8 @@
         """
         for record in records.all:
             self._apply(record, is_recalled=True)
-            stored = self._stored_by_key[record.key]
-            if stored.is_recalled:
+            stored = self._stored_by_key.get(record.key)
+            if stored is not None and stored.is_recalled:
                 remaining = min(RECALLED_TTL_SECONDS, self._ttl_seconds(record))
                 heard_at = self._clock() - (self._ttl_seconds(record) - remaining)
                 self._stored_by_key[record.key] = stored._replace(heard_at=heard_at)
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -161,6 +161,15 @@
         self.registry.apply_relayed(other.by_tag(unknown))
         self.assertEqual(self.phase(), "leaving")
 
+    # Guards against a failed exchange of tables between replicas.
+    def test_recalled_record_of_an_address_with_a_later_run_is_left_out(self) -> None:
+        """The upstream restarted under another id while the record was on a disk."""
+        later = make_upstream(id="e-2", born=BORN + 1)
+        self.registry.apply_report(later)
+        self.registry.recall(Records(upstreams=(make_upstream(),)))
+        self.assertEqual(self.registry.recalled().upstreams, ())
+        self.assertEqual(self.registry.present().upstreams, (later,))
+
     def test_recalled_record_is_reported_after_a_confirmation(self) -> None:
         """It is present once heard from or confirmed, and stays on the disk throughout."""
         same = make_upstream()
