--- a/poplarlug/platform/encoding.py
+++ b/poplarlug/platform/encoding.py
@@ -55,6 +55,7 @@
         "priority": route.rank,
         "weighted_services": [weighted._asdict() for weighted in route.services],
         "max_attempts": route.max_attempts,
+        "sticky": route.prompts,
         "resumable": route.resumable,
         "home_regions": list(route.home_regions),
     }
--- a/poplarlug/soak/callers.py
+++ b/poplarlug/soak/callers.py
@@ -19,6 +19,12 @@
 CRASH_BODY = b"deadly"
 """Body of a request that crashes the upstream executing it."""
 
+COMMON_PART = "a0:400"
+"""Prompt part that all requests with prompts share."""
+
+CRASH_PART = "dead"
+"""Id of a prompt part that crashes each upstream executing a request with it."""
+
 RECONNECT_SHARE = 0.3
 """Fraction of requests before which a caller opens a new connection."""
 
@@ -54,12 +60,18 @@
     ----------
     entries : sequence of Address
         Entries to choose from, whether or not they are running.
+    shared_parts : str
+        Prompt parts before each request's own one, as callers list them; empty for
+        requests without prompts.
     """
 
     _numbers = itertools.count()
 
-    def __init__(self, *, entries: Sequence[Address], rng: Random) -> None:
+    def __init__(
+        self, *, entries: Sequence[Address], rng: Random, shared_parts: str = ""
+    ) -> None:
         super().__init__(daemon=True)
+        self._shared_parts = shared_parts
         self.calls: list[Call] = []
         self._entries = list(entries)
         self._rng = rng
@@ -84,6 +96,10 @@
             HEADER_NAMES.request_id: request_id,
             HEADER_NAMES.deadline: str(int(CALL_TIMEOUT_SECONDS * 1000)),
         }
+        if self._shared_parts:
+            headers[HEADER_NAMES.model] = "m"
+            headers[HEADER_NAMES.token_counts] = "700,50"
+            headers[HEADER_NAMES.prompt_parts] = f"{self._shared_parts},{request_id}:50"
         status, answer, answered = 0, b"", ""
         try:
             connection = self._connect()
@@ -130,6 +146,14 @@
         return f"/{kind}/same", CRASH_BODY
 
 
+class PartCrashCaller(Caller):
+    """Thread that sends requests that share a part which crashes its upstreams."""
+
+    def run(self) -> None:
+        while not self._stopping.wait(CRASH_CALL_INTERVAL_SECONDS):
+            self.calls.append(self._call(self._rng.choice(KINDS)))
+
+
 class Operator(threading.Thread):
     """
     Thread that writes and reads the configuration at random control replicas.
--- a/poplarlug/soak/main.py
+++ b/poplarlug/soak/main.py
@@ -18,6 +18,7 @@
     seconds: float = 15.0,
     folder: str = "run/soak",
     deadly: bool = False,
+    deadly_part: bool = False,
     limits: bool = False,
 ) -> None:
     """
@@ -36,6 +37,9 @@
         Directory for settings, data and logs.
     deadly : bool
         Whether one caller keeps sending a request that crashes its upstreams.
+    deadly_part : bool
+        Whether one caller keeps sending requests, no two of them alike, with a prompt
+        part that crashes their upstreams.
     limits : bool
         Whether some upstreams announce rate limits for a while.
     """
@@ -45,7 +49,12 @@
         run_folder = base / f"seed-{seed}"
         shutil.rmtree(run_folder, ignore_errors=True)
         run = SoakRun(
-            seed=seed, seconds=seconds, folder=run_folder, deadly=deadly, limits=limits
+            seed=seed,
+            seconds=seconds,
+            folder=run_folder,
+            deadly=deadly,
+            deadly_part=deadly_part,
+            limits=limits,
         )
         report = run.execute()
         print(json.dumps(report._asdict()), flush=True)
--- a/poplarlug/soak/run.py
+++ b/poplarlug/soak/run.py
@@ -14,6 +14,7 @@
     encode_configuration,
     version_of,
 )
+from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.routes import (
     Route,
     RoutedService,
@@ -22,12 +23,15 @@
     ServiceWeight,
 )
 from poplarlug.soak.callers import (
+    COMMON_PART,
     CRASH_BODY,
+    CRASH_PART,
     HOST,
     Call,
     Caller,
     CrashCaller,
     Operator,
+    PartCrashCaller,
 )
 from poplarlug.soak.deployment import ZONES, SeededDeployment
 from poplarlug.soak.promises import (
@@ -44,7 +48,7 @@
     draw_schedule,
     draw_storage_faults,
 )
-from poplarlug.soak.upstream import Upstream
+from poplarlug.soak.upstream import Arrival, Upstream
 from poplarlug.types import Seconds
 
 ENTRY_ZONES = ("quito-a", "quito-a", "cuenca-a", "guayaquil-a")
@@ -93,6 +97,12 @@
     return body[:MAX_SHOWN_BYTES].decode(errors="replace")
 
 
+def _is_crash_request(arrival: Arrival) -> bool:
+    """Return whether a request crashes the upstreams that execute it."""
+    parts = arrival.headers.get(HEADER_NAMES.prompt_parts, "")
+    return arrival.body == CRASH_BODY or f",{CRASH_PART}:" in parts
+
+
 class SoakRun:
     """
     Soak run of one seed.
@@ -105,6 +115,9 @@
         Directory for settings, data and logs of all processes.
     deadly : bool
         Whether one caller keeps sending a request that crashes its upstreams.
+    deadly_part : bool
+        Whether one caller keeps sending requests, no two of them alike, with a prompt
+        part that crashes their upstreams.
     limits : bool
         Whether some upstreams announce rate limits for a while.
     """
@@ -116,9 +129,11 @@
         seconds: Seconds,
         folder: Path,
         deadly: bool = False,
+        deadly_part: bool = False,
         limits: bool = False,
     ) -> None:
         self._seed = seed
+        self._deadly_part = deadly_part
         self._deadly = deadly
         self._seconds = seconds
         self._rng = Random(seed)
@@ -159,16 +174,29 @@
         deployment.wait_ready()
         entries = [deployment.entry_address(name) for name in deployment.entries]
         callers = [
-            Caller(entries=entries, rng=Random(f"{self._seed}/{number}"))
+            Caller(
+                entries=entries,
+                rng=Random(f"{self._seed}/{number}"),
+                shared_parts=f"{COMMON_PART},b{number}:100"
+                if self._deadly_part
+                else "",
+            )
             for number in range(CALLERS)
         ]
         operator = self._operator()
         crash_caller = CrashCaller(
             entries=entries, rng=Random(f"{self._seed}/insister")
         )
+        part_caller = PartCrashCaller(
+            entries=entries,
+            rng=Random(f"{self._seed}/part"),
+            shared_parts=f"{COMMON_PART},{CRASH_PART}:100",
+        )
         threads: list[Caller | Operator] = [*callers, operator]
         if self._deadly:
             threads.append(crash_caller)
+        if self._deadly_part:
+            threads.append(part_caller)
         for thread in threads:
             thread.start()
         self._inject()
@@ -180,7 +208,8 @@
         for thread in threads:
             thread.join()
         calls = [call for caller in callers for call in caller.calls]
-        return self._report(calls, crash_caller.calls, operator, recovered)
+        crash_calls = crash_caller.calls + part_caller.calls
+        return self._report(calls, crash_calls, operator, recovered)
 
     def _report(
         self,
@@ -234,10 +263,10 @@
         return ", ".join(parts)
 
     def _check_crash_sends(self, recovered: Seconds) -> list[str]:
-        """Return a violation if a request that crashed upstreams was sent too often."""
+        """Return a violation if what crashed upstreams was sent too often."""
         crashes = sum(len(upstream.crash_times) for upstream in self._upstreams)
         late = sum(
-            arrival.body == CRASH_BODY and arrival.at > recovered
+            _is_crash_request(arrival) and arrival.at > recovered
             for upstream in self._upstreams
             for arrival in upstream.arrivals
         )
@@ -355,6 +384,7 @@
                 zone=zone,
             )
             upstream.crash_body = CRASH_BODY
+            upstream.crash_parts = frozenset({CRASH_PART})
             self._upstreams.append(upstream)
             link = self._proxy.link(LINK_SOURCE, name, upstream.address)
             self._addresses.append(link)
@@ -425,6 +455,7 @@
                 services=(ServiceWeight("desk", 1.0),),
                 max_attempts=attempts,
                 resumable=resumable,
+                prompts=self._deadly_part,
             )
             for name, (kind, resumable, attempts) in kinds.items()
         )
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -21,7 +21,13 @@
 
 class SoakTests(TestCase):
     def execute(
-        self, seed: int, seconds: float, *, deadly: bool = False, limits: bool = False
+        self,
+        seed: int,
+        seconds: float,
+        *,
+        deadly: bool = False,
+        deadly_part: bool = False,
+        limits: bool = False,
     ) -> None:
         with tempfile.TemporaryDirectory() as folder:
             run = SoakRun(
@@ -29,6 +35,7 @@
                 seconds=seconds,
                 folder=Path(folder),
                 deadly=deadly,
+                deadly_part=deadly_part,
                 limits=limits,
             )
             report = run.execute()
@@ -43,6 +50,10 @@
         """A request that crashes upstreams is finally refused; others are served."""
         self.execute(SHORT_SEED, SECONDS, deadly=True)
 
+    def test_short_run_beside_a_deadly_prompt_part(self) -> None:
+        """Its requests are finally refused; others with the same beginning are served."""
+        self.execute(SHORT_SEED, SECONDS, deadly_part=True)
+
     def test_run_with_upstreams_that_name_limits(self) -> None:
         """All entries together respect rate limits while processes are killed and
         paused."""
