--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,14 @@
 import time
 from pathlib import Path
 
-from review.harness import CONTROL_PORT, Deployment, call, configuration, run_case
+from review.harness import (
+    CONTROL_PORT,
+    CannotRunError,
+    Deployment,
+    call,
+    configuration,
+    run_case,
+)
 
 MORE_ROUTES = 1400
 CHANGES = 250
@@ -18,6 +25,7 @@
 READ_SECONDS = 15.0
 """How long the operator asks for the configuration at the end."""
 
+MAX_CHANGES_SECONDS = 80.0
 CHANGE_SECONDS = 20.0
 """How long the operator sends a change that isn't acknowledged."""
 
@@ -99,6 +107,8 @@
         acknowledged = 1
         for version in range(2, CHANGES + 2):
             body = document(version, MORE_ROUTES)
+            if time.monotonic() - record.started > MAX_CHANGES_SECONDS:
+                raise CannotRunError("the changes take too long on this machine")
             if not send_change(record, deployment, body):
                 record.note(f"change {version} isn't acknowledged")
                 break
--- a/review/harness.py
+++ b/review/harness.py
@@ -333,15 +333,18 @@
     """
     # Workers log each connection that is broken off in the middle of an answer.
     logging.disable(logging.CRITICAL)
+    # Also ends the processes of the case if the script itself is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(folder) / "record.txt")
     record.note(f"TROUBLE={int(trouble)}")
     try:
         with tempfile.TemporaryDirectory() as temporary:
             held = case(record, temporary, trouble)
-    except CannotRunError as error:
-        record.note(f"the case could not run: {error}")
-        print(f"the case could not run: {error}")
+    except Exception as error:
+        # Whatever stops a case, such as a port in use, says nothing about the rule.
+        record.note(f"the case could not run: {error!r}")
+        print(f"the case could not run: {error!r}")
         sys.exit(2)
     finally:
         record.note("end")
