--- a/review/5/case.py
+++ b/review/5/case.py
@@ -86,7 +86,7 @@
 
 
 def case(record, folder, trouble):
-    deployment = Deployment(folder, record, ("quito-a", "quito-a"))
+    deployment = Deployment(folder, record, ("quito-a", "quito-a", "quito-a"))
     workers = []
     try:
         deployment.start_all()
@@ -125,7 +125,7 @@
 
 
 def play(record, deployment, trouble):
-    lost, other = deployment.entries
+    lost, other, _ = deployment.entries
     ips = [deployment.ip(lost), deployment.ip(other)]
     streams = [Stream(record, ips) for _ in range(STREAMS)]
     for one in streams:
