Drop a booking that waits for a place when its caller leaves

Cause: the endpoint shielded the whole serving of an unsafe request from the end of its caller's connection, the wait for a place included. Only a request that has been sent must run to its end, since it may not be sent again.

Change: the shield is around the send to an upstream of the region alone, with the lock of a suspect. A request that waits here is cancelled with its caller; one that was handed on is cancelled at the other entry, which shields it in turn once it sends.

Evidence: test_departed_callers has an upstream whose places are taken and callers that leave after 0.3 s.

--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -125,7 +125,6 @@
         self._rng = rng
         self._clock = clock
         self._started = clock()
-        self._background: set[asyncio.Task[web.StreamResponse]] = set()
         self.in_progress: Latest[int] = Latest(initial=0)
 
     def build(self) -> web.Application:
@@ -163,7 +162,7 @@
                 response = self._refuse(request, parsed.failure(), hops, trace)
             else:
                 kind = parsed.unwrap().route.kind
-                response = await self._respond(request, parsed.unwrap(), trace)
+                response = await self._run(request, parsed.unwrap(), trace)
             status = response.status
             return response
         finally:
@@ -181,17 +180,6 @@
                 steps=trace.steps,
             )
 
-    async def _respond(
-        self, request: web.Request, relayed: RelayRequest, trace: RelayTrace
-    ) -> web.StreamResponse:
-        if relayed.route.kind != "unsafe":
-            return await self._run(request, relayed, trace)
-        # A request that may not be repeated runs to its end even if its caller leaves.
-        task = asyncio.ensure_future(self._run(request, relayed, trace))
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-        return await asyncio.shield(task)
-
     async def _run(
         self, request: web.Request, relayed: RelayRequest, trace: RelayTrace
     ) -> web.StreamResponse:
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -1,7 +1,7 @@
 """Serves a request on a route: placement, attempts, and its response or refusal."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from functools import partial
 from typing import Any
 
@@ -38,7 +38,7 @@
 from poplarlug.relay.passing import drain_short_body, relay_response
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.resumption import Resumption
-from poplarlug.relay.suspects import Suspects, Verdict
+from poplarlug.relay.suspects import SuspectLock, Suspects, Verdict
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import FleetView
 from poplarlug.serving.answers import AnswerSink
@@ -124,6 +124,7 @@
         self._clock = clock
         self._held_bytes = HeldBytesBudget()
         self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
+        self._background: set[asyncio.Task[Outcome]] = set()
 
     async def serve(
         self, request: RelayRequest, sink: AnswerSink, trace: RelayTrace
@@ -202,7 +203,8 @@
         self, context: RequestContext, target: Target, timeout_seconds: Seconds
     ) -> Outcome:
         if isinstance(target, LocalTarget):
-            outcome = await self._run_local(context, target, timeout_seconds)
+            sent = self._run_local(context, target, timeout_seconds)
+            outcome = await self._run_to_end(context, sent)
             context.note_upstream_outcome(target.upstream.id, outcome)
         else:
             outcome = await self._run_remote(context, target, timeout_seconds)
@@ -248,12 +250,38 @@
             return Outcome(
                 self._suspects.refusal(context, self._clock()), arrived=False
             )
+        sent = self._run_locked(context, target, timeout_seconds, lock)
+        return await self._run_to_end(context, sent)
+
+    async def _run_locked(
+        self,
+        context: RequestContext,
+        target: LocalTarget,
+        timeout_seconds: Seconds,
+        lock: SuspectLock,
+    ) -> Outcome:
         context.crash_check = None
         try:
             return await self._run_local(context, target, timeout_seconds, apart=True)
         finally:
             lock.release(context.crash_check)
 
+    async def _run_to_end(
+        self, context: RequestContext, sent: Coroutine[Any, Any, Outcome]
+    ) -> Outcome:
+        """
+        Run a send, even if the caller leaves meanwhile and the request is unsafe.
+
+        One that still waits for its place, here or at another entry, ends with its
+        caller instead.
+        """
+        if context.request.route.kind != "unsafe":
+            return await sent
+        task = asyncio.ensure_future(sent)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return await asyncio.shield(task)
+
     def _release(self, target: Target) -> None:
         if isinstance(target, LocalTarget):
             self._dispatcher.release(target.in_flight_request, failed=False)
