Send a caller's path and query to the upstream as they came

A request for /look/7? reached its upstream as /look/7, found by reading in the review: the relay built the URL from a text, and the URL library drops an empty query and what follows a number sign.

Change: the path and query of the request are set as one raw path, which nothing parses.

Evidence: test_path_and_query_arrive_as_they_were_sent fails before, with "/look/7" for "/look/7?", and passes now with encoded, repeated and empty parts.

--- a/poplarlug/relay/client.py
+++ b/poplarlug/relay/client.py
@@ -194,7 +194,8 @@
             async with asyncio.timeout(max(0.0, timeout_seconds)):
                 response = await self._session.request(
                     method,
-                    URL(f"http://{target}{path}", encoded=True),
+                    # Parsed as part of an URL, an empty query would be dropped.
+                    URL(f"http://{target}").with_path(path, encoded=True),
                     headers=headers,
                     data=body or None,
                     allow_redirects=False,
--- a/tests/relay/test_client.py
+++ b/tests/relay/test_client.py
@@ -12,6 +12,7 @@
 from poplarlug.relay.client import RelayClient, SendErrorKind
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
+PATHS = ("/look/7?", "/look?a=b&c=%2f", "//look/../7", "/%7Elook?a?b", "/look#7")
 
 Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -61,6 +62,42 @@
 
         self.assertEqual(self.exchange(talk), [b"whole"])
 
+    # Guards against an empty query that was dropped on the way to the upstream.
+    def test_path_and_query_arrive_as_they_were_sent(self) -> None:
+        """The client neither normalizes nor parses them."""
+
+        async def main() -> list[str]:
+            lines = []
+
+            async def talk(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                head = await reader.readuntil(b"\r\n\r\n")
+                lines.append(head.decode().split("\r\n")[0])
+                writer.write(HEAD + b"Connection: close\r\n\r\n")
+                writer.close()
+
+            server = await asyncio.start_server(talk, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            client = RelayClient()
+            await client.open()
+            for path in PATHS:
+                sent = await client.send(
+                    target=f"{host}:{port}",
+                    method="GET",
+                    path=path,
+                    headers=(),
+                    body=b"",
+                    timeout_seconds=5.0,
+                )
+                await sent.unwrap().read()
+            await client.close()
+            server.close()
+            return lines
+
+        expected = [f"GET {path} HTTP/1.1" for path in PATHS]
+        self.assertEqual(asyncio.run(main()), expected)
+
     def test_reset_is_no_end_of_an_answer(self) -> None:
         """A reset connection never completes a truncated response."""
 
