--- a/tests/platform_adapter/test_start.py
+++ b/tests/platform_adapter/test_start.py
@@ -25,6 +25,16 @@
 load_settings(Path({file!r}), {settings}).unwrap()
 print([name for name in ("fire", "json5") if name in sys.modules])
 """
+SHOW_HANGUP_HANDLER = """
+import runpy
+import signal
+import sys
+sys.modules["aiohttp"] = None
+try:
+    runpy.run_module("poplarlug.platform.{program}", run_name="__main__")
+except ImportError:
+    print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+"""
 SETTINGS_BY_PROGRAM = {
     "entry": "SeededEntrySettings",
     "control": "SeededControlSettings",
@@ -51,6 +61,19 @@
                 )
                 self.assertEqual(int(counted.stdout), 0)
 
+    # Guards against processes that a SIGHUP ended while they were starting.
+    def test_hangup_during_the_imports_is_ignored(self) -> None:
+        """Most of a start passes before the daemon handles reloads."""
+        for program in SETTINGS_BY_PROGRAM:
+            with self.subTest(program=program):
+                shown = subprocess.run(
+                    [sys.executable, "-c", SHOW_HANGUP_HANDLER.format(program=program)],
+                    capture_output=True,
+                    check=True,
+                    text=True,
+                )
+                self.assertEqual(shown.stdout.strip(), "True")
+
     def test_start_loads_no_parser_that_it_does_not_need(self) -> None:
         """Neither the command line's nor that of other JSON with comments is used."""
         # Guards against starts that take a tenth longer for every process.
