--- a/poplarlug/soak/deployment.py
+++ b/poplarlug/soak/deployment.py
@@ -20,6 +20,7 @@
 
 ZONES = {"quito-a": "sierra", "cuenca-a": "austro", "guayaquil-a": "costa"}
 START_SECONDS = 20.0
+FORWARDS_PORT = 7661
 LOG_TAIL_CHARACTERS = 2000
 TORN_RECORD_BYTES = 200
 """Payload size of the log record that is written partially."""
@@ -97,7 +98,7 @@
             "http": f"{ip}:8144",
             "readiness": f"{ip}:8140",
             "directory": f"{ip}:8143",
-            "forwards_port": 7661,
+            "forwards_port": FORWARDS_PORT,
             "grace_seconds": 4.0,
         }
         self._start(name, "poplarlug.platform.entry", settings)
