Ask control which version began a stream, however many an entry knows

Callers saw streams that an upstream of v2 began and one of v1 went on with, at an entry that was cut off from control while v2 joined (or had stood still, and got no answer of control when it woke up).

Cause: an entry that knew one version took any resumed stream for that one. Its view may be older than the stream. Class: "I know of one" taken for "there is one".

Now control is asked for each resumed stream that the entry didn't begin itself, and also tells the versions of the service, so neither the number of versions nor the default comes from the entry's view. Without an answer the stream is refused with Retry-After. Cost: one message and its reply in the region for each such stream; nothing for new streams.

The test of a single version said that control isn't asked: that was the fault; it now says that control is asked once, and that nothing is reported.

--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -201,9 +201,10 @@
 
 
 class StreamLookup(NamedTuple):
-    """Question of which software version began a stream."""
+    """Question of which software version of a service began a stream."""
 
     key: StreamKey
+    service: ServiceName = ""
 
 
 class StreamFound(NamedTuple):
@@ -216,10 +217,13 @@
         ``None`` if the stream isn't recorded.
     is_complete : bool
         Whether no records may be missing.
+    versions : ServiceVersions or None
+        The versions of the service; ``None`` if the replica knows of no upstream.
     """
 
     version: SoftwareVersion | None
     is_complete: bool
+    versions: ServiceVersions | None = None
 
 
 class EntryLoads(NamedTuple):
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -477,7 +477,13 @@
     async def _serve_stream_lookup(
         self, sender: VmName, lookup: StreamLookup
     ) -> StreamFound:
-        return StreamFound(self._streams.get(lookup.key), self._streams.is_complete)
+        self._note_versions()
+        is_complete = self._streams.is_complete
+        return StreamFound(
+            self._streams.get(lookup.key),
+            is_complete,
+            self._versions.versions_of(lookup.service, has_all_streams=is_complete),
+        )
 
     async def _serve_poll(self, sender: VmName, poll: Poll) -> PollReply:
         name = poll.record.name
--- a/poplarlug/discovery/software_versions.py
+++ b/poplarlug/discovery/software_versions.py
@@ -131,6 +131,15 @@
             if services.count(service) > 1
         )
 
+    def versions_of(
+        self, service: ServiceName, *, has_all_streams: bool
+    ) -> ServiceVersions | None:
+        """Return the versions of a service, ``None`` if none served of late."""
+        self._expire()
+        if all(own != service for own, _ in self._spans):
+            return None
+        return self._versions_of(service, has_all_streams)
+
     def _versions_of(
         self, service: ServiceName, has_all_streams: bool
     ) -> ServiceVersions:
--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -30,7 +30,7 @@
 )
 from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord, UpstreamLoad
-from poplarlug.discovery.software_versions import StreamKey, StreamVersions
+from poplarlug.discovery.software_versions import StreamVersions
 from poplarlug.logs import ComponentLogger
 from poplarlug.transport import Transport, TransportErrorKind
 from poplarlug.types import Address, Seconds, ZoneName
@@ -195,14 +195,14 @@
             else:
                 await asyncio.sleep(RETRY_SECONDS)
 
-    async def look_up_stream(self, key: StreamKey) -> StreamFound | None:
+    async def look_up_stream(self, lookup: StreamLookup) -> StreamFound | None:
         """Ask the followed replica who began a stream; ``None`` without an answer."""
         if self._replica is None:
             return None
         reply = await self._transport.request(
             peer=self._replica,
             topic=STREAM_LOOKUP_TOPIC,
-            message=StreamLookup(key),
+            message=lookup,
             reply_type=StreamFound,
             timeout_seconds=LOOKUP_TIMEOUT_SECONDS,
         )
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -135,7 +135,7 @@
             resumption=Resumption(
                 deployment=self.deployment,
                 streams=streams,
-                look_up=lambda key: self.subscriber.look_up_stream(key),
+                look_up=lambda lookup: self.subscriber.look_up_stream(lookup),
             ),
             header_names=header_names,
             retry_limits=RetryLimits(
--- a/poplarlug/relay/resumption.py
+++ b/poplarlug/relay/resumption.py
@@ -7,9 +7,9 @@
 from returns.result import Failure, Result, Success
 
 from poplarlug.discovery.deployment import Deployment
-from poplarlug.discovery.messages import StreamFound
+from poplarlug.discovery.messages import StreamFound, StreamLookup
 from poplarlug.discovery.software_versions import (
-    StreamKey,
+    ServiceVersions,
     StreamStarts,
     StreamVersions,
     stream_key,
@@ -17,7 +17,7 @@
 from poplarlug.errors import GatewayError, not_run, version_gone
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.requests import RelayRequest
-from poplarlug.types import ServiceName, SoftwareVersion
+from poplarlug.types import SoftwareVersion
 
 MAX_REPORT_SECONDS = 0.15
 """Reports of streams that take longer can't be relied on; a round trip between regions
@@ -55,7 +55,7 @@
         *,
         deployment: Deployment,
         streams: StreamVersions,
-        look_up: Callable[[StreamKey], Awaitable[StreamFound | None]],
+        look_up: Callable[[StreamLookup], Awaitable[StreamFound | None]],
     ) -> None:
         self._deployment = deployment
         self._streams = streams
@@ -95,14 +95,16 @@
 
     async def find_version(
         self, request: RelayRequest
-    ) -> Result[SoftwareVersion | None, GatewayError]:
+    ) -> Result[SoftwareVersion, GatewayError]:
         """
         Return the version that began the stream which a caller resumes.
 
+        The view of this entry may be older than the stream: another version may have
+        joined and begun it through another entry. So a control replica is asked even if
+        the view has a single version.
+
         Returns
         -------
-        Success(None)
-            If no upstream of the service is known, nor was of late.
         Failure(GatewayError)
             If the version is unknown; the request has not run. ``Retry-After`` is set
             only if it may become known.
@@ -112,29 +114,30 @@
         if known is not None:
             _LOOKUPS.labels("own").inc()
             return Success(known)
-        versions = self._deployment.versions_by_service.get(request.service)
-        if versions is None:
-            _LOOKUPS.labels("single").inc()
-            return Success(self._single_version(request.service))
-        if not request.resumes:
-            _LOOKUPS.labels("unnamed").inc()
-            return Failure(version_gone("the first attempt of the stream isn't named"))
-        found = await self._look_up(key)
-        if found is None:
+        found = await self._look_up(StreamLookup(key, request.service))
+        if found is None or (found.version is None and found.versions is None):
             _LOOKUPS.labels("unreachable").inc()
             message = "the version that began the stream can't be looked up now"
             return Failure(not_run(message, LOOKUP_RETRY_SECONDS))
         if found.version is not None:
             _LOOKUPS.labels("record").inc()
             return Success(found.version)
+        assert found.versions is not None
+        if not self._is_mixed(found.versions):
+            _LOOKUPS.labels("single").inc()
+            return Success(found.versions.default)
+        if not request.resumes:
+            _LOOKUPS.labels("unnamed").inc()
+            return Failure(version_gone("the first attempt of the stream isn't named"))
         if not found.is_complete:
             _LOOKUPS.labels("lost").inc()
             message = "nobody knows any more which version began the stream"
             return Failure(version_gone(message))
         _LOOKUPS.labels("default").inc()
-        return Success(versions.default)
+        return Success(found.versions.default)
 
-    def _single_version(self, service: ServiceName) -> SoftwareVersion | None:
-        return next(
-            (one.version for one in self._deployment.upstreams_of(service)), None
+    def _is_mixed(self, versions: ServiceVersions) -> bool:
+        """Return whether control or this entry knows of several versions."""
+        return bool(versions.others) or (
+            versions.service in self._deployment.versions_by_service
         )
--- a/tests/relay/test_resumption.py
+++ b/tests/relay/test_resumption.py
@@ -8,12 +8,16 @@
 
 from poplarlug.control.routing_state import encode_table
 from poplarlug.discovery.deployment import Deployment
-from poplarlug.discovery.messages import PollReply, RoutingUpdate, StreamFound
+from poplarlug.discovery.messages import (
+    PollReply,
+    RoutingUpdate,
+    StreamFound,
+    StreamLookup,
+)
 from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import RegionLoad, ServiceUpstream
 from poplarlug.discovery.software_versions import (
     ServiceVersions,
-    StreamKey,
     StreamStarts,
     StreamVersions,
     stream_key,
@@ -31,10 +35,11 @@
 ROUTE = make_route(kind="streaming", resumable=True)
 SERVICE = RoutedService("engine")
 MIXED = ServiceVersions("engine", "v1", ("v2",))
+SINGLE = ServiceVersions("engine", "v1")
 
 
-async def _find_nothing(key: StreamKey) -> StreamFound | None:
-    return StreamFound(None, True)
+async def _find_nothing(lookup: StreamLookup) -> StreamFound | None:
+    return StreamFound(None, True, MIXED)
 
 
 def make_resumption(deployment: Deployment) -> Resumption:
@@ -75,25 +80,53 @@
             clock=self.clock,
         )
         self.streams = StreamVersions(clock=self.clock)
-        self.found: StreamFound | None = StreamFound(None, True)
-        self.looked_up: list[StreamKey] = []
+        self.found: StreamFound | None = StreamFound(None, True, MIXED)
+        self.looked_up: list[StreamLookup] = []
         self.resumption = Resumption(
             deployment=self.deployment, streams=self.streams, look_up=self.look_up
         )
         self.request = make_request(route=ROUTE, service="engine", resumes="first")
 
-    async def look_up(self, key: StreamKey) -> StreamFound | None:
-        self.looked_up.append(key)
+    async def look_up(self, lookup: StreamLookup) -> StreamFound | None:
+        self.looked_up.append(lookup)
         return self.found
 
     async def test_single_version_needs_no_record(self) -> None:
-        """No control replica is asked or told while one version serves."""
+        """No control replica is told while one version serves."""
         reply = make_reply(make_upstream(1, "v1"), versions=False)
         self.deployment.apply_reply(reply)
         await self.resumption.record_start(self.request, "v1")
         self.assertFalse(self.streams.has_pending.is_set())
+        self.found = StreamFound(None, False, SINGLE)
+        found = await self.resumption.find_version(self.request)
+        self.assertEqual((found, len(self.looked_up)), (Success("v1"), 1))
+
+    # Guards against streams joined at an entry that knew one version only.
+    async def test_old_view_of_a_single_version_decides_nothing(self) -> None:
+        """Control knows of a version that joined since; without an answer, nobody does."""
+        reply = make_reply(make_upstream(1, "v1"), versions=False)
+        self.deployment.apply_reply(reply)
+        self.found = StreamFound("v2", True, MIXED)
         found = await self.resumption.find_version(self.request)
-        self.assertEqual((found, self.looked_up), (Success("v1"), []))
+        self.assertEqual(found, Success("v2"))
+        self.found = None
+        refusal = (await self.resumption.find_version(self.request)).failure()
+        self.assertEqual((refusal.status, refusal.ran), (503, False))
+        self.assertIsNotNone(refusal.retry_after_seconds)
+
+    async def test_control_tells_the_default_version(self) -> None:
+        """The default that this entry knows may have left since."""
+        self.deployment.apply_reply(make_reply())
+        self.found = StreamFound(None, True, ServiceVersions("engine", "v2", ("v3",)))
+        found = await self.resumption.find_version(self.request)
+        self.assertEqual(found, Success("v2"))
+
+    async def test_replica_without_upstreams_tells_nothing(self) -> None:
+        """It has just started."""
+        self.deployment.apply_reply(make_reply(make_upstream(1, "v1"), versions=False))
+        self.found = StreamFound(None, True)
+        refusal = (await self.resumption.find_version(self.request)).failure()
+        self.assertIsNotNone(refusal.retry_after_seconds)
 
     async def test_only_other_versions_than_the_default_are_recorded(self) -> None:
         """Unrecorded streams are those of the default."""
@@ -153,15 +186,16 @@
     async def test_record_of_a_replica_is_found(self) -> None:
         """The entry that began the stream is gone."""
         self.deployment.apply_reply(make_reply())
-        self.found = StreamFound("v2", False)
+        self.found = StreamFound("v2", False, MIXED)
         found = await self.resumption.find_version(self.request)
         self.assertEqual(found, Success("v2"))
-        self.assertEqual(self.looked_up, [stream_key("first")])
+        lookup = StreamLookup(stream_key("first"), "engine")
+        self.assertEqual(self.looked_up, [lookup])
 
     async def test_stream_is_refused_if_its_record_may_be_lost(self) -> None:
         """Finally, as the version won't become known."""
         self.deployment.apply_reply(make_reply())
-        self.found = StreamFound(None, False)
+        self.found = StreamFound(None, False, MIXED)
         refusal = (await self.resumption.find_version(self.request)).failure()
         self.assertEqual((refusal.status, refusal.ran), (503, False))
         self.assertIsNone(refusal.retry_after_seconds)
