--- /dev/null
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -0,0 +1,59 @@
+"""Tests of odd entries among upstreams' heartbeats, with real processes on loopback."""
+
+import json
+import time
+from collections import Counter
+from typing import Any
+
+from tests.platform_adapter.case import DeploymentTestCase
+
+CALLS_PER_ENTRY = 16
+ODD_ADDRESSES = (
+    "127.0.0.1:0000000080999",
+    "fe80::1%\x00:80",
+    "]]127.0.0.1[[:80",
+    "::1:80",
+)
+
+
+class OddEntryTests(DeploymentTestCase):
+    """Two entries and one upstream in Quito; a control replica in each zone."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.keep_announcing(self.add_upstream("u-1"))
+        self.configure(look={"route_kind": "safe"})
+        self.wait_served()
+
+    def announce(self, upstream_id: str, **fields: Any) -> int:
+        """Send the heartbeat of another writer; return the status of the answer."""
+        heartbeat = {
+            "service": "desk",
+            "address": f"{self.deployment.ip('odd')}:9",
+            "zone": "quito-a",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "sequence": 1,
+            "born": 5,
+        }
+        body = json.dumps(heartbeat | fields).encode()
+        path = f"/instances/{upstream_id}"
+        return self.deployment.operate("PUT", path, body).status
+
+    # Guards against callers with status 502 because an odd entry of the list stands
+    # beside the sound ones.
+    def test_odd_addresses_cost_no_caller_an_answer(self) -> None:
+        """No request is sent to an address that none can have."""
+        statuses = []
+        for number, address in enumerate(ODD_ADDRESSES):
+            statuses.append(self.announce(f"odd-{number}", address=address))
+            time.sleep(0.5)
+            answers = Counter(
+                self.call(entry, "look").status
+                for _ in range(CALLS_PER_ENTRY)
+                for entry in self.entries
+            )
+            self.assertEqual(set(answers), {200}, (address, answers))
+        self.assertEqual(statuses, [400] * len(ODD_ADDRESSES))
