Report a request to an invalid address as not sent

The HTTP client built the URL of a request together with sending it, so an address of which no URL can be made ended as a broken exchange whose outcome is unknown: callers of a safe route whose retry budget was used up got status 502, and a booking would have got it always. Nothing leaves for such an address, so the request is reported as not sent and goes to another upstream.

--- a/poplarlug/relay/client.py
+++ b/poplarlug/relay/client.py
@@ -190,11 +190,17 @@
             Timeout for the arrival of the response head.
         """
         assert self._session is not None
+        try:
+            url = URL(f"http://{target}{path}", encoded=True)
+            # Raises for an invalid address, like the constructor.
+            _ = url.host, url.port
+        except ValueError as error:
+            return Failure(SendError(SendErrorKind.NOT_SENT, repr(error)))
         try:
             async with asyncio.timeout(max(0.0, timeout_seconds)):
                 response = await self._session.request(
                     method,
-                    URL(f"http://{target}{path}", encoded=True),
+                    url,
                     headers=headers,
                     data=body or None,
                     allow_redirects=False,
--- a/tests/relay/test_client.py
+++ b/tests/relay/test_client.py
@@ -118,6 +118,30 @@
 
         self.assertIs(asyncio.run(main()), SendErrorKind.NOT_SENT)
 
+    # Guards against status 502 for requests to an address that can't be connected to.
+    def test_invalid_address_was_not_sent(self) -> None:
+        """No byte leaves for an address that isn't part of any URL."""
+
+        async def main() -> set[object]:
+            client = RelayClient()
+            await client.open()
+            kinds = set()
+            for target in ("127.0.0.1:80999", "]127.0.0.1[:80", "::1:80", "[::1:80"):
+                sent = await client.send(
+                    target=target,
+                    method="GET",
+                    path="/",
+                    headers=(),
+                    body=b"",
+                    timeout_seconds=1.0,
+                )
+                assert isinstance(sent, Failure)
+                kinds.add(sent.failure().kind)
+            await client.close()
+            return kinds
+
+        self.assertEqual(asyncio.run(main()), {SendErrorKind.NOT_SENT})
+
     def test_abandoned_request_is_not_sent_further(self) -> None:
         """A peer that reads late gets a reset instead of the complete request."""
         # Guards against requests that reach an upstream long after their caller
