--- a/poplarlug/relay/client.py
+++ b/poplarlug/relay/client.py
@@ -190,12 +190,18 @@
             Timeout for the arrival of the response head.
         """
         assert self._session is not None
+        try:
+            # Parsed as part of an URL, an empty query would be dropped.
+            url = URL(f"http://{target}").with_path(path, encoded=True)
+            # Raises for an invalid address, like the constructor.
+            _ = url.host, url.port
+        except ValueError as error:
+            return Failure(SendError(SendErrorKind.NOT_SENT, repr(error)))
         try:
             async with asyncio.timeout(max(0.0, timeout_seconds)):
                 response = await self._session.request(
                     method,
-                    # Parsed as part of an URL, an empty query would be dropped.
-                    URL(f"http://{target}").with_path(path, encoded=True),
+                    url,
                     headers=headers,
                     data=body or None,
                     allow_redirects=False,
