Bound the memory that the bodies of requests take

The same cause in both: what others send is held in full with no bound over all of it.

Change: the bodies of all requests by route share 40 MB, half of what is left beside the rest on the smallest VMs, as a body takes its length again while it is sent. A body is reserved by its length before it is read, one in chunks as it grows; what finds no room is refused at once with 429, not run, and a time to come back.

A caller that leaves while its booking runs frees its reservation before that ends. The stand-in takes bodies of 4 MiB now; its library's limit was 1 MiB.

--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -15,13 +15,24 @@
 from poplarlug.callers.http_sink import HttpSink
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.pauses import PauseWatch
-from poplarlug.errors import GatewayError, bad_request, not_run, to_body
+from poplarlug.errors import (
+    GatewayError,
+    bad_request,
+    not_run,
+    overloaded,
+    to_body,
+)
 from poplarlug.latest import Latest
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.events import LAST_EVENT_HEADER
 from poplarlug.relay.gateway import RelayGateway
 from poplarlug.relay.header_names import HeaderNames
+from poplarlug.relay.held_bytes import (
+    MAX_HELD_REQUEST_BYTES,
+    HeldBytesReservation,
+    request_bodies_budget,
+)
 from poplarlug.relay.hop_headers import (
     ORIGIN,
     PATIENCE,
@@ -51,8 +62,8 @@
 time after the loss of all its replicas."""
 
 LEAVING_RETRY_SECONDS = 0.1
-MAX_BODY_BYTES = 64 * 1024 * 1024
-"""Maximum length of a body while no configured limits are in force."""
+BODY_RETRY_SECONDS = 0.5
+"""Retry time while there is no memory for a body; most requests end within that time."""
 
 _ANSWERS = Counter(
     "poplarlug_relay_answers_total",
@@ -124,6 +135,7 @@
         self._guard = guard
         self._rng = rng
         self._clock = clock
+        self._bodies = request_bodies_budget()
         self._started = clock()
         self.in_progress: Latest[int] = Latest(initial=0)
 
@@ -136,9 +148,7 @@
         return self._build(self._serve_entry)
 
     def _build(self, handler: Handler) -> web.Application:
-        app = web.Application(
-            client_max_size=MAX_BODY_BYTES, middlewares=[self._guard.middleware]
-        )
+        app = web.Application(middlewares=[self._guard.middleware])
         app.router.add_route("*", "/{path:.*}", handler)
         return app
 
@@ -157,12 +167,13 @@
         kind = ""
         response: web.StreamResponse
         try:
-            parsed = await self._parse(request, request_id, hops, trace)
-            if isinstance(parsed, Failure):
-                response = self._refuse(request, parsed.failure(), hops, trace)
-            else:
-                kind = parsed.unwrap().route.kind
-                response = await self._run(request, parsed.unwrap(), trace)
+            with self._bodies.reserve() as held_body:
+                parsed = await self._parse(request, request_id, hops, trace, held_body)
+                if isinstance(parsed, Failure):
+                    response = self._refuse(request, parsed.failure(), hops, trace)
+                else:
+                    kind = parsed.unwrap().route.kind
+                    response = await self._run(request, parsed.unwrap(), trace)
             status = response.status
             return response
         finally:
@@ -203,7 +214,12 @@
         return self._refuse(request, failed, relayed.hops, trace)
 
     async def _parse(
-        self, request: web.Request, request_id: str, hops: int, trace: RelayTrace
+        self,
+        request: web.Request,
+        request_id: str,
+        hops: int,
+        trace: RelayTrace,
+        held_body: HeldBytesReservation,
     ) -> Result[RelayRequest, GatewayError]:
         if not self._drain_state.accepts_requests():
             message = "this entry takes no requests now; ask another"
@@ -225,7 +241,7 @@
         if not 0 < len(request_id) <= MAX_REQUEST_ID_CHARACTERS:
             message = f"{self._header_names.request_id} must have 1 to 128 characters"
             return Failure(bad_request(message))
-        body = await self._read_body(request, routes)
+        body = await self._read_body(request, routes, held_body)
         if isinstance(body, Failure):
             return body
         now = self._clock()
@@ -304,20 +320,30 @@
         return Success(route)
 
     async def _read_body(
-        self, request: web.Request, routes: RouteIndex
+        self, request: web.Request, routes: RouteIndex, held: HeldBytesReservation
     ) -> Result[bytes, GatewayError]:
-        limits = routes.table.limits
-        message = f"the body is longer than {limits.max_body_bytes} bytes"
+        max_bytes = min(routes.table.limits.max_body_bytes, MAX_HELD_REQUEST_BYTES)
+        message = f"the body is longer than {max_bytes} bytes"
         too_large = Failure(GatewayError(413, "body_too_large", message))
-        if (request.content_length or 0) > limits.max_body_bytes:
+        if (request.content_length or 0) > max_bytes:
             return too_large
+        parts = []
+        count = 0
+        # Reserved as a whole, so that no part of a body that must be refused is read.
+        has_room = held.resize(request.content_length or 0)
         try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            return too_large
+            while has_room and (part := await request.content.readany()):
+                parts.append(part)
+                count += len(part)
+                if count > max_bytes:
+                    return too_large
+                has_room = count <= held.count or held.resize(count)
         except (aiohttp.ClientError, web.RequestPayloadError, OSError) as error:
             return Failure(bad_request(f"the body broke off: {error!r}"))
-        return too_large if len(body) > limits.max_body_bytes else Success(body)
+        if not has_room:
+            message = "the bodies of other requests take all the memory for them"
+            return Failure(overloaded(message, BODY_RETRY_SECONDS))
+        return Success(b"".join(parts))
 
     def _prompt(self, request: web.Request) -> Prompt:
         headers = request.headers
--- a/poplarlug/relay/held_bytes.py
+++ b/poplarlug/relay/held_bytes.py
@@ -1,4 +1,4 @@
-"""Limits the bytes of incomplete responses that an entry buffers."""
+"""Limits the bytes of requests and incomplete responses that an entry buffers."""
 
 from types import TracebackType
 
@@ -13,16 +13,25 @@
 MAX_HELD_BYTES = 16 * 1024 * 1024
 """Limit for all responses together; a tenth of the memory of the smallest entry VMs."""
 
+MAX_HELD_REQUEST_BYTES = 40 * 1024 * 1024
+"""Limit for the bodies of all requests together. Each is kept for further attempts, and
+takes as much again while it is sent; the smallest entry VMs have 160 MB."""
+
 _HELD = Gauge(
     "poplarlug_relay_held_bytes",
     "Bytes of answers that are held until they are whole.",
     registry=REGISTRY,
 )
+_HELD_REQUESTS = Gauge(
+    "poplarlug_relay_held_request_bytes",
+    "Bytes of the bodies of requests in progress.",
+    registry=REGISTRY,
+)
 
 
 class HeldBytesBudget:
     """
-    Buffer budget for incomplete responses.
+    Buffer budget for bodies.
 
     Load pattern: upstreams that send without end, or many long responses at once.
     A response that exceeds the budget is streamed on as it arrives, at the speed of its
@@ -30,24 +39,28 @@
 
     Parameters
     ----------
-    max_response_bytes : int
-        Limit for one response.
+    max_body_bytes : int
+        Limit for one body.
     max_total_bytes : int
-        Limit for all responses together.
+        Limit for all bodies together.
+    gauge : Gauge
+        Shows the reserved bytes.
     """
 
     def __init__(
         self,
         *,
-        max_response_bytes: int = MAX_HELD_RESPONSE_BYTES,
+        max_body_bytes: int = MAX_HELD_RESPONSE_BYTES,
         max_total_bytes: int = MAX_HELD_BYTES,
+        gauge: Gauge = _HELD,
     ) -> None:
-        self.max_response_bytes = max_response_bytes
+        self.max_body_bytes = max_body_bytes
         self._max_total_bytes = max_total_bytes
+        self._gauge = gauge
         self._held = 0
 
     def reserve(self) -> "HeldBytesReservation":
-        """Return a reservation for one response, a context manager that releases it."""
+        """Return a reservation for one body, a context manager that releases it."""
         return HeldBytesReservation(budget=self)
 
     def acquire(self, count: int) -> bool:
@@ -55,20 +68,20 @@
         if self._held + count > self._max_total_bytes:
             return False
         self._held += count
-        _HELD.set(self._held)
+        self._gauge.set(self._held)
         return True
 
     def release(self, count: int) -> None:
         self._held -= count
-        _HELD.set(self._held)
+        self._gauge.set(self._held)
 
 
 class HeldBytesReservation:
-    """Bytes that are reserved for one response."""
+    """Bytes that are reserved for one body."""
 
     def __init__(self, *, budget: HeldBytesBudget) -> None:
         self._budget = budget
-        self._count = 0
+        self.count = 0
 
     def __enter__(self) -> "HeldBytesReservation":
         return self
@@ -79,13 +92,26 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._budget.release(self._count)
+        self._budget.release(self.count)
 
     def resize(self, count: int) -> bool:
         """Set the reservation to ``count`` bytes if available; return whether it is."""
-        if count > self._budget.max_response_bytes or not self._budget.acquire(
-            count - self._count
+        if count > self._budget.max_body_bytes or not self._budget.acquire(
+            count - self.count
         ):
             return False
-        self._count = count
+        self.count = count
         return True
+
+
+def request_bodies_budget() -> HeldBytesBudget:
+    """
+    Return a budget for the bodies of requests.
+
+    Load pattern: many large requests at once. One that exceeds the budget is refused.
+    """
+    return HeldBytesBudget(
+        max_body_bytes=MAX_HELD_REQUEST_BYTES,
+        max_total_bytes=MAX_HELD_REQUEST_BYTES,
+        gauge=_HELD_REQUESTS,
+    )
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -39,7 +39,7 @@
     if sink.started and (is_held or response.status != 200):
         message = f"the stream was not taken up again: status {response.status}"
         return Outcome(truncated_answer(message))
-    if is_held and (length is None or length <= budget.max_response_bytes):
+    if is_held and (length is None or length <= budget.max_body_bytes):
         return await _relay_buffered(context, response, budget)
     if not sink.started:
         head = _head_of(response)
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -19,6 +19,7 @@
 
 PORT = 8300
 SLOTS = 8
+MAX_BODY_BYTES = 4 * 1024 * 1024
 STREAM_EVENTS = 20
 CUT_AFTER_EVENTS = 5
 MUTE_SECONDS = 30.0
@@ -169,7 +170,7 @@
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(20)
 
     async def _start(self) -> None:
-        app = web.Application()
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_route("*", "/{path:.*}", self._serve)
         self._runner = web.AppRunner(
             app, handler_cancellation=True, shutdown_timeout=0.1
--- a/tests/relay/test_held_bytes.py
+++ b/tests/relay/test_held_bytes.py
@@ -7,7 +7,7 @@
 
 class HeldBytesTests(TestCase):
     def setUp(self) -> None:
-        self.budget = HeldBytesBudget(max_response_bytes=100, max_total_bytes=250)
+        self.budget = HeldBytesBudget(max_body_bytes=100, max_total_bytes=250)
 
     def test_one_response_has_its_limit(self) -> None:
         """The bytes up to the limit stay reserved."""
