Check the numbers and sizes in an operator's documents before use

A configuration with a version, rank or number of more than 64 bits passed the checks and failed when it was encoded for the other replicas (OverflowError in a trial of both functions), so the operator got no 4xx. One with more services than allowed was refused only after all of their names had been compared with each other: 40,000 services, 0.8 MB, took decode_configuration 30 s, and it runs on the replica's event loop. A refusal quoted texts whole, and listed 240,000 problems for 5 MB. A zone to be evacuated could be any text that fits into a path, kept in the replicated log.

Integers are those that messages can hold, sizes are checked before names, quoted texts are cut, and a zone has a name as in heartbeats; all else gets 400.

test_integers_out_of_range_are_refused, test_number_of_services_and_routes_is_checked_first, test_problem_of_a_long_text_is_short and test_odd_orders_of_an_operator_are_refused failed before (a version of 2**63 was acknowledged) and pass now.

--- a/poplarlug/platform/control.py
+++ b/poplarlug/platform/control.py
@@ -9,7 +9,7 @@
 from poplarlug.control.routing_service import RoutingService
 from poplarlug.control.seeded import SeededControl, run_seeded_control
 from poplarlug.daemon import Site, run_daemon
-from poplarlug.discovery.record_checks import find_problem
+from poplarlug.discovery.record_checks import find_problem, is_name
 from poplarlug.discovery.records import ServiceUpstream
 from poplarlug.discovery.registrar import Registrar
 from poplarlug.logs import ComponentLogger
@@ -108,6 +108,9 @@
         self, request: web.Request, evacuated: bool
     ) -> web.Response:
         zone = request.match_info["zone"]
+        if not is_name(zone):
+            _log.warning("rejected an evacuation", zone=short_repr(zone))
+            return web.json_response({"problem": "not a zone's name"}, status=400)
         changed = await self._routing.evacuate(zone, evacuated)
         if isinstance(changed, Failure):
             return _unavailable(changed.failure())
--- a/poplarlug/platform/documents.py
+++ b/poplarlug/platform/documents.py
@@ -1,6 +1,6 @@
 """Decodes the platform's documents into poplarlug's own types."""
 
-from typing import Literal, NotRequired, TypedDict
+from typing import Annotated, Literal, NotRequired, TypedDict
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -23,6 +23,9 @@
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_PROBLEM_CHARACTERS = 300
 
+Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+"""An integer that the messages between processes can hold."""
+
 
 class _WeightedService(TypedDict):
     service: str
@@ -38,10 +41,10 @@
     timeout_ms: float
     target_latency_ms: NotRequired[float]
     # The rank; 0 is the most urgent.
-    priority: NotRequired[int]
+    priority: NotRequired[Integer]
     service: NotRequired[str]
     weighted_services: NotRequired[list[_WeightedService]]
-    max_attempts: NotRequired[int]
+    max_attempts: NotRequired[Integer]
     # Requests name the parts of their prompt; this does not mean session affinity.
     sticky: NotRequired[bool]
     resumable: NotRequired[bool]
@@ -52,16 +55,16 @@
 
 
 class _Engine(TypedDict):
-    slots: int
-    kv_capacity_tokens: int
+    slots: Integer
+    kv_capacity_tokens: Integer
     # Tokens per event of a stream.
-    stride: NotRequired[int]
+    stride: NotRequired[Integer]
 
 
 class _Service(TypedDict):
     name: str
     health_path: NotRequired[str]
-    max_connections: NotRequired[int]
+    max_connections: NotRequired[Integer]
     cold_start_s: NotRequired[float]
     # Requests per second that an upstream can handle while cold.
     warmup_per_s: NotRequired[float]
@@ -69,14 +72,14 @@
 
 
 class _Limits(TypedDict):
-    max_header_bytes: NotRequired[int]
-    max_body_bytes: NotRequired[int]
+    max_header_bytes: NotRequired[Integer]
+    max_body_bytes: NotRequired[Integer]
     header_timeout_ms: NotRequired[float]
     idle_timeout_ms: NotRequired[float]
 
 
 class _Configuration(TypedDict):
-    version: int
+    version: Integer
     routes: list[_Route]
     services: list[_Service]
     limits: NotRequired[_Limits]
@@ -105,7 +108,7 @@
     try:
         document = msgspec.json.decode(body, type=_Configuration)
     except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
-        return Failure([RouteProblem("$", str(error))])
+        return Failure([RouteProblem("$", _describe(error))])
     limits = document.get("limits", {})
     table = RouteTable(
         version=document["version"],
@@ -129,8 +132,7 @@
     try:
         heartbeat = msgspec.json.decode(body, type=_Heartbeat)
     except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
-        # The message may quote a value of any length.
-        return Failure(str(error)[:MAX_PROBLEM_CHARACTERS])
+        return Failure(_describe(error))
     phase: UpstreamPhase = "serving" if heartbeat["state"] == "ready" else "leaving"
     remaining = heartbeat.get("remaining_ms")
     record = ServiceUpstream(
@@ -166,6 +168,11 @@
     )
 
 
+def _describe(error: Exception) -> str:
+    """Return the message of an error, which may quote a value of any length."""
+    return str(error)[:MAX_PROBLEM_CHARACTERS]
+
+
 def _to_route(route: _Route) -> Route:
     if "weighted_services" in route:
         services = tuple(
--- a/poplarlug/routes/checks.py
+++ b/poplarlug/routes/checks.py
@@ -21,18 +21,24 @@
 
 def check_route_table(table: RouteTable) -> list[RouteProblem]:
     """Return all problems of ``table``, which is valid only if there are none."""
+    too_many = list(_size_problems(table))
+    if too_many:
+        return too_many
     return [*_table_problems(table), *_route_problems(table)]
 
 
-def _table_problems(table: RouteTable) -> Iterable[RouteProblem]:
-    if table.version < 0:
-        yield RouteProblem("$.version", f"got {table.version}, expected 0 or more")
+def _size_problems(table: RouteTable) -> Iterable[RouteProblem]:
     if len(table.routes) > MAX_ROUTES:
         message = f"got {len(table.routes)}, expected at most {MAX_ROUTES}"
         yield RouteProblem("$.routes", message)
     if len(table.services) > MAX_SERVICES:
         message = f"got {len(table.services)}, expected at most {MAX_SERVICES}"
         yield RouteProblem("$.services", message)
+
+
+def _table_problems(table: RouteTable) -> Iterable[RouteProblem]:
+    if table.version < 0:
+        yield RouteProblem("$.version", f"got {table.version}, expected 0 or more")
     names = [service.name for service in table.services]
     for index, name in enumerate(names):
         if name in names[:index]:
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Success
 
+from poplarlug.control.routing_state import decode_table, encode_table
 from poplarlug.platform.documents import decode_configuration, decode_heartbeat
 
 ROUTE: dict[str, Any] = {
@@ -110,6 +111,43 @@
         self.assertEqual(self.problems(configuration(version="seven")), ["$"])
         self.assertEqual(self.problems(configuration(routes=[{}])), ["$"])
 
+    # Guards against status 500 for a document whose numbers can't be passed on.
+    def test_integers_out_of_range_are_refused(self) -> None:
+        """Every integer fits into the messages between processes."""
+        llm, desk = {"name": "llm"}, {"name": "desk"}
+        for number in (2**63, 2**64, -(2**63) - 1, 10**400):
+            for fields in (
+                {"version": number},
+                {"routes": [ROUTE | {"priority": number}]},
+                {"routes": [ROUTE | {"max_attempts": number}]},
+                {"services": [llm | {"max_connections": number}, desk]},
+                {"services": [llm | {"engine": ENGINE | {"stride": number}}, desk]},
+                {"limits": {"max_body_bytes": number}},
+            ):
+                with self.subTest(field=[*fields], digits=len(str(number))):
+                    self.assertEqual(self.problems(configuration(**fields)), ["$"])
+
+    def test_largest_integers_can_be_passed_on(self) -> None:
+        """A table with numbers at the limit is encoded for the other replicas."""
+        route = ROUTE | {"priority": 2**63 - 1, "max_attempts": 2**63 - 1}
+        body = configuration(version=2**63 - 1, routes=[route])
+        table = decode_configuration(body).unwrap()
+        self.assertEqual(decode_table(encode_table(table)), table)
+
+    # Guards against a replica that compares 40,000 names with each other for 30 s.
+    def test_number_of_services_and_routes_is_checked_first(self) -> None:
+        """In a document with too many, names and routes aren't looked at."""
+        services = [{"name": "llm"}] * 1000
+        routes = [ROUTE | {"timeout_ms": 0}] * 6000
+        paths = self.problems(configuration(services=services, routes=routes))
+        self.assertEqual(sorted(paths), ["$.routes", "$.services"])
+
+    def test_problem_of_a_long_text_is_short(self) -> None:
+        """The answer to the operator doesn't repeat the document."""
+        route = ROUTE | {"route_kind": "x" * 1_000_000}
+        problem = decode_configuration(configuration(routes=[route])).failure()[0]
+        self.assertLess(len(problem.message), 1000)
+
 
 class DecodeHeartbeatTests(TestCase):
     def decode(self, **fields: Any) -> Any:
--- a/tests/platform_adapter/test_odd_entries.py
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -101,3 +101,17 @@
             )
             self.assertEqual(set(answers), {200}, (address, answers))
         self.assertEqual(statuses, [400] * len(ODD_ADDRESSES))
+
+    # Guards against status 500, after which an operator sends the same again.
+    def test_odd_orders_of_an_operator_are_refused(self) -> None:
+        """Numbers that can't be passed on, and zones that no name can have."""
+        table = json.loads(configuration(2, look={"route_kind": "safe"}))
+        for version in (2**63, 2**64, 10**400):
+            body = json.dumps(table | {"version": version}).encode()
+            answer = self.deployment.operate("PUT", "/config", body)
+            self.assertEqual(answer.status, 400, version)
+        for zone in ("%00", "a%0Ab", "z" * 5000):
+            for method in ("POST", "DELETE"):
+                answer = self.deployment.operate(method, f"/evacuations/{zone}")
+                self.assertEqual(answer.status, 400, zone[:10])
+        self.wait_served()
