Refuse a request whose reply can't be encoded

A reply with a number of more than 64 bits raised in the transport after the handler had returned. Nothing was sent, and the peer waited for its time-out, request after request, with no line in the log that named the topic. The reply is now encoded where the handler's own errors are caught: the peer is refused at once, and the log has the topic and the error.

test_reply_that_cannot_be_encoded_is_refused got a time-out before, and a refusal now.

--- a/poplarlug/transport/services.py
+++ b/poplarlug/transport/services.py
@@ -140,6 +140,7 @@
     ) -> None:
         try:
             reply = await service.handler(header.sender, message)
+            payload = msgspec.msgpack.encode(reply)
         except Exception as error:
             _log.error("handler failed", topic=header.topic, exc_info=True)
             self._refuse(connection, header, f"handler failed: {error!r}")
@@ -148,7 +149,7 @@
             self._reply(
                 connection,
                 Header(FrameKind.REPLY, self.name, header.exchange_id),
-                msgspec.msgpack.encode(reply),
+                payload,
             )
 
     async def _serve_stream(
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -42,6 +42,24 @@
         await asyncio.sleep(0)
         return near, far
 
+    # Guards against callers that wait for a reply that can't be encoded.
+    def test_reply_that_cannot_be_encoded_is_refused(self) -> None:
+        """A number of 65 bits doesn't fit into a message."""
+
+        async def main() -> object:
+            near, _ = await self.start()
+            reply = await near.request(
+                peer="far",
+                topic="increase",
+                message=Count(2**64 - 1),
+                reply_type=Count,
+                timeout_seconds=5.0,
+            )
+            assert isinstance(reply, Failure)
+            return reply.failure().kind
+
+        self.assertIs(run_virtual(main()), TransportErrorKind.REFUSED)
+
     def test_streams_are_finished_once_their_peer_has_their_ends(self) -> None:
         """After finish_streams the peer has all chunks and the end of each stream."""
 
