Ignore odd records that another process or a file names

A control replica took records from gossip, tables, polls and its own file as they were, with any address, text, number or time, and passed them on to entries and the other replicas. The registry now checks each with the bounds of heartbeats.

test_odd_records_of_other_processes_are_ignored found the odd records among those present before, and finds only the sound ones now.

--- a/poplarlug/discovery/registry.py
+++ b/poplarlug/discovery/registry.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, TypeAlias
 
 from poplarlug.discovery.crash_marks import CrashMark
+from poplarlug.discovery.record_checks import is_valid
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream, UpstreamPhase
 from poplarlug.discovery.software_versions import StreamStarts
 from poplarlug.latest import Latest
@@ -227,6 +228,8 @@
         return self._upstream_ttl_seconds
 
     def _apply(self, record: Record, *, is_recalled: bool = False) -> bool:
+        if not is_valid(record):
+            return False
         stored = self._stored_by_key.get(record.key)
         former = None if stored is None else stored.record
         merged = self._merge(former, record)
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -1,5 +1,6 @@
 """Tests of a control replica's registry of entries and upstreams."""
 
+import math
 from unittest import TestCase
 
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
@@ -56,6 +57,37 @@
         assert upstream is not None
         return upstream.phase
 
+    # Guards against lists that other processes can't read or that name no upstream.
+    def test_odd_records_of_other_processes_are_ignored(self) -> None:
+        """The sound records of the same message hold."""
+        sound = make_upstream(id="sound", address="10.0.1.9:80")
+        odd = [
+            make_upstream(id=f"odd-{number}", **fields)
+            for number, fields in enumerate(
+                (
+                    {"address": "10.0.1.1:99999"},
+                    {"address": "nowhere"},
+                    {"zone": "\x00"},
+                    {"version": "v" * 257},
+                    {"service": ""},
+                    {"born": 2**64 - 1},
+                    {"sequence": -1},
+                    {"slots": 0},
+                    {"slots": 2**63 - 1},
+                    {"cold_seconds": math.inf},
+                    {"ends_in_seconds": math.nan},
+                )
+            )
+        ]
+        entry = make_entry(name="sound")
+        odd_entry = make_entry(name="odd", forwards="10.0.0.1:0")
+        records = Records((odd_entry, entry), (*odd, sound))
+        self.registry.apply_relayed(records)
+        self.assertEqual(self.registry.present().all, [entry, sound])
+        self.registry = self.make()
+        self.registry.recall(records)
+        self.assertEqual(self.registry.recalled().all, [entry, sound])
+
     def test_announcement_that_says_the_same_is_no_news(self) -> None:
         """Only changes that others need create a new revision."""
         self.assertTrue(self.registry.apply_report(make_upstream()))
