Ignore loads whose sums no message can hold

Numbers of 64 bits in the loads of entries were summed to more than 64 bits, which can't be encoded.

Loads and counts below zero or above 2**40 are ignored with a log line and a count; the sound ones of the same poll hold, and any sum fits.

test_loads_out_of_range_are_not_summed and, with real processes, test_loads_out_of_range_keep_no_entry_from_the_list failed before and pass now.

--- a/poplarlug/discovery/record_checks.py
+++ b/poplarlug/discovery/record_checks.py
@@ -1,12 +1,14 @@
 """Validation of records from upstreams, other processes and files."""
 
-from collections.abc import Iterable
-from typing import TypeVar
-
 from prometheus_client import Counter
 
 from poplarlug.addresses import is_address
-from poplarlug.discovery.records import EntryRecord, ServiceUpstream
+from poplarlug.discovery.messages import WaitingCount
+from poplarlug.discovery.records import (
+    EntryRecord,
+    ServiceUpstream,
+    UpstreamLoad,
+)
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
 from poplarlug.settings import short_repr
@@ -18,19 +20,20 @@
 
 MAX_BORN = 2**53
 MAX_SLOTS = 100_000
+MAX_LOAD = 2**40
+"""Limit of each number in a load; the sum of those of all entries fits into a message."""
+
 MAX_REMAINING_SECONDS = 366 * 86_400.0
 
 _IGNORED = Counter(
     "poplarlug_ignored_records_total",
-    "Records of entries and upstreams that were ignored because a value is invalid.",
+    "Records and loads that were ignored because a value is invalid.",
     ["kind"],
     registry=REGISTRY,
 )
 
 _log = ComponentLogger(prefix="discovery")
 
-R = TypeVar("R", EntryRecord, ServiceUpstream)
-
 
 def is_name(text: str) -> bool:
     """Return whether ``text`` can name an upstream, a service or a zone."""
@@ -44,11 +47,6 @@
     return _upstream_problem(record)
 
 
-def keep_valid(records: Iterable[R]) -> tuple[R, ...]:
-    """Return the valid records; log and count the others."""
-    return tuple(record for record in records if is_valid(record))
-
-
 def is_valid(record: EntryRecord | ServiceUpstream) -> bool:
     """Return whether a record is valid; log and count it if it isn't."""
     problem = find_problem(record)
@@ -60,6 +58,27 @@
     return False
 
 
+def is_valid_load(load: UpstreamLoad) -> bool:
+    """Return whether a load can be summed; log and count it if it can't."""
+    numbers = (load.running, load.long, load.read_ms, load.kv_tokens)
+    if is_name(load.id) and min(numbers) >= 0 and max(numbers) <= MAX_LOAD:
+        return True
+    _IGNORED.labels("load").inc()
+    _log.warning("ignored a load", upstream=short_repr(load.id), numbers=numbers)
+    return False
+
+
+def is_valid_count(count: WaitingCount) -> bool:
+    """Return whether a count can be summed; log and count it if it can't."""
+    if is_name(count.service) and 0 <= count.waiting <= MAX_LOAD:
+        return True
+    _IGNORED.labels("load").inc()
+    _log.warning(
+        "ignored a load", service=short_repr(count.service), waiting=count.waiting
+    )
+    return False
+
+
 def _entry_problem(record: EntryRecord) -> str | None:
     for field in ("name", "region", "zone"):
         if not is_name(getattr(record, field)):
--- a/poplarlug/discovery/region_loads.py
+++ b/poplarlug/discovery/region_loads.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from poplarlug.discovery.messages import EntryDemand, EntryLoads
+from poplarlug.discovery.record_checks import is_valid_count, is_valid_load
 from poplarlug.discovery.records import (
     RegionLoad,
     ServiceUpstream,
@@ -65,6 +66,10 @@
     def record_entry(self, loads: EntryLoads) -> None:
         """Store the loads reported by an entry of the region."""
         self._forget_entry(loads.entry)
+        loads = loads._replace(
+            loads=tuple(filter(is_valid_load, loads.loads)),
+            waiting=tuple(filter(is_valid_count, loads.waiting)),
+        )
         self._received_by_entry[loads.entry] = _ReceivedLoads(self._clock(), loads)
         for load in loads.loads:
             total = self._totals_by_id.get(load.id)
--- a/tests/discovery/test_region_loads.py
+++ b/tests/discovery/test_region_loads.py
@@ -3,6 +3,8 @@
 from random import Random
 from unittest import TestCase
 
+import msgspec
+
 from poplarlug.discovery.messages import (
     EntryDemand,
     EntryLoads,
@@ -31,6 +33,22 @@
         counts = (WaitingCount("engine", waiting),)
         self.loads.record_entry(EntryLoads(entry, loads, counts))
 
+    # Guards against replies to all entries that can't be encoded because of one load.
+    def test_loads_out_of_range_are_not_summed(self) -> None:
+        """The sound loads of the same and of other entries hold."""
+        odd = 2**63 - 1
+        for entry in ("a", "b", "c"):
+            sound = UpstreamLoad("e-1", 1, 0, 0, 10)
+            self.record_loads(
+                entry, sound, UpstreamLoad("e-1", odd, odd, odd, odd), waiting=odd
+            )
+        self.record_loads("d", UpstreamLoad("e-1", -1), UpstreamLoad("\x00", 1))
+        summed = self.loads.loads_of_others("z")
+        self.assertEqual(summed, (UpstreamLoad("e-1", 3, 0, 0, 30),))
+        own = self.loads.own_region_loads([make_upstream()], {})
+        self.assertEqual([load.waiting for load in own], [0])
+        msgspec.msgpack.encode((summed, own))
+
     def test_sums_and_extremes_of_the_own_region(self) -> None:
         """The loads of all entries count; upstreams of other regions don't."""
         self.record_loads("a", UpstreamLoad("e-1", 5, 1, 200), waiting=2)
--- a/tests/platform_adapter/test_malformed_messages.py
+++ b/tests/platform_adapter/test_malformed_messages.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Iterator
 from random import Random
+from threading import Event, Thread
 
 import msgspec
 import zmq
@@ -200,6 +201,45 @@
         time.sleep(2.0)
         self.check_all_still_serve()
 
+    # Guards against replies that can't be encoded because of the sum of some loads.
+    def test_loads_out_of_range_keep_no_entry_from_the_list(self) -> None:
+        """Polls with such loads go on while a service gets its first upstream."""
+        stopped = Event()
+        sending = Thread(target=self.send_large_loads, args=(stopped,))
+        sending.start()
+        self.addCleanup(sending.join)
+        self.addCleanup(stopped.set)
+        time.sleep(1.0)
+        self.keep_announcing(self.add_upstream("u-2", service="fresh"))
+        routes = {"look": {"route_kind": "safe"}}
+        routes["new"] = {"route_kind": "safe", "service": "fresh"}
+        body = configuration(2, **routes)
+        self.assertEqual(self.deployment.operate("PUT", "/config", body).status, 200)
+        self.wait_served("new")
+
+    def send_large_loads(self, stopped: Event) -> None:
+        """Send polls of three entries with the largest numbers until stopped."""
+        largest = 2**63 - 1
+        frames = []
+        for number in range(3):
+            name = f"odd-{number}"
+            record = EntryRecord(
+                name, "sierra", "quito-a", "10.0.0.1:80", "10.0.0.1:81", 1, "serving"
+            )
+            poll = Poll(
+                record,
+                registry_id="",
+                known=0,
+                routing_revision=0,
+                loads=(UpstreamLoad("u-1", largest, largest, largest, largest),),
+                waiting=(WaitingCount("desk", largest),),
+            )
+            header = Header(FrameKind.REQUEST, "10.0.0.1:1", number, POLL_TOPIC)
+            frames.append([encode_header(header), msgspec.msgpack.encode(poll)])
+        while not stopped.is_set():
+            for peer in self.peers():
+                self.send_frames(peer, frames)
+
     def test_frames_that_are_no_messages_end_nothing(self) -> None:
         """Random bytes, truncated and corrupted messages, and too many frame parts."""
         rng = self.rng
