Read a replica's records from its disk one by one

A record in the registry file that can't be decoded, with a field of another type, an unknown phase or too deep, made the replica ignore the whole file: after a restart of all replicas none knew an upstream or crash mark until each was heard from again.

Each record of the four lists is now decoded by itself. One that can't be read leaves a log line; those that can, but are out of bounds, are ignored by the registry.

test_unreadable_records_are_ignored_one_by_one failed with each of its five odd records before, and passes now.

--- a/poplarlug/discovery/registry_file.py
+++ b/poplarlug/discovery/registry_file.py
@@ -1,7 +1,8 @@
 """Stores a control replica's records on its disk to restore them after a restart."""
 
 import asyncio
-from typing import NamedTuple
+from collections.abc import Iterable
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
@@ -14,9 +15,12 @@
 from poplarlug.logs import ComponentLogger
 
 FILE_NAME = "registry"
+MAX_REASON_CHARACTERS = 300
 WRITE_SECONDS = 1.0
 """Minimum interval between writes that no flush waits for."""
 
+R = TypeVar("R")
+
 _log = ComponentLogger(prefix="discovery")
 
 
@@ -27,6 +31,15 @@
     versions: tuple[VersionSpan, ...] = ()
 
 
+class _EncodedContent(NamedTuple):
+    """The content with each record still encoded, as one may be unreadable."""
+
+    entries: tuple[msgspec.Raw, ...]
+    upstreams: tuple[msgspec.Raw, ...]
+    marks: tuple[msgspec.Raw, ...] = ()
+    versions: tuple[msgspec.Raw, ...] = ()
+
+
 class RegistryFile:
     """
     Write the present records and the departed upstreams; load them at the start.
@@ -60,7 +73,7 @@
 
     def load(self) -> bool:
         """
-        Load the records from the disk, ignoring a damaged file.
+        Load the records from the disk, ignoring a damaged file or record.
 
         Returns
         -------
@@ -71,10 +84,16 @@
         if data is None:
             return False
         try:
-            content = msgspec.msgpack.decode(data, type=_Content)
+            encoded = msgspec.msgpack.decode(data, type=_EncodedContent)
         except (ValueError, TypeError, RecursionError) as error:
             _log.warning("ignoring a damaged registry file", error=str(error))
             return True
+        content = _Content(
+            _decode_each(encoded.entries, EntryRecord),
+            _decode_each(encoded.upstreams, ServiceUpstream),
+            _decode_each(encoded.marks, CrashMark),
+            _decode_each(encoded.versions, VersionSpan),
+        )
         self._registry.recall(Records(content.entries, content.upstreams))
         for mark in content.marks:
             self._marks.add(mark)
@@ -139,3 +158,15 @@
             return False
         self._written = state
         return True
+
+
+def _decode_each(encoded: Iterable[msgspec.Raw], kind: type[R]) -> tuple[R, ...]:
+    """Return the readable ones of the encoded records."""
+    records = []
+    for data in encoded:
+        try:
+            records.append(msgspec.msgpack.decode(data, type=kind))
+        except (ValueError, TypeError, RecursionError) as error:
+            reason = str(error)[:MAX_REASON_CHARACTERS]
+            _log.warning("ignored a record on disk", kind=kind.__name__, error=reason)
+    return tuple(records)
--- a/tests/discovery/test_registry_file.py
+++ b/tests/discovery/test_registry_file.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from random import Random
+from typing import Any
 from unittest import TestCase
 
 import msgspec
@@ -131,3 +132,40 @@
             self.assertEqual(registry.present().all, [])
 
         run_virtual(main())
+
+    # Guards against a replica that restarts without any record because of one.
+    def test_unreadable_records_are_ignored_one_by_one(self) -> None:
+        """Odd records stand between sound ones in each of the file's lists."""
+
+        def encode(entry: Any, upstream: Any, mark: Any) -> bytes:
+            span = VersionSpan("engine", "v1", 5)
+            content = (
+                [entry, make_entry()],
+                [upstream, make_upstream()],
+                [mark, CrashMark(7, UpstreamRun("e-1", 5))],
+                [upstream, span],
+            )
+            return msgspec.msgpack.encode(content)
+
+        deep: list[Any] = []
+        for _ in range(500):
+            deep = [deep]
+        unreadable = (
+            (None, None, None),
+            ({}, {"id": "x"}, "x"),
+            ([1], [*make_upstream()[:-4], "resting"], [2**64 - 1]),
+            (deep, deep, deep),
+            (make_entry(name="\x00"), make_upstream(address="10.0.0.1:0"), ["x"]),
+        )
+        for records in unreadable:
+            with self.subTest(records=str(records)[:60]):
+                disk = MemoryDisk(rng=Random(1))
+                asyncio.run(disk.replace(FILE_NAME, encode(*records)))
+                registry = Registry(clock=lambda: 0.0, announcement_seconds=1.2)
+                marks = CrashMarks(clock=lambda: 0.0)
+                versions = SoftwareVersions(clock=lambda: 0.0)
+                self.assertTrue(make_file(disk, registry, marks, versions).load())
+                recalled = registry.recalled()
+                self.assertEqual(recalled.all, [make_entry(), make_upstream()])
+                self.assertEqual(len(marks.active_for(7)), 1)
+                self.assertEqual([s.version for s in versions.spans()], ["v1"])
