--- a/tests/platform_adapter/test_odd_entries.py
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -63,6 +63,9 @@
         self.assertEqual(self.deployment.operate("PUT", "/config", body).status, 200)
         self.assertEqual(self.announce("odd", version=LARGE_TEXT), 413)
         self.assertEqual(self.announce("i" * 5000), 400)
+        for upstream_id in ("i" * 5000, "%00", "a%0Ab"):
+            path = f"/instances/{upstream_id}"
+            self.assertEqual(self.deployment.operate("DELETE", path).status, 400)
 
     def keep_announcing_large_entries(self) -> None:
         """Send heartbeats of two large entries until the test ends."""
