Match IPv4 addresses by a pattern

Since records are checked wherever they enter, a replica checks an address for each announcement and for each record of gossip. Parsing it took 12 of the 13 us of a record's check; with the pattern a whole record takes 7 to 9 us (one arm64 machine, beside other work). The pattern and ipaddress agreed on 200,000 random addresses.

--- a/poplarlug/addresses.py
+++ b/poplarlug/addresses.py
@@ -7,21 +7,25 @@
 
 MAX_PORT = 65535
 
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
 _ADDRESS = re.compile(
-    r"(?:\[(?P<ipv6>[0-9a-fA-F:.]+)\]|(?P<ipv4>[0-9.]+)):([0-9]{1,5})"
+    rf"(?:{_OCTET}(?:\.{_OCTET}){{3}}|\[(?P<ipv6>[0-9a-fA-F:.]+)\])"
+    r":(?P<port>[0-9]{1,5})"
 )
 
 
 def is_address(address: Address) -> bool:
     """Return whether an address is ``10.0.0.1:7660`` or ``[fd00::1]:7660``."""
     match = _ADDRESS.fullmatch(address)
-    if match is None:
+    if match is None or not 0 < int(match["port"]) <= MAX_PORT:
         return False
+    # The pattern suffices for IPv4; parsing the address of each announcement is slow.
+    return match["ipv6"] is None or _is_ipv6(match["ipv6"])
+
+
+def _is_ipv6(host: str) -> bool:
     try:
-        if match["ipv4"] is None:
-            ipaddress.IPv6Address(match["ipv6"])
-        else:
-            ipaddress.IPv4Address(match["ipv4"])
+        ipaddress.IPv6Address(host)
     except ValueError:
         return False
-    return 0 < int(match[3]) <= MAX_PORT
+    return True
