Refuse orders without a version that a newer one may have overtaken

An order now names the zone's last order that its replica had applied when it read it; if another one came between, it conflicts, and the operator gets 503. That covers all that happens after the reading, by any clock. A farewell names the run that was known when it was read.

--- a/poplarlug/control/operations.py
+++ b/poplarlug/control/operations.py
@@ -1,5 +1,6 @@
 """Services of a control replica on top of its replicated log."""
 
+import asyncio
 from random import Random
 from typing import NamedTuple
 
@@ -17,6 +18,7 @@
 from poplarlug.control.reconciler import Reconciler
 from poplarlug.control.replicated_log import ReplicatedLog
 from poplarlug.control.routing_service import RoutingService
+from poplarlug.control.standstill import StandstillWatch
 from poplarlug.control.state import ControlState
 from poplarlug.control.upstream_directory import UpstreamDirectory
 from poplarlug.distribution.publisher import ConfigPublisher
@@ -69,6 +71,9 @@
         endpoint: OrderEndpoint | None = None,
     ) -> None:
         limits = limits or OrderLimits()
+        self._standstill = StandstillWatch(
+            uptime=lambda: asyncio.get_running_loop().time()
+        )
         self._leader_calls = LeaderCalls(log=log, transport=transport)
         self.publisher = ConfigPublisher(
             transport=transport,
@@ -110,7 +115,10 @@
             directory=directory,
             group=group,
             routing=RoutingService(
-                state=state.routing, propose=propose, leader_calls=self._leader_calls
+                state=state.routing,
+                propose=propose,
+                leader_calls=self._leader_calls,
+                standstill=self._standstill,
             ),
         )
 
@@ -118,6 +126,7 @@
         """Add the long-running tasks to the daemon's supervisor."""
         supervisor.add_child("publisher", self.publisher.run)
         supervisor.add_child("reconciler", self.reconciler.run)
+        supervisor.add_child("standstills", self._standstill.run)
 
     async def _order(self, order: OrderRequest) -> Result[OrderOutcome, str]:
         return await self._leader_calls.call(
--- a/poplarlug/control/routes_servicer.py
+++ b/poplarlug/control/routes_servicer.py
@@ -56,7 +56,9 @@
     async def Evacuate(self, request: Any, context: Any) -> Any:  # noqa: N802
         if not request.zone:
             return pb.EvacuateReply(message="got no zone, expected one")
-        changed = await self._routing.evacuate(request.zone, request.evacuated)
+        changed = await self._routing.evacuate(
+            request.zone, request.evacuated, is_awaited=lambda: not context.done()
+        )
         if isinstance(changed, Failure):
             message = f"{changed.failure()}; ask again"
             return pb.EvacuateReply(message=message)
--- a/poplarlug/control/routing_service.py
+++ b/poplarlug/control/routing_service.py
@@ -7,7 +7,7 @@
 from prometheus_client import Counter
 from returns.result import Failure, Result, Success
 
-from poplarlug.catalog import ChangeOutcome
+from poplarlug.catalog import ChangeOutcome, ChangeStatus
 from poplarlug.control.commands import encode_command
 from poplarlug.control.leader_calls import LeaderCalls
 from poplarlug.control.replicated_log import ProposeError
@@ -18,6 +18,7 @@
     RoutingState,
     encode_table,
 )
+from poplarlug.control.standstill import StandstillWatch
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
 from poplarlug.routes import RouteTable
@@ -29,6 +30,10 @@
 CHANGE_TIMEOUT_SECONDS = 4.0
 """Maximum wait for a quorum; the operator's client has moved on long before."""
 
+DEPARTURE_CHECK_SECONDS = 0.1
+"""How long an order without a version waits before it is proposed. If its bytes were
+held up on the way, its sender's close follows them within a round trip."""
+
 _CHANGES = Counter(
     "poplarlug_routing_changes_total",
     "Route tables and evacuations by outcome.",
@@ -57,13 +62,21 @@
     ----------
     propose : callable
         Proposes a command at the leader and returns its outcome.
+    standstill : StandstillWatch
+        Tells whether orders may be read late.
     """
 
     def __init__(
-        self, *, state: RoutingState, propose: Propose, leader_calls: LeaderCalls
+        self,
+        *,
+        state: RoutingState,
+        propose: Propose,
+        leader_calls: LeaderCalls,
+        standstill: StandstillWatch,
     ) -> None:
         self._state = state
         self._propose = propose
+        self._standstill = standstill
         self._leader_calls = leader_calls
         leader_calls.register("routing_revision", RevisionRequest, self._serve_revision)
 
@@ -89,9 +102,37 @@
         command = RouteTableChange(encode_table(table), source)
         return await self._change("table", encode_command(command), table.version)
 
-    async def evacuate(self, zone: ZoneName, evacuated: bool) -> Result[int, str]:
-        """Start or end the evacuation of a zone; a failure means an unknown outcome."""
-        command = EvacuationChange(zone, evacuated)
+    async def evacuate(
+        self, zone: ZoneName, evacuated: bool, *, is_awaited: Callable[[], bool]
+    ) -> Result[int, str]:
+        """
+        Start or end the evacuation of a zone, unless a newer order may be in force.
+
+        These orders have no version. So one that may have been read late, or whose
+        sender no longer waits, isn't proposed; and one that is handed on late conflicts
+        with any order for the zone that this replica had not applied when it read it.
+
+        Parameters
+        ----------
+        is_awaited : callable
+            Returns whether the sender still waits for the answer.
+
+        Returns
+        -------
+        Success(int) or Failure(str)
+            The revision in force; after a failure the outcome is unknown.
+        """
+        command = EvacuationChange(zone, evacuated, self._state.last_order(zone))
+        started = asyncio.get_running_loop().time()
+        reason = ""
+        if self._standstill.may_read_late:
+            reason = "this replica stood still and may have read the order late"
+        else:
+            await asyncio.sleep(DEPARTURE_CHECK_SECONDS)
+            if not is_awaited():
+                reason = "the sender of the order has left"
+        if reason:
+            return self._failed("evacuation", zone, reason, started)
         return await self._change("evacuation", encode_command(command), zone)
 
     async def read(self) -> Result[RoutingImage, str]:
@@ -123,6 +164,8 @@
         if isinstance(result, Failure):
             return self._failed(change, subject, result.failure().message, started)
         outcome = result.unwrap()
+        if outcome.status is not ChangeStatus.ACCEPTED:
+            return self._failed(change, subject, outcome.message, started)
         _CHANGES.labels(change, outcome.status.value).inc()
         _log.info(
             "change decided",
--- a/poplarlug/control/routing_state.py
+++ b/poplarlug/control/routing_state.py
@@ -27,10 +27,26 @@
 
 
 class EvacuationChange(NamedTuple):
-    """Stop sending requests to a zone's upstreams, or resume."""
+    """
+    Stop sending requests to a zone's upstreams, or resume.
+
+    Parameters
+    ----------
+    expected : int or None
+        Log index of the zone's last order when a replica read this one; 0 if there was
+        none, ``None`` in logs of former releases.
+    """
 
     zone: ZoneName
     evacuated: bool
+    expected: int | None = None
+
+
+class ZoneOrder(NamedTuple):
+    """Log index of the last order for a zone."""
+
+    zone: ZoneName
+    log_index: int
 
 
 class RoutingImage(NamedTuple):
@@ -40,6 +56,7 @@
     source: bytes = b""
     evacuated_zones: tuple[ZoneName, ...] = ()
     revision: int = 0
+    orders: tuple[ZoneOrder, ...] = ()
 
 
 class RoutingState:
@@ -52,6 +69,7 @@
 
     def __init__(self) -> None:
         self._image = RoutingImage()
+        self._last_orders_by_zone: dict[ZoneName, int] = {}
         self.table: RouteTable | None = None
         self.revision: Latest[int] = Latest(initial=0)
 
@@ -59,6 +77,10 @@
     def image(self) -> RoutingImage:
         return self._image
 
+    def last_order(self, zone: ZoneName) -> int:
+        """Return the log index of the last order for ``zone``; 0 if there is none."""
+        return self._last_orders_by_zone.get(zone, 0)
+
     @property
     def version(self) -> int:
         """Version of the table; -1 if there is none."""
@@ -67,6 +89,7 @@
     def restore(self, image: RoutingImage) -> None:
         """Replace the whole state with ``image``."""
         self._image = image
+        self._last_orders_by_zone = dict(image.orders)
         self.table = decode_table(image.table) if image.table else None
         self.revision.set(image.revision)
 
@@ -89,13 +112,35 @@
             self._set(self._image._replace(table=change.table, source=change.source))
         return ChangeOutcome(ChangeStatus.ACCEPTED, self.version)
 
-    def change_evacuation(self, change: EvacuationChange) -> ChangeOutcome:
-        """Start or end the evacuation of a zone; a resend changes nothing."""
+    def change_evacuation(
+        self, change: EvacuationChange, log_index: int
+    ) -> ChangeOutcome:
+        """
+        Start or end the evacuation of a zone; a resend changes nothing.
+
+        An order that a newer one for the zone has overtaken conflicts, unless both
+        want the same.
+        """
         zones = set(self._image.evacuated_zones) - {change.zone}
         if change.evacuated:
             zones.add(change.zone)
+        last = self.last_order(change.zone)
         if zones != set(self._image.evacuated_zones):
+            if change.expected not in (None, last):
+                message = (
+                    f"expected order {change.expected} as the last one for "
+                    f"{change.zone}, found {last}; send the order again if it holds"
+                )
+                return ChangeOutcome(
+                    ChangeStatus.CONFLICT, self._image.revision, message
+                )
             self._set(self._image._replace(evacuated_zones=tuple(sorted(zones))))
+        # Also for a resend: an order read before this one must not undo it.
+        self._last_orders_by_zone[change.zone] = log_index
+        orders = sorted(self._last_orders_by_zone.items())
+        self._image = self._image._replace(
+            orders=tuple(ZoneOrder(*order) for order in orders)
+        )
         return ChangeOutcome(ChangeStatus.ACCEPTED, self._image.revision)
 
     def _set(self, image: RoutingImage) -> None:
--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -17,6 +17,7 @@
 from poplarlug.control.raft.membership import AutoJoin
 from poplarlug.control.raft.replica import Replica
 from poplarlug.control.routing_service import RoutingService
+from poplarlug.control.standstill import StandstillWatch
 from poplarlug.control.state import ControlState
 from poplarlug.daemon import Site, add_health_routes, stop_event
 from poplarlug.discovery.control_peers import ControlPeers
@@ -83,10 +84,12 @@
             replica=self.replica, transport=self.transport, names=()
         )
         leader_calls = LeaderCalls(log=self.replica, transport=self.transport)
+        self.standstill = StandstillWatch(uptime=seconds_since_boot)
         self.routing = RoutingService(
             state=self.state.routing,
             propose=self.proposer.propose,
             leader_calls=leader_calls,
+            standstill=self.standstill,
         )
         registry = Registry(
             clock=clock, announcement_seconds=settings.beat_milliseconds / 1000
@@ -116,6 +119,7 @@
         self.supervisor.add_child("log", self.replica.run)
         self.supervisor.add_child("registrar", self.registrar.run)
         self.supervisor.add_child("registry file", self.registry_file.run)
+        self.supervisor.add_child("standstills", self.standstill.run)
 
     def load(self) -> Result[None, str]:
         """Lock the data folder and restore the replica's state from it."""
--- a/poplarlug/control/state.py
+++ b/poplarlug/control/state.py
@@ -79,7 +79,7 @@
         if isinstance(command, RouteTableChange):
             return self.routing.change_table(command)
         if isinstance(command, EvacuationChange):
-            return self.routing.change_evacuation(command)
+            return self.routing.change_evacuation(command, entry.log_index)
         return self._apply_change(command)
 
     def snapshot(self) -> bytes:
--- a/poplarlug/platform/control.py
+++ b/poplarlug/platform/control.py
@@ -1,13 +1,18 @@
 """HTTP API for operators and upstreams, and entry point of a control replica."""
 
+import asyncio
 import os
 from pathlib import Path
 
 from aiohttp import web
 from returns.result import Failure
 
-from poplarlug.control.routing_service import RoutingService
+from poplarlug.control.routing_service import (
+    DEPARTURE_CHECK_SECONDS,
+    RoutingService,
+)
 from poplarlug.control.seeded import SeededControl, run_seeded_control
+from poplarlug.control.standstill import StandstillWatch
 from poplarlug.daemon import Site, run_daemon
 from poplarlug.discovery.records import ServiceUpstream
 from poplarlug.discovery.registrar import Registrar
@@ -34,9 +39,16 @@
 class ControlHandlers:
     """Handlers for the platform's HTTP requests to a control replica."""
 
-    def __init__(self, *, routing: RoutingService, registrar: Registrar) -> None:
+    def __init__(
+        self,
+        *,
+        routing: RoutingService,
+        registrar: Registrar,
+        standstill: StandstillWatch,
+    ) -> None:
         self._routing = routing
         self._registrar = registrar
+        self._standstill = standstill
 
     def build(self) -> web.Application:
         app = web.Application(client_max_size=MAX_DOCUMENT_BYTES)
@@ -85,11 +97,21 @@
         return await self._record_upstream(decoded.unwrap())
 
     async def delete_upstream(self, request: web.Request) -> web.Response:
-        return await self._record_upstream(
-            deregistration_record(request.match_info["id"])
-        )
+        record = deregistration_record(request.match_info["id"])
+        known = self._registrar.registry.upstream(record.id)
+        if known is not None:
+            # A run that is heard of from now on can't be the one that says farewell.
+            record = record._replace(born=known.born)
+        await asyncio.sleep(DEPARTURE_CHECK_SECONDS)
+        if not _is_awaited(request):
+            _log.warning("dropped a farewell whose sender left", upstream=record.id)
+            return _unavailable("the sender of the farewell has left")
+        return await self._record_upstream(record)
 
     async def _record_upstream(self, record: ServiceUpstream) -> web.Response:
+        if self._standstill.may_read_late:
+            _log.warning("refused what may be outdated", upstream=record.id)
+            return _unavailable("this replica stood still and may have read this late")
         if await self._registrar.receive_announcement(record):
             return web.json_response({})
         return _unavailable("no disk holds this farewell yet")
@@ -98,18 +120,30 @@
         self, request: web.Request, evacuated: bool
     ) -> web.Response:
         zone = request.match_info["zone"]
-        changed = await self._routing.evacuate(zone, evacuated)
+        changed = await self._routing.evacuate(
+            zone, evacuated, is_awaited=lambda: _is_awaited(request)
+        )
         if isinstance(changed, Failure):
             return _unavailable(changed.failure())
         return web.json_response({})
 
 
+def _is_awaited(request: web.Request) -> bool:
+    """Return whether the sender's connection is still open."""
+    transport = request.transport
+    return transport is not None and not transport.is_closing()
+
+
 def _unavailable(reason: str) -> web.Response:
     return web.json_response({"problem": reason}, status=503)
 
 
 def _make_sites(control: SeededControl, settings: SeededControlSettings) -> list[Site]:
-    handlers = ControlHandlers(routing=control.routing, registrar=control.registrar)
+    handlers = ControlHandlers(
+        routing=control.routing,
+        registrar=control.registrar,
+        standstill=control.standstill,
+    )
     return [Site(settings.http, handlers.build())]
 
 
--- a/tests/control/test_routing_state.py
+++ b/tests/control/test_routing_state.py
@@ -52,6 +52,13 @@
         self.assertEqual(self.state.routing.image.evacuated_zones, ())
         self.assertEqual(self.state.routing.revision.value, 2)
 
+    def test_order_of_a_former_release_is_applied(self) -> None:
+        """A log may hold orders that don't name the order before them."""
+        self.apply(EvacuationChange("quito-a", True, 0))
+        status = self.apply(EvacuationChange("quito-a", False))
+        self.assertIs(status, ChangeStatus.ACCEPTED)
+        self.assertEqual(self.state.routing.image.evacuated_zones, ())
+
     def test_snapshot_keeps_everything(self) -> None:
         """A restored snapshot contains the table, document and evacuated zones."""
         self.put(4, b"four")
@@ -59,5 +66,6 @@
         restored = ControlState()
         restored.restore(self.state.snapshot())
         self.assertEqual(restored.routing.image, self.state.routing.image)
+        self.assertEqual(restored.routing.last_order("quito-a"), 2)
         self.assertEqual(restored.routing.version, 4)
         self.assertEqual(restored.routing.revision.value, 2)
