--- a/poplarlug/control/disk.py
+++ b/poplarlug/control/disk.py
@@ -5,6 +5,7 @@
 import os
 from abc import ABC, abstractmethod
 from pathlib import Path
+from typing import BinaryIO
 
 from returns.result import Failure, Result, Success
 
@@ -21,6 +22,10 @@
     def read(self, name: str) -> bytes | None:
         """Return the content of a file, ``None`` if it does not exist."""
 
+    @abstractmethod
+    def open(self, name: str) -> BinaryIO | None:
+        """Open a file for reading, ``None`` if it does not exist."""
+
     @abstractmethod
     async def append(self, name: str, data: bytes) -> None:
         """Append ``data`` to a file and sync it."""
@@ -59,6 +64,10 @@
         path = self._folder / name
         return path.read_bytes() if path.exists() else None
 
+    def open(self, name: str) -> BinaryIO | None:
+        path = self._folder / name
+        return path.open("rb") if path.exists() else None
+
     async def append(self, name: str, data: bytes) -> None:
         await asyncio.to_thread(self._append, name, data)
 
--- a/poplarlug/control/log_storage.py
+++ b/poplarlug/control/log_storage.py
@@ -9,7 +9,7 @@
 
 from poplarlug.control.coalescing import CoalescedWrite
 from poplarlug.control.disk import Disk
-from poplarlug.control.records import decode_records, encode_record
+from poplarlug.control.records import RecordReader, encode_record
 
 LOG_FILE = "log"
 
@@ -88,20 +88,22 @@
         Failure(str)
             If the file is damaged before its end.
         """
-        data = self._disk.read(LOG_FILE)
-        if data is None:
+        file = self._disk.open(LOG_FILE)
+        if file is None:
             return Success(None)
-        records = decode_records(data)
-        if isinstance(records, Failure):
+        with file:
+            reader = RecordReader(file=file)
+            for payload in reader.payloads():
+                self._load_batch(msgspec.msgpack.decode(payload, type=_Batch))
+            checked = reader.check_end()
+        if isinstance(checked, Failure):
             return Failure(
-                f"{LOG_FILE} is damaged in its middle: {records.failure()}; empty the "
+                f"{LOG_FILE} is damaged in its middle: {checked.failure()}; empty the "
                 "whole data folder and let the other replicas re-add this one"
             )
-        payloads, self._size = records.unwrap()
-        for payload in payloads:
-            self._load_batch(msgspec.msgpack.decode(payload, type=_Batch))
+        self._size = reader.size
         self.durable_index = self.last_index
-        self._must_rewrite = self._size != len(data) or not payloads
+        self._must_rewrite = self._size != reader.file_size or not self._size
         return Success(None)
 
     def entry(self, log_index: int) -> Entry:
--- a/poplarlug/control/memory_disk.py
+++ b/poplarlug/control/memory_disk.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import errno
+from io import BytesIO
 from random import Random
-from typing import NamedTuple
+from typing import BinaryIO, NamedTuple
 
 from poplarlug.control.disk import Disk
 from poplarlug.types import Seconds
@@ -60,6 +61,10 @@
     def read(self, name: str) -> bytes | None:
         return self.files_by_name.get(name)
 
+    def open(self, name: str) -> BinaryIO | None:
+        data = self.files_by_name.get(name)
+        return None if data is None else BytesIO(data)
+
     async def append(self, name: str, data: bytes) -> None:
         await self._write(_Write(name, data, True))
 
--- a/poplarlug/control/snapshot_store.py
+++ b/poplarlug/control/snapshot_store.py
@@ -29,11 +29,12 @@
 
 
 class SnapshotStore:
-    """Store the latest snapshot on disk; only its index is kept in memory."""
+    """Store the latest snapshot on disk; only its index and size are kept in memory."""
 
     def __init__(self, *, disk: Disk) -> None:
         self._disk = disk
         self.log_index = 0
+        self.size = 0
         self._saving = False
 
     def load(self) -> Result[Snapshot | None, str]:
@@ -48,6 +49,7 @@
                 "other replicas re-add this one"
             )
         self.log_index = decoded.unwrap().log_index
+        self.size = len(data)
         return decoded
 
     def read(self) -> bytes | None:
@@ -60,10 +62,12 @@
             return False
         self._saving = True
         try:
-            await self._disk.replace(SNAPSHOT_FILE, encode_snapshot(snapshot))
+            data = encode_snapshot(snapshot)
+            await self._disk.replace(SNAPSHOT_FILE, data)
         finally:
             self._saving = False
         self.log_index = snapshot.log_index
+        self.size = len(data)
         return True
 
 
