Keep streams from upstreams whose announced run has ended

Cause: placements went by the version in the last heartbeat, though the entry had seen that nothing listened at the address any more, so that run had ended. A version belongs to a run, not to an id.

A run at whose address a connection was refused, by a probe after an interrupted send or after a failed connection, has an unknown version. Resumable streams neither begin nor go on there until a later run is heard of, or until its record has outlived the time in which a silent one expires. Other requests go there as before. A reset alone changes nothing: upstreams and networks reset connections of live runs.

Not covered: a run that is replaced before any connection is refused, and an entry that tried none meanwhile.

--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -130,7 +130,11 @@
             client=self.client,
             forward_client=self.forward_client,
             suspects=Suspects(
-                deployment=self.deployment, marks=crash_marks, rng=rng, clock=clock
+                deployment=self.deployment,
+                marks=crash_marks,
+                ended_runs=self.view.ended_runs,
+                rng=rng,
+                clock=clock,
             ),
             resumption=Resumption(
                 deployment=self.deployment,
--- a/poplarlug/relay/crash_watch.py
+++ b/poplarlug/relay/crash_watch.py
@@ -13,6 +13,7 @@
 from poplarlug.discovery.records import ServiceUpstream, UpstreamRun
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
+from poplarlug.relay.ended_runs import EndedRuns
 from poplarlug.relay.fingerprint import PartKey
 from poplarlug.types import Address, Fingerprint, Seconds
 
@@ -119,6 +120,8 @@
         Called with each crash.
     on_return : callable
         Called with the run of an upstream that turned out not to have crashed.
+    ended_runs : EndedRuns
+        Told of upstreams at whose address nothing listens.
     """
 
     def __init__(
@@ -128,11 +131,14 @@
         clock: Callable[[], Seconds],
         on_crash: Callable[[Crash], None],
         on_return: Callable[[UpstreamRun], None],
+        ended_runs: EndedRuns,
     ) -> None:
         self._deployment = deployment
         self._clock = clock
         self._on_crash = on_crash
         self._on_return = on_return
+        self._ended_runs = ended_runs
+        self._unreachable: dict[UpstreamRun, asyncio.Task[None]] = {}
         self._watches_by_run: dict[UpstreamRun, _Watch] = {}
         self._lost_by_run: dict[UpstreamRun, ServiceUpstream] = {}
         self._crashed_at_by_run: dict[UpstreamRun, Seconds] = {}
@@ -176,6 +182,19 @@
                 watch.probing = asyncio.ensure_future(self._probe(watch))
         return watched.crashed
 
+    def note_unreachable(self, upstream: ServiceUpstream) -> None:
+        """Check whether an upstream to which no connection could be made has ended."""
+        run = upstream.run
+        if run in self._unreachable or len(self._unreachable) >= MAX_WATCHED:
+            return
+        task = asyncio.ensure_future(self._probe_unreachable(upstream))
+        self._unreachable[run] = task
+        task.add_done_callback(lambda _: self._unreachable.pop(run, None))
+
+    async def _probe_unreachable(self, upstream: ServiceUpstream) -> None:
+        if await probe(upstream.address) is ProbeResult.REFUSED:
+            self._ended_runs.note(upstream)
+
     def note_response(self, upstream: ServiceUpstream) -> None:
         """Record a complete response, which shows that the upstream has not crashed."""
         if self._crashed_at_by_run.pop(upstream.run, None) is not None:
@@ -271,6 +290,8 @@
         await asyncio.sleep(FIRST_PROBE_SECONDS)
         result = await probe(watch.upstream.address)
         if result is ProbeResult.REFUSED:
+            # Whoever listens there later may be another run.
+            self._ended_runs.note(watch.upstream)
             await asyncio.sleep(SECOND_PROBE_SECONDS)
             result = await probe(watch.upstream.address)
         watch.probing = None
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -359,7 +359,10 @@
         )
         now = self._clock()
         if isinstance(sent, Failure):
-            return self._note_failed("upstream", sent.failure(), trace, now)
+            error = sent.failure()
+            if error.kind is SendErrorKind.NOT_SENT:
+                self._suspects.note_unreachable(target.upstream)
+            return self._note_failed("upstream", error, trace, now)
         response = sent.unwrap()
         try:
             self._note_head("upstream", response, trace, now, started)
--- a/poplarlug/relay/requests.py
+++ b/poplarlug/relay/requests.py
@@ -89,6 +89,11 @@
     resumes: RequestId = ""
     version: SoftwareVersion | None = None
 
+    @property
+    def keeps_version(self) -> bool:
+        """Whether its stream may go on at the software version that began it only."""
+        return self.route.kind == "streaming" and self.route.resumable
+
     def allows(self, upstream: ServiceUpstream) -> bool:
         """
         Return whether an upstream has the required software version.
--- a/poplarlug/relay/suspects.py
+++ b/poplarlug/relay/suspects.py
@@ -29,6 +29,7 @@
     CrashWatch,
     InterruptedSend,
 )
+from poplarlug.relay.ended_runs import EndedRuns
 from poplarlug.types import Fingerprint, Seconds, UpstreamId
 
 LOCK_WAIT_SECONDS = 1.0
@@ -158,6 +159,8 @@
     ----------
     marks : CrashMarks
         Crash marks, shared with all VMs.
+    ended_runs : EndedRuns
+        Told of upstreams at whose address nothing listens.
     """
 
     def __init__(
@@ -165,6 +168,7 @@
         *,
         deployment: Deployment,
         marks: CrashMarks,
+        ended_runs: EndedRuns,
         rng: Random,
         clock: Callable[[], Seconds],
     ) -> None:
@@ -180,6 +184,7 @@
             clock=clock,
             on_crash=self._note_crash,
             on_return=marks.withdraw_run,
+            ended_runs=ended_runs,
         )
 
     def verdict(self, context: RequestContext) -> Verdict:
@@ -287,6 +292,10 @@
             _SUSPECT_SENDS.inc()
         return lock
 
+    def note_unreachable(self, upstream: ServiceUpstream) -> None:
+        """Check an upstream to which no connection could be made."""
+        self._watch.note_unreachable(upstream)
+
     def note_outcome(
         self,
         context: RequestContext,
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -18,6 +18,7 @@
     shared_tokens,
 )
 from poplarlug.relay.budgets import WarmupBudget, WarmupLimits
+from poplarlug.relay.ended_runs import EndedRuns
 from poplarlug.relay.engine_model import (
     DECODE_SECONDS_PER_TOKEN,
     EngineLoad,
@@ -132,6 +133,7 @@
             name=name, deployment=deployment, limits=limits, clock=clock
         )
         self.backoff = UpstreamBackoff(clock=clock)
+        self.ended_runs = EndedRuns(deployment=deployment, clock=clock)
         self._name = name
         self._warmup_limits = warmup
         self._rng = rng
@@ -213,6 +215,7 @@
         self.in_flight.keep_only(known)
         self.limiter.forget_gone()
         self.backoff.keep_only(self.deployment.upstream_runs())
+        self.ended_runs.forget_gone()
         for upstream_id, budget in list(self._warmups_by_id.items()):
             if upstream_id not in known and budget.is_unused:
                 del self._warmups_by_id[upstream_id]
@@ -283,7 +286,7 @@
         staying = [
             upstream
             for upstream in self.deployment.serving(service.name)
-            if request.allows(upstream) and not self.backoff.is_leaving(upstream)
+            if self._allows(request, upstream) and not self.backoff.is_leaving(upstream)
         ]
         upstreams = [
             upstream
@@ -307,7 +310,7 @@
             upstream
             for upstream in self.deployment.serving(service.name)
             if upstream.id not in tried.upstreams
-            and request.allows(upstream)
+            and self._allows(request, upstream)
             and self._accepts_request(upstream, service)
         ]
         self._rng.shuffle(upstreams)
@@ -397,9 +400,15 @@
         return {
             regions_by_id[upstream.id]
             for upstream in self.deployment.upstreams_of(request.service)
-            if upstream.id in regions_by_id and request.allows(upstream)
+            if upstream.id in regions_by_id and self._allows(request, upstream)
         }
 
+    def _allows(self, request: RelayRequest, upstream: ServiceUpstream) -> bool:
+        """Return whether an upstream has the required version, as far as is known."""
+        if request.keeps_version and self.ended_runs.has(upstream):
+            return False
+        return request.allows(upstream)
+
     def may_return(self, request: RelayRequest) -> bool:
         """Return whether an upstream of the required version may accept it later."""
         return request.version is None or any(
--- a/tests/platform_adapter/test_stream_versions.py
+++ b/tests/platform_adapter/test_stream_versions.py
@@ -1,6 +1,7 @@
 """Tests of streams beside two software versions, with real processes on loopback."""
 
 import time
+from unittest.mock import patch
 
 from poplarlug.relay.events import LAST_EVENT_HEADER
 from poplarlug.soak.deployment import wait_until
@@ -95,6 +96,25 @@
 
         self.check_not_joined(self.run_streams(replace))
 
+    # Guards against streams that went on at an upstream under its former version.
+    def test_upstream_comes_back_unheard_at_another_version(self) -> None:
+        """Another one of its former version crashes before its first heartbeat."""
+        back, other = self.old
+
+        def replace() -> None:
+            back.version = back.event_data = NEW
+            back.down_seconds = 0.5
+            back.keeps_id = True
+            beats = patch.object(back, "beat", return_value=200)
+            beats.start()
+            self.addCleanup(beats.stop)
+            back.crash()
+            time.sleep(1.0)
+            other.down_seconds = 5.0
+            other.crash()
+
+        self.check_not_joined(self.run_streams(replace))
+
     def test_unknown_stream_is_not_guessed(self) -> None:
         """Without the id of the first attempt, nobody can tell its version."""
         time.sleep(0.5)
--- a/tests/relay/test_crash_watch.py
+++ b/tests/relay/test_crash_watch.py
@@ -14,6 +14,7 @@
     CrashWatch,
     InterruptedSend,
 )
+from poplarlug.relay.ended_runs import EndedRuns
 
 PROBED_SECONDS = 2 * (FIRST_PROBE_SECONDS + SECOND_PROBE_SECONDS + PROBE_SECONDS)
 
@@ -26,11 +27,13 @@
         )
         self.crashes: list[Crash] = []
         self.returned: list[UpstreamRun] = []
+        self.ended_runs = EndedRuns(deployment=self.deployment, clock=clock)
         self.watch = CrashWatch(
             deployment=self.deployment,
             clock=clock,
             on_crash=self.crashes.append,
             on_return=self.returned.append,
+            ended_runs=self.ended_runs,
         )
         self.server = await asyncio.start_server(
             lambda _, writer: writer.close(), "127.0.0.1", 0
@@ -58,6 +61,7 @@
         crashed = [self.note_interrupted_send(1), self.note_interrupted_send(2)]
         self.assertEqual(await asyncio.gather(*crashed), [True, True])
         self.assertEqual(self.crashes[0].fingerprints, (1, 2))
+        self.assertTrue(self.ended_runs.has(self.upstream))
 
     async def test_later_interrupted_sends_of_a_crashed_run_count_at_once(self) -> None:
         """Its connections may break at different times."""
@@ -73,6 +77,18 @@
         self.take(self.upstream._replace(sequence=2, cold_seconds=1.0))
         self.assertFalse(crashed.done())
         self.assertEqual(self.crashes, [])
+        self.assertFalse(self.ended_runs.has(self.upstream))
+
+    async def test_refused_connection_shows_the_end_of_a_run(self) -> None:
+        """No request was interrupted, but nothing listens at the address."""
+        self.watch.note_unreachable(self.upstream)
+        await asyncio.sleep(PROBED_SECONDS)
+        self.assertFalse(self.ended_runs.has(self.upstream))
+        self.server.close()
+        self.watch.note_unreachable(self.upstream)
+        await asyncio.sleep(PROBED_SECONDS)
+        self.assertTrue(self.ended_runs.has(self.upstream))
+        self.assertEqual(self.crashes, [])
 
     async def test_new_id_at_the_address_is_a_crash(self) -> None:
         """It restarts before a probe could fail."""
--- a/tests/relay/test_resumption.py
+++ b/tests/relay/test_resumption.py
@@ -24,6 +24,7 @@
 )
 from poplarlug.relay.budgets import WarmupLimits
 from poplarlug.relay.dispatcher import Dispatcher, LocalTarget
+from poplarlug.relay.ended_runs import HEARD_SECONDS
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.resumption import MAX_REPORT_SECONDS, Resumption
@@ -271,6 +272,33 @@
         refusal = (await self.dispatcher.find(self.request, tried)).failure()
         self.assertIsNotNone(refusal.retry_after_seconds)
 
+    # Guards against streams that went on at an upstream that came back under its id
+    # with another version, its first heartbeat late.
+    async def test_version_of_an_ended_run_is_unknown(self) -> None:
+        """A stream neither begins nor goes on there until a later run is heard of."""
+        upstream = make_upstream(1, "v1")
+        self.show(upstream)
+        self.view.ended_runs.note(upstream)
+        for version in ("v1", None):
+            request = self.request._replace(version=version)
+            refusal = (await self.dispatcher.find(request, Tried())).failure()
+            self.assertEqual((refusal.status, refusal.ran), (503, False))
+            self.assertIsNotNone(refusal.retry_after_seconds)
+        whole = make_request(service="engine", deadline=self.request.deadline)
+        self.assertTrue((await self.dispatcher.find(whole, Tried())).unwrap())
+        self.show(upstream._replace(born=2))
+        self.assertTrue((await self.dispatcher.find(self.request, Tried())).unwrap())
+
+    async def test_run_that_is_still_reported_has_not_ended(self) -> None:
+        """Its record would have expired without heartbeats."""
+        upstream = make_upstream(1, "v1")
+        self.show(upstream)
+        self.view.ended_runs.note(upstream)
+        later = self.deployment.last_reply_requested_at.value + HEARD_SECONDS + 1
+        self.assertTrue(self.view.ended_runs.has(upstream))
+        self.deployment.apply_reply(make_reply(upstream), later)
+        self.assertFalse(self.view.ended_runs.has(upstream))
+
     async def test_unannounced_version_is_not_joined(self) -> None:
         """Two upstreams without a version may differ."""
         self.show(make_upstream(1, ""), make_upstream(2, ""))
--- a/tests/relay/test_suspects.py
+++ b/tests/relay/test_suspects.py
@@ -17,6 +17,7 @@
 from poplarlug.discovery.records import ServiceUpstream, UpstreamRun
 from poplarlug.errors import outcome_unknown
 from poplarlug.relay.context import DONE, Outcome, RequestContext
+from poplarlug.relay.ended_runs import EndedRuns
 from poplarlug.relay.fingerprint import fingerprint_of, part_keys_of
 from poplarlug.relay.requests import Prompt, PromptPart
 from poplarlug.relay.suspects import (
@@ -36,6 +37,7 @@
     return Suspects(
         deployment=deployment,
         marks=CrashMarks(clock=clock),
+        ended_runs=EndedRuns(deployment=deployment, clock=clock),
         rng=Random(1),
         clock=clock,
     )
@@ -191,7 +193,11 @@
         )
         self.marks = CrashMarks(clock=clock)
         self.suspects = Suspects(
-            deployment=self.deployment, marks=self.marks, rng=Random(1), clock=clock
+            deployment=self.deployment,
+            marks=self.marks,
+            ended_runs=EndedRuns(deployment=self.deployment, clock=clock),
+            rng=Random(1),
+            clock=clock,
         )
         self.context = make_context()
         self.upstream = ServiceUpstream(
@@ -273,6 +279,7 @@
         self.suspects = Suspects(
             deployment=self.deployment,
             marks=self.marks,
+            ended_runs=EndedRuns(deployment=self.deployment, clock=lambda: self.now),
             rng=Random(1),
             clock=lambda: self.now,
         )
