Report streams again to a replica that started anew

Cause: records of which version began a stream are in the memory of the replicas. Entries reported marks and limits again to a replica that started anew, but not the streams, which they hold for a minute.

An entry now reports its streams again, once to each run of a replica that it follows, as soon as that one knows of several versions: all of them while the replica may lack records, else those of versions that are not the default. The replica still doesn't count as complete: entries that died may have held more, so a stream without a record is refused for the minute, as before.

--- a/poplarlug/discovery/software_versions.py
+++ b/poplarlug/discovery/software_versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from itertools import chain, islice
 from typing import NamedTuple, TypeAlias
 
 import xxhash
@@ -199,6 +200,7 @@
         self._stored_by_key: dict[StreamKey, _StoredStream] = {}
         self._complete_from = clock() + RESUME_SECONDS
         self._pending_by_key: dict[StreamKey, _PendingStream] = {}
+        self._resent: dict[StreamKey, None] = {}
         self.has_pending = asyncio.Event()
 
     @property
@@ -235,6 +237,22 @@
             self.has_pending.set()
         return pending.recorded
 
+    def queue_resend(self, must_record: Callable[[SoftwareVersion], bool]) -> int:
+        """
+        Queue the recorded streams of some versions to be reported again.
+
+        They wait behind those that callers wait for. Returns their number.
+        """
+        self._expire()
+        self._resent = {
+            key: None
+            for key, stored in self._stored_by_key.items()
+            if must_record(stored.version)
+        }
+        if self._resent:
+            self.has_pending.set()
+        return len(self._resent)
+
     @property
     def pending_seconds(self) -> Seconds:
         """How long the oldest stream has been waiting to be reported."""
@@ -244,16 +262,18 @@
 
     def take_pending(self) -> tuple[StreamStarts, ...]:
         """Return the streams to report, until :meth:`confirm` removes them."""
-        return self._grouped(list(self._pending_by_key)[:MAX_PENDING_STREAMS])
+        waiting = chain(self._pending_by_key, self._resent)
+        return self._grouped(list(islice(waiting, MAX_PENDING_STREAMS)))
 
     def confirm(self, starts: Iterable[StreamStarts]) -> None:
         """Note that a replica has these streams."""
         for _, keys in starts:
             for key in keys:
+                self._resent.pop(key, None)
                 pending = self._pending_by_key.pop(key, None)
                 if pending is not None and not pending.recorded.done():
                     pending.recorded.set_result(None)
-        if not self._pending_by_key:
+        if not self._pending_by_key and not self._resent:
             self.has_pending.clear()
 
     def all(self) -> tuple[StreamStarts, ...]:
--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -130,6 +130,7 @@
         self._registry_id = ""
         self._revision = 0
         self._lacks_whole = True
+        self._streams_resent_to = ""
         self._zones_by_replica: dict[Address, ZoneName] = {}
         self._nearer_checked_at = float("-inf")
         self._report_requested = asyncio.Event()
@@ -408,11 +409,23 @@
             # A replica that has just started may lack the marks and limits.
             self._marks.queue_resend()
             self._limits.queue_resend()
+        self._resend_streams(reply)
         self._replica = replica
         self._registry_id = reply.registry_id
         self._revision = reply.revision
         self._known_replicas = reply.control
 
+    def _resend_streams(self, reply: PollReply) -> None:
+        """Report again what a run of a replica may lack, once it knows of versions."""
+        if not reply.versions or reply.registry_id == self._streams_resent_to:
+            return
+        self._streams_resent_to = reply.registry_id
+        count = self._streams.queue_resend(
+            lambda version: any(one.must_record(version) for one in reply.versions)
+        )
+        if count:
+            _log.info("reports streams again", streams=count, zone=reply.zone)
+
 
 def _is_newer(reply: PollReply, other: PollReply) -> bool:
     """Return whether ``reply`` has a later routing revision than ``other``."""
--- a/tests/discovery/test_software_versions.py
+++ b/tests/discovery/test_software_versions.py
@@ -116,6 +116,20 @@
         self.streams.add([StreamStarts("v1", tuple(range(MAX_STREAMS + 1)))])
         self.assertFalse(self.streams.is_complete)
 
+    async def test_streams_are_reported_again_behind_new_ones(self) -> None:
+        """Only those that a replica needs, and each of them once."""
+        self.streams.add([StreamStarts("v1", (1,)), StreamStarts("v2", (2, 3))])
+        self.streams.add_and_queue(4, "v2")
+        count = self.streams.queue_resend(lambda version: version == "v2")
+        self.assertEqual(count, 3)
+        recorded = self.streams.add_and_queue(5, "v2")
+        [pending] = self.streams.take_pending()
+        self.assertEqual(pending.keys[:2], (4, 5))
+        self.assertEqual(set(pending.keys), {2, 3, 4, 5})
+        self.streams.confirm([pending])
+        self.assertTrue(recorded.done())
+        self.assertFalse(self.streams.has_pending.is_set())
+
     async def test_pending_streams_wait_for_a_replica(self) -> None:
         """They stay pending until they are confirmed."""
         recorded = self.streams.add_and_queue(1, "v2")
