Name the first bytes in a stream that are no event of its run

Logs couldn't tell whether an upstream wrote it, the join of two attempts made it, or an entry's own error was taken for a part of the stream: nothing looked at the fields of an event but its last id.

A warning and a counter now name the first such bytes of an attempt, with its target, the number of hops, the reason and up to 96 bytes. No decision depends on them yet. HeaderNames gains the name of the line with the version of the weights.

--- a/poplarlug/platform/names.py
+++ b/poplarlug/platform/names.py
@@ -21,6 +21,7 @@
     leaving="Server-Leaving",
     resumes="Resumes",
     priority="X-Poplarlug-Request-Priority",
+    weight_versions="X-Poplarlug-Weight-Versions",
     model="X-Poplarlug-Model",
     token_counts="X-Poplarlug-Token-Count",
     prompt_parts="X-Poplarlug-Prompt-Prefix",
--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -9,8 +9,10 @@
 from poplarlug.errors import GatewayError
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
+from poplarlug.relay.event_format import EventFormat
 from poplarlug.relay.events import LAST_EVENT_HEADER, EventProgress
 from poplarlug.relay.fingerprint import PartKey, fingerprint_of, part_keys_of
+from poplarlug.relay.header_names import HeaderNames
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import Tried
@@ -88,6 +90,8 @@
 
 DONE = Outcome(None)
 
+_EVENT_FORMAT = EventFormat(first_field=HeaderNames().weight_versions)
+
 
 class RequestContext:
     """
@@ -97,9 +101,13 @@
     ----------
     sink : AnswerSink
         Receives the response.
+    event_format : EventFormat, optional
+        The format of the events of streams.
 
     Attributes
     ----------
+    target : str
+        The upstream or entry of the current attempt.
     crash_check : asyncio.Future or None
         Done once the crash check of the last attempt is complete; ``None`` if no
         check is pending.
@@ -115,13 +123,20 @@
     """
 
     def __init__(
-        self, *, request: RelayRequest, sink: AnswerSink, trace: RelayTrace
+        self,
+        *,
+        request: RelayRequest,
+        sink: AnswerSink,
+        trace: RelayTrace,
+        event_format: EventFormat = _EVENT_FORMAT,
     ) -> None:
         self.request = request
         self.sink = sink
         self.trace = trace
         self.tried = Tried()
-        self.events = _event_progress(request)
+        self.target = ""
+        self.event_format = event_format
+        self.events = _event_progress(request, event_format)
         self.arrivals = 0
         self.crash_check: asyncio.Future[Any] | None = None
         self.charged: Fingerprint | None = None
@@ -293,12 +308,14 @@
     return earlier if latest.ran is False else latest
 
 
-def _event_progress(request: RelayRequest) -> EventProgress | None:
+def _event_progress(
+    request: RelayRequest, event_format: EventFormat
+) -> EventProgress | None:
     if request.route.kind != "streaming" or not request.route.resumable:
         return None
     name = LAST_EVENT_HEADER.lower()
     last_ids = (value for key, value in request.headers if key.lower() == name)
-    return EventProgress(last_id=next(last_ids, ""))
+    return EventProgress(event_format=event_format, last_id=next(last_ids, ""))
 
 
 def _resume_request(request: RelayRequest, events: EventProgress) -> RelayRequest:
--- a/poplarlug/relay/events.py
+++ b/poplarlug/relay/events.py
@@ -2,6 +2,8 @@
 
 import re
 
+from poplarlug.relay.event_format import Event, EventFormat, Foreign, ForeignBytes
+
 LAST_EVENT_HEADER = "Last-Event-Id"
 """Request header that asks for the events after the given one."""
 
@@ -24,15 +26,22 @@
     last_id : str
         Id of the event after which the caller asked to resume; empty for none.
 
+    event_format : EventFormat
+        The format of its events.
+
     Attributes
     ----------
+    foreign : ForeignBytes or None
+        The first bytes that belong to no event, if any were seen.
     is_resumable : bool
         Whether another upstream can resume the stream; false within an event that
         was passed on in part.
     """
 
-    def __init__(self, *, last_id: str = "") -> None:
+    def __init__(self, *, event_format: EventFormat, last_id: str = "") -> None:
         self.last_id = last_id
+        self.foreign: ForeignBytes | None = None
+        self._format = event_format
         self.is_resumable = True
         self._partial = b""
         self._flushed_id: str | None = None
@@ -56,6 +65,8 @@
         ):
             end = match.end()
         events, self._partial = buffered[:end], buffered[end:]
+        if self.foreign is None and self.is_resumable:
+            self._inspect(events)
         if events and self._flushed_id is not None:
             self.last_id, self._flushed_id = self._flushed_id, None
         for match in _ID.finditer(events):
@@ -64,6 +75,20 @@
             self.is_resumable = True
         return events
 
+    def _inspect(self, events: bytes) -> None:
+        last_id, start = self.last_id, 0
+        while start < len(events):
+            found = self._format.next_event(events, start)
+            if isinstance(found, Event):
+                if last_id.isdecimal() and found.id <= int(last_id):
+                    found = Foreign.REPEATED
+                else:
+                    last_id = str(found.id)
+            if isinstance(found, Foreign):
+                self.foreign = ForeignBytes(found, events[start:])
+                return
+            start = found.end if isinstance(found, Event) else found
+
     def flush_partial(self) -> bytes:
         """Return and clear the partial event, when it exceeds the buffer limit."""
         part, self._partial = self._partial, b""
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -23,6 +23,7 @@
 from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
 from poplarlug.relay.context import Outcome, RequestContext
 from poplarlug.relay.dispatcher import Dispatcher, LocalTarget, RemoteTarget, Target
+from poplarlug.relay.event_format import EventFormat
 from poplarlug.relay.header_names import HeaderNames
 from poplarlug.relay.held_bytes import HeldBytesBudget
 from poplarlug.relay.hop_headers import (
@@ -120,6 +121,7 @@
         self._suspects = suspects
         self._resumption = resumption
         self._header_names = header_names
+        self._event_format = EventFormat(first_field=header_names.weight_versions)
         self._retry_limits = retry_limits
         self._clock = clock
         self._held_bytes = HeldBytesBudget()
@@ -139,7 +141,9 @@
         budget = self._budget_of(request.service)
         if request.hops == 0:
             budget.note_request()
-        context = RequestContext(request=request, sink=sink, trace=trace)
+        context = RequestContext(
+            request=request, sink=sink, trace=trace, event_format=self._event_format
+        )
         refusal = await self._require_version(context)
         if refusal is not None:
             return context.refuse(refusal)
@@ -305,6 +309,7 @@
         apart: bool = False,
     ) -> Outcome:
         upstream = target.upstream
+        context.target = upstream.id
         now = self._clock()
         context.trace.step(
             "sent",
@@ -454,6 +459,7 @@
     ) -> Outcome:
         request, trace = context.request, context.trace
         entry = target.entry
+        context.target = entry.name
         started = self._clock()
         routes = self._deployment.routes
         assert routes is not None
--- a/poplarlug/relay/header_names.py
+++ b/poplarlug/relay/header_names.py
@@ -31,6 +31,9 @@
         this attempt resumes.
     priority : str
         Priority of a request at an engine, from 0 (most urgent) to 9.
+    weight_versions : str
+        Version of the weights, also the first line, in lower case, of an event at
+        which it changes.
     model, token_counts, prompt_parts : str
         Description of the prompt by the caller.
     reserved : frozenset of str
@@ -47,6 +50,7 @@
     leaving: str = "X-Upstream-Leaving"
     resumes: str = "X-Resumes"
     priority: str = "X-Priority"
+    weight_versions: str = "X-Weight-Versions"
     model: str = "X-Model"
     token_counts: str = "X-Token-Counts"
     prompt_parts: str = "X-Prompt-Parts"
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -3,9 +3,13 @@
 import asyncio
 
 import aiohttp
+from prometheus_client import Counter
 
 from poplarlug.errors import GatewayError, outcome_unknown, truncated_answer
+from poplarlug.logs import ComponentLogger
+from poplarlug.metrics import REGISTRY
 from poplarlug.relay.context import DONE, Outcome, RequestContext, write_full_response
+from poplarlug.relay.event_format import ForeignBytes
 from poplarlug.relay.events import EventProgress
 from poplarlug.relay.held_bytes import HeldBytesBudget, HeldBytesReservation
 from poplarlug.relay.hop_headers import SOFTWARE_VERSION, end_to_end
@@ -22,6 +26,18 @@
 
 EVENT_STREAM = "text/event-stream"
 
+LOGGED_BYTES = 96
+"""Bytes of a stream in one log line."""
+
+_FOREIGN = Counter(
+    "poplarlug_relay_foreign_bytes_total",
+    "Streams with bytes that belong to no event of their run, by what shows it.",
+    ["reason"],
+    registry=REGISTRY,
+)
+
+_log = ComponentLogger(prefix="relay")
+
 
 async def relay_response(
     context: RequestContext, response: aiohttp.ClientResponse, budget: HeldBytesBudget
@@ -96,7 +112,10 @@
                 data = await _read(content, context, stalls_at)
                 if not data and content.at_eof():
                     break
+                was_sound = events.foreign is None
                 complete_events = events.feed(data)
+                if was_sound and events.foreign is not None:
+                    _report_foreign(context, events.foreign, events.last_id)
                 has_room = reservation.resize(events.held_bytes + len(held))
                 if not has_room:
                     complete_events += events.flush_partial()
@@ -126,6 +145,22 @@
     return DONE
 
 
+def _report_foreign(
+    context: RequestContext, foreign: ForeignBytes, last_id: str
+) -> None:
+    _FOREIGN.labels(foreign.reason.value).inc()
+    _log.warning(
+        "a stream holds bytes that are no event of its run",
+        request_id=context.request.id,
+        hops=context.request.hops,
+        attempt=context.arrivals + 1,
+        target=context.target,
+        reason=foreign.reason.value,
+        last_id=last_id,
+        data=ascii(foreign.data[:LOGGED_BYTES])[1:],
+    )
+
+
 async def _read(
     content: aiohttp.StreamReader, context: RequestContext, stalls_at: Seconds
 ) -> bytes:
