--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -43,8 +43,11 @@
         ``""``, ``reset`` (connection reset after the request was read), ``error``
         (status 500), ``refuse`` (not executed), ``mute`` (no response), ``cut`` (a
         stream that breaks off within an event), ``unframed`` (``unframed_body`` without
-        a length or chunks, ended by closing the connection) or ``unframed reset`` (the
-        same, ended by resetting it).
+        a length or chunks, ended by closing the connection), ``unframed reset`` (the
+        same, ended by resetting it), ``foreign`` (a stream with ``foreign_bytes`` in a
+        chunk among its events), ``foreign framing`` (the same, where the size of a
+        chunk is due) or ``foreign unframed`` (a stream without a length or chunks, with
+        ``foreign_bytes`` after its last event).
     answer_seconds : float
         Processing time of a request before its response.
     version : str
@@ -89,6 +92,7 @@
         self.zone = zone
         self.fault = ""
         self.unframed_body = b""
+        self.foreign_bytes = b""
         self.version = "v1"
         self.event_data = "x"
         self.slots = SLOTS
@@ -244,7 +248,7 @@
             return web.Response()
         if self.fault == "error":
             return web.Response(status=500, headers=headers, text="failed")
-        if self.fault.startswith("unframed"):
+        if "unframed" in self.fault:
             return await self._send_unframed(request, headers)
         if self.fault == "mute":
             await asyncio.sleep(MUTE_SECONDS)
@@ -288,7 +292,12 @@
         head = "\r\n".join(
             ["HTTP/1.1 200 OK", f"Content-Type: {content_type}", *lines, "", ""]
         )
-        transport.write(head.encode() + self.unframed_body)
+        body = self.unframed_body
+        if self.fault == "foreign unframed":
+            numbers = range(first_event(request), STREAM_EVENTS)
+            events = b"".join(encode_event(n, self.event_data) for n in numbers)
+            body = events + self.foreign_bytes
+        transport.write(head.encode() + body)
         # The bytes arrive before the end of the connection.
         await asyncio.sleep(0.05)
         if self.fault == "unframed reset":
@@ -304,7 +313,6 @@
         response.content_type = "text/event-stream"
         await response.prepare(request)
         first = first_event(request)
-        data = self.event_data.encode()
         try:
             for number in range(first, STREAM_EVENTS):
                 if number == last:
@@ -315,7 +323,9 @@
                     assert request.transport is not None
                     request.transport.abort()
                     return response
-                await response.write(b"id: %d\ndata: %s\n\n" % (number, data))
+                if number == first + CUT_AFTER_EVENTS:
+                    await self._write_foreign_bytes(request, response)
+                await response.write(encode_event(number, self.event_data))
                 await asyncio.sleep(self.event_seconds)
         except (asyncio.CancelledError, ConnectionResetError):
             self.abandoned += 1
@@ -323,6 +333,19 @@
         await response.write_eof()
         return response
 
+    async def _write_foreign_bytes(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.fault == "foreign":
+            await response.write(self.foreign_bytes)
+        elif self.fault == "foreign framing":
+            assert request.transport is not None
+            request.transport.write(self.foreign_bytes)
+
+
+def encode_event(number: int, data: str) -> bytes:
+    return b"id: %d\ndata: %s\n\n" % (number, data.encode())
+
 
 def first_event(request: web.Request) -> int:
     """Return the number of the first event requested by a client."""
