Don't hand a request on to the entry's own region

An entry may follow a control replica of another region, whose list of other regions holds the entry's own. The entry then handed requests on to itself, or to a neighbour, as if that were another region: an attempt more on the way, and an upstream that had been tried could be tried again through it.

The new test fails before (regions east and west where west is wanted) and passes since.

--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -386,6 +386,8 @@
             self._region(request, load, affinity)
             for load in self.deployment.region_loads
             if load.service == request.service
+            # A replica of another region lists this one among the others.
+            and load.region != self.deployment.own_region
             and load.region not in tried.regions
             and request.route.allows(load.region)
             and (able is None or load.region in able)
--- a/tests/relay/test_view.py
+++ b/tests/relay/test_view.py
@@ -185,7 +185,11 @@
                 current=True,
                 zone="a",
                 entries=entries,
-                regions=(RegionLoad("west", "engine", 1, 8),),
+                # A replica in the west lists both.
+                regions=(
+                    RegionLoad("east", "engine", 1, 8),
+                    RegionLoad("west", "engine", 1, 8),
+                ),
             )
         )
         self.view = FleetView(
@@ -198,6 +202,12 @@
             clock=lambda: self.now,
         )
 
+    # Guards against requests that an entry handed on to itself.
+    def test_own_region_is_no_other_region(self) -> None:
+        """An entry may follow a control replica of any region."""
+        regions = self.view.regions(make_request(), Tried(), None)
+        self.assertEqual([region.region for region in regions], ["west"])
+
     def is_avoided(self) -> bool:
         (region,) = self.view.regions(make_request(), Tried(), None)
         return region.avoided
