Fail a body at once whose framing is broken

Where an upstream wrote other bytes in place of a chunk's size, callers of streams that may be resumed got a broken stream though a sound upstream was there, and callers of other streams waited until their deadline.

Cause: aiohttp gives the framing up by closing the connection, and tells the body's reader nothing. A reader that waits then gets 'RuntimeError: Connection closed.', which ended the request in its entry with an exception; BodyRelay, which waits for bytes, was never woken with an error.

Evidence: the traceback in the entry's log at each such stream.

--- a/poplarlug/relay/client.py
+++ b/poplarlug/relay/client.py
@@ -82,12 +82,24 @@
     def data_received(self, data: bytes) -> None:
         if self._payload is not None or len(data) <= HEAD_SLICE_BYTES:
             super().data_received(data)
+            self._fail_broken_framing()
             return
         for start in range(0, len(data), HEAD_SLICE_BYTES):
             if self.transport is None or self.transport.is_closing():
                 return
             super().data_received(data[start : start + HEAD_SLICE_BYTES])
 
+    def _fail_broken_framing(self) -> None:
+        """Fail a body whose framing aiohttp gave up, which tells its reader nothing."""
+        payload = self._payload
+        if (
+            payload is not None
+            and (self.transport is None or self.transport.is_closing())
+            and not payload.is_eof()
+            and payload.exception() is None
+        ):
+            payload.set_exception(aiohttp.ClientPayloadError("broken framing"))
+
     def feed_data(self, data: Any, size: int = 0) -> None:
         self._heads += 1
         if self._heads <= MAX_HEADS:
--- a/tests/platform_adapter/test_foreign_bytes.py
+++ b/tests/platform_adapter/test_foreign_bytes.py
@@ -16,6 +16,8 @@
 STREAMS = 8
 ATTEMPTS = 10
 RETRY_SECONDS = 0.5
+BREAK_OFF_SECONDS = 3.0
+"""Below the deadline of four seconds; a refusal may be asked again before."""
 FOREIGN_BYTES_BY_NAME = {
     "head of another response": b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
     "high bytes": bytes(range(128, 256)) + b"\n\n",
@@ -118,6 +120,23 @@
         """The stream has neither a length nor chunks, and doesn't look complete."""
         self.check("foreign unframed", EVENTS)
 
+    # Guards against streams that hung until their deadline, or whose request failed with
+    # an exception: aiohttp closed the connection and told the reader nothing.
+    def test_broken_framing_breaks_streams_off_at_once(self) -> None:
+        """The bytes stand where the size of a chunk is due."""
+        self.upstream.fault = "foreign framing"
+        for name in ("head of another response", "high bytes", "document"):
+            self.upstream.foreign_bytes = FOREIGN_BYTES_BY_NAME[name]
+            for entry in self.entries:
+                for route in ("stream", "resume"):
+                    began = time.monotonic()
+                    received = self.read(entry, route)
+                    self.assertLess(time.monotonic() - began, BREAK_OFF_SECONDS, route)
+                    self.assertFalse(received.is_whole)
+                    self.assertTrue(b"".join(EVENTS).startswith(received.data))
+        for entry in self.entries:
+            self.assertNotIn("RuntimeError", self.deployment.log(entry))
+
 
 class SpoiledStreamsBesideSoundOnesTests(SpoiledStreamTestCase):
     """One of two upstreams spoils its streams."""
