Log which request an upstream's answer names, and what its connection carried before

It now says whether the answer echoed the request's id, the number of the request on its connection, and whether bytes had arrived there before the request was written. The handler and pool of connections move to a module of their own; what is believed is unchanged.

--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -119,8 +119,10 @@
             clock=clock,
         )
         self.dispatcher = Dispatcher(view=self.view, clock=clock)
-        self.client = RelayClient()
-        self.forward_client = RelayClient(connect_seconds=REMOTE_CONNECT_SECONDS)
+        self.client = RelayClient(header_names=header_names)
+        self.forward_client = RelayClient(
+            connect_seconds=REMOTE_CONNECT_SECONDS, header_names=header_names
+        )
         crash_marks = CrashMarks(clock=clock)
         streams = StreamVersions(clock=clock)
         gateway = RelayGateway(
--- a/poplarlug/relay/client.py
+++ b/poplarlug/relay/client.py
@@ -2,17 +2,16 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Sequence
 from enum import Enum
-from functools import partial
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, cast
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from poplarlug.relay.connections import CheckedConnector, RelayResponse
+from poplarlug.relay.header_names import HeaderNames
 from poplarlug.types import Address, Seconds
 
 CONNECT_SECONDS = 0.5
@@ -28,15 +27,6 @@
 KEEPALIVE_PROBES = 3
 """TCP keepalive detects an unresponsive peer in 4 s while a response is pending."""
 
-HEAD_SLICE_BYTES = 8 * 1024
-"""Bytes parsed at a time until the response head is complete; most are shorter."""
-
-MAX_HEADS = 8
-"""Response heads per exchange, including 1xx responses; servers send one or two."""
-
-NO_LINGER = struct.pack("ii", 1, 0)
-"""``SO_LINGER`` value that makes closing a socket send a TCP reset."""
-
 UNACKNOWLEDGED_MILLISECONDS = 3000
 """Maximum time that sent data may remain unacknowledged by the peer's TCP stack."""
 
@@ -58,80 +48,6 @@
     message: str
 
 
-class _StrictHandler(ResponseHandler):
-    """
-    Report a response as truncated after a reset, and reset abandoned exchanges.
-
-    aiohttp treats the end of the connection as the end of a body without a length,
-    even if the connection was reset. It also closes a connection gracefully when the
-    exchange is abandoned, so that the rest of the request would still be sent and run
-    for a caller that has left. An endless series of interim responses is an error;
-    data is parsed in slices so that such a series can't block other exchanges.
-    """
-
-    _in_exchange = False
-    _heads = 0
-
-    def set_response_params(self, **options: Any) -> None:
-        self._in_exchange = True
-        self._heads = 0
-        # Belongs to the previous response; the new one hasn't started yet.
-        self._payload = None
-        super().set_response_params(**options)
-
-    def data_received(self, data: bytes) -> None:
-        if self._payload is not None or len(data) <= HEAD_SLICE_BYTES:
-            super().data_received(data)
-            return
-        for start in range(0, len(data), HEAD_SLICE_BYTES):
-            if self.transport is None or self.transport.is_closing():
-                return
-            super().data_received(data[start : start + HEAD_SLICE_BYTES])
-
-    def feed_data(self, data: Any, size: int = 0) -> None:
-        self._heads += 1
-        if self._heads <= MAX_HEADS:
-            super().feed_data(data, size)
-        elif self.transport is not None and not self.transport.is_closing():
-            self.set_exception(aiohttp.ClientPayloadError("too many interim answers"))
-            _reset(self.transport)
-
-    def close(self) -> None:
-        if (
-            self._in_exchange
-            and not self._is_response_complete
-            and self.transport is not None
-        ):
-            _reset(self.transport)
-        super().close()
-
-    @property
-    def _is_response_complete(self) -> bool:
-        return self._payload is not None and self._payload.is_eof()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
-        super().connection_lost(exc)
-
-
-class _CheckedConnector(aiohttp.TCPConnector):
-    """Don't reuse a connection that received bytes after its last response."""
-
-    def __init__(self, **options: Any) -> None:
-        super().__init__(**options)
-        self._factory: Any = partial(_StrictHandler, loop=self._loop)
-
-    async def _get(self, key: Any, traces: Any) -> Any:
-        idle = self._conns.get(key)
-        if idle is not None:
-            for item in [item for item in idle if item[0].should_close]:
-                idle.remove(item)
-                item[0].close()
-        return await super()._get(key, traces)
-
-
 class RelayClient:
     """
     Send requests over pooled connections.
@@ -142,14 +58,23 @@
     ----------
     connect_seconds : float
         Connect timeout.
+    header_names : HeaderNames
+        Names of the headers that tell which request a response is for.
     """
 
-    def __init__(self, *, connect_seconds: Seconds = CONNECT_SECONDS) -> None:
+    def __init__(
+        self,
+        *,
+        connect_seconds: Seconds = CONNECT_SECONDS,
+        header_names: HeaderNames | None = None,
+    ) -> None:
         self._connect_seconds = connect_seconds
+        self._header_names = header_names or HeaderNames()
         self._session: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
-        connector = _CheckedConnector(
+        connector = CheckedConnector(
+            header_names=self._header_names,
             limit=0,
             keepalive_timeout=IDLE_SECONDS,
             use_dns_cache=False,
@@ -157,6 +82,7 @@
         )
         self._session = aiohttp.ClientSession(
             connector=connector,
+            response_class=RelayResponse,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=self._connect_seconds
             ),
@@ -180,7 +106,7 @@
         headers: Sequence[tuple[str, str]],
         body: bytes,
         timeout_seconds: Seconds,
-    ) -> Result[aiohttp.ClientResponse, SendError]:
+    ) -> Result[RelayResponse, SendError]:
         """
         Return the response once its head has arrived; the caller closes it.
 
@@ -199,7 +125,7 @@
                     data=body or None,
                     allow_redirects=False,
                 )
-                return Success(response)
+                return Success(cast(RelayResponse, response))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(SendError(SendErrorKind.NOT_SENT, repr(error)))
         except TimeoutError:
@@ -209,15 +135,6 @@
             return Failure(SendError(SendErrorKind.BROKEN, repr(error)))
 
 
-def _reset(transport: asyncio.BaseTransport) -> None:
-    """Reset a connection and discard the data in the kernel's send buffer."""
-    sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    assert isinstance(transport, asyncio.WriteTransport)
-    transport.abort()
-
-
 def _make_socket(address: Any) -> socket.socket:
     family, kind, protocol, _, _ = address
     sock = socket.socket(family=family, type=kind, proto=protocol)
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -21,6 +21,7 @@
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.budgets import RetryBudget, RetryLimits
 from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
+from poplarlug.relay.connections import RelayResponse
 from poplarlug.relay.context import Outcome, RequestContext
 from poplarlug.relay.dispatcher import Dispatcher, LocalTarget, RemoteTarget, Target
 from poplarlug.relay.header_names import HeaderNames
@@ -518,14 +519,21 @@
     def _note_head(
         self,
         target: str,
-        response: aiohttp.ClientResponse,
+        response: RelayResponse,
         trace: RelayTrace,
         now: Seconds,
         started: Seconds,
     ) -> None:
         _SENDS.labels(target, "answered").inc()
         _FIRST_ANSWER_SECONDS.labels(target).observe(now - started)
-        fields: dict[str, Any] = {"status": response.status}
+        source = response.source
+        fields: dict[str, Any] = {
+            "status": response.status,
+            "exchange": source.exchange,
+            "echoed": source.names_request,
+        }
+        if source.has_early_bytes:
+            fields["early_bytes"] = True
         limit = response.headers.get(self._header_names.limit)
         if limit is not None:
             fields["limit"] = limit[:MAX_LOGGED_CHARACTERS]
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -13,7 +13,7 @@
 from poplarlug.discovery.records import ServiceUpstream, UpstreamPhase
 from poplarlug.platform.encoding import encode_heartbeat
 from poplarlug.platform.names import HEADER_NAMES
-from poplarlug.relay.client import NO_LINGER
+from poplarlug.relay.connections import NO_LINGER
 from poplarlug.relay.events import LAST_EVENT_HEADER
 from poplarlug.types import Seconds
 
