Echo the request id in all answers between entries

Refusals that an entry gives to the entry that forwarded a request named no request, so a kept connection's answers could be told apart by their order alone. All answers of the entries' port echo the id now; the test failed before (KeyError).

--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -134,7 +134,9 @@
 
     def build_for_entries(self) -> web.Application:
         """Return the application for requests forwarded by other entries."""
-        return self._build(self._serve_entry)
+        app = self._build(self._serve_entry)
+        app.on_response_prepare.append(self._name_request)
+        return app
 
     def _build(self, handler: Handler) -> web.Application:
         app = web.Application(
@@ -143,6 +145,14 @@
         app.router.add_route("*", "/{path:.*}", handler)
         return app
 
+    async def _name_request(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Echo the request id to the entry that forwarded the request."""
+        name = self._header_names.request_id
+        if name in request.headers:
+            response.headers.setdefault(name, request.headers[name])
+
     async def _serve_caller(self, request: web.Request) -> web.StreamResponse:
         return await self._serve(request, hops=0)
 
--- a/tests/relay/test_endpoint.py
+++ b/tests/relay/test_endpoint.py
@@ -18,6 +18,7 @@
 from poplarlug.relay.endpoint import STARTUP_WAIT_SECONDS, DrainState, RelayEndpoint
 from poplarlug.relay.gateway import RelayGateway
 from poplarlug.relay.header_names import HeaderNames
+from poplarlug.relay.hop_headers import REFUSED
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.view import FleetView
 from poplarlug.routes import RouteTable
@@ -79,6 +80,9 @@
         self.caller = TestClient(TestServer(endpoint.build()))
         await self.caller.start_server()
         self.addAsyncCleanup(self.caller.close)
+        self.entry = TestClient(TestServer(endpoint.build_for_entries()))
+        await self.entry.start_server()
+        self.addAsyncCleanup(self.entry.close)
 
     async def test_request_waits_for_the_first_routes(self) -> None:
         """Right after a start routes arrive soon, and a refusal would cost more time."""
@@ -96,3 +100,11 @@
         async with self.caller.get("/x/") as response:
             self.assertEqual(response.status, 503)
         self.assertLess(clock() - started, STARTUP_WAIT_SECONDS / 2)
+
+    async def test_refusal_to_an_entry_names_the_request(self) -> None:
+        """The entry that forwarded the request tells by it whose refusal it is."""
+        name = HeaderNames().request_id
+        async with self.entry.get("/x/", headers={name: "r-1"}) as response:
+            self.assertEqual(response.status, 503)
+            self.assertIn(REFUSED, response.headers)
+            self.assertEqual(response.headers.getall(name), ["r-1"])
