Believe only refusals that can't be earlier ones

Callers got 429 or 503, "not run", for requests that an upstream had run or was running: a faulty upstream wrote an earlier refusal once more on a kept connection. Bookings ran at a second upstream, or their callers sent them again.

Cause: an answer without an id was taken for that of the request that waits, and the id of a request that is sent once more on its connection can't tell its second refusal from its first.

- An answer without an id is believed only as the first one on its connection, on which no byte had come before the request; otherwise the outcome is unknown, never "not run".
- A request isn't sent again on a connection that refused it, nor on one with unread bytes; one that carried an answer to another request, an answer without an id or bytes between requests is closed.
- A refusal behind which an answer to the same request follows is not believed.

Sound refusals, which name their request, stay believed on kept connections and cost none: 40 of 40 refused bookings got 503, over at most two connections an upstream (test). In test_connections one number changes, as a connection now ends with another's answer.

--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -4,7 +4,6 @@
 import select
 import socket
 import struct
-from collections.abc import Mapping
 from functools import partial
 from typing import Any, NamedTuple
 
@@ -21,6 +20,9 @@
 MAX_HEADS = 8
 """Response heads per exchange, including 1xx responses; servers send one or two."""
 
+MAX_REFUSALS = 100
+"""Refusals after which a connection is closed; limits the ids that it remembers."""
+
 NO_LINGER = struct.pack("ii", 1, 0)
 """``SO_LINGER`` value that makes closing a socket send a TCP reset."""
 
@@ -37,11 +39,31 @@
         Number of the request on its connection, from 1 on.
     has_early_bytes : bool
         Whether bytes had arrived on the connection before the request was written.
+    is_refusal : bool
+        Whether the response states that the request was not run.
+    is_contradicted : bool
+        Whether it is a refusal, and another response to the request follows it.
     """
 
     names_request: bool | None
     exchange: int
-    has_early_bytes: bool
+    has_early_bytes: bool = False
+    is_refusal: bool = False
+    is_contradicted: bool = False
+
+    @property
+    def is_reliable(self) -> bool:
+        """
+        Whether the response is for the request, and may be believed.
+
+        Upstreams echo ids. Without one a response may be an earlier one that was
+        written once more, unless nothing was sent on its connection before.
+        """
+        if self.names_request is None:
+            is_own = self.exchange == 1 and not self.has_early_bytes
+        else:
+            is_own = self.names_request
+        return is_own and not self.is_contradicted
 
 
 class RelayResponse(aiohttp.ClientResponse):
@@ -53,7 +75,8 @@
         handler = connection.protocol
         assert isinstance(handler, StrictHandler)
         await super().start(connection)
-        self.source = handler.response_source(self.headers)
+        assert handler.response_source is not None
+        self.source = handler.response_source
         return self
 
 
@@ -73,23 +96,67 @@
         self._header_names = header_names
         self._request_id: RequestId = ""
         self._exchanges = 0
+        self._refused_ids: set[RequestId] = set()
+        self.response_source: ResponseSource | None = None
         self._has_early_bytes = False
         self._in_exchange = False
         self._heads = 0
 
+    @property
+    def is_new(self) -> bool:
+        """Whether no request was sent on this connection."""
+        return self._exchanges == 0
+
     def expect_response_to(self, request_id: RequestId) -> None:
         """Begin the exchange of a request."""
         self._request_id = request_id
         self._exchanges += 1
+        self.response_source = None
+
+    def can_send(self, request_id: RequestId) -> bool:
+        """
+        Return whether a request may be sent on this connection.
+
+        Bytes that arrived before it can't be its response, and a second refusal of
+        the same request could not be told from the first.
+        """
+        return (
+            not self.should_close
+            and request_id not in self._refused_ids
+            and not self._has_unread_bytes
+        )
+
+    async def read(self) -> tuple[Any, Any]:
+        message, payload = await super().read()
+        if message.code >= 200:
+            self.response_source = self._note_response(message)
+        return message, payload
 
-    def response_source(self, headers: Mapping[str, str]) -> ResponseSource:
-        """Return the source of a response with these headers."""
-        echoed = headers.get(self._header_names.request_id)
-        return ResponseSource(
-            names_request=None if echoed is None else echoed == self._request_id,
+    def _note_response(self, message: Any) -> ResponseSource:
+        """Decide what the response means for later requests on this connection."""
+        source = ResponseSource(
+            names_request=self._names_request(message),
             exchange=self._exchanges,
             has_early_bytes=self._has_early_bytes,
+            is_refusal=self._is_refusal(message),
+            is_contradicted=self._is_refusal(message)
+            and any(
+                self._names_request(later) and not self._is_refusal(later)
+                for (later, _), _ in self._buffer
+            ),
         )
+        if source.is_refusal:
+            self._refused_ids.add(self._request_id)
+        if not source.names_request or len(self._refused_ids) >= MAX_REFUSALS:
+            self.force_close()
+        return source
+
+    def _names_request(self, message: Any) -> bool | None:
+        echoed = message.headers.get(self._header_names.request_id)
+        return None if echoed is None else echoed == self._request_id
+
+    def _is_refusal(self, message: Any) -> bool:
+        return message.code == 421 or self._header_names.not_executed in message.headers
 
     def set_response_params(self, **options: Any) -> None:
         self._has_early_bytes = self._has_unread_bytes
@@ -100,6 +167,9 @@
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
+        if self._is_response_complete and self.response_source is not None:
+            # Belongs to no request, even if it is only a part of a response so far.
+            self.force_close()
         if self._payload is not None or len(data) <= HEAD_SLICE_BYTES:
             super().data_received(data)
             return
@@ -151,7 +221,7 @@
 
 
 class CheckedConnector(aiohttp.TCPConnector):
-    """Don't reuse a connection that received bytes after its last response."""
+    """Reuse a connection only for requests that it can take."""
 
     def __init__(self, *, header_names: HeaderNames, **options: Any) -> None:
         super().__init__(**options)
@@ -163,19 +233,15 @@
     async def connect(
         self, req: aiohttp.ClientRequest, traces: Any, timeout: aiohttp.ClientTimeout
     ) -> Connection:
-        connection = await super().connect(req, traces, timeout)
-        handler = connection.protocol
-        assert isinstance(handler, StrictHandler)
-        handler.expect_response_to(req.headers.get(self._header_names.request_id, ""))
-        return connection
-
-    async def _get(self, key: Any, traces: Any) -> Any:
-        idle = self._conns.get(key)
-        if idle is not None:
-            for item in [item for item in idle if item[0].should_close]:
-                idle.remove(item)
-                item[0].close()
-        return await super()._get(key, traces)
+        request_id = req.headers.get(self._header_names.request_id, "")
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            handler = connection.protocol
+            assert isinstance(handler, StrictHandler)
+            if handler.is_new or handler.can_send(request_id):
+                handler.expect_response_to(request_id)
+                return connection
+            connection.close()
 
 
 def _reset(transport: asyncio.BaseTransport) -> None:
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -71,6 +71,12 @@
     ["target", "outcome"],
     registry=REGISTRY,
 )
+_UNRELIABLE = Counter(
+    "poplarlug_relay_unreliable_answers_total",
+    "Answers that may belong to another request, or whose refusal may be an old one.",
+    ["target"],
+    registry=REGISTRY,
+)
 _FIRST_ANSWER_SECONDS = Histogram(
     "poplarlug_relay_first_answer_seconds",
     "From a send to the head of its answer.",
@@ -366,7 +372,7 @@
             self._note_head("upstream", response, trace, now, started)
             self._record_limit(request, target, response, started)
             self._record_backoff(request, target, response)
-            refused = await self._check_head(request, target, response)
+            refused = await self._check_head(target, response)
             if refused is not None:
                 return refused
             target.in_flight_request.got_error = response.status >= 500
@@ -426,18 +432,15 @@
             backoff.note_retry_after(target.upstream, headers.getall("Retry-After", ()))
 
     async def _check_head(
-        self,
-        request: RelayRequest,
-        target: LocalTarget,
-        response: aiohttp.ClientResponse,
+        self, target: LocalTarget, response: RelayResponse
     ) -> Outcome | None:
         """Return why a response must not be relayed, ``None`` if it may be."""
         header_names = self._header_names
         headers = response.headers
-        echoed = headers.get(header_names.request_id)
-        if echoed is not None and echoed != request.id:
-            return Outcome(outcome_unknown("the upstream answered another request"))
-        if response.status == 421 or header_names.not_executed in headers:
+        if not response.source.is_reliable:
+            _UNRELIABLE.labels("upstream").inc()
+            return Outcome(outcome_unknown("the answer may be another request's"))
+        if response.source.is_refusal:
             cold = _parse_milliseconds(headers.get(header_names.cold_left, ""))
             if cold:
                 self._in_flight.note_cold(target.upstream.id, cold)
--- a/tests/platform_adapter/test_repeated_refusals.py
+++ b/tests/platform_adapter/test_repeated_refusals.py
@@ -61,6 +61,8 @@
         Whether the next request is refused.
     repeats : int
         Number of refusals that were written once more.
+    connections : set
+        All connections on which a request came.
     started_by_id : collections.Counter
         Number of executions by request id, counted before anything is written.
     """
@@ -69,12 +71,14 @@
         self.repeated: RepeatedRefusal | None = None
         self.is_refusing = False
         self.repeats = 0
+        self.connections: set[object] = set()
         self.started_by_id: Counter[str] = Counter()
         self._refusals_by_connection: dict[object, bytes] = {}
         super().__init__(**options)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         repeated = self.repeated
+        self.connections.add(request.transport)
         if repeated is None:
             return await super()._serve(request)
         assert request.transport is not None
@@ -228,3 +232,15 @@
     def test_refusal_of_the_same_request_between_requests(self) -> None:
         """Its connection isn't used again."""
         self.check(RepeatedRefusal("after", is_named=True))
+
+    def test_sound_refusals_are_believed_on_kept_connections(self) -> None:
+        """Callers may send a booking once more; no refusal costs a connection."""
+        for upstream in self.upstreams:
+            upstream.fault = "refuse"
+            upstream.connections.clear()
+        for entry in self.entries:
+            results = [self.send(entry, "book", uuid.uuid4().hex) for _ in range(20)]
+            self.assertEqual({sent.status for sent in results}, {503})
+        for upstream in self.upstreams:
+            self.assertGreater(len(upstream.refused), 5)
+            self.assertLessEqual(len(upstream.connections), 2)
--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -6,7 +6,7 @@
 from unittest.mock import patch
 
 from poplarlug.relay.client import RelayClient
-from poplarlug.relay.connections import RelayResponse
+from poplarlug.relay.connections import MAX_REFUSALS, RelayResponse
 from poplarlug.relay.header_names import HeaderNames
 
 HEADER_NAMES = HeaderNames()
@@ -37,6 +37,8 @@
         Written when a connection is made.
     responses : list of bytes
         Written for the requests in their order, whatever their connection.
+    later : bytes
+        Written a moment after the first response.
     connections : int
         Number of connections that the server accepted.
     """
@@ -44,6 +46,7 @@
     async def asyncSetUp(self) -> None:
         self.greeting = b""
         self.responses: list[bytes] = []
+        self.later = b""
         self.connections = 0
         server = await asyncio.start_server(self._talk, "127.0.0.1", 0)
         self.addCleanup(server.close)
@@ -51,6 +54,8 @@
         self.address = f"{host}:{port}"
         self.client = RelayClient(header_names=HEADER_NAMES)
         await self.client.open()
+        # The server sees the end of its connections before the loop ends.
+        self.addAsyncCleanup(asyncio.sleep, EARLY_SECONDS / 5)
         self.addAsyncCleanup(self.client.close)
 
     async def _talk(
@@ -62,6 +67,10 @@
             while True:
                 await reader.readuntil(b"\r\n\r\n")
                 writer.write(self.responses.pop(0))
+                if self.later:
+                    await asyncio.sleep(EARLY_SECONDS / 5)
+                    writer.write(self.later)
+                    self.later = b""
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
@@ -93,11 +102,12 @@
         self.assertEqual(
             [source.names_request for source in sources], [True, False, None]
         )
-        self.assertEqual([source.exchange for source in sources], [1, 2, 3])
+        # A connection isn't kept after a response that is for another request.
+        self.assertEqual([source.exchange for source in sources], [1, 2, 1])
 
-    async def test_source_tells_of_bytes_before_the_request(self) -> None:
-        """They can't be the response to it."""
-        self.greeting = encode_response("r-1")
+    async def test_bytes_before_the_request_are_no_response_to_it(self) -> None:
+        """Not even on a new connection, if they name no request."""
+        self.greeting = encode_response(None, status=503, is_refusal=True)
         self.responses = [encode_response("r-1")] * 2
         connector = cast(Any, self.client._session).connector
         connect = connector.connect
@@ -108,4 +118,70 @@
             return connection
 
         with patch.object(connector, "connect", connect_late):
-            self.assertTrue((await self.send("r-1")).source.has_early_bytes)
+            source = (await self.send("r-1")).source
+        self.assertTrue(source.has_early_bytes)
+        self.assertFalse(source.is_reliable)
+
+
+class RefusalTests(ConnectionTestCase):
+    async def test_refusal_that_names_its_request_is_believed(self) -> None:
+        """Also one of many on a kept connection."""
+        ids = [f"r-{number}" for number in range(9)]
+        self.responses = [
+            encode_response(request_id, status=503, is_refusal=True)
+            for request_id in ids
+        ]
+        sources = [(await self.send(request_id)).source for request_id in ids]
+        self.assertTrue(all(s.is_refusal and s.is_reliable for s in sources))
+        self.assertEqual(self.connections, 1)
+
+    async def test_refusal_without_id_is_believed_on_a_new_connection(self) -> None:
+        """On a kept one it may be an earlier one, written once more."""
+        refusal = encode_response(None, status=503, is_refusal=True)
+        self.responses = [refusal, refusal, encode_response("r-3"), refusal]
+        sources = [(await self.send(f"r-{number}")).source for number in (1, 2, 3, 4)]
+        self.assertEqual([s.is_reliable for s in sources], [True, True, True, False])
+        self.assertEqual([s.exchange for s in sources], [1, 1, 1, 2])
+
+    async def test_refused_request_is_not_sent_again_on_its_connection(self) -> None:
+        """The id could not tell an old refusal from a new one."""
+        refusal = encode_response("r-1", status=503, is_refusal=True)
+        self.responses = [refusal, encode_response("r-1")]
+        for _ in range(2):
+            self.assertEqual((await self.send("r-1")).source.exchange, 1)
+
+    async def test_refusal_before_an_answer_is_not_believed(self) -> None:
+        """The answer to the request shows that it ran."""
+        refusal = encode_response("r-1", status=503, is_refusal=True)
+        self.responses = [refusal + encode_response("r-1")]
+        self.assertFalse((await self.send("r-1")).source.is_reliable)
+
+    async def test_second_copy_does_not_contradict_a_refusal(self) -> None:
+        """It is no answer to the next request either."""
+        refusal = encode_response("r-1", status=503, is_refusal=True)
+        self.responses = [refusal * 2, encode_response("r-2")]
+        self.assertTrue((await self.send("r-1")).source.is_reliable)
+        source = (await self.send("r-2")).source
+        self.assertEqual((source.names_request, source.exchange), (True, 1))
+
+    async def test_part_of_a_response_between_requests_ends_a_connection(self) -> None:
+        """Its rest would be read as the response to the next request."""
+        refusal = encode_response("r-2", status=503, is_refusal=True)
+        self.responses = [encode_response("r-1"), refusal[9:] + encode_response("r-2")]
+        self.later = refusal[:9]
+        await self.send("r-1")
+        await asyncio.sleep(EARLY_SECONDS)
+        self.responses[0] = encode_response("r-2")
+        source = (await self.send("r-2")).source
+        self.assertEqual((source.is_refusal, source.exchange), (False, 1))
+
+    async def test_connection_remembers_a_bounded_number_of_refusals(self) -> None:
+        """It is closed then."""
+        ids = [f"r-{number}" for number in range(MAX_REFUSALS + 1)]
+        self.responses = [
+            encode_response(request_id, status=503, is_refusal=True)
+            for request_id in ids
+        ]
+        for request_id in ids:
+            await self.send(request_id)
+        self.assertEqual(self.connections, 2)
