--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -167,7 +167,8 @@
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
-        if self._is_response_complete and self.response_source is not None:
+        # aiohttp calls this without data to resume its parser.
+        if data and self._is_response_complete and self.response_source is not None:
             # Belongs to no request, even if it is only a part of a response so far.
             self.force_close()
         if self._payload is not None or len(data) <= HEAD_SLICE_BYTES:
--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -12,6 +12,9 @@
 HEADER_NAMES = HeaderNames()
 EARLY_SECONDS = 0.05
 
+LONG_BODY_BYTES = 1024 * 1024
+"""More than the client reads at a time."""
+
 
 def encode_response(
     request_id: str | None, *, status: int = 200, is_refusal: bool = False
@@ -175,6 +178,15 @@
         source = (await self.send("r-2")).source
         self.assertEqual((source.is_refusal, source.exchange), (False, 1))
 
+    async def test_connection_is_kept_after_a_long_response(self) -> None:
+        """Reading is paused and resumed within it."""
+        body = bytes(LONG_BODY_BYTES)
+        head = encode_response("r-1").replace(b": 0", b": %d" % len(body))
+        self.responses = [head + body] * 3
+        for _ in self.responses.copy():
+            await self.send("r-1")
+        self.assertEqual(self.connections, 1)
+
     async def test_connection_remembers_a_bounded_number_of_refusals(self) -> None:
         """It is closed then."""
         ids = [f"r-{number}" for number in range(MAX_REFUSALS + 1)]
