Take nothing from an answer that may be another request's

What an upstream says besides its answer was believed without a name: a Retry-After, that it leaves and how long it is cold, from any answer without an id, and a refusal by another entry from any answer at all.

All of these are now taken only from answers that are reliable by their connection; a limit still needs the id. The three tests of UnreliableResponseTests failed before (an entry's refusal without an id or with another's, a departure and a pause, a signed answer). The test of limits builds the source of its responses; its cases are unchanged.

--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -370,8 +370,8 @@
         response = sent.unwrap()
         try:
             self._note_head("upstream", response, trace, now, started)
-            self._record_limit(request, target, response, started)
-            self._record_backoff(request, target, response)
+            self._record_limit(target, response, started)
+            self._record_backoff(target, response)
             refused = await self._check_head(target, response)
             if refused is not None:
                 return refused
@@ -392,20 +392,15 @@
             response.close()
 
     def _record_limit(
-        self,
-        request: RelayRequest,
-        target: LocalTarget,
-        response: aiohttp.ClientResponse,
-        requested_at: Seconds,
+        self, target: LocalTarget, response: RelayResponse, requested_at: Seconds
     ) -> None:
         """Record the rate limit in a response, if it is from the upstream itself."""
         header_names = self._header_names
         headers = response.headers
+        source = response.source
         has_run = header_names.signature in headers
-        is_own = response.status != 421 and (
-            has_run or header_names.not_executed in headers
-        )
-        if is_own and headers.get(header_names.request_id) == request.id:
+        is_own = response.status != 421 and (has_run or source.is_refusal)
+        if is_own and source.names_request and source.is_reliable:
             self._view.limiter.note_limit(
                 target.upstream,
                 headers.getall(header_names.limit, ()),
@@ -413,16 +408,10 @@
                 has_run=has_run,
             )
 
-    def _record_backoff(
-        self,
-        request: RelayRequest,
-        target: LocalTarget,
-        response: aiohttp.ClientResponse,
-    ) -> None:
+    def _record_backoff(self, target: LocalTarget, response: RelayResponse) -> None:
         """Record that an upstream leaves or wants a pause, as its response says."""
         headers = response.headers
-        echoed = headers.get(self._header_names.request_id, request.id)
-        if response.status == 421 or echoed != request.id:
+        if response.status == 421 or not response.source.is_reliable:
             return
         backoff = self._view.backoff
         backoff.note_leaving(
@@ -497,6 +486,9 @@
         response = sent.unwrap()
         try:
             self._note_head("entry", response, trace, now, started)
+            if not response.source.is_reliable:
+                _UNRELIABLE.labels("entry").inc()
+                return Outcome(outcome_unknown("the answer may be another request's"))
             refused = response.headers.get(REFUSED)
             if refused is not None:
                 refusal = decode_refusal(refused, f"refused by {entry.name}")
@@ -504,11 +496,6 @@
                     self._view.note_region_failed(request.service, entry.region)
                 unknown = outcome_unknown("the entry's refusal can't be read")
                 return Outcome(refusal or unknown)
-            if (
-                response.headers.get(self._header_names.request_id, request.id)
-                != request.id
-            ):
-                return Outcome(outcome_unknown("the entry answered another request"))
             self._view.note_region_served(request.service, entry.region)
             version = response.headers.get(SOFTWARE_VERSION, "")
             context.upstream_version = version
--- a/tests/relay/test_gateway.py
+++ b/tests/relay/test_gateway.py
@@ -1,20 +1,27 @@
-"""Tests of when a stalled stream is resumed elsewhere."""
+"""Tests of stalled streams, and of what is believed of a response."""
 
+import asyncio
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
 
+from multidict import CIMultiDict
+from returns.result import Success
+
 from poplarlug.control.routing_state import encode_table
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import PollReply, RoutingUpdate
 from poplarlug.discovery.named_limits import NamedLimits
-from poplarlug.discovery.records import ServiceUpstream
+from poplarlug.discovery.records import EntryRecord, ServiceUpstream
+from poplarlug.errors import not_run
 from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
 from poplarlug.relay.client import RelayClient
-from poplarlug.relay.context import RequestContext
-from poplarlug.relay.dispatcher import Dispatcher, LocalTarget
+from poplarlug.relay.connections import ResponseSource
+from poplarlug.relay.context import Outcome, RequestContext
+from poplarlug.relay.dispatcher import Dispatcher, LocalTarget, RemoteTarget
 from poplarlug.relay.gateway import RelayGateway
+from poplarlug.relay.hop_headers import REFUSED, encode_refusal
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import FleetView
@@ -30,6 +37,17 @@
     ServiceUpstream(f"e-{number}", "engine", f"10.0.0.{number}:80", "a", 1, 1, 8)
     for number in (1, 2)
 )
+ENTRY = EntryRecord("entry-2", "west", "b", "10.1.0.1:80", "10.1.0.1:81", 1)
+SOURCES_WITH_RAN = (
+    (ResponseSource(names_request=True, exchange=7), False),
+    (ResponseSource(names_request=None, exchange=1), False),
+    (ResponseSource(names_request=None, exchange=2), None),
+    (ResponseSource(names_request=None, exchange=1, has_early_bytes=True), None),
+    (ResponseSource(names_request=False, exchange=1), None),
+    (ResponseSource(names_request=True, exchange=1, is_contradicted=True), None),
+)
+"""Whether the request ran, as far as a refusal of such a source tells."""
+
 SERVICE = RoutedService("engine", engine=Engine(8, 100_000))
 REPLY = PollReply(
     registry_id="r",
@@ -43,7 +61,9 @@
 )
 
 
-class SilentStreamTests(QuietTestCase):
+class GatewayTestCase(QuietTestCase):
+    """An entry that knows two upstreams of its region."""
+
     def setUp(self) -> None:
         super().setUp()
         self.deployment = Deployment(
@@ -73,6 +93,8 @@
             clock=lambda: 0.0,
         )
 
+
+class SilentStreamTests(GatewayTestCase):
     def can_resume_elsewhere(self) -> bool:
         """Return whether a silent stream at the first upstream is resumed elsewhere."""
         request = make_request(route=ROUTE)
@@ -101,3 +123,93 @@
         lost = UPSTREAMS[0]._replace(phase="lost")
         self.deployment.apply_reply(REPLY._replace(whole=False, upstreams=(lost,)))
         self.assertTrue(self.can_resume_elsewhere())
+
+
+class UnreliableResponseTests(GatewayTestCase):
+    """Responses that may belong to another request, as a connection shows."""
+
+    def run_with(
+        self,
+        source: ResponseSource,
+        status: int,
+        headers: dict[str, str],
+        *,
+        by_entry: bool = False,
+    ) -> Outcome:
+        """Return the outcome if an upstream, or an entry, responds so."""
+        response = SimpleNamespace(
+            status=status,
+            headers=CIMultiDict(headers),
+            source=source,
+            content=SimpleNamespace(at_eof=lambda: True),
+            close=lambda: None,
+        )
+
+        async def send(**_: Any) -> Success[Any]:
+            return Success(response)
+
+        async def main() -> Outcome:
+            client = cast(Any, SimpleNamespace(send=send))
+            self.gateway._client = self.gateway._forward_client = client
+            request = make_request(route=ROUTE)
+            context = RequestContext(
+                request=request,
+                sink=cast(Any, SimpleNamespace(started=False)),
+                trace=RelayTrace(request_id="r-1", started=0.0),
+            )
+            if by_entry:
+                entry = RemoteTarget(ENTRY, 0.1, 0.0)
+                return await self.gateway._run_remote(context, entry, 1.0)
+            in_flight_request = self.view.in_flight.note_started(
+                UPSTREAMS[0], SERVICE.engine, request, 0.0
+            )
+            upstream = LocalTarget(UPSTREAMS[0], in_flight_request, 0.1, 0, 0.0)
+            return await self.gateway._attempt(context, upstream, 1.0)
+
+        return asyncio.run(main())
+
+    def test_refusal_is_believed_only_if_it_is_for_the_request(self) -> None:
+        """Otherwise it is unknown whether the request ran, at an entry too."""
+        headers = {
+            HEADER_NAMES.not_executed: "1",
+            REFUSED: encode_refusal(not_run("full", 0.2)),
+        }
+        for status in (408, 421, 429, 503):
+            for source, ran in SOURCES_WITH_RAN:
+                refusal = source._replace(is_refusal=True)
+                for by_entry in (False, True):
+                    outcome = self.run_with(refusal, status, headers, by_entry=by_entry)
+                    assert outcome.error is not None
+                    self.assertIs(outcome.error.ran, ran, (source, status, by_entry))
+
+    def test_another_requests_answer_says_nothing_of_its_upstream(self) -> None:
+        """Neither a pause, a limit, a departure nor a cold start is taken from it."""
+        upstream = UPSTREAMS[0]
+        headers = {
+            HEADER_NAMES.not_executed: "1",
+            HEADER_NAMES.leaving: "1",
+            HEADER_NAMES.limit: "3",
+            HEADER_NAMES.cold_left: "4000",
+            "Retry-After": "5",
+        }
+        for source, ran in reversed(SOURCES_WITH_RAN):
+            self.run_with(source._replace(is_refusal=True), 503, headers)
+            heard = (
+                self.view.backoff.is_leaving(upstream),
+                self.view.backoff.pause_left(upstream) > 0,
+                self.view.in_flight.cold_seconds(upstream.id) > 0,
+                self.view.limiter.is_limited(upstream),
+            )
+            is_believed = ran is False
+            self.assertEqual(heard[:3], (is_believed,) * 3, source)
+            self.assertEqual(heard[3], bool(source.names_request) and is_believed)
+
+    def test_signed_answer_is_passed_on_only_if_it_is_for_the_request(self) -> None:
+        """One without an id on a kept connection may be an earlier caller's."""
+        headers = {HEADER_NAMES.signature: "signed"}
+        for source, ran in SOURCES_WITH_RAN:
+            if ran is None:
+                for by_entry in (False, True):
+                    outcome = self.run_with(source, 200, headers, by_entry=by_entry)
+                    assert outcome.error is not None
+                    self.assertIsNone(outcome.error.ran)
--- a/tests/relay/test_limiter.py
+++ b/tests/relay/test_limiter.py
@@ -17,6 +17,7 @@
 from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
 from poplarlug.relay.client import RelayClient
+from poplarlug.relay.connections import ResponseSource
 from poplarlug.relay.dispatcher import Dispatcher, LocalTarget
 from poplarlug.relay.gateway import RelayGateway
 from poplarlug.relay.in_flight import InFlightTracker
@@ -275,9 +276,15 @@
             for name, value in (fields | changed).items():
                 if value is not None:
                     headers[name] = value
-            response = cast(Any, SimpleNamespace(status=status, headers=headers))
-            request = entry.request()
-            entry.gateway._record_limit(request, target, response, requested_at)
+            source = ResponseSource(
+                names_request=headers.get(HEADER_NAMES.request_id) == "r-1",
+                exchange=1,
+                is_refusal=status == 421 or HEADER_NAMES.not_executed in headers,
+            )
+            response = cast(
+                Any, SimpleNamespace(status=status, headers=headers, source=source)
+            )
+            entry.gateway._record_limit(target, response, requested_at)
             return entry.limits.rate(UPSTREAMS[0].run)
 
         return run_virtual(main())
