Don't end a request's task on an answer of status 101

aiohttp takes 101 for a final answer, the new record of a response's source took it for an interim one, and the request ended with an AssertionError instead of an answer. The test failed before.

--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -128,7 +128,7 @@
 
     async def read(self) -> tuple[Any, Any]:
         message, payload = await super().read()
-        if message.code >= 200:
+        if message.code >= 200 or message.code == 101:
             self.response_source = self._note_response(message)
         return message, payload
 
--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -178,6 +178,12 @@
         source = (await self.send("r-2")).source
         self.assertEqual((source.is_refusal, source.exchange), (False, 1))
 
+    async def test_switch_of_protocols_is_no_answer(self) -> None:
+        """No request asks for one; it isn't taken for an interim response."""
+        self.responses = [encode_response(None, status=101)]
+        source = (await self.send("r-1")).source
+        self.assertFalse(source.is_refusal)
+
     async def test_connection_is_kept_after_a_long_response(self) -> None:
         """Reading is paused and resumed within it."""
         body = bytes(LONG_BODY_BYTES)
