--- /dev/null
+++ b/poplarlug/relay/connections.py
@@ -0,0 +1,266 @@
+"""Pooled connections, and which request a response on one of them is for."""
+
+import asyncio
+import select
+import socket
+import struct
+from functools import partial
+from typing import Any, NamedTuple
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
+
+from poplarlug.relay.header_names import HeaderNames
+from poplarlug.types import RequestId
+
+HEAD_SLICE_BYTES = 8 * 1024
+"""Bytes parsed at a time until the response head is complete; most are shorter."""
+
+MAX_HEADS = 8
+"""Response heads per exchange, including 1xx responses; servers send one or two."""
+
+MAX_REFUSALS = 100
+"""Refusals after which a connection is closed; limits the ids that it remembers."""
+
+NO_LINGER = struct.pack("ii", 1, 0)
+"""``SO_LINGER`` value that makes closing a socket send a TCP reset."""
+
+
+class ResponseSource(NamedTuple):
+    """
+    How a response relates to the request that was sent before it.
+
+    Parameters
+    ----------
+    names_request : bool or None
+        Whether the response echoes the id of the request, ``None`` if it has no id.
+    exchange : int
+        Number of the request on its connection, from 1 on.
+    has_early_bytes : bool
+        Whether bytes had arrived on the connection before the request was written.
+    is_refusal : bool
+        Whether the response states that the request was not run.
+    is_contradicted : bool
+        Whether it is a refusal, and another response to the request follows it.
+    """
+
+    names_request: bool | None
+    exchange: int
+    has_early_bytes: bool = False
+    is_refusal: bool = False
+    is_contradicted: bool = False
+
+    @property
+    def is_reliable(self) -> bool:
+        """
+        Whether the response is for the request, and may be believed.
+
+        Upstreams echo ids. Without one a response may be an earlier one that was
+        written once more, unless nothing was sent on its connection before.
+        """
+        if self.names_request is None:
+            is_own = self.exchange == 1 and not self.has_early_bytes
+        else:
+            is_own = self.names_request
+        return is_own and not self.is_contradicted
+
+
+class RelayResponse(aiohttp.ClientResponse):
+    """Response that knows its source."""
+
+    source: ResponseSource
+
+    async def start(self, connection: Any) -> "RelayResponse":
+        handler = connection.protocol
+        assert isinstance(handler, StrictHandler)
+        await super().start(connection)
+        assert handler.response_source is not None
+        self.source = handler.response_source
+        return self
+
+
+class StrictHandler(ResponseHandler):
+    """
+    Report a response as truncated after a reset, and reset abandoned exchanges.
+
+    aiohttp treats the end of the connection as the end of a body without a length,
+    even if the connection was reset. It also closes a connection gracefully when the
+    exchange is abandoned, so that the rest of the request would still be sent and run
+    for a caller that has left. An endless series of interim responses is an error;
+    data is parsed in slices so that such a series can't block other exchanges.
+    """
+
+    def __init__(self, *, header_names: HeaderNames, **options: Any) -> None:
+        super().__init__(**options)
+        self._header_names = header_names
+        self._request_id: RequestId = ""
+        self._exchanges = 0
+        self._refused_ids: set[RequestId] = set()
+        self.response_source: ResponseSource | None = None
+        self._has_early_bytes = False
+        self._in_exchange = False
+        self._heads = 0
+
+    @property
+    def is_new(self) -> bool:
+        """Whether no request was sent on this connection."""
+        return self._exchanges == 0
+
+    def expect_response_to(self, request_id: RequestId) -> None:
+        """Begin the exchange of a request."""
+        self._request_id = request_id
+        self._exchanges += 1
+        self.response_source = None
+
+    def can_send(self, request_id: RequestId) -> bool:
+        """
+        Return whether a request may be sent on this connection.
+
+        Bytes that arrived before it can't be its response, and a second refusal of
+        the same request could not be told from the first.
+        """
+        return (
+            not self.should_close
+            and request_id not in self._refused_ids
+            and not self._has_unread_bytes
+        )
+
+    async def read(self) -> tuple[Any, Any]:
+        message, payload = await super().read()
+        if message.code >= 200 or message.code == 101:
+            self.response_source = self._note_response(message)
+        return message, payload
+
+    def _note_response(self, message: Any) -> ResponseSource:
+        """Decide what the response means for later requests on this connection."""
+        source = ResponseSource(
+            names_request=self._names_request(message),
+            exchange=self._exchanges,
+            has_early_bytes=self._has_early_bytes,
+            is_refusal=self._is_refusal(message),
+            is_contradicted=self._is_refusal(message)
+            and any(
+                self._names_request(later) and not self._is_refusal(later)
+                for (later, _), _ in self._buffer
+            ),
+        )
+        if source.is_refusal:
+            self._refused_ids.add(self._request_id)
+        if not source.names_request or len(self._refused_ids) >= MAX_REFUSALS:
+            self.force_close()
+        return source
+
+    def _names_request(self, message: Any) -> bool | None:
+        echoed = message.headers.get(self._header_names.request_id)
+        return None if echoed is None else echoed == self._request_id
+
+    def _is_refusal(self, message: Any) -> bool:
+        return message.code == 421 or self._header_names.not_executed in message.headers
+
+    def set_response_params(self, **options: Any) -> None:
+        self._has_early_bytes = self._has_unread_bytes
+        self._in_exchange = True
+        self._heads = 0
+        # Belongs to the previous response; the new one hasn't started yet.
+        self._payload = None
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        # aiohttp calls this without data to resume its parser.
+        if data and self._is_response_complete and self.response_source is not None:
+            # Belongs to no request, even if it is only a part of a response so far.
+            self.force_close()
+        if self._payload is not None or len(data) <= HEAD_SLICE_BYTES:
+            super().data_received(data)
+            self._fail_broken_framing()
+            return
+        for start in range(0, len(data), HEAD_SLICE_BYTES):
+            if self.transport is None or self.transport.is_closing():
+                return
+            super().data_received(data[start : start + HEAD_SLICE_BYTES])
+
+    def _fail_broken_framing(self) -> None:
+        """Fail a body whose framing aiohttp gave up, which tells its reader nothing."""
+        payload = self._payload
+        if (
+            payload is not None
+            and (self.transport is None or self.transport.is_closing())
+            and not payload.is_eof()
+            and payload.exception() is None
+        ):
+            payload.set_exception(aiohttp.ClientPayloadError("broken framing"))
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        self._heads += 1
+        if self._heads <= MAX_HEADS:
+            super().feed_data(data, size)
+        elif self.transport is not None and not self.transport.is_closing():
+            self.set_exception(aiohttp.ClientPayloadError("too many interim answers"))
+            _reset(self.transport)
+
+    def close(self) -> None:
+        if (
+            self._in_exchange
+            and not self._is_response_complete
+            and self.transport is not None
+        ):
+            _reset(self.transport)
+        super().close()
+
+    @property
+    def _has_unread_bytes(self) -> bool:
+        """Whether bytes or the end of the connection have arrived since the last read."""
+        if self._buffer or self._tail:
+            return True
+        sock = (
+            None if self.transport is None else self.transport.get_extra_info("socket")
+        )
+        if sock is None:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    @property
+    def _is_response_complete(self) -> bool:
+        return self._payload is not None and self._payload.is_eof()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
+        super().connection_lost(exc)
+
+
+class CheckedConnector(aiohttp.TCPConnector):
+    """Reuse a connection only for requests that it can take."""
+
+    def __init__(self, *, header_names: HeaderNames, **options: Any) -> None:
+        super().__init__(**options)
+        self._header_names = header_names
+        self._factory: Any = partial(
+            StrictHandler, loop=self._loop, header_names=header_names
+        )
+
+    async def connect(
+        self, req: aiohttp.ClientRequest, traces: Any, timeout: aiohttp.ClientTimeout
+    ) -> Connection:
+        request_id = req.headers.get(self._header_names.request_id, "")
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            handler = connection.protocol
+            assert isinstance(handler, StrictHandler)
+            if handler.is_new or handler.can_send(request_id):
+                handler.expect_response_to(request_id)
+                return connection
+            connection.close()
+
+
+def _reset(transport: asyncio.BaseTransport) -> None:
+    """Reset a connection and discard the data in the kernel's send buffer."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    assert isinstance(transport, asyncio.WriteTransport)
+    transport.abort()
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -21,6 +21,7 @@
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.budgets import RetryBudget, RetryLimits
 from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
+from poplarlug.relay.connections import RelayResponse
 from poplarlug.relay.context import Outcome, RequestContext
 from poplarlug.relay.dispatcher import Dispatcher, LocalTarget, RemoteTarget, Target
 from poplarlug.relay.event_format import EventFormat
@@ -71,6 +72,12 @@
     ["target", "outcome"],
     registry=REGISTRY,
 )
+_UNRELIABLE = Counter(
+    "poplarlug_relay_unreliable_answers_total",
+    "Answers that may belong to another request, or whose refusal may be an old one.",
+    ["target"],
+    registry=REGISTRY,
+)
 _FIRST_ANSWER_SECONDS = Histogram(
     "poplarlug_relay_first_answer_seconds",
     "From a send to the head of its answer.",
@@ -399,9 +406,9 @@
         response = sent.unwrap()
         try:
             self._note_head("upstream", response, trace, now, started)
-            self._record_limit(request, target, response, started)
-            self._record_backoff(request, target, response)
-            refused = await self._check_head(request, target, response)
+            self._record_limit(target, response, started)
+            self._record_backoff(target, response)
+            refused = await self._check_head(target, response)
             if refused is not None:
                 return refused
             target.in_flight_request.got_error = response.status >= 500
@@ -421,20 +428,15 @@
             response.close()
 
     def _record_limit(
-        self,
-        request: RelayRequest,
-        target: LocalTarget,
-        response: aiohttp.ClientResponse,
-        requested_at: Seconds,
+        self, target: LocalTarget, response: RelayResponse, requested_at: Seconds
     ) -> None:
         """Record the rate limit in a response, if it is from the upstream itself."""
         header_names = self._header_names
         headers = response.headers
+        source = response.source
         has_run = header_names.signature in headers
-        is_own = response.status != 421 and (
-            has_run or header_names.not_executed in headers
-        )
-        if is_own and headers.get(header_names.request_id) == request.id:
+        is_own = response.status != 421 and (has_run or source.is_refusal)
+        if is_own and source.names_request and source.is_reliable:
             self._view.limiter.note_limit(
                 target.upstream,
                 headers.getall(header_names.limit, ()),
@@ -442,16 +444,10 @@
                 has_run=has_run,
             )
 
-    def _record_backoff(
-        self,
-        request: RelayRequest,
-        target: LocalTarget,
-        response: aiohttp.ClientResponse,
-    ) -> None:
+    def _record_backoff(self, target: LocalTarget, response: RelayResponse) -> None:
         """Record that an upstream leaves or wants a pause, as its response says."""
         headers = response.headers
-        echoed = headers.get(self._header_names.request_id, request.id)
-        if response.status == 421 or echoed != request.id:
+        if response.status == 421 or not response.source.is_reliable:
             return
         backoff = self._view.backoff
         backoff.note_leaving(
@@ -461,18 +457,15 @@
             backoff.note_retry_after(target.upstream, headers.getall("Retry-After", ()))
 
     async def _check_head(
-        self,
-        request: RelayRequest,
-        target: LocalTarget,
-        response: aiohttp.ClientResponse,
+        self, target: LocalTarget, response: RelayResponse
     ) -> Outcome | None:
         """Return why a response must not be relayed, ``None`` if it may be."""
         header_names = self._header_names
         headers = response.headers
-        echoed = headers.get(header_names.request_id)
-        if echoed is not None and echoed != request.id:
-            return Outcome(outcome_unknown("the upstream answered another request"))
-        if response.status == 421 or header_names.not_executed in headers:
+        if not response.source.is_reliable:
+            _UNRELIABLE.labels("upstream").inc()
+            return Outcome(outcome_unknown("the answer may be another request's"))
+        if response.source.is_refusal:
             cold = _parse_milliseconds(headers.get(header_names.cold_left, ""))
             if cold:
                 self._in_flight.note_cold(target.upstream.id, cold)
@@ -530,6 +523,9 @@
         response = sent.unwrap()
         try:
             self._note_head("entry", response, trace, now, started)
+            if not response.source.is_reliable:
+                _UNRELIABLE.labels("entry").inc()
+                return Outcome(outcome_unknown("the answer may be another request's"))
             refused = response.headers.get(REFUSED)
             if refused is not None:
                 refusal = decode_refusal(refused, f"refused by {entry.name}")
@@ -537,11 +533,6 @@
                     self._view.note_region_failed(request.service, entry.region)
                 unknown = outcome_unknown("the entry's refusal can't be read")
                 return Outcome(refusal or unknown)
-            if (
-                response.headers.get(self._header_names.request_id, request.id)
-                != request.id
-            ):
-                return Outcome(outcome_unknown("the entry answered another request"))
             self._view.note_region_served(request.service, entry.region)
             version = response.headers.get(SOFTWARE_VERSION, "")
             context.upstream_version = version
@@ -555,14 +546,21 @@
     def _note_head(
         self,
         target: str,
-        response: aiohttp.ClientResponse,
+        response: RelayResponse,
         trace: RelayTrace,
         now: Seconds,
         started: Seconds,
     ) -> None:
         _SENDS.labels(target, "answered").inc()
         _FIRST_ANSWER_SECONDS.labels(target).observe(now - started)
-        fields: dict[str, Any] = {"status": response.status}
+        source = response.source
+        fields: dict[str, Any] = {
+            "status": response.status,
+            "exchange": source.exchange,
+            "echoed": source.names_request,
+        }
+        if source.has_early_bytes:
+            fields["early_bytes"] = True
         limit = response.headers.get(self._header_names.limit)
         if limit is not None:
             fields["limit"] = limit[:MAX_LOGGED_CHARACTERS]
