Ignore SIGHUP from the first statement of a start on

Now the programs that the platform runs ignore it before they import anything else. The settings are read later, so no change is missed.

The interpreter's own start, before the first statement, isn't covered, nor are the daemons with a topology file.

--- a/poplarlug/platform/control.py
+++ b/poplarlug/platform/control.py
@@ -1,5 +1,11 @@
 """HTTP API for operators and upstreams, and entry point of a control replica."""
 
+import signal
+
+if __name__ == "__main__":
+    # By default, a SIGHUP during the imports would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import asyncio
 import os
 from pathlib import Path
--- a/poplarlug/platform/entry.py
+++ b/poplarlug/platform/entry.py
@@ -1,5 +1,11 @@
 """HTTP API of an entry for the platform, and the entry point of an entry."""
 
+import signal
+
+if __name__ == "__main__":
+    # By default, a SIGHUP during the imports would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import os
 from pathlib import Path
 
