--- a/poplarlug/platform/entry.py
+++ b/poplarlug/platform/entry.py
@@ -3,7 +3,7 @@
 import signal
 
 if __name__ == "__main__":
-    # By default, a SIGHUP would end the process; the imports take most of a start.
+    # By default, a SIGHUP during the imports would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import os
