Break off an unframed stream that ends without an event

A stream with neither a length nor chunks ends with its connection.

Cause: no event counted as a whole number of events. A new stream without an event, of which nothing but the connection's end says that it is over, now counts as cut off: a stream that may be resumed begins elsewhere, another one breaks off. A stream that was resumed may have nothing to add, and chunks or a length say that it is over, so these end as before.

The new test failed before ('True is not false: stream at entry-0-quito-a').

--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -119,12 +119,23 @@
     )
     if _is_stream(response) and not is_whole:
         return _ended_within_event()
+    if check is not None and _lacks_events(response, check.progress):
+        return _ended_within_event()
     await sink.finish()
     return DONE
 
 
+def _lacks_events(response: aiohttp.ClientResponse, events: EventProgress) -> bool:
+    """Return whether a stream that only its connection ended has brought no event."""
+    is_framed = (
+        response.content_length is not None
+        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    )
+    return not is_framed and not events.last_id
+
+
 def _ended_within_event() -> Outcome:
-    failed = truncated_answer("the answer ended within an event")
+    failed = truncated_answer("the answer ended before or within an event")
     return Outcome(failed, connection_lost=True)
 
 
@@ -173,7 +184,7 @@
             events.last_id = passed_id
     if events.foreign is not None:
         return _refuse_foreign(context, events)
-    if not events.ends_with_event:
+    if not events.ends_with_event or _lacks_events(response, events):
         return _ended_within_event()
     await sink.finish()
     return DONE
--- a/tests/platform_adapter/test_unframed_answers.py
+++ b/tests/platform_adapter/test_unframed_answers.py
@@ -61,6 +61,15 @@
                 _, _, is_complete = self.read(self.connect(entry), route)
                 self.assertFalse(is_complete, f"{route} at {entry}")
 
+    # Guards against upstreams that crash before the first event of such a stream.
+    def test_stream_without_an_event_is_broken_off(self) -> None:
+        """Its end shows nothing but that of the connection."""
+        self.upstream.unframed_body = b""
+        for entry in self.entries:
+            for route in ("stream", "resume"):
+                _, _, is_complete = self.read(self.connect(entry), route)
+                self.assertFalse(is_complete, f"{route} at {entry}")
+
     def test_reset_answer_is_not_complete(self) -> None:
         """Of a plain answer nothing has been sent on then."""
         self.upstream.unframed_body = EVENTS
