Record streams at a majority of the control replicas

Cause: entries passed events on once one replica had the record of their stream. A replica that was cut off took such records with it when its region was lost, and the others took "no record" for "default version".

A replica now acknowledges a report of streams once a majority has it, and tells "no record" only with the answers of a majority that may not lack any. One that reaches no majority records and tells nothing: its entries hold events back, begin streams at the default version, and refuse streams that they didn't begin, with Retry-After. Reports may take two round trips between regions, so MAX_REPORT_SECONDS is 0.3 s. What waits for a replica is kept once a stream, so repeats don't add up.

--- a/poplarlug/discovery/control_peers.py
+++ b/poplarlug/discovery/control_peers.py
@@ -79,6 +79,12 @@
         voters = self.voters
         return max(0, len(voters) // 2 + 1 - len(voters & {self._own, *reached}))
 
+    def is_majority(self, addresses: Collection[Address], *, with_own: bool) -> bool:
+        """Return whether ``addresses``, with the own one or not, are most voters."""
+        counted = {*addresses, self._own} if with_own else set(addresses)
+        voters = self.voters
+        return len(voters & counted) > len(voters) // 2
+
     @property
     def voters(self) -> frozenset[Address]:
         """The group's voters, or the seeds while no voters are known."""
--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -33,6 +33,8 @@
 LIMITS_TOPIC = "discovery.limits"
 STREAMS_TOPIC = "discovery.streams"
 STREAM_LOOKUP_TOPIC = "discovery.stream_lookup"
+STREAM_COPY_TOPIC = "discovery.stream_copy"
+"""A :class:`StreamLookup` from one replica to another, answered from its own records."""
 
 
 class WaitingCount(NamedTuple):
@@ -197,7 +199,16 @@
 
 
 class StreamsReceived(NamedTuple):
-    """Acknowledgement that the receiver has the streams and distributes them."""
+    """
+    Acknowledgement that the receiver has the streams and distributes them.
+
+    Parameters
+    ----------
+    is_recorded : bool
+        Whether a majority of the replicas has them.
+    """
+
+    is_recorded: bool = True
 
 
 class StreamLookup(NamedTuple):
@@ -216,9 +227,10 @@
     version : SoftwareVersion or None
         ``None`` if the stream isn't recorded.
     is_complete : bool
-        Whether no records may be missing.
+        Whether no records may be missing at a majority of the replicas.
     versions : ServiceVersions or None
-        The versions of the service; ``None`` if the replica knows of no upstream.
+        The versions of the service; ``None`` if the replica knows of no upstream, or
+        reaches no majority.
     """
 
     version: SoftwareVersion | None
--- a/poplarlug/discovery/outbox.py
+++ b/poplarlug/discovery/outbox.py
@@ -1,16 +1,18 @@
 """Queue of the records that a control replica has yet to send to another one."""
 
 import asyncio
+from collections.abc import Iterable
 
 from poplarlug.discovery.crash_marks import MAX_MARKS, CrashMark
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.discovery.registry import Record, Records
-from poplarlug.discovery.software_versions import StreamStarts
-from poplarlug.types import Seconds
-
-MAX_QUEUED_STREAMS = 6000
-"""Maximum number of reports of streams kept for a replica that can't be reached. At a
-hundred reports a second they cover the time in which a stream may be resumed."""
+from poplarlug.discovery.software_versions import (
+    MAX_STREAMS,
+    StreamKey,
+    StreamStarts,
+    group_by_version,
+)
+from poplarlug.types import Seconds, SoftwareVersion
 
 
 def departures(records: Records) -> Records:
@@ -25,7 +27,9 @@
     def __init__(self) -> None:
         self._records_by_key: dict[str, Record] = {}
         self._marks_by_key: dict[str, CrashMark] = {}
-        self._streams: list[StreamStarts] = []
+        self._versions_by_stream: dict[StreamKey, SoftwareVersion] = {}
+        self._waiting: list[asyncio.Future[None]] = []
+        self._sent: list[asyncio.Future[None]] = []
         self._has_changes = asyncio.Event()
         self._delivered = asyncio.Event()
 
@@ -37,10 +41,19 @@
             self._marks_by_key[mark.key] = mark
         while len(self._marks_by_key) > MAX_MARKS:
             del self._marks_by_key[next(iter(self._marks_by_key))]
-        self._streams += records.streams
+        for version, keys in records.streams:
+            self._versions_by_stream.update(dict.fromkeys(keys, version))
+        self._drop_oldest_streams()
         self._delivered.clear()
         self._has_changes.set()
 
+    def add_streams(self, starts: Iterable[StreamStarts]) -> "asyncio.Future[None]":
+        """Queue records of streams; return a future that is done once it has them."""
+        delivered = asyncio.get_running_loop().create_future()
+        self._waiting.append(delivered)
+        self.add(Records(streams=tuple(starts)))
+        return delivered
+
     def notify(self) -> None:
         """Wake the sender for changes that aren't queued here, such as limits."""
         self._has_changes.set()
@@ -49,11 +62,15 @@
         """Remove all records from the queue and return them."""
         held, self._records_by_key = self._records_by_key, {}
         marks, self._marks_by_key = self._marks_by_key, {}
-        streams, self._streams = self._streams, []
+        streams, self._versions_by_stream = self._versions_by_stream, {}
+        self._sent += self._waiting
+        self._waiting = []
         self._has_changes.clear()
         upstreams = tuple(r for r in held.values() if isinstance(r, ServiceUpstream))
         entries = tuple(r for r in held.values() if isinstance(r, EntryRecord))
-        return Records(entries, upstreams, tuple(marks.values()), tuple(streams))
+        return Records(
+            entries, upstreams, tuple(marks.values()), group_by_version(streams)
+        )
 
     def requeue(self, records: Records) -> None:
         """Queue records again that weren't delivered, unless newer ones are queued."""
@@ -61,11 +78,26 @@
             self._records_by_key.setdefault(record.key, record)
         for mark in records.marks:
             self._marks_by_key.setdefault(mark.key, mark)
-        self._streams = [*records.streams, *self._streams][-MAX_QUEUED_STREAMS:]
+        queued = self._versions_by_stream
+        self._versions_by_stream = {
+            key: version for version, keys in records.streams for key in keys
+        }
+        self._versions_by_stream.update(queued)
+        self._drop_oldest_streams()
+        self._waiting = [one for one in (*self._sent, *self._waiting) if not one.done()]
+        self._sent = []
+
+    def _drop_oldest_streams(self) -> None:
+        while len(self._versions_by_stream) > MAX_STREAMS:
+            del self._versions_by_stream[next(iter(self._versions_by_stream))]
 
     def confirm(self) -> None:
         """Record that the replica accepted everything taken from the queue."""
-        if not (self._records_by_key or self._marks_by_key or self._streams):
+        for delivered in self._sent:
+            if not delivered.done():
+                delivered.set_result(None)
+        self._sent = []
+        if not (self._records_by_key or self._marks_by_key or self._versions_by_stream):
             self._delivered.set()
 
     async def wait_delivered(self) -> bool:
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -14,6 +14,7 @@
     LIMITS_TOPIC,
     MARKS_TOPIC,
     POLL_TOPIC,
+    STREAM_COPY_TOPIC,
     STREAM_LOOKUP_TOPIC,
     STREAMS_TOPIC,
     TABLES_TOPIC,
@@ -53,6 +54,9 @@
 """Records heard from within this time are listed in gossip. Longer than the interval
 between an upstream's announcements or an entry's polls."""
 
+COPY_TIMEOUT_SECONDS = 0.3
+"""How long a replica waits for another one's record of a stream, while a caller waits."""
+
 MAX_HOLD_SECONDS = 2.0
 """Longest time that a poll may wait for changes."""
 
@@ -150,6 +154,7 @@
         transport.serve(LIMITS_TOPIC, LimitsReport, self._serve_limits)
         transport.serve(STREAMS_TOPIC, StreamsReport, self._serve_streams)
         transport.serve(STREAM_LOOKUP_TOPIC, StreamLookup, self._serve_stream_lookup)
+        transport.serve(STREAM_COPY_TOPIC, StreamLookup, self._serve_stream_copy)
 
     async def run(self) -> None:
         """Exchange records with the other replicas until cancelled."""
@@ -470,13 +475,105 @@
         self, sender: VmName, report: StreamsReport
     ) -> StreamsReceived:
         self._streams.add(report.starts)
-        for outbox in self._outboxes_by_peer.values():
-            outbox.add(Records(streams=report.starts))
+        peers_by_copy = {
+            outbox.add_streams(report.starts): peer
+            for peer, outbox in self._outboxes_by_peer.items()
+        }
+        reached: set[Address] = set()
+        pending = set(peers_by_copy)
+        deadline = self._clock() + REPLICATION_TIMEOUT_SECONDS
+        while not self._peers.is_majority(reached, with_own=True):
+            if not pending or self._clock() >= deadline:
+                return StreamsReceived(is_recorded=False)
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=deadline - self._clock(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            reached |= {peers_by_copy[copy] for copy in done}
         return StreamsReceived()
 
+    async def _serve_stream_copy(
+        self, sender: VmName, lookup: StreamLookup
+    ) -> StreamFound:
+        return self._find_own(lookup)
+
     async def _serve_stream_lookup(
         self, sender: VmName, lookup: StreamLookup
     ) -> StreamFound:
+        """
+        Answer from the records of a majority of the replicas.
+
+        An entry passes events on once a majority has their stream, so a stream that
+        one majority lacks is of the default version.
+        """
+        own = self._find_own(lookup)
+        if own.version is not None:
+            return own
+        answers_by_peer: dict[Address, StreamFound] = {}
+        asking = [
+            asyncio.ensure_future(self._ask_copy(peer, lookup, answers_by_peer))
+            for peer in self._outboxes_by_peer
+            if peer in self._peers.voters
+        ]
+        try:
+            for asked in asyncio.as_completed(asking):
+                await asked
+                answer = self._combine(own, answers_by_peer)
+                if answer is not None:
+                    return answer
+        finally:
+            for task in asking:
+                task.cancel()
+        combined = self._combine(own, answers_by_peer, is_last=True)
+        return StreamFound(None, False) if combined is None else combined
+
+    async def _ask_copy(
+        self,
+        peer: Address,
+        lookup: StreamLookup,
+        answers_by_peer: dict[Address, StreamFound],
+    ) -> None:
+        reply = await self._transport.request(
+            peer=peer,
+            topic=STREAM_COPY_TOPIC,
+            message=lookup,
+            reply_type=StreamFound,
+            timeout_seconds=COPY_TIMEOUT_SECONDS,
+        )
+        if isinstance(reply, Success):
+            answers_by_peer[peer] = reply.unwrap()
+        else:
+            _log.debug(
+                "no record from a replica", peer=peer, reason=reply.failure().message
+            )
+
+    def _combine(
+        self,
+        own: StreamFound,
+        answers_by_peer: Mapping[Address, StreamFound],
+        *,
+        is_last: bool = False,
+    ) -> StreamFound | None:
+        """Return what the answers tell, ``None`` while they tell nothing."""
+        for answer in answers_by_peer.values():
+            if answer.version is not None:
+                return answer
+        complete = [peer for peer, one in answers_by_peer.items() if one.is_complete]
+        is_complete = self._peers.is_majority(complete, with_own=own.is_complete)
+        is_majority = self._peers.is_majority(answers_by_peer.keys(), with_own=True)
+        if not is_complete and not (is_last and is_majority):
+            return None
+        known = [one.versions for one in (own, *answers_by_peer.values())]
+        versions = max(
+            (one for one in known if one is not None),
+            key=lambda one: len(one.others),
+            default=None,
+        )
+        return StreamFound(None, is_complete, versions)
+
+    def _find_own(self, lookup: StreamLookup) -> StreamFound:
+        """Return what this replica's own records tell of a stream."""
         self._note_versions()
         is_complete = self._streams.is_complete
         return StreamFound(
--- a/poplarlug/discovery/software_versions.py
+++ b/poplarlug/discovery/software_versions.py
@@ -1,7 +1,7 @@
 """Software versions of services, and which version began which stream."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from itertools import chain, islice
 from typing import NamedTuple, TypeAlias
 
@@ -175,6 +175,18 @@
     keys: tuple[StreamKey, ...]
 
 
+def group_by_version(
+    versions_by_key: Mapping[StreamKey, SoftwareVersion],
+) -> tuple[StreamStarts, ...]:
+    """Return streams grouped by the version that began them."""
+    keys_by_version: dict[SoftwareVersion, list[StreamKey]] = {}
+    for key, version in versions_by_key.items():
+        keys_by_version.setdefault(version, []).append(key)
+    return tuple(
+        StreamStarts(version, tuple(keys)) for version, keys in keys_by_version.items()
+    )
+
+
 class _StoredStream(NamedTuple):
     version: SoftwareVersion
     recorded_at: Seconds
@@ -282,14 +294,9 @@
         return self._grouped(self._stored_by_key)
 
     def _grouped(self, keys: Iterable[StreamKey]) -> tuple[StreamStarts, ...]:
-        keys_by_version: dict[SoftwareVersion, list[StreamKey]] = {}
-        for key in keys:
-            stored = self._stored_by_key.get(key)
-            if stored is not None:
-                keys_by_version.setdefault(stored.version, []).append(key)
-        return tuple(
-            StreamStarts(version, tuple(grouped))
-            for version, grouped in keys_by_version.items()
+        held = ((key, self._stored_by_key.get(key)) for key in keys)
+        return group_by_version(
+            {key: stored.version for key, stored in held if stored is not None}
         )
 
     def _expire(self) -> None:
--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import Any, NamedTuple
+from typing import NamedTuple, TypeVar
 
 from returns.result import Failure, Success
 
@@ -45,8 +45,9 @@
 REPLY_TIMEOUT_SECONDS = 1.0
 """Added to the hold time; a replica that takes longer to reply counts as lost."""
 
-LOOKUP_TIMEOUT_SECONDS = 0.4
-"""Limits the wait of a caller who resumes a stream; a few round trips between regions."""
+LOOKUP_TIMEOUT_SECONDS = 0.5
+"""Limits the wait of a caller who resumes a stream; a few round trips between regions,
+one of which the replica makes."""
 
 RETRY_SECONDS = 0.1
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -63,6 +64,8 @@
 MIN_POLL_INTERVAL_SECONDS = 0.05
 """Minimum interval between polls, so that a burst of changes costs one poll."""
 
+R = TypeVar("R")
+
 _log = ComponentLogger(prefix="discovery")
 
 
@@ -169,7 +172,10 @@
             replica = await self._wait_for_report(self._marks.has_pending)
             pending = self._marks.take_pending()
             report = MarksReport(pending)
-            if not await self._send_report(replica, MARKS_TOPIC, report, MarksReceived):
+            received = await self._send_report(
+                replica, MARKS_TOPIC, report, MarksReceived
+            )
+            if received is None:
                 self._marks.requeue(pending)
                 await asyncio.sleep(RETRY_SECONDS)
 
@@ -179,9 +185,10 @@
             replica = await self._wait_for_report(self._limits.has_pending)
             pending = self._limits.take_pending()
             report = LimitsReport(pending)
-            if not await self._send_report(
+            received = await self._send_report(
                 replica, LIMITS_TOPIC, report, LimitsReceived
-            ):
+            )
+            if received is None:
                 self._limits.requeue(pending)
                 await asyncio.sleep(RETRY_SECONDS)
 
@@ -191,7 +198,10 @@
             replica = await self._wait_for_report(self._streams.has_pending)
             pending = self._streams.take_pending()
             report = StreamsReport(pending)
-            if await self._send_report(replica, STREAMS_TOPIC, report, StreamsReceived):
+            received = await self._send_report(
+                replica, STREAMS_TOPIC, report, StreamsReceived
+            )
+            if received is not None and received.is_recorded:
                 self._streams.confirm(pending)
             else:
                 await asyncio.sleep(RETRY_SECONDS)
@@ -225,9 +235,9 @@
             await asyncio.sleep(RETRY_SECONDS)
 
     async def _send_report(
-        self, replica: Address, topic: str, report: object, reply_type: type[Any]
-    ) -> bool:
-        """Send a report to a replica; return whether it was acknowledged."""
+        self, replica: Address, topic: str, report: object, reply_type: type[R]
+    ) -> R | None:
+        """Send a report to a replica; return its acknowledgement, if there is one."""
         reply = await self._transport.request(
             peer=replica,
             topic=topic,
@@ -240,8 +250,8 @@
             _log.warning(
                 "failed to send a report", topic=topic, replica=replica, reason=reason
             )
-            return False
-        return True
+            return None
+        return reply.unwrap()
 
     async def _report_changes(self) -> None:
         while True:
--- a/poplarlug/relay/resumption.py
+++ b/poplarlug/relay/resumption.py
@@ -19,9 +19,9 @@
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.types import SoftwareVersion
 
-MAX_REPORT_SECONDS = 0.15
-"""Reports of streams that take longer can't be relied on; a round trip between regions
-takes less."""
+MAX_REPORT_SECONDS = 0.3
+"""Reports of streams that take longer can't be relied on; two round trips between
+regions take less: a report waits for the one before."""
 
 LOOKUP_RETRY_SECONDS = 0.3
 """Retry time while the records of streams can't be reached."""
--- a/tests/discovery/test_stream_sharing.py
+++ b/tests/discovery/test_stream_sharing.py
@@ -50,3 +50,44 @@
                 self.assertEqual((found.version, found.is_complete), (version, False))
 
         self.run_scenario(scenario)
+
+    # Guards against joined streams that only a lost region's replica knew.
+    def test_stream_is_recorded_once_a_majority_has_it(self) -> None:
+        """A replica that is cut off can't record alone, as it may be lost then."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await announce(fleet)
+            await asyncio.sleep(2.0)
+            fleet.cut_off("a")
+            recorded = fleet.streams_by_zone["a"].add_and_queue(1, "v2")
+            await asyncio.sleep(3.0)
+            self.assertFalse(recorded.done())
+            fleet.network.heal()
+            await asyncio.wait_for(recorded, 5.0)
+            fleet.stop("control-a")
+            fleet.stop("entry-a")
+            for zone in ("b", "c"):
+                found = await look_up(fleet, zone, 1)
+                assert found is not None
+                self.assertEqual(found.version, "v2")
+
+        self.run_scenario(scenario)
+
+    def test_cut_off_replica_tells_no_version(self) -> None:
+        """Other replicas may have records of streams, or know of other versions."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await announce(fleet)
+            await asyncio.sleep(65.0)
+            await announce(fleet)
+            found = await look_up(fleet, "a", 1)
+            assert found is not None and found.versions is not None
+            self.assertEqual((found.is_complete, found.versions.default), (True, "v1"))
+            fleet.cut_off("a")
+            await fleet.streams_by_zone["b"].add_and_queue(1, "v2")
+            self.assertEqual(await look_up(fleet, "a", 1), StreamFound(None, False))
+            found = await look_up(fleet, "c", 1)
+            assert found is not None
+            self.assertEqual(found.version, "v2")
+
+        self.run_scenario(scenario)
