Refute an id that leaves others out where nothing speaks for gaps

Cause: a gap was believed once the next event went on from it, also in a stream whose ids had risen by one until then, and at the end of a stream without a next event.

Change: after a step by one, an id that leaves others out is refuted at once; at the end an unconfirmed one is refuted unless it is the only event of a new stream. Streams with gaps from the start on are served as before.

Evidence: OddIdTests (three) and, with real processes, test_foreign_event_of_a_stream_that_has_nothing_left failed before and pass now. The properties of test_fuzz_events, written by the reviewer, held before and after.

--- a/poplarlug/relay/events.py
+++ b/poplarlug/relay/events.py
@@ -32,8 +32,9 @@
 
     A partial event is held back: if the upstream fails, the next upstream sends the
     whole event again. So is an event whose id leaves others out, until the next event
-    goes on from it, unless the stream has done so before. After the first bytes that
-    are no event of the run nothing more is returned.
+    goes on from it, unless the stream has done so before. A stream whose ids rise by one
+    leaves none out. After the first bytes that are no event of the run nothing more is
+    returned.
 
     Parameters
     ----------
@@ -107,11 +108,12 @@
         """
         Return what was held for the next event, as the stream has ended.
 
-        An event that leaves ids out after others that didn't is not of this run.
+        An event that leaves ids out isn't of this run if nothing goes on from it, unless
+        it is the only one of a new stream.
         """
         if self._unconfirmed is None:
             return b""
-        if self._has_steps:
+        if self._last_number() is not None:
             self._refute(Foreign.JUMP, self._unconfirmed[1])
             return b""
         return self._confirm()
@@ -192,7 +194,7 @@
                 return Foreign.JUMP
             taken.append(self._confirm())
         order = self._check_order(number)
-        if order is Foreign.JUMP:
+        if order is Foreign.JUMP and not self._has_steps:
             self._unconfirmed = (number, event)
             return None
         if order is not None:
