Check the events of a streaming route whatever type its answer has

Cause: the upstream's own word on the type decided whether it was checked. The route says that it streams.

Change: on a streaming route each answer of status 200 to a request other than HEAD is a stream of events.

Evidence: test_stream_is_checked_whatever_its_content_type failed for three of three types before and passes now.

--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -50,7 +50,7 @@
     """
     sink, events = context.sink, context.events
     length = response.content_length
-    is_held = not _is_stream(response) or response.status >= 400
+    is_held = not _is_stream(context, response) or response.status >= 400
     if sink.started and (is_held or response.status != 200):
         message = f"the stream was not taken up again: status {response.status}"
         return Outcome(truncated_answer(message))
@@ -62,10 +62,10 @@
             version = (SOFTWARE_VERSION, context.upstream_version)
             head = head._replace(headers=(*head.headers, version))
         await sink.start(head)
-    if events is not None:
+    if events is not None and _has_events(context, response):
         with budget.reserve() as reservation:
             return await _relay_events(context, response, events, reservation)
-    if context.request.route.kind == "streaming":
+    if _has_events(context, response):
         progress = EventProgress(event_format=context.event_format)
         with budget.reserve() as reservation:
             check = EventCheck(progress=progress, reservation=reservation)
@@ -117,7 +117,7 @@
     is_whole = (
         body.ends_with_event() if check is None else check.progress.ends_with_event
     )
-    if _is_stream(response) and not is_whole:
+    if _is_stream(context, response) and not is_whole:
         return _ended_within_event()
     if check is not None and _lacks_events(response, check.progress):
         return _ended_within_event()
@@ -296,8 +296,19 @@
         count += len(await content.readany())
 
 
-def _is_stream(response: aiohttp.ClientResponse) -> bool:
-    return response.headers.get("Content-Type", "").startswith(EVENT_STREAM)
+def _is_stream(context: RequestContext, response: aiohttp.ClientResponse) -> bool:
+    content_type = response.headers.get("Content-Type", "").lower()
+    return content_type.startswith(EVENT_STREAM) or _has_events(context, response)
+
+
+def _has_events(context: RequestContext, response: aiohttp.ClientResponse) -> bool:
+    """Return whether a body must be events, whatever the upstream says that it is."""
+    request = context.request
+    return (
+        request.route.kind == "streaming"
+        and request.method != "HEAD"
+        and response.status == 200
+    )
 
 
 def _head_of(response: aiohttp.ClientResponse) -> AnswerHead:
