Announce no length for a stream of events

Announced were 23 bytes, sent 15; a caller would wait for the rest, or take it from its next answer.

Change: events are sent in chunks, whatever length their upstream announced.

Evidence: test_announced_length_is_that_of_the_events_passed_on failed before and passes now.

--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -58,6 +58,9 @@
         return await _relay_buffered(context, response, budget)
     if not sink.started:
         head = _head_of(response)
+        if _has_events(context, response):
+            # Comments are dropped, and another upstream may send the rest.
+            head = head._replace(content_length=None)
         if context.request.hops:
             version = (SOFTWARE_VERSION, context.upstream_version)
             head = head._replace(headers=(*head.headers, version))
