Reset the connection of a broken-off answer that has neither length nor chunks

Cause: the connection was ended gracefully, which breaks off an answer with chunks or a length only. Without them the end of the connection is the end of the answer.

Change: the sink breaks an answer off, as it knows its framing, and resets the connection where nothing else shows it; at the relay and at the accounts' face.

--- a/poplarlug/callers/application.py
+++ b/poplarlug/callers/application.py
@@ -157,7 +157,7 @@
         trace.abandoned = sink.closed
         if sink.response is not None:
             trace.error = failed
-            _abort(request)
+            sink.break_off()
             return sink.response
         return error_response(failed, request_id)
 
@@ -198,13 +198,6 @@
     )
 
 
-def _abort(request: web.Request) -> None:
-    # The caller sees a broken connection rather than a truncated answer that looks
-    # complete.
-    if request.transport is not None:
-        request.transport.abort()
-
-
 def _not_accepting(headers: Mapping[str, str]) -> GatewayError:
     message = "This entry takes no requests now; ask another."
     if not headers.get("Idempotency-Key"):
--- a/poplarlug/callers/http_sink.py
+++ b/poplarlug/callers/http_sink.py
@@ -8,6 +8,7 @@
 
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.trace import RequestTrace
+from poplarlug.sockets import reset_connection
 
 WRITE_TIMEOUT_SECONDS = 30.0
 HIGH_WATER_BYTES = 64 * 1024
@@ -125,6 +126,18 @@
             await self.response.prepare(self._request)
         await self.response.write_eof()
 
+    def break_off(self) -> None:
+        """Abort the connection, so that the answer can't be taken for a complete one."""
+        transport = self._transport
+        if transport is None:
+            return
+        response = self.response
+        if response is None or self._chunked or response.content_length is not None:
+            transport.abort()
+        else:
+            # The end of the connection is the end of the answer, unless it is reset.
+            reset_connection(transport)
+
     def _count(self, data: bytes) -> None:
         trace = self._trace
         trace.bytes += len(data)
--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -1,9 +1,6 @@
 """Pooled connections, and which request a response on one of them is for."""
 
-import asyncio
 import select
-import socket
-import struct
 from functools import partial
 from typing import Any, NamedTuple
 
@@ -12,6 +9,7 @@
 from aiohttp.connector import Connection
 
 from poplarlug.relay.header_names import HeaderNames
+from poplarlug.sockets import reset_connection
 from poplarlug.types import RequestId
 
 HEAD_SLICE_BYTES = 8 * 1024
@@ -23,9 +21,6 @@
 MAX_REFUSALS = 100
 """Refusals after which a connection is closed; limits the ids that it remembers."""
 
-NO_LINGER = struct.pack("ii", 1, 0)
-"""``SO_LINGER`` value that makes closing a socket send a TCP reset."""
-
 
 class ResponseSource(NamedTuple):
     """
@@ -197,7 +192,7 @@
             super().feed_data(data, size)
         elif self.transport is not None and not self.transport.is_closing():
             self.set_exception(aiohttp.ClientPayloadError("too many interim answers"))
-            _reset(self.transport)
+            reset_connection(self.transport)
 
     def close(self) -> None:
         if (
@@ -205,7 +200,7 @@
             and not self._is_response_complete
             and self.transport is not None
         ):
-            _reset(self.transport)
+            reset_connection(self.transport)
         super().close()
 
     @property
@@ -255,12 +250,3 @@
                 handler.expect_response_to(request_id)
                 return connection
             connection.close()
-
-
-def _reset(transport: asyncio.BaseTransport) -> None:
-    """Reset a connection and discard the data in the kernel's send buffer."""
-    sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    assert isinstance(transport, asyncio.WriteTransport)
-    transport.abort()
--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -216,10 +216,7 @@
             return sink.response
         if sink.response is not None:
             trace.note(error=failed.type, reason=failed.message)
-            # Abort the connection, so that the caller can't take a truncated response
-            # for a complete one.
-            if request.transport is not None:
-                request.transport.abort()
+            sink.break_off()
             return sink.response
         return self._refuse(request, failed, relayed.hops, trace)
 
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -13,8 +13,8 @@
 from poplarlug.discovery.records import ServiceUpstream, UpstreamPhase
 from poplarlug.platform.encoding import encode_heartbeat
 from poplarlug.platform.names import HEADER_NAMES
-from poplarlug.relay.connections import NO_LINGER
 from poplarlug.relay.events import LAST_EVENT_HEADER
+from poplarlug.sockets import NO_LINGER
 from poplarlug.types import Seconds
 
 PORT = 8300
