Give bytes that come between two requests to nobody on the accounts' path

A completion whose framing broke waited for the watchdog, 60 s.

Cause: its pool was the library's own, and the mends of the relay's pool (bytes between requests, resets, broken framing) were not used there.

Change: both paths use CheckedConnector; without header names it doesn't ask answers which request they are for, as engines don't tell.

Evidence: test_second_answer_on_a_kept_connection_belongs_to_no_request and test_broken_framing_is_broken_at_once failed before and pass now. test_bytes_among_events_reach_no_caller stays red and is listed: events of completions aren't checked.

--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -86,7 +86,7 @@
     data is parsed in slices so that such a series can't block other exchanges.
     """
 
-    def __init__(self, *, header_names: HeaderNames, **options: Any) -> None:
+    def __init__(self, *, header_names: HeaderNames | None, **options: Any) -> None:
         super().__init__(**options)
         self._header_names = header_names
         self._request_id: RequestId = ""
@@ -142,15 +142,20 @@
         )
         if source.is_refusal:
             self._refused_ids.add(self._request_id)
-        if not source.names_request or len(self._refused_ids) >= MAX_REFUSALS:
+        is_expected = source.names_request or self._header_names is None
+        if not is_expected or len(self._refused_ids) >= MAX_REFUSALS:
             self.force_close()
         return source
 
     def _names_request(self, message: Any) -> bool | None:
+        if self._header_names is None:
+            return None
         echoed = message.headers.get(self._header_names.request_id)
         return None if echoed is None else echoed == self._request_id
 
     def _is_refusal(self, message: Any) -> bool:
+        if self._header_names is None:
+            return False
         return message.code == 421 or self._header_names.not_executed in message.headers
 
     def set_response_params(self, **options: Any) -> None:
@@ -229,9 +234,17 @@
 
 
 class CheckedConnector(aiohttp.TCPConnector):
-    """Reuse a connection only for requests that it can take."""
+    """
+    Reuse a connection only for requests that it can take.
+
+    Parameters
+    ----------
+    header_names : HeaderNames or None
+        Names of the headers that tell which request a response is for; ``None`` for
+        upstreams that don't tell.
+    """
 
-    def __init__(self, *, header_names: HeaderNames, **options: Any) -> None:
+    def __init__(self, *, header_names: HeaderNames | None, **options: Any) -> None:
         super().__init__(**options)
         self._header_names = header_names
         self._factory: Any = partial(
@@ -241,7 +254,8 @@
     async def connect(
         self, req: aiohttp.ClientRequest, traces: Any, timeout: aiohttp.ClientTimeout
     ) -> Connection:
-        request_id = req.headers.get(self._header_names.request_id, "")
+        names = self._header_names
+        request_id = "" if names is None else req.headers.get(names.request_id, "")
         while True:
             connection = await super().connect(req, traces, timeout)
             handler = connection.protocol
--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -8,6 +8,7 @@
 from prometheus_client import Counter
 
 from poplarlug.metrics import REGISTRY
+from poplarlug.relay.connections import CheckedConnector
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.relay import BodyRelay
 from poplarlug.serving.requests import GatewayRequest
@@ -61,9 +62,11 @@
         self._single: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
-        self._pooled = _session(aiohttp.TCPConnector(limit=MAX_CONNECTIONS))
+        self._pooled = _session(
+            CheckedConnector(header_names=None, limit=MAX_CONNECTIONS)
+        )
         self._single = _session(
-            aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=True)
+            CheckedConnector(header_names=None, limit=MAX_CONNECTIONS, force_close=True)
         )
 
     async def close(self) -> None:
