Check all odd bytes of a completion in one test outcome

A listed test is passed over by its id; the failures of its subtests were counted by themselves. The same three kinds of bytes are checked, and any one fails it.

--- a/tests/serving/test_foreign_answers.py
+++ b/tests/serving/test_foreign_answers.py
@@ -28,13 +28,14 @@
 class ForeignAnswerTests(TestCase):
     def test_bytes_among_events_reach_no_caller(self) -> None:
         """What the upstream wrote before them is good."""
+        passed = []
         for foreign in (FOREIGN, b"%PDF-1.4\n\n", b"\xff\xfe\n\n"):
-            with self.subTest(foreign):
-                sink = MemorySink()
-                parts = (chunk(TOKEN), chunk(foreign), chunk(LAST), b"0\r\n\r\n")
-                outcome = attempt_once(writes(CHUNKED_HEAD, *parts), sink)
-                self.assertEqual(sink.data, TOKEN)
-                self.assertEqual(outcome.status, AttemptStatus.BROKEN)
+            sink = MemorySink()
+            parts = (chunk(TOKEN), chunk(foreign), chunk(LAST), b"0\r\n\r\n")
+            outcome = attempt_once(writes(CHUNKED_HEAD, *parts), sink)
+            if sink.data != TOKEN or outcome.status is not AttemptStatus.BROKEN:
+                passed.append(foreign)
+        self.assertEqual(passed, [])
 
     def test_broken_framing_is_broken_at_once(self) -> None:
         """Bytes stand where the size of a chunk is due."""
