--- a/poplarlug/discovery/record_checks.py
+++ b/poplarlug/discovery/record_checks.py
@@ -21,7 +21,8 @@
 MAX_BORN = 2**53
 MAX_SLOTS = 100_000
 MAX_LOAD = 2**40
-"""Limit of each number in a load; the sum of those of all entries fits into a message."""
+"""Limit of each count of requests, milliseconds or tokens in a load; the sum over all
+entries fits into a message."""
 
 MAX_REMAINING_SECONDS = 366 * 86_400.0
 
--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -1,4 +1,8 @@
-"""Pooled connections, and which request a response on one of them is for."""
+"""
+Pooled connections to upstreams, and which request a response on one of them is for.
+
+Both callers' paths use them: requests by route and those of accounts.
+"""
 
 import select
 from functools import partial
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -58,17 +58,17 @@
         return await _relay_buffered(context, response, budget)
     if not sink.started:
         head = _head_of(response)
-        if _has_events(context, response):
+        if _requires_events(context, response):
             # Comments are dropped, and another upstream may send the rest.
             head = head._replace(content_length=None)
         if context.request.hops:
             version = (SOFTWARE_VERSION, context.upstream_version)
             head = head._replace(headers=(*head.headers, version))
         await sink.start(head)
-    if events is not None and _has_events(context, response):
+    if events is not None and _requires_events(context, response):
         with budget.reserve() as reservation:
             return await _relay_events(context, response, events, reservation)
-    if _has_events(context, response):
+    if _requires_events(context, response):
         progress = EventProgress(event_format=context.event_format)
         with budget.reserve() as reservation:
             check = EventCheck(progress=progress, reservation=reservation)
@@ -301,10 +301,10 @@
 
 def _is_stream(context: RequestContext, response: aiohttp.ClientResponse) -> bool:
     content_type = response.headers.get("Content-Type", "").lower()
-    return content_type.startswith(EVENT_STREAM) or _has_events(context, response)
+    return content_type.startswith(EVENT_STREAM) or _requires_events(context, response)
 
 
-def _has_events(context: RequestContext, response: aiohttp.ClientResponse) -> bool:
+def _requires_events(context: RequestContext, response: aiohttp.ClientResponse) -> bool:
     """Return whether a body must be events, whatever the upstream says that it is."""
     request = context.request
     return (
