Pass on only requests that end within a planned stop

Seen here on, 4 s of grace: head 1.0 s and last byte 3.0 s after the SIGTERM, an answer of 1.0 s: 8 of 8 ran and got 502 with an unknown outcome.

Cause: a request was checked once, when its head was read, by a share of the grace period. It was then passed on whenever its body, its place or its turn came.

The decision is now made where a request is passed on, and for queued requests at each pass over the queue: its deadline ends it within the drain, or, in the first 3 s, its route's requests usually end in the time left. What is refused has not run, and says so. This works as nothing that a request waits for lies between the check and the send.

tests.platform_adapter.test_planned_stop.SlowBodyTests failed before with [(502, 1)] * 8, and passes; tests.relay: 256 passed. An existing unit test's DrainState became the object that the entry uses.

--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -24,10 +24,11 @@
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
 from poplarlug.relay.client import REMOTE_CONNECT_SECONDS, RelayClient
 from poplarlug.relay.dispatcher import Dispatcher
-from poplarlug.relay.endpoint import DrainState, RelayEndpoint
+from poplarlug.relay.endpoint import RelayEndpoint
 from poplarlug.relay.gateway import RelayGateway
 from poplarlug.relay.header_names import HeaderNames
 from poplarlug.relay.in_flight import InFlightTracker
+from poplarlug.relay.planned_stop import DRAIN_LIMIT_SHARE, LISTEN_SHARE, PlannedStop
 from poplarlug.relay.resumption import Resumption
 from poplarlug.relay.suspects import Suspects
 from poplarlug.relay.view import FleetView
@@ -47,18 +48,6 @@
 """Longer than any idle timeout that operators configure for callers, so that callers
 close idle connections first."""
 
-ACCEPT_SHARE = 0.3
-"""Share of the grace period during which a stopping entry still accepts requests; the
-rest is for the requests in progress."""
-
-LISTEN_SHARE = 0.55
-"""Share of the grace period during which a stopping entry keeps listening, even when
-idle, so that callers that still connect are told to use another entry."""
-
-DRAIN_LIMIT_SHARE = 0.88
-"""Share of the grace period after which the drain ends, even with requests in
-progress."""
-
 EXIT_TIMEOUT_SECONDS = 0.5
 """Timeout for closing all components, after which the process exits regardless."""
 
@@ -87,9 +76,8 @@
     ) -> None:
         clock = asyncio.get_running_loop().time
         self._settings = settings
-        self._clock = clock
         self._incarnation = time.time_ns() // NANOSECONDS_PER_MILLISECOND
-        self._stopping_since: float | None = None
+        self.stop = PlannedStop(clock=clock)
         self.deployment = Deployment(
             own_region=settings.region,
             regions_by_zone=settings.regions_by_zone,
@@ -118,7 +106,7 @@
             rng=rng,
             clock=clock,
         )
-        self.dispatcher = Dispatcher(view=self.view, clock=clock)
+        self.dispatcher = Dispatcher(view=self.view, stop=self.stop, clock=clock)
         self.client = RelayClient(header_names=header_names)
         self.forward_client = RelayClient(
             connect_seconds=REMOTE_CONNECT_SECONDS, header_names=header_names
@@ -164,7 +152,7 @@
             deployment=self.deployment,
             pauses=self.pauses,
             header_names=header_names,
-            drain_state=DrainState(self.accepts, lambda: self.is_stopping),
+            stop=self.stop,
             guard=self.guard,
             rng=rng,
             clock=clock,
@@ -192,19 +180,12 @@
 
     @property
     def is_stopping(self) -> bool:
-        return self._stopping_since is not None
+        return self.stop.is_stopping
 
     def is_ready(self) -> bool:
         """Return whether routes are loaded and no stop has begun."""
         return self.deployment.routes is not None and not self.is_stopping
 
-    def accepts(self) -> bool:
-        """Return whether new requests are accepted; early in a stop, they still are."""
-        if self._stopping_since is None:
-            return True
-        elapsed = self._clock() - self._stopping_since
-        return elapsed < ACCEPT_SHARE * self._settings.grace_seconds
-
     def record(self) -> EntryRecord:
         """Return the record that this entry publishes about itself."""
         settings = self._settings
@@ -244,29 +225,33 @@
     async def drain(self) -> None:
         """Leave the directory, then wait for requests within the grace period."""
         grace = self._settings.grace_seconds
-        started = self._stopping_since = self._clock()
+        self.stop.begin(grace)
         self.subscriber.report_now()
-        while True:
-            await asyncio.sleep(DRAIN_CHECK_SECONDS)
-            elapsed = self._clock() - started
-            is_idle = self.relay_endpoint.in_progress.value == 0
-            if elapsed > DRAIN_LIMIT_SHARE * grace or (
-                is_idle and elapsed > LISTEN_SHARE * grace
-            ):
-                break
+        await self._wait_until_idle(not_before=LISTEN_SHARE)
         await self.guard.stop_listening()
-        while (
-            self.relay_endpoint.in_progress.value
-            and elapsed <= DRAIN_LIMIT_SHARE * grace
-        ):
-            await asyncio.sleep(DRAIN_CHECK_SECONDS)
-            elapsed = self._clock() - started
+        await self._wait_until_idle()
         _log.info(
             "drained",
             in_progress=self.relay_endpoint.in_progress.value,
-            seconds=elapsed,
+            seconds=round(self.stop.elapsed_share * grace, 2),
         )
 
+    async def _wait_until_idle(self, *, not_before: float = 0.0) -> None:
+        """
+        Wait until no request is in progress, or the drain must end.
+
+        Parameters
+        ----------
+        not_before : float
+            Share of the grace period for which to wait at least.
+        """
+        while True:
+            share = self.stop.elapsed_share
+            is_idle = self.relay_endpoint.in_progress.value == 0
+            if share > DRAIN_LIMIT_SHARE or (is_idle and share > not_before):
+                return
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+
     def _own_loads(self) -> OwnLoads:
         waiting = tuple(
             WaitingCount(service, count)
--- a/poplarlug/errors.py
+++ b/poplarlug/errors.py
@@ -9,6 +9,9 @@
 """Error type of a request that crashes the upstreams that run it."""
 
 
+LEAVING = "leaving"
+"""Error type of a request that a stopping entry doesn't pass on any more."""
+
 HELD_APART = "held_apart"
 """Error type of a suspect request that got no turn to run apart from others in time."""
 
@@ -97,6 +100,12 @@
     return GatewayError(503, "not_run", message, False, retry_after_seconds)
 
 
+def leaving(retry_after_seconds: float) -> GatewayError:
+    """Return the error of a request that a stopping entry did not pass on."""
+    message = "this entry stops and passes on no more such requests; ask another"
+    return GatewayError(503, LEAVING, message, False, retry_after_seconds)
+
+
 def held_apart(retry_after_seconds: float) -> GatewayError:
     """Return the error of a suspect request that got no turn and was not run."""
     return GatewayError(
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -8,7 +8,13 @@
 from returns.result import Failure, Result, Success
 
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
-from poplarlug.errors import GatewayError, not_run, overloaded, version_gone
+from poplarlug.errors import (
+    GatewayError,
+    leaving,
+    not_run,
+    overloaded,
+    version_gone,
+)
 from poplarlug.relay.in_flight import InFlightRequest
 from poplarlug.relay.limiter import NO_SHARE_SECONDS
 from poplarlug.relay.placement import (
@@ -23,6 +29,7 @@
     Requirements,
     place,
 )
+from poplarlug.relay.planned_stop import LEAVING_RETRY_SECONDS, PlannedStop
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.view import FleetView, Tried, latest_response_start
 from poplarlug.relay.waiting import Pace, Waiter, WaitQueue, retry_after
@@ -116,6 +123,8 @@
     ----------
     view : FleetView
         Upstreams, regions and loads as known to this entry.
+    stop : PlannedStop, optional
+        Tells which requests a stopping entry still passes on.
     decide : callable
         Placement policy; another one than the default is used for comparisons only.
     """
@@ -125,10 +134,12 @@
         *,
         view: FleetView,
         clock: Callable[[], Seconds],
+        stop: PlannedStop | None = None,
         decide: PlacementPolicy = place,
     ) -> None:
         self._view = view
         self._clock = clock
+        self._stop = stop or PlannedStop(clock=clock)
         self._decide = decide
         self._queues_by_service: dict[ServiceName, _ServiceQueue] = {}
         self._has_waiters = asyncio.Event()
@@ -185,6 +196,8 @@
         now = self._clock()
         if request.deadline - now < MIN_RUN_SECONDS:
             return Failure(not_run("the deadline has come", 0.0))
+        if not self._stop.may_start(request):
+            return Failure(leaving(LEAVING_RETRY_SECONDS))
         self._view.limiter.note_request(request.service)
         queue = self._queues_by_service.setdefault(request.service, _ServiceQueue())
         sort_key = (
@@ -249,6 +262,8 @@
         queue = self._queues_by_service.get(service)
         if queue is None:
             return
+        if self._stop.is_stopping:
+            self._refuse_unfinishable(queue)
         now = self._clock()
         is_head = True
         unplaced: Counter[tuple[str, SoftwareVersion | None]] = Counter()
@@ -276,6 +291,18 @@
         if not queue.by_waiter:
             queue.waiters.reset_pace()
 
+    def _refuse_unfinishable(self, queue: _ServiceQueue) -> None:
+        """Refuse the queued requests that would no longer end within a planned stop."""
+        for waiter, waiting in queue.by_waiter.items():
+            if waiting.placed.done() or self._stop.may_start(waiting.request):
+                continue
+            queue.waiters.leave(waiter)
+            waiting.placed.set_result(Failure(leaving(LEAVING_RETRY_SECONDS)))
+
+    def may_start(self, request: RelayRequest) -> bool:
+        """Return whether a request that waited elsewhere may still be passed on."""
+        return self._stop.may_start(request)
+
     def can_place(self, request: RelayRequest, tried: Tried) -> bool:
         """Return whether a request would get a target now, without reserving it."""
         inputs = self._placement_inputs(request, tried)
--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -4,7 +4,6 @@
 import math
 from collections.abc import Awaitable, Callable
 from random import Random
-from typing import NamedTuple
 
 import aiohttp
 from aiohttp import web
@@ -18,6 +17,7 @@
 from poplarlug.errors import (
     GatewayError,
     bad_request,
+    leaving,
     not_run,
     overloaded,
     to_body,
@@ -44,6 +44,7 @@
 )
 from poplarlug.relay.limiter import MAX_LOGGED_CHARACTERS
 from poplarlug.relay.placement import FORWARD_SECONDS
+from poplarlug.relay.planned_stop import LEAVING_RETRY_SECONDS, PlannedStop
 from poplarlug.relay.requests import Prompt, PromptPart, RelayRequest
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.routes import Route, RouteIndex
@@ -61,7 +62,6 @@
 """Retry time at an entry without routes; the control group elects a leader within this
 time after the loss of all its replicas."""
 
-LEAVING_RETRY_SECONDS = 0.1
 BODY_RETRY_SECONDS = 0.5
 """Retry time while there is no memory for a body; most requests end within that time."""
 
@@ -84,22 +84,6 @@
 _log = ComponentLogger(prefix="relay")
 
 
-class DrainState(NamedTuple):
-    """
-    Whether a stopping entry still serves requests and keeps connections open.
-
-    Parameters
-    ----------
-    accepts_requests : callable
-        Returns whether new requests are accepted.
-    closes_connections : callable
-        Returns whether connections are closed after their responses.
-    """
-
-    accepts_requests: Callable[[], bool]
-    closes_connections: Callable[[], bool]
-
-
 class RelayEndpoint:
     """
     Parse requests, find their routes and pass them to the gateway.
@@ -111,6 +95,8 @@
         this process.
     header_names : HeaderNames
         Names of the headers of callers and upstreams.
+    stop : PlannedStop
+        Tells whether this entry stops and which requests it still accepts.
     guard : ConnectionGuard
         Enforces the limits of the connections on which requests arrive.
     """
@@ -122,7 +108,7 @@
         deployment: Deployment,
         pauses: PauseWatch,
         header_names: HeaderNames,
-        drain_state: DrainState,
+        stop: PlannedStop,
         guard: ConnectionGuard,
         rng: Random,
         clock: Callable[[], Seconds],
@@ -131,7 +117,7 @@
         self._deployment = deployment
         self._pauses = pauses
         self._header_names = header_names
-        self._drain_state = drain_state
+        self._stop = stop
         self._guard = guard
         self._rng = rng
         self._clock = clock
@@ -207,11 +193,13 @@
         sink = HttpSink(
             request=request,
             request_id=relayed.id,
-            should_close=self._drain_state.closes_connections,
+            should_close=lambda: self._stop.is_stopping,
         )
         failed = await self._gateway.serve(relayed, sink, trace)
         if failed is None:
             await sink.finish()
+            seconds = self._clock() - relayed.arrived
+            self._stop.note_duration(relayed.route.name, seconds)
             assert sink.response is not None
             return sink.response
         if sink.response is not None:
@@ -228,9 +216,8 @@
         trace: RelayTrace,
         held_body: HeldBytesReservation,
     ) -> Result[RelayRequest, GatewayError]:
-        if not self._drain_state.accepts_requests():
-            message = "this entry takes no requests now; ask another"
-            return Failure(not_run(message, LEAVING_RETRY_SECONDS))
+        if not self._stop.accepts_requests:
+            return Failure(leaving(LEAVING_RETRY_SECONDS))
         received_at = self._clock()
         await self._pauses.wait_for_fresh_view()
         routes = self._deployment.routes
@@ -380,7 +367,7 @@
         response = web.Response(
             status=error.status, body=to_body(error), headers=headers
         )
-        if self._drain_state.closes_connections():
+        if self._stop.is_stopping:
             response.force_close()
         return response
 
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -14,6 +14,7 @@
     QUARANTINED,
     GatewayError,
     held_apart,
+    leaving,
     not_run,
     outcome_unknown,
 )
@@ -38,6 +39,7 @@
 )
 from poplarlug.relay.limiter import MAX_LOGGED_CHARACTERS
 from poplarlug.relay.passing import drain_short_body, relay_response
+from poplarlug.relay.planned_stop import LEAVING_RETRY_SECONDS
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.resumption import Resumption
 from poplarlug.relay.suspects import SuspectLock, Suspects, Verdict
@@ -261,6 +263,10 @@
             return Outcome(
                 self._suspects.refusal(context, self._clock()), arrived=False
             )
+        if not self._dispatcher.may_start(context.request):
+            self._release(target)
+            lock.release(None)
+            return Outcome(leaving(LEAVING_RETRY_SECONDS), arrived=False)
         sent = self._run_locked(context, target, timeout_seconds, lock)
         return await self._run_to_end(context, sent)
 
--- a/tests/platform_adapter/test_planned_stop.py
+++ b/tests/platform_adapter/test_planned_stop.py
@@ -4,16 +4,38 @@
 import signal
 import threading
 import time
+import uuid
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
 
 from poplarlug.platform.encoding import configuration_path
-from poplarlug.platform.names import DIRECTORY_PATH
+from poplarlug.platform.names import DIRECTORY_PATH, HEADER_NAMES
 from poplarlug.types import Address
 from tests.platform_adapter.case import DeploymentTestCase
+from tests.platform_adapter.test_whole_path import HOST
 
 CALLERS = 24
 DIRECTORY_PORT = 8143
 LOAD_SECONDS = 1.0
+BODY = b"hello"
+SLOW_ROUTE = {"timeout_ms": 8000, "target_latency_ms": 4000}
+
+
+class SlowBody(NamedTuple):
+    """When a request's head and the end of its body are sent, in s after the SIGTERM."""
+
+    head_at: float
+    end_at: float
+    answer_seconds: float
+
+
+SLOW_BODIES = (
+    SlowBody(head_at=1.0, end_at=3.0, answer_seconds=1.0),
+    SlowBody(head_at=1.0, end_at=3.4, answer_seconds=1.0),
+    SlowBody(head_at=0.5, end_at=2.2, answer_seconds=2.5),
+)
+"""None of these answers comes within the drain of a grace period of 4 s."""
 
 
 class PlannedStopTests(DeploymentTestCase):
@@ -91,3 +113,69 @@
         address = self.deployment.control_address("quito-a")
         self.stop_under_load(name, address, configuration_path())
         self.assertLessEqual(set(self.outcomes), {"200", "503", "not connected"})
+
+
+class SlowBodyTests(DeploymentTestCase):
+    """Bodies that end late in the stop of an entry; each test case has its own one."""
+
+    entry_zones = ("quito-a",) * len(SLOW_BODIES)
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.upstream = self.add_upstream("u-1")
+        self.upstream.slots = 64
+        self.keep_announcing(self.upstream)
+        self.configure(
+            look={"route_kind": "safe", **SLOW_ROUTE},
+            book={"route_kind": "unsafe", **SLOW_ROUTE},
+        )
+        self.wait_served()
+        self.wait_served("book")
+
+    def send(
+        self, entry: str, route: str, body: SlowBody, stopped_at: float
+    ) -> tuple[str, int]:
+        """Send a request with a slow body; return its id and status, 0 if cut."""
+        request_id = uuid.uuid4().hex
+        host, _, port = self.deployment.entry_address(entry).rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=10.0)
+        try:
+            connection.putrequest("POST", f"/{route}/7", skip_host=True)
+            connection.putheader("Host", HOST)
+            connection.putheader(HEADER_NAMES.request_id, request_id)
+            connection.putheader(HEADER_NAMES.deadline, "8000")
+            connection.putheader("Content-Length", str(len(BODY)))
+            time.sleep(max(0.0, stopped_at + body.head_at - time.monotonic()))
+            connection.endheaders(BODY[:1])
+            time.sleep(max(0.0, stopped_at + body.end_at - time.monotonic()))
+            connection.send(BODY[1:])
+            return request_id, connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return request_id, 0
+        finally:
+            connection.close()
+
+    def stop_beside(self, entry: str, body: SlowBody) -> None:
+        """Stop an entry while slow bodies arrive, and check how each one ends."""
+        self.upstream.answer_seconds = body.answer_seconds
+        for route in ("look", "book"):
+            self.assertEqual(self.call(entry, route).status, 200)
+        stopped_at = time.monotonic()
+        self.deployment.signal(entry, signal.SIGTERM)
+        with ThreadPoolExecutor(max_workers=8) as pool:
+            sent = [
+                pool.submit(self.send, entry, route, body, stopped_at)
+                for route in ("look", "book") * 4
+            ]
+            ended = [one.result() for one in sent]
+        self.assertEqual(self.deployment.wait_for_exit(entry), 0)
+        runs = self.upstream.runs
+        outcomes = [(status, runs[request_id]) for request_id, status in ended]
+        self.assertEqual(set(outcomes), {(503, 0)}, (body, outcomes))
+
+    # Guards against requests that were checked at their head, were passed on when
+    # their body ended late in a stop, and were cut at its end.
+    def test_bodies_that_end_late_are_refused_and_not_run(self) -> None:
+        """Their callers may send them to another entry, bookings too."""
+        for entry, body in zip(self.entries, SLOW_BODIES, strict=True):
+            self.stop_beside(entry, body)
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -11,7 +11,7 @@
 from poplarlug.discovery.messages import PollReply, RoutingUpdate
 from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import ServiceUpstream
-from poplarlug.errors import GatewayError
+from poplarlug.errors import LEAVING, GatewayError
 from poplarlug.relay.budgets import WarmupLimits
 from poplarlug.relay.dispatcher import (
     MAX_UNPLACED,
@@ -20,6 +20,7 @@
     LocalTarget,
 )
 from poplarlug.relay.in_flight import InFlightTracker
+from poplarlug.relay.planned_stop import UNCERTAIN_START_SECONDS, PlannedStop
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.view import FleetView, Tried
 from poplarlug.routes import Engine, RoutedService, RouteTable
@@ -43,7 +44,13 @@
 
 
 class DispatcherTests(QuietTestCase):
-    def make(self, *, cold_seconds: float = 0.0, slots: int = 1) -> Dispatcher:
+    def make(
+        self,
+        *,
+        cold_seconds: float = 0.0,
+        slots: int = 1,
+        stop: PlannedStop | None = None,
+    ) -> Dispatcher:
         """Return a dispatcher of a region with one engine."""
         clock = asyncio.get_running_loop().time
         deployment = Deployment(
@@ -77,7 +84,7 @@
             limits=NamedLimits(clock=clock),
             clock=clock,
         )
-        return Dispatcher(view=view, clock=clock)
+        return Dispatcher(view=view, stop=stop, clock=clock)
 
     def request(self) -> RelayRequest:
         now = asyncio.get_running_loop().time()
@@ -183,6 +190,36 @@
         self.assertIs(refusal.ran, False)
         self.assertLess(waited, RESPONSE_START_SECONDS)
 
+    # Guards against requests that wait into the end of a planned stop, are passed on
+    # then and are cut.
+    def test_queued_request_is_refused_once_it_would_not_end_within_a_stop(
+        self,
+    ) -> None:
+        """It is told at once that it has not run; another entry can take it."""
+
+        async def main() -> tuple[float, GatewayError]:
+            stop = PlannedStop(clock=asyncio.get_running_loop().time)
+            stop.note_duration(ROUTE.name, 0.1)
+            dispatcher = self.make(stop=stop)
+            running = asyncio.ensure_future(dispatcher.run())
+            await dispatcher.find(self.request(), Tried())
+            patient = self.request()._replace(
+                route=ROUTE._replace(max_pause_seconds=1.0)
+            )
+            queued = asyncio.ensure_future(dispatcher.find(patient, Tried()))
+            await asyncio.sleep(0.1)
+            stop.begin(8.0)
+            began_at = asyncio.get_running_loop().time()
+            found = await queued
+            running.cancel()
+            assert isinstance(found, Failure)
+            return asyncio.get_running_loop().time() - began_at, found.failure()
+
+        waited, refusal = run_virtual(main())
+        self.assertEqual(refusal.type, LEAVING)
+        self.assertIs(refusal.ran, False)
+        self.assertAlmostEqual(waited, UNCERTAIN_START_SECONDS, delta=0.1)
+
     def test_stream_is_refused_before_its_caller_leaves(self) -> None:
         """If all slots stay taken, a queued request is refused in time for a retry."""
 
--- a/tests/relay/test_endpoint.py
+++ b/tests/relay/test_endpoint.py
@@ -15,11 +15,12 @@
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
 from poplarlug.relay.client import RelayClient
 from poplarlug.relay.dispatcher import Dispatcher
-from poplarlug.relay.endpoint import STARTUP_WAIT_SECONDS, DrainState, RelayEndpoint
+from poplarlug.relay.endpoint import STARTUP_WAIT_SECONDS, RelayEndpoint
 from poplarlug.relay.gateway import RelayGateway
 from poplarlug.relay.header_names import HeaderNames
 from poplarlug.relay.hop_headers import REFUSED
 from poplarlug.relay.in_flight import InFlightTracker
+from poplarlug.relay.planned_stop import PlannedStop
 from poplarlug.relay.view import FleetView
 from poplarlug.routes import RouteTable
 from tests.relay.test_resumption import make_resumption
@@ -38,6 +39,7 @@
 class StartTests(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         clock = asyncio.get_running_loop().time
+        self.stop = PlannedStop(clock=clock)
         self.deployment = Deployment(
             own_region="east", regions_by_zone={"a": "east"}, clock=clock
         )
@@ -72,7 +74,7 @@
             deployment=self.deployment,
             pauses=pauses,
             header_names=HeaderNames(),
-            drain_state=DrainState(lambda: True, lambda: False),
+            stop=self.stop,
             guard=ConnectionGuard(limits=HttpLimits()),
             rng=rng,
             clock=clock,
