Wait in a stop for bodies that are still being read at the accounts' face

Callers of a stopping entry whose body ended after the SIGTERM waited 10 s and got 408: the stop waited for running requests only, closed the listener, and the rest of the body was dropped. The same class as requests that are passed on late at the relay: what was decided at the head wasn't looked at again.

The stop waits for all requests whose head was read, and such a request is refused with 503 as soon as its body has ended. It has not run, and its caller learns so at once.

test_body_that_ends_within_a_stop_gets_a_whole_answer_or_a_refusal failed before with (408, 0) and passes; tests.processes.test_promise_graceful_stop 5 of 5.

--- a/poplarlug/callers/application.py
+++ b/poplarlug/callers/application.py
@@ -140,6 +140,9 @@
         read = await self._read_body(request)
         if isinstance(read, Failure):
             return error_response(read.failure(), request_id)
+        if not self._accepts():
+            # A stop may have begun while the body was read.
+            return error_response(_not_accepting(request.headers), request_id)
         body = read.unwrap()
         http = HttpRequest(request_id, request.method, path, request.headers, body)
         parsed = parse(http, authenticated.unwrap())
--- a/poplarlug/callers/connections.py
+++ b/poplarlug/callers/connections.py
@@ -82,11 +82,17 @@
     ----------
     limits : HttpLimits
         The limits to enforce.
+
+    Attributes
+    ----------
+    in_progress : int
+        Number of requests whose head was read and that have no whole answer yet.
     """
 
     def __init__(self, *, limits: HttpLimits) -> None:
         self.limits = limits
         self.refused = 0
+        self.in_progress = 0
         self._connections_by_protocol: dict[Any, _GuardedConnection] = {}
         self._connecting: WeakSet[_GuardedConnection] = WeakSet()
         self._sites: list[_GuardedSite] = []
@@ -117,10 +123,12 @@
         if connection is None:
             return await handler(request)
         connection.begin_request()
+        self.in_progress += 1
         try:
             return await handler(request)
         finally:
             connection.end_request()
+            self.in_progress -= 1
 
     async def serve(
         self,
@@ -158,6 +166,11 @@
         self._sites.append(site)
         return runner
 
+    async def wait_until_answered(self) -> None:
+        """Wait until no request is in progress, also none whose body is being read."""
+        while self.in_progress:  # noqa: ASYNC110
+            await asyncio.sleep(STOP_CHECK_SECONDS)
+
     async def stop_listening(self) -> None:
         """Stop accepting connections, and wait for the requests of accepted ones."""
         loop = asyncio.get_running_loop()
--- a/poplarlug/entry/entry.py
+++ b/poplarlug/entry/entry.py
@@ -188,6 +188,7 @@
         try:
             async with asyncio.timeout(DRAIN_TIMEOUT_SECONDS):
                 await self.gateway.in_progress.wait_for(lambda count: count == 0)
+                await self.guard.wait_until_answered()
                 await self.transport.finish_streams()
         except TimeoutError:
             _log.warning("stopped with requests in progress")
--- a/tests/processes/test_promise_graceful_stop.py
+++ b/tests/processes/test_promise_graceful_stop.py
@@ -1,5 +1,7 @@
 """Tests that a planned stop interrupts no request in progress."""
 
+import http.client
+import json
 import time
 import uuid
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -13,6 +15,7 @@
 TOKENS = 50
 TOKEN_SECONDS = 0.03
 BOOKING_SECONDS = 1.5
+SLOW_BODY_SECONDS = 1.0
 UPSTREAMS = ("e-quito", "e-cuenca", "s-quito")
 CALLERS_ENTRIES = ("quito-a-1", "guayaquil-a-1")
 
@@ -108,6 +111,48 @@
         """A stopped entry whose requests run elsewhere first relays their answers."""
         self.stop_amid_calls("guayaquil-a-1")
 
+    # Guards against requests that are passed on when their body ends within a stop, and
+    # are cut at its end.
+    def test_body_that_ends_within_a_stop_gets_a_whole_answer_or_a_refusal(
+        self,
+    ) -> None:
+        """The entry waits for the body and its answer, or says that nothing ran."""
+        entry = "quito-a-2"
+        self.wait_for_upstreams(entry)
+        with ThreadPoolExecutor(CALLS) as pool:
+            sent = [
+                pool.submit(self.send_slowly, entry, number) for number in range(CALLS)
+            ]
+            time.sleep(SLOW_BODY_SECONDS / 2)
+            status = self.deployment.stop(entry)
+            ended = [future.result() for future in sent]
+        self.deployment.start(entry)
+        self.assertEqual(status, 0)
+        names = self.names()
+        for name, outcome in ended:
+            self.assertIn((outcome, names.count(name)), {(200, 1), (503, 0)}, name)
+
+    def send_slowly(self, entry: str, number: int) -> tuple[str, int]:
+        """Book with a slow body; return the booking's name and the status, 0 if cut."""
+        name = f"slow-{number}-{uuid.uuid4().hex}"
+        host, _, port = self.entry(entry).rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=20.0)
+        body = json.dumps({"bin": "B7"}).encode()
+        try:
+            connection.putrequest("POST", "/svc/depot/bookings")
+            connection.putheader("Authorization", f"Bearer {self.deployment.key}")
+            connection.putheader("Content-Type", "application/json")
+            connection.putheader("Idempotency-Key", name)
+            connection.putheader("Content-Length", str(len(body)))
+            connection.endheaders(body[:1])
+            time.sleep(SLOW_BODY_SECONDS)
+            connection.send(body[1:])
+            return name, connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return name, 0
+        finally:
+            connection.close()
+
     def test_upstream_finishes_what_it_runs(self) -> None:
         """A leaving upstream finishes its streams."""
         self.stop_amid_calls("e-quito")
