Hand a request on to another entry of the region when one of them stops

Callers at an entry of another region got 503 though the region that serves them had another entry: one that stops had refused the request, and the entry that faces the caller took this for a refusal of the region, which it tried no more and made the last choice.

A refusal of type 'leaving' now only has that entry avoided; the request is placed again, and as avoided entries aren't picked, each is asked once.

--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -229,7 +229,7 @@
     def note_upstream_outcome(self, upstream_id: UpstreamId, outcome: Outcome) -> None:
         """Record the outcome of an attempt at an upstream."""
         self.tried = self.tried.with_upstream(upstream_id)
-        self._note(outcome)
+        self.note_outcome(outcome)
 
     def note_region_outcome(self, region: RegionName, outcome: Outcome) -> None:
         """
@@ -239,7 +239,18 @@
         entry is unreachable, usually all of them are.
         """
         self.tried = self.tried.with_region(region)
-        self._note(outcome)
+        self.note_outcome(outcome)
+
+    def note_outcome(self, outcome: Outcome) -> None:
+        """Record the outcome of an attempt; its target may be tried again."""
+        error = outcome.error
+        if error is None:
+            return
+        self.arrivals += outcome.arrived
+        self._attempts += outcome.arrived and error.ran is not False
+        self._last_error = error
+        self._error = _merge_errors(self._error, error)
+        self._error_response = outcome.error_response or self._error_response
 
     def prepare_retry(self, now: Seconds) -> bool:
         """Prepare another attempt if one is allowed; return whether it is."""
@@ -283,16 +294,6 @@
         await write_full_response(*self._error_response, self.sink)
         return None
 
-    def _note(self, outcome: Outcome) -> None:
-        error = outcome.error
-        if error is None:
-            return
-        self.arrivals += outcome.arrived
-        self._attempts += outcome.arrived and error.ran is not False
-        self._last_error = error
-        self._error = _merge_errors(self._error, error)
-        self._error_response = outcome.error_response or self._error_response
-
 
 async def _record_nothing() -> None:
     """Return at once; for attempts whose start needs no record."""
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -9,8 +9,10 @@
 from prometheus_client import Counter, Histogram
 from returns.result import Failure
 
+from poplarlug.discovery.records import EntryRecord
 from poplarlug.errors import (
     HELD_APART,
+    LEAVING,
     QUARANTINED,
     GatewayError,
     held_apart,
@@ -221,7 +223,11 @@
             context.note_upstream_outcome(target.upstream.id, outcome)
         else:
             outcome = await self._run_remote(context, target, timeout_seconds)
-            context.note_region_outcome(target.entry.region, outcome)
+            if _is_leaving(outcome):
+                # Its region has other entries.
+                context.note_outcome(outcome)
+            else:
+                context.note_region_outcome(target.entry.region, outcome)
         return outcome
 
     async def _run_suspect(self, context: RequestContext, target: Target) -> Outcome:
@@ -535,10 +541,11 @@
             refused = response.headers.get(REFUSED)
             if refused is not None:
                 refusal = decode_refusal(refused, f"refused by {entry.name}")
-                if refusal is not None and refusal.status == 503:
-                    self._view.note_region_failed(request.service, entry.region)
-                unknown = outcome_unknown("the entry's refusal can't be read")
-                return Outcome(refusal or unknown)
+                if refusal is None:
+                    unknown = "the entry's refusal can't be read"
+                    return Outcome(outcome_unknown(unknown))
+                self._note_refused(request, entry, refusal)
+                return Outcome(refusal)
             self._view.note_region_served(request.service, entry.region)
             version = response.headers.get(SOFTWARE_VERSION, "")
             context.upstream_version = version
@@ -549,6 +556,14 @@
         finally:
             response.close()
 
+    def _note_refused(
+        self, request: RelayRequest, entry: EntryRecord, refusal: GatewayError
+    ) -> None:
+        if refusal.type == LEAVING:
+            self._view.avoid_entry(entry.name, ENTRY_BACKOFF_SECONDS)
+        elif refusal.status == 503:
+            self._view.note_region_failed(request.service, entry.region)
+
     def _note_head(
         self,
         target: str,
@@ -606,6 +621,10 @@
     return [(SOFTWARE_VERSION, request.version)]
 
 
+def _is_leaving(outcome: Outcome) -> bool:
+    return outcome.error is not None and outcome.error.type == LEAVING
+
+
 async def _drain_refusal(response: aiohttp.ClientResponse) -> None:
     try:
         async with asyncio.timeout(DRAIN_TIMEOUT_SECONDS):
--- a/tests/platform_adapter/test_planned_stop.py
+++ b/tests/platform_adapter/test_planned_stop.py
@@ -18,6 +18,7 @@
 CALLERS = 24
 DIRECTORY_PORT = 8143
 LOAD_SECONDS = 1.0
+BOOKINGS = 40
 BODY = b"hello"
 SLOW_ROUTE = {"timeout_ms": 8000, "target_latency_ms": 4000}
 
@@ -179,3 +180,32 @@
         """Their callers may send them to another entry, bookings too."""
         for entry, body in zip(self.entries, SLOW_BODIES, strict=True):
             self.stop_beside(entry, body)
+
+
+class StopOfAFarEntryTests(DeploymentTestCase):
+    """Two entries and one upstream in Quito; Guayaquil hands its requests on to them."""
+
+    entry_zones = ("quito-a", "quito-a", "guayaquil-a")
+
+    # Guards against requests that are refused since one entry of the only region that
+    # serves them stops.
+    def test_requests_are_handed_on_to_the_entry_that_stays(self) -> None:
+        """A stopping entry refuses long ones; the others of its region take them."""
+        upstream = self.add_upstream("u-1")
+        upstream.slots = 2 * BOOKINGS
+        upstream.answer_seconds = 2.0
+        self.keep_announcing(upstream)
+        self.configure(book={"route_kind": "unsafe", **SLOW_ROUTE})
+        for _ in range(2):
+            self.wait_served("book")
+        leaving, _, far = self.entries
+        # The far entry hears of the stop only from the refusals.
+        for control in self.deployment.control.values():
+            self.deployment.signal(control, signal.SIGSTOP)
+        self.deployment.signal(leaving, signal.SIGTERM)
+        with ThreadPoolExecutor(max_workers=BOOKINGS) as pool:
+            sent = [pool.submit(self.call, far, "book") for _ in range(BOOKINGS)]
+            statuses = Counter(one.result().status for one in sent)
+        for control in self.deployment.control.values():
+            self.deployment.signal(control, signal.SIGCONT)
+        self.assertEqual(statuses, {200: BOOKINGS})
