Take an empty answer to a resumed stream for no end of it

Cause: an answer that was framed as whole and ended at the border of an event counted as the rest, also if it had no event.

Such an answer now ends a stream only if it already has all events that its token count and the service's stride allow. Else the next attempt asks for the last event again and drops it: an upstream that repeats it and ends has nothing left to send, which an error can't look like.

--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -107,6 +107,8 @@
         Receives the response.
     event_format : EventFormat, optional
         The format of the events of streams.
+    max_events : int, optional
+        The most events that its stream can have, if known.
 
     Attributes
     ----------
@@ -133,6 +135,7 @@
         sink: AnswerSink,
         trace: RelayTrace,
         event_format: EventFormat = _EVENT_FORMAT,
+        max_events: int | None = None,
     ) -> None:
         self.request = request
         self.sink = sink
@@ -140,6 +143,7 @@
         self.tried = Tried()
         self.target = ""
         self.event_format = event_format
+        self.max_events = max_events
         self.events = _event_progress(request, event_format)
         self.arrivals = 0
         self.crash_check: asyncio.Future[Any] | None = None
@@ -268,7 +272,6 @@
             return not self.sink.started
         if not self.events.is_resumable:
             return False
-        self.events.discard_partial()
         self.request = _resume_request(request, self.events)
         return True
 
@@ -325,9 +328,9 @@
 
 def _resume_request(request: RelayRequest, events: EventProgress) -> RelayRequest:
     """Return the request that asks another upstream for the rest of the stream."""
-    if not events.last_id:
-        return request
+    resume_after = events.prepare_resume()
     name = LAST_EVENT_HEADER.lower()
     headers = [(key, value) for key, value in request.headers if key.lower() != name]
-    headers.append((LAST_EVENT_HEADER, events.last_id))
+    if resume_after:
+        headers.append((LAST_EVENT_HEADER, resume_after))
     return request._replace(headers=tuple(headers))
--- a/poplarlug/relay/events.py
+++ b/poplarlug/relay/events.py
@@ -58,6 +58,11 @@
         self._unconfirmed: tuple[int, bytes] | None = None
         self._has_steps = False
         self._has_jumps = False
+        self._begins_with_zero = False
+        self._resumed_after = last_id
+        self._has_answer = False
+        self._awaits_repeat = False
+        self._has_repeat = False
         self._open: OpenEvent | None = None
 
     @property
@@ -80,6 +85,31 @@
             and self.is_resumable
         )
 
+    @property
+    def has_rest(self) -> bool:
+        """
+        Whether the current answer shows where the stream goes on, or that it ends.
+
+        An answer to a resumed stream does so by its first event.
+        """
+        if not self._resumed_after or self._has_repeat:
+            return True
+        return self.last_id != self._resumed_after
+
+    def has_all(self, max_events: int | None) -> bool:
+        """
+        Return whether the events passed on are all that the stream can have.
+
+        Parameters
+        ----------
+        max_events : int or None
+            The most events that it can have; ``None`` if nobody says.
+        """
+        last = self._last_number()
+        if max_events is None or last is None:
+            return False
+        return last + self._begins_with_zero >= max_events
+
     def feed(self, data: bytes) -> bytes:
         """Return the events that ``data`` completes."""
         if self.foreign is not None or not data:
@@ -162,6 +192,31 @@
         if last_id is not None:
             self.last_id = last_id
 
+    def begin_answer(self) -> None:
+        """Note that an upstream or entry answers with a stream."""
+        self._has_answer = True
+
+    def prepare_resume(self) -> str:
+        """
+        Forget what an answer left incomplete; return the id after which to resume.
+
+        If an answer to a resumed stream brought no event, the next one is asked for the
+        last event again, which is dropped. An empty answer may be an error, while one
+        that repeats the last event and ends shows that nothing is left.
+        """
+        self.discard_partial()
+        number = self._last_number()
+        self._awaits_repeat = (
+            number is not None
+            and self.last_id == self._resumed_after
+            and (self._has_answer or self._awaits_repeat)
+        )
+        self._has_answer = self._has_repeat = False
+        self._resumed_after = self.last_id
+        if number is None or not self._awaits_repeat:
+            return self.last_id
+        return str(number - 1) if number > max(FIRST_IDS) else ""
+
     def _take_events(self, buffered: bytes, scanned: int) -> bytes:
         # The held data contains no delimiter, but may end with the start of one.
         is_complete = DELIMITER.search(buffered, scanned) is not None
@@ -189,6 +244,8 @@
 
     def _accept(self, number: int, event: bytes, taken: list[bytes]) -> Foreign | None:
         """Take an event, or hold it; return why it isn't one of the run."""
+        if self._awaits_repeat:
+            return self._accept_repeat(number)
         if self._unconfirmed is not None:
             if number <= self._unconfirmed[0]:
                 return Foreign.JUMP
@@ -203,6 +260,16 @@
         self._pass(number)
         return None
 
+    def _accept_repeat(self, number: int) -> Foreign | None:
+        """Drop an event up to the last one; return why it isn't one of the run."""
+        last = self._last_number()
+        if last is None or number > last:
+            return Foreign.JUMP
+        if number == last:
+            self._awaits_repeat = False
+            self._has_repeat = True
+        return None
+
     def _check_order(self, number: int) -> Foreign | None:
         last = self._last_number()
         if last is not None and number <= last:
@@ -219,6 +286,8 @@
         return event
 
     def _pass(self, number: int) -> None:
+        if not number and not self.last_id:
+            self._begins_with_zero = True
         self._has_steps = self._has_steps or number - 1 == self._last_number()
         self.last_id = str(number)
 
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -1,6 +1,7 @@
 """Serves a request on a route: placement, attempts, and its response or refusal."""
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from functools import partial
 from typing import Any
@@ -154,13 +155,28 @@
         if request.hops == 0:
             budget.note_request()
         context = RequestContext(
-            request=request, sink=sink, trace=trace, event_format=self._event_format
+            request=request,
+            sink=sink,
+            trace=trace,
+            event_format=self._event_format,
+            max_events=self._max_events(request),
         )
         refusal = await self._require_version(context)
         if refusal is not None:
             return context.refuse(refusal)
         return await self._run_attempts(context, budget)
 
+    def _max_events(self, request: RelayRequest) -> int | None:
+        """Return the most events that a stream can have, ``None`` if unknown."""
+        routes = self._deployment.routes
+        if routes is None or not request.prompt.max_tokens:
+            return None
+        service = routes.services_by_name.get(request.service)
+        engine = None if service is None else service.engine
+        # An event holds a token at least.
+        tokens_per_event = 1 if engine is None else engine.tokens_per_event
+        return math.ceil(request.prompt.max_tokens / max(1, tokens_per_event))
+
     async def _require_version(self, context: RequestContext) -> GatewayError | None:
         """Choose the version of a stream that may be resumed, or return a refusal."""
         request = context.request
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -152,6 +152,7 @@
     content = response.content
     loop = asyncio.get_running_loop()
     stalls_at = loop.time() + STALL_SECONDS
+    events.begin_answer()
     # Complete events that may not be passed on yet, and the id of the last one before.
     held, passed_id, has_passed = b"", events.last_id, False
     try:
@@ -185,11 +186,25 @@
         context.stop_recording(has_passed_events=has_passed)
         if held:
             events.last_id = passed_id
+    outcome = _check_end(context, response, events)
+    if outcome.error is None:
+        await sink.finish()
+    return outcome
+
+
+def _check_end(
+    context: RequestContext,
+    response: aiohttp.ClientResponse,
+    events: EventProgress,
+) -> Outcome:
+    """Return the outcome of an attempt whose stream has ended."""
     if events.foreign is not None:
         return _refuse_foreign(context, events)
     if not events.ends_with_event or _lacks_events(response, events):
         return _ended_within_event()
-    await sink.finish()
+    if not events.has_rest and not events.has_all(context.max_events):
+        message = "the answer to a resumed stream has no event"
+        return Outcome(truncated_answer(message))
     return DONE
 
 
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -23,6 +23,11 @@
 STREAM_EVENTS = 20
 CUT_AFTER_EVENTS = 5
 MUTE_SECONDS = 30.0
+ERRORS_BY_FAULT = {
+    "error": (500, "text/plain", "failed"),
+    "empty": (200, "text/event-stream", ""),
+}
+"""Status, content type and body of whole answers that are errors."""
 
 
 class Arrival(NamedTuple):
@@ -48,7 +53,10 @@
         same, ended by resetting it), ``foreign`` (a stream with ``foreign_bytes`` in a
         chunk among its events), ``foreign framing`` (the same, where the size of a
         chunk is due) or ``foreign unframed`` (a stream without a length or chunks, with
-        ``foreign_bytes`` after its last event).
+        ``foreign_bytes`` after its last event), ``empty`` (a stream of length 0) or
+        ``empty chunked`` (the same in chunks).
+    resume_fault : str
+        The fault of requests that resume a stream; empty for the same one.
     answer_seconds : float
         Processing time of a request before its response.
     version : str
@@ -92,6 +100,7 @@
         self.service = service
         self.zone = zone
         self.fault = ""
+        self.resume_fault = ""
         self.unframed_body = b""
         self.foreign_bytes = b""
         self.version = "v1"
@@ -227,7 +236,7 @@
         headers = self._common_headers(request)
         if request.headers.get(HEADER_NAMES.expected_upstream, self.id) != self.id:
             return web.Response(status=421, headers=headers)
-        if self.fault == "refuse":
+        if self._fault_for(request) == "refuse":
             self.refused.append(time.monotonic())
             headers[HEADER_NAMES.not_executed] = "1"
             if self.retry_after:
@@ -243,15 +252,18 @@
         if is_crash_request and not self.crash_after_events:
             await self._crash_during_request()
         headers[HEADER_NAMES.signature] = f"signed-{self.id}"
-        if self.fault == "reset":
+        if self._fault_for(request) == "reset":
             assert request.transport is not None
             request.transport.abort()
             return web.Response()
-        if self.fault == "error":
-            return web.Response(status=500, headers=headers, text="failed")
-        if "unframed" in self.fault:
+        if self._fault_for(request) in ERRORS_BY_FAULT:
+            status, content_type, text = ERRORS_BY_FAULT[self._fault_for(request)]
+            return web.Response(
+                status=status, headers=headers, text=text, content_type=content_type
+            )
+        if "unframed" in self._fault_for(request):
             return await self._send_unframed(request, headers)
-        if self.fault == "mute":
+        if self._fault_for(request) == "mute":
             await asyncio.sleep(MUTE_SECONDS)
         if "/stream/" in request.path or "/resume/" in request.path:
             last = (
@@ -264,6 +276,11 @@
             await asyncio.sleep(self.answer_seconds)
         return web.Response(headers=headers, body=b"answer to " + body)
 
+    def _fault_for(self, request: web.Request) -> str:
+        if self.resume_fault and LAST_EVENT_HEADER in request.headers:
+            return self.resume_fault
+        return self.fault
+
     def _is_crash_request(self, request: web.Request, body: bytes) -> bool:
         if self.crash_body and self.crash_body in body:
             return True
@@ -294,14 +311,14 @@
             ["HTTP/1.1 200 OK", f"Content-Type: {content_type}", *lines, "", ""]
         )
         body = self.unframed_body
-        if self.fault == "foreign unframed":
+        if self._fault_for(request) == "foreign unframed":
             numbers = range(first_event(request), STREAM_EVENTS)
             events = b"".join(encode_event(n, self.event_data) for n in numbers)
             body = events + self.foreign_bytes
         transport.write(head.encode() + body)
         # The bytes arrive before the end of the connection.
         await asyncio.sleep(0.05)
-        if self.fault == "unframed reset":
+        if self._fault_for(request) == "unframed reset":
             client_socket = transport.get_extra_info("socket")
             client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         transport.close()
@@ -315,10 +332,13 @@
         await response.prepare(request)
         first = first_event(request)
         try:
-            for number in range(first, STREAM_EVENTS):
+            for number in range(first, self._end_of_stream(request)):
                 if number == last:
                     await self._crash_during_request()
-                if self.fault == "cut" and number == first + CUT_AFTER_EVENTS:
+                if (
+                    self._fault_for(request) == "cut"
+                    and number == first + CUT_AFTER_EVENTS
+                ):
                     await response.write(b"id: %d\nda" % number)
                     await asyncio.sleep(0.05)
                     assert request.transport is not None
@@ -334,12 +354,15 @@
         await response.write_eof()
         return response
 
+    def _end_of_stream(self, request: web.Request) -> int:
+        return 0 if self._fault_for(request) == "empty chunked" else STREAM_EVENTS
+
     async def _write_foreign_bytes(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
-        if self.fault == "foreign":
+        if self._fault_for(request) == "foreign":
             await response.write(self.foreign_bytes)
-        elif self.fault == "foreign framing":
+        elif self._fault_for(request) == "foreign framing":
             assert request.transport is not None
             request.transport.write(self.foreign_bytes)
 
--- a/tests/platform_adapter/test_foreign_bytes.py
+++ b/tests/platform_adapter/test_foreign_bytes.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import ClassVar, NamedTuple
 
+from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.soak.upstream import (
     CUT_AFTER_EVENTS,
     STREAM_EVENTS,
@@ -36,8 +37,16 @@
 ROUTES = {
     "look": {"route_kind": "safe"},
     "stream": {"route_kind": "streaming", "max_attempts": 1},
-    "resume": {"route_kind": "streaming", "resumable": True, "max_attempts": 2},
+    "resume": {
+        "route_kind": "streaming",
+        "resumable": True,
+        "max_attempts": 2,
+        "sticky": True,
+    },
 }
+TOKEN_COUNTS = f"5,{STREAM_EVENTS}"
+"""Tokens of the prompt, and the most tokens and so events that callers allow."""
+
 EVENTS = [encode_event(number, "x") for number in range(STREAM_EVENTS)]
 
 
@@ -75,7 +84,8 @@
         connection = http.client.HTTPConnection(host, int(port), timeout=10)
         status, data, is_whole = 0, b"", False
         try:
-            connection.request("POST", f"/{route}/7", b"hello", self.headers())
+            headers = self.headers() | {HEADER_NAMES.token_counts: TOKEN_COUNTS}
+            connection.request("POST", f"/{route}/7", b"hello", headers)
             response = connection.getresponse()
             status = response.status
             while part := response.read1():
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -143,6 +143,52 @@
         progress.discard_partial()
         self.assertEqual(progress.feed(EVENTS[1]), EVENTS[1])
 
+    # Guards against errors that look like an empty rest of a stream.
+    def test_empty_answer_is_no_rest_until_the_last_event_is_repeated(self) -> None:
+        """The next upstream sends the last event again, which isn't passed on twice."""
+        progress = make_progress()
+        progress.feed(b"".join(EVENTS[1:4]))
+        self.assertEqual(progress.prepare_resume(), "3")
+        progress.begin_answer()
+        self.assertFalse(progress.has_rest)
+        self.assertEqual(progress.prepare_resume(), "2")
+        self.assertEqual(progress.prepare_resume(), "2", "no answer came")
+        progress.begin_answer()
+        self.assertFalse(progress.has_rest)
+        self.assertEqual(progress.feed(EVENTS[3]), b"")
+        self.assertTrue(progress.has_rest)
+        self.assertTrue(progress.ends_with_event)
+        self.assertEqual(progress.feed(EVENTS[4]), EVENTS[4])
+
+    def test_answer_that_skips_the_last_event_does_not_repeat_it(self) -> None:
+        """It is none of the run's."""
+        progress = make_progress(last_id="3")
+        progress.begin_answer()
+        progress.prepare_resume()
+        self.assertEqual(progress.feed(EVENTS[4]), b"")
+        self.assertIsNotNone(progress.foreign)
+
+    def test_first_event_is_repeated_from_the_start_of_the_stream(self) -> None:
+        """Streams begin with 0 or 1, so there is no id before it for sure."""
+        for first in (EVENTS[0], b""):
+            progress = make_progress(last_id="1")
+            progress.begin_answer()
+            self.assertEqual(progress.prepare_resume(), "")
+            self.assertEqual(progress.feed(first + EVENTS[1]), b"")
+            self.assertTrue(progress.has_rest)
+            self.assertEqual(progress.feed(EVENTS[2]), EVENTS[2])
+
+    def test_stream_is_whole_once_it_has_all_events_that_it_can_have(self) -> None:
+        """Whether its first id is 0 is known only to those who saw it."""
+        progress = make_progress()
+        progress.feed(b"".join(EVENTS[:4]))
+        self.assertTrue(progress.has_all(4))
+        self.assertFalse(progress.has_all(5))
+        self.assertFalse(progress.has_all(None))
+        resumed = make_progress(last_id="3")
+        self.assertTrue(resumed.has_all(3))
+        self.assertFalse(resumed.has_all(4))
+
     def test_large_event_is_passed_on_once_its_id_is_known(self) -> None:
         """Its later lines are checked as they end; no other id may follow."""
         progress = make_progress()
