Read the close of an order's sender before the order is proposed after a standstill

The order had been read between two stalls, each too short to be noticed, and waited for its sender's close. After a stop epoll_wait returns without events, so the event loop ran the timer that was due before it read the close.

--- a/poplarlug/control/routing_service.py
+++ b/poplarlug/control/routing_service.py
@@ -54,6 +54,17 @@
     revision: int
 
 
+async def wait_for_departure() -> None:
+    """
+    Wait until the close of a sender that has left is read.
+
+    After a standstill the event loop may run due timers before it reads what has
+    arrived, so it gets another iteration for that.
+    """
+    await asyncio.sleep(DEPARTURE_CHECK_SECONDS)
+    await asyncio.sleep(0)
+
+
 class RoutingService:
     """
     Propose route tables and evacuations, and read the state in force.
@@ -128,7 +139,7 @@
         if self._standstill.may_read_late:
             reason = "this replica stood still and may have read the order late"
         else:
-            await asyncio.sleep(DEPARTURE_CHECK_SECONDS)
+            await wait_for_departure()
             if not is_awaited():
                 reason = "the sender of the order has left"
         if reason:
--- a/poplarlug/platform/control.py
+++ b/poplarlug/platform/control.py
@@ -6,17 +6,13 @@
     # By default, a SIGHUP during the imports would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-import asyncio
 import os
 from pathlib import Path
 
 from aiohttp import web
 from returns.result import Failure
 
-from poplarlug.control.routing_service import (
-    DEPARTURE_CHECK_SECONDS,
-    RoutingService,
-)
+from poplarlug.control.routing_service import RoutingService, wait_for_departure
 from poplarlug.control.seeded import SeededControl, run_seeded_control
 from poplarlug.control.standstill import StandstillWatch
 from poplarlug.daemon import Site, run_daemon
@@ -119,7 +115,7 @@
         if known is not None:
             # A run that is heard of from now on can't be the one that says farewell.
             record = record._replace(born=known.born)
-        await asyncio.sleep(DEPARTURE_CHECK_SECONDS)
+        await wait_for_departure()
         if not _is_awaited(request):
             _log.warning("dropped a farewell whose sender left", upstream=record.id)
             return _unavailable("the sender of the farewell has left")
--- a/tests/platform_adapter/test_late_orders.py
+++ b/tests/platform_adapter/test_late_orders.py
@@ -18,6 +18,11 @@
 REJOIN_SECONDS = 1.5
 """A replica that wakes up has read all orders and follows a leader again by then."""
 
+SHORT_STANDSTILLS = 10
+SHORT_STANDSTILL_SECONDS = 0.6
+READING_SECONDS = 0.05
+"""Enough to read an order, less than it waits for its sender's close."""
+
 WATCH_SECONDS = 2.0
 BEAT_SECONDS = 0.5
 EVACUATION = "/evacuations/quito-a"
@@ -97,6 +102,62 @@
             self.assertEqual(len(evacuated.arrivals), 0, stopped)
             self.assertGreater(len(other.arrivals), 0, stopped)
 
+    def stall_repeatedly(self, name: str) -> None:
+        """Stop a replica again and again, for too short a time to be noticed."""
+        for _ in range(SHORT_STANDSTILLS):
+            self.deployment.signal(name, signal.SIGSTOP)
+            time.sleep(SHORT_STANDSTILL_SECONDS)
+            self.deployment.signal(name, signal.SIGCONT)
+            time.sleep(READING_SECONDS)
+
+    # Guards against stalls that are too short to be noticed one by one.
+    def test_order_read_between_short_standstills_undoes_no_newer_one(self) -> None:
+        """Together they last longer than its sender waits, and repeats it elsewhere."""
+        evacuated = self.add_upstream("u-1", zone="quito-a")
+        other = self.add_upstream("u-2", zone="cuenca-a")
+        self.beat(self.replicas, evacuated, other)
+        self.wait_served()
+        self.order_until_taken(self.replicas, "POST", EVACUATION)
+        for stalled in self.replicas:
+            running = [name for name in self.replicas if name != stalled]
+            with ThreadPoolExecutor(1) as pool:
+                stalls = pool.submit(self.stall_repeatedly, stalled)
+                for _ in range(3):
+                    self.order(stalled, "DELETE", EVACUATION)
+                    self.order_until_taken(running, "DELETE", EVACUATION)
+                    self.order_until_taken(running, "POST", EVACUATION)
+                stalls.result()
+            self.use(REJOIN_SECONDS, running, evacuated, other)
+            evacuated.arrivals.clear()
+            self.use(WATCH_SECONDS, running, evacuated, other)
+            self.assertEqual(len(evacuated.arrivals), 0, stalled)
+
+    # Guards against orders whose sender leaves while they wait for its close in a
+    # standstill.
+    def test_order_whose_sender_left_during_a_standstill_is_dropped(self) -> None:
+        """The event loop reads the close before the order is proposed."""
+        evacuated = self.add_upstream("u-1", zone="quito-a")
+        other = self.add_upstream("u-2", zone="cuenca-a")
+        self.beat(self.replicas, evacuated, other)
+        self.wait_served()
+        self.order_until_taken(self.replicas, "POST", EVACUATION)
+        for stalled in self.replicas:
+            running = [name for name in self.replicas if name != stalled]
+            with ThreadPoolExecutor(1) as pool:
+                self.deployment.signal(stalled, signal.SIGSTOP)
+                sent = pool.submit(self.order, stalled, "DELETE", EVACUATION)
+                time.sleep(SHORT_STANDSTILL_SECONDS)
+                self.deployment.signal(stalled, signal.SIGCONT)
+                time.sleep(READING_SECONDS)
+                self.deployment.signal(stalled, signal.SIGSTOP)
+                time.sleep(SHORT_STANDSTILL_SECONDS)
+                self.deployment.signal(stalled, signal.SIGCONT)
+                self.assertIn(sent.result(), (0, 503))
+            self.use(REJOIN_SECONDS, running, evacuated, other)
+            evacuated.arrivals.clear()
+            self.use(WATCH_SECONDS, running, evacuated, other)
+            self.assertEqual(len(evacuated.arrivals), 0, stalled)
+
     # Guards against farewells that a replica reads when it wakes up.
     def test_farewell_read_after_a_standstill_ends_no_later_run(self) -> None:
         """An upstream leaves, and is back under its id before the farewell is read."""
