Refuse a heartbeat whose slots are too large for a float

An upstream that announced slots of 1 followed by 400 zeros got 500 and a traceback at each replica, where 400 is due: the message of the refusal converted the number to a float, which overflows. The message names the bound instead of the value, as those of other numbers do. All numbers of a heartbeat and a configuration were tried with eleven such values; slots was the only one.

test_odd_heartbeats_are_refused failed before with OverflowError and passes.

--- a/poplarlug/discovery/record_checks.py
+++ b/poplarlug/discovery/record_checks.py
@@ -103,7 +103,7 @@
     if not (is_address(record.address) or (is_gone and not record.address)):
         return _not_an_address("address", record.address)
     if not (0 < record.slots <= MAX_SLOTS or (is_gone and record.slots == 0)):
-        return f"got {record.slots:.3g} slots, expected 1 to {MAX_SLOTS}"
+        return f"slots is out of range; expected 1 to {MAX_SLOTS}"
     return (
         _number_problem("born", record.born, MAX_BORN)
         or _number_problem("sequence", record.sequence, MAX_NUMBER)
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -198,6 +198,8 @@
             ("born", f"-{digits}"),
             ("slots", "100001"),
             ("slots", str(2**64)),
+            ("slots", digits),
+            ("slots", f"-{digits}"),
             ("cold_left_ms", "1e308"),
             ("cold_left_ms", "1e400"),
             ("cold_left_ms", "NaN"),
