--- a/tests/serving/test_foreign_answers.py
+++ b/tests/serving/test_foreign_answers.py
@@ -37,6 +37,17 @@
                 passed.append(foreign)
         self.assertEqual(passed, [])
 
+    # Guards against a success with an empty or short body in place of a head that
+    # never came whole.
+    def test_head_that_stops_is_no_answer(self) -> None:
+        """The upstream closes its connection within the head of its answer."""
+        for head in (CHUNKED_HEAD, SMALL[: -len(b"peel")]):
+            for end in range(1, len(head)):
+                sink = MemorySink()
+                outcome = attempt_once(writes(head[:end], close=True), sink)
+                self.assertEqual(outcome.status, AttemptStatus.BROKEN, head[:end])
+                self.assertEqual(sink.data, b"")
+
     def test_broken_framing_is_broken_at_once(self) -> None:
         """Bytes stand where the size of a chunk is due."""
         began = time.monotonic()
