Report streams again for each service that becomes mixed after a restart of control

Callers could not resume streams of a service that got its second version within a minute after all control replicas had been restarted beside the release of another service: an entry reported its streams once to each run of a replica, for the services that were mixed by then, and streams that begin before their service is mixed aren't recorded.

Entries report again whenever a replica names a service with several versions that it had not named before. test_entries_report_streams_again_once_another_service_is_mixed failed before (None for v1) and passes; the test of restarts in quick succession held before, too.

--- a/poplarlug/discovery/subscriber.py
+++ b/poplarlug/discovery/subscriber.py
@@ -33,7 +33,7 @@
 from poplarlug.discovery.software_versions import StreamVersions
 from poplarlug.logs import ComponentLogger
 from poplarlug.transport import Transport, TransportErrorKind
-from poplarlug.types import Address, Seconds, ZoneName
+from poplarlug.types import Address, Seconds, ServiceName, ZoneName
 
 HOLD_SECONDS = 0.25
 """Longest wait of a poll to a replica in the own zone; it bounds the age of the other
@@ -134,6 +134,7 @@
         self._revision = 0
         self._lacks_whole = True
         self._streams_resent_to = ""
+        self._services_resent: frozenset[ServiceName] = frozenset()
         self._zones_by_replica: dict[Address, ZoneName] = {}
         self._nearer_checked_at = float("-inf")
         self._report_requested = asyncio.Event()
@@ -426,10 +427,19 @@
         self._known_replicas = reply.control
 
     def _resend_streams(self, reply: PollReply) -> None:
-        """Report again what a run of a replica may lack, once it knows of versions."""
-        if not reply.versions or reply.registry_id == self._streams_resent_to:
+        """
+        Report again what a run of a replica may lack.
+
+        Once it knows of several versions of a service, and again for each service that
+        gets a second version later: before, its streams needed no record.
+        """
+        services = frozenset(versions.service for versions in reply.versions)
+        if reply.registry_id != self._streams_resent_to:
+            self._services_resent = frozenset()
+        if services <= self._services_resent:
             return
         self._streams_resent_to = reply.registry_id
+        self._services_resent |= services
         count = self._streams.queue_resend(
             lambda version: any(one.must_record(version) for one in reply.versions)
         )
--- a/tests/discovery/test_stream_sharing.py
+++ b/tests/discovery/test_stream_sharing.py
@@ -13,12 +13,16 @@
 
 async def announce(fleet: Fleet) -> None:
     """Announce an upstream of each of two versions to all replicas."""
+    for born, version in ((5, "v1"), (9, "v2")):
+        await announce_one(fleet, "desk", version, born)
+
+
+async def announce_one(fleet: Fleet, service: str, version: str, born: int) -> None:
+    upstream = ServiceUpstream(
+        f"{service}-{version}", service, f"10.0.0.{born}:80", "a", born, 1, 8
+    )
     for registrar in fleet.registrars.values():
-        for born, version in ((5, "v1"), (9, "v2")):
-            upstream = ServiceUpstream(
-                f"u-{version}", "desk", f"10.0.0.{born}:80", "a", born, 1, 8
-            )
-            await registrar.receive_announcement(upstream._replace(version=version))
+        await registrar.receive_announcement(upstream._replace(version=version))
 
 
 async def look_up(fleet: Fleet, zone: str, key: StreamKey) -> StreamFound | None:
@@ -51,6 +55,64 @@
 
         self.run_scenario(scenario)
 
+    # Guards against streams that were reported to runs of replicas that ended at once.
+    def test_entries_report_streams_again_after_restarts_in_quick_succession(
+        self,
+    ) -> None:
+        """Each run of a replica gets them, however short the one before was."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await announce(fleet)
+            await asyncio.sleep(2.0)
+            fleet.streams_by_zone["a"].add([StreamStarts("v1", (1,))])
+            await fleet.streams_by_zone["a"].add_and_queue(2, "v2")
+            for pause in (0.1, 0.4, 0.9, 0.3):
+                for zone in REGIONS_BY_ZONE:
+                    fleet.stop(f"control-{zone}")
+                await asyncio.sleep(0.2)
+                for zone in REGIONS_BY_ZONE:
+                    fleet.start_replica(zone)
+                await announce(fleet)
+                await asyncio.sleep(pause)
+            await asyncio.sleep(5.0)
+            fleet.stop("entry-a")
+            for key, version in ((1, "v1"), (2, "v2")):
+                found = await look_up(fleet, "b", key)
+                assert found is not None
+                self.assertEqual(found.version, version)
+
+        self.run_scenario(scenario)
+
+    # Guards against streams that nobody knew since their service got a second version
+    # only after they had been reported.
+    def test_entries_report_streams_again_once_another_service_is_mixed(self) -> None:
+        """Before, nobody needed to know which version had begun them."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await announce(fleet)
+            await announce_one(fleet, "kiosk", "v1", 5)
+            await asyncio.sleep(2.0)
+            fleet.streams_by_zone["a"].add([StreamStarts("v1", (1,))])
+            for zone in REGIONS_BY_ZONE:
+                fleet.stop(f"control-{zone}")
+            await asyncio.sleep(0.5)
+            for zone in REGIONS_BY_ZONE:
+                fleet.start_replica(zone)
+            await announce(fleet)
+            await announce_one(fleet, "kiosk", "v1", 5)
+            await asyncio.sleep(5.0)
+            fleet.streams_by_zone["a"].add([StreamStarts("v1", (2,))])
+            await announce_one(fleet, "kiosk", "v2", 9)
+            await asyncio.sleep(5.0)
+            fleet.stop("entry-a")
+            for key in (1, 2):
+                lookup = StreamLookup(key, "kiosk")
+                found = await fleet.subscribers_by_zone["b"].look_up_stream(lookup)
+                assert found is not None
+                self.assertEqual(found.version, "v1", key)
+
+        self.run_scenario(scenario)
+
     # Guards against joined streams that only a lost region's replica knew.
     def test_stream_is_recorded_once_a_majority_has_it(self) -> None:
         """A replica that is cut off can't record alone, as it may be lost then."""
