--- a/poplarlug/control/raft/replica.py
+++ b/poplarlug/control/raft/replica.py
@@ -19,6 +19,7 @@
 from poplarlug.control.raft.recovery import recover_as_only_member
 from poplarlug.control.raft.snapshotting import (
     KEPT_ENTRIES,
+    SNAPSHOT_BYTES,
     SNAPSHOT_ENTRIES,
     Snapshotter,
 )
@@ -74,6 +75,7 @@
         recover_incarnation: str = "",
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         kept_entries: int = KEPT_ENTRIES,
+        snapshot_bytes: int = SNAPSHOT_BYTES,
         clock: Clock | None = None,
         auto_join: AutoJoin | None = None,
     ) -> None:
@@ -94,6 +96,7 @@
             state=self.state,
             snapshot_entries=snapshot_entries,
             kept_entries=kept_entries,
+            snapshot_bytes=snapshot_bytes,
         )
         self.membership = Membership(
             state=self.state,
--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -10,6 +10,7 @@
 from poplarlug.control.raft.consensus_state import Role
 from poplarlug.control.raft.membership import AutoJoin
 from poplarlug.control.raft.replica import Replica
+from poplarlug.control.raft.snapshotting import SNAPSHOT_BYTES
 from poplarlug.control.replicated_log import LogEntry, ReplicatedLog, StateMachine
 from poplarlug.transport import MemoryNetwork, MemoryTransport
 from poplarlug.transport.memory import LinkQuality
@@ -79,6 +80,7 @@
             recover_incarnation=recover_incarnation,
             snapshot_entries=self.group.snapshot_entries,
             kept_entries=4,
+            snapshot_bytes=self.group.snapshot_bytes,
             auto_join=self.group.auto_join_for(self.name),
             clock=self.now,
         )
@@ -134,6 +136,7 @@
         one_way: float = 0.0005,
         loss: float = 0.0,
         snapshot_entries: int = 16,
+        snapshot_bytes: int = SNAPSHOT_BYTES,
         auto_join: bool = False,
     ) -> None:
         self._auto_join = auto_join
@@ -142,6 +145,7 @@
         self.leaders_by_term: dict[int, str] = {}
         self.bootstrap_names = names if bootstrap_names is None else bootstrap_names
         self.snapshot_entries = snapshot_entries
+        self.snapshot_bytes = snapshot_bytes
         quality = LinkQuality(one_way, one_way * 1.5, loss)
         self.network = MemoryNetwork(rng=rng, quality=quality)
         self.members_by_name = {name: GroupMember(self, name) for name in names}
--- a/tests/control/raft/test_log_growth.py
+++ b/tests/control/raft/test_log_growth.py
@@ -18,6 +18,7 @@
 from poplarlug.control.state import ControlState
 from poplarlug.transport import MemoryNetwork, MemoryTransport
 from poplarlug.virtualtime import run_virtual
+from tests.control.group import SimulatedGroup
 from tests.control.quiet import QuietTestCase
 from tests.routes.test_checks import make_route, make_table
 
@@ -30,6 +31,10 @@
 MAX_LOG_BYTES = 16 * MIB
 """An eighth of a replica's disk, far less than all changes take."""
 
+COMPACTED_BYTES = 600
+CHANGES_PER_CRASH = 6
+CRASHES = 12
+SEEDS = 20
 RECORDS = 40
 RECORD_BYTES = MIB // 2
 
@@ -101,6 +106,46 @@
         self.assertLess(len(disk.files_by_name[SNAPSHOT_FILE]), 2 * SOURCE_BYTES)
         self.assertLess(disk.snapshot_bytes, CHANGES * SOURCE_BYTES / 2)
 
+    # Guards against changes that are lost when replicas end amid a compaction.
+    def test_replicas_that_end_amid_compactions_keep_all_changes(self) -> None:
+        """One by one and all at once, while large changes go on."""
+
+        async def main(seed: int) -> None:
+            rng = Random(seed)
+            group = SimulatedGroup(
+                rng=rng,
+                one_way=0.055,
+                snapshot_entries=10_000,
+                snapshot_bytes=COMPACTED_BYTES,
+            )
+            group.start()
+            accepted = []
+            for number in range(CRASHES):
+                await group.wait_for_leader()
+                for part in range(CHANGES_PER_CRASH):
+                    command = b"%d-%d-" % (number, part) + bytes(COMPACTED_BYTES // 3)
+                    if await group.propose(command):
+                        accepted.append(command)
+                await asyncio.sleep(rng.uniform(0.0, 0.1))
+                live = group.live()
+                ended = live if number % 3 == 2 else [rng.choice(live)]
+                for member in ended:
+                    member.crash()
+                await asyncio.sleep(rng.uniform(0.0, 0.5))
+                for member in ended:
+                    member.start()
+            leader = await group.wait_for_leader()
+            self.assertTrue(await group.propose(b"last"))
+            held = {command for _, _, command in leader.machine.entries}
+            self.assertEqual([c for c in accepted if c not in held], [])
+            self.assertGreater(len(accepted), CRASHES)
+            assert leader.replica is not None
+            self.assertGreater(leader.replica.state.snapshots.log_index, 0)
+
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                run_virtual(main(seed))
+
     # Guards against a load that takes several times the log.
     def test_load_holds_no_more_than_the_entries(self) -> None:
         """The file is read record by record."""
