Ask a region again for a stream that one of its upstreams broke off

Callers at an entry of another region had resumable streams broken off though the region that served them had another sound upstream: the entry that faces the caller didn't know which upstream had failed, and counted the whole region as tried.

An entry that serves a stream for another one names the upstream that runs it, and is told which ones were tried. So only these aren't asked again, and a region is asked as long as it has others. Builds that name none are treated as before.

--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -119,6 +119,8 @@
         check is pending.
     charged : Fingerprint or None
         What a crash of the last isolated attempt counts against.
+    remote_upstream : UpstreamId
+        The upstream that runs the current attempt in another region; empty if unknown.
     upstream_version : SoftwareVersion
         Software version of the upstream that runs the current attempt.
     record_start : callable
@@ -140,8 +142,9 @@
         self.request = request
         self.sink = sink
         self.trace = trace
-        self.tried = Tried()
+        self.tried = Tried(upstreams=request.tried)
         self.target = ""
+        self.remote_upstream: UpstreamId = ""
         self.event_format = event_format
         self.max_events = max_events
         self.events = _event_progress(request, event_format)
@@ -239,10 +242,14 @@
         """
         Record the outcome of forwarding the request to another region.
 
-        The region isn't tried again: its entries use the same upstreams, and if one
-        entry is unreachable, usually all of them are.
+        If the upstream there is known, only that one isn't tried again. Else the region
+        isn't: its entries use the same upstreams, and if one entry is unreachable,
+        usually all of them are.
         """
-        self.tried = self.tried.with_region(region)
+        if self.remote_upstream:
+            self.tried = self.tried.with_upstream(self.remote_upstream)
+        else:
+            self.tried = self.tried.with_region(region)
         self.note_outcome(outcome)
 
     def note_outcome(self, outcome: Outcome) -> None:
--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -39,6 +39,7 @@
     REFUSED,
     SOFTWARE_VERSION,
     TABLE_VERSION,
+    TRIED,
     encode_refusal,
     end_to_end,
 )
@@ -274,6 +275,7 @@
                 answer_by=answer_by,
                 resumes=resumed_id,
                 version=request.headers.get(SOFTWARE_VERSION) if hops else None,
+                tried=frozenset(request.headers.getall(TRIED, ()) if hops else ()),
             )
         )
 
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -38,6 +38,8 @@
     REFUSED,
     SOFTWARE_VERSION,
     TABLE_VERSION,
+    TRIED,
+    UPSTREAM,
     decode_refusal,
 )
 from poplarlug.relay.limiter import MAX_LOGGED_CHARACTERS
@@ -512,6 +514,7 @@
         request, trace = context.request, context.trace
         entry = target.entry
         context.target = entry.name
+        context.remote_upstream = ""
         started = self._clock()
         routes = self._deployment.routes
         assert routes is not None
@@ -537,6 +540,7 @@
                 (TABLE_VERSION, str(routes.version)),
                 (PATIENCE, str(int(timeout_seconds * 1000))),
                 *_version_header(request),
+                *((TRIED, upstream) for upstream in sorted(context.tried.upstreams)),
             ],
             body=request.body,
             timeout_seconds=timeout_seconds,
@@ -563,6 +567,7 @@
                 self._note_refused(request, entry, refusal)
                 return Outcome(refusal)
             self._view.note_region_served(request.service, entry.region)
+            context.remote_upstream = response.headers.get(UPSTREAM, "")
             version = response.headers.get(SOFTWARE_VERSION, "")
             context.upstream_version = version
             context.record_start = partial(
--- a/poplarlug/relay/hop_headers.py
+++ b/poplarlug/relay/hop_headers.py
@@ -13,6 +13,12 @@
 SOFTWARE_VERSION = "X-Relay-Software-Version"
 """In a request the version that it requires, in a response the one that ran it."""
 
+UPSTREAM = "X-Relay-Upstream"
+"""In the response with a stream: the upstream that runs it."""
+
+TRIED = "X-Relay-Tried"
+"""In a request, one for each upstream that must not run it again."""
+
 REFUSED = "X-Relay-Refused"
 """Marks an error of the serving entry itself: status, type, ran, Retry-After."""
 
@@ -33,7 +39,16 @@
 )
 _BETWEEN_ENTRIES = frozenset(
     name.lower()
-    for name in (HOPS, ORIGIN, TABLE_VERSION, PATIENCE, SOFTWARE_VERSION, REFUSED)
+    for name in (
+        HOPS,
+        ORIGIN,
+        TABLE_VERSION,
+        PATIENCE,
+        SOFTWARE_VERSION,
+        UPSTREAM,
+        TRIED,
+        REFUSED,
+    )
 )
 _RAN_BY_TEXT = {"yes": True, "no": False, "unknown": None}
 _TEXT_BY_RAN = {ran: text for text, ran in _RAN_BY_TEXT.items()}
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -11,7 +11,7 @@
 from poplarlug.relay.context import DONE, Outcome, RequestContext, write_full_response
 from poplarlug.relay.events import EventProgress
 from poplarlug.relay.held_bytes import HeldBytesBudget, HeldBytesReservation
-from poplarlug.relay.hop_headers import SOFTWARE_VERSION, end_to_end
+from poplarlug.relay.hop_headers import SOFTWARE_VERSION, UPSTREAM, end_to_end
 from poplarlug.serving.answers import AnswerHead
 from poplarlug.serving.relay import BodyCheck, BodyRelay
 from poplarlug.types import Seconds
@@ -63,7 +63,8 @@
             head = head._replace(content_length=None)
         if context.request.hops:
             version = (SOFTWARE_VERSION, context.upstream_version)
-            head = head._replace(headers=(*head.headers, version))
+            upstream = (UPSTREAM, context.target)
+            head = head._replace(headers=(*head.headers, version, upstream))
         await sink.start(head)
     if events is not None and _requires_events(context, response):
         with budget.reserve() as reservation:
--- a/poplarlug/relay/requests.py
+++ b/poplarlug/relay/requests.py
@@ -10,6 +10,7 @@
     Seconds,
     ServiceName,
     SoftwareVersion,
+    UpstreamId,
     VmName,
 )
 
@@ -71,6 +72,8 @@
         empty if not named.
     version : SoftwareVersion or None
         The only software version that may run the request; ``None`` for any.
+    tried : frozenset of UpstreamId
+        Upstreams at which the forwarding entry has tried it already.
     """
 
     id: RequestId
@@ -88,6 +91,7 @@
     answer_by: Seconds = math.inf
     resumes: RequestId = ""
     version: SoftwareVersion | None = None
+    tried: frozenset[UpstreamId] = frozenset()
 
     @property
     def keeps_version(self) -> bool:
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -384,7 +384,9 @@
         self, request: RelayRequest, tried: Tried, affinity: Affinity | None
     ) -> list[RemoteRegion]:
         """Return the other regions that may serve a request."""
-        able = None if request.version is None else self._able_regions(request)
+        able = None
+        if request.version is not None or tried.upstreams:
+            able = self._able_regions(request, tried)
         return [
             self._region(request, load, affinity)
             for load in self.deployment.region_loads
@@ -396,13 +398,15 @@
             and (able is None or load.region in able)
         ]
 
-    def _able_regions(self, request: RelayRequest) -> set[RegionName]:
-        """Return the regions with upstreams of the required version."""
+    def _able_regions(self, request: RelayRequest, tried: Tried) -> set[RegionName]:
+        """Return the regions with upstreams that may run a request."""
         regions_by_id = self.deployment.serving_regions(request.service)
         return {
             regions_by_id[upstream.id]
             for upstream in self.deployment.upstreams_of(request.service)
-            if upstream.id in regions_by_id and self._allows(request, upstream)
+            if upstream.id in regions_by_id
+            and upstream.id not in tried.upstreams
+            and self._allows(request, upstream)
         }
 
     def _allows(self, request: RelayRequest, upstream: ServiceUpstream) -> bool:
@@ -474,7 +478,7 @@
         own = self.deployment.own_region
         now = self._clock()
         entries_by_region: dict[RegionName, dict[VmName, EntryRecord | None]] = {}
-        for region in self._able_regions(request):
+        for region in self._able_regions(request, tried):
             if request.route.allows(region) and region not in tried.regions:
                 entries_by_name: dict[VmName, EntryRecord | None] = {
                     entry.name: entry
--- a/tests/platform_adapter/test_resumed_errors.py
+++ b/tests/platform_adapter/test_resumed_errors.py
@@ -101,3 +101,8 @@
         ):
             answer = self.read(entry, headers)
             self.assertEqual(answer, (200, b"", True), (entry, headers))
+
+    def test_stream_with_nothing_left_ends_well_in_another_region(self) -> None:
+        """Another entry of the region is asked for the last event again."""
+        headers = {LAST_EVENT_HEADER: str(STREAM_EVENTS - 1)}
+        self.assertEqual(self.read(self.entries[1], headers), (200, b"", True))
--- a/tests/relay/test_stopped_heads.py
+++ b/tests/relay/test_stopped_heads.py
@@ -64,6 +64,8 @@
             finally:
                 await client.close()
                 server.close()
+                # The server's connections close in the next iteration.
+                await asyncio.sleep(0)
 
         return asyncio.run(main())
 
