Believe no second refusal of a request by the same upstream

Callers got 429 or 503, 'not run', for requests that ran: an upstream had refused a request, got it again under the same id on another connection, and wrote its old refusal once more before the answer.

A client remembers over all of its connections which upstream has refused which request. A second such refusal can't be told from the first, so it is not believed: the outcome is unknown, and what may not repeat isn't sent again. Ids are those of callers' attempts, and an attempt asks no upstream twice, so sound refusals cost nothing.

--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -26,6 +26,10 @@
 """Refusals after which a connection is closed; limits the ids that it remembers."""
 
 
+MAX_REMEMBERED_REFUSALS = 4096
+"""Requests whose refusals a client remembers over all of its connections."""
+
+
 class ResponseSource(NamedTuple):
     """
     How a response relates to the request that was sent before it.
@@ -42,6 +46,8 @@
         Whether the response states that the request was not run.
     is_contradicted : bool
         Whether it is a refusal, and another response to the request follows it.
+    is_repeated : bool
+        Whether it is a refusal, and its peer has refused the request before.
     """
 
     names_request: bool | None
@@ -49,6 +55,7 @@
     has_early_bytes: bool = False
     is_refusal: bool = False
     is_contradicted: bool = False
+    is_repeated: bool = False
 
     @property
     def is_reliable(self) -> bool:
@@ -56,13 +63,14 @@
         Whether the response is for the request, and may be believed.
 
         Upstreams echo ids. Without one a response may be an earlier one that was
-        written once more, unless nothing was sent on its connection before.
+        written once more, unless nothing was sent on its connection before. Nor can a
+        second refusal of a request be told from the first.
         """
         if self.names_request is None:
             is_own = self.exchange == 1 and not self.has_early_bytes
         else:
             is_own = self.names_request
-        return is_own and not self.is_contradicted
+        return is_own and not self.is_contradicted and not self.is_repeated
 
 
 class RelayResponse(aiohttp.ClientResponse):
@@ -79,6 +87,23 @@
         return self
 
 
+class RefusalMemory:
+    """Which requests each upstream or entry has refused; the oldest are forgotten."""
+
+    def __init__(self) -> None:
+        self._refused: dict[tuple[Any, RequestId], None] = {}
+
+    def note(self, peer: Any, request_id: RequestId) -> bool:
+        """Remember a refusal; return whether it is the first of its peer."""
+        key = peer, request_id
+        if key in self._refused:
+            return False
+        if len(self._refused) >= MAX_REMEMBERED_REFUSALS:
+            del self._refused[next(iter(self._refused))]
+        self._refused[key] = None
+        return True
+
+
 class StrictHandler(ResponseHandler):
     """
     Report a response as truncated after a reset, and reset abandoned exchanges.
@@ -90,9 +115,17 @@
     data is parsed in slices so that such a series can't block other exchanges.
     """
 
-    def __init__(self, *, header_names: HeaderNames | None, **options: Any) -> None:
+    def __init__(
+        self,
+        *,
+        header_names: HeaderNames | None,
+        refusals: RefusalMemory,
+        **options: Any,
+    ) -> None:
         super().__init__(**options)
         self._header_names = header_names
+        self._refusals = refusals
+        self._peer: Any = None
         self._request_id: RequestId = ""
         self._exchanges = 0
         self._refused_ids: set[RequestId] = set()
@@ -109,6 +142,8 @@
     def expect_response_to(self, request_id: RequestId) -> None:
         """Begin the exchange of a request."""
         self._request_id = request_id
+        if self._peer is None and self.transport is not None:
+            self._peer = self.transport.get_extra_info("peername")
         self._exchanges += 1
         self.response_source = None
 
@@ -146,6 +181,8 @@
         )
         if source.is_refusal:
             self._refused_ids.add(self._request_id)
+            is_first = self._refusals.note(self._peer, self._request_id)
+            source = source._replace(is_repeated=not is_first)
         is_expected = source.names_request or self._header_names is None
         if not is_expected or len(self._refused_ids) >= MAX_REFUSALS:
             self.force_close()
@@ -252,7 +289,10 @@
         super().__init__(**options)
         self._header_names = header_names
         self._factory: Any = partial(
-            StrictHandler, loop=self._loop, header_names=header_names
+            StrictHandler,
+            loop=self._loop,
+            header_names=header_names,
+            refusals=RefusalMemory(),
         )
 
     async def connect(
--- a/tests/platform_adapter/test_repeated_refusals.py
+++ b/tests/platform_adapter/test_repeated_refusals.py
@@ -42,11 +42,14 @@
         Status of the refusal; 429 and 503 have ``Retry-After``.
     is_named : bool
         Whether it echoes the id of the request that was refused.
+    on_any_connection : bool
+        Whether it comes wherever that request comes again.
     """
 
     place: str
     status: int = 503
     is_named: bool = False
+    on_any_connection: bool = False
 
 
 class RepeatingUpstream(Upstream):
@@ -73,7 +76,7 @@
         self.repeats = 0
         self.connections: set[object] = set()
         self.started_by_id: Counter[str] = Counter()
-        self._refusals_by_connection: dict[object, bytes] = {}
+        self._refusals_by_origin: dict[object, bytes] = {}
         super().__init__(**options)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
@@ -88,7 +91,8 @@
             self.is_refusing = False
             return self._refuse(request, repeated)
         self.started_by_id[request.headers[HEADER_NAMES.request_id]] += 1
-        refusal = self._refusals_by_connection.pop(connection, b"")
+        origin = self._origin_of(request, repeated)
+        refusal = self._refusals_by_origin.pop(origin, b"")
         self.is_refusing = not refusal
         if not refusal:
             return await super()._serve(request)
@@ -107,6 +111,12 @@
         self.answer_seconds = BUSY_SECONDS
         return await super()._serve(request)
 
+    def _origin_of(self, request: web.Request, repeated: RepeatedRefusal) -> object:
+        """Return with what a refusal comes back: a request's id or its connection."""
+        if repeated.on_any_connection:
+            return request.headers[HEADER_NAMES.request_id]
+        return request.transport
+
     def _refuse(
         self, request: web.Request, repeated: RepeatedRefusal
     ) -> web.StreamResponse:
@@ -118,9 +128,8 @@
         written = named if repeated.is_named else headers
         lines = [f"{name}: {value}" for name, value in written.items()]
         head = [f"HTTP/1.1 {repeated.status} Refused", "Content-Length: 0", *lines]
-        self._refusals_by_connection[request.transport] = "\r\n".join(
-            [*head, "", ""]
-        ).encode()
+        origin = self._origin_of(request, repeated)
+        self._refusals_by_origin[origin] = "\r\n".join([*head, "", ""]).encode()
         return web.Response(status=repeated.status, headers=named)
 
 
@@ -225,6 +234,15 @@
         for status in (503, 429, 421):
             self.check(RepeatedRefusal("before", status, is_named=True))
 
+    # Guards against requests that ran and were called not run, since a refusal of the
+    # same id came once more on another connection.
+    def test_refusal_of_the_same_request_on_another_connection(self) -> None:
+        """An upstream that refuses the same request twice isn't believed."""
+        for status in (503, 429, 421):
+            self.check(
+                RepeatedRefusal("before", status, is_named=True, on_any_connection=True)
+            )
+
     def test_refusal_of_the_same_request_in_the_packet_of_the_answer(self) -> None:
         """The answer behind it shows that the request ran."""
         self.check(RepeatedRefusal("joined", is_named=True))
