--- a/poplarlug/discovery/registry.py
+++ b/poplarlug/discovery/registry.py
@@ -313,6 +313,8 @@
         return record
     if record.incarnation < former.incarnation:
         return None
+    if former.state == "serving" and record.state == "starting":
+        return None
     if former.state == "leaving" and not record.is_absent:
         return record._replace(state="leaving")
     return record
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -156,6 +156,25 @@
         assert entry is not None
         self.assertEqual(entry.state, "lost")
 
+    # Guards against regions that have no entry for a moment, since a replica that
+    # started relays what an entry said before it was ready.
+    def test_older_state_of_a_run_does_not_hide_a_serving_entry(self) -> None:
+        """Within a run, an entry starts, serves and leaves, in this order."""
+        starting = make_entry(state="starting")
+        self.registry.apply_report(starting)
+        self.registry.apply_report(make_entry())
+        self.registry.apply_relayed(Records(entries=(starting,)))
+        self.registry.recall(Records(entries=(starting,)))
+        entry = self.registry.entry("quito-a-1")
+        assert entry is not None
+        self.assertEqual(entry.state, "serving")
+        self.registry.apply_relayed(
+            Records(entries=(starting._replace(incarnation=6),))
+        )
+        entry = self.registry.entry("quito-a-1")
+        assert entry is not None
+        self.assertEqual(entry.state, "starting")
+
     def test_leaving_entry_serves_again_in_its_next_run(self) -> None:
         """An old message can't undo a stop, but a restart does."""
         self.registry.apply_report(make_entry(state="leaving"))
