Let a stream wait for an entry of the only region that can go on with it

Traced: only one region had upstreams of their version, its entries had been killed 0.1 s before, and the entries elsewhere avoided them for 2 s, so nothing was in reach; the entries were back when the callers had no try left.

Such a stream waits, as one does for a place, for as long as its caller waits for a first event, and an entry is avoided in the run that failed only. Requests that any other region may serve are refused at once as before.

test_stream_waits_for_an_entry_of_its_only_region failed before and passes.

--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -244,11 +244,11 @@
 
         If the upstream there is known, only that one isn't tried again. Else the region
         isn't: its entries use the same upstreams, and if one entry is unreachable,
-        usually all of them are.
+        usually all of them are. A stream that can't go on elsewhere waits for them.
         """
         if self.remote_upstream:
             self.tried = self.tried.with_upstream(self.remote_upstream)
-        else:
+        elif outcome.arrived or self.request.version is None:
             self.tried = self.tried.with_region(region)
         self.note_outcome(outcome)
 
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -349,7 +349,10 @@
         if isinstance(placement, NoUpstream):
             # Upstreams may be paused, or cold or limited without any budget left.
             free = view.next_free_slot(request, service, tried)
-            return free or self._wait_for_discovery(tried) or placement
+            wait = self._wait_for_discovery(tried) or self._wait_for_entry(
+                request, tried
+            )
+            return free or wait or placement
         if not isinstance(placement, Local):
             return placement
         chosen = next(c for c in candidates if c.id == placement.upstream_id)
@@ -376,6 +379,12 @@
         # They may be known at any moment, so nobody is refused who can wait a moment.
         return Full(min(left, RECHECK_SECONDS), interval_seconds=0.0)
 
+    def _wait_for_entry(self, request: RelayRequest, tried: Tried) -> Full | None:
+        """Return when to look again for an entry of the only regions for a stream."""
+        if not self._view.awaits_entry(request, tried):
+            return None
+        return Full(RECHECK_SECONDS, interval_seconds=0.0)
+
     def _to_result(
         self, request: RelayRequest, placed: "Target | Paused | NoUpstream"
     ) -> Result[Target, GatewayError]:
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -104,6 +104,13 @@
     position: int
 
 
+class _AvoidedEntry(NamedTuple):
+    """The run of an entry to which nothing is forwarded for some time."""
+
+    incarnation: int
+    until: Seconds
+
+
 class FleetView:
     """
     Derives the inputs of placements from the deployment and from what this entry did.
@@ -142,7 +149,7 @@
         self._warmup_ranks_by_id: dict[UpstreamId, _WarmupRank] = {}
         self._caches_by_region: dict[RegionName, PartCache] = {}
         self._homes_by_service: dict[ServiceName, HomeEngines] = {}
-        self._avoided_until_by_entry: dict[VmName, Seconds] = {}
+        self._avoided_by_entry: dict[VmName, _AvoidedEntry] = {}
         self._backoffs_by_region: dict[tuple[ServiceName, RegionName], _Backoff] = {}
 
     def start_request(
@@ -165,8 +172,19 @@
         self._cache_of(region).note_used(request.prompt)
 
     def avoid_entry(self, name: VmName, seconds: Seconds) -> None:
-        """Forward nothing to an entry for ``seconds``."""
-        self._avoided_until_by_entry[name] = self._clock() + seconds
+        """Forward nothing to the current run of an entry for ``seconds``."""
+        entry = self.deployment.entries_by_name.get(name)
+        incarnation = 0 if entry is None else entry.incarnation
+        until = self._clock() + seconds
+        self._avoided_by_entry[name] = _AvoidedEntry(incarnation, until)
+
+    def _is_avoided(self, entry: EntryRecord) -> bool:
+        avoided = self._avoided_by_entry.get(entry.name)
+        return (
+            avoided is not None
+            and avoided.until > self._clock()
+            and avoided.incarnation >= entry.incarnation
+        )
 
     def note_region_failed(self, service: ServiceName, region: RegionName) -> None:
         """Make a region the last choice for a while; it may be unreachable or empty."""
@@ -185,11 +203,8 @@
 
     def note_entry_failed(self, service: ServiceName, region: RegionName) -> None:
         """Make a region the last choice once two of its entries are avoided."""
-        now = self._clock()
         entries = self.deployment.entries_of(region)
-        avoided = sum(
-            self._avoided_until_by_entry.get(entry.name, now) > now for entry in entries
-        )
+        avoided = sum(map(self._is_avoided, entries))
         if avoided >= min(2, len(entries)):
             self.note_region_failed(service, region)
 
@@ -415,6 +430,22 @@
             return False
         return request.allows(upstream)
 
+    def awaits_entry(self, request: RelayRequest, tried: Tried) -> bool:
+        """
+        Return whether a stream can go on only in regions without an entry right now.
+
+        Load pattern: a region's entries are killed during a release, and only that
+        region has upstreams of the version that began the stream. They are back within
+        seconds, and callers have few retries.
+        """
+        if request.version is None or request.hops:
+            return False
+        return any(
+            request.route.allows(region) and region not in tried.regions
+            for region in self._able_regions(request, tried)
+            if region != self.deployment.own_region
+        )
+
     def may_return(self, request: RelayRequest) -> bool:
         """Return whether an upstream of the required version may accept it later."""
         return request.version is None or any(
@@ -456,11 +487,10 @@
 
     def pick_entry(self, region: RegionName) -> EntryRecord | None:
         """Return a random entry of another region that can be forwarded to."""
-        now = self._clock()
         entries = [
             entry
             for entry in self.deployment.entries_of(region)
-            if self._avoided_until_by_entry.get(entry.name, now) <= now
+            if not self._is_avoided(entry)
         ]
         return self._rng.choice(entries) if entries else None
 
@@ -476,14 +506,13 @@
         without communication; in a network partition, those of each side do.
         """
         own = self.deployment.own_region
-        now = self._clock()
         entries_by_region: dict[RegionName, dict[VmName, EntryRecord | None]] = {}
         for region in self._able_regions(request, tried):
             if request.route.allows(region) and region not in tried.regions:
                 entries_by_name: dict[VmName, EntryRecord | None] = {
                     entry.name: entry
                     for entry in self.deployment.entries_of(region)
-                    if self._avoided_until_by_entry.get(entry.name, now) <= now
+                    if not self._is_avoided(entry)
                 }
                 if region == own:
                     entries_by_name[self._name] = None
--- a/tests/relay/test_resumption.py
+++ b/tests/relay/test_resumption.py
@@ -15,7 +15,7 @@
     StreamLookup,
 )
 from poplarlug.discovery.named_limits import NamedLimits
-from poplarlug.discovery.records import RegionLoad, ServiceUpstream
+from poplarlug.discovery.records import EntryRecord, RegionLoad, ServiceUpstream
 from poplarlug.discovery.software_versions import (
     ServiceVersions,
     StreamStarts,
@@ -23,7 +23,7 @@
     stream_key,
 )
 from poplarlug.relay.budgets import WarmupLimits
-from poplarlug.relay.dispatcher import Dispatcher, LocalTarget
+from poplarlug.relay.dispatcher import Dispatcher, LocalTarget, RemoteTarget
 from poplarlug.relay.ended_runs import HEARD_SECONDS
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.requests import RelayRequest
@@ -257,6 +257,29 @@
         self.assertEqual(self.regions(self.request._replace(version="v2")), ["west"])
         self.assertEqual(self.regions(self.request._replace(version=None)), ["west"])
 
+    # Guards against streams that were refused at once while the entries of the only
+    # region with their version restarted.
+    async def test_stream_waits_for_an_entry_of_its_only_region(self) -> None:
+        """New runs of entries are used at once, though the former ones are avoided."""
+        far = EntryRecord(
+            "entry-2", "west", "b", "10.1.0.1:1", "10.1.0.1:2", 1, "serving"
+        )
+        reply = make_reply(make_upstream(1, "v2"), make_upstream(2, "v1", zone="b"))
+        load = RegionLoad("west", "engine", upstreams=1, slots=8)
+        self.deployment.apply_reply(reply._replace(regions=(load,), entries=(far,)))
+        self.view.avoid_entry("entry-2", 60.0)
+        running = asyncio.ensure_future(self.dispatcher.run())
+        self.addAsyncCleanup(asyncio.sleep, 0)
+        self.addCleanup(running.cancel)
+        found = asyncio.ensure_future(self.dispatcher.find(self.request, Tried()))
+        await asyncio.sleep(0.2)
+        self.assertFalse(found.done())
+        again = far._replace(incarnation=2)
+        self.deployment.apply_reply(reply._replace(regions=(load,), entries=(again,)))
+        target = (await asyncio.wait_for(found, 1.0)).unwrap()
+        assert isinstance(target, RemoteTarget)
+        self.assertEqual(target.entry, again)
+
     async def test_version_that_has_left_is_refused_at_once(self) -> None:
         """Without a time to come back."""
         leaving = make_upstream(1, "v1")._replace(phase="leaving")
