Pass on only lines of events in completions

Only whole lines that are a field of an event, a comment or empty, in UTF-8, pass now. The first other line ends the attempt as broken; the stream goes on at an engine that confirms where it resumes, or breaks off. A line over 1 MiB passes before its end if it begins as a field, so no line fills memory.

--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -10,6 +10,7 @@
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.connections import CheckedConnector
 from poplarlug.serving.answers import AnswerHead, AnswerSink
+from poplarlug.serving.completion_check import CompletionCheck
 from poplarlug.serving.relay import BodyRelay
 from poplarlug.serving.requests import GatewayRequest
 from poplarlug.serving.trace import current_trace
@@ -145,9 +146,14 @@
         ) as response:
             head = self._head(response)
             await sink.start(head)
-            relay = BodyRelay(response=response, sink=sink)
+            check = CompletionCheck() if _is_event_stream(request, head) else None
+            relay = BodyRelay(response=response, sink=sink, check=check)
             watched.count_reads = relay.count_reads
             await relay.run()
+        if check is not None and check.is_refuted:
+            return AttemptOutcome(
+                AttemptStatus.BROKEN, "the event stream holds a line that is no field"
+            )
         if _is_event_stream(request, head) and not relay.ends_with_last_event():
             return AttemptOutcome(
                 AttemptStatus.BROKEN, "the event stream ended without [DONE]"
