Say in a request's line how each stream ended

A step `ended` names them for streams and for other answers that only their connection ended; no decision changes. The stand-in response of test_passing now is in chunks, as upstreams' streams are. tests.relay.test_passing, test_foreign_answers: 14 passed.

--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -1,6 +1,7 @@
 """Relays a response to its caller: buffered, event by event, or as it arrives."""
 
 import asyncio
+from typing import Any
 
 import aiohttp
 from prometheus_client import Counter
@@ -8,6 +9,7 @@
 from poplarlug.errors import GatewayError, outcome_unknown, truncated_answer
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
+from poplarlug.relay.answer_end import Framing, framing_of
 from poplarlug.relay.context import DONE, Outcome, RequestContext, write_full_response
 from poplarlug.relay.events import EventProgress
 from poplarlug.relay.held_bytes import HeldBytesBudget, HeldBytesReservation
@@ -48,7 +50,39 @@
     it. Of a resumable stream only complete events are relayed, so that another upstream
     can continue it.
     """
-    sink, events = context.sink, context.events
+    progress = None
+    if _requires_events(context, response):
+        progress = context.events or EventProgress(event_format=context.event_format)
+    outcome = await _relay(context, response, budget, progress)
+    _note_end(context, response, progress, outcome)
+    return outcome
+
+
+def _note_end(
+    context: RequestContext,
+    response: aiohttp.ClientResponse,
+    progress: EventProgress | None,
+    outcome: Outcome,
+) -> None:
+    """Note the evidence on which an answer counts as whole or as broken off."""
+    framing = framing_of(response, context.request.method)
+    if progress is None and framing is not Framing.CONNECTION:
+        return
+    fields: dict[str, Any] = {"framing": framing.value}
+    if progress is not None:
+        fields |= {"last_id": progress.last_id, "max_events": context.max_events}
+    if outcome.error is not None:
+        fields["reason"] = outcome.error.message
+    context.trace.step("ended", asyncio.get_running_loop().time(), **fields)
+
+
+async def _relay(
+    context: RequestContext,
+    response: aiohttp.ClientResponse,
+    budget: HeldBytesBudget,
+    progress: EventProgress | None,
+) -> Outcome:
+    sink = context.sink
     length = response.content_length
     is_held = not _is_stream(context, response) or response.status >= 400
     if sink.started and (is_held or response.status != 200):
@@ -58,7 +92,7 @@
         return await _relay_buffered(context, response, budget)
     if not sink.started:
         head = _head_of(response)
-        if _requires_events(context, response):
+        if progress is not None:
             # Comments are dropped, and another upstream may send the rest.
             head = head._replace(content_length=None)
         if context.request.hops:
@@ -66,15 +100,13 @@
             upstream = (UPSTREAM, context.target)
             head = head._replace(headers=(*head.headers, version, upstream))
         await sink.start(head)
-    if events is not None and _requires_events(context, response):
-        with budget.reserve() as reservation:
-            return await _relay_events(context, response, events, reservation)
-    if _requires_events(context, response):
-        progress = EventProgress(event_format=context.event_format)
-        with budget.reserve() as reservation:
-            check = EventCheck(progress=progress, reservation=reservation)
-            return await _relay_body(context, response, check)
-    return await _relay_body(context, response)
+    if progress is None:
+        return await _relay_body(context, response)
+    with budget.reserve() as reservation:
+        if progress is context.events:
+            return await _relay_events(context, response, progress, reservation)
+        check = EventCheck(progress=progress, reservation=reservation)
+        return await _relay_body(context, response, check)
 
 
 class EventCheck(BodyCheck):
@@ -123,19 +155,18 @@
     )
     if _is_stream(context, response) and not is_whole:
         return _ended_within_event()
-    if check is not None and _lacks_events(response, check.progress):
+    if check is not None and _lacks_events(context, response, check.progress):
         return _ended_within_event()
     await sink.finish()
     return DONE
 
 
-def _lacks_events(response: aiohttp.ClientResponse, events: EventProgress) -> bool:
+def _lacks_events(
+    context: RequestContext, response: aiohttp.ClientResponse, events: EventProgress
+) -> bool:
     """Return whether a stream that only its connection ended has brought no event."""
-    is_framed = (
-        response.content_length is not None
-        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    )
-    return not is_framed and not events.last_id
+    framing = framing_of(response, context.request.method)
+    return framing is Framing.CONNECTION and not events.last_id
 
 
 def _ended_within_event() -> Outcome:
@@ -201,7 +232,7 @@
     """Return the outcome of an attempt whose stream has ended."""
     if events.foreign is not None:
         return _refuse_foreign(context, events)
-    if not events.ends_with_event or _lacks_events(response, events):
+    if not events.ends_with_event or _lacks_events(context, response, events):
         return _ended_within_event()
     if not events.has_rest and not events.has_all(context.max_events):
         message = "the answer to a resumed stream has no event"
--- a/tests/relay/test_passing.py
+++ b/tests/relay/test_passing.py
@@ -85,7 +85,7 @@
 def make_response(content: PausingContent) -> Any:
     return SimpleNamespace(
         status=200,
-        headers={"Content-Type": "text/event-stream"},
+        headers={"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"},
         content_length=None,
         content=content,
     )
@@ -187,3 +187,10 @@
         self.assertEqual(sink.data, b"")
         assert context.events is not None
         self.assertEqual((context.events.last_id, context.request.version), ("", None))
+
+    def test_line_of_a_request_names_the_evidence_for_its_end(self) -> None:
+        """It tells a stream that was framed from one that its connection ended."""
+        _, _, context = self.play(breaks=False)
+        ended = context.trace.steps[-1]
+        self.assertEqual((ended["step"], ended["framing"]), ("ended", "chunks"))
+        self.assertEqual((ended["last_id"], ended["max_events"]), ("2", None))
