--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -22,6 +22,10 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 STREAM_EVENTS = 20
 CUT_AFTER_EVENTS = 5
+CUT_AFTER_BYTES = 5
+PLAIN_BODY = b"an answer without a length"
+"""Body of plain answers whose end is that of the connection."""
+
 MUTE_SECONDS = 30.0
 ERRORS_BY_FAULT = {
     "error": (500, "text/plain", "failed"),
@@ -50,7 +54,9 @@
         (status 500), ``refuse`` (not executed), ``mute`` (no response), ``cut`` (a
         stream that breaks off within an event), ``unframed`` (``unframed_body`` without
         a length or chunks, ended by closing the connection), ``unframed reset`` (the
-        same, ended by resetting it), ``foreign`` (a stream with ``foreign_bytes`` in a
+        same, ended by resetting it), ``unframed whole`` (the whole answer in this way),
+        ``unframed cut`` (its first part), ``unframed crash`` (the same, as the upstream
+        crashes), ``foreign`` (a stream with ``foreign_bytes`` in a
         chunk among its events), ``foreign framing`` (the same, where the size of a
         chunk is due) or ``foreign unframed`` (a stream without a length or chunks, with
         ``foreign_bytes`` after its last event), ``empty`` (a stream of length 0) or
@@ -310,20 +316,32 @@
         head = "\r\n".join(
             ["HTTP/1.1 200 OK", f"Content-Type: {content_type}", *lines, "", ""]
         )
-        body = self.unframed_body
-        if self._fault_for(request) == "foreign unframed":
-            numbers = range(first_event(request), STREAM_EVENTS)
-            events = b"".join(encode_event(n, self.event_data) for n in numbers)
-            body = events + self.foreign_bytes
+        body = self._unframed_body_for(request, is_stream)
         transport.write(head.encode() + body)
         # The bytes arrive before the end of the connection.
         await asyncio.sleep(0.05)
+        if self._fault_for(request) == "unframed crash":
+            await self._crash()
         if self._fault_for(request) == "unframed reset":
             client_socket = transport.get_extra_info("socket")
             client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         transport.close()
         return web.Response()
 
+    def _unframed_body_for(self, request: web.Request, is_stream: bool) -> bytes:
+        fault = self._fault_for(request)
+        if fault in ("unframed", "unframed reset"):
+            return self.unframed_body
+        is_cut = fault in ("unframed cut", "unframed crash")
+        if not is_stream:
+            return PLAIN_BODY[: CUT_AFTER_BYTES if is_cut else None]
+        first = first_event(request)
+        end = min(STREAM_EVENTS, first + CUT_AFTER_EVENTS) if is_cut else STREAM_EVENTS
+        events = b"".join(
+            encode_event(number, self.event_data) for number in range(first, end)
+        )
+        return events + (self.foreign_bytes if fault == "foreign unframed" else b"")
+
     async def _stream(
         self, request: web.Request, headers: dict[str, str], last: int | None
     ) -> web.StreamResponse:
--- /dev/null
+++ b/tests/platform_adapter/test_ended_connections.py
@@ -0,0 +1,165 @@
+"""Tests of answers that their connection ends too early, with real processes on loopback."""
+
+import http.client
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from typing import ClassVar, NamedTuple
+
+from poplarlug.platform.names import HEADER_NAMES
+from poplarlug.soak.upstream import (
+    PLAIN_BODY,
+    STREAM_EVENTS,
+    Upstream,
+    encode_event,
+)
+from tests.platform_adapter.case import DeploymentTestCase
+
+STREAMS = 8
+EVENTS = b"".join(encode_event(number, "x") for number in range(STREAM_EVENTS))
+MAX_TOKENS = 3 * STREAM_EVENTS
+"""Callers allow for more events than the streams have."""
+
+DEADLINE_SECONDS = 4.0
+ROUTES = {
+    "look": {"route_kind": "safe", "max_attempts": 2},
+    "book": {"route_kind": "unsafe", "max_attempts": 2},
+    "stream": {"route_kind": "streaming", "max_attempts": 1, "sticky": True},
+    "resume": {
+        "route_kind": "streaming",
+        "resumable": True,
+        "max_attempts": 2,
+        "sticky": True,
+    },
+}
+
+
+class Received(NamedTuple):
+    """What a caller got: the status, the bytes, and whether their end looks whole."""
+
+    status: int
+    data: bytes
+    is_whole: bool
+
+
+class EndedConnectionTests(DeploymentTestCase):
+    """Two upstreams in Quito; the entry in Guayaquil hands requests on."""
+
+    entry_zones: ClassVar[tuple[str, ...]] = ("quito-a", "guayaquil-a")
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.upstreams = [self.start_upstream(f"u-{number}") for number in range(2)]
+        self.configure(**ROUTES)
+        self.wait_served()
+        self.wait_until_entries_are_known()
+
+    def start_upstream(self, name: str) -> Upstream:
+        upstream = self.add_upstream(name)
+        upstream.event_seconds = 0.002
+        upstream.slots = 2 * STREAMS
+        self.keep_announcing(upstream)
+        return upstream
+
+    def read(self, entry: str, route: str) -> Received:
+        """Send a request unlike all others, and read its answer to the end."""
+        host, _, port = self.deployment.entry_address(entry).rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=10)
+        headers = self.headers(str(int(DEADLINE_SECONDS * 1000)))
+        headers[HEADER_NAMES.token_counts] = f"5,{MAX_TOKENS}"
+        status, data = 0, b""
+        try:
+            path = f"/{route}/{uuid.uuid4().hex}"
+            connection.request("POST", path, b"hello", headers)
+            response = connection.getresponse()
+            status = response.status
+            while part := response.read1():
+                data += part
+            return Received(status, data, status == 200)
+        except (OSError, http.client.HTTPException):
+            return Received(status, data, False)
+        finally:
+            connection.close()
+
+    def read_many(self, entry: str, route: str) -> list[Received]:
+        with ThreadPoolExecutor(STREAMS) as pool:
+            return list(pool.map(self.read, [entry] * STREAMS, [route] * STREAMS))
+
+    def check_streams(self, streams: list[Received], what: tuple[str, ...]) -> None:
+        """Check that callers got the first events of a run, and all if it looks whole."""
+        for stream in streams:
+            if stream.status == 200:
+                self.assertTrue(EVENTS.startswith(stream.data), (what, stream))
+            if stream.is_whole:
+                self.assertEqual(stream.data, EVENTS, what)
+
+    # Guards against streams that ended as complete where their connection had ended.
+    def test_stream_that_its_connection_ends_early_does_not_look_whole(self) -> None:
+        """All upstreams end theirs too early, each at the border of an event."""
+        for upstream in self.upstreams:
+            upstream.fault = "unframed cut"
+        for entry in self.entries:
+            self.check_streams(self.read_many(entry, "resume"), (entry, "new"))
+        for upstream in self.upstreams:
+            upstream.fault, upstream.resume_fault = "cut", "unframed cut"
+        for entry in self.entries:
+            self.check_streams(self.read_many(entry, "resume"), (entry, "resumed"))
+
+    def test_stream_that_its_connection_ends_early_goes_on(self) -> None:
+        """A sound upstream is asked for the rest."""
+        self.upstreams[0].fault = "unframed cut"
+        for entry in self.entries:
+            streams = self.read_many(entry, "resume")
+            self.check_streams(streams, (entry,))
+            self.assertTrue(all(stream.is_whole for stream in streams), entry)
+
+    # Guards against streams that a crashed upstream ended as if they were complete.
+    def test_stream_of_an_upstream_that_ends_does_not_look_whole(self) -> None:
+        """A process that ends closes its connections."""
+        for route in ("stream", "resume"):
+            for entry in self.entries:
+                for upstream in self.upstreams:
+                    upstream.fault = "unframed crash"
+                self.check_streams(self.read_many(entry, route), (entry, route))
+                for upstream in self.upstreams:
+                    upstream.fault = ""
+                self.wait_served()
+
+    def test_whole_stream_that_its_connection_ends_is_delivered(self) -> None:
+        """Its upstream is asked for nothing but its last event again."""
+        for upstream in self.upstreams:
+            upstream.fault = "unframed whole"
+        for route in ("stream", "resume"):
+            for entry in self.entries:
+                for upstream in self.upstreams:
+                    upstream.arrivals.clear()
+                stream = self.read(entry, route)
+                self.assertEqual(stream, (200, EVENTS, True), (entry, route))
+                runs = sum(len(upstream.arrivals) for upstream in self.upstreams)
+                self.assertLessEqual(runs, 2 if route == "resume" else 1)
+
+    # Guards against answers that a crashed upstream cut short, given a length of our own.
+    def test_answer_of_an_upstream_that_ends_does_not_look_whole(self) -> None:
+        """A booking runs once, and its outcome is unknown."""
+        for route in ("look", "book"):
+            for entry in self.entries:
+                for upstream in self.upstreams:
+                    upstream.fault = "unframed crash"
+                    upstream.arrivals.clear()
+                answer = self.read(entry, route)
+                if answer.is_whole:
+                    self.assertNotEqual(answer.data, PLAIN_BODY[:5], (entry, route))
+                runs = [run for upstream in self.upstreams for run in upstream.runs]
+                if route == "book":
+                    self.assertEqual((answer.status, len(runs)), (502, 1), entry)
+                for upstream in self.upstreams:
+                    upstream.fault = ""
+                self.wait_served()
+
+    def test_whole_answer_that_its_connection_ends_is_delivered(self) -> None:
+        """Its upstream still accepts connections."""
+        for upstream in self.upstreams:
+            upstream.fault = "unframed whole"
+        for route in ("look", "book"):
+            for entry in self.entries:
+                answer = self.read(entry, route)
+                self.assertEqual(answer, (200, PLAIN_BODY, True), (entry, route))
