Let a stream go on that ran longer than its caller waits for an event

Streams that broke off later than 3.2 s after their request were never taken up again by the entry: the caller's patience was counted from the request, though it had got events since, so every target counted as too late. It now counts from the break. The new test fails without the field (no target found).

--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -280,6 +280,8 @@
         if not self.events.is_resumable:
             return False
         self.request = _resume_request(request, self.events)
+        if self.sink.started:
+            self.request = self.request._replace(broke_off_at=now)
         return True
 
     def refuse(self, refusal: GatewayError) -> GatewayError:
--- a/poplarlug/relay/requests.py
+++ b/poplarlug/relay/requests.py
@@ -70,6 +70,9 @@
     resumes : RequestId
         The caller's attempt that received the first event of the stream to resume;
         empty if not named.
+    broke_off_at : float or None
+        Event loop time at which its stream broke off after events were passed on;
+        ``None`` if none were.
     version : SoftwareVersion or None
         The only software version that may run the request; ``None`` for any.
     tried : frozenset of UpstreamId
@@ -90,6 +93,7 @@
     origin: VmName = ""
     answer_by: Seconds = math.inf
     resumes: RequestId = ""
+    broke_off_at: Seconds | None = None
     version: SoftwareVersion | None = None
     tried: frozenset[UpstreamId] = frozenset()
 
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -577,7 +577,7 @@
     Return the event loop time after which the start of a response is useless.
 
     The rest of the response would come after the deadline, or the caller of a stream
-    that has not begun would have left by then.
+    would have left by then, as it has waited too long for the next event.
     """
     latest = request.deadline - decode_seconds(request)
     route = request.route
@@ -588,7 +588,10 @@
         PATIENCE_OBJECTIVES * route.objective_seconds,
         PATIENCE_PAUSES * route.max_pause_seconds,
     )
-    return min(latest, request.arrived + patience)
+    silent_since = request.arrived
+    if request.broke_off_at is not None:
+        silent_since = request.broke_off_at
+    return min(latest, silent_since + patience)
 
 
 def decode_seconds(request: RelayRequest) -> Seconds:
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -90,6 +90,24 @@
         now = asyncio.get_running_loop().time()
         return make_request(route=ROUTE, arrived=now, deadline=now + 15.0)
 
+    # Guards against long streams that broke off and were refused their rest, because the
+    # caller's patience was counted from the request.
+    def test_stream_that_ran_longer_than_its_caller_waits_goes_on(self) -> None:
+        """Its caller got events until it broke off, and waits for the next one."""
+
+        async def main() -> list[bool]:
+            dispatcher = self.make()
+            request = self.request()
+            await asyncio.sleep(2 * PATIENCE_SECONDS)
+            broken = request._replace(broke_off_at=asyncio.get_running_loop().time())
+            found = []
+            for tried in (request, broken):
+                target = await dispatcher.find(tried, Tried())
+                found.append(not isinstance(target, Failure))
+            return found
+
+        self.assertEqual(run_virtual(main()), [False, True])
+
     def test_pass_over_a_long_queue_looks_at_few_requests_of_a_route(self) -> None:
         """Requests of a route need about the same, so the rest need no look."""
         # Guards against entries whose CPU time goes to their queues under overload.
