Take no answer for whole whose upstream has gone with its connection

Callers saw streams that can't be resumed end as complete after 5 of 20 events, and 5 bytes of a plain answer, with a length of our own, when the upstream had crashed.

Entries frame all that they hand back, so an unframed answer of one is never whole. The probe moved to relay/probing.

--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -134,6 +134,9 @@
     record_start : callable
         Records which version began the stream; awaited before its first events. The
         entry that faces the caller does, as it knows that the caller gets them.
+    is_listening : callable
+        Returns whether the upstream of the current attempt still accepts connections
+        after one of them has ended.
     can_resume_elsewhere : callable
         Returns whether another target can serve the rest of the current stream now.
     """
@@ -161,6 +164,7 @@
         self.charged: Fingerprint | None = None
         self.upstream_version: SoftwareVersion = ""
         self.record_start: Callable[[], Awaitable[None]] = _record_nothing
+        self.is_listening: Callable[[], Awaitable[bool]] = _is_unknown
         self.can_resume_elsewhere: Callable[[], bool] = lambda: False
         self._recording: asyncio.Future[None] | None = None
         self._attempts = 0
@@ -344,6 +348,11 @@
     """Return at once; for attempts whose start needs no record."""
 
 
+async def _is_unknown() -> bool:
+    """Return ``False``; for targets that frame all of their answers."""
+    return False
+
+
 async def write_full_response(head: AnswerHead, body: bytes, sink: AnswerSink) -> None:
     """Write a complete response to ``sink``."""
     await sink.start(head)
--- a/poplarlug/relay/crash_scope.py
+++ b/poplarlug/relay/crash_scope.py
@@ -6,7 +6,7 @@
 
 from poplarlug.discovery.deployment import Deployment, RunStatus
 from poplarlug.discovery.records import ServiceUpstream, UpstreamRun
-from poplarlug.relay.crash_watch import ProbeResult, probe
+from poplarlug.relay.probing import ProbeResult, probe
 
 MAX_PEERS = 6
 """Other upstreams checked after a crash; half of them down indicates a zone outage."""
--- a/poplarlug/relay/crash_watch.py
+++ b/poplarlug/relay/crash_watch.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Iterable
-from enum import Enum
 from typing import NamedTuple
 
 from prometheus_client import Counter as MetricCounter
@@ -15,16 +14,13 @@
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.ended_runs import EndedRuns
 from poplarlug.relay.fingerprint import PartKey
-from poplarlug.types import Address, Fingerprint, Seconds
-
-FIRST_PROBE_SECONDS = 0.03
-"""Delay of the first probe; the port of a terminated process closes a moment later."""
-
-SECOND_PROBE_SECONDS = 0.1
-"""Delay before retrying a refused connection; a busy listener accepts it then."""
-
-PROBE_SECONDS = 0.3
-"""Probe timeout; connecting within the region takes far less."""
+from poplarlug.relay.probing import (
+    FIRST_PROBE_SECONDS,
+    SECOND_PROBE_SECONDS,
+    ProbeResult,
+    probe,
+)
+from poplarlug.types import Fingerprint, Seconds
 
 RESTART_SECONDS = 3.0
 """An upstream that accepts a probe may be a new run, announced in two heartbeats."""
@@ -303,26 +299,3 @@
     """Return how many of the sends hold each prompt part, for a log line."""
     counts = Counter(part.id for send in sends for part in send.parts)
     return dict(counts.most_common(LISTED_PARTS))
-
-
-class ProbeResult(Enum):
-    """Result of opening a connection to an address."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    SILENT = "silent"
-
-
-async def probe(address: Address) -> ProbeResult:
-    """Open and close a TCP connection to check whether an address accepts it."""
-    host, _, port = address.rpartition(":")
-    try:
-        async with asyncio.timeout(PROBE_SECONDS):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except ConnectionRefusedError:
-        return ProbeResult.REFUSED
-    except (OSError, TimeoutError) as error:
-        _log.debug("crash probe got no response", address=address, error=repr(error))
-        return ProbeResult.SILENT
-    writer.close()
-    return ProbeResult.ACCEPTED
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -45,6 +45,7 @@
 from poplarlug.relay.limiter import MAX_LOGGED_CHARACTERS
 from poplarlug.relay.passing import drain_short_body, relay_response
 from poplarlug.relay.planned_stop import LEAVING_RETRY_SECONDS
+from poplarlug.relay.probing import is_listening
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.resumption import Resumption
 from poplarlug.relay.suspects import SuspectLock, Suspects, Verdict
@@ -453,6 +454,7 @@
                 seconds=now - started,
             )
             context.upstream_version = target.upstream.version
+            context.is_listening = partial(is_listening, target.upstream.address)
             if not request.hops:
                 context.record_start = partial(
                     self._resumption.record_start, request, target.upstream.version
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -160,25 +160,40 @@
     except (aiohttp.ClientError, OSError) as error:
         failed = truncated_answer(f"the answer broke off: {error!r}")
         return Outcome(failed, connection_lost=True)
-    if check is not None and check.progress.foreign is not None:
-        return _refuse_foreign(context, check.progress)
-    is_whole = (
-        body.ends_with_event() if check is None else check.progress.ends_with_event
-    )
-    if _is_stream(context, response) and not is_whole:
-        return _ended_within_event()
-    if check is not None and _lacks_events(context, response, check.progress):
-        return _ended_within_event()
-    await sink.finish()
-    return DONE
+    if check is not None:
+        outcome = _check_end(context, response, check.progress)
+    elif _is_stream(context, response) and not body.ends_with_event():
+        outcome = _ended_within_event()
+    elif framing_of(response, context.request.method) is Framing.CONNECTION:
+        outcome = _UNCERTAIN
+    else:
+        outcome = DONE
+    if outcome.is_uncertain and await _outlives_answer(context):
+        outcome = DONE
+    if outcome.error is None:
+        await sink.finish()
+    return outcome
 
 
-def _lacks_events(
-    context: RequestContext, response: aiohttp.ClientResponse, events: EventProgress
-) -> bool:
-    """Return whether a stream that only its connection ended has brought no event."""
-    framing = framing_of(response, context.request.method)
-    return framing is Framing.CONNECTION and not events.last_id
+_UNCERTAIN = Outcome(
+    truncated_answer("the end of the connection may not be the answer's"),
+    connection_lost=True,
+    is_uncertain=True,
+)
+
+
+async def _outlives_answer(context: RequestContext) -> bool:
+    """
+    Return whether an upstream is still there after its connection ended an answer.
+
+    An answer that can't be asked for again is then taken as whole.
+    """
+    try:
+        async with asyncio.timeout_at(context.request.deadline):
+            return await context.is_listening()
+    except TimeoutError:
+        # Nobody waits for the answer any more.
+        return False
 
 
 def _ended_within_event() -> Outcome:
@@ -251,8 +266,7 @@
         message = "the answer to a resumed stream has no event"
         return Outcome(truncated_answer(message))
     if end is StreamEnd.UNCERTAIN:
-        failed = truncated_answer("the end of the connection may not be the answer's")
-        return Outcome(failed, connection_lost=True, is_uncertain=True)
+        return _UNCERTAIN
     return DONE
 
 
@@ -321,6 +335,10 @@
         except (aiohttp.ClientError, OSError) as error:
             failed = outcome_unknown(f"the answer broke off: {error!r}")
             return Outcome(failed, connection_lost=True)
+        is_framed = framing_of(response, request.method) is not Framing.CONNECTION
+        if is_complete and not is_framed and not await _outlives_answer(context):
+            failed = outcome_unknown("the connection ended, and its upstream is gone")
+            return Outcome(failed, connection_lost=True)
         if is_failure:
             message = f"the upstream failed with status {response.status}"
             failed = GatewayError(response.status, "upstream_failed", message, None)
--- /dev/null
+++ b/poplarlug/relay/probing.py
@@ -0,0 +1,55 @@
+"""Checks whether an address accepts connections."""
+
+import asyncio
+from enum import Enum
+
+from poplarlug.logs import ComponentLogger
+from poplarlug.types import Address
+
+FIRST_PROBE_SECONDS = 0.03
+"""Delay of the first probe; the port of a terminated process closes a moment later."""
+
+SECOND_PROBE_SECONDS = 0.1
+"""Delay before retrying a refused connection; a busy listener accepts it then."""
+
+PROBE_SECONDS = 0.3
+"""Probe timeout; connecting within the region takes far less."""
+
+_log = ComponentLogger(prefix="relay")
+
+
+class ProbeResult(Enum):
+    """Result of opening a connection to an address."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+async def probe(address: Address) -> ProbeResult:
+    """Open and close a TCP connection to check whether an address accepts it."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(PROBE_SECONDS):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return ProbeResult.REFUSED
+    except (OSError, TimeoutError) as error:
+        _log.debug("probe got no response", address=address, error=repr(error))
+        return ProbeResult.SILENT
+    writer.close()
+    return ProbeResult.ACCEPTED
+
+
+async def is_listening(address: Address) -> bool:
+    """
+    Return whether something listens at an address after a connection to it has ended.
+
+    A process that ends stops listening about when its connections end.
+    """
+    for delay in (FIRST_PROBE_SECONDS, SECOND_PROBE_SECONDS):
+        await asyncio.sleep(delay)
+        result = await probe(address)
+        if result is not ProbeResult.REFUSED:
+            return result is ProbeResult.ACCEPTED
+    return False
--- a/tests/relay/test_crash_watch.py
+++ b/tests/relay/test_crash_watch.py
@@ -6,15 +6,13 @@
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import PollReply
 from poplarlug.discovery.records import ServiceUpstream, UpstreamRun
-from poplarlug.relay.crash_watch import (
+from poplarlug.relay.crash_watch import Crash, CrashWatch, InterruptedSend
+from poplarlug.relay.ended_runs import EndedRuns
+from poplarlug.relay.probing import (
     FIRST_PROBE_SECONDS,
     PROBE_SECONDS,
     SECOND_PROBE_SECONDS,
-    Crash,
-    CrashWatch,
-    InterruptedSend,
 )
-from poplarlug.relay.ended_runs import EndedRuns
 
 PROBED_SECONDS = 2 * (FIRST_PROBE_SECONDS + SECOND_PROBE_SECONDS + PROBE_SECONDS)
 
