Bound the wait for an upstream that is asked again, and don't avoid it as failed

By reading, after: with no attempt left, an upstream asked whether its stream was whole had until the caller's deadline to begin its answer, and each unframed stream counted as a failure of its upstream, which is then placed last. It now has the time of an attempt that can be repeated, and an end in doubt is no failure. The new test of the wait fails before (60 s).

--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -94,11 +94,6 @@
             and self.error_response is None
         )
 
-    @property
-    def counts_as_attempt(self) -> bool:
-        """Whether it failed after its target may have begun to run it."""
-        return self.error is not None and self.arrived and self.error.ran is not False
-
 
 DONE = Outcome(None)
 
@@ -258,11 +253,9 @@
         One whose stream may have been whole is asked once more, for its last event: it
         has read the prompt, and an attempt at it is none at another upstream.
         """
-        was_asked_again = self.asks_again
+        is_further_upstream = not self.asks_again
         self.tried = self.tried.with_upstream(upstream_id)
-        self.note_outcome(outcome)
-        if was_asked_again:
-            self._attempts -= outcome.counts_as_attempt
+        self._note_outcome(outcome, is_attempt=is_further_upstream)
         if outcome.is_uncertain and self.events is not None:
             self.events.doubt_end()
             if upstream_id not in self._asked_again:
@@ -289,11 +282,14 @@
 
     def note_outcome(self, outcome: Outcome) -> None:
         """Record the outcome of an attempt; its target may be tried again."""
+        self._note_outcome(outcome, is_attempt=True)
+
+    def _note_outcome(self, outcome: Outcome, *, is_attempt: bool) -> None:
         error = outcome.error
         if error is None:
             return
         self.arrivals += outcome.arrived
-        self._attempts += outcome.counts_as_attempt
+        self._attempts += is_attempt and outcome.arrived and error.ran is not False
         self._last_error = error
         self._error = _merge_errors(self._error, error)
         self._error_response = outcome.error_response or self._error_response
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -336,7 +336,8 @@
         """Return the timeout of one attempt for the head of its response."""
         request = context.request
         left = request.deadline - self._clock()
-        if not context.has_retry_left or not budget.has_room(self._entry_count()):
+        has_retry = context.has_retry_left and budget.has_room(self._entry_count())
+        if not has_retry and not context.asks_again:
             return left
         objective = request.route.objective_seconds
         return min(
@@ -400,7 +401,11 @@
         outcome: Outcome | None = None
         try:
             outcome = await self._attempt(context, target, timeout_seconds)
-            failed = outcome.error is not None and outcome.error.ran is None
+            failed = (
+                outcome.error is not None
+                and outcome.error.ran is None
+                and not outcome.is_uncertain
+            )
             return outcome
         except asyncio.CancelledError:
             failed = False
--- a/tests/relay/test_gateway.py
+++ b/tests/relay/test_gateway.py
@@ -13,14 +13,18 @@
 from poplarlug.discovery.messages import PollReply, RoutingUpdate
 from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
-from poplarlug.errors import not_run
+from poplarlug.errors import not_run, outcome_unknown
 from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
 from poplarlug.relay.client import RelayClient
 from poplarlug.relay.connections import ResponseSource
 from poplarlug.relay.context import Outcome, RequestContext
 from poplarlug.relay.dispatcher import Dispatcher, LocalTarget, RemoteTarget
-from poplarlug.relay.gateway import RelayGateway
+from poplarlug.relay.gateway import (
+    ATTEMPT_TIMEOUT_OBJECTIVES,
+    MIN_ATTEMPT_TIMEOUT_SECONDS,
+    RelayGateway,
+)
 from poplarlug.relay.hop_headers import REFUSED, encode_refusal
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.trace import RelayTrace
@@ -125,6 +129,26 @@
         self.assertTrue(self.can_resume_elsewhere())
 
 
+class AskedAgainTests(GatewayTestCase):
+    def test_upstream_that_is_asked_again_must_answer_soon(self) -> None:
+        """Its caller waits for the end of a stream, though no attempt is left."""
+        route = ROUTE._replace(max_attempts=1)
+        context = RequestContext(
+            request=make_request(route=route, deadline=60.0),
+            sink=cast(Any, SimpleNamespace(started=True)),
+            trace=RelayTrace(request_id="r-1", started=0.0),
+        )
+        budget = self.gateway._budget_of("engine")
+        self.assertEqual(self.gateway._attempt_timeout(context, budget), 60.0)
+        lost = outcome_unknown("the connection ended")
+        context.note_upstream_outcome("e-1", Outcome(lost, is_uncertain=True))
+        longest = max(
+            MIN_ATTEMPT_TIMEOUT_SECONDS,
+            ATTEMPT_TIMEOUT_OBJECTIVES * route.objective_seconds,
+        )
+        self.assertEqual(self.gateway._attempt_timeout(context, budget), longest)
+
+
 class UnreliableResponseTests(GatewayTestCase):
     """Responses that may belong to another request, as a connection shows."""
 
