Take the end behind a repeated event for the stream's only if its upstream is there

Callers would see a stream end as complete after 5 of 20 events, where a request crashes each upstream with the first event that it sends: the one asked for the last event again repeats it and crashes, and its answer then looked like that of an upstream which has no more.

Now an upstream that repeats the last event must still accept connections, as for answers that can't be asked for again; else the next one is asked.

The unit test of a repeated event wants a value of its own for it (unframed), and WHOLE in chunks as well. One connection more for each whole unframed stream that may be resumed.

--- a/poplarlug/relay/answer_end.py
+++ b/poplarlug/relay/answer_end.py
@@ -29,6 +29,9 @@
     UNCERTAIN = "uncertain"
     """Only the connection ended, which looks the same if the upstream has ended."""
 
+    REPEATED = "repeated"
+    """The same, right behind the last event, which the upstream was asked for again."""
+
 
 def framing_of(response: aiohttp.ClientResponse, method: str) -> Framing:
     """Return how the body of an answer to a request of ``method`` is framed."""
@@ -58,6 +61,6 @@
         return StreamEnd.WHOLE
     if not events.has_rest:
         return StreamEnd.NO_REST
-    if is_framed or events.has_only_repeat:
+    if is_framed:
         return StreamEnd.WHOLE
-    return StreamEnd.UNCERTAIN
+    return StreamEnd.REPEATED if events.has_only_repeat else StreamEnd.UNCERTAIN
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -232,6 +232,10 @@
                 if is_end or events.foreign is not None:
                     break
             outcome = _check_end(context, response, events)
+            # An upstream that has sent the last event twice and is there has no other.
+            is_repeated = outcome.is_uncertain and events.has_only_repeat
+            if is_repeated and await _outlives_answer(context):
+                outcome = DONE
             if held and outcome.error is None:
                 # A whole stream is never resumed, so it needs no record.
                 await sink.write(held)
@@ -265,7 +269,7 @@
     if end is StreamEnd.NO_REST:
         message = "the answer to a resumed stream has no event"
         return Outcome(truncated_answer(message))
-    if end is StreamEnd.UNCERTAIN:
+    if end in (StreamEnd.UNCERTAIN, StreamEnd.REPEATED):
         return _UNCERTAIN
     return DONE
 
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -63,6 +63,8 @@
         ``empty chunked`` (the same in chunks).
     resume_fault : str
         The fault of requests that resume a stream; empty for the same one.
+    resumed_events : int
+        Number of events of a resumed stream that an ``unframed`` fault ends early.
     answer_seconds : float
         Processing time of a request before its response.
     version : str
@@ -107,6 +109,7 @@
         self.zone = zone
         self.fault = ""
         self.resume_fault = ""
+        self.resumed_events = CUT_AFTER_EVENTS
         self.unframed_body = b""
         self.foreign_bytes = b""
         self.version = "v1"
@@ -336,7 +339,9 @@
         if not is_stream:
             return PLAIN_BODY[: CUT_AFTER_BYTES if is_cut else None]
         first = first_event(request)
-        end = min(STREAM_EVENTS, first + CUT_AFTER_EVENTS) if is_cut else STREAM_EVENTS
+        is_resumed = LAST_EVENT_HEADER in request.headers
+        count = self.resumed_events if is_resumed else CUT_AFTER_EVENTS
+        end = min(STREAM_EVENTS, first + count) if is_cut else STREAM_EVENTS
         events = b"".join(
             encode_event(number, self.event_data) for number in range(first, end)
         )
--- a/tests/platform_adapter/test_ended_connections.py
+++ b/tests/platform_adapter/test_ended_connections.py
@@ -155,6 +155,18 @@
                     upstream.fault = ""
                 self.wait_served()
 
+    # Guards against streams that ended as complete where each upstream that they crash
+    # had repeated the last event.
+    def test_upstream_that_ends_behind_a_repeated_event_is_no_end(self) -> None:
+        """A deadly request crashes each upstream with its first event."""
+        for entry in self.entries:
+            for upstream in self.upstreams:
+                upstream.fault, upstream.resumed_events = "unframed crash", 1
+            self.check_streams([self.read(entry, "resume")], (entry,))
+            for upstream in self.upstreams:
+                upstream.fault = ""
+            self.wait_served()
+
     def test_whole_answer_that_its_connection_ends_is_delivered(self) -> None:
         """Its upstream still accepts connections."""
         for upstream in self.upstreams:
--- a/tests/relay/test_answer_end.py
+++ b/tests/relay/test_answer_end.py
@@ -43,17 +43,17 @@
         self.assertEqual(self.ends(), [StreamEnd.WHOLE, StreamEnd.UNCERTAIN])
         self.assertEqual(self.ends(2), [StreamEnd.WHOLE, StreamEnd.WHOLE])
 
-    def test_stream_in_doubt_is_whole_once_its_last_event_was_repeated_alone(
+    def test_stream_in_doubt_may_be_whole_once_its_last_event_was_repeated_alone(
         self,
     ) -> None:
-        """More events behind it put the end in doubt again."""
-        for numbers, end in (((2,), StreamEnd.WHOLE), ((2, 3), StreamEnd.UNCERTAIN)):
+        """If its upstream is still there; more events put the end in doubt again."""
+        for numbers, end in (((2,), StreamEnd.REPEATED), ((2, 3), StreamEnd.UNCERTAIN)):
             self.setUp()
             self.answer(0, 1, 2)
             self.events.doubt_end()
             self.assertEqual(self.events.prepare_resume(), "1")
             self.answer(*numbers)
-            self.assertEqual(self.ends()[1], end, numbers)
+            self.assertEqual(self.ends(), [StreamEnd.WHOLE, end], numbers)
 
     def test_empty_answer_to_a_stream_in_doubt_is_no_end(self) -> None:
         """The next upstream is asked for the last event, too."""
