Tell answers in chunks by their last transfer coding

Callers could see a stream end as complete when its connection ended: an answer with `Transfer-Encoding: chunked, identity`, with a line of each, or with a coding whose name contains `chunked` counted as chunks, while the parser reads it until the connection ends.

Cause: any `chunked` in the first such line was enough. Only the last coding of all lines frames a body, as the parser has it. The other way round, `identity` before a line with `chunked` cost a question to the upstream.

Such answers were not seen from any upstream.

--- a/poplarlug/relay/answer_end.py
+++ b/poplarlug/relay/answer_end.py
@@ -34,8 +34,13 @@
 
 
 def framing_of(response: aiohttp.ClientResponse, method: str) -> Framing:
-    """Return how the body of an answer to a request of ``method`` is framed."""
-    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+    """
+    Return how the body of an answer to a request of ``method`` is framed.
+
+    It is in chunks only if that is the last of its transfer codings (RFC 9112, 6.3).
+    """
+    codings = ",".join(response.headers.getall("Transfer-Encoding", ())).split(",")
+    if codings[-1].strip().lower() == "chunked":
         return Framing.CHUNKS
     has_no_body = method == "HEAD" or response.status in (204, 304)
     if has_no_body or response.content_length is not None:
--- a/tests/relay/test_answer_end.py
+++ b/tests/relay/test_answer_end.py
@@ -1,11 +1,15 @@
 """Tests of what the end of a stream's bytes shows."""
 
+import asyncio
 from types import SimpleNamespace
 from typing import Any, cast
 from unittest import TestCase
 
+import aiohttp
+
 from poplarlug.errors import outcome_unknown
-from poplarlug.relay.answer_end import Framing, StreamEnd, end_of_stream
+from poplarlug.relay.answer_end import Framing, StreamEnd, end_of_stream, framing_of
+from poplarlug.relay.client import RelayClient
 from poplarlug.relay.context import DONE, Outcome, RequestContext
 from poplarlug.relay.event_format import EventFormat
 from poplarlug.relay.events import LAST_EVENT_HEADER, EventProgress
@@ -21,6 +25,71 @@
     return b"id: %d\ndata: x\n\n" % number
 
 
+class FramingTests(TestCase):
+    """Answers of a real server whose bytes end with their connection."""
+
+    def read(self, fields: bytes, body: bytes) -> tuple[Framing, bool]:
+        """Return how a response counts as framed, and whether all of it could be read."""
+
+        async def talk(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n" + body)
+            writer.close()
+
+        async def main() -> tuple[Framing, bool]:
+            server = await asyncio.start_server(talk, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            client = RelayClient()
+            await client.open()
+            sent = await client.send(
+                target=f"{host}:{port}",
+                method="GET",
+                path="/x",
+                headers=(),
+                body=b"",
+                timeout_seconds=5.0,
+            )
+            response = sent.unwrap()
+            try:
+                await response.read()
+                is_whole = True
+            except aiohttp.ClientPayloadError:
+                is_whole = False
+            await client.close()
+            server.close()
+            return framing_of(response, "GET"), is_whole
+
+        return asyncio.run(main())
+
+    # Guards against streams that ended as complete since a transfer coding looked like
+    # chunks to us, and not to the parser.
+    def test_answer_whose_last_coding_is_not_chunks_ends_with_its_connection(
+        self,
+    ) -> None:
+        for fields in (
+            b"Transfer-Encoding: chunked, identity\r\n",
+            b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+            b"Transfer-Encoding: not-chunked\r\n",
+            b"",
+        ):
+            found = self.read(fields, make_event(0))
+            self.assertEqual(found, (Framing.CONNECTION, True), fields)
+
+    def test_answer_in_chunks_without_the_last_one_is_not_whole(self) -> None:
+        body = b"%x\r\n%b\r\n" % (len(make_event(0)), make_event(0))
+        for fields in (
+            b"Transfer-Encoding: Chunked\r\n",
+            b"Transfer-Encoding: identity,chunked\r\n",
+            b"Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+        ):
+            found = self.read(fields, body)
+            self.assertEqual(found, (Framing.CHUNKS, False), fields)
+            found = self.read(fields, body + b"0\r\n\r\n")
+            self.assertEqual(found, (Framing.CHUNKS, True), fields)
+
+
 class EndOfStreamTests(TestCase):
     def setUp(self) -> None:
         self.events = EventProgress(event_format=EventFormat(first_field="version"))
--- a/tests/relay/test_foreign_answers.py
+++ b/tests/relay/test_foreign_answers.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp import web
+from multidict import CIMultiDict
 
 from poplarlug.callers.http_sink import HttpSink
 from poplarlug.relay.context import Outcome, RequestContext
@@ -76,7 +77,7 @@
                 trace=RelayTrace(request_id=request.id, started=0.0),
             )
             response: Any = make_response(content)
-            response.headers = {"Content-Type": content_type}
+            response.headers = CIMultiDict({"Content-Type": content_type})
             response.content_length = length
             return await relay_response(context, response, HeldBytesBudget()), sink
 
--- a/tests/relay/test_passing.py
+++ b/tests/relay/test_passing.py
@@ -6,6 +6,7 @@
 from unittest import TestCase
 
 import aiohttp
+from multidict import CIMultiDict
 
 from poplarlug.relay.context import Outcome, RequestContext
 from poplarlug.relay.held_bytes import HeldBytesBudget
@@ -85,7 +86,9 @@
 def make_response(content: PausingContent) -> Any:
     return SimpleNamespace(
         status=200,
-        headers={"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"},
+        headers=CIMultiDict(
+            {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        ),
         content_length=None,
         content=content,
     )
