--- a/tests/platform_adapter/test_ended_connections.py
+++ b/tests/platform_adapter/test_ended_connections.py
@@ -7,6 +7,7 @@
 from typing import ClassVar, NamedTuple
 
 from poplarlug.platform.names import HEADER_NAMES
+from poplarlug.relay.events import LAST_EVENT_HEADER
 from poplarlug.soak.deployment import wait_until
 from poplarlug.soak.upstream import (
     PLAIN_BODY,
@@ -86,6 +87,14 @@
         with ThreadPoolExecutor(STREAMS) as pool:
             return list(pool.map(self.read, [entry] * STREAMS, [route] * STREAMS))
 
+    def count_new_streams(self) -> int:
+        """Return how many arrivals since the last clearing resume no stream."""
+        return sum(
+            LAST_EVENT_HEADER not in arrival.headers
+            for upstream in self.upstreams
+            for arrival in upstream.arrivals
+        )
+
     def check_streams(self, streams: list[Received], what: tuple[str, ...]) -> None:
         """Check that callers got the first events of a run, and all if it looks whole."""
         for stream in streams:
@@ -178,7 +187,7 @@
         with ThreadPoolExecutor(2) as pool:
             reading = pool.map(self.read_many, self.entries, ["resume"] * 2)
             wait_until(
-                lambda: sum(len(u.arrivals) for u in self.upstreams) == 2 * STREAMS,
+                lambda: self.count_new_streams() == 2 * STREAMS,
                 "not all streams have begun",
             )
             self.deployment.signal(self.entries[0], signal.SIGTERM)
