Don't count the events of a stream by ids that leave others out

Callers could see a stream end as complete after 4 of 16 events: ids may rise by more than one, and the last one (20) was compared with the number of events that the caller allows (16).

Cause: `has_all` takes the last id for a count. It says nothing now once ids left others out; the upstream is asked then. A stream that its caller resumes, and whose answer has no event, still counts by its id alone. Before, test_ids_that_leave_others_out_do_not_count_the_events failed (WHOLE).

--- a/poplarlug/relay/events.py
+++ b/poplarlug/relay/events.py
@@ -112,7 +112,8 @@
             The most events that it can have; ``None`` if nobody says.
         """
         last = self._last_number()
-        if max_events is None or last is None:
+        # Ids that leave others out don't count the events.
+        if max_events is None or last is None or self._has_jumps:
             return False
         return last + self._begins_with_zero >= max_events
 
--- a/tests/relay/test_answer_end.py
+++ b/tests/relay/test_answer_end.py
@@ -112,6 +112,12 @@
         self.assertEqual(self.ends(), [StreamEnd.WHOLE, StreamEnd.UNCERTAIN])
         self.assertEqual(self.ends(2), [StreamEnd.WHOLE, StreamEnd.WHOLE])
 
+    # Guards against streams that ended as complete where their ids rise by more than one.
+    def test_ids_that_leave_others_out_do_not_count_the_events(self) -> None:
+        """Four events of at most 16 are not all, whatever their last id."""
+        self.answer(5, 10, 15, 20)
+        self.assertEqual(self.ends(16)[1], StreamEnd.UNCERTAIN)
+
     def test_stream_in_doubt_may_be_whole_once_its_last_event_was_repeated_alone(
         self,
     ) -> None:
