Let a stream of another entry wait for a place to go on after it has begun

By reading, after: an entry that asks an upstream again for another entry, while all places are taken, gave up at once where the stream had lasted longer than that entry waits for the start of a response (1.1 s at a 0.5 s objective with a retry left), and broke whole streams off.

Cause: the class of: `answer_by` counts to the start of the response, which that entry has had. It no longer counts once events were passed on.

Before, test_stream_of_another_entry_waits_to_go_on failed (refused at once); now the 10 tests of test_dispatcher pass. Not seen with real processes.

--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -254,9 +254,11 @@
         """Return the latest start at which the caller can still be served."""
         first = max(MIN_RUN_SECONDS, 0.5 * request.route.objective_seconds)
         latest = latest_response_start(request)
-        # After ``answer_by`` the entry that forwarded the request gives up on it and
-        # can no longer learn that it never ran.
-        return min(latest, request.answer_by) - first
+        if request.broke_off_at is None:
+            # After ``answer_by`` the entry that forwarded the request gives up on it and
+            # can no longer learn that it never ran.
+            latest = min(latest, request.answer_by)
+        return latest - first
 
     def _serve_queue(self, service: ServiceName) -> None:
         queue = self._queues_by_service.get(service)
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -108,6 +108,34 @@
 
         self.assertEqual(run_virtual(main()), [False, True])
 
+    # Guards against handed-on streams that broke off and got no place after a wait, since
+    # the other entry's patience for their start was over.
+    def test_stream_of_another_entry_waits_to_go_on(self) -> None:
+        """That entry has the start of the response, and waits for the next event."""
+
+        async def main() -> list[bool]:
+            dispatcher = self.make()
+            running = asyncio.ensure_future(dispatcher.run())
+            now = asyncio.get_running_loop().time()
+            request = self.request()._replace(
+                hops=1, answer_by=now + RESPONSE_START_SECONDS
+            )
+            await asyncio.sleep(2 * RESPONSE_START_SECONDS)
+            other = (await dispatcher.find(self.request(), Tried())).unwrap()
+            assert isinstance(other, LocalTarget)
+            broken = request._replace(broke_off_at=asyncio.get_running_loop().time())
+            waiting = [
+                asyncio.ensure_future(dispatcher.find(one, Tried()))
+                for one in (request, broken)
+            ]
+            await asyncio.sleep(2.5 * RECHECK_SECONDS)
+            dispatcher.release(other.in_flight_request, failed=False)
+            found = await asyncio.gather(*waiting)
+            running.cancel()
+            return [isinstance(one, Failure) for one in found]
+
+        self.assertEqual(run_virtual(main()), [True, False])
+
     def test_pass_over_a_long_queue_looks_at_few_requests_of_a_route(self) -> None:
         """Requests of a route need about the same, so the rest need no look."""
         # Guards against entries whose CPU time goes to their queues under overload.
