Write a log entry that failed in the same place, not with the whole log

Cause: after a failed append the next write replaced the whole file, so it needed room for a second log. After a compaction appends waited for the shorter file, which needs room beside the longer one.

Change: an append says where the file ends and cuts what a failed one left behind. The file is replaced only where nothing can follow what it holds, and after a compaction if there is room. Only durable entries are compacted, as a file with a gap can't be read.

--- a/poplarlug/control/disk.py
+++ b/poplarlug/control/disk.py
@@ -10,12 +10,17 @@
 from returns.result import Failure, Result, Success
 
 
+class ContentUnchangedError(OSError):
+    """A write failed and the file certainly has its old content."""
+
+
 class Disk(ABC):
     """
     Named files whose writes are synced before they return.
 
-    A crash during :meth:`append` may leave any prefix of the data; a crash during
-    :meth:`replace` leaves either the old or the new content.
+    A crash or an error during :meth:`append` may leave any prefix of the data; one
+    during :meth:`replace` leaves either the old or the new content, and the old one
+    if the error is a :class:`ContentUnchangedError`.
     """
 
     @abstractmethod
@@ -27,8 +32,16 @@
         """Open a file for reading, ``None`` if it does not exist."""
 
     @abstractmethod
-    async def append(self, name: str, data: bytes) -> None:
-        """Append ``data`` to a file and sync it."""
+    async def append(self, name: str, data: bytes, *, offset: int) -> None:
+        """
+        Write ``data`` at the end of a file and sync it.
+
+        Parameters
+        ----------
+        offset : int
+            Where the file ends, in bytes. Anything behind it, such as a part of an
+            append that failed, is cut off.
+        """
 
     @abstractmethod
     async def replace(self, name: str, data: bytes) -> None:
@@ -68,16 +81,21 @@
         path = self._folder / name
         return path.open("rb") if path.exists() else None
 
-    async def append(self, name: str, data: bytes) -> None:
-        await asyncio.to_thread(self._append, name, data)
+    async def append(self, name: str, data: bytes, *, offset: int) -> None:
+        await asyncio.to_thread(self._append, name, data, offset)
 
     async def replace(self, name: str, data: bytes) -> None:
         await asyncio.to_thread(self._replace, name, data)
 
-    def _append(self, name: str, data: bytes) -> None:
+    def _append(self, name: str, data: bytes, offset: int) -> None:
         path = self._folder / name
         created = not path.exists()
-        with path.open("ab") as file:
+        with path.open("wb" if created else "r+b") as file:
+            size = file.seek(0, os.SEEK_END)
+            assert size >= offset, f"{name} has {size} bytes, expected {offset}"
+            if size > offset:
+                file.truncate(offset)
+                file.seek(offset)
             file.write(data)
             file.flush()
             os.fsync(file.fileno())
@@ -91,11 +109,11 @@
                 file.write(data)
                 file.flush()
                 os.fsync(file.fileno())
-        except OSError:
+            new.replace(self._folder / name)
+        except OSError as error:
             # The partial file would take up space on a full disk.
             new.unlink(missing_ok=True)
-            raise
-        new.replace(self._folder / name)
+            raise ContentUnchangedError(*error.args) from error
         self._sync_folder()
 
     def _sync_folder(self) -> None:
--- a/poplarlug/control/log_storage.py
+++ b/poplarlug/control/log_storage.py
@@ -8,11 +8,14 @@
 from returns.result import Failure, Result, Success
 
 from poplarlug.control.coalescing import CoalescedWrite
-from poplarlug.control.disk import Disk
+from poplarlug.control.disk import ContentUnchangedError, Disk
 from poplarlug.control.records import RecordReader, encode_record
+from poplarlug.logs import ComponentLogger
 
 LOG_FILE = "log"
 
+_log = ComponentLogger(prefix="raft")
+
 
 class EntryKind(IntEnum):
     """Content of an entry; only commands reach the state machine."""
@@ -68,6 +71,7 @@
         self._entries: list[Entry] = []
         self._size = 0
         self._must_rewrite = True
+        self._can_shorten = False
         self._lowest_truncation = 0
         self._write = CoalescedWrite(write=self._write_batch)
 
@@ -103,7 +107,7 @@
             )
         self._size = reader.size
         self.durable_index = self.last_index
-        self._must_rewrite = self._size != reader.file_size or not self._size
+        self._must_rewrite = not self._size
         return Success(None)
 
     def entry(self, log_index: int) -> Entry:
@@ -139,15 +143,16 @@
         self._lowest_truncation = min(self._lowest_truncation, log_index - 1)
 
     def compact_to(self, log_index: int) -> None:
-        """Remove the entries up to ``log_index``, which a snapshot covers."""
+        """Remove the durable entries up to ``log_index``, which a snapshot covers."""
+        # A gap in the file would make it unreadable.
+        log_index = min(log_index, self.durable_index)
         if log_index <= self.base_index:
             return
         term = self.term_at(log_index)
         assert term is not None
         del self._entries[: log_index - self.base_index]
         self.base_index, self.base_term = log_index, term
-        self.durable_index = max(self.durable_index, log_index)
-        self._must_rewrite = True
+        self._can_shorten = True
 
     def reset(self, log_index: int, term: int) -> None:
         """Remove all entries; the next one follows ``log_index``."""
@@ -165,7 +170,7 @@
         Raises
         ------
         OSError
-            If a write fails; the next call rewrites the whole file.
+            If a write fails; the next call repeats it in the same place.
         """
         while not self.is_durable(log_index):
             await self._write.run()
@@ -188,28 +193,53 @@
             self.append(batch.entries)
 
     async def _write_batch(self) -> None:
-        if not self._must_rewrite and self.durable_index == self.last_index:
-            return
-        last_index = self._lowest_truncation = self.last_index
-        rewrites = self._must_rewrite
-        first = self.base_index if rewrites else self.durable_index
-        offset = 0 if rewrites else self._size
-        batch = _Batch(
+        if self._must_rewrite:
+            await self._replace_file()
+        elif self._can_shorten:
+            await self._shorten_file()
+        # A snapshot may have been installed meanwhile.
+        if self.durable_index < self.last_index and not self._must_rewrite:
+            await self._append_to_file()
+
+    async def _replace_file(self) -> None:
+        batch = self._batch_after(self.base_index)
+        record = encode_record(msgspec.msgpack.encode(batch), 0)
+        is_required = self._must_rewrite
+        self._must_rewrite = self._can_shorten = False
+        try:
+            await self._disk.replace(LOG_FILE, record)
+        except BaseException as error:
+            if is_required or not isinstance(error, ContentUnchangedError):
+                self._must_rewrite = True
+            raise
+        self._record_written(batch.base_index, batch, len(record))
+
+    async def _shorten_file(self) -> None:
+        """Replace the file by a shorter one if there is room for both."""
+        try:
+            await self._replace_file()
+        except ContentUnchangedError as error:
+            # The longer file is valid as well, and appending to it needs less room.
+            _log.warning("can't shorten the log file", error=repr(error))
+
+    async def _append_to_file(self) -> None:
+        durable_index = self.durable_index
+        batch = self._batch_after(durable_index)
+        record = encode_record(msgspec.msgpack.encode(batch), self._size)
+        await self._disk.append(LOG_FILE, record, offset=self._size)
+        self._record_written(durable_index, batch, self._size + len(record))
+
+    def _batch_after(self, log_index: int) -> _Batch:
+        self._lowest_truncation = self.last_index
+        return _Batch(
             self.commit_index,
             self.base_index,
             self.base_term,
-            tuple(self._entries[first - self.base_index :]),
+            tuple(self.entries_from(log_index + 1)),
         )
-        record = encode_record(msgspec.msgpack.encode(batch), offset)
-        self._must_rewrite = False
-        write = self._disk.replace if rewrites else self._disk.append
-        try:
-            await write(LOG_FILE, record)
-        except BaseException:
-            # The file may end in a partial record, durable or not, so nothing more may
-            # be appended to it.
-            self._must_rewrite = True
-            raise
-        self._size = offset + len(record)
+
+    def _record_written(self, previous_index: int, batch: _Batch, size: int) -> None:
+        self._size = size
+        last_index = previous_index + len(batch.entries)
         written = min(last_index, self._lowest_truncation)
         self.durable_index = max(self.durable_index, written)
--- a/poplarlug/control/memory_disk.py
+++ b/poplarlug/control/memory_disk.py
@@ -2,17 +2,21 @@
 
 import asyncio
 import errno
+import sys
 from io import BytesIO
 from random import Random
 from typing import BinaryIO, NamedTuple
 
-from poplarlug.control.disk import Disk
+from poplarlug.control.disk import ContentUnchangedError, Disk
 from poplarlug.types import Seconds
 
 
 class _Write(NamedTuple):
+    """Data that replaces what a file holds from ``offset`` on."""
+
     name: str
     data: bytes
+    offset: int
     appends: bool
 
 
@@ -31,12 +35,16 @@
     ----------
     is_full : bool
         Whether writes fail, keeping none of their data.
+    capacity_bytes : int
+        Maximum total size of the files. A write that exceeds it fails; an append keeps
+        what fits.
     """
 
     def __init__(self, *, rng: Random, max_delay: Seconds = 0.005) -> None:
         self._rng = rng
         self.max_delay = max_delay
         self.is_full = False
+        self.capacity_bytes = sys.maxsize
         self._session = 0
         self._writes_by_id: dict[int, _Write] = {}
         self._last_id = 0
@@ -58,6 +66,11 @@
         """Delete all files; must be called while no process uses the disk."""
         self.files_by_name.clear()
 
+    @property
+    def used_bytes(self) -> int:
+        """Total size of the files."""
+        return sum(len(data) for data in self.files_by_name.values())
+
     def read(self, name: str) -> bytes | None:
         return self.files_by_name.get(name)
 
@@ -65,11 +78,11 @@
         data = self.files_by_name.get(name)
         return None if data is None else BytesIO(data)
 
-    async def append(self, name: str, data: bytes) -> None:
-        await self._write(_Write(name, data, True))
+    async def append(self, name: str, data: bytes, *, offset: int) -> None:
+        await self._write(_Write(name, data, offset, True))
 
     async def replace(self, name: str, data: bytes) -> None:
-        await self._write(_Write(name, data, False))
+        await self._write(_Write(name, data, 0, False))
 
     async def _write(self, write: _Write) -> None:
         session = self._session
@@ -82,7 +95,16 @@
             await self._wait_forever()
         del self._writes_by_id[write_id]
         if self.is_full:
-            raise OSError(errno.ENOSPC, "no space left")
+            raise ContentUnchangedError(errno.ENOSPC, "no space left")
+        if write.appends:
+            # Whatever follows the offset is cut first.
+            self._store(write._replace(data=b""))
+        free = max(0, self.capacity_bytes - self.used_bytes)
+        if len(write.data) > free:
+            if write.appends:
+                self._store(write._replace(data=write.data[:free]))
+                raise OSError(errno.ENOSPC, "no space left")
+            raise ContentUnchangedError(errno.ENOSPC, "no space left")
         self._store(write)
 
     async def _wait_forever(self) -> None:
@@ -91,5 +113,6 @@
         await end
 
     def _store(self, write: _Write) -> None:
-        before = self.files_by_name.get(write.name, b"") if write.appends else b""
+        before = self.files_by_name.get(write.name, b"")[: write.offset]
+        assert len(before) == write.offset
         self.files_by_name[write.name] = before + write.data
--- a/tests/control/raft/test_disk_faults.py
+++ b/tests/control/raft/test_disk_faults.py
@@ -41,9 +41,9 @@
         self.responds.set()
         self.extra_seconds = 0.0
 
-    async def append(self, name: str, data: bytes) -> None:
+    async def append(self, name: str, data: bytes, *, offset: int) -> None:
         await self._apply_faults()
-        await super().append(name, data)
+        await super().append(name, data, offset=offset)
 
     async def replace(self, name: str, data: bytes) -> None:
         await self._apply_faults()
--- a/tests/control/test_log_storage.py
+++ b/tests/control/test_log_storage.py
@@ -128,7 +128,7 @@
         self.assertEqual(self.held(self.load()), [(1, 1), (2, 2)])
 
     def test_entries_after_a_failed_write_are_kept(self) -> None:
-        """The next write replaces the file, which may end in a partial record."""
+        """The next write cuts the partial record in which the file may end."""
         # Guards against a log that accepts no more entries after its disk was full.
 
         async def main() -> None:
@@ -150,6 +150,50 @@
         run_virtual(main())
         self.assertEqual(self.held(self.load()), [(1, 1), (1, 2), (1, 3), (1, 4)])
 
+    # Guards against a log that needs more room after a failed write than before it.
+    def test_entries_are_taken_while_there_is_room_for_no_second_log(self) -> None:
+        """Neither a failed write nor a compaction makes the log need that room."""
+
+        async def main() -> None:
+            log = LogStorage(disk=self.disk)
+            log.append([entry(1), *(entry(i, data=bytes(1000)) for i in range(2, 11))])
+            await log.sync(10)
+            self.disk.capacity_bytes = self.disk.used_bytes + 50
+            log.append([entry(11, data=bytes(100))])
+            with self.assertRaises(OSError):
+                await log.sync(11)
+            self.assertEqual(log.durable_index, 10)
+            self.disk.capacity_bytes += 200
+            await log.sync(11)
+            log.compact_to(1)
+            await log.rewrite()
+            log.append([entry(12)])
+            await log.sync(12)
+
+        run_virtual(main())
+        loaded = self.load()
+        self.assertEqual(self.held(loaded), [(1, index) for index in range(1, 13)])
+
+    # Guards against a file with a gap, which can't be read.
+    def test_entries_that_are_in_no_file_yet_are_not_compacted(self) -> None:
+        """A snapshot may cover entries that the disk has not taken yet."""
+
+        async def main() -> None:
+            log = LogStorage(disk=self.disk)
+            log.append([entry(1), entry(2)])
+            await log.sync(2)
+            log.append([entry(3), entry(4)])
+            log.compact_to(4)
+            self.disk.capacity_bytes = self.disk.used_bytes
+            with self.assertRaises(OSError):
+                await log.rewrite()
+            self.disk.capacity_bytes += 100
+            log.append([entry(5)])
+            await log.sync(5)
+
+        run_virtual(main())
+        self.assertEqual(self.load().last_index, 5)
+
     def test_many_waiting_entries_are_synced_together(self) -> None:
         """Entries that are appended during a write share the next write."""
 
