Drop log lines that a file refuses for want of a quota

What callers saw: nothing yet; found beside the report of disks that are full in turn. A log line that standard output refuses with EDQUOT, EFBIG or EROFS raised in whatever wrote it, among others in the lines about a disk that refuses writes and about a leader that steps down.

Cause: only ENOSPC, EIO, EAGAIN and EPIPE counted as a full disk or pipe.

Change: those three count too; the line is dropped and counted.

Test: test_file_that_takes_no_more_drops_lines (a limit on the file's size) failed before with OSError 27. That a process ends by it was not tried.

--- a/poplarlug/log_writer.py
+++ b/poplarlug/log_writer.py
@@ -7,6 +7,18 @@
 
 from poplarlug.types import Seconds
 
+_UNWRITABLE = frozenset(
+    {
+        errno.EAGAIN,
+        errno.EPIPE,
+        errno.EIO,
+        errno.ENOSPC,
+        errno.EDQUOT,
+        errno.EFBIG,
+        errno.EROFS,
+    }
+)
+
 LINES_PER_SECOND = 200.0
 """Twice the peak requests per second of one entry VM in the deployments."""
 
@@ -87,6 +99,6 @@
         except OSError as error:
             # The pipe or disk is full, or the reader is gone: there is nowhere to
             # report it.
-            if error.errno not in (errno.EAGAIN, errno.EPIPE, errno.ENOSPC, errno.EIO):
+            if error.errno not in _UNWRITABLE:
                 raise
             return False
--- a/tests/control/test_disk.py
+++ b/tests/control/test_disk.py
@@ -1,29 +1,16 @@
 """Tests of files on a disk that takes only part of a write."""
 
 import asyncio
-import resource
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from unittest import TestCase
 
 from poplarlug.control.disk import ContentUnchangedError, FileDisk
+from tests.file_size import file_size_limit
 
 HELD = b"held"
 
 
-@contextmanager
-def file_size_limit(size: int) -> Iterator[None]:
-    """Let this process write no file larger than ``size`` bytes."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_FSIZE)
-    resource.setrlimit(resource.RLIMIT_FSIZE, (size, hard))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_FSIZE, (soft, hard))
-
-
 class FileDiskTests(TestCase):
     def setUp(self) -> None:
         folder = TemporaryDirectory()
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -1,9 +1,12 @@
 """Tests of writing log lines without blocking."""
 
 import os
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from unittest import TestCase
 
 from poplarlug.log_writer import BoundedLineWriter
+from tests.file_size import file_size_limit
 
 
 class BoundedLineWriterTests(TestCase):
@@ -37,3 +40,19 @@
         for _ in range(2000):
             writer.write("x" * 1000)
         self.assertGreater(writer.dropped, 0)
+
+    # Guards against a log line that ends whatever wrote it, as for want of a quota.
+    def test_file_that_takes_no_more_drops_lines(self) -> None:
+        """They are counted, and the next ones are written once there is room."""
+        with TemporaryDirectory() as folder:
+            file = Path(folder) / "log"
+            descriptor = os.open(file, os.O_CREAT | os.O_APPEND | os.O_WRONLY)
+            self.addCleanup(os.close, descriptor)
+            writer = BoundedLineWriter(descriptor=descriptor, clock=lambda: self.now)
+            writer.write("before")
+            with file_size_limit(len("before\n")):
+                writer.write("lost")
+            writer.write("after")
+            lines = file.read_text().splitlines()
+        self.assertEqual((lines[0], lines[-1]), ("before", "after"))
+        self.assertIn('"lines": 1}', lines[1])
