Test real replicas whose logs take part of a write in turn

Three processes whose files take 10 more bytes, in turn, while changes go on; each is killed in the second round and restarted on the torn end.

--- a/tests/control/raft/test_disks_in_turn.py
+++ b/tests/control/raft/test_disks_in_turn.py
@@ -6,10 +6,11 @@
 from random import Random
 
 from poplarlug.virtualtime import run_virtual
-from tests.control.group import GroupMember, SimulatedGroup
+from tests.control.group import NAMES, GroupMember, SimulatedGroup
 from tests.control.quiet import QuietTestCase
 
 SEEDS = range(10)
+LONG_SEEDS = range(4)
 FULL_SECONDS = 3.0
 ACCEPT_SECONDS = 6.0
 """Time within which the users' deployments require a change to be acknowledged."""
@@ -71,11 +72,54 @@
             with self.subTest(seed=seed):
                 run_virtual(main(seed))
 
+    # Guards against a newcomer that stays outside after its disk had no room.
+    def test_newcomer_with_a_full_disk_replaces_a_lost_replica(self) -> None:
+        """With room for nothing, or for less than the snapshot, then for all."""
+
+        async def main(seed: int) -> None:
+            rng = Random(seed)
+            group = SimulatedGroup(
+                rng=rng,
+                names=(*NAMES, "d"),
+                bootstrap_names=NAMES,
+                auto_join=True,
+            )
+            for name in NAMES:
+                group.members_by_name[name].start()
+            lost = await group.wait_for_leader()
+            for number in range(3 * LARGE_CHANGES):
+                await self.accept(group, b"%d" % number + bytes(LARGE_BYTES))
+            newcomer = group.members_by_name["d"]
+            newcomer.disk.capacity_bytes = rng.choice((0, 400, LARGE_BYTES))
+            newcomer.start()
+            await asyncio.sleep(rng.uniform(0.0, 3.0))
+            lost.crash()
+            await asyncio.sleep(rng.uniform(0.0, 6.0))
+            await self.accept(group, b"while-full")
+            newcomer.disk.capacity_bytes = sys.maxsize
+            remaining = {*group.members_by_name} - {lost.name}
+            await group.wait_for(
+                lambda: self.voters(group) == remaining, "the lost one is not replaced"
+            )
+            (await group.wait_for_leader()).crash()
+            await group.wait_for_leader()
+            await self.accept(group, b"with-the-newcomer")
+
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                run_virtual(main(seed))
+
+    def voters(self, group: SimulatedGroup) -> set[str]:
+        leader = group.leader()
+        if leader is None or leader.replica is None:
+            return set()
+        return {voter.name for voter in leader.replica.state.members.voters}
+
     # Guards against any other way in which disks that were full end a group.
     def test_disks_full_in_a_row_beside_other_faults(self) -> None:
         """Each may be the leader's, with partial writes, kills, and lost disks."""
 
-        for seed in SEEDS:
+        for seed in LONG_SEEDS:
             with self.subTest(seed=seed):
                 run_virtual(self.fill_in_a_row(seed))
 
@@ -86,6 +130,8 @@
             one_way=rng.choice((0.0005, 0.02, 0.055)),
             snapshot_entries=rng.choice((16, 64)),
             snapshot_bytes=rng.choice((4_000, 1_000_000)),
+            names=rng.choice((NAMES, NAMES, (*NAMES, "d", "e"))),
+            auto_join=rng.random() < 0.5,
         )
         group.start()
         leader = await group.wait_for_leader()
@@ -104,7 +150,11 @@
         await self.accept(group, b"after-the-last")
         await group.wait_for(group.all_replicas_vote, "not all vote")
         await group.wait_for(
-            lambda: len(self.holders(group, b"after-the-last")) == 3, "not all hold it"
+            lambda: (
+                len(self.holders(group, b"after-the-last"))
+                == len(group.members_by_name)
+            ),
+            "not all hold it",
         )
         newest = await group.wait_for_leader()
         held = {command for _, _, command in newest.machine.entries}
--- a/tests/processes/test_control_disks.py
+++ b/tests/processes/test_control_disks.py
@@ -1,10 +1,14 @@
 """Tests of lost and damaged disks of control replicas."""
 
+import resource
+
 from examples.deployment import wait_until
 from poplarlug.control.main import EXIT_DAMAGED_DATA
 from tests.processes.control_case import ControlTestCase
 
 CHANGES = 500
+PART_BYTES = 10
+CHANGES_WHILE_FULL = 10
 
 
 class DiskFaultTests(ControlTestCase):
@@ -67,6 +71,33 @@
         self.wait_until_healthy()
         self.check_accepted()
 
+    # Guards against replicas that stay away once their disks took parts of writes.
+    def test_logs_that_take_part_of_a_write_in_turn(self) -> None:
+        """Changes go on; each replica counts again, also if it is killed meanwhile."""
+        for kills in (False, True):
+            for name in self.names:
+                log = self.data_folder(name) / "log"
+                full_size = log.stat().st_size + PART_BYTES
+                self.limit_file_size(name, full_size)
+                for number in range(CHANGES_WHILE_FULL):
+                    self.change(f"{name}-{number}-{kills}")
+                self.assertEqual(log.stat().st_size, full_size)
+                if kills:
+                    self.deployment.kill(name)
+                    others = self.client(self.others(name))
+                    self.change(f"without-{name}", client=others)
+                    self.deployment.start(name)
+                else:
+                    self.limit_file_size(name, resource.RLIM_INFINITY)
+                self.wait_until_healthy()
+        self.check_accepted()
+
+    def limit_file_size(self, name: str, size: int) -> None:
+        """Let a replica write no file larger than ``size`` bytes."""
+        pid = self.deployment.processes_by_name[name].pid
+        _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, hard))
+
     def test_damaged_middle_is_refused_and_repaired(self) -> None:
         """The process reports the damage and exits; an empty disk repairs it."""
         self.start_changes("damaged", 40)()
