Write the registry again after a disk was full

What callers saw: nothing; found by reading for the report of disks that are full in turn. A replica whose disk refused the registry's file kept the older one until the next change of a record, and would start from it, while the other replicas had copies.

Cause: a failed write was only logged.

Change: it is repeated every second; the line about it stands once.

Test: test_records_are_written_once_the_disk_has_room failed before (0 of 1 records on the disk).

--- a/poplarlug/discovery/registry_file.py
+++ b/poplarlug/discovery/registry_file.py
@@ -17,7 +17,7 @@
 FILE_NAME = "registry"
 MAX_REASON_CHARACTERS = 300
 WRITE_SECONDS = 1.0
-"""Minimum interval between writes that no flush waits for."""
+"""Minimum interval between writes that no flush waits for; a failed one is repeated."""
 
 R = TypeVar("R")
 
@@ -66,6 +66,7 @@
         self._changed = asyncio.Event()
         self._flush_requested = asyncio.Event()
         self._durable_revision = 0
+        self._is_failing = False
         self._writes_started = 0
         self._writes_finished: Latest[int] = Latest(initial=0)
         registry.revision.subject.subscribe(lambda _: self._changed.set())
@@ -132,6 +133,8 @@
             revision = self._registry.revision.value
             if await self._write(revision):
                 self._durable_revision = revision
+            else:
+                self._changed.set()
             self._writes_finished.set(self._writes_started)
             try:
                 async with asyncio.timeout(WRITE_SECONDS):
@@ -154,8 +157,11 @@
             await self._disk.replace(FILE_NAME, msgspec.msgpack.encode(content))
         except OSError as error:
             # The other replicas have copies, so this one continues without its own.
-            _log.warning("can't write the registry file", error=str(error))
+            if not self._is_failing:
+                _log.warning("can't write the registry file", error=str(error))
+            self._is_failing = True
             return False
+        self._is_failing = False
         self._written = state
         return True
 
--- a/tests/discovery/test_registry_file.py
+++ b/tests/discovery/test_registry_file.py
@@ -55,6 +55,28 @@
 
         run_virtual(main())
 
+    # Guards against a file that stays old after the disk was full.
+    def test_records_are_written_once_the_disk_has_room(self) -> None:
+        """Also if nothing changes any more."""
+
+        async def main() -> None:
+            clock = asyncio.get_running_loop().time
+            disk = MemoryDisk(rng=Random(1))
+            disk.is_full = True
+            registry = Registry(clock=clock, announcement_seconds=1.2)
+            marks = CrashMarks(clock=clock)
+            writing = asyncio.ensure_future(make_file(disk, registry, marks).run())
+            registry.apply_report(make_upstream())
+            await asyncio.sleep(5.0)
+            disk.is_full = False
+            await asyncio.sleep(2.0)
+            writing.cancel()
+            restored = Registry(clock=clock, announcement_seconds=1.2)
+            make_file(disk, restored, marks).load()
+            self.assertEqual(len(restored.recalled().all), 1)
+
+        run_virtual(main())
+
     def test_crash_marks_come_back(self) -> None:
         """The marks of a suspect request survive a power failure of all replicas."""
 
