Confirm no claim whose shared write failed

What callers saw: nothing, as no site's entries have disks; found by reading for the report of disks that are full in turn. Where an entry has a disk that refuses a write of two claims together, one of them was confirmed though it is on no disk. The part of the write stayed, so the file was given up at the next start with all claims behind it. If the file couldn't be rewritten after a recovery, later claims made it look whole.

Cause: pending records were dropped before their write, and whoever found none pending took its own for written; the mark of an untrusted file was removed before its rewrite.

Change: records leave the queue once they are synced, by the same disk as the control log (which cuts what a failed append left), and a failed rewrite leaves the file untrusted. A compaction without room leaves the longer file. The lock file of a folder is opened when it is locked.

--- a/poplarlug/claims/journal.py
+++ b/poplarlug/claims/journal.py
@@ -1,7 +1,6 @@
 """Journal file of claims on a VM with a disk."""
 
 import asyncio
-import os
 import struct
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -12,6 +11,7 @@
 
 from poplarlug.claims.records import ClaimRecord
 from poplarlug.claims.table import ClaimTable
+from poplarlug.control.disk import ContentUnchangedError, FileDisk
 from poplarlug.logs import ComponentLogger
 
 FILE_NAME = "claims.journal"
@@ -49,13 +49,15 @@
     """
 
     def __init__(self, *, folder: Path, wall_clock: Callable[[], float]) -> None:
-        folder.mkdir(parents=True, exist_ok=True)
+        self._disk = FileDisk(folder=folder)
         self._path = folder / FILE_NAME
         self._wall_clock = wall_clock
         self._pending: list[bytes] = []
         self._flush_tasks: set[asyncio.Task[None]] = set()
         self._write_lock = asyncio.Lock()
         self._appended = 0
+        self._size = 0
+        self._must_rewrite = False
         self._recovering = False
         self._lines, self.was_intact = self._read()
 
@@ -73,7 +75,14 @@
         self._recovering = not self.was_intact
 
     async def append(self, record: ClaimRecord, table: ClaimTable) -> None:
-        """Return once ``record`` is synced."""
+        """
+        Return once ``record`` is synced.
+
+        Raises
+        ------
+        OSError
+            If the write fails; the next append writes this record too.
+        """
         if self._recovering:
             # The file isn't trusted yet; mark_recovered writes the whole table.
             return
@@ -87,29 +96,60 @@
         await asyncio.shield(flushing)
 
     async def mark_recovered(self, table: ClaimTable) -> None:
-        """Rewrite the file from the whole table; it is trusted from then on."""
+        """
+        Rewrite the file from the whole table; it is trusted from then on.
+
+        Raises
+        ------
+        OSError
+            If the write fails; the file isn't trusted then.
+        """
         async with self._write_lock:
+            # Claims that come during the write are appended after it.
             self._recovering = False
-            await self._rewrite(table)
+            try:
+                await self._rewrite(table)
+            except OSError:
+                self._recovering = True
+                raise
 
     async def _flush(self, table: ClaimTable) -> None:
         async with self._write_lock:
-            if not self._pending:
-                return
-            if self._appended > max(MIN_COMPACT_RECORDS, COMPACT_FACTOR * len(table)):
-                await self._rewrite(table)
+            if not self._pending or self._recovering:
                 return
+            if self._must_rewrite or self._can_compact(table):
+                try:
+                    await self._rewrite(table)
+                    return
+                except ContentUnchangedError as error:
+                    if self._must_rewrite:
+                        raise
+                    # The longer file is valid, and appending needs less room.
+                    _log.warning("can't compact the journal", error=repr(error))
+            count = len(self._pending)
             data = b"".join(self._pending)
-            self._pending = []
-            await asyncio.to_thread(_append_synced, self._path, data)
+            await self._disk.append(FILE_NAME, data, offset=self._size)
+            self._size += len(data)
+            del self._pending[:count]
+
+    def _can_compact(self, table: ClaimTable) -> bool:
+        return self._appended > max(MIN_COMPACT_RECORDS, COMPACT_FACTOR * len(table))
 
     async def _rewrite(self, table: ClaimTable) -> None:
         now = self._wall_clock()
         lines = [_Line(record, now + lifetime) for record, lifetime in table.records()]
-        self._pending = []
-        self._appended = len(lines)
+        count = len(self._pending)
         data = b"".join(_frame(line) for line in lines)
-        await asyncio.to_thread(_replace_synced, self._path, data)
+        try:
+            await self._disk.replace(FILE_NAME, data)
+        except OSError as error:
+            if not isinstance(error, ContentUnchangedError):
+                self._must_rewrite = True
+            raise
+        self._must_rewrite = False
+        self._size = len(data)
+        del self._pending[:count]
+        self._appended = len(lines) + len(self._pending)
 
     def _read(self) -> tuple[list[_Line], bool]:
         if not self._path.exists():
@@ -125,6 +165,7 @@
             _log.error("journal is damaged", bytes=len(data) - offset)
             self._path.replace(self._path.with_suffix(".damaged"))
             return lines, False
+        self._size = offset
         return lines, True
 
 
@@ -149,24 +190,3 @@
             return
         offset = start + size
         yield line, offset
-
-
-def _append_synced(path: Path, data: bytes) -> None:
-    with path.open("ab") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-
-
-def _replace_synced(path: Path, data: bytes) -> None:
-    temporary = path.with_suffix(".new")
-    with temporary.open("wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary.replace(path)
-    folder = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
--- a/poplarlug/control/disk.py
+++ b/poplarlug/control/disk.py
@@ -61,10 +61,11 @@
     def __init__(self, *, folder: Path) -> None:
         self._folder = folder
         folder.mkdir(parents=True, exist_ok=True)
-        self._lock_file = (folder / "lock").open("ab")
+        self._lock_file: BinaryIO | None = None
 
     def lock(self) -> Result[None, str]:
         """Lock the folder against other processes until this one exits."""
+        self._lock_file = (self._folder / "lock").open("ab")
         try:
             fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
--- a/tests/claims/test_journal.py
+++ b/tests/claims/test_journal.py
@@ -16,6 +16,7 @@
     Vote,
 )
 from poplarlug.claims.table import ClaimTable
+from tests.file_size import file_size_limit
 
 ATTEMPT = ClaimAttempt("quito-a-1", "run", 1)
 OTHER = ClaimAttempt("quito-a-2", "run", 1)
@@ -109,6 +110,52 @@
 
         asyncio.run(main())
 
+    # Guards against claims that count as synced though their shared write failed.
+    def test_claims_whose_shared_write_failed_are_not_confirmed(self) -> None:
+        """Each caller hears of it, and the file takes claims again afterwards."""
+
+        async def main() -> None:
+            journal, table = self.open()
+            await journal.mark_recovered(table)
+            for number in range(4):
+                table.claim(ClaimRequest(key_of(number), ATTEMPT, "print"))
+            records = [table.get(key_of(number)) for number in range(4)]
+            first, second, third, fourth = (one for one in records if one is not None)
+            await journal.append(first, table)
+            size = (self.folder / FILE_NAME).stat().st_size
+            with file_size_limit(size + 5):
+                outcomes = await asyncio.gather(
+                    journal.append(second, table),
+                    journal.append(third, table),
+                    return_exceptions=True,
+                )
+            self.assertEqual([type(one) for one in outcomes], [OSError, OSError])
+            await journal.append(fourth, table)
+
+        asyncio.run(main())
+        journal, table = self.open()
+        self.assertTrue(journal.was_intact)
+        for number in (0, 3):
+            self.assertIsNotNone(table.get(key_of(number)))
+
+    # Guards against a file that is trusted though it lacks what was recovered.
+    def test_file_that_could_not_be_recovered_is_not_trusted(self) -> None:
+        """Claims after the failed write don't make it look whole."""
+
+        async def main() -> None:
+            journal, table = self.open()
+            for number in range(2):
+                table.claim(ClaimRequest(key_of(number), ATTEMPT, "print"))
+            with file_size_limit(5), self.assertRaises(OSError):
+                await journal.mark_recovered(table)
+            record = table.get(key_of(1))
+            assert record is not None
+            await journal.append(record, table)
+
+        asyncio.run(main())
+        journal, _ = self.open()
+        self.assertFalse(journal.was_intact)
+
 
 def _tear_end(data: bytes) -> bytes:
     return data[:-1]
--- a/tests/control/test_disk.py
+++ b/tests/control/test_disk.py
@@ -34,4 +34,4 @@
         with file_size_limit(3), self.assertRaises(ContentUnchangedError):
             asyncio.run(self.disk.replace("log", b"failed"))
         self.assertEqual(self.disk.read("log"), HELD)
-        self.assertEqual(sorted(p.name for p in self.folder.iterdir()), ["lock", "log"])
+        self.assertEqual(sorted(p.name for p in self.folder.iterdir()), ["log"])
