--- a/poplarlug/control/raft/snapshotting.py
+++ b/poplarlug/control/raft/snapshotting.py
@@ -1,5 +1,7 @@
 """Snapshots of the state machine, and log compaction."""
 
+import asyncio
+
 from poplarlug.control.raft.consensus_state import ConsensusState
 from poplarlug.control.snapshot_store import Snapshot
 from poplarlug.logs import ComponentLogger
@@ -10,6 +12,9 @@
 """Bytes of applied entries between two snapshots, unless the state itself is larger;
 a snapshot then costs no more writes than the entries before it."""
 
+SNAPSHOT_RETRY_SECONDS = 5.0
+"""Pause after a snapshot that the disk refused, as encoding the state takes time."""
+
 KEPT_BYTES = 2 * 1024 * 1024
 """A replica that lags by more gets a snapshot."""
 
@@ -89,7 +94,9 @@
             if not await state.snapshots.save(snapshot):
                 return
         except OSError as error:
-            state.record_disk_result(error)
+            # Entries need less room, so they may still be stored.
+            _log.warning("can't save a snapshot", name=state.name, error=repr(error))
+            await asyncio.sleep(SNAPSHOT_RETRY_SECONDS)
             return
         state.drop_members_before(log_index)
         state.log.compact_to(self._last_dropped(log_index))
--- a/tests/control/raft/test_disks_in_turn.py
+++ b/tests/control/raft/test_disks_in_turn.py
@@ -4,7 +4,10 @@
 import sys
 from itertools import count
 from random import Random
+from unittest.mock import patch
 
+from poplarlug.control.raft.snapshotting import SNAPSHOT_RETRY_SECONDS
+from poplarlug.control.snapshot_store import SNAPSHOT_FILE
 from poplarlug.virtualtime import run_virtual
 from tests.control.group import NAMES, GroupMember, SimulatedGroup
 from tests.control.quiet import QuietTestCase
@@ -22,6 +25,8 @@
 """Room on a disk afterwards: enough for many small changes, less than the log takes."""
 
 DISKS_IN_A_ROW = 24
+TRIED_CHANGES = 60
+TRIED_SECONDS = TRIED_CHANGES * (RETRY_SECONDS + 0.02)
 
 
 class DisksInTurnTests(QuietTestCase):
@@ -72,6 +77,35 @@
             with self.subTest(seed=seed):
                 run_virtual(main(seed))
 
+    # Guards against a whole snapshot for each change while there is no room for it.
+    def test_snapshot_without_room_is_tried_now_and_then(self) -> None:
+        """Changes go on meanwhile, and it is saved once there is room."""
+
+        async def main() -> None:
+            group = SimulatedGroup(rng=Random(1), snapshot_entries=16)
+            group.start()
+            leader = await group.wait_for_leader()
+            disk = leader.disk
+            await self.accept(group, b"large" + bytes(LARGE_BYTES))
+            disk.capacity_bytes = disk.used_bytes + ROOM_BYTES
+            with patch.object(disk, "replace", wraps=disk.replace) as replace:
+                for number in range(TRIED_CHANGES):
+                    await self.accept(group, b"%d" % number)
+                    await asyncio.sleep(RETRY_SECONDS)
+                tried = [
+                    call for call in replace.mock_calls if SNAPSHOT_FILE in call.args
+                ]
+            self.assertLessEqual(len(tried), TRIED_SECONDS / SNAPSHOT_RETRY_SECONDS + 1)
+            self.assertGreater(len(tried), 0)
+            self.assertIs(group.leader(), leader)
+            disk.capacity_bytes = sys.maxsize
+            await asyncio.sleep(SNAPSHOT_RETRY_SECONDS)
+            await self.accept(group, b"last")
+            await asyncio.sleep(1.0)
+            self.assertIn(SNAPSHOT_FILE, disk.files_by_name)
+
+        run_virtual(main())
+
     # Guards against a newcomer that stays outside after its disk had no room.
     def test_newcomer_with_a_full_disk_replaces_a_lost_replica(self) -> None:
         """With room for nothing, or for less than the snapshot, then for all."""
