Leave parts of two writes in one place after simulated crashes

The fake of test_replica.test_replica_with_a_failing_disk_is_not_counted_in_ a_quorum takes the offset of an append since: without it the test passed by a TypeError instead of a refused write.

--- a/poplarlug/control/memory_disk.py
+++ b/poplarlug/control/memory_disk.py
@@ -57,7 +57,10 @@
         for write in self._writes_by_id.values():
             kept = self._rng.randint(0, len(write.data))
             if write.appends:
-                self._store(write._replace(data=write.data[:kept]))
+                # The cut of what followed the offset may be lost too.
+                held = self.files_by_name.get(write.name, b"")
+                rest = self._rng.choice((b"", held[write.offset + kept :]))
+                self._store(write._replace(data=write.data[:kept] + rest))
             elif kept > len(write.data) // 2:
                 self._store(write)
         self._writes_by_id.clear()
--- a/tests/control/raft/test_replica.py
+++ b/tests/control/raft/test_replica.py
@@ -34,7 +34,7 @@
             member = next(m for m in group.live() if (m is leader) == leads)
             other = next(m for m in group.live() if m is not member)
 
-            async def refuse(name: str, data: bytes) -> None:
+            async def refuse(name: str, data: bytes, *, offset: int = 0) -> None:
                 raise OSError("no space left")
 
             with (
--- a/tests/control/test_log_storage.py
+++ b/tests/control/test_log_storage.py
@@ -174,6 +174,31 @@
         loaded = self.load()
         self.assertEqual(self.held(loaded), [(1, index) for index in range(1, 13)])
 
+    # Guards against a crash that leaves parts of two writes in one place.
+    def test_crash_while_a_failed_write_is_repeated_keeps_what_was_synced(self) -> None:
+        """The parts are no record, whatever is left of each."""
+
+        async def main(seed: int) -> None:
+            self.disk = MemoryDisk(rng=Random(seed))
+            log = LogStorage(disk=self.disk)
+            log.append([entry(1)])
+            await log.sync(1)
+            self.disk.capacity_bytes = self.disk.used_bytes + 20 * seed
+            log.append([entry(2, data=bytes(1000)), entry(3)])
+            with self.assertRaises(OSError):
+                await log.sync(3)
+            log.truncate_from(2)
+            log.append([entry(2, term=2, data=bytes(300))])
+            self.disk.capacity_bytes += 2000
+            writing = asyncio.ensure_future(log.sync(2))
+            await asyncio.sleep(0.0001)
+            self.disk.crash()
+            writing.cancel()
+
+        for seed in range(40):
+            run_virtual(main(seed))
+            self.assertIn(self.held(self.load()), ([(1, 1)], [(1, 1), (2, 2)]))
+
     # Guards against a file with a gap, which can't be read.
     def test_entries_that_are_in_no_file_yet_are_not_compacted(self) -> None:
         """A snapshot may cover entries that the disk has not taken yet."""
