Take no account's answer for whole whose upstream has gone with its connection

Callers of accounts got the first bytes of an answer as a whole one, and a booking's key would have been answered with them from then on, if the upstream had crashed. A service's stream that its connection ended within an event looked complete as well.

Completions that stream need their last event and were safe.

Evidence: the code, and the two tests below. Change: such an answer counts as whole only while its upstream accepts connections, looked at as for requests by route, and a stream of events only at the end of an event. Otherwise it is broken off, and a booking's outcome is unknown.

Before: test_answer_of_an_upstream_that_ends_is_broken and test_stream_that_ends_within_an_event_is_broken failed ("done" instead of "broken"), the other four of the module passed. Now all six pass, as do test_attempts, test_foreign_answers and test_single_sends (25 tests).

--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -8,7 +8,9 @@
 from prometheus_client import Counter
 
 from poplarlug.metrics import REGISTRY
+from poplarlug.relay.answer_end import Framing, framing_of
 from poplarlug.relay.connections import CheckedConnector
+from poplarlug.relay.probing import is_listening
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.completion_check import CompletionCheck
 from poplarlug.serving.relay import BodyRelay
@@ -154,11 +156,15 @@
             return AttemptOutcome(
                 AttemptStatus.BROKEN, "the event stream holds a line that is no field"
             )
-        if _is_event_stream(request, head) and not relay.ends_with_last_event():
+        if _is_event_stream(request, head):
+            if relay.ends_with_last_event():
+                return AttemptOutcome(AttemptStatus.DONE)
             return AttemptOutcome(
                 AttemptStatus.BROKEN, "the event stream ended without [DONE]"
             )
-        return AttemptOutcome(AttemptStatus.DONE)
+        if framing_of(response, request.method) is not Framing.CONNECTION:
+            return AttemptOutcome(AttemptStatus.DONE)
+        return await _check_unframed_end(head, relay, address)
 
     def _head(self, response: aiohttp.ClientResponse) -> AnswerHead:
         return AnswerHead(
@@ -173,6 +179,19 @@
         )
 
 
+async def _check_unframed_end(
+    head: AnswerHead, relay: BodyRelay, address: Address
+) -> AttemptOutcome:
+    """Return the outcome of an attempt whose answer only its connection has ended."""
+    if head.content_type.startswith(EVENT_STREAM) and not relay.ends_with_event():
+        return AttemptOutcome(AttemptStatus.BROKEN, "the stream ended within an event")
+    if not await is_listening(address):
+        # A process that ends closes its connections, so the answer may be cut short.
+        message = "the connection ended, and its upstream is gone"
+        return AttemptOutcome(AttemptStatus.BROKEN, message)
+    return AttemptOutcome(AttemptStatus.DONE)
+
+
 def _whole_number(text: str) -> int:
     return int(text) if text.isdecimal() and len(text) < 10 else 0
 
--- /dev/null
+++ b/tests/serving/test_ended_connections.py
@@ -0,0 +1,78 @@
+"""Tests of answers on the accounts' path that only the end of a connection ends."""
+
+import asyncio
+from typing import Any
+from unittest import TestCase
+
+from poplarlug.serving.attempts import AttemptStatus
+from tests.serving.test_attempts import LAST, TOKEN, attempt_once, writes
+from tests.serving.upstream import Answer, MemorySink, ScriptedUpstream
+
+PLAIN_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+EVENTS_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+OLD_HEAD = b"HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+SERVICE: dict[str, Any] = {"model": None, "service": "bookings"}
+BOOKING: dict[str, Any] = {**SERVICE, "repeatable": False}
+ALL_KINDS: tuple[dict[str, Any], ...] = ({}, SERVICE, BOOKING)
+
+
+def crashes_after(data: bytes) -> Answer:
+    """Write ``data``, then stop listening and close, as a process does that ends."""
+
+    async def answer(upstream: ScriptedUpstream, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(0.002)
+        await upstream.stop()
+        raise ConnectionError
+
+    return answer
+
+
+class EndedConnectionTests(TestCase):
+    def check(self, answer: Answer, expected: AttemptStatus, **fields: Any) -> None:
+        outcome = attempt_once(answer, MemorySink(), **fields)
+        self.assertEqual(outcome.status, expected, fields)
+
+    # Guards against bookings whose stored answer a crashed upstream had cut short.
+    def test_answer_of_an_upstream_that_ends_is_broken(self) -> None:
+        """Neither a length nor chunks show that the answer is whole."""
+        for fields in ALL_KINDS:
+            for head in (PLAIN_HEAD, OLD_HEAD):
+                for body in (b"", b"boo"):
+                    crash = crashes_after(head + body)
+                    self.check(crash, AttemptStatus.BROKEN, **fields)
+
+    def test_answer_of_an_upstream_that_listens_is_done(self) -> None:
+        """Only the connection ends its answer."""
+        for fields in ALL_KINDS:
+            for head in (PLAIN_HEAD, OLD_HEAD):
+                answer = writes(head + b"booked", close=True)
+                self.check(answer, AttemptStatus.DONE, **fields)
+
+    def test_answer_without_a_body_is_done(self) -> None:
+        """The upstream ends right after it."""
+        for status, method in ((b"204 None", "POST"), (b"200 OK", "HEAD")):
+            crash = crashes_after(b"HTTP/1.1 %b\r\n\r\n" % status)
+            self.check(crash, AttemptStatus.DONE, **{**BOOKING, "method": method})
+
+    # Guards against a service's stream that ends as complete within an event.
+    def test_stream_that_ends_within_an_event_is_broken(self) -> None:
+        """Whether the upstream still listens or not."""
+        cut = EVENTS_HEAD + TOKEN + TOKEN[:9]
+        for answer in (writes(cut, close=True), crashes_after(cut)):
+            for fields in ALL_KINDS:
+                self.check(answer, AttemptStatus.BROKEN, **fields)
+
+    def test_completion_that_ends_before_its_last_event_is_broken(self) -> None:
+        """At the border of an event, or within the last one."""
+        for rest in (b"", LAST[:8], LAST.rstrip()):
+            cut = EVENTS_HEAD + TOKEN + rest
+            for answer in (writes(cut, close=True), crashes_after(cut)):
+                self.check(answer, AttemptStatus.BROKEN)
+
+    def test_completion_with_its_last_event_is_done(self) -> None:
+        """Its upstream may end right after it."""
+        whole = EVENTS_HEAD + TOKEN + LAST
+        for answer in (writes(whole, close=True), crashes_after(whole)):
+            self.check(answer, AttemptStatus.DONE)
