Tell by its brackets whether an account's unframed JSON is whole

Callers of accounts got JSON cut in its middle as a whole answer where an upstream had closed the connection of an answer without framing and went on itself; a booking's key was answered with it from then on.

Cause: only the upstream's being there was looked at, which says nothing of one answer.

Change: an unframed object or array of JSON of up to 256 KiB shows its end itself: it is whole if it decodes, and cut short if a bracket is still open. The rest is judged by the upstream as before.

Before: test_json_that_ends_too_early_is_broken failed ("done" instead of "broken") and so did test_whole_json_is_done ("broken" instead of "done"). Now all nine of the module pass.

--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -13,7 +13,8 @@
 from poplarlug.relay.probing import is_listening
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.completion_check import CompletionCheck
-from poplarlug.serving.relay import BodyRelay
+from poplarlug.serving.json_end import JSON_TYPE, JsonCopy, JsonEnd
+from poplarlug.serving.relay import BodyCheck, BodyRelay
 from poplarlug.serving.requests import GatewayRequest
 from poplarlug.serving.trace import current_trace
 from poplarlug.serving.watchdog import Watchdog, WatchedAttempt
@@ -148,7 +149,8 @@
         ) as response:
             head = self._head(response)
             await sink.start(head)
-            check = CompletionCheck() if _is_event_stream(request, head) else None
+            is_unframed = framing_of(response, request.method) is Framing.CONNECTION
+            check = _make_check(request, head, is_unframed)
             relay = BodyRelay(response=response, sink=sink, check=check)
             watched.count_reads = relay.count_reads
             await relay.run()
@@ -162,8 +164,12 @@
             return AttemptOutcome(
                 AttemptStatus.BROKEN, "the event stream ended without [DONE]"
             )
-        if framing_of(response, request.method) is not Framing.CONNECTION:
+        if not is_unframed:
             return AttemptOutcome(AttemptStatus.DONE)
+        if isinstance(check, JsonCopy) and check.end() is not JsonEnd.UNCERTAIN:
+            if check.end() is JsonEnd.WHOLE:
+                return AttemptOutcome(AttemptStatus.DONE)
+            return AttemptOutcome(AttemptStatus.BROKEN, "the JSON text is cut short")
         return await _check_unframed_end(head, relay, address)
 
     def _head(self, response: aiohttp.ClientResponse) -> AnswerHead:
@@ -179,6 +185,15 @@
         )
 
 
+def _make_check(
+    request: GatewayRequest, head: AnswerHead, is_unframed: bool
+) -> BodyCheck | None:
+    if _is_event_stream(request, head):
+        return CompletionCheck()
+    is_json = head.content_type.lower().startswith(JSON_TYPE)
+    return JsonCopy() if is_unframed and is_json else None
+
+
 async def _check_unframed_end(
     head: AnswerHead, relay: BodyRelay, address: Address
 ) -> AttemptOutcome:
--- a/tests/serving/test_ended_connections.py
+++ b/tests/serving/test_ended_connections.py
@@ -10,6 +10,8 @@
 
 PLAIN_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
 EVENTS_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+JSON_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+JSON_BODY = b'{"id": "b-1", "bins": ["B7", {"at": 3}], "note": "caf\xc3\xa9 }"}'
 OLD_HEAD = b"HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n\r\n"
 SERVICE: dict[str, Any] = {"model": None, "service": "bookings"}
 BOOKING: dict[str, Any] = {**SERVICE, "repeatable": False}
@@ -76,3 +78,26 @@
         whole = EVENTS_HEAD + TOKEN + LAST
         for answer in (writes(whole, close=True), crashes_after(whole)):
             self.check(answer, AttemptStatus.DONE)
+
+    # Guards against answers whose upstream closed its connection, and went on.
+    def test_json_that_ends_too_early_is_broken(self) -> None:
+        """The upstream still listens."""
+        for fields in ALL_KINDS:
+            for end in (1, 8, 24, 36, 37, 39, 57, len(JSON_BODY) - 1):
+                answer = writes(JSON_HEAD + JSON_BODY[:end], close=True)
+                self.check(answer, AttemptStatus.BROKEN, **fields)
+
+    def test_whole_json_is_done(self) -> None:
+        """Its upstream may end right after it."""
+        whole = JSON_HEAD + JSON_BODY + b"\n"
+        for answer in (writes(whole, close=True), crashes_after(whole)):
+            for fields in ALL_KINDS:
+                self.check(answer, AttemptStatus.DONE, **fields)
+
+    def test_json_whose_end_shows_nothing_needs_its_upstream(self) -> None:
+        """A number may go on, lines may follow, and others write no JSON."""
+        for body in (b"12", b'{"a": 1}\n{"b": 2}', b"{'a': 1}"):
+            answer = writes(JSON_HEAD + body, close=True)
+            self.check(answer, AttemptStatus.DONE, **BOOKING)
+            crash = crashes_after(JSON_HEAD + body)
+            self.check(crash, AttemptStatus.BROKEN, **BOOKING)
