Let no answer to a caller of HTTP/1.0 look whole when its entry ends

Callers of HTTP/1.0 got the first events of a stream as a whole answer if their entry was killed, stopped before the stream's end, or failed while it wrote; by account and by route.

Cause: such an answer has neither length nor chunks, so that the end of its connection is its own end.

Change: the connection is set to be reset at its close from the head of such an answer on, which the kernel keeps to when the process ends. Once the last byte has left the process, it is set to close gracefully again.

Before: test_answer_does_not_look_whole_when_the_entry_ends failed in its three cases (killed, stopped, failed). Now the module passes, as do test_http_sink, test_connections, tests.relay.test_foreign_answers, tests.platform_adapter.test_foreign_ends and test_ended_connections.

--- a/poplarlug/callers/http_sink.py
+++ b/poplarlug/callers/http_sink.py
@@ -6,9 +6,10 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from poplarlug.logs import ComponentLogger
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.trace import RequestTrace
-from poplarlug.sockets import reset_connection
+from poplarlug.sockets import reset_connection, set_reset_at_close
 
 WRITE_TIMEOUT_SECONDS = 30.0
 HIGH_WATER_BYTES = 64 * 1024
@@ -16,6 +17,8 @@
 FIRST_DRAIN_POLL_SECONDS = 0.005
 MAX_DRAIN_POLL_SECONDS = 0.2
 
+_log = ComponentLogger(prefix="callers")
+
 
 class HttpSink(AnswerSink):
     """
@@ -73,6 +76,10 @@
         await response.prepare(self._request)
         coding = response.headers.get("Transfer-Encoding", "")
         self._chunked = coding == "chunked"
+        if self._ends_with_connection and not self.closed:
+            # Otherwise the answer would look whole if this process ended now.
+            assert self._transport is not None
+            set_reset_at_close(self._transport, True)
 
     def write_nowait(self, data: bytes) -> bool:
         if self._buffer is not None:
@@ -102,13 +109,7 @@
         ConnectionResetError
             When the caller has disconnected.
         """
-        async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
-            delay = FIRST_DRAIN_POLL_SECONDS
-            while not self.write_nowait(data):
-                if self.closed:
-                    raise ConnectionResetError("the caller is gone")
-                await asyncio.sleep(delay)
-                delay = min(2 * delay, MAX_DRAIN_POLL_SECONDS)
+        await self._poll(lambda: self.write_nowait(data))
 
     async def finish(self) -> None:
         """Complete the answer; a second call does nothing."""
@@ -125,18 +126,47 @@
         if self._buffer is not None:
             await self.response.prepare(self._request)
         await self.response.write_eof()
+        if self._ends_with_connection:
+            await self._end_gracefully()
 
     def break_off(self) -> None:
         """Abort the connection, so that the answer can't be taken for a complete one."""
         transport = self._transport
         if transport is None:
             return
-        response = self.response
-        if response is None or self._chunked or response.content_length is not None:
-            transport.abort()
-        else:
+        if self._ends_with_connection:
             # The end of the connection is the end of the answer, unless it is reset.
             reset_connection(transport)
+        else:
+            transport.abort()
+
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Whether only the end of the connection shows the end of the answer."""
+        response = self.response
+        if response is None or self._chunked:
+            return False
+        return response.content_length is None
+
+    async def _end_gracefully(self) -> None:
+        """Let the connection end without a reset once this process holds no byte."""
+        transport = self._transport
+        assert transport is not None
+        try:
+            await self._poll(lambda: transport.get_write_buffer_size() == 0)
+            set_reset_at_close(transport, False)
+        except (TimeoutError, OSError) as error:
+            _log.warning("a caller did not read the end", error=repr(error))
+
+    async def _poll(self, is_done: Callable[[], bool]) -> None:
+        """Wait until ``is_done()``; see :meth:`write` for its errors."""
+        async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
+            delay = FIRST_DRAIN_POLL_SECONDS
+            while not is_done():
+                if self.closed:
+                    raise ConnectionResetError("the caller is gone")
+                await asyncio.sleep(delay)
+                delay = min(2 * delay, MAX_DRAIN_POLL_SECONDS)
 
     def _count(self, data: bytes) -> None:
         trace = self._trace
