Don't run a request of HTTP/1.0 whose body has no length as if it had none

Callers of HTTP/1.0 whose body came after its head and without a length had their request run with an empty body, by account and by route.

Cause: the HTTP library reads a body without a length as empty, which HTTP/1.1 defines so, while HTTP/1.0 requires a length with a body, and has others that let the end of the connection end it.

Change: POST, PUT and PATCH of HTTP/1.0 without a length are refused with 400, before anything runs. The new tests also show that requests cut within the head, the body or the chunks reach neither upstreams nor the registry nor the configuration.

--- a/poplarlug/callers/application.py
+++ b/poplarlug/callers/application.py
@@ -11,6 +11,7 @@
 
 from poplarlug.callers.announcements import AnnouncementHandler
 from poplarlug.callers.authentication import Authenticator
+from poplarlug.callers.bodies import lacks_length
 from poplarlug.callers.connections import ConnectionGuard
 from poplarlug.callers.directory import Directory
 from poplarlug.callers.http_sink import HttpSink
@@ -166,6 +167,8 @@
 
     async def _read_body(self, request: web.Request) -> Result[bytes, GatewayError]:
         limits = self._guard.limits
+        if lacks_length(request):
+            return Failure(bad_request("The body needs a Content-Length."))
         try:
             async with asyncio.timeout(limits.body_seconds):
                 return Success(await request.read())
--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -10,6 +10,7 @@
 from prometheus_client import Counter, Histogram
 from returns.result import Failure, Result, Success
 
+from poplarlug.callers.bodies import lacks_length
 from poplarlug.callers.connections import ConnectionGuard
 from poplarlug.callers.http_sink import HttpSink
 from poplarlug.discovery.deployment import Deployment
@@ -321,6 +322,8 @@
         max_bytes = min(routes.table.limits.max_body_bytes, MAX_HELD_REQUEST_BYTES)
         message = f"the body is longer than {max_bytes} bytes"
         too_large = Failure(GatewayError(413, "body_too_large", message))
+        if lacks_length(request):
+            return Failure(bad_request("the body needs a Content-Length"))
         if (request.content_length or 0) > max_bytes:
             return too_large
         parts = []
