Announce no length of a completion's stream to its caller

Callers of accounts whose engine gives its streams a length got the length of the first engine's answer over other bytes: lines that are no event are dropped, and another engine may send the rest of a stream.

Cause: the head of an answer was passed on with its length, also where the body is checked or resumed. Found by reading while the ends of answers were compared with their lengths.

--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -148,6 +148,9 @@
             allow_redirects=False,
         ) as response:
             head = self._head(response)
+            if _is_event_stream(request, head):
+                # Lines may be dropped, and another upstream may send the rest.
+                head = head._replace(content_length=None)
             await sink.start(head)
             is_unframed = framing_of(response, request.method) is Framing.CONNECTION
             check = _make_check(request, head, is_unframed)
--- a/tests/serving/test_ended_connections.py
+++ b/tests/serving/test_ended_connections.py
@@ -101,3 +101,15 @@
             self.check(answer, AttemptStatus.DONE, **BOOKING)
             crash = crashes_after(JSON_HEAD + body)
             self.check(crash, AttemptStatus.BROKEN, **BOOKING)
+
+    # Guards against streams whose framing announces other bytes than are passed on.
+    def test_stream_announces_no_length_that_it_may_not_reach(self) -> None:
+        """A byte order mark and half a line are dropped, and another may resume it."""
+        body = b"\xef\xbb\xbf" + TOKEN + LAST + b": half"
+        head = EVENTS_HEAD[:-2] + b"Content-Length: %d\r\n\r\n" % len(body)
+        sink = MemorySink()
+        outcome = attempt_once(writes(head + body), sink)
+        self.assertEqual(outcome.status, AttemptStatus.DONE)
+        assert sink.head is not None
+        self.assertEqual(sink.data, TOKEN + LAST)
+        self.assertIn(sink.head.content_length, (None, len(sink.data)))
