Tell by its head and length whether an entry has handed back a whole answer

Callers of accounts would have got 500, and a booking's key would have counted as done without an answer, or with a short one, if the entry that a request was forwarded to had ended its stream too early, as an entry of another version might.

Cause: the mark of the end of the stream between two entries was taken for the end of the answer that it carries. The mark itself has the number of the chunks before it and never comes from a link that is lost.

Change: a stream that ends without a head leaves the outcome unknown, and one that ends before or beyond the length in its head is a truncated answer.

--- a/poplarlug/serving/forwarding.py
+++ b/poplarlug/serving/forwarding.py
@@ -52,6 +52,7 @@
         if isinstance(opened, Failure):
             return not_run(opened.failure().message, 1.0)
         stream = opened.unwrap()
+        answer = _ReceivedAnswer(sink=sink)
         try:
             while True:
                 item = await stream.next_chunk()
@@ -68,8 +69,8 @@
                     return truncated_answer(item.failure().message)
                 chunk = item.unwrap()
                 if chunk is None:
-                    return None
-                error = await _write_part(chunk, sink)
+                    return answer.check_end(request.method)
+                error = await answer.take(chunk)
                 if error is not None:
                     return error
         finally:
@@ -121,12 +122,35 @@
         pass
 
 
-async def _write_part(part: bytes, sink: AnswerSink) -> GatewayError | None:
-    tag, data = part[:1], part[1:]
-    if tag == _BODY:
-        await sink.write(data)
-    elif tag == _HEAD:
-        await sink.start(msgspec.msgpack.decode(data, type=AnswerHead))
-    else:
-        return msgspec.msgpack.decode(data, type=GatewayError)
-    return None
+class _ReceivedAnswer:
+    """Writes the parts of an answer to a sink, and checks that they make a whole one."""
+
+    def __init__(self, *, sink: AnswerSink) -> None:
+        self._sink = sink
+        self._head: AnswerHead | None = None
+        self._body_bytes = 0
+
+    async def take(self, part: bytes) -> GatewayError | None:
+        """Write a part; return the error that the peer sent in place of one."""
+        tag, data = part[:1], part[1:]
+        if tag == _BODY:
+            self._body_bytes += len(data)
+            await self._sink.write(data)
+        elif tag == _HEAD:
+            self._head = msgspec.msgpack.decode(data, type=AnswerHead)
+            await self._sink.start(self._head)
+        else:
+            return msgspec.msgpack.decode(data, type=GatewayError)
+        return None
+
+    def check_end(self, method: str) -> GatewayError | None:
+        """Return an error if the stream has ended before the answer to ``method``."""
+        head = self._head
+        if head is None:
+            return outcome_unknown("the entry's stream ended without an answer")
+        has_body = method != "HEAD" and head.status not in (204, 304)
+        length = head.content_length if has_body else None
+        if length is not None and length != self._body_bytes:
+            message = f"the entry sent {self._body_bytes} of {length} bytes"
+            return truncated_answer(message)
+        return None
