Read an upstream's reply to an order to its end

Operators got the first part of an upstream's reply to an order, and an order counted as done whose upstream had ended within its reply.

Cause: one read of the body was taken for the whole of it. It returns what has come so far, and an error of the connection shows only at its end.

Change: the body is read to its end, or up to the bytes that are kept; one that is cut short leaves the order unknown, which is resent with the same id.

Before: both tests of the new module failed ("half " for "half whole", and done instead of unknown). Now they pass, as do test_orderer and test_reconciler (14 tests).

--- a/poplarlug/control/order_endpoint.py
+++ b/poplarlug/control/order_endpoint.py
@@ -43,7 +43,7 @@
         Returns
         -------
         OrderReply
-            ``UNKNOWN`` if no answer came or the order was not sent.
+            ``UNKNOWN`` if no whole answer came or the order was not sent.
         """
 
 
@@ -88,7 +88,7 @@
                     headers={"Content-Type": "application/json"},
                 ) as response,
             ):
-                data = await response.content.read(MAX_REPLY_BYTES)
+                data = await _read_whole(response.content)
                 return _to_reply(response.status, data)
         except (aiohttp.ClientError, OSError, TimeoutError, _NotSentError) as error:
             return OrderReply(OrderStatus.UNKNOWN, f"no answer: {error!r}")
@@ -108,6 +108,14 @@
     yield data
 
 
+async def _read_whole(content: aiohttp.StreamReader) -> bytes:
+    """Return a body up to its end, or the first bytes of a long one."""
+    data = b""
+    while part := await content.read(MAX_REPLY_BYTES - len(data)):
+        data += part
+    return data
+
+
 def _to_reply(status: int, data: bytes) -> OrderReply:
     message = data.decode(errors="replace")
     if status == 200:
--- /dev/null
+++ b/tests/control/test_order_endpoint.py
@@ -0,0 +1,64 @@
+"""Tests of upstreams' replies to orders that their connection ends too early."""
+
+import asyncio
+from unittest import TestCase
+
+from poplarlug.control.order_endpoint import HttpOrderEndpoint, OrderReply
+from poplarlug.control.orders import FencingNumber, OrderRequest, OrderStatus
+
+ORDER = OrderRequest("o-1", "quito-a", "u-1", "load", "corn-7b")
+LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class OrderReplyTests(TestCase):
+    def send(self, *parts: bytes) -> OrderReply:
+        """Return the reply to an order that is answered with ``parts`` and the end."""
+
+        async def talk(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"0\r\n\r\n")
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.02)
+            writer.close()
+            await writer.wait_closed()
+            ended.set()
+
+        async def main() -> OrderReply:
+            server = await asyncio.start_server(talk, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            async with server:
+                reply = await HttpOrderEndpoint().send(
+                    address=f"{host}:{port}",
+                    order=ORDER,
+                    fencing=FencingNumber(1, 1),
+                    may_send=lambda: True,
+                    timeout_seconds=5.0,
+                )
+                await ended.wait()
+            return reply
+
+        ended = asyncio.Event()
+        return asyncio.run(main())
+
+    def test_whole_reply_is_read_to_its_end(self) -> None:
+        """It comes in two parts."""
+        done = OrderReply(OrderStatus.DONE, "half whole")
+        self.assertEqual(self.send(LENGTH, b"half ", b"whole"), done)
+        chunks = (b"5\r\nhalf \r\n", b"5\r\nwhole\r\n0\r\n\r\n")
+        self.assertEqual(self.send(CHUNKED, *chunks), done)
+
+    # Guards against orders that count as done by half a reply.
+    def test_reply_that_is_cut_short_is_unknown(self) -> None:
+        """Within its head, its body, or before the last chunk."""
+        for parts in (
+            (b"",),
+            (LENGTH[:-2],),
+            (LENGTH,),
+            (LENGTH, b"half "),
+            (CHUNKED, b"5\r\nhalf \r\n"),
+        ):
+            self.assertIs(self.send(*parts).status, OrderStatus.UNKNOWN, parts)
