Trust no copy of claims that ends before its first page

A holder that had lost its claims would have voted on keys as if its peer had none, if the peer had ended the copy without a page; a key could then run twice.

Cause: the mark of the end of a stream was taken for the end of a copy that had not begun.

Before: test_copy_that_ends_early_is_not_trusted failed for a copy without a page. Now it passes, as do test_journal, test_table and tests.serving.test_at_most_once.

--- a/poplarlug/claims/holder.py
+++ b/poplarlug/claims/holder.py
@@ -188,6 +188,7 @@
         if isinstance(opened, Failure):
             return
         stream = opened.unwrap()
+        is_ready = False
         try:
             while True:
                 item = await stream.next_chunk(timeout_seconds=COPY_IDLE_SECONDS)
@@ -195,12 +196,16 @@
                     return
                 data = item.unwrap()
                 if data is None:
-                    self._copied_peers.add(peer)
+                    if is_ready:
+                        self._copied_peers.add(peer)
+                    else:
+                        _log.warning("a peer's copy of claims is empty", peer=peer)
                     return
                 page = msgspec.msgpack.decode(data, type=CopyPage)
                 if page.status != _READY:
                     self._record_peer_status(peer, page)
                     return
+                is_ready = True
                 for record, lifetime in zip(
                     page.records, page.remaining_seconds, strict=True
                 ):
