Store no scrape of counters that may be cut short

A scrape with no counters, or fewer, was stored where an entry, or what stands before it, had answered with an error or ended its connection early; in the report the counters then seemed to start again, and requests counted twice. Entries give their counters a length, so it takes something between them and the report.

Cause: any body was taken for the counters, also one that only its connection ended.

Change: only an answer with status 200, and with a length or chunks, is stored.

Before: test_scrape_that_may_be_cut_short_is_not_stored failed (an empty 200 was stored), test_whole_scrape_is_stored passed. Now both pass, as does test_main (9 tests).

--- a/poplarlug/reports/main.py
+++ b/poplarlug/reports/main.py
@@ -12,6 +12,7 @@
 import fire
 from returns.result import Success
 
+from poplarlug.relay.answer_end import Framing, framing_of
 from poplarlug.reports.burn import DAY_SECONDS, BurnReport, Observation, latest_time
 from poplarlug.reports.objectives import load_ranks
 from poplarlug.reports.rendering import to_json, to_text
@@ -118,9 +119,15 @@
             try:
                 async with session.get(f"http://{address}/metrics") as response:
                     text = await response.text()
+                    is_whole = framing_of(response, "GET") is not Framing.CONNECTION
             except (aiohttp.ClientError, TimeoutError) as error:
                 print(f"{address} not reached: {error!r}", file=sys.stderr)
                 continue
+            if response.status != 200 or not is_whole:
+                # It would look like an entry whose counters started again.
+                status = response.status
+                print(f"{address} gave no whole answer, {status}", file=sys.stderr)
+                continue
             scrape = parse_metrics(
                 text, time=wall_clock(), address=address, region=region
             )
