--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -8,10 +8,13 @@
 from prometheus_client import Counter
 
 from poplarlug.metrics import REGISTRY
+from poplarlug.relay.answer_end import Framing, framing_of
 from poplarlug.relay.connections import CheckedConnector
+from poplarlug.relay.probing import is_listening
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.completion_check import CompletionCheck
-from poplarlug.serving.relay import BodyRelay
+from poplarlug.serving.json_end import JSON_TYPE, JsonCopy, JsonEnd
+from poplarlug.serving.relay import BodyCheck, BodyRelay
 from poplarlug.serving.requests import GatewayRequest
 from poplarlug.serving.trace import current_trace
 from poplarlug.serving.watchdog import Watchdog, WatchedAttempt
@@ -145,8 +148,12 @@
             allow_redirects=False,
         ) as response:
             head = self._head(response)
+            if _is_event_stream(request, head):
+                # Lines may be dropped, and another upstream may send the rest.
+                head = head._replace(content_length=None)
             await sink.start(head)
-            check = CompletionCheck() if _is_event_stream(request, head) else None
+            is_unframed = framing_of(response, request.method) is Framing.CONNECTION
+            check = _make_check(request, head, is_unframed)
             relay = BodyRelay(response=response, sink=sink, check=check)
             watched.count_reads = relay.count_reads
             await relay.run()
@@ -154,11 +161,19 @@
             return AttemptOutcome(
                 AttemptStatus.BROKEN, "the event stream holds a line that is no field"
             )
-        if _is_event_stream(request, head) and not relay.ends_with_last_event():
+        if _is_event_stream(request, head):
+            if relay.ends_with_last_event():
+                return AttemptOutcome(AttemptStatus.DONE)
             return AttemptOutcome(
                 AttemptStatus.BROKEN, "the event stream ended without [DONE]"
             )
-        return AttemptOutcome(AttemptStatus.DONE)
+        if not is_unframed:
+            return AttemptOutcome(AttemptStatus.DONE)
+        if isinstance(check, JsonCopy) and check.end() is not JsonEnd.UNCERTAIN:
+            if check.end() is JsonEnd.WHOLE:
+                return AttemptOutcome(AttemptStatus.DONE)
+            return AttemptOutcome(AttemptStatus.BROKEN, "the JSON text is cut short")
+        return await _check_unframed_end(head, relay, address)
 
     def _head(self, response: aiohttp.ClientResponse) -> AnswerHead:
         return AnswerHead(
@@ -173,6 +188,28 @@
         )
 
 
+def _make_check(
+    request: GatewayRequest, head: AnswerHead, is_unframed: bool
+) -> BodyCheck | None:
+    if _is_event_stream(request, head):
+        return CompletionCheck()
+    is_json = head.content_type.lower().startswith(JSON_TYPE)
+    return JsonCopy() if is_unframed and is_json else None
+
+
+async def _check_unframed_end(
+    head: AnswerHead, relay: BodyRelay, address: Address
+) -> AttemptOutcome:
+    """Return the outcome of an attempt whose answer only its connection has ended."""
+    if head.content_type.startswith(EVENT_STREAM) and not relay.ends_with_event():
+        return AttemptOutcome(AttemptStatus.BROKEN, "the stream ended within an event")
+    if not await is_listening(address):
+        # A process that ends closes its connections, so the answer may be cut short.
+        message = "the connection ended, and its upstream is gone"
+        return AttemptOutcome(AttemptStatus.BROKEN, message)
+    return AttemptOutcome(AttemptStatus.DONE)
+
+
 def _whole_number(text: str) -> int:
     return int(text) if text.isdecimal() and len(text) < 10 else 0
 
