Believe no refusal of a request whose earlier send got no answer

A client remembered the refusals that it had read. It remembers the sends instead, until one is answered: a refusal is believed only if its peer got the request for the first time, or has answered it before.

test_refusal_after_an_abandoned_send_is_not_believed failed before (believed) and passes, with the twelve others of its module.

--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -26,8 +26,9 @@
 """Refusals after which a connection is closed; limits the ids that it remembers."""
 
 
-MAX_REMEMBERED_REFUSALS = 4096
-"""Requests whose refusals a client remembers over all of its connections."""
+MAX_REMEMBERED_SENDS = 4096
+"""Requests without an answer, or with a refusal, that a client remembers over all of its
+connections."""
 
 
 class ResponseSource(NamedTuple):
@@ -47,7 +48,8 @@
     is_contradicted : bool
         Whether it is a refusal, and another response to the request follows it.
     is_repeated : bool
-        Whether it is a refusal, and its peer has refused the request before.
+        Whether it is a refusal, and its peer has got the request before and refused it
+        or not answered.
     """
 
     names_request: bool | None
@@ -63,8 +65,9 @@
         Whether the response is for the request, and may be believed.
 
         Upstreams echo ids. Without one a response may be an earlier one that was
-        written once more, unless nothing was sent on its connection before. Nor can a
-        second refusal of a request be told from the first.
+        written once more, unless nothing was sent on its connection before. Nor can the
+        refusal of a second send be told from that of the first, even if that one was
+        not read.
         """
         if self.names_request is None:
             is_own = self.exchange == 1 and not self.has_early_bytes
@@ -87,22 +90,26 @@
         return self
 
 
-class RefusalMemory:
-    """Which requests each upstream or entry has refused; the oldest are forgotten."""
+class UnansweredSends:
+    """Requests that each peer has refused or not answered; the oldest are forgotten."""
 
     def __init__(self) -> None:
-        self._refused: dict[tuple[Any, RequestId], None] = {}
+        self._sent: dict[tuple[Any, RequestId], None] = {}
 
-    def note(self, peer: Any, request_id: RequestId) -> bool:
-        """Remember a refusal; return whether it is the first of its peer."""
+    def add(self, peer: Any, request_id: RequestId) -> bool:
+        """Remember a send; return whether it is the first to its peer."""
         key = peer, request_id
-        if key in self._refused:
+        if key in self._sent:
             return False
-        if len(self._refused) >= MAX_REMEMBERED_REFUSALS:
-            del self._refused[next(iter(self._refused))]
-        self._refused[key] = None
+        if len(self._sent) >= MAX_REMEMBERED_SENDS:
+            del self._sent[next(iter(self._sent))]
+        self._sent[key] = None
         return True
 
+    def remove(self, peer: Any, request_id: RequestId) -> None:
+        """Forget a send that was answered."""
+        self._sent.pop((peer, request_id), None)
+
 
 class StrictHandler(ResponseHandler):
     """
@@ -119,14 +126,15 @@
         self,
         *,
         header_names: HeaderNames | None,
-        refusals: RefusalMemory,
+        unanswered: UnansweredSends,
         **options: Any,
     ) -> None:
         super().__init__(**options)
         self._header_names = header_names
-        self._refusals = refusals
+        self._unanswered = unanswered
         self._peer: Any = None
         self._request_id: RequestId = ""
+        self._is_first_send = True
         self._exchanges = 0
         self._refused_ids: set[RequestId] = set()
         self.response_source: ResponseSource | None = None
@@ -144,6 +152,9 @@
         self._request_id = request_id
         if self._peer is None and self.transport is not None:
             self._peer = self.transport.get_extra_info("peername")
+        self._is_first_send = not request_id or self._unanswered.add(
+            self._peer, request_id
+        )
         self._exchanges += 1
         self.response_source = None
 
@@ -178,11 +189,12 @@
                 self._names_request(later) and not self._is_refusal(later)
                 for (later, _), _ in self._buffer
             ),
+            is_repeated=self._is_refusal(message) and not self._is_first_send,
         )
         if source.is_refusal:
             self._refused_ids.add(self._request_id)
-            is_first = self._refusals.note(self._peer, self._request_id)
-            source = source._replace(is_repeated=not is_first)
+        elif source.names_request and self._is_first_send:
+            self._unanswered.remove(self._peer, self._request_id)
         is_expected = source.names_request or self._header_names is None
         if not is_expected or len(self._refused_ids) >= MAX_REFUSALS:
             self.force_close()
@@ -292,7 +304,7 @@
             StrictHandler,
             loop=self._loop,
             header_names=header_names,
-            refusals=RefusalMemory(),
+            unanswered=UnansweredSends(),
         )
 
     async def connect(
--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -5,9 +5,12 @@
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
 
+from returns.primitives.exceptions import UnwrapFailedError
+
 from poplarlug.relay.client import RelayClient
 from poplarlug.relay.connections import MAX_REFUSALS, RelayResponse
 from poplarlug.relay.header_names import HeaderNames
+from poplarlug.types import Seconds
 
 HEADER_NAMES = HeaderNames()
 EARLY_SECONDS = 0.05
@@ -77,7 +80,9 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
-    async def send(self, request_id: str) -> RelayResponse:
+    async def send(
+        self, request_id: str, *, timeout_seconds: Seconds = 5.0
+    ) -> RelayResponse:
         """Send a request, and read its response to the end."""
         sent = await self.client.send(
             target=self.address,
@@ -85,7 +90,7 @@
             path="/x",
             headers=((HEADER_NAMES.request_id, request_id),),
             body=b"",
-            timeout_seconds=5.0,
+            timeout_seconds=timeout_seconds,
         )
         response = sent.unwrap()
         await response.read()
@@ -159,6 +164,23 @@
         self.responses = [refusal + encode_response("r-1")]
         self.assertFalse((await self.send("r-1")).source.is_reliable)
 
+    # Guards against requests that ran and were called not run: a refusal that nobody had
+    # read came once more on another connection, and looked like the first.
+    async def test_refusal_after_an_abandoned_send_is_not_believed(self) -> None:
+        """It may be that of the first send."""
+        self.responses = [b"", encode_response("r-1", status=503, is_refusal=True)]
+        with self.assertRaises(UnwrapFailedError):
+            await self.send("r-1", timeout_seconds=EARLY_SECONDS)
+        source = (await self.send("r-1")).source
+        self.assertEqual((source.names_request, source.is_reliable), (True, False))
+
+    async def test_refusal_after_an_answer_is_believed(self) -> None:
+        """The first send was not refused, so it is no copy of an earlier refusal."""
+        refusal = encode_response("r-1", status=503, is_refusal=True)
+        self.responses = [encode_response("r-1"), refusal]
+        await self.send("r-1")
+        self.assertTrue((await self.send("r-1")).source.is_reliable)
+
     async def test_second_copy_does_not_contradict_a_refusal(self) -> None:
         """It is no answer to the next request either."""
         refusal = encode_response("r-1", status=503, is_refusal=True)
