Close a connection after a refusal that isn't believed

Such a connection ends. test_connection_is_not_used_after_a_refusal_that_is_not_believed failed before (the next request was its second exchange) and passes, with the thirteen others of its module.

--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -195,7 +195,9 @@
             self._refused_ids.add(self._request_id)
         elif source.names_request and self._is_first_send:
             self._unanswered.remove(self._peer, self._request_id)
-        is_expected = source.names_request or self._header_names is None
+        is_expected = self._header_names is None or (
+            source.names_request and source.is_reliable
+        )
         if not is_expected or len(self._refused_ids) >= MAX_REFUSALS:
             self.force_close()
         return source
--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -174,6 +174,18 @@
         source = (await self.send("r-1")).source
         self.assertEqual((source.names_request, source.is_reliable), (True, False))
 
+    # Guards against a lost refusal of another request: the answer behind a refusal that
+    # was not believed came after that request on its connection.
+    async def test_connection_is_not_used_after_a_refusal_that_is_not_believed(
+        self,
+    ) -> None:
+        """The answer to the refused request may follow there."""
+        refusal = encode_response("r-1", status=503, is_refusal=True)
+        self.responses = [refusal, refusal, encode_response("r-2")]
+        for _ in range(2):
+            await self.send("r-1")
+        self.assertEqual((await self.send("r-2")).source.exchange, 1)
+
     async def test_refusal_after_an_answer_is_believed(self) -> None:
         """The first send was not refused, so it is no copy of an earlier refusal."""
         refusal = encode_response("r-1", status=503, is_refusal=True)
