Fail a body at once whose framing breaks in the data that brings its head

By reading and trials on loopback: if the data that brings a head is longer than 8 KiB and its chunks are broken, reading the body ends with RuntimeError("Connection closed.") once the head was passed on, which is no error of the connection to the relay: the stream isn't taken up again.

Cause: that aiohttp gave the framing up was passed on to the reader after data of a body only, not after the slices in which the data of a head is parsed.

Not seen with a deployment.

--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -220,6 +220,7 @@
             if self.transport is None or self.transport.is_closing():
                 return
             super().data_received(data[start : start + HEAD_SLICE_BYTES])
+            self._fail_broken_framing()
 
     def _fail_broken_framing(self) -> None:
         """Fail a body whose framing aiohttp gave up, which tells its reader nothing."""
--- a/tests/relay/test_foreign_answers.py
+++ b/tests/relay/test_foreign_answers.py
@@ -10,6 +10,7 @@
 from multidict import CIMultiDict
 
 from poplarlug.callers.http_sink import HttpSink
+from poplarlug.relay.client import RelayClient
 from poplarlug.relay.context import Outcome, RequestContext
 from poplarlug.relay.event_format import EventFormat
 from poplarlug.relay.events import EventProgress
@@ -121,6 +122,48 @@
 
         self.assertEqual(asyncio.run(main()), [aiohttp.ClientPayloadError])
 
+    # Guards against streams that nobody resumed: their reader met an error that isn't one
+    # of the connection's.
+    def test_broken_framing_with_the_head_fails_a_body_that_is_read_in_parts(
+        self,
+    ) -> None:
+        """The connection has ended before they are read."""
+
+        async def talk(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            chunk = b"x" * 9000
+            body = b"%x\r\n%b\r\n%%PDF\r\n" % (len(chunk), chunk)
+            writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + body)
+            await reader.read()
+            writer.close()
+
+        async def main() -> None:
+            server = await asyncio.start_server(talk, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            client = RelayClient()
+            await client.open()
+            sent = await client.send(
+                target=f"{host}:{port}",
+                method="GET",
+                path="/x",
+                headers=(),
+                body=b"",
+                timeout_seconds=2.5,
+            )
+            content = sent.unwrap().content
+            try:
+                while not content.at_eof():
+                    await asyncio.sleep(0.05)
+                    await content.readany()
+            finally:
+                await client.close()
+                server.close()
+
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            asyncio.run(main())
+
 
 class OldCallerTests(TestCase):
     def test_stream_broken_off_does_not_look_whole_without_chunks(self) -> None:
