Ask an upstream again itself for a request that has become a suspect

By reading, after: if a request becomes a suspect while its upstream is to be asked whether its stream was whole, the entry that holds suspects' locks got the question. It stays at this entry now, under this entry's lock.

Before, test_suspect_is_not_handed_on_to_ask_its_upstream_again failed (handed on once); now the 7 tests of test_gateway pass. Not seen with real processes.

--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -258,7 +258,8 @@
         timeout_seconds = context.request.deadline - self._clock()
         context.can_resume_elsewhere = lambda: False
         suspect_entry = None
-        if not context.request.hops:
+        # Another entry would send it to another upstream than the one to ask again.
+        if not context.request.hops and not context.asks_again:
             suspect_entry = self._view.suspect_entry(
                 context.request,
                 self._suspects.broadest_suspect(context),
--- a/tests/relay/test_gateway.py
+++ b/tests/relay/test_gateway.py
@@ -4,6 +4,7 @@
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
+from unittest.mock import AsyncMock, patch
 
 from multidict import CIMultiDict
 from returns.result import Success
@@ -18,7 +19,7 @@
 from poplarlug.relay.budgets import RetryLimits, WarmupLimits
 from poplarlug.relay.client import RelayClient
 from poplarlug.relay.connections import ResponseSource
-from poplarlug.relay.context import Outcome, RequestContext
+from poplarlug.relay.context import DONE, Outcome, RequestContext
 from poplarlug.relay.dispatcher import Dispatcher, LocalTarget, RemoteTarget
 from poplarlug.relay.gateway import (
     ATTEMPT_TIMEOUT_OBJECTIVES,
@@ -148,6 +149,29 @@
         )
         self.assertEqual(self.gateway._attempt_timeout(context, budget), longest)
 
+    def test_suspect_is_not_handed_on_to_ask_its_upstream_again(self) -> None:
+        """Another entry would run it at an upstream beyond the number allowed."""
+        context = RequestContext(
+            request=make_request(route=ROUTE, deadline=60.0),
+            sink=cast(Any, SimpleNamespace(started=True)),
+            trace=RelayTrace(request_id="r-1", started=0.0),
+        )
+        lost = outcome_unknown("the connection ended")
+        context.note_upstream_outcome("e-1", Outcome(lost, is_uncertain=True))
+        in_flight_request = self.view.in_flight.note_started(
+            UPSTREAMS[0], SERVICE.engine, context.request, 0.0
+        )
+        target = LocalTarget(UPSTREAMS[0], in_flight_request, 0.1, 0, 0.0)
+        handed_on = AsyncMock(return_value=DONE)
+        ran_here = AsyncMock(return_value=DONE)
+        with (
+            patch.object(self.view, "suspect_entry", return_value=ENTRY),
+            patch.object(self.gateway, "_run", handed_on),
+            patch.object(self.gateway, "_run_with_lock", ran_here),
+        ):
+            asyncio.run(self.gateway._run_suspect(context, target))
+        self.assertEqual((handed_on.await_count, ran_here.await_count), (0, 1))
+
 
 class UnreliableResponseTests(GatewayTestCase):
     """Responses that may belong to another request, as a connection shows."""
