List a test of whole streams of suspects, which break off

Callers of a request that became a suspect (two upstreams crashed under it) get each whole stream that only its connection ended broken off, and 503 right after; it is never cleared by them.

Cause: a suspect is given up after one attempt that may have run, so its upstream is asked nothing.

--- a/tests/platform_adapter/test_ended_connections.py
+++ b/tests/platform_adapter/test_ended_connections.py
@@ -2,6 +2,7 @@
 
 import http.client
 import signal
+import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
 from typing import ClassVar, NamedTuple
@@ -22,6 +23,9 @@
 MAX_TOKENS = 3 * STREAM_EVENTS
 """Callers allow for more events than the streams have."""
 
+SETTLED_SECONDS = 1.5
+"""Within that time, upstreams that crashed are back and all entries know of the crashes."""
+
 DEADLINE_SECONDS = 4.0
 ROUTES = {
     "look": {"route_kind": "safe", "max_attempts": 2},
@@ -63,15 +67,15 @@
         self.keep_announcing(upstream)
         return upstream
 
-    def read(self, entry: str, route: str) -> Received:
-        """Send a request unlike all others, and read its answer to the end."""
+    def read(self, entry: str, route: str, name: str = "") -> Received:
+        """Send a request, unlike all others if not named; read its answer to the end."""
         host, _, port = self.deployment.entry_address(entry).rpartition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=10)
         headers = self.headers(str(int(DEADLINE_SECONDS * 1000)))
         headers[HEADER_NAMES.token_counts] = f"5,{MAX_TOKENS}"
         status, data = 0, b""
         try:
-            path = f"/{route}/{uuid.uuid4().hex}"
+            path = f"/{route}/{name or uuid.uuid4().hex}"
             connection.request("POST", path, b"hello", headers)
             response = connection.getresponse()
             status = response.status
@@ -178,6 +182,24 @@
                 upstream.fault = ""
             self.wait_served()
 
+    # Guards against requests that stay suspects of crashes since their whole streams are
+    # broken off.
+    def test_whole_stream_of_a_suspect_is_delivered(self) -> None:
+        """It clears the suspect, though only its connection ended it."""
+        for upstream in self.upstreams:
+            upstream.crash_body = b"hello"
+        self.read(self.entries[0], "resume", "suspect")
+        for upstream in self.upstreams:
+            upstream.crash_body = b""
+        time.sleep(SETTLED_SECONDS)
+        self.wait_served()
+        for upstream in self.upstreams:
+            self.assertEqual(len(upstream.crash_times), 1)
+            upstream.fault = "unframed whole"
+        for number in range(2):
+            stream = self.read(self.entries[0], "resume", "suspect")
+            self.assertEqual(stream, (200, EVENTS, True), number)
+
     # Guards against whole streams that a planned stop breaks off.
     def test_whole_stream_that_ends_in_a_planned_stop_is_delivered(self) -> None:
         """Also one that another entry takes part in, which doesn't stop."""
