Reset connections of broken links, and let a link refuse while its target is gone

In the soak a link that was reset or had lost bytes closed its connections, which looks like the end of an answer of an upstream that serves, and accepted connections for an upstream that was gone. It now resets them, passes a reset on as one, and can stop to listen, as a dead process does. A lost end of a connection is no longer waited for.

--- a/poplarlug/soak/proxy.py
+++ b/poplarlug/soak/proxy.py
@@ -10,6 +10,8 @@
 from types import TracebackType
 from typing import Any, NamedTuple
 
+from poplarlug.sockets import reset_connection
+
 CHUNK_BYTES = 65536
 MIN_WRITE_GAP_SECONDS = 1e-6
 """Minimum time between two scheduled writes of a connection, to keep their order."""
@@ -19,7 +21,7 @@
     """
     Behaviour of a link.
 
-    ``PASS`` forwards all bytes. ``REFUSE`` closes connections. ``SILENT`` keeps
+    ``PASS`` forwards all bytes. ``REFUSE`` resets connections. ``SILENT`` keeps
     connections open but drops bytes in both directions. ``LOSE_THERE`` drops bytes
     from source to target, ``LOSE_BACK`` those from target to source.
     """
@@ -47,7 +49,7 @@
     Proxy with one listener per link, each with an adjustable mode and delay.
 
     Bytes dropped by a silent link are not resent: connections that lost bytes are
-    aborted when the mode of the link changes, as they would time out on a network.
+    reset when the mode of the link changes, as they would time out on a network.
     """
 
     def __init__(self) -> None:
@@ -56,6 +58,7 @@
         self._delays_by_names: dict[tuple[str, str], float] = {}
         self._lossy_writers: set[asyncio.StreamWriter] = set()
         self._writers_by_names: dict[tuple[str, str], set[asyncio.StreamWriter]] = {}
+        self._servers_by_names: dict[tuple[str, str], asyncio.Server] = {}
         rng = Random()
         self._ip = (
             f"127.{rng.randint(1, 250)}.{rng.randint(1, 250)}.{rng.randint(2, 250)}"
@@ -79,8 +82,7 @@
         """Return the proxy address through which ``source`` reaches ``target``."""
         names = (source, target)
         if names not in self._links_by_names:
-            listener = socket.socket()
-            listener.bind((self._ip, 0))
+            listener = _bind(self._ip, 0)
             own = f"{self._ip}:{listener.getsockname()[1]}"
             self._links_by_names[names] = _Link(source, target, address, own)
             self._modes_by_names[names] = LinkMode.PASS
@@ -92,6 +94,14 @@
         """Set the mode of all links whose (source, target) match."""
         self._call(self._set_mode(mode, matching))
 
+    def set_listening(self, source: str, target: str, is_listening: bool) -> None:
+        """
+        Let a link accept connections or not, as its target does.
+
+        Connections that are open stay so.
+        """
+        self._call(self._set_listening((source, target), is_listening))
+
     def set_delay(
         self, seconds: float, *, matching: Callable[[str, str], bool]
     ) -> None:
@@ -135,7 +145,15 @@
             for writer in list(self._writers_by_names[names]):
                 if mode is LinkMode.REFUSE or writer in self._lossy_writers:
                     self._lossy_writers.discard(writer)
-                    writer.transport.abort()
+                    _reset(writer)
+
+    async def _set_listening(self, names: tuple[str, str], is_listening: bool) -> None:
+        server = self._servers_by_names[names]
+        if not is_listening:
+            server.close()
+        elif not server.is_serving():
+            host, _, port = self._links_by_names[names].address.rpartition(":")
+            await self._listen(names, _bind(host, int(port)))
 
     async def _listen(self, names: tuple[str, str], listener: socket.socket) -> None:
         async def accept(
@@ -145,7 +163,8 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await self._forward_connection(names, reader, writer)
 
-        await asyncio.start_server(accept, sock=listener)
+        server = await asyncio.start_server(accept, sock=listener)
+        self._servers_by_names[names] = server
 
     async def _forward_connection(
         self,
@@ -154,7 +173,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         if self._modes_by_names[names] is LinkMode.REFUSE:
-            writer.transport.abort()
+            _reset(writer)
             return
         host, _, port = self._links_by_names[names].target_address.rpartition(":")
         try:
@@ -162,7 +181,7 @@
                 host, int(port)
             )
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         writers = self._writers_by_names[names]
         writers |= {writer, target_writer}
@@ -214,14 +233,33 @@
                     _write(writer, data)
                     await writer.drain()
         except OSError:
-            pass
-        if self._modes_by_names[names] not in dropping_modes:
+            _reset(writer)
+            return
+        if self._modes_by_names[names] in dropping_modes:
+            # The end is lost as bytes are, and would be sent again on a network.
+            self._lossy_writers |= {writer, other}
+        else:
             other.transport.abort()
             delay = self._delays_by_names.get(names, 0.0)
             end = max(loop.time() + delay, last_write + MIN_WRITE_GAP_SECONDS)
             loop.call_at(end, writer.close)
 
 
+def _bind(host: str, port: int) -> socket.socket:
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    return listener
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; a plain close would look like the end of an answer."""
+    if writer.transport.is_closing():
+        writer.transport.abort()
+    else:
+        reset_connection(writer.transport)
+
+
 def _write(writer: asyncio.StreamWriter, data: bytes) -> None:
     if not writer.transport.is_closing():
         writer.write(data)
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -41,6 +41,35 @@
         server.close()
         self.assertEqual(bytes(received), b"first second")
 
+    # Guards against faults that look like the end of an answer of an upstream that serves.
+    def test_broken_link_is_reset_and_an_ended_target_refuses(self) -> None:
+        """A plain close comes only from the target, which then refuses connections."""
+        server = socket.create_server(("127.0.0.1", 0))
+        with FaultProxy() as proxy:
+            host, port = server.getsockname()
+            own = proxy.link("near", "far", f"{host}:{port}").split(":")
+            address = (own[0], int(own[1]))
+            near = socket.create_connection(address)
+            far, _ = server.accept()
+            proxy.set_mode(LinkMode.REFUSE, matching=lambda source, target: True)
+            with self.assertRaises(ConnectionResetError):
+                near.recv(1)
+            near.close()
+            far.close()
+            proxy.heal()
+            near = socket.create_connection(address)
+            far, _ = server.accept()
+            proxy.set_listening("near", "far", False)
+            far.sendall(b"part")
+            far.close()
+            self.assertEqual((near.recv(4), near.recv(1)), (b"part", b""))
+            near.close()
+            with self.assertRaises(ConnectionRefusedError):
+                socket.create_connection(address)
+            proxy.set_listening("near", "far", True)
+            socket.create_connection(address).close()
+        server.close()
+
     def test_due_write_goes_before_later_bytes(self) -> None:
         """Bytes received while the event loop is busy don't overtake delayed ones."""
         # Regression test: the proxy reordered the events of a stream (seed 1604).
