Let upstreams of the soak end while they send answers without length or chunks

Upstreams now end as a killed process does, with connections closed by FIN and the port closed; 0.4 of the answers, streams and plain ones, have neither a length nor chunks and come in parts of 0.03 s. Streams are checked event by event, also those that broke off. A check was replaced: at most two runs of a request became at most two upstreams and one run at each (stricter), and a second run only where a stream may be resumed and its end was in doubt.

--- a/poplarlug/soak/callers.py
+++ b/poplarlug/soak/callers.py
@@ -28,6 +28,10 @@
 RECONNECT_SHARE = 0.3
 """Fraction of requests before which a caller opens a new connection."""
 
+BURST_SHARE = 0.2
+BURST_PUTS = 4
+"""This fraction of the writes of an operator are this many in direct succession."""
+
 
 class Call(NamedTuple):
     """
@@ -39,6 +43,8 @@
         Monotonic time at which the request started.
     status : int
         HTTP status; 0 if the connection broke before the response was complete.
+    body : bytes
+        Body of the response, or its part that came before the connection broke.
     answered_id : str
         Request id in the response headers.
     """
@@ -63,14 +69,23 @@
     shared_parts : str
         Prompt parts before each request's own one, as callers list them; empty for
         requests without prompts.
+    reconnect_share : float
+        Fraction of requests before which it opens a new connection; with 0 it keeps
+        each connection until the entry closes it or is gone.
     """
 
     _numbers = itertools.count()
 
     def __init__(
-        self, *, entries: Sequence[Address], rng: Random, shared_parts: str = ""
+        self,
+        *,
+        entries: Sequence[Address],
+        rng: Random,
+        shared_parts: str = "",
+        reconnect_share: float = RECONNECT_SHARE,
     ) -> None:
         super().__init__(daemon=True)
+        self._reconnect_share = reconnect_share
         self._shared_parts = shared_parts
         self.calls: list[Call] = []
         self._entries = list(entries)
@@ -110,6 +125,9 @@
             status = response.status
             if response.headers.get("Connection", "").lower() == "close":
                 self._close()
+        except http.client.IncompleteRead as error:
+            answer = error.partial
+            self._close()
         except (OSError, http.client.HTTPException):
             self._close()
         return Call(request_id, kind, self._entry, started, status, answer, answered)
@@ -119,7 +137,7 @@
         return f"/{kind}/{request_id}", f"{kind} {request_id}".encode()
 
     def _connect(self) -> http.client.HTTPConnection:
-        if self._connection is None or self._rng.random() < RECONNECT_SHARE:
+        if self._connection is None or self._rng.random() < self._reconnect_share:
             self._close()
             self._entry = self._rng.choice(self._entries)
             host, _, port = self._entry.rpartition(":")
@@ -188,19 +206,26 @@
         self._put = put
         self._read = read
         self._rng = rng
+        # Its own, so that seeds keep the other draws of an operator.
+        self._burst_rng = Random(first_version)
         self._stopping = threading.Event()
 
     def stop(self) -> None:
         self._stopping.set()
 
+    def _write(self, replica: int) -> None:
+        self._version += 1
+        self.puts += 1
+        if self._put(replica, self._version):
+            self.acknowledged = max(self.acknowledged, self._version)
+
     def run(self) -> None:
         while not self._stopping.wait(self._rng.uniform(0.1, 0.6)):
             replica = self._rng.randrange(self._replicas)
             if self._rng.random() < 0.5:
-                self._version += 1
-                self.puts += 1
-                if self._put(replica, self._version):
-                    self.acknowledged = max(self.acknowledged, self._version)
+                is_burst = self._burst_rng.random() < BURST_SHARE
+                for _ in range(BURST_PUTS if is_burst else 1):
+                    self._write(replica)
                 continue
             known = self.acknowledged
             version = self._read(replica)
--- a/poplarlug/soak/deployment.py
+++ b/poplarlug/soak/deployment.py
@@ -60,6 +60,7 @@
         pid = os.getpid()
         self._ip_prefix = f"127.{64 + pid % 60}.{pid // 60 % 250}"
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._ending: dict[str, subprocess.Popen[bytes]] = {}
         self._host_numbers: dict[str, int] = {}
         self.control = {zone: f"control-{zone}" for zone in ZONES}
         self.entries = [f"entry-{i}-{zone}" for i, zone in enumerate(entry_zones)]
@@ -106,18 +107,19 @@
     def kill(self, name: str, number: int = signal.SIGKILL) -> int:
         """Send a signal, wait for the process to exit and return its exit status."""
         process = self._processes.pop(name)
+        self._ending[name] = process
         process.send_signal(number)
         return process.wait(20)
 
     def signal(self, name: str, number: int) -> None:
-        """Send a signal to a process if it is running."""
-        process = self._processes.get(name)
+        """Send a signal to a process if it is running, even if it is about to end."""
+        process = self._processes.get(name) or self._ending.get(name)
         if process is not None and process.poll() is None:
             process.send_signal(number)
 
     def pause(self, name: str, seconds: float) -> None:
         """Suspend a process, then resume it even if it was told to stop meanwhile."""
-        process = self._processes[name]
+        process = self._processes.get(name) or self._ending[name]
         process.send_signal(signal.SIGSTOP)
         time.sleep(seconds)
         if process.poll() is None:
@@ -127,9 +129,10 @@
         return self._processes.pop(name).wait(20)
 
     def close(self) -> None:
-        for process in self._processes.values():
+        processes = [*self._processes.values(), *self._ending.values()]
+        for process in processes:
             process.kill()
-        for process in self._processes.values():
+        for process in processes:
             process.wait(20)
 
     def call(
--- a/poplarlug/soak/main.py
+++ b/poplarlug/soak/main.py
@@ -7,7 +7,7 @@
 
 import fire
 
-from poplarlug.soak.run import SoakRun
+from poplarlug.soak.run import ENTRY_ZONES, SoakRun
 
 KEPT_FOLDER = "soak-failed"
 
@@ -20,6 +20,7 @@
     deadly: bool = False,
     deadly_part: bool = False,
     limits: bool = False,
+    entries: int = len(ENTRY_ZONES),
 ) -> None:
     """
     Run real processes under randomly drawn faults and check the guarantees.
@@ -42,6 +43,9 @@
         part that crashes their upstreams.
     limits : bool
         Whether some upstreams announce rate limits for a while.
+    entries : int
+        Number of entries, spread over the zones. Each takes some 50 MB; all processes
+        together should take no more than half of the memory.
     """
     base = Path(folder).resolve()
     failed = 0
@@ -55,6 +59,7 @@
             deadly=deadly,
             deadly_part=deadly_part,
             limits=limits,
+            entries=entries,
         )
         report = run.execute()
         print(json.dumps(report._asdict()), flush=True)
--- a/poplarlug/soak/promises.py
+++ b/poplarlug/soak/promises.py
@@ -1,19 +1,19 @@
 """Checks of the gateway's guarantees against records of callers and upstreams."""
 
 from bisect import bisect_right
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from poplarlug.soak.callers import Call
-from poplarlug.soak.upstream import STREAM_EVENTS
+from poplarlug.soak.upstream import STREAM_EVENTS, Arrival, encode_event
 from poplarlug.types import Seconds
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that the request was not executed."""
 
-MAX_RETRYABLE_RUNS = 2
-"""Maximum executions of a retryable request, as configured in the soak's routes."""
+MAX_ATTEMPTS = 2
+"""Maximum upstreams that run a retryable request, as configured in the soak's routes."""
 
 MAX_REQUEST_CRASHES = 3
 """How often a request that crashed this many upstreams may be sent after recovery."""
@@ -29,21 +29,28 @@
 LIMIT_SLACK = 5
 """Any window may hold ``LIMIT_OVERAGE`` times the limit plus ``LIMIT_SLACK`` requests."""
 
-EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(STREAM_EVENTS))
+EVENT_END = b"\n\n"
+EVENTS = b"".join(encode_event(number, "x") for number in range(STREAM_EVENTS))
 
 
-def check_calls(calls: Sequence[Call], runs: Counter[str]) -> list[str]:
+def check_calls(calls: Sequence[Call], arrivals: Iterable[Arrival]) -> list[str]:
     """
     Return a description of each violated guarantee.
 
     Parameters
     ----------
-    runs : Counter
-        Number of executions by upstreams, by request id.
+    arrivals : iterable of Arrival
+        All requests that upstreams executed.
     """
+    runs: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in arrivals:
+        runs[arrival.request_id].append(arrival)
     broken = []
     for call in calls:
-        broken += [f"{call.kind} {call.id}: {what}" for what in _check_call(call, runs)]
+        broken += [
+            f"{call.kind} {call.id} at {call.entry}: {what}"
+            for what in _check_call(call, runs.get(call.id, []))
+        ]
     known = {call.id for call in calls}
     unsent_ids = [request_id for request_id in runs if request_id not in known]
     broken += [f"request {one!r} was run but never sent" for one in unsent_ids]
@@ -89,15 +96,19 @@
     return []
 
 
-def _check_call(call: Call, runs: Counter[str]) -> Iterable[str]:
-    count = runs[call.id]
+def _check_call(call: Call, runs: Sequence[Arrival]) -> Iterable[str]:
+    count = len(runs)
     at_most_once = call.kind in ("book", "stream")
-    if count > (1 if at_most_once else MAX_RETRYABLE_RUNS):
+    if at_most_once and count > 1:
         yield f"ran {count} times"
+    elif not at_most_once:
+        yield from _check_repeats(call, runs)
     if at_most_once and call.status in NOT_RUN_STATUSES and count:
         yield f"was said not to have run by {call.status}, and ran"
     if call.status in (400, 401, 403, 404, 413, 422):
         yield f"was refused with {call.status} though its route is there"
+    if call.kind in ("stream", "resume") and call.status in (0, 200):
+        yield from _check_events(call.body, is_whole=call.status == 200)
     if call.status != 200:
         return
     if call.answered_id != call.id:
@@ -106,7 +117,31 @@
         expected = f"answer to {call.kind} {call.id}".encode()
         if call.body != expected:
             yield f"got the body {call.body[:60]!r}"
-    elif call.body != EVENTS:
-        yield "got a whole stream that lacks events, or has them twice"
     if not count:
         yield "was answered with success and never ran"
+
+
+def _check_repeats(call: Call, runs: Sequence[Arrival]) -> Iterable[str]:
+    """
+    Check that a request ran at few upstreams, and once at each.
+
+    An upstream may be asked once more for a stream that may be resumed and that its
+    connection ended.
+    """
+    counts = Counter(run.upstream_id for run in runs)
+    allowed = Counter(counts.keys())
+    if call.kind == "resume":
+        allowed.update({run.upstream_id for run in runs if run.is_unframed})
+    if len(counts) > MAX_ATTEMPTS or counts - allowed:
+        yield f"ran {dict(counts)} times at upstreams"
+
+
+def _check_events(body: bytes, *, is_whole: bool) -> Iterable[str]:
+    """Check that a stream has each event once and in order, and all if it is whole."""
+    *events, rest = body.split(EVENT_END)
+    for number, event in enumerate(events):
+        if event + EVENT_END != encode_event(number, "x"):
+            yield f"got {event!r} as event {number} of a stream"
+            return
+    if is_whole and (rest or len(events) != STREAM_EVENTS):
+        yield f"got a whole stream of {len(events)} of {STREAM_EVENTS} events"
--- a/poplarlug/soak/run.py
+++ b/poplarlug/soak/run.py
@@ -4,6 +4,8 @@
 import threading
 import time
 from collections import Counter
+from functools import partial
+from itertools import cycle, islice
 from pathlib import Path
 from random import Random
 from typing import NamedTuple
@@ -27,6 +29,7 @@
     CRASH_BODY,
     CRASH_PART,
     HOST,
+    RECONNECT_SHARE,
     Call,
     Caller,
     CrashCaller,
@@ -46,6 +49,7 @@
     ScheduledLimit,
     draw_limits,
     draw_schedule,
+    draw_series,
     draw_storage_faults,
 )
 from poplarlug.soak.upstream import Arrival, Upstream
@@ -54,6 +58,9 @@
 ENTRY_ZONES = ("quito-a", "quito-a", "cuenca-a", "guayaquil-a")
 UPSTREAM_ZONES = ("quito-a", "quito-a", "cuenca-a", "guayaquil-a")
 CALLERS = 8
+UNFRAMED_SHARE = 0.4
+"""Fraction of the upstreams' answers that have neither a length nor chunks."""
+
 BEAT_SECONDS = 0.6
 RECOVERY_SECONDS = 12.0
 """Time after the last fault until requests have to succeed again."""
@@ -81,6 +88,8 @@
         Number of scheduled faults.
     calls, served : int
         Number of requests, and of those answered with status 200.
+    cut_unframed : int
+        Number of answers without a length or chunks that the end of an upstream cut off.
     broken : tuple of str
         Violated guarantees; empty if the run passed.
     """
@@ -89,6 +98,7 @@
     faults: int
     calls: int
     served: int
+    cut_unframed: int
     broken: tuple[str, ...]
 
 
@@ -120,6 +130,8 @@
         part that crashes their upstreams.
     limits : bool
         Whether some upstreams announce rate limits for a while.
+    entries : int
+        Number of entries, spread over the zones.
     """
 
     def __init__(
@@ -131,6 +143,7 @@
         deadly: bool = False,
         deadly_part: bool = False,
         limits: bool = False,
+        entries: int = len(ENTRY_ZONES),
     ) -> None:
         self._seed = seed
         self._deadly_part = deadly_part
@@ -141,12 +154,16 @@
         # A separate generator, so that seeds that failed before keep their faults.
         self._storage_rng = Random(f"{seed}/storage")
         storage = draw_storage_faults(self._storage_rng, seconds=seconds)
-        self.faults = tuple(sorted([*drawn, *storage], key=lambda fault: fault.at))
+        series = draw_series(Random(f"{seed}/series"), seconds=seconds)
+        self.faults = tuple(
+            sorted([*drawn, *storage, *series], key=lambda fault: fault.at)
+        )
         drawn_limits = draw_limits(Random(f"{seed}/limits"), seconds=seconds)
         self._scheduled_limits = drawn_limits if limits else ()
         self._limit_periods: list[tuple[Upstream, LimitPeriod]] = []
         folder.mkdir(parents=True, exist_ok=True)
-        self._deployment = SeededDeployment(folder=folder, entry_zones=ENTRY_ZONES)
+        zones = tuple(islice(cycle(ENTRY_ZONES), entries))
+        self._deployment = SeededDeployment(folder=folder, entry_zones=zones)
         self._proxy = FaultProxy()
         self._upstreams: list[Upstream] = []
         self._addresses: list[str] = []
@@ -180,6 +197,7 @@
                 shared_parts=f"{COMMON_PART},b{number}:100"
                 if self._deadly_part
                 else "",
+                reconnect_share=RECONNECT_SHARE if number % 2 else 0.0,
             )
             for number in range(CALLERS)
         ]
@@ -218,12 +236,14 @@
         operator: Operator,
         recovered: Seconds,
     ) -> SoakReport:
-        runs: Counter[str] = Counter()
-        for upstream in self._upstreams:
-            runs += upstream.runs
-        for call in crash_calls:
-            del runs[call.id]
-        broken = check_calls(calls, runs) + operator.broken
+        crash_ids = {call.id for call in crash_calls}
+        arrivals = [
+            arrival
+            for upstream in self._upstreams
+            for arrival in upstream.arrivals
+            if arrival.request_id not in crash_ids
+        ]
+        broken = check_calls(calls, arrivals) + operator.broken
         late = [call for call in calls if call.sent > recovered]
         served = sum(call.status == 200 for call in late)
         if not late or served < SERVED_SHARE * len(late):
@@ -239,7 +259,12 @@
             broken.append(f"version {final_version} is left of {operator.acknowledged}")
         answered = sum(call.status == 200 for call in calls)
         return SoakReport(
-            self._seed, len(self.faults), len(calls), answered, tuple(broken)
+            seed=self._seed,
+            faults=len(self.faults),
+            calls=len(calls),
+            served=answered,
+            cut_unframed=sum(upstream.cut_unframed for upstream in self._upstreams),
+            broken=tuple(broken),
         )
 
     def _describe_unserved(self, calls: list[Call], recovered: Seconds) -> str:
@@ -319,14 +344,14 @@
         deployment = self._deployment
         names = [*deployment.entries, *deployment.control.values()]
         name = names[fault.target % len(names)]
-        if not deployment.is_running(name):
-            return
+        number = signal.SIGKILL if fault.kind == "kill" else signal.SIGTERM
         if fault.kind == "hang_up":
             deployment.signal(name, signal.SIGHUP)
         elif fault.kind == "pause":
             deployment.pause(name, fault.seconds)
+        elif not deployment.is_running(name):
+            deployment.signal(name, number)
         else:
-            number = signal.SIGKILL if fault.kind == "kill" else signal.SIGTERM
             deployment.kill(name, number)
             time.sleep(fault.seconds)
             deployment.start(name)
@@ -364,6 +389,8 @@
             self._proxy.set_delay(fault.seconds / 10, matching=is_link_to_upstream)
             time.sleep(fault.seconds)
             self._proxy.set_delay(0.0, matching=is_link_to_upstream)
+        elif fault.kind == "end":
+            upstream.crash(fault.seconds)
         elif fault.kind == "leave":
             self._leaving.add(upstream.name)
             time.sleep(fault.seconds)
@@ -385,8 +412,12 @@
             )
             upstream.crash_body = CRASH_BODY
             upstream.crash_parts = frozenset({CRASH_PART})
+            upstream.unframed_share = UNFRAMED_SHARE
             self._upstreams.append(upstream)
             link = self._proxy.link(LINK_SOURCE, name, upstream.address)
+            upstream.on_listening = partial(
+                self._proxy.set_listening, LINK_SOURCE, name
+            )
             self._addresses.append(link)
         threading.Thread(target=self._send_beats, daemon=True).start()
 
--- a/poplarlug/soak/schedule.py
+++ b/poplarlug/soak/schedule.py
@@ -23,12 +23,25 @@
 StorageFaultKind: TypeAlias = Literal["lose_disk", "tear_log"]
 """A control replica restarts without its data, or with a truncated log record."""
 
+UpstreamEndKind: TypeAlias = Literal["end"]
+"""An upstream ends as a killed process does, and comes back under a new id."""
+
 MEAN_GAP_SECONDS = 1.0
 """Mean time between the starts of two faults; faults may overlap."""
 
 MIN_FAULT_SECONDS = 0.3
 MAX_FAULT_SECONDS = 4.0
 
+SERIES_GAP_SECONDS = 1.5
+"""Mean time between the starts of two series; they may overlap."""
+
+SERIES_FAULTS = (3, 6)
+SERIES_STEP_SECONDS = 0.6
+"""Bounds of the number of faults in a series, and the most time between two of them."""
+
+END_SECONDS = (1.0, 3.0)
+"""Bounds of the time until an upstream is back; a start of a process takes as long."""
+
 LIMITED_UPSTREAMS = 2
 
 _PROCESS_KINDS: tuple[FaultKind, ...] = ("kill", "stop", "pause", "hang_up")
@@ -49,7 +62,7 @@
     """
 
     at: Seconds
-    kind: FaultKind | StorageFaultKind
+    kind: FaultKind | StorageFaultKind | UpstreamEndKind
     seconds: Seconds
     target: int
 
@@ -81,6 +94,32 @@
     return tuple(faults)
 
 
+def draw_series(rng: Random, *, seconds: Seconds) -> tuple[Fault, ...]:
+    """
+    Return series of faults in quick succession, at one target or at all in turn.
+
+    Ends of upstreams alternate with signals to processes.
+    """
+    faults: list[Fault] = []
+    is_upstream = True
+    at = rng.expovariate(1 / SERIES_GAP_SECONDS)
+    while at < seconds:
+        target, step = rng.randrange(1000), rng.choice((0, 1))
+        moment = at
+        for number in range(rng.randint(*SERIES_FAULTS)):
+            bounds = END_SECONDS
+            kind: FaultKind | UpstreamEndKind = "end"
+            if not is_upstream:
+                bounds = (MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+                kind = rng.choice(_PROCESS_KINDS)
+            length = round(rng.uniform(*bounds), 3)
+            faults.append(Fault(round(moment, 3), kind, length, target + number * step))
+            moment += rng.uniform(0.0, SERIES_STEP_SECONDS)
+        is_upstream = not is_upstream
+        at += rng.expovariate(1 / SERIES_GAP_SECONDS)
+    return tuple(faults)
+
+
 def draw_storage_faults(rng: Random, *, seconds: Seconds) -> tuple[Fault, ...]:
     """
     Return the storage faults of one run: one lost disk and two torn logs.
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -6,6 +6,8 @@
 import time
 import urllib.request
 from collections import Counter
+from collections.abc import Callable, Iterable
+from random import Random
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -26,6 +28,9 @@
 PLAIN_BODY = b"an answer without a length"
 """Body of plain answers whose end is that of the connection."""
 
+PART_SECONDS = 0.03
+"""Time that an upstream works on a part of an answer sent in parts."""
+
 MUTE_SECONDS = 30.0
 ERRORS_BY_FAULT = {
     "error": (500, "text/plain", "failed"),
@@ -35,12 +40,27 @@
 
 
 class Arrival(NamedTuple):
-    """A request executed by an upstream, with its monotonic arrival time."""
+    """
+    A request executed by an upstream, with its monotonic arrival time.
+
+    Parameters
+    ----------
+    upstream_id : str
+        Id of the upstream at that time.
+    is_unframed : bool
+        Whether its answer has neither a length nor chunks and is sent in parts.
+    """
 
     at: Seconds
     path: str
     headers: dict[str, str]
     body: bytes
+    upstream_id: str = ""
+    is_unframed: bool = False
+
+    @property
+    def request_id(self) -> str:
+        return self.headers.get(HEADER_NAMES.request_id, "")
 
 
 class Upstream:
@@ -101,6 +121,13 @@
         Whether a crash keeps connections open without responding on them.
     crash_times : list of float
         Monotonic times of the crashes.
+    unframed_share : float
+        Fraction of answers, of those without a fault or with ``cut``, that have neither
+        a length nor chunks; they are sent in parts.
+    on_listening : callable
+        Called with whether it accepts connections, at each crash and restart.
+    cut_unframed : int
+        Number of answers without a length or chunks that a crash cut off.
     """
 
     def __init__(self, *, upstream_id: str, ip: str, service: str, zone: str) -> None:
@@ -135,6 +162,10 @@
         self.crashes_silently = False
         self.is_up = True
         self.crash_times: list[float] = []
+        self.unframed_share = 0.0
+        self.on_listening: Callable[[bool], None] = lambda is_listening: None
+        self.cut_unframed = 0
+        self._rng = Random(upstream_id)
         self._restart_task: asyncio.Task[None] | None = None
         self._sequence = 0
         self.born = time.time_ns() // 1_000_000
@@ -146,9 +177,7 @@
     @property
     def runs(self) -> Counter[str]:
         """Number of executions by request id."""
-        return Counter(
-            a.headers.get(HEADER_NAMES.request_id, "") for a in self.arrivals
-        )
+        return Counter(arrival.request_id for arrival in self.arrivals)
 
     def beat(
         self, control: str, phase: UpstreamPhase = "serving", address: str = ""
@@ -181,9 +210,9 @@
         with urllib.request.urlopen(request, timeout=2) as answer:
             return answer.status
 
-    def crash(self) -> None:
+    def crash(self, down_seconds: Seconds | None = None) -> None:
         """Crash now, without a request as the cause, and restart later."""
-        self._call(self._crash())
+        self._call(self._crash(down_seconds))
 
     def close(self) -> None:
         self._call(self._stop())
@@ -214,27 +243,31 @@
         # Aborted transports are closed in the next iteration of the event loop.
         await asyncio.sleep(0)
 
-    async def _crash(self) -> None:
+    async def _crash(self, down_seconds: Seconds | None = None) -> None:
         if not self.is_up:
             return
         self.is_up = False
         self.crash_times.append(time.monotonic())
         if not self.crashes_silently:
             await self._site.stop()
+            self.on_listening(False)
             assert self._runner.server is not None
             for handler in self._runner.server.connections:
                 if handler.transport is not None:
                     handler.transport.abort()
-        self._restart_task = asyncio.ensure_future(self._restart())
+        self._restart_task = asyncio.ensure_future(
+            self._restart(self.down_seconds if down_seconds is None else down_seconds)
+        )
 
-    async def _restart(self) -> None:
-        await asyncio.sleep(self.down_seconds)
+    async def _restart(self, down_seconds: Seconds) -> None:
+        await asyncio.sleep(down_seconds)
         if not self.keeps_id:
             self.id = f"{self.name}-{len(self.crash_times)}"
         self.born = time.time_ns() // 1_000_000
         self._sequence = 0
         if not self.crashes_silently:
             await self._listen()
+            self.on_listening(True)
         self.is_up = True
 
     async def _crash_during_request(self) -> None:
@@ -254,16 +287,38 @@
             if self.retry_after:
                 headers["Retry-After"] = self.retry_after
             return web.Response(status=503, headers=headers)
-        now = time.monotonic()
+        is_crash_request = self._is_crash_request(request, body)
+        is_unframed = (
+            not is_crash_request
+            and self._fault_for(request) in ("", "cut")
+            and self._rng.random() < self.unframed_share
+        )
         self.arrivals.append(
-            Arrival(now, request.raw_path, dict(request.headers), body)
+            Arrival(
+                at=time.monotonic(),
+                path=request.raw_path,
+                headers=dict(request.headers),
+                body=body,
+                upstream_id=self.id,
+                is_unframed=is_unframed,
+            )
         )
         if not self.is_up:
             await asyncio.sleep(MUTE_SECONDS)
-        is_crash_request = self._is_crash_request(request, body)
         if is_crash_request and not self.crash_after_events:
             await self._crash_during_request()
         headers[HEADER_NAMES.signature] = f"signed-{self.id}"
+        if is_unframed:
+            return await self._send_in_parts(request, headers, body)
+        return await self._answer(request, headers, body, is_crash_request)
+
+    async def _answer(
+        self,
+        request: web.Request,
+        headers: dict[str, str],
+        body: bytes,
+        is_crash_request: bool,
+    ) -> web.StreamResponse:
         if self._fault_for(request) == "reset":
             assert request.transport is not None
             request.transport.abort()
@@ -277,7 +332,7 @@
             return await self._send_unframed(request, headers)
         if self._fault_for(request) == "mute":
             await asyncio.sleep(MUTE_SECONDS)
-        if "/stream/" in request.path or "/resume/" in request.path:
+        if _is_stream(request):
             last = (
                 first_event(request) + self.crash_after_events
                 if is_crash_request
@@ -316,14 +371,8 @@
         """Send an answer whose end is that of the connection."""
         transport = request.transport
         assert transport is not None
-        is_stream = "/stream/" in request.path or "/resume/" in request.path
-        content_type = "text/event-stream" if is_stream else "text/plain"
-        lines = [f"{name}: {value}" for name, value in headers.items()]
-        head = "\r\n".join(
-            ["HTTP/1.1 200 OK", f"Content-Type: {content_type}", *lines, "", ""]
-        )
-        body = self._unframed_body_for(request, is_stream)
-        transport.write(head.encode() + body)
+        body = self._unframed_body_for(request, _is_stream(request))
+        transport.write(_unframed_head(request, headers) + body)
         # The bytes arrive before the end of the connection.
         await asyncio.sleep(self.unframed_seconds)
         if self._fault_for(request) == "unframed crash":
@@ -334,6 +383,35 @@
         transport.close()
         return web.Response()
 
+    async def _send_in_parts(
+        self, request: web.Request, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
+        """Send an answer without a length or chunks as the upstream works on it."""
+        transport = request.transport
+        assert transport is not None
+        transport.write(_unframed_head(request, headers))
+        parts: Iterable[bytes] = (b"answer ", b"to ", body)
+        if _is_stream(request):
+            parts = self._event_parts(request)
+        try:
+            for part in parts:
+                transport.write(part)
+                await asyncio.sleep(PART_SECONDS)
+        except asyncio.CancelledError:
+            self.cut_unframed += not self.is_up
+            self.abandoned += self.is_up
+            raise
+        transport.close()
+        return web.Response()
+
+    def _event_parts(self, request: web.Request) -> Iterable[bytes]:
+        first = first_event(request)
+        for number in range(first, STREAM_EVENTS):
+            if self._fault_for(request) == "cut" and number == first + CUT_AFTER_EVENTS:
+                yield b"id: %d\nda" % number
+                return
+            yield encode_event(number, self.event_data)
+
     def _unframed_body_for(self, request: web.Request, is_stream: bool) -> bytes:
         fault = self._fault_for(request)
         if fault in ("unframed", "unframed reset"):
@@ -397,6 +475,18 @@
     return b"id: %d\ndata: %s\n\n" % (number, data.encode())
 
 
+def _is_stream(request: web.Request) -> bool:
+    return "/stream/" in request.path or "/resume/" in request.path
+
+
+def _unframed_head(request: web.Request, headers: dict[str, str]) -> bytes:
+    """Return the head of an answer whose end is that of the connection."""
+    content_type = "text/event-stream" if _is_stream(request) else "text/plain"
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = ["HTTP/1.1 200 OK", f"Content-Type: {content_type}", *lines, "", ""]
+    return "\r\n".join(head).encode()
+
+
 def first_event(request: web.Request) -> int:
     """Return the number of the first event requested by a client."""
     last = request.headers.get(LAST_EVENT_HEADER, "")
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -1,20 +1,26 @@
 """Tests that the soak's checks detect violated guarantees."""
 
-from collections import Counter
 from random import Random
 from unittest import TestCase
 
+from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.soak.callers import Call
 from poplarlug.soak.promises import EVENTS, LimitPeriod, check_calls, check_limits
-from poplarlug.soak.schedule import draw_schedule
+from poplarlug.soak.schedule import draw_schedule, draw_series
+from poplarlug.soak.upstream import Arrival
 
 GOOD = Call("a1", "book", "127.0.0.1:1", 0.0, 200, b"answer to book a1", "a1")
 
 
+def run_at(upstream_id: str, *, is_unframed: bool = False) -> Arrival:
+    headers = {HEADER_NAMES.request_id: GOOD.id}
+    return Arrival(0.0, "/", headers, b"", upstream_id, is_unframed)
+
+
 class CheckCallsTests(TestCase):
     def broken(self, runs: int, **fields: object) -> list[str]:
         call = GOOD._replace(**fields)
-        return check_calls([call], Counter({call.id: runs} if runs else {}))
+        return check_calls([call], [run_at(f"u-{number}") for number in range(runs)])
 
     def test_good_answer_breaks_nothing(self) -> None:
         """A booking that ran once, or a resumable stream up to twice, is correct."""
@@ -38,15 +44,40 @@
             "other body": self.broken(1, body=b"answer to book b2"),
             "short stream": self.broken(1, kind="stream", body=EVENTS[:-20]),
             "stream joined twice": self.broken(1, kind="resume", body=EVENTS * 2),
+            "event lacking": self.broken(1, kind="resume", body=EVENTS[15:]),
+            "event twice": self.broken(1, kind="resume", body=EVENTS[:15] + EVENTS),
+            "broken off, event twice": self.broken(
+                1, kind="resume", status=0, body=EVENTS[:15] + EVENTS[:30]
+            ),
+            "third upstream": self.broken(3, kind="look", body=b"answer to look a1"),
             "denied": self.broken(0, status=404),
         }
         for what, broken in cases.items():
             with self.subTest(what=what):
                 self.assertEqual(len(broken), 1, broken)
 
+    def test_stream_that_broke_off_breaks_nothing(self) -> None:
+        """Its caller knows that it lacks events."""
+        for end in (0, 15, 20):
+            body = EVENTS[:end]
+            self.assertEqual(self.broken(1, kind="stream", status=0, body=body), [])
+
+    # Guards against second runs at an upstream without a doubt about its first answer.
+    def test_only_an_unframed_stream_may_be_asked_for_again(self) -> None:
+        """It then runs twice at one of two upstreams."""
+        resume = GOOD._replace(kind="resume", body=EVENTS)
+        unframed = run_at("u-0", is_unframed=True)
+        other = run_at("u-1")
+        self.assertEqual(check_calls([resume], [unframed, run_at("u-0"), other]), [])
+        twice = [run_at("u-0"), run_at("u-0")]
+        self.assertEqual(len(check_calls([resume], twice)), 1)
+        self.assertEqual(len(check_calls([resume], [unframed, *twice])), 1)
+        look = GOOD._replace(kind="look", body=b"answer to look a1")
+        self.assertEqual(len(check_calls([look], [unframed, run_at("u-0")])), 1)
+
     def test_request_that_nobody_sent_is_seen(self) -> None:
         """An execution of a request that no caller sent is reported."""
-        self.assertEqual(len(check_calls([], Counter({"x": 1}))), 1)
+        self.assertEqual(len(check_calls([], [run_at("u-0")])), 1)
 
 
 class ScheduleTests(TestCase):
@@ -58,6 +89,21 @@
         self.assertGreater(len(first), 20)
         self.assertEqual(list(first), sorted(first, key=lambda fault: fault.at))
 
+    # Guards against soaks in which no upstream ends while other faults last.
+    def test_ends_of_upstreams_overlap_with_signals(self) -> None:
+        """A seed reproduces its series, of ends and of signals."""
+        first = draw_series(Random(5), seconds=60.0)
+        self.assertEqual(draw_series(Random(5), seconds=60.0), first)
+        ends = [fault for fault in first if fault.kind == "end"]
+        signals = [fault for fault in first if fault.affects_process]
+        self.assertEqual(len(ends) + len(signals), len(first))
+        overlaps = [
+            end
+            for end in ends
+            if any(one.at < end.at < one.at + one.seconds for one in signals)
+        ]
+        self.assertGreater(len(overlaps), len(ends) / 4)
+
 
 class LimitTests(TestCase):
     def test_more_than_a_limit_allows_is_told(self) -> None:
