Append nothing to a file that is shorter than it was

It is refused as a broken disk now, and logged as that.

Test: test_append_refuses_a_file_that_lost_its_end; on the code before an append to a deleted file raised an assertion and left an empty file (read, not run).

--- a/poplarlug/control/disk.py
+++ b/poplarlug/control/disk.py
@@ -1,6 +1,7 @@
 """Files in one data folder; a write is durable once it returns."""
 
 import asyncio
+import errno
 import fcntl
 import os
 from abc import ABC, abstractmethod
@@ -34,7 +35,7 @@
     @abstractmethod
     async def append(self, name: str, data: bytes, *, offset: int) -> None:
         """
-        Write ``data`` at the end of a file and sync it.
+        Write ``data`` at the end of an existing file and sync it.
 
         Parameters
         ----------
@@ -89,19 +90,17 @@
         await asyncio.to_thread(self._replace, name, data)
 
     def _append(self, name: str, data: bytes, offset: int) -> None:
-        path = self._folder / name
-        created = not path.exists()
-        with path.open("wb" if created else "r+b") as file:
+        with (self._folder / name).open("r+b") as file:
             size = file.seek(0, os.SEEK_END)
-            assert size >= offset, f"{name} has {size} bytes, expected {offset}"
+            if size < offset:
+                message = f"{name} has {size} bytes, expected at least {offset}"
+                raise OSError(errno.EIO, message)
             if size > offset:
                 file.truncate(offset)
                 file.seek(offset)
             file.write(data)
             file.flush()
             os.fsync(file.fileno())
-        if created:
-            self._sync_folder()
 
     def _replace(self, name: str, data: bytes) -> None:
         new = self._folder / f"{name}.new"
--- a/tests/control/test_disk.py
+++ b/tests/control/test_disk.py
@@ -17,7 +17,7 @@
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
         self.disk = FileDisk(folder=self.folder)
-        asyncio.run(self.disk.append("log", HELD, offset=0))
+        asyncio.run(self.disk.replace("log", HELD))
 
     # Guards against a partial write that stays between valid records.
     def test_append_cuts_what_a_failed_one_left(self) -> None:
@@ -35,3 +35,12 @@
             asyncio.run(self.disk.replace("log", b"failed"))
         self.assertEqual(self.disk.read("log"), HELD)
         self.assertEqual(sorted(p.name for p in self.folder.iterdir()), ["log"])
+
+    # Guards against entries behind a hole, which no start can read.
+    def test_append_refuses_a_file_that_lost_its_end(self) -> None:
+        """Whether it is shorter than expected or gone."""
+        for lose in (lambda path: path.write_bytes(b""), Path.unlink):
+            lose(self.folder / "log")
+            with self.assertRaises(OSError):
+                asyncio.run(self.disk.append("log", b"b", offset=len(HELD)))
+            self.assertFalse(self.disk.read("log"))
