Take a suspect's unframed stream for whole if its upstream is there

Callers whose resumable request was a suspect of crashes got whole streams broken off if only the connection had ended them, and the suspect wasn't cleared: the next ones got 503.

Cause: leaves such an end to a second question to the upstream, and a suspect gets one attempt under its lock. It is judged like an answer that can't be asked for again: the upstream must still accept connections after it.

--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -312,9 +312,11 @@
         lock: SuspectLock,
     ) -> Outcome:
         context.crash_check = None
+        context.can_ask_again = False
         try:
             return await self._run_local(context, target, timeout_seconds, apart=True)
         finally:
+            context.can_ask_again = True
             lock.release(context.crash_check)
 
     async def _run_to_end(
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -233,8 +233,8 @@
                     break
             outcome = _check_end(context, response, events)
             # An upstream that has sent the last event twice and is there has no other.
-            is_repeated = outcome.is_uncertain and events.has_only_repeat
-            if is_repeated and await _outlives_answer(context):
+            is_final = events.has_only_repeat or not context.can_ask_again
+            if outcome.is_uncertain and is_final and await _outlives_answer(context):
                 outcome = DONE
             if held and outcome.error is None:
                 # A whole stream is never resumed, so it needs no record.
