--- a/poplarlug/soak/proxy.py
+++ b/poplarlug/soak/proxy.py
@@ -183,6 +183,11 @@
         except OSError:
             _reset(writer)
             return
+        if self._modes_by_names[names] is LinkMode.REFUSE:
+            # Set while the target was connected.
+            _reset(writer)
+            target_writer.transport.abort()
+            return
         writers = self._writers_by_names[names]
         writers |= {writer, target_writer}
         to_target = self._pump(
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -49,7 +49,7 @@
             host, port = server.getsockname()
             own = proxy.link("near", "far", f"{host}:{port}").split(":")
             address = (own[0], int(own[1]))
-            near = socket.create_connection(address)
+            near = socket.create_connection(address, timeout=5.0)
             far, _ = server.accept()
             proxy.set_mode(LinkMode.REFUSE, matching=lambda source, target: True)
             with self.assertRaises(ConnectionResetError):
@@ -57,7 +57,7 @@
             near.close()
             far.close()
             proxy.heal()
-            near = socket.create_connection(address)
+            near = socket.create_connection(address, timeout=5.0)
             far, _ = server.accept()
             proxy.set_listening("near", "far", False)
             far.sendall(b"part")
