Believe an upstream that has confirmed its unframed streams, where the retry budget is spent

Now an entry counts for each run of an upstream how many questions in a row it answered with the last event alone. After three, and without room in the budget, its stream counts as whole if it still accepts connections, like an answer that can't be asked for again. One stream that was ended early starts the count anew.

test_many_whole_streams_that_their_connections_end_are_delivered failed on (a whole stream broke off) and passes (64 streams at each entry); of 64 that are ended early none looks whole, before and now.

--- a/poplarlug/relay/answer_end.py
+++ b/poplarlug/relay/answer_end.py
@@ -4,8 +4,15 @@
 
 import aiohttp
 
+from poplarlug.discovery.records import UpstreamRun
 from poplarlug.relay.events import EventProgress
 
+TRUSTED_ENDS = 3
+"""Unframed streams in a row that an upstream must have confirmed as whole."""
+
+MAX_RUNS = 1024
+"""Runs of upstreams whose ends are remembered; a region has fewer."""
+
 
 class Framing(Enum):
     """What tells where the body of an answer ends."""
@@ -69,3 +76,28 @@
     if is_framed:
         return StreamEnd.WHOLE
     return StreamEnd.REPEATED if events.has_only_repeat else StreamEnd.UNCERTAIN
+
+
+class ConfirmedEnds:
+    """
+    How many unframed streams in a row each upstream has confirmed as whole.
+
+    Load pattern: most answers of a service have no framing, and asking about each would
+    take more repeats than the retry budget allows. An upstream that has only sent whole
+    ones is believed then; one that has ended a stream early is not.
+    """
+
+    def __init__(self) -> None:
+        self._counts_by_run: dict[UpstreamRun, int] = {}
+
+    def note(self, run: UpstreamRun, *, is_whole: bool) -> None:
+        """Record what an upstream answered when it was asked for its last event again."""
+        count = self._counts_by_run.pop(run, 0)
+        # Reinserted, so that the first one in order is the longest ago.
+        self._counts_by_run[run] = count + 1 if is_whole else 0
+        if len(self._counts_by_run) > MAX_RUNS:
+            del self._counts_by_run[next(iter(self._counts_by_run))]
+
+    def are_trusted(self, run: UpstreamRun) -> bool:
+        """Return whether a stream of an upstream may count as whole unasked."""
+        return self._counts_by_run.get(run, 0) >= TRUSTED_ENDS
--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -132,9 +132,9 @@
     is_listening : callable
         Returns whether the upstream of the current attempt still accepts connections
         after one of them has ended.
-    can_ask_again : bool
-        Whether the upstream of the current attempt can be asked whether its stream was
-        whole. One that runs a suspect alone can't, as each attempt needs its lock.
+    must_ask_again : callable
+        Returns whether the upstream of the current attempt must be asked whether its
+        stream was whole, rather than be believed if it is still there.
     can_resume_elsewhere : callable
         Returns whether another target can serve the rest of the current stream now.
     """
@@ -163,7 +163,7 @@
         self.upstream_version: SoftwareVersion = ""
         self.record_start: Callable[[], Awaitable[None]] = _record_nothing
         self.is_listening: Callable[[], Awaitable[bool]] = _is_unknown
-        self.can_ask_again = True
+        self.must_ask_again: Callable[[], bool] = lambda: True
         self.can_resume_elsewhere: Callable[[], bool] = lambda: False
         self._recording: asyncio.Future[None] | None = None
         self._attempts = 0
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -10,7 +10,7 @@
 from prometheus_client import Counter, Histogram
 from returns.result import Failure
 
-from poplarlug.discovery.records import EntryRecord
+from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.errors import (
     HELD_APART,
     LEAVING,
@@ -23,6 +23,7 @@
 )
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
+from poplarlug.relay.answer_end import ConfirmedEnds
 from poplarlug.relay.budgets import RetryBudget, RetryLimits
 from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
 from poplarlug.relay.connections import RelayResponse
@@ -144,6 +145,7 @@
         self._clock = clock
         self._stood_still_since = stood_still_since
         self._held_bytes = HeldBytesBudget()
+        self._confirmed_ends = ConfirmedEnds()
         self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
         self._background: set[asyncio.Task[Outcome]] = set()
 
@@ -226,6 +228,7 @@
                 outcome = await self._run_suspect(context, target)
             else:
                 timeout_seconds = self._attempt_timeout(context, budget)
+                context.must_ask_again = partial(self._must_ask_again, budget, target)
                 context.can_resume_elsewhere = partial(
                     self._can_resume_elsewhere, context, budget, target
                 )
@@ -247,6 +250,8 @@
         if isinstance(target, LocalTarget):
             sent = self._run_local(context, target, timeout_seconds)
             outcome = await self._run_to_end(context, sent)
+            if context.asks_again:
+                self._note_asked_again(context, target.upstream, outcome)
             context.note_upstream_outcome(target.upstream.id, outcome)
         else:
             outcome = await self._run_remote(context, target, timeout_seconds)
@@ -257,6 +262,17 @@
                 context.note_region_outcome(target.entry.region, outcome)
         return outcome
 
+    def _note_asked_again(
+        self, context: RequestContext, upstream: ServiceUpstream, outcome: Outcome
+    ) -> None:
+        """Record whether the stream in doubt was whole, if its upstream told."""
+        events = context.events
+        assert events is not None
+        if outcome.error is None and events.has_only_repeat:
+            self._confirmed_ends.note(upstream.run, is_whole=True)
+        elif events.has_rest and not events.has_only_repeat:
+            self._confirmed_ends.note(upstream.run, is_whole=False)
+
     async def _run_suspect(self, context: RequestContext, target: Target) -> Outcome:
         """Run a suspect under its lock, at the one entry where such requests run."""
         timeout_seconds = context.request.deadline - self._clock()
@@ -312,11 +328,11 @@
         lock: SuspectLock,
     ) -> Outcome:
         context.crash_check = None
-        context.can_ask_again = False
+        # Each attempt of a suspect needs its lock.
+        context.must_ask_again = lambda: False
         try:
             return await self._run_local(context, target, timeout_seconds, apart=True)
         finally:
-            context.can_ask_again = True
             lock.release(context.crash_check)
 
     async def _run_to_end(
@@ -352,6 +368,13 @@
             max(MIN_ATTEMPT_TIMEOUT_SECONDS, ATTEMPT_TIMEOUT_OBJECTIVES * objective),
         )
 
+    def _must_ask_again(self, budget: RetryBudget, target: Target) -> bool:
+        """Return whether a target must be asked whether its stream was whole."""
+        if isinstance(target, RemoteTarget):
+            return True
+        is_trusted = self._confirmed_ends.are_trusted(target.upstream.run)
+        return not is_trusted or budget.has_room(self._entry_count())
+
     def _can_resume_elsewhere(
         self, context: RequestContext, budget: RetryBudget, target: Target
     ) -> bool:
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -233,7 +233,7 @@
                     break
             outcome = _check_end(context, response, events)
             # An upstream that has sent the last event twice and is there has no other.
-            is_final = events.has_only_repeat or not context.can_ask_again
+            is_final = events.has_only_repeat or not context.must_ask_again()
             if outcome.is_uncertain and is_final and await _outlives_answer(context):
                 outcome = DONE
             if held and outcome.error is None:
--- a/tests/platform_adapter/test_ended_connections.py
+++ b/tests/platform_adapter/test_ended_connections.py
@@ -20,6 +20,7 @@
 from tests.platform_adapter.case import DeploymentTestCase
 
 STREAMS = 8
+MANY_ROUNDS = 8
 EVENTS = b"".join(encode_event(number, "x") for number in range(STREAM_EVENTS))
 MAX_TOKENS = 3 * STREAM_EVENTS
 """Callers allow for more events than the streams have."""
@@ -182,6 +183,27 @@
                 runs = sum(len(upstream.arrivals) for upstream in self.upstreams)
                 self.assertLessEqual(runs, 2 if route == "resume" else 1)
 
+    # Guards against whole streams that broke off because there were more of them than
+    # the retry budget lets an entry ask about.
+    def test_many_whole_streams_that_their_connections_end_are_delivered(self) -> None:
+        """Their upstreams have confirmed the first ones, and are still there."""
+        for upstream in self.upstreams:
+            upstream.fault = "unframed whole"
+        for entry in self.entries:
+            for _ in range(MANY_ROUNDS):
+                for stream in self.read_many(entry, "resume"):
+                    self.assertEqual(stream, (200, EVENTS, True), entry)
+
+    def test_many_streams_that_their_connections_end_early_never_look_whole(
+        self,
+    ) -> None:
+        """Their upstreams are still there, and nobody can be asked about most of them."""
+        for upstream in self.upstreams:
+            upstream.fault = "unframed cut"
+        for entry in self.entries:
+            for _ in range(MANY_ROUNDS):
+                self.check_streams(self.read_many(entry, "resume"), (entry,))
+
     # Guards against answers that a crashed upstream cut short, given a length of our own.
     def test_answer_of_an_upstream_that_ends_does_not_look_whole(self) -> None:
         """A booking runs once, and its outcome is unknown."""
--- a/tests/relay/test_answer_end.py
+++ b/tests/relay/test_answer_end.py
@@ -7,8 +7,16 @@
 
 import aiohttp
 
+from poplarlug.discovery.records import UpstreamRun
 from poplarlug.errors import outcome_unknown
-from poplarlug.relay.answer_end import Framing, StreamEnd, end_of_stream, framing_of
+from poplarlug.relay.answer_end import (
+    TRUSTED_ENDS,
+    ConfirmedEnds,
+    Framing,
+    StreamEnd,
+    end_of_stream,
+    framing_of,
+)
 from poplarlug.relay.client import RelayClient
 from poplarlug.relay.context import DONE, Outcome, RequestContext
 from poplarlug.relay.event_format import EventFormat
@@ -140,6 +148,20 @@
         self.assertEqual(self.events.prepare_resume(), "1")
 
 
+class ConfirmedEndsTests(TestCase):
+    def test_upstream_is_trusted_until_it_ends_a_stream_early(self) -> None:
+        """It is trusted again once it has confirmed as many whole ones."""
+        ends, run = ConfirmedEnds(), UpstreamRun("u-1", 1)
+        for _ in range(2):
+            for _ in range(TRUSTED_ENDS):
+                self.assertFalse(ends.are_trusted(run))
+                ends.note(run, is_whole=True)
+            self.assertTrue(ends.are_trusted(run))
+            self.assertFalse(ends.are_trusted(UpstreamRun("u-1", 2)))
+            ends.note(run, is_whole=False)
+        self.assertFalse(ends.are_trusted(run))
+
+
 class AskedAgainTests(TestCase):
     """Attempts of a stream whose first upstream ended it with its connection."""
 
