--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -162,7 +162,7 @@
         self.charged: Fingerprint | None = None
         self.upstream_version: SoftwareVersion = ""
         self.record_start: Callable[[], Awaitable[None]] = _record_nothing
-        self.is_listening: Callable[[], Awaitable[bool]] = _is_unknown
+        self.is_listening: Callable[[], Awaitable[bool]] = is_unknown
         self.must_ask_again: Callable[[], bool] = lambda: True
         self.can_resume_elsewhere: Callable[[], bool] = lambda: False
         self._recording: asyncio.Future[None] | None = None
@@ -348,7 +348,7 @@
     """Return at once; for attempts whose start needs no record."""
 
 
-async def _is_unknown() -> bool:
+async def is_unknown() -> bool:
     """Return ``False``; for targets that frame all of their answers."""
     return False
 
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -27,7 +27,7 @@
 from poplarlug.relay.budgets import RetryBudget, RetryLimits
 from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
 from poplarlug.relay.connections import RelayResponse
-from poplarlug.relay.context import Outcome, RequestContext
+from poplarlug.relay.context import Outcome, RequestContext, is_unknown
 from poplarlug.relay.dispatcher import Dispatcher, LocalTarget, RemoteTarget, Target
 from poplarlug.relay.event_format import EventFormat
 from poplarlug.relay.header_names import HeaderNames
@@ -569,6 +569,7 @@
         entry = target.entry
         context.target = entry.name
         context.remote_upstream = ""
+        context.is_listening = is_unknown
         started = self._clock()
         routes = self._deployment.routes
         assert routes is not None
