Log the evidence on which an answer without framing counts as whole

The line of a request named the framing and the last event, not the look at the upstream that decided: `looked for upstream` says whether it accepted connections. A stream that is asked about at two upstreams took up to 14 steps, of which the last were left out; 20 fit now. By account, one line names the outcome and its evidence.

--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -188,12 +188,16 @@
 
     An answer that can't be asked for again is then taken as whole.
     """
+    is_listening = False
     try:
         async with asyncio.timeout_at(context.request.deadline):
-            return await context.is_listening()
+            is_listening = await context.is_listening()
     except TimeoutError:
         # Nobody waits for the answer any more.
-        return False
+        pass
+    now = asyncio.get_running_loop().time()
+    context.trace.step("looked for upstream", now, is_listening=is_listening)
+    return is_listening
 
 
 def _ended_within_event() -> Outcome:
--- a/poplarlug/relay/trace.py
+++ b/poplarlug/relay/trace.py
@@ -4,7 +4,7 @@
 
 from poplarlug.types import RequestId, Seconds
 
-MAX_STEPS = 12
+MAX_STEPS = 20
 """Limits the length of the line; exceeds the steps that a request may take."""
 
 
--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -7,6 +7,7 @@
 import aiohttp
 from prometheus_client import Counter
 
+from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.answer_end import Framing, framing_of
 from poplarlug.relay.connections import CheckedConnector
@@ -31,6 +32,8 @@
     registry=REGISTRY,
 )
 
+_log = ComponentLogger(prefix="serving")
+
 
 class AttemptStatus(Enum):
     """
@@ -169,11 +172,16 @@
             )
         if not is_unframed:
             return AttemptOutcome(AttemptStatus.DONE)
-        if isinstance(check, JsonCopy) and check.end() is not JsonEnd.UNCERTAIN:
-            if check.end() is JsonEnd.WHOLE:
-                return AttemptOutcome(AttemptStatus.DONE)
-            return AttemptOutcome(AttemptStatus.BROKEN, "the JSON text is cut short")
-        return await _check_unframed_end(head, relay, address)
+        json_end = check.end() if isinstance(check, JsonCopy) else JsonEnd.UNCERTAIN
+        outcome = await _check_unframed_end(head, relay, json_end, address)
+        _log.info(
+            "only its connection ended an answer",
+            request_id=request.id,
+            address=address,
+            outcome=outcome.status.value,
+            evidence=outcome.message,
+        )
+        return outcome
 
     def _head(self, response: aiohttp.ClientResponse) -> AnswerHead:
         return AnswerHead(
@@ -198,16 +206,20 @@
 
 
 async def _check_unframed_end(
-    head: AnswerHead, relay: BodyRelay, address: Address
+    head: AnswerHead, relay: BodyRelay, json_end: JsonEnd, address: Address
 ) -> AttemptOutcome:
     """Return the outcome of an attempt whose answer only its connection has ended."""
+    if json_end is JsonEnd.WHOLE:
+        return AttemptOutcome(AttemptStatus.DONE, "the JSON text is whole")
+    if json_end is JsonEnd.CUT:
+        return AttemptOutcome(AttemptStatus.BROKEN, "the JSON text is cut short")
     if head.content_type.startswith(EVENT_STREAM) and not relay.ends_with_event():
         return AttemptOutcome(AttemptStatus.BROKEN, "the stream ended within an event")
     if not await is_listening(address):
         # A process that ends closes its connections, so the answer may be cut short.
         message = "the connection ended, and its upstream is gone"
         return AttemptOutcome(AttemptStatus.BROKEN, message)
-    return AttemptOutcome(AttemptStatus.DONE)
+    return AttemptOutcome(AttemptStatus.DONE, "its upstream accepts connections")
 
 
 def _whole_number(text: str) -> int:
