--- a/poplarlug/load/replay/region.py
+++ b/poplarlug/load/replay/region.py
@@ -31,7 +31,8 @@
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.placement import PlacementPolicy
 from poplarlug.relay.requests import RelayRequest
-from poplarlug.relay.view import FleetView, Tried
+from poplarlug.relay.tried import Tried
+from poplarlug.relay.view import FleetView
 from poplarlug.routes import Engine, RoutedService, RouteTable
 from poplarlug.types import Seconds, ZoneName
 from poplarlug.virtualtime import run_virtual
--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -15,7 +15,7 @@
 from poplarlug.relay.header_names import HeaderNames
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.trace import RelayTrace
-from poplarlug.relay.view import Tried
+from poplarlug.relay.tried import Tried
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.types import (
     Fingerprint,
--- a/poplarlug/relay/dispatcher.py
+++ b/poplarlug/relay/dispatcher.py
@@ -17,6 +17,7 @@
 )
 from poplarlug.relay.in_flight import InFlightRequest
 from poplarlug.relay.limiter import NO_SHARE_SECONDS
+from poplarlug.relay.patience import latest_response_start
 from poplarlug.relay.placement import (
     Candidate,
     Full,
@@ -31,7 +32,8 @@
 )
 from poplarlug.relay.planned_stop import LEAVING_RETRY_SECONDS, PlannedStop
 from poplarlug.relay.requests import RelayRequest
-from poplarlug.relay.view import FleetView, Tried, latest_response_start
+from poplarlug.relay.tried import Tried
+from poplarlug.relay.view import FleetView
 from poplarlug.relay.waiting import Pace, Waiter, WaitQueue, retry_after
 from poplarlug.routes import RoutedService
 from poplarlug.types import Seconds, ServiceName, SoftwareVersion
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -6,8 +6,6 @@
 from functools import partial
 from typing import Any
 
-import aiohttp
-from prometheus_client import Counter, Histogram
 from returns.result import Failure
 
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
@@ -18,15 +16,12 @@
     GatewayError,
     held_apart,
     leaving,
-    not_run,
     outcome_unknown,
 )
 from poplarlug.logs import ComponentLogger
-from poplarlug.metrics import REGISTRY
 from poplarlug.relay.answer_end import ConfirmedEnds
 from poplarlug.relay.budgets import RetryBudget, RetryLimits
-from poplarlug.relay.client import RelayClient, SendError, SendErrorKind
-from poplarlug.relay.connections import RelayResponse
+from poplarlug.relay.client import RelayClient, SendErrorKind
 from poplarlug.relay.context import Outcome, RequestContext, is_unknown
 from poplarlug.relay.dispatcher import Dispatcher, LocalTarget, RemoteTarget, Target
 from poplarlug.relay.event_format import EventFormat
@@ -43,12 +38,12 @@
     UPSTREAM,
     decode_refusal,
 )
-from poplarlug.relay.limiter import MAX_LOGGED_CHARACTERS
-from poplarlug.relay.passing import drain_short_body, relay_response
+from poplarlug.relay.passing import relay_response
 from poplarlug.relay.planned_stop import LEAVING_RETRY_SECONDS
 from poplarlug.relay.probing import is_listening
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.resumption import Resumption
+from poplarlug.relay.send_results import SendResults
 from poplarlug.relay.suspects import SuspectLock, Suspects, Verdict
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import FleetView
@@ -58,44 +53,16 @@
 ENTRY_BACKOFF_SECONDS = 2.0
 """How long an entry is avoided after a forward to it failed."""
 
-REFUSED_RETRY_SECONDS = 0.2
-"""Retry time after a refusal by an upstream; its queue advances within that time."""
-
 LOCK_RETRY_SECONDS = 0.5
 """Retry time of a suspect that got no lock. Within that time the run that holds the
 lock ends, or its verdict is known."""
 
-DRAIN_TIMEOUT_SECONDS = 0.2
-"""How long the rest of a refusal's body may take to arrive; if it is read, the connection
-is reused."""
-
 ATTEMPT_TIMEOUT_OBJECTIVES = 2.5
 """A repeatable request without a response is retried elsewhere after this many
 objectives."""
 
 MIN_ATTEMPT_TIMEOUT_SECONDS = 0.8
 
-_SENDS = Counter(
-    "poplarlug_relay_sends_total",
-    "Sends to upstreams and other entries, by target and how they ended.",
-    ["target", "outcome"],
-    registry=REGISTRY,
-)
-_UNRELIABLE = Counter(
-    "poplarlug_relay_unreliable_answers_total",
-    "Answers that may belong to another request, or whose refusal may be an old one.",
-    ["target"],
-    registry=REGISTRY,
-)
-_FIRST_ANSWER_SECONDS = Histogram(
-    "poplarlug_relay_first_answer_seconds",
-    "From a send to the head of its answer.",
-    ["target"],
-    buckets=(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0),
-    registry=REGISTRY,
-)
-
-
 _log = ComponentLogger(prefix="relay")
 
 
@@ -144,6 +111,7 @@
         self._retry_limits = retry_limits
         self._clock = clock
         self._stood_still_since = stood_still_since
+        self._results = SendResults(view=view, header_names=header_names)
         self._held_bytes = HeldBytesBudget()
         self._confirmed_ends = ConfirmedEnds()
         self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
@@ -473,13 +441,11 @@
             error = sent.failure()
             if error.kind is SendErrorKind.NOT_SENT:
                 self._suspects.note_unreachable(target.upstream)
-            return self._note_failed("upstream", error, trace, now)
+            return self._results.note_failed("upstream", error, trace, now)
         response = sent.unwrap()
         try:
-            self._note_head("upstream", response, trace, now, started)
-            self._record_limit(target, response, started)
-            self._record_backoff(target, response)
-            refused = await self._check_head(target, response)
+            self._results.note_head("upstream", response, trace, now, started)
+            refused = await self._results.check_head(target.upstream, response, started)
             if refused is not None:
                 return refused
             target.in_flight_request.got_error = response.status >= 500
@@ -511,57 +477,6 @@
             return False
         return await is_listening(address)
 
-    def _record_limit(
-        self, target: LocalTarget, response: RelayResponse, requested_at: Seconds
-    ) -> None:
-        """Record the rate limit in a response, if it is from the upstream itself."""
-        header_names = self._header_names
-        headers = response.headers
-        source = response.source
-        has_run = header_names.signature in headers
-        is_own = response.status != 421 and (has_run or source.is_refusal)
-        if is_own and source.names_request and source.is_reliable:
-            self._view.limiter.note_limit(
-                target.upstream,
-                headers.getall(header_names.limit, ()),
-                requested_at=requested_at,
-                has_run=has_run,
-            )
-
-    def _record_backoff(self, target: LocalTarget, response: RelayResponse) -> None:
-        """Record that an upstream leaves or wants a pause, as its response says."""
-        headers = response.headers
-        if response.status == 421 or not response.source.is_reliable:
-            return
-        backoff = self._view.backoff
-        backoff.note_leaving(
-            target.upstream, headers.getall(self._header_names.leaving, ())
-        )
-        if response.status == 503:
-            backoff.note_retry_after(target.upstream, headers.getall("Retry-After", ()))
-
-    async def _check_head(
-        self, target: LocalTarget, response: RelayResponse
-    ) -> Outcome | None:
-        """Return why a response must not be relayed, ``None`` if it may be."""
-        header_names = self._header_names
-        headers = response.headers
-        if not response.source.is_reliable:
-            _UNRELIABLE.labels("upstream").inc()
-            return Outcome(outcome_unknown("the answer may be another request's"))
-        if response.source.is_refusal:
-            cold = _parse_milliseconds(headers.get(header_names.cold_left, ""))
-            if cold:
-                self._in_flight.note_cold(target.upstream.id, cold)
-            message = f"the upstream refused it with status {response.status}"
-            await _drain_refusal(response)
-            return Outcome(not_run(message, REFUSED_RETRY_SECONDS))
-        if header_names.signature not in headers:
-            return Outcome(outcome_unknown("the answer is not an upstream's"))
-        if headers.get("Content-Encoding", "identity").lower() != "identity":
-            return Outcome(outcome_unknown("the answer came in an encoding"))
-        return None
-
     async def _run_remote(
         self, context: RequestContext, target: RemoteTarget, timeout_seconds: Seconds
     ) -> Outcome:
@@ -606,13 +521,13 @@
             self._view.avoid_entry(entry.name, ENTRY_BACKOFF_SECONDS)
             if error.kind is not SendErrorKind.TIMEOUT:
                 self._view.note_entry_failed(request.service, entry.region)
-            return self._note_failed("entry", error, trace, now)
+            return self._results.note_failed("entry", error, trace, now)
         response = sent.unwrap()
         try:
-            self._note_head("entry", response, trace, now, started)
-            if not response.source.is_reliable:
-                _UNRELIABLE.labels("entry").inc()
-                return Outcome(outcome_unknown("the answer may be another request's"))
+            self._results.note_head("entry", response, trace, now, started)
+            unreliable = self._results.check_source("entry", response)
+            if unreliable is not None:
+                return unreliable
             refused = response.headers.get(REFUSED)
             if refused is not None:
                 refusal = decode_refusal(refused, f"refused by {entry.name}")
@@ -640,43 +555,6 @@
         elif refusal.status == 503:
             self._view.note_region_failed(request.service, entry.region)
 
-    def _note_head(
-        self,
-        target: str,
-        response: RelayResponse,
-        trace: RelayTrace,
-        now: Seconds,
-        started: Seconds,
-    ) -> None:
-        _SENDS.labels(target, "answered").inc()
-        _FIRST_ANSWER_SECONDS.labels(target).observe(now - started)
-        source = response.source
-        fields: dict[str, Any] = {
-            "status": response.status,
-            "exchange": source.exchange,
-            "echoed": source.names_request,
-        }
-        if source.has_early_bytes:
-            fields["early_bytes"] = True
-        limit = response.headers.get(self._header_names.limit)
-        if limit is not None:
-            fields["limit"] = limit[:MAX_LOGGED_CHARACTERS]
-        trace.step("answered", now, **fields)
-
-    def _note_failed(
-        self, target: str, error: SendError, trace: RelayTrace, now: Seconds
-    ) -> Outcome:
-        _SENDS.labels(target, error.kind.value).inc()
-        trace.step("send failed", now, kind=error.kind.value, reason=error.message)
-        if error.kind is SendErrorKind.NOT_SENT:
-            failed = not_run("no connection stood", REFUSED_RETRY_SECONDS)
-            return Outcome(failed, arrived=False)
-        if error.kind is SendErrorKind.TIMEOUT:
-            message = "no answer came within the time"
-            return Outcome(GatewayError(504, "timed_out", message, None, None))
-        failed = outcome_unknown("the connection was lost before an answer")
-        return Outcome(failed, connection_lost=True)
-
     def _budget_of(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets_by_service.get(service)
         if budget is None:
@@ -699,16 +577,3 @@
 
 def _is_leaving(outcome: Outcome) -> bool:
     return outcome.error is not None and outcome.error.type == LEAVING
-
-
-async def _drain_refusal(response: aiohttp.ClientResponse) -> None:
-    try:
-        async with asyncio.timeout(DRAIN_TIMEOUT_SECONDS):
-            await drain_short_body(response.content)
-    except (TimeoutError, aiohttp.ClientError, OSError) as error:
-        _log.debug("the rest of a refusal did not come", error=repr(error))
-
-
-def _parse_milliseconds(text: str) -> Seconds:
-    """Convert a header from milliseconds to seconds; 0 if it is no valid number."""
-    return int(text) / 1000 if text.isdecimal() and len(text) < 10 else 0.0
--- a/poplarlug/relay/view.py
+++ b/poplarlug/relay/view.py
@@ -20,13 +20,13 @@
 from poplarlug.relay.budgets import WarmupBudget, WarmupLimits
 from poplarlug.relay.ended_runs import EndedRuns
 from poplarlug.relay.engine_model import (
-    DECODE_SECONDS_PER_TOKEN,
     EngineLoad,
     prefill_seconds,
 )
 from poplarlug.relay.in_flight import InFlightRequest, InFlightTracker
 from poplarlug.relay.limiter import Limiter
 from poplarlug.relay.part_cache import PartCache
+from poplarlug.relay.patience import latest_response_start
 from poplarlug.relay.placement import (
     Candidate,
     Full,
@@ -36,6 +36,7 @@
 )
 from poplarlug.relay.rate_shares import rank_by_hash
 from poplarlug.relay.requests import Prompt, RelayRequest
+from poplarlug.relay.tried import Tried
 from poplarlug.relay.upstream_backoff import UpstreamBackoff
 from poplarlug.routes import RoutedService
 from poplarlug.types import (
@@ -49,16 +50,6 @@
 
 _log = ComponentLogger(prefix="relay")
 
-MAX_DECODE_SHARE = 0.2
-"""Largest share of a route's timeout that is reserved for the response after its first
-event."""
-
-MIN_PATIENCE_SECONDS = 2.0
-PATIENCE_OBJECTIVES = 4.0
-PATIENCE_PAUSES = 8.0
-"""Callers abandon a silent stream after the longest of these: a fixed time, a multiple of
-the objective, a multiple of the longest pause; according to the users' deployments."""
-
 URGENT_HARM_WEIGHT = 0.15
 """Weight of the pauses that a request of the most urgent rank causes: most of the
 streams that pause are of a lower rank, and worth less to their callers."""
@@ -70,36 +61,6 @@
 """Capacity of the modeled cache of another region; two engines hold more tokens."""
 
 
-class Tried(NamedTuple):
-    """
-    Where a request was tried, which limits where it may be sent.
-
-    Parameters
-    ----------
-    upstreams, regions : frozenset
-        They ran or refused the request and must not be tried again.
-    only : UpstreamId
-        The upstream that gets the request once more, to tell whether its answer was
-        whole; empty for none.
-    """
-
-    upstreams: frozenset[UpstreamId] = frozenset()
-    regions: frozenset[RegionName] = frozenset()
-    only: UpstreamId = ""
-
-    def allows(self, upstream_id: UpstreamId) -> bool:
-        """Return whether the request may be sent to an upstream."""
-        if self.only:
-            return upstream_id == self.only
-        return upstream_id not in self.upstreams
-
-    def with_upstream(self, upstream_id: UpstreamId) -> "Tried":
-        return self._replace(upstreams=self.upstreams | {upstream_id}, only="")
-
-    def with_region(self, region: RegionName) -> "Tried":
-        return self._replace(regions=self.regions | {region}, only="")
-
-
 REGION_BACKOFF_SECONDS = 0.5
 """Initial time for which a region that failed is the last choice for a service."""
 
@@ -587,38 +548,3 @@
     return max(
         names, key=lambda n: xxhash.xxh3_64_intdigest(f"{fingerprint:x}/{n}".encode())
     )
-
-
-def latest_response_start(request: RelayRequest) -> Seconds:
-    """
-    Return the event loop time after which the start of a response is useless.
-
-    The rest of the response would come after the deadline, or the caller of a stream
-    would have left by then, as it has waited too long for the next event.
-    """
-    latest = request.deadline - decode_seconds(request)
-    route = request.route
-    if route.kind != "streaming":
-        return latest
-    patience = max(
-        MIN_PATIENCE_SECONDS,
-        PATIENCE_OBJECTIVES * route.objective_seconds,
-        PATIENCE_PAUSES * route.max_pause_seconds,
-    )
-    silent_since = request.arrived
-    if request.broke_off_at is not None:
-        silent_since = request.broke_off_at
-    return min(latest, silent_since + patience)
-
-
-def decode_seconds(request: RelayRequest) -> Seconds:
-    """
-    Return how long a request's response takes after its first event.
-
-    Callers allow for more tokens than most responses have, so the maximum says little;
-    the result is capped at a share of the route's timeout.
-    """
-    if not request.route.prompts:
-        return 0.0
-    longest = request.prompt.max_tokens * DECODE_SECONDS_PER_TOKEN
-    return min(longest, MAX_DECODE_SHARE * request.route.timeout_seconds)
--- a/tests/platform_adapter/test_ended_connections.py
+++ b/tests/platform_adapter/test_ended_connections.py
@@ -183,8 +183,7 @@
                 runs = sum(len(upstream.arrivals) for upstream in self.upstreams)
                 self.assertLessEqual(runs, 2 if route == "resume" else 1)
 
-    # Guards against whole streams that broke off because there were more of them than
-    # the retry budget lets an entry ask about.
+    # Guards against whole streams that broke off once the retry budget was spent.
     def test_many_whole_streams_that_their_connections_end_are_delivered(self) -> None:
         """Their upstreams have confirmed the first ones, and are still there."""
         for upstream in self.upstreams:
@@ -222,8 +221,7 @@
                     upstream.fault = ""
                 self.wait_served()
 
-    # Guards against streams that ended as complete where each upstream that they crash
-    # had repeated the last event.
+    # Guards against a repeated event that was believed of a crashed upstream.
     def test_upstream_that_ends_behind_a_repeated_event_is_no_end(self) -> None:
         """A deadly request crashes each upstream with its first event."""
         for entry in self.entries:
@@ -234,8 +232,7 @@
                 upstream.fault = ""
             self.wait_served()
 
-    # Guards against requests that stay suspects of crashes since their whole streams are
-    # broken off.
+    # Guards against suspects that are never cleared, as their streams break off.
     def test_whole_stream_of_a_suspect_is_delivered(self) -> None:
         """It clears the suspect, though only its connection ended it."""
         for upstream in self.upstreams:
--- a/tests/platform_adapter/test_repeated_refusals.py
+++ b/tests/platform_adapter/test_repeated_refusals.py
@@ -288,8 +288,7 @@
         first, second, far = self.entries
         return [(first, second), (first, far), (far,), (first, second, far)]
 
-    # Guards against requests that ran and were called not run, and bookings that ran
-    # twice, since a refusal of the same id came once more through another entry.
+    # Guards against old refusals that are believed at an entry which hasn't read them.
     def test_refusal_of_the_same_request_through_another_entry(self) -> None:
         """Entries of a region know of each other's refusals."""
         for status in (503, 429, 421):
--- a/tests/relay/test_answer_end.py
+++ b/tests/relay/test_answer_end.py
@@ -71,8 +71,7 @@
 
         return asyncio.run(main())
 
-    # Guards against streams that ended as complete since a transfer coding looked like
-    # chunks to us, and not to the parser.
+    # Guards against transfer codings that count as chunks here, and not to the parser.
     def test_answer_whose_last_coding_is_not_chunks_ends_with_its_connection(
         self,
     ) -> None:
--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -164,8 +164,7 @@
         self.responses = [refusal + encode_response("r-1")]
         self.assertFalse((await self.send("r-1")).source.is_reliable)
 
-    # Guards against requests that ran and were called not run: a refusal that nobody had
-    # read came once more on another connection, and looked like the first.
+    # Guards against old refusals that are believed because the first was not read.
     async def test_refusal_after_an_abandoned_send_is_not_believed(self) -> None:
         """It may be that of the first send."""
         self.responses = [b"", encode_response("r-1", status=503, is_refusal=True)]
@@ -174,8 +173,7 @@
         source = (await self.send("r-1")).source
         self.assertEqual((source.names_request, source.is_reliable), (True, False))
 
-    # Guards against a lost refusal of another request: the answer behind a refusal that
-    # was not believed came after that request on its connection.
+    # Guards against answers behind a disbelieved refusal that meet another request.
     async def test_connection_is_not_used_after_a_refusal_that_is_not_believed(
         self,
     ) -> None:
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -22,7 +22,8 @@
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.planned_stop import UNCERTAIN_START_SECONDS, PlannedStop
 from poplarlug.relay.requests import RelayRequest
-from poplarlug.relay.view import FleetView, Tried
+from poplarlug.relay.tried import Tried
+from poplarlug.relay.view import FleetView
 from poplarlug.routes import Engine, RoutedService, RouteTable
 from poplarlug.virtualtime import run_virtual
 from tests.control.quiet import QuietTestCase
@@ -90,8 +91,7 @@
         now = asyncio.get_running_loop().time()
         return make_request(route=ROUTE, arrived=now, deadline=now + 15.0)
 
-    # Guards against long streams that broke off and were refused their rest, because the
-    # caller's patience was counted from the request.
+    # Guards against long streams that are refused their rest as too late.
     def test_stream_that_ran_longer_than_its_caller_waits_goes_on(self) -> None:
         """Its caller got events until it broke off, and waits for the next one."""
 
@@ -108,8 +108,7 @@
 
         self.assertEqual(run_virtual(main()), [False, True])
 
-    # Guards against handed-on streams that broke off and got no place after a wait, since
-    # the other entry's patience for their start was over.
+    # Guards against handed-on streams that get no place once they have begun.
     def test_stream_of_another_entry_waits_to_go_on(self) -> None:
         """That entry has the start of the response, and waits for the next event."""
 
--- a/tests/relay/test_foreign_answers.py
+++ b/tests/relay/test_foreign_answers.py
@@ -122,8 +122,7 @@
 
         self.assertEqual(asyncio.run(main()), [aiohttp.ClientPayloadError])
 
-    # Guards against streams that nobody resumed: their reader met an error that isn't one
-    # of the connection's.
+    # Guards against streams that nobody resumed after an error of no connection.
     def test_broken_framing_with_the_head_fails_a_body_that_is_read_in_parts(
         self,
     ) -> None:
--- a/tests/relay/test_limiter.py
+++ b/tests/relay/test_limiter.py
@@ -22,7 +22,8 @@
 from poplarlug.relay.gateway import RelayGateway
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.requests import Prompt, PromptPart, RelayRequest
-from poplarlug.relay.view import FleetView, Tried
+from poplarlug.relay.tried import Tried
+from poplarlug.relay.view import FleetView
 from poplarlug.routes import Engine, RoutedService, RouteTable
 from poplarlug.virtualtime import run_virtual
 from tests.control.quiet import QuietTestCase
@@ -284,7 +285,9 @@
             response = cast(
                 Any, SimpleNamespace(status=status, headers=headers, source=source)
             )
-            entry.gateway._record_limit(target, response, requested_at)
+            entry.gateway._results._record_limit(
+                target.upstream, response, requested_at
+            )
             return entry.limits.rate(UPSTREAMS[0].run)
 
         return run_virtual(main())
--- a/tests/relay/test_resumption.py
+++ b/tests/relay/test_resumption.py
@@ -28,7 +28,8 @@
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.resumption import MAX_REPORT_SECONDS, Resumption
-from poplarlug.relay.view import FleetView, Tried
+from poplarlug.relay.tried import Tried
+from poplarlug.relay.view import FleetView
 from poplarlug.routes import RoutedService, RouteTable
 from tests.relay.test_view import make_request
 from tests.routes.test_checks import make_route
--- a/tests/relay/test_upstream_backoff.py
+++ b/tests/relay/test_upstream_backoff.py
@@ -4,13 +4,13 @@
 
 from poplarlug.errors import GatewayError
 from poplarlug.relay.dispatcher import LocalTarget
+from poplarlug.relay.tried import Tried
 from poplarlug.relay.upstream_backoff import (
     MAX_PAUSE_SECONDS,
     UNKNOWN_RUN_TTL_SECONDS,
     UpstreamBackoff,
     parse_pause,
 )
-from poplarlug.relay.view import Tried
 from poplarlug.virtualtime import run_virtual
 from tests.control.quiet import QuietTestCase
 from tests.relay.test_limiter import UPSTREAMS, Entry
--- a/tests/relay/test_view.py
+++ b/tests/relay/test_view.py
@@ -9,14 +9,13 @@
 from poplarlug.discovery.records import EntryRecord, RegionLoad, ServiceUpstream
 from poplarlug.relay.budgets import WarmupLimits
 from poplarlug.relay.in_flight import InFlightTracker
+from poplarlug.relay.patience import decode_seconds, latest_response_start
 from poplarlug.relay.requests import Prompt, RelayRequest
+from poplarlug.relay.tried import Tried
 from poplarlug.relay.view import (
     MAX_REGION_BACKOFF_SECONDS,
     REGION_BACKOFF_SECONDS,
     FleetView,
-    Tried,
-    decode_seconds,
-    latest_response_start,
 )
 from tests.control.quiet import QuietTestCase
 from tests.routes.test_checks import make_route
--- a/tests/relay/test_warmup_shares.py
+++ b/tests/relay/test_warmup_shares.py
@@ -8,7 +8,8 @@
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
 from poplarlug.relay.budgets import WarmupLimits
 from poplarlug.relay.in_flight import InFlightTracker
-from poplarlug.relay.view import FleetView, Tried
+from poplarlug.relay.tried import Tried
+from poplarlug.relay.view import FleetView
 from poplarlug.routes import RoutedService
 from tests.control.quiet import QuietTestCase
 from tests.relay.test_view import make_request
