Take only the peer's end of a connection as the end of an answer

Cause: the end of a connection ended an answer that has neither length nor chunks, whoever ended it. An entry that closes its own connections, as at the end of a planned stop, so completed every such answer in progress, and then found the upstream alive. aiohttp also forgets the body of a response before its connection is lost, so that the reader of any other body waited for nothing.

A connection now tells who ended it: its peer (its FIN was read), the network or a reset, or this process. Only the peer's end completes a body; what this process closes fails with an error of its own, which says nothing of the upstream to the crash watch nor of the entry that a request was handed to. The request's line has `ended_by`.

--- a/poplarlug/relay/client.py
+++ b/poplarlug/relay/client.py
@@ -10,7 +10,11 @@
 from returns.result import Failure, Result, Success
 from yarl import URL
 
-from poplarlug.relay.connections import CheckedConnector, RelayResponse
+from poplarlug.relay.connections import (
+    CheckedConnector,
+    ClosedHereError,
+    RelayResponse,
+)
 from poplarlug.relay.header_names import HeaderNames
 from poplarlug.types import Address, Seconds
 
@@ -36,9 +40,11 @@
     Reason why there is no response.
 
     ``NOT_SENT`` is the only kind that guarantees that no byte was sent to the target.
+    ``CLOSED_HERE`` tells nothing of the target: this process closed the connection.
     """
 
     NOT_SENT = "not_sent"
+    CLOSED_HERE = "closed_here"
     BROKEN = "broken"
     TIMEOUT = "timeout"
 
@@ -138,6 +144,8 @@
         except TimeoutError:
             message = f"no answer in {timeout_seconds:.3f} s"
             return Failure(SendError(SendErrorKind.TIMEOUT, message))
+        except ClosedHereError as error:
+            return Failure(SendError(SendErrorKind.CLOSED_HERE, repr(error)))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Failure(SendError(SendErrorKind.BROKEN, repr(error)))
 
--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -5,6 +5,8 @@
 """
 
 import select
+from collections.abc import Callable
+from enum import Enum
 from functools import partial
 from typing import Any, NamedTuple
 
@@ -31,6 +33,23 @@
 connections."""
 
 
+class ConnectionEnd(Enum):
+    """Who ended a connection."""
+
+    PEER = "peer"
+    """The peer, which had sent all that it sends."""
+
+    LOST = "lost"
+    """The peer or the network: it was reset, or sent bytes stayed unacknowledged."""
+
+    CLOSED_HERE = "closed here"
+    """This process, whatever the reason."""
+
+
+class ClosedHereError(aiohttp.ClientPayloadError):
+    """This process closed a connection before the response on it was complete."""
+
+
 class ResponseSource(NamedTuple):
     """
     How a response relates to the request that was sent before it.
@@ -77,9 +96,10 @@
 
 
 class RelayResponse(aiohttp.ClientResponse):
-    """Response that knows its source."""
+    """Response that knows its source, and who ended its connection."""
 
     source: ResponseSource
+    _handler: "StrictHandler | None" = None
 
     async def start(self, connection: Any) -> "RelayResponse":
         handler = connection.protocol
@@ -87,8 +107,14 @@
         await super().start(connection)
         assert handler.response_source is not None
         self.source = handler.response_source
+        self._handler = handler
         return self
 
+    @property
+    def connection_end(self) -> ConnectionEnd | None:
+        """Who ended the connection; ``None`` while it is open."""
+        return None if self._handler is None else self._handler.connection_end
+
 
 class UnansweredSends:
     """Requests that each peer has refused or not answered; the oldest are forgotten."""
@@ -113,10 +139,10 @@
 
 class StrictHandler(ResponseHandler):
     """
-    Report a response as truncated after a reset, and reset abandoned exchanges.
+    Take only the peer's end of a connection as the end of a response.
 
-    aiohttp treats the end of the connection as the end of a body without a length,
-    even if the connection was reset. It also closes a connection gracefully when the
+    aiohttp treats any end of the connection as the end of a body without a length, even
+    a reset or a close by this process. It also closes a connection gracefully when the
     exchange is abandoned, so that the rest of the request would still be sent and run
     for a caller that has left. An endless series of interim responses is an error;
     data is parsed in slices so that such a series can't block other exchanges.
@@ -138,6 +164,7 @@
         self._exchanges = 0
         self._refused_ids: set[RequestId] = set()
         self.response_source: ResponseSource | None = None
+        self.connection_end: ConnectionEnd | None = None
         self._has_early_bytes = False
         self._in_exchange = False
         self._heads = 0
@@ -238,14 +265,10 @@
 
     def _fail_broken_framing(self) -> None:
         """Fail a body whose framing aiohttp gave up, which tells its reader nothing."""
-        payload = self._payload
-        if (
-            payload is not None
-            and (self.transport is None or self.transport.is_closing())
-            and not payload.is_eof()
-            and payload.exception() is None
-        ):
-            payload.set_exception(aiohttp.ClientPayloadError("broken framing"))
+        is_closing = self.transport is None or self.transport.is_closing()
+        if self._payload is not None and is_closing:
+            error = aiohttp.ClientPayloadError("broken framing")
+            self._fail_response(self._payload, error)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         self._heads += 1
@@ -256,13 +279,34 @@
             reset_connection(self.transport)
 
     def close(self) -> None:
-        if (
-            self._in_exchange
-            and not self._is_response_complete
-            and self.transport is not None
-        ):
-            reset_connection(self.transport)
-        super().close()
+        self._close(super().close)
+
+    def abort(self) -> None:
+        self._close(super().abort)
+
+    def _close(self, close: Callable[[], None]) -> None:
+        """Close the connection; if a response on it is awaited, reset it and fail that."""
+        transport, payload = self.transport, self._payload
+        is_left = self._in_exchange and not self._is_response_complete
+        if transport is None or not is_left:
+            close()
+            return
+        self._note_end(ConnectionEnd.CLOSED_HERE)
+        reset_connection(transport)
+        close()
+        # aiohttp has forgotten the payload and any exception before.
+        self._fail_response(payload, _closed_here())
+
+    def _note_end(self, end: ConnectionEnd) -> None:
+        if self.connection_end is None:
+            self.connection_end = end
+
+    def _fail_response(self, payload: Any, error: aiohttp.ClientError) -> None:
+        """Fail a response: its head if there is no payload yet, else its body."""
+        if payload is None:
+            self.set_exception(error)
+        elif not payload.is_eof() and payload.exception() is None:
+            payload.set_exception(error)
 
     @property
     def _has_unread_bytes(self) -> bool:
@@ -282,13 +326,24 @@
     def _is_response_complete(self) -> bool:
         return self._payload is not None and self._payload.is_eof()
 
+    def eof_received(self) -> None:
+        self._note_end(ConnectionEnd.PEER)
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
+        self._note_end(ConnectionEnd.CLOSED_HERE if exc is None else ConnectionEnd.LOST)
+        if self.connection_end is ConnectionEnd.CLOSED_HERE:
+            self._fail_response(self._payload, _closed_here())
+        elif exc is not None and self._payload is not None:
+            error = aiohttp.ClientPayloadError(f"reset: {exc!r}")
+            self._fail_response(self._payload, error)
         super().connection_lost(exc)
 
 
+def _closed_here() -> ClosedHereError:
+    return ClosedHereError("this process closed the connection")
+
+
 class CheckedConnector(aiohttp.TCPConnector):
     """
     Reuse a connection only for requests that it can take.
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -518,8 +518,9 @@
         now = self._clock()
         if isinstance(sent, Failure):
             error = sent.failure()
-            self._view.avoid_entry(entry.name, ENTRY_BACKOFF_SECONDS)
-            if error.kind is not SendErrorKind.TIMEOUT:
+            if error.kind is not SendErrorKind.CLOSED_HERE:
+                self._view.avoid_entry(entry.name, ENTRY_BACKOFF_SECONDS)
+            if error.kind in (SendErrorKind.NOT_SENT, SendErrorKind.BROKEN):
                 self._view.note_entry_failed(request.service, entry.region)
             return self._results.note_failed("entry", error, trace, now)
         response = sent.unwrap()
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -1,6 +1,7 @@
 """Relays a response to its caller: buffered, event by event, or as it arrives."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -15,6 +16,7 @@
     end_of_stream,
     framing_of,
 )
+from poplarlug.relay.connections import ClosedHereError, RelayResponse
 from poplarlug.relay.context import DONE, Outcome, RequestContext, write_full_response
 from poplarlug.relay.events import EventProgress
 from poplarlug.relay.held_bytes import HeldBytesBudget, HeldBytesReservation
@@ -83,6 +85,8 @@
     fields: dict[str, Any] = {"framing": framing.value}
     if progress is not None:
         fields |= {"last_id": progress.last_id, "max_events": context.max_events}
+    if isinstance(response, RelayResponse) and response.connection_end is not None:
+        fields["ended_by"] = response.connection_end.value
     if outcome.error is not None:
         fields["reason"] = outcome.error.message
     context.trace.step("ended", asyncio.get_running_loop().time(), **fields)
@@ -158,8 +162,7 @@
     except TimeoutError:
         return Outcome(truncated_answer("the answer took too long"))
     except (aiohttp.ClientError, OSError) as error:
-        failed = truncated_answer(f"the answer broke off: {error!r}")
-        return Outcome(failed, connection_lost=True)
+        return _broke_off(truncated_answer, error)
     if check is not None:
         outcome = _check_end(context, response, check.progress)
     elif _is_stream(context, response) and not body.ends_with_event():
@@ -200,6 +203,14 @@
     return is_listening
 
 
+def _broke_off(make_error: Callable[[str], GatewayError], error: Exception) -> Outcome:
+    """Return the outcome of an attempt whose answer broke off."""
+    failed = make_error(f"the answer broke off: {error!r}")
+    # What this process closed shows nothing of the upstream.
+    is_lost = not isinstance(error, ClosedHereError)
+    return Outcome(failed, connection_lost=is_lost)
+
+
 def _ended_within_event() -> Outcome:
     failed = truncated_answer("the answer ended before or within an event")
     return Outcome(failed, connection_lost=True)
@@ -248,8 +259,7 @@
         reason = "took too long" if overall_timeout.expired() else "stood still"
         return Outcome(truncated_answer(f"the answer {reason}"))
     except (aiohttp.ClientError, OSError) as error:
-        failed = truncated_answer(f"the answer broke off: {error!r}")
-        return Outcome(failed, connection_lost=True)
+        return _broke_off(truncated_answer, error)
     finally:
         context.stop_recording(has_passed_events=has_passed)
         if held:
@@ -341,8 +351,7 @@
         except TimeoutError:
             return Outcome(outcome_unknown("the answer took too long"))
         except (aiohttp.ClientError, OSError) as error:
-            failed = outcome_unknown(f"the answer broke off: {error!r}")
-            return Outcome(failed, connection_lost=True)
+            return _broke_off(outcome_unknown, error)
         is_framed = framing_of(response, request.method) is not Framing.CONNECTION
         if is_complete and not is_framed and not await _outlives_answer(context):
             failed = outcome_unknown("the connection ended, and its upstream is gone")
--- a/poplarlug/relay/send_results.py
+++ b/poplarlug/relay/send_results.py
@@ -102,6 +102,9 @@
         if error.kind is SendErrorKind.TIMEOUT:
             message = "no answer came within the time"
             return Outcome(GatewayError(504, "timed_out", message, None, None))
+        if error.kind is SendErrorKind.CLOSED_HERE:
+            message = "this entry closed the connection before an answer"
+            return Outcome(outcome_unknown(message))
         failed = outcome_unknown("the connection was lost before an answer")
         return Outcome(failed, connection_lost=True)
 
