Tell requests their end before an entry closes its clients

Callers whose requests outlasted the drain of a planned stop got whole but short answers, or a connection that ended with nothing; bookings among them.

Cause: at the end of the drain the entry closed callers' connections, its clients and its supervised tasks at the same time. Requests in progress saw the end of their upstream's connection before their own, and some went on to send through a closed client.

The planned stop now ends all requests itself, at one place and first. A request that may have run gets 502, one that was sent nowhere 503 with "not run", a stream breaks off, and the request's line says "stopped". Only then connections are closed, callers' before upstreams'. The line of a request whose caller has left says so, too.

--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from random import Random
 
@@ -52,7 +52,7 @@
 """Timeout for closing all components, after which the process exits regardless."""
 
 HANDLER_SHUTDOWN_SECONDS = 0.1
-"""Time that requests still in progress get after the end of the drain."""
+"""How long callers may take, after the drain, to be told the end of their requests."""
 
 DRAIN_CHECK_SECONDS = 0.05
 
@@ -116,7 +116,7 @@
         self.pauses = PauseWatch(
             deployment=self.deployment, uptime=seconds_since_boot, clock=clock
         )
-        gateway = RelayGateway(
+        self.gateway = RelayGateway(
             name=settings.name,
             view=self.view,
             dispatcher=self.dispatcher,
@@ -142,6 +142,7 @@
             ),
             clock=clock,
             stood_still_since=self.pauses.stood_still_since,
+            stop=self.stop,
         )
         self.guard = ConnectionGuard(
             limits=HttpLimits(
@@ -149,7 +150,7 @@
             )
         )
         self.relay_endpoint = RelayEndpoint(
-            gateway=gateway,
+            gateway=self.gateway,
             deployment=self.deployment,
             pauses=self.pauses,
             header_names=header_names,
@@ -237,6 +238,21 @@
             seconds=round(self.stop.elapsed_share * grace, 2),
         )
 
+    async def end_requests(self) -> None:
+        """End the requests that outlast the drain, and let their callers know."""
+        self.stop.end_requests()
+        in_progress = self.relay_endpoint.in_progress
+        try:
+            async with asyncio.timeout(HANDLER_SHUTDOWN_SECONDS):
+                await in_progress.wait_for(lambda count: count == 0)
+        except TimeoutError:
+            _log.warning("some callers are not told", in_progress=in_progress.value)
+
+    async def close(self, runners: Sequence[web.AppRunner]) -> None:
+        """Close callers' connections first, as their answers come over the clients."""
+        await _close_all(*(runner.cleanup() for runner in runners))
+        await _close_all(self.client.close(), self.forward_client.close())
+
     async def _wait_until_idle(self, *, not_before: float = 0.0) -> None:
         """
         Wait until no request is in progress, or the drain must end.
@@ -262,6 +278,12 @@
         return OwnLoads(self.in_flight.own_loads(), waiting, demands)
 
 
+async def _close_all(*closing: Awaitable[None]) -> None:
+    for error in await asyncio.gather(*closing, return_exceptions=True):
+        if error is not None:
+            _log.warning("a component failed to close", error=repr(error))
+
+
 MakeSites = Callable[[SeededEntry, SeededEntrySettings], Sequence[Site]]
 
 
@@ -328,13 +350,12 @@
     await entry.drain()
     await site_guard.stop_listening()
     settings_task.cancel()
-    closing = [runner.cleanup() for runner in runners]
-    closing += [entry.client.close(), entry.forward_client.close()]
-    supervisor_task.cancel()
-    done = asyncio.gather(*closing, supervisor_task, return_exceptions=True)
     try:
         async with asyncio.timeout(EXIT_TIMEOUT_SECONDS):
-            await done
+            await entry.end_requests()
+            supervisor_task.cancel()
+            await entry.close(runners)
+            await asyncio.gather(supervisor_task, return_exceptions=True)
     except TimeoutError:
         _log.warning("exiting before all components closed")
     _log.info("stopped", name=settings.name)
--- a/poplarlug/errors.py
+++ b/poplarlug/errors.py
@@ -12,6 +12,9 @@
 LEAVING = "leaving"
 """Error type of a request that a stopping entry doesn't pass on any more."""
 
+STOPPED = "stopped"
+"""Error type of a request that was in progress when its entry had to stop."""
+
 HELD_APART = "held_apart"
 """Error type of a suspect request that got no turn to run apart from others in time."""
 
@@ -106,6 +109,12 @@
     return GatewayError(503, LEAVING, message, False, retry_after_seconds)
 
 
+def stopped() -> GatewayError:
+    """Return the error of a request that outlasted the drain of a stopping entry."""
+    message = "this entry stopped before the answer was whole; the request may have run"
+    return GatewayError(502, STOPPED, message, None, None)
+
+
 def held_apart(retry_after_seconds: float) -> GatewayError:
     """Return the error of a suspect request that got no turn and was not run."""
     return GatewayError(
--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -6,13 +6,14 @@
 
 from prometheus_client import Counter
 
-from poplarlug.errors import GatewayError
+from poplarlug.errors import GatewayError, leaving, stopped
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.event_format import EventFormat
 from poplarlug.relay.events import LAST_EVENT_HEADER, EventProgress
 from poplarlug.relay.fingerprint import PartKey, fingerprint_of, part_keys_of
 from poplarlug.relay.header_names import HeaderNames
+from poplarlug.relay.planned_stop import LEAVING_RETRY_SECONDS
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.tried import Tried
@@ -124,6 +125,8 @@
         What a crash of the last isolated attempt counts against.
     remote_upstream : UpstreamId
         The upstream that runs the current attempt in another region; empty if unknown.
+    is_sending : bool
+        Whether a target may have the request, and has not been heard to the end.
     upstream_version : SoftwareVersion
         Software version of the upstream that runs the current attempt.
     record_start : callable
@@ -154,6 +157,7 @@
         self.tried = Tried(upstreams=request.tried)
         self.target = ""
         self.remote_upstream: UpstreamId = ""
+        self.is_sending = False
         self.event_format = event_format
         self.max_events = max_events
         self.events = _event_progress(request, event_format)
@@ -289,6 +293,7 @@
         self._note_outcome(outcome, is_attempt=True)
 
     def _note_outcome(self, outcome: Outcome, *, is_attempt: bool) -> None:
+        self.is_sending = False
         error = outcome.error
         if error is None:
             return
@@ -326,6 +331,11 @@
         ran = False if self._error is None else self._error.ran
         return refusal._replace(ran=ran)
 
+    def stop(self) -> GatewayError:
+        """Return the final error of a request that a planned stop ends."""
+        refusal = stopped() if self.is_sending else leaving(LEAVING_RETRY_SECONDS)
+        return _merge_errors(self._error, refusal)
+
     async def give_up(self, refusal: GatewayError | None = None) -> GatewayError | None:
         """
         Return the final error, or pass on an error response from an upstream.
--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -166,7 +166,12 @@
         response: web.StreamResponse
         try:
             with self._bodies.reserve() as held_body:
-                parsed = await self._parse(request, request_id, hops, trace, held_body)
+                parsed: Result[RelayRequest, GatewayError]
+                parsed = Failure(leaving(LEAVING_RETRY_SECONDS))
+                async with self._stop.scope():
+                    parsed = await self._parse(
+                        request, request_id, hops, trace, held_body
+                    )
                 if isinstance(parsed, Failure):
                     response = self._refuse(request, parsed.failure(), hops, trace)
                 else:
@@ -174,6 +179,9 @@
                     response = await self._run(request, parsed.unwrap(), trace)
             status = response.status
             return response
+        except asyncio.CancelledError:
+            trace.note(error="stopped" if self._stop.has_drained else "caller_left")
+            raise
         finally:
             self.in_progress.set(self.in_progress.value - 1)
             seconds = self._clock() - started
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -39,7 +39,7 @@
     decode_refusal,
 )
 from poplarlug.relay.passing import relay_response
-from poplarlug.relay.planned_stop import LEAVING_RETRY_SECONDS
+from poplarlug.relay.planned_stop import LEAVING_RETRY_SECONDS, PlannedStop
 from poplarlug.relay.probing import is_listening
 from poplarlug.relay.requests import RelayRequest
 from poplarlug.relay.resumption import Resumption
@@ -78,6 +78,8 @@
         Keeps resumed streams at the software version that began them.
     stood_still_since : callable
         Returns whether this process stood still after a time of the clock.
+    stop : PlannedStop, optional
+        Ends the requests that outlast the drain of a stopping entry.
     suspects : Suspects
         Quarantines or isolates requests under which upstreams crash.
     """
@@ -96,6 +98,7 @@
         retry_limits: RetryLimits,
         clock: Callable[[], Seconds],
         stood_still_since: Callable[[Seconds], bool] = lambda at: False,
+        stop: PlannedStop | None = None,
     ) -> None:
         self._name = name
         self._view = view
@@ -111,6 +114,7 @@
         self._retry_limits = retry_limits
         self._clock = clock
         self._stood_still_since = stood_still_since
+        self._stop = stop or PlannedStop(clock=clock)
         self._results = SendResults(view=view, header_names=header_names)
         self._held_bytes = HeldBytesBudget()
         self._confirmed_ends = ConfirmedEnds()
@@ -138,6 +142,21 @@
             event_format=self._event_format,
             max_events=self._max_events(request),
         )
+        async with self._stop.scope() as scope:
+            failed = await self._run_all(context, budget)
+        if not scope.expired():
+            return failed
+        trace.step(
+            "drain ended",
+            self._clock(),
+            was_sent=context.is_sending,
+            last_id=None if context.events is None else context.events.last_id,
+        )
+        return context.stop()
+
+    async def _run_all(
+        self, context: RequestContext, budget: RetryBudget
+    ) -> GatewayError | None:
         refusal = await self._require_version(context)
         if refusal is not None:
             return context.refuse(refusal)
@@ -428,6 +447,7 @@
         if request.route.prompts:
             headers.append((header_names.priority, str(min(9, request.route.rank))))
         started = self._clock()
+        context.is_sending = True
         sent = await self._client.send(
             target=target.upstream.address,
             method=request.method,
@@ -498,6 +518,7 @@
             view_age_ms=round(self._deployment.age_seconds * 1000),
         )
         left = request.deadline - started
+        context.is_sending = True
         sent = await self._forward_client.send(
             target=entry.forwards,
             method=request.method,
--- a/poplarlug/relay/planned_stop.py
+++ b/poplarlug/relay/planned_stop.py
@@ -1,6 +1,8 @@
 """Which requests an entry may still pass on during a planned stop."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 from poplarlug.relay.requests import RelayRequest
@@ -60,6 +62,11 @@
     Load pattern: entries are restarted in turn under load, while callers keep their
     connections and send bodies slowly. A request that is cut at the end of the grace
     period may have run; one that is refused in time is sent to another entry.
+
+    Attributes
+    ----------
+    has_drained : bool
+        Whether the drain has ended, and all requests with it.
     """
 
     def __init__(self, *, clock: Callable[[], Seconds]) -> None:
@@ -67,6 +74,8 @@
         self._began_at: Seconds | None = None
         self._grace_seconds: Seconds = 0.0
         self._estimates_by_route: dict[str, DurationEstimate] = {}
+        self._scopes: set[asyncio.Timeout] = set()
+        self.has_drained = False
 
     def begin(self, grace_seconds: Seconds) -> None:
         """Begin the stop; the process is killed after ``grace_seconds``."""
@@ -89,6 +98,35 @@
         """Whether requests are read; early in a stop, they still are."""
         return not self.is_stopping or self.elapsed_share < ACCEPT_SHARE
 
+    def end_requests(self) -> None:
+        """End all requests in progress and to come, as the drain has ended."""
+        self.has_drained = True
+        now = asyncio.get_running_loop().time()
+        for scope in self._scopes:
+            scope.reschedule(now)
+
+    @asynccontextmanager
+    async def scope(self) -> AsyncIterator[asyncio.Timeout]:
+        """
+        Cancel the block when the drain ends.
+
+        Yields
+        ------
+        asyncio.Timeout
+            Tells behind the block, by ``expired()``, whether it was cancelled.
+        """
+        scope = asyncio.timeout(0 if self.has_drained else None)
+        try:
+            async with scope:
+                self._scopes.add(scope)
+                try:
+                    yield scope
+                finally:
+                    self._scopes.discard(scope)
+        except TimeoutError:
+            if not scope.expired():
+                raise
+
     def note_duration(self, route: str, seconds: Seconds) -> None:
         """Record how long a request on a route took to its complete answer."""
         known = self._estimates_by_route.get(route)
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -29,7 +29,7 @@
 """Body of plain answers whose end is that of the connection."""
 
 PART_SECONDS = 0.03
-"""Time that an upstream works on a part of an answer sent in parts."""
+"""Default time that an upstream works on a part of an answer sent in parts."""
 
 MUTE_SECONDS = 30.0
 ERRORS_BY_FAULT = {
@@ -121,6 +121,8 @@
         Whether a crash keeps connections open without responding on them.
     crash_times : list of float
         Monotonic times of the crashes.
+    part_seconds : float
+        Time that it works on each part of an answer sent in parts.
     unframed_share : float
         Fraction of answers, of those without a fault or with ``cut``, that have neither
         a length nor chunks; they are sent in parts.
@@ -162,6 +164,7 @@
         self.crashes_silently = False
         self.is_up = True
         self.crash_times: list[float] = []
+        self.part_seconds = PART_SECONDS
         self.unframed_share = 0.0
         self.on_listening: Callable[[bool], None] = lambda is_listening: None
         self.cut_unframed = 0
@@ -396,7 +399,7 @@
         try:
             for part in parts:
                 transport.write(part)
-                await asyncio.sleep(PART_SECONDS)
+                await asyncio.sleep(self.part_seconds)
         except asyncio.CancelledError:
             self.cut_unframed += not self.is_up
             self.abandoned += self.is_up
--- a/tests/platform_adapter/test_ended_connections.py
+++ b/tests/platform_adapter/test_ended_connections.py
@@ -6,7 +6,7 @@
 import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
-from typing import ClassVar, NamedTuple
+from typing import Any, ClassVar, NamedTuple
 
 from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.relay.events import LAST_EVENT_HEADER
@@ -52,15 +52,17 @@
     is_whole: bool
 
 
-class EndedConnectionTests(DeploymentTestCase):
+class EndedConnectionCase(DeploymentTestCase):
     """Two upstreams in Quito; the entry in Guayaquil hands requests on."""
 
     entry_zones: ClassVar[tuple[str, ...]] = ("quito-a", "guayaquil-a")
+    routes: ClassVar[dict[str, dict[str, Any]]] = ROUTES
+    deadline_seconds: ClassVar[float] = DEADLINE_SECONDS
 
     def setUp(self) -> None:
         super().setUp()
         self.upstreams = [self.start_upstream(f"u-{number}") for number in range(2)]
-        self.configure(**ROUTES)
+        self.configure(**self.routes)
         self.wait_served()
         self.wait_until_entries_are_known()
 
@@ -75,7 +77,7 @@
         """Send a request, unlike all others if not named; read its answer to the end."""
         host, _, port = self.deployment.entry_address(entry).rpartition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=10)
-        headers = self.headers(str(int(DEADLINE_SECONDS * 1000)))
+        headers = self.headers(str(int(self.deadline_seconds * 1000)))
         headers[HEADER_NAMES.token_counts] = f"5,{MAX_TOKENS}"
         status, data = 0, b""
         try:
@@ -111,6 +113,10 @@
             if stream.is_whole:
                 self.assertEqual(stream.data, EVENTS, what)
 
+
+class EndedConnectionTests(EndedConnectionCase):
+    """Upstreams end their connections."""
+
     # Guards against streams that ended as complete where their connection had ended.
     def test_stream_that_its_connection_ends_early_does_not_look_whole(self) -> None:
         """All upstreams end theirs too early, each at the border of an event."""
--- a/tests/relay/test_gateway.py
+++ b/tests/relay/test_gateway.py
@@ -14,9 +14,9 @@
 from poplarlug.discovery.messages import PollReply, RoutingUpdate
 from poplarlug.discovery.named_limits import NamedLimits
 from poplarlug.discovery.records import EntryRecord, ServiceUpstream
-from poplarlug.errors import not_run, outcome_unknown
+from poplarlug.errors import GatewayError, not_run, outcome_unknown
 from poplarlug.platform.names import HEADER_NAMES
-from poplarlug.relay.budgets import RetryLimits, WarmupLimits
+from poplarlug.relay.budgets import RetryBudget, RetryLimits, WarmupLimits
 from poplarlug.relay.client import RelayClient
 from poplarlug.relay.connections import ResponseSource
 from poplarlug.relay.context import DONE, Outcome, RequestContext
@@ -28,9 +28,10 @@
 )
 from poplarlug.relay.hop_headers import REFUSED, encode_refusal
 from poplarlug.relay.in_flight import InFlightTracker
+from poplarlug.relay.planned_stop import PlannedStop
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.relay.view import FleetView
-from poplarlug.routes import Engine, RoutedService, RouteTable
+from poplarlug.routes import Engine, Route, RoutedService, RouteTable
 from tests.control.quiet import QuietTestCase
 from tests.relay.test_resumption import make_resumption
 from tests.relay.test_suspects import make_suspects
@@ -84,11 +85,11 @@
             limits=NamedLimits(clock=lambda: 0.0),
             clock=lambda: 0.0,
         )
-        dispatcher = Dispatcher(view=self.view, clock=lambda: 0.0)
+        self.dispatcher = Dispatcher(view=self.view, clock=lambda: 0.0)
         self.gateway = RelayGateway(
             name="entry-1",
             view=self.view,
-            dispatcher=dispatcher,
+            dispatcher=self.dispatcher,
             client=RelayClient(),
             forward_client=RelayClient(),
             suspects=make_suspects(self.deployment),
@@ -130,6 +131,59 @@
         self.assertTrue(self.can_resume_elsewhere())
 
 
+class EndOfDrainTests(GatewayTestCase):
+    async def end_drain(self, route: Route, *results: object) -> GatewayError | None:
+        """End the drain beside a request whose places and sends end so; return its end."""
+
+        async def wait(*args: object, **kwargs: object) -> object:
+            result = remaining.pop(0)
+            return await asyncio.Event().wait() if result is None else result
+
+        remaining = list(results)
+        self.gateway._stop = stop = PlannedStop(clock=lambda: 0.0)
+        sink = cast(Any, SimpleNamespace(started=False))
+        trace = RelayTrace(request_id="r-1", started=0.0)
+        request = make_request(route=route, deadline=60.0)
+        with (
+            patch.object(self.dispatcher, "find", wait),
+            patch.object(self.gateway, "_run_remote", wait),
+            patch.object(self.gateway._client, "send", wait),
+            patch.object(RetryBudget, "try_acquire", return_value=True),
+        ):
+            serving = asyncio.ensure_future(self.gateway.serve(request, sink, trace))
+            await asyncio.sleep(0.01)
+            self.assertFalse(serving.done(), (results, serving))
+            stop.end_requests()
+            return await serving
+
+    # Guards against callers who were told nothing, or "not run" of what may have run.
+    def test_request_is_told_its_end_when_the_drain_ends(self) -> None:
+        """It has run nowhere only if nothing was sent, or all sends were refused."""
+        remote = Success(RemoteTarget(ENTRY, 0.1, 0.0))
+        in_flight_request = self.view.in_flight.note_started(
+            UPSTREAMS[0], SERVICE.engine, make_request(route=ROUTE), 0.0
+        )
+        local = Success(LocalTarget(UPSTREAMS[0], in_flight_request, 0.1, 0, 0.0))
+        refused = Outcome(not_run("refused", 0.1))
+        lost = Outcome(outcome_unknown("lost"))
+        cases = (
+            ((None,), 503),
+            ((remote, refused, None), 503),
+            ((remote, lost, None), 502),
+            ((local, None), 502),
+            ((remote, refused, local, None), 502),
+        )
+        for kind in ("safe", "unsafe"):
+            route = ROUTE._replace(kind=kind, max_attempts=3)
+            for results, status in cases:
+                if kind == "unsafe" and lost in results:
+                    continue
+                error = asyncio.run(self.end_drain(route, *results))
+                assert error is not None
+                ran = False if status == 503 else None
+                self.assertEqual((error.status, error.ran), (status, ran), results)
+
+
 class AskedAgainTests(GatewayTestCase):
     def test_upstream_that_is_asked_again_must_answer_soon(self) -> None:
         """Its caller waits for the end of a stream, though no attempt is left."""
