Log errors that leave a handler, and count a closed client as not sent

The operators' record held the end of a traceback, which named no request, no time and no level; the caller of that request got a status 500 of the HTTP library, or its connection just ended, and the line of the request had no error.

Cause: a send through a closed client raised RuntimeError, which nothing catches, and what libraries log went to standard error as they format it.

A send through a closed client is now a send that wasn't sent. An error that leaves the gateway is a log line with the request's id, and the caller is told that its request may have run, or its stream breaks off. All that libraries and Python itself report, also what ends a process, is written as log lines.

Each of the three tests failed before: RuntimeError, status 500 where 502 is wanted, and lines on standard error.

--- a/poplarlug/logs.py
+++ b/poplarlug/logs.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import sys
+from types import TracebackType
 from typing import Any, Literal, TextIO, TypeAlias, cast
 
 import msgspec
@@ -36,6 +37,10 @@
         cache_logger_on_first_use=True,
     )
 
+    logging.basicConfig(handlers=[_LibraryHandler()], level=logging.WARNING, force=True)
+    logging.captureWarnings(True)
+    sys.excepthook = _log_uncaught
+
 
 class ComponentLogger:
     """Logger that starts each message with the prefix of its component."""
@@ -57,6 +62,26 @@
         self._logger.error(f"{self._prefix}: {message}", **fields)
 
 
+class _LibraryHandler(logging.Handler):
+    """Write what libraries log as log lines of this process."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        try:
+            logger = structlog.get_logger()
+            message = f"{record.name}: {record.getMessage()}"
+            logger.log(record.levelno, message, exc_info=record.exc_info)
+        except Exception:
+            self.handleError(record)
+
+
+def _log_uncaught(
+    kind: type[BaseException], error: BaseException, trace: TracebackType | None
+) -> None:
+    """Log the error that ends this process."""
+    logger = structlog.get_logger()
+    logger.error("process: ended by an error", exc_info=(kind, error, trace))
+
+
 def _encode(fields: Any, **_: Any) -> str:
     try:
         return msgspec.json.encode(fields, enc_hook=repr).decode()
--- a/poplarlug/relay/client.py
+++ b/poplarlug/relay/client.py
@@ -122,6 +122,8 @@
             Timeout for the arrival of the response head.
         """
         assert self._session is not None
+        if self._session.closed:
+            return Failure(SendError(SendErrorKind.NOT_SENT, "this client is closed"))
         try:
             # Parsed as part of an URL, an empty query would be dropped.
             url = URL(f"http://{target}").with_path(path, encoded=True)
--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -20,6 +20,7 @@
     bad_request,
     leaving,
     not_run,
+    outcome_unknown,
     overloaded,
     to_body,
 )
@@ -205,7 +206,12 @@
             request_id=relayed.id,
             should_close=lambda: self._stop.is_stopping,
         )
-        failed = await self._gateway.serve(relayed, sink, trace)
+        try:
+            failed = await self._gateway.serve(relayed, sink, trace)
+        except Exception as error:
+            # The caller must be told that it may have run, or its stream broken off.
+            _log.error("failed to serve", request_id=relayed.id, exc_info=error)
+            failed = outcome_unknown(f"this entry failed: {error!r}")
         if failed is None:
             await sink.finish()
             seconds = self._clock() - relayed.arrived
--- a/tests/relay/test_connection_end.py
+++ b/tests/relay/test_connection_end.py
@@ -125,6 +125,15 @@
             sent = await sending
         self.assertIs(sent.failure().kind, SendErrorKind.CLOSED_HERE)
 
+    # Guards against a send through a closed client that ended in a traceback.
+    async def test_closed_client_sends_nothing(self) -> None:
+        """Its request has run nowhere."""
+        client = await self.open_client()
+        await client.close()
+        sent = await self.send(client)
+        self.assertIs(sent.failure().kind, SendErrorKind.NOT_SENT)
+        self.assertEqual(self.writers, [])
+
 
 def transport(response: RelayResponse) -> asyncio.Transport:
     connection = response.connection
--- a/tests/relay/test_endpoint.py
+++ b/tests/relay/test_endpoint.py
@@ -1,8 +1,9 @@
-"""Tests of an entry's HTTP endpoint before it knows any routes."""
+"""Tests of an entry's HTTP endpoint before it knows any routes, and of errors."""
 
 import asyncio
 from random import Random
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from aiohttp.test_utils import TestClient, TestServer
 
@@ -25,6 +26,7 @@
 from poplarlug.routes import RouteTable
 from tests.relay.test_resumption import make_resumption
 from tests.relay.test_suspects import make_suspects
+from tests.routes.test_checks import make_route, make_table
 
 REPLY = PollReply(
     registry_id="r",
@@ -54,7 +56,7 @@
             clock=clock,
         )
         client = RelayClient()
-        gateway = RelayGateway(
+        self.gateway = gateway = RelayGateway(
             name="entry-1",
             view=view,
             dispatcher=Dispatcher(view=view, clock=clock),
@@ -110,3 +112,22 @@
             self.assertEqual(response.status, 503)
             self.assertIn(REFUSED, response.headers)
             self.assertEqual(response.headers.getall(name), ["r-1"])
+
+    # Guards against callers who got a status 500 of the HTTP library, or nothing.
+    async def test_caller_is_told_of_an_error_of_this_process(self) -> None:
+        """The request may have run, and its line names the error."""
+        table = make_table(make_route(host="127.0.0.1", path_prefix="/x/"))
+        routing = RoutingUpdate(1, encode_table(table), ())
+        self.deployment.apply_reply(REPLY._replace(routing=routing))
+        headers = {HeaderNames().request_id: "r-1", "Host": "127.0.0.1"}
+        with (
+            patch.object(self.gateway, "serve", side_effect=RuntimeError("closed")),
+            patch("poplarlug.relay.endpoint._log") as log,
+        ):
+            async with self.caller.get("/x/", headers=headers) as response:
+                self.assertEqual(response.status, 502)
+        failed, ended = log.error.call_args.kwargs, log.info.call_args.kwargs
+        self.assertEqual(failed["request_id"], "r-1")
+        self.assertIsInstance(failed["exc_info"], RuntimeError)
+        self.assertEqual((ended["status"], ended["error"]), (502, "outcome_unknown"))
+        self.assertIn("closed", ended["reason"])
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,41 @@
+"""Tests that a process writes nothing but log lines."""
+
+import json
+import subprocess
+import sys
+from unittest import TestCase
+
+PROGRAM = """
+import asyncio, logging, warnings
+from poplarlug.logs import configure_logs
+configure_logs(log_format="json", level="info")
+warnings.warn("odd")
+async def main():
+    asyncio.get_running_loop().call_soon(lambda: 1 / 0)
+    await asyncio.sleep(0.01)
+asyncio.run(main())
+try:
+    raise RuntimeError("Session is closed")
+except RuntimeError:
+    logging.getLogger("aiohttp.server").exception("failed %s", "once")
+raise SystemError("the end")
+"""
+
+
+class LogTests(TestCase):
+    # Guards against tracebacks in a log, which name no request, time or level.
+    def test_what_libraries_and_errors_write_are_log_lines(self) -> None:
+        """Each has an event and a level, and its traceback in a field."""
+        done = subprocess.run(
+            [sys.executable, "-c", PROGRAM], capture_output=True, check=False
+        )
+        self.assertEqual((done.returncode, done.stderr), (1, b""))
+        lines = [json.loads(line) for line in done.stdout.splitlines()]
+        names = [line["event"].partition(":")[0] for line in lines]
+        self.assertEqual(names, ["py.warnings", "asyncio", "aiohttp.server", "process"])
+        levels = [line["level"] for line in lines]
+        self.assertEqual(levels, ["warning", "error", "error", "error"])
+        for line, error in zip(
+            lines[1:], ("ZeroDivision", "Session is closed", "the end"), strict=True
+        ):
+            self.assertIn(error, line["exception"])
