Wait in a drain for bookings whose callers have left

An accepted booking was broken off at its upstream by a planned stop, though its entry had seconds left.

Cause: an unsafe request runs to its end after its caller has left, as a task of its own, but the drain counted only requests with callers, and an idle entry closed its clients after half of the grace period.

The drain now waits for these tasks as well, within its limit. The test failed before: its upstream saw the booking abandoned.

--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -255,7 +255,7 @@
 
     async def _wait_until_idle(self, *, not_before: float = 0.0) -> None:
         """
-        Wait until no request is in progress, or the drain must end.
+        Wait until no request or send is in progress, or the drain must end.
 
         Parameters
         ----------
@@ -264,7 +264,8 @@
         """
         while True:
             share = self.stop.elapsed_share
-            is_idle = self.relay_endpoint.in_progress.value == 0
+            in_progress = self.relay_endpoint.in_progress.value
+            is_idle = in_progress == 0 and self.gateway.is_idle
             if share > DRAIN_LIMIT_SHARE or (is_idle and share > not_before):
                 return
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -154,6 +154,11 @@
         )
         return context.stop()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request runs on whose caller has left."""
+        return not self._background
+
     async def _run_all(
         self, context: RequestContext, budget: RetryBudget
     ) -> GatewayError | None:
--- a/tests/platform_adapter/test_end_of_drain.py
+++ b/tests/platform_adapter/test_end_of_drain.py
@@ -1,5 +1,6 @@
 """Tests of requests in progress when a drain ends, with real processes on loopback."""
 
+import http.client
 import json
 import signal
 import time
@@ -20,6 +21,9 @@
 
 ANSWER_SECONDS = 8.0
 DEADLINE_SECONDS = 8.0
+BOOKING_SECONDS = 3.0
+"""Longer than an idle entry listens in a stop, and shorter than its drain."""
+
 REPEATS = 2
 FRAMINGS = ("connection", "framed")
 EXIT_SECONDS = 4.0
@@ -120,3 +124,19 @@
         for _ in range(9):
             self.read_many(self.entries[0], "resume")
         self.check_answers(self.stop_beside_answers())
+
+    # Guards against bookings that an idle entry broke off after their caller had left.
+    def test_booking_whose_caller_has_left_runs_to_its_end(self) -> None:
+        """It was accepted, and its outcome must not hang on when an entry stops."""
+        for upstream in self.upstreams:
+            upstream.arrivals.clear()
+            upstream.unframed_share, upstream.part_seconds = 1.0, BOOKING_SECONDS / 3
+        entry = self.entries[0]
+        host, _, port = self.deployment.entry_address(entry).rpartition(":")
+        caller = http.client.HTTPConnection(host, int(port), timeout=DEADLINE_SECONDS)
+        caller.request("POST", "/book/1", b"hello", self.headers())
+        wait_until(lambda: any(u.arrivals for u in self.upstreams), "no booking came")
+        caller.close()
+        self.deployment.signal(entry, signal.SIGTERM)
+        self.assertEqual(self.deployment.wait_for_exit(entry), 0)
+        self.assertEqual([upstream.abandoned for upstream in self.upstreams], [0, 0])
