End requests within the grace period, also beside silent connections

A request that outlasted the drain of a planned stop got its 502 4.28 s after the SIGTERM, where the grace period is 4 s: an operator's SIGKILL comes first, and the caller is told nothing.

Cause: a busy entry listened until 88 % of the grace period, then stopped the listeners for callers and those of its other applications one after the other, and only then ended its requests. Each waits up to 0.3 s for the first request of a connection on which none may ever come.

All listeners now stop at the same time, early enough that this ends with the drain, whatever the grace period is.

The test failed before: 4.28 s is not less than 4.

--- a/poplarlug/callers/connections.py
+++ b/poplarlug/callers/connections.py
@@ -29,6 +29,9 @@
 HANDSHAKE_SECONDS = 0.02
 """Several round trips between a caller and an entry of its region."""
 
+STOP_LISTENING_SECONDS = FIRST_REQUEST_SECONDS + 0.1
+"""How long listeners take to stop at most: the above, for a few of them."""
+
 SO_ATTACH_FILTER = 26
 """Linux option number; the standard library does not define it."""
 
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -8,7 +8,11 @@
 
 from aiohttp import web
 
-from poplarlug.callers.connections import ConnectionGuard, HttpLimits
+from poplarlug.callers.connections import (
+    STOP_LISTENING_SECONDS,
+    ConnectionGuard,
+    HttpLimits,
+)
 from poplarlug.daemon import Site, add_health_routes, stop_event
 from poplarlug.discovery.crash_marks import CrashMarks
 from poplarlug.discovery.deployment import Deployment
@@ -224,13 +228,21 @@
         )
         self._settings = settings
 
-    async def drain(self) -> None:
-        """Leave the directory, then wait for requests within the grace period."""
+    async def drain(self, site_guard: ConnectionGuard) -> None:
+        """
+        Leave the directory, then wait for requests within the grace period.
+
+        Parameters
+        ----------
+        site_guard : ConnectionGuard
+            Guards the listeners of the entry's other applications.
+        """
         grace = self._settings.grace_seconds
         self.stop.begin(grace)
         self.subscriber.report_now()
-        await self._wait_until_idle(not_before=LISTEN_SHARE)
-        await self.guard.stop_listening()
+        listen_limit = DRAIN_LIMIT_SHARE - STOP_LISTENING_SECONDS / grace
+        await self._wait_until_idle(not_before=LISTEN_SHARE, limit=listen_limit)
+        await asyncio.gather(self.guard.stop_listening(), site_guard.stop_listening())
         await self._wait_until_idle()
         _log.info(
             "drained",
@@ -253,20 +265,22 @@
         await _close_all(*(runner.cleanup() for runner in runners))
         await _close_all(self.client.close(), self.forward_client.close())
 
-    async def _wait_until_idle(self, *, not_before: float = 0.0) -> None:
+    async def _wait_until_idle(
+        self, *, not_before: float = 0.0, limit: float = DRAIN_LIMIT_SHARE
+    ) -> None:
         """
         Wait until no request or send is in progress, or the drain must end.
 
         Parameters
         ----------
-        not_before : float
-            Share of the grace period for which to wait at least.
+        not_before, limit : float
+            Shares of the grace period for which to wait at least and at most.
         """
         while True:
             share = self.stop.elapsed_share
             in_progress = self.relay_endpoint.in_progress.value
             is_idle = in_progress == 0 and self.gateway.is_idle
-            if share > DRAIN_LIMIT_SHARE or (is_idle and share > not_before):
+            if share > limit or (is_idle and share > not_before):
                 return
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
 
@@ -348,8 +362,7 @@
     )
     _log.info("stopping", name=settings.name)
     failed = supervisor_task.done()
-    await entry.drain()
-    await site_guard.stop_listening()
+    await entry.drain(site_guard)
     settings_task.cancel()
     try:
         async with asyncio.timeout(EXIT_TIMEOUT_SECONDS):
--- /dev/null
+++ b/tests/platform_adapter/test_drain_limits.py
@@ -0,0 +1,66 @@
+"""Tests of what a planned stop waits for, and until when, with real processes."""
+
+import http.client
+import signal
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any, ClassVar
+
+from poplarlug.soak.deployment import wait_until
+from tests.platform_adapter.case import DeploymentTestCase
+
+GRACE_SECONDS = 4.0
+"""Grace period of the entries of a deployment; what still runs then is killed."""
+
+ANSWER_SECONDS = 8.0
+PORTS = (8144, 8140, 8143)
+"""Where an entry takes requests, questions after its readiness, and name look-ups."""
+
+
+class DrainLimitTests(DeploymentTestCase):
+    """An entry and an upstream in Quito."""
+
+    entry_zones: ClassVar[tuple[str, ...]] = ("quito-a",)
+    route: ClassVar[dict[str, Any]] = {"route_kind": "safe", "timeout_ms": 9000}
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.upstream = self.add_upstream("u-1")
+        self.keep_announcing(self.upstream)
+        self.configure(look=self.route)
+        self.wait_served()
+        self.entry = self.entries[0]
+        address, _, port = self.deployment.entry_address(self.entry).rpartition(":")
+        self.ip, self.port = address, int(port)
+
+    def time_of_answer(self) -> tuple[int, float]:
+        """Return the status of a request and the time at which it came."""
+        caller = http.client.HTTPConnection(self.ip, self.port, timeout=15)
+        try:
+            caller.request("POST", "/look/1", b"hello", self.headers("9000"))
+            return caller.getresponse().status, time.monotonic()
+        except (OSError, http.client.HTTPException):
+            return 0, time.monotonic()
+        finally:
+            caller.close()
+
+    # Guards against callers who are told nothing, as the entry is killed before.
+    def test_request_is_told_its_end_within_the_grace_period(self) -> None:
+        """Also beside connections on which no request ever comes."""
+        self.upstream.arrivals.clear()
+        self.upstream.answer_seconds = ANSWER_SECONDS
+        with ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(self.time_of_answer)
+            wait_until(lambda: bool(self.upstream.arrivals), "no request came")
+            for port in PORTS:
+                silent = socket.create_connection((self.ip, port))
+                self.addCleanup(silent.close)
+            began = time.monotonic()
+            self.deployment.signal(self.entry, signal.SIGTERM)
+            self.assertEqual(self.deployment.wait_for_exit(self.entry), 0)
+            exited = time.monotonic()
+            status, at = answer.result()
+        self.assertEqual(status, 502)
+        self.assertLess(at - began, GRACE_SECONDS)
+        self.assertLess(exited - began, GRACE_SECONDS)
