Wait in a drain for the last bytes of answers

A caller that read slowly got 43763 of 60010 bytes of a plain answer, and the end of the connection, though the entry had seconds left in its stop.

Cause: a request ends once its answer is in the transport's buffer, which holds up to 64 KiB beyond what the kernel takes. An idle entry closed these connections and ended; its buffers ended with it. Answers without framing already wait for their last byte.

The drain now counts connections with unsent bytes as busy, within its limit.

--- a/poplarlug/callers/connections.py
+++ b/poplarlug/callers/connections.py
@@ -105,6 +105,14 @@
     def open_connections(self) -> int:
         return len(self._connections_by_protocol)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether this process still holds bytes that a client is to get."""
+        return any(
+            connection.has_unsent_bytes
+            for connection in self._connections_by_protocol.values()
+        )
+
     async def run(self) -> None:
         """Close connections that exceed the header timeout, until cancelled."""
         loop = asyncio.get_running_loop()
@@ -262,6 +270,12 @@
         """Whether the headers of a first or of a begun request are incomplete."""
         return self._waiting_since is not None
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        return self._transport is not None and (
+            self._transport.get_write_buffer_size() > 0
+        )
+
     def has_waited_since(self, oldest: Seconds) -> bool:
         """Return whether headers have been awaited since before ``oldest``."""
         return self._waiting_since is not None and self._waiting_since < oldest
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -269,7 +269,7 @@
         self, *, not_before: float = 0.0, limit: float = DRAIN_LIMIT_SHARE
     ) -> None:
         """
-        Wait until no request or send is in progress, or the drain must end.
+        Wait until no request, send or answer is in progress, or the drain must end.
 
         Parameters
         ----------
@@ -279,7 +279,11 @@
         while True:
             share = self.stop.elapsed_share
             in_progress = self.relay_endpoint.in_progress.value
-            is_idle = in_progress == 0 and self.gateway.is_idle
+            is_idle = (
+                in_progress == 0
+                and self.gateway.is_idle
+                and not self.guard.has_unsent_bytes
+            )
             if share > limit or (is_idle and share > not_before):
                 return
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
--- a/tests/platform_adapter/test_drain_limits.py
+++ b/tests/platform_adapter/test_drain_limits.py
@@ -7,6 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, ClassVar
 
+from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.soak.deployment import wait_until
 from tests.platform_adapter.case import DeploymentTestCase
 
@@ -17,6 +18,14 @@
 PORTS = (8144, 8140, 8143)
 """Where an entry takes requests, questions after its readiness, and name look-ups."""
 
+ANSWER_BYTES = 60_000
+"""More than the kernel takes for a caller with such a window and segments."""
+
+RECEIVED_BYTES = 2048
+SEGMENT_BYTES = 536
+PAUSE_SECONDS = 3.0
+"""Longer than an idle entry listens in a stop, and shorter than its drain."""
+
 
 class DrainLimitTests(DeploymentTestCase):
     """An entry and an upstream in Quito."""
@@ -64,3 +73,25 @@
         self.assertEqual(status, 502)
         self.assertLess(at - began, GRACE_SECONDS)
         self.assertLess(exited - began, GRACE_SECONDS)
+
+    # Guards against answers that an idle entry cut off, as it held their last bytes.
+    def test_caller_that_reads_slowly_gets_the_whole_answer(self) -> None:
+        """Its request has ended, and bytes of its answer wait for their turn."""
+        body, headers = b"x" * ANSWER_BYTES, self.headers("9000")
+        caller = http.client.HTTPConnection(self.ip, self.port, timeout=15)
+        self.addCleanup(caller.close)
+        caller.sock = socket.socket()
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVED_BYTES)
+        caller.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        caller.sock.connect((self.ip, self.port))
+        caller.request("POST", "/look/1", body, headers)
+        request_id = headers[HEADER_NAMES.request_id]
+        wait_until(
+            lambda: request_id in self.deployment.log(self.entry),
+            "its request has not ended",
+        )
+        self.deployment.signal(self.entry, signal.SIGTERM)
+        time.sleep(PAUSE_SECONDS)
+        answer = caller.getresponse().read()
+        self.assertEqual(answer, b"answer to " + body)
+        self.assertEqual(self.deployment.wait_for_exit(self.entry), 0)
