Handle SIGTERM before an entry or a control replica listens

A stop some milliseconds after a start ended the process with signal 15, and callers that had connected were reset with no answer.

Cause: the handler was installed last, behind all listeners.

It is installed before the first listener now, so such a stop is a planned one.

--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -168,6 +168,8 @@
         *make_sites(control, settings),
         Site(f"{settings.ip}:{settings.metrics_port}", metrics),
     ]
+    # Until then, a signal ends the process at once.
+    stop = stop_event()
     guard = ConnectionGuard(limits=HttpLimits())
     control.supervisor.add_child("connections", guard.run)
     runners = [await guard.serve(site.app, site.address) for site in sites]
@@ -179,7 +181,7 @@
         watch_settings(settings_file, SeededControlSettings, control.reload)
     )
     _log.info("started", name=settings.name, zone=settings.zone, http=settings.http)
-    stopping = asyncio.ensure_future(stop_event().wait())
+    stopping = asyncio.ensure_future(stop.wait())
     await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
     _log.info("stopping", name=settings.name)
     failed = running.done()
--- a/poplarlug/entry/seeded.py
+++ b/poplarlug/entry/seeded.py
@@ -325,6 +325,8 @@
     make_sites : callable
         Returns further HTTP applications of the entry, such as the directory.
     """
+    # Until then, a signal ends the process at once.
+    stop = stop_event()
     entry = SeededEntry(settings=settings, header_names=header_names, rng=Random())
     await entry.client.open()
     await entry.forward_client.open()
@@ -360,7 +362,7 @@
         watch_settings(settings_file, SeededEntrySettings, entry.reload)
     )
     _log.info("started", name=settings.name, zone=settings.zone, http=settings.http)
-    stop_task = asyncio.ensure_future(stop_event().wait())
+    stop_task = asyncio.ensure_future(stop.wait())
     await asyncio.wait(
         {supervisor_task, stop_task}, return_when=asyncio.FIRST_COMPLETED
     )
--- a/tests/platform_adapter/test_drain_limits.py
+++ b/tests/platform_adapter/test_drain_limits.py
@@ -23,6 +23,8 @@
 
 RECEIVED_BYTES = 2048
 SEGMENT_BYTES = 536
+STARTS = 4
+POLL_SECONDS = 0.001
 PAUSE_SECONDS = 3.0
 """Longer than an idle entry listens in a stop, and shorter than its drain."""
 
@@ -95,3 +97,21 @@
         answer = caller.getresponse().read()
         self.assertEqual(answer, b"answer to " + body)
         self.assertEqual(self.deployment.wait_for_exit(self.entry), 0)
+
+    # Guards against requests that are cut off as the entry doesn't handle SIGTERM yet.
+    def test_stop_right_after_a_start_answers_requests(self) -> None:
+        """It listens, so it stops in order."""
+        self.deployment.kill(self.entry)
+        for _ in range(STARTS):
+            with ThreadPoolExecutor(1) as pool:
+                self.deployment.start_entry(self.entry)
+                while not self.is_listening():
+                    time.sleep(POLL_SECONDS)
+                answer = pool.submit(self.time_of_answer)
+                self.deployment.signal(self.entry, signal.SIGTERM)
+                self.assertEqual(self.deployment.wait_for_exit(self.entry), 0)
+                self.assertIn(answer.result()[0], (200, 503))
+
+    def is_listening(self) -> bool:
+        with socket.socket() as caller:
+            return caller.connect_ex((self.ip, self.port)) == 0
