Log what threads and finalizers report as log lines

Errors that end a thread, or that leave a finalizer, were still written to standard error as Python formats them, so a log held lines without a time.

Cause: Python has hooks of their own for both. The test failed before: its program wrote both to standard error.

--- a/poplarlug/logs.py
+++ b/poplarlug/logs.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import sys
+import threading
 from types import TracebackType
 from typing import Any, Literal, TextIO, TypeAlias, cast
 
@@ -40,6 +41,8 @@
     logging.basicConfig(handlers=[_LibraryHandler()], level=logging.WARNING, force=True)
     logging.captureWarnings(True)
     sys.excepthook = _log_uncaught
+    sys.unraisablehook = _log_unraisable
+    threading.excepthook = _log_thread_ended
 
 
 class ComponentLogger:
@@ -82,6 +85,19 @@
     logger.error("process: ended by an error", exc_info=(kind, error, trace))
 
 
+def _log_unraisable(unraisable: "sys.UnraisableHookArgs") -> None:
+    """Log an error that had nowhere to go, as in a finalizer."""
+    logger = structlog.get_logger()
+    what = f"{unraisable.err_msg or 'ignored error in'} {unraisable.object!r}"
+    logger.error(f"process: {what}", exc_info=unraisable.exc_value)
+
+
+def _log_thread_ended(args: threading.ExceptHookArgs) -> None:
+    """Log the error that ends a thread."""
+    logger = structlog.get_logger()
+    logger.error("process: a thread ended by an error", exc_info=args.exc_value)
+
+
 def _encode(fields: Any, **_: Any) -> str:
     try:
         return msgspec.json.encode(fields, enc_hook=repr).decode()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -6,7 +6,7 @@
 from unittest import TestCase
 
 PROGRAM = """
-import asyncio, logging, warnings
+import asyncio, logging, threading, warnings
 from poplarlug.logs import configure_logs
 configure_logs(log_format="json", level="info")
 warnings.warn("odd")
@@ -18,8 +18,17 @@
     raise RuntimeError("Session is closed")
 except RuntimeError:
     logging.getLogger("aiohttp.server").exception("failed %s", "once")
+thread = threading.Thread(target=lambda: [][0])
+thread.start()
+thread.join()
+class Finalized:
+    def __del__(self):
+        {}["gone"]
+Finalized()
 raise SystemError("the end")
 """
+LIBRARIES = ("py.warnings", "asyncio", "aiohttp.server")
+ERRORS = ("ZeroDivision", "Session is closed", "IndexError", "KeyError", "the end")
 
 
 class LogTests(TestCase):
@@ -32,10 +41,8 @@
         self.assertEqual((done.returncode, done.stderr), (1, b""))
         lines = [json.loads(line) for line in done.stdout.splitlines()]
         names = [line["event"].partition(":")[0] for line in lines]
-        self.assertEqual(names, ["py.warnings", "asyncio", "aiohttp.server", "process"])
+        self.assertEqual(names, [*LIBRARIES, "process", "process", "process"])
         levels = [line["level"] for line in lines]
-        self.assertEqual(levels, ["warning", "error", "error", "error"])
-        for line, error in zip(
-            lines[1:], ("ZeroDivision", "Session is closed", "the end"), strict=True
-        ):
+        self.assertEqual(levels, ["warning", *["error"] * len(ERRORS)])
+        for line, error in zip(lines[1:], ERRORS, strict=True):
             self.assertIn(error, line["exception"])
