Log a malformed request in a short line, not as an error

1500 requests with a malformed header gave 1390 error lines with tracebacks, 851 kB, and lines of requests and faults beside them were dropped.

Cause: aiohttp logs each as an error with its traceback, and all that libraries log has become log lines, which share one rate limit.

The test failed before: its level was error.

--- a/poplarlug/logs.py
+++ b/poplarlug/logs.py
@@ -9,6 +9,7 @@
 
 import msgspec
 import structlog
+from aiohttp.http_exceptions import HttpProcessingError
 
 from poplarlug.log_writer import BoundedLineWriter
 
@@ -72,7 +73,12 @@
         try:
             logger = structlog.get_logger()
             message = f"{record.name}: {record.getMessage()}"
-            logger.log(record.levelno, message, exc_info=record.exc_info)
+            error = record.exc_info[1] if record.exc_info else None
+            if isinstance(error, HttpProcessingError):
+                # A peer's fault, as often as it likes; no fault of this process.
+                logger.info(message, reason=repr(error))
+            else:
+                logger.log(record.levelno, message, exc_info=record.exc_info)
         except Exception:
             self.handleError(record)
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -27,11 +27,32 @@
 Finalized()
 raise SystemError("the end")
 """
+MALFORMED = """
+import logging
+from aiohttp.http_exceptions import BadHttpMessage
+from poplarlug.logs import configure_logs
+configure_logs(log_format="json", level="info")
+try:
+    raise BadHttpMessage("Bad header")
+except BadHttpMessage:
+    logging.getLogger("aiohttp.server").exception("Error handling request")
+"""
 LIBRARIES = ("py.warnings", "asyncio", "aiohttp.server")
 ERRORS = ("ZeroDivision", "Session is closed", "IndexError", "KeyError", "the end")
 
 
 class LogTests(TestCase):
+    # Guards against malformed requests that crowd out the lines of faults.
+    def test_malformed_request_is_no_error_of_this_process(self) -> None:
+        """Its line is as short as that of any other request."""
+        done = subprocess.run(
+            [sys.executable, "-c", MALFORMED], capture_output=True, check=True
+        )
+        line = json.loads(done.stdout)
+        self.assertEqual(line["level"], "info")
+        self.assertIn("Bad header", line["reason"])
+        self.assertNotIn("exception", line)
+
     # Guards against tracebacks in a log, which name no request, time or level.
     def test_what_libraries_and_errors_write_are_log_lines(self) -> None:
         """Each has an event and a level, and its traceback in a field."""
