Keep the error of a response whose reader comes after its connection's end

A framed response that this process cut off while its caller read slowly failed as if its upstream had broken it off, which counts as a sign of a crash.

Cause: with no reader waiting, aiohttp replaces the error of a body by its own when the connection is lost. Not seen in a deployment: the relay closes its connections by other ways so far.

The first error stays. The test failed before, for bodies with a length.

--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -331,13 +331,18 @@
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        payload = self._payload
         self._note_end(ConnectionEnd.CLOSED_HERE if exc is None else ConnectionEnd.LOST)
         if self.connection_end is ConnectionEnd.CLOSED_HERE:
-            self._fail_response(self._payload, _closed_here())
-        elif exc is not None and self._payload is not None:
+            self._fail_response(payload, _closed_here())
+        elif exc is not None and payload is not None:
             error = aiohttp.ClientPayloadError(f"reset: {exc!r}")
-            self._fail_response(self._payload, error)
+            self._fail_response(payload, error)
+        failed = None if payload is None else payload.exception()
         super().connection_lost(exc)
+        if payload is not None and failed is not None:
+            # aiohttp has put an error of its own in its place.
+            payload.set_exception(failed)
 
 
 def _closed_here() -> ClosedHereError:
--- a/tests/relay/test_connection_end.py
+++ b/tests/relay/test_connection_end.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from itertools import product
 from typing import NamedTuple
 from unittest import IsolatedAsyncioTestCase
 
@@ -95,17 +96,22 @@
             End(ConnectionEndTests.reset_at_peer, ConnectionEnd.LOST),
             End(ConnectionEndTests.close_at_peer, ConnectionEnd.PEER, True),
         )
-        for framing in FRAMINGS:
+        for framing, is_awaited in product(FRAMINGS, (True, False)):
             self.head = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + PART
             for end in ends:
                 self.client = await self.open_client()
                 response = (await self.send(self.client)).unwrap()
-                reading = asyncio.ensure_future(response.read())
+                reading = None
+                if is_awaited:
+                    reading = asyncio.ensure_future(response.read())
                 await asyncio.sleep(SETTLE_SECONDS)
                 await end.run(self, response)
+                await asyncio.sleep(SETTLE_SECONDS)
+                # A reader that waits for its caller comes later.
+                reading = reading or asyncio.ensure_future(response.read())
                 async with asyncio.timeout(WAIT_SECONDS):
                     await asyncio.wait({reading})
-                what = framing, end.run.__name__
+                what = framing, is_awaited, end.run.__name__
                 self.assertIs(response.connection_end, end.by, what)
                 error = reading.exception()
                 if end.may_be_whole and not framing:
