Tell accounts' requests their end before their entry closes its clients

Callers of an accounts' entry whose requests outlasted its drain got no answer at all, or "the upstream was lost" of an upstream that was there; lines of their requests said "ran": true and no error.

Cause: the drain ended with a warning, and whatever was still in progress ended with its means: handlers by the runner's cleanup, forwarded requests, which are no handlers, by the client's close and the end of the transport. A drain that gave up while it waited for streams to peers also cancelled them, as gather() does.

Evidence: a drain of 1 s beside answers of 20 s, at the entry and forwarded to it: booking and completion without an answer, a forwarded completion "lost the link", a forwarded booking "the upstream was lost", log lines of three attempts that broke as this process closed the connection.

The end of the drain now ends each request by the scope that relays by route have, answers and streams to peers get some seconds to be written, and only then clients close.

--- a/poplarlug/entry/entry.py
+++ b/poplarlug/entry/entry.py
@@ -23,6 +23,7 @@
 from poplarlug.logs import ComponentLogger
 from poplarlug.membership.sharing import Membership
 from poplarlug.metrics import sample_loop_lag
+from poplarlug.relay.planned_stop import PlannedStop
 from poplarlug.requestlog import RequestLog
 from poplarlug.routing import (
     ExpectedFinish,
@@ -44,6 +45,9 @@
 
 DRAIN_TIMEOUT_SECONDS = 120.0
 
+END_SECONDS = 5.0
+"""How long callers and peers may take to be told the end of what outlasts the drain."""
+
 _log = ComponentLogger(prefix="entry")
 
 
@@ -73,6 +77,7 @@
     ) -> None:
         clock = asyncio.get_running_loop().time
         self.stopping = False
+        self._stop = PlannedStop(clock=clock)
         self._limits = limits
         self.transport = ZmqTransport(
             name=own.name,
@@ -120,6 +125,7 @@
             dispatch=dispatch,
             client=self.client,
             forwarder=forwarder,
+            stop=self._stop,
             at_most_once=self.at_most_once.executor,
             quarantine=Quarantine(
                 own=own, topology=topology, transport=self.transport, clock=clock
@@ -182,17 +188,27 @@
         self.supervisor.add_child("directory", writer.run)
 
     async def drain(self) -> None:
-        """Stop accepting requests and wait for those in progress."""
+        """Stop accepting requests, and wait for those in progress or end them."""
         self.stopping = True
         await self.membership.leave()
+        if not await self._wait_until_idle(DRAIN_TIMEOUT_SECONDS):
+            in_progress = self.gateway.in_progress.value
+            _log.warning("ends requests in progress", in_progress=in_progress)
+            self._stop.end_requests()
+            if not await self._wait_until_idle(END_SECONDS):
+                _log.warning("some callers are not told")
+        await self.guard.stop_listening()
+
+    async def _wait_until_idle(self, seconds: Seconds) -> bool:
+        """Wait until all requests are answered; return whether they are."""
         try:
-            async with asyncio.timeout(DRAIN_TIMEOUT_SECONDS):
+            async with asyncio.timeout(seconds):
                 await self.gateway.in_progress.wait_for(lambda count: count == 0)
                 await self.guard.wait_until_answered()
                 await self.transport.finish_streams()
         except TimeoutError:
-            _log.warning("stopped with requests in progress")
-        await self.guard.stop_listening()
+            return False
+        return True
 
     def _add_children(self, request_log: RequestLog) -> None:
         self.supervisor.add_child("request log", request_log.run)
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -5,13 +5,16 @@
 from poplarlug.catalog import Account, Catalog, Rank
 from poplarlug.errors import (
     GatewayError,
+    leaving,
     not_run,
     outcome_unknown,
+    stopped,
     truncated_answer,
 )
 from poplarlug.latest import Latest
 from poplarlug.logs import ComponentLogger
 from poplarlug.membership.sharing import Membership, ZoneSummary
+from poplarlug.relay.planned_stop import LEAVING_RETRY_SECONDS, PlannedStop
 from poplarlug.routing import (
     Fleet,
     ForwardRoute,
@@ -31,6 +34,7 @@
 from poplarlug.serving.quarantine import Quarantine
 from poplarlug.serving.requests import GatewayRequest
 from poplarlug.serving.stream_progress import StreamProgress
+from poplarlug.serving.trace import current_trace
 from poplarlug.types import UpstreamId
 
 MAX_ATTEMPTS = 3
@@ -55,6 +59,8 @@
         Runs non-repeatable requests; without it they are refused.
     quarantine : Quarantine or None
         Refuses requests that crashed upstreams; without it none are refused.
+    stop : PlannedStop
+        Ends the requests that outlast the drain of a stopping entry.
     """
 
     def __init__(
@@ -65,9 +71,11 @@
         dispatch: DispatchParts,
         client: UpstreamClient,
         forwarder: Forwarder,
+        stop: PlannedStop,
         at_most_once: AtMostOnce | None = None,
         quarantine: Quarantine | None = None,
     ) -> None:
+        self._stop = stop
         self._quarantine = quarantine
         self._at_most_once = at_most_once
         self._catalog = catalog
@@ -92,32 +100,39 @@
         """
         self.in_progress.set(self.in_progress.value + 1)
         try:
-            account = self._catalog.account(request.account)
-            if account is None:
-                return GatewayError(403, "unknown_account", "the account is gone")
-            refused = self._check_region_and_hops(request, account)
-            if refused is None and self._quarantine is not None:
-                refused = self._quarantine.check(request)
-            if refused is not None:
-                return refused
-            if request.repeatable and request.stream:
-                progress = StreamProgress(target=sink)
-                return await self._attempt_all(request, account, progress)
-            if request.repeatable or request.hops > 0:
-                # For a forwarded request, the forwarding entry has claimed the key.
-                return await self._attempt_all(request, account, sink)
-            if self._at_most_once is None:
-                return not_run("this entry keeps no claims", RETRY_AFTER_SECONDS)
-
-            async def run(
-                claimed: GatewayRequest, answer: AnswerSink
-            ) -> GatewayError | None:
-                return await self._attempt_all(claimed, account, answer)
-
-            return await self._at_most_once.serve(request, account, sink, run)
+            async with self._stop.scope() as scope:
+                failed = await self._serve(request, sink)
+            return _end_by_stop(request) if scope.expired() else failed
         finally:
             self.in_progress.set(self.in_progress.value - 1)
 
+    async def _serve(
+        self, request: GatewayRequest, sink: AnswerSink
+    ) -> GatewayError | None:
+        account = self._catalog.account(request.account)
+        if account is None:
+            return GatewayError(403, "unknown_account", "the account is gone")
+        refused = self._check_region_and_hops(request, account)
+        if refused is None and self._quarantine is not None:
+            refused = self._quarantine.check(request)
+        if refused is not None:
+            return refused
+        if request.repeatable and request.stream:
+            progress = StreamProgress(target=sink)
+            return await self._attempt_all(request, account, progress)
+        if request.repeatable or request.hops > 0:
+            # For a forwarded request, the forwarding entry has claimed the key.
+            return await self._attempt_all(request, account, sink)
+        if self._at_most_once is None:
+            return not_run("this entry keeps no claims", RETRY_AFTER_SECONDS)
+
+        async def run(
+            claimed: GatewayRequest, answer: AnswerSink
+        ) -> GatewayError | None:
+            return await self._attempt_all(claimed, account, answer)
+
+        return await self._at_most_once.serve(request, account, sink, run)
+
     def _check_region_and_hops(
         self, request: GatewayRequest, account: Account
     ) -> GatewayError | None:
@@ -255,6 +270,14 @@
         )
 
 
+def _end_by_stop(request: GatewayRequest) -> GatewayError:
+    """Return the error of a request that the end of a drain has ended."""
+    trace = current_trace()
+    # Its key is kept as one that may have run.
+    was_sent = bool(trace.attempts) or trace.forwarded or bool(request.key)
+    return stopped() if was_sent else leaving(LEAVING_RETRY_SECONDS)
+
+
 def _can_resume(sink: AnswerSink) -> bool:
     return isinstance(sink, StreamProgress) and sink.can_resume
 
--- a/poplarlug/transport/services.py
+++ b/poplarlug/transport/services.py
@@ -70,7 +70,9 @@
     async def finish_streams(self) -> None:
         """Wait until all streams served to peers are complete and acknowledged."""
         tasks = [stream.task for stream in self._outgoing_streams_by_key.values()]
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            # A caller that waits no longer must not cancel them.
+            await asyncio.wait(tasks)
 
     @abstractmethod
     def _reply(self, connection: Any, header: Header, payload: bytes) -> None:
