Report the outcomes of claims before an entry ends

A booking that had run and was answered gave "may have run" to whoever repeated its key, if its entry ended right after it.

Cause: a report to the holders of a key goes on in the background after 0.25 s, and a stopping entry ended these reports with its transport.

A stop now waits for a majority of the holders of each outcome, 5 s at most. The test, three entries of which the owner is cut off for 0.5 s, failed without the wait: the repeated key got 502 instead of the kept answer.

--- a/poplarlug/claims/owner.py
+++ b/poplarlug/claims/owner.py
@@ -93,6 +93,7 @@
         self._outcomes: OrderedDict[ClaimAttempt, ClaimUpdate] = OrderedDict()
         self._joins = 0
         self._updates: set[asyncio.Task[None]] = set()
+        self._reports: set[asyncio.Task[None]] = set()
         transport.serve(JOIN_TOPIC, JoinRequest, self._serve_join)
 
     async def acquire(self, key: ClaimKey, fingerprint: str) -> Owned | Taken | Refused:
@@ -136,6 +137,14 @@
         """Report an outcome like :meth:`finish`, without waiting."""
         self._start_update(request, state, None)
 
+    async def wait_until_reported(self, seconds: Seconds) -> None:
+        """Wait until a majority of holders has each outcome, at most ``seconds``."""
+        reports = set(self._reports)
+        if reports:
+            _, pending = await asyncio.wait(reports, timeout=seconds)
+            if pending:
+                _log.warning("outcomes are not reported", outcomes=len(pending))
+
     async def join(self, record: ClaimRecord, seconds: Seconds) -> JoinReply | None:
         """
         Wait up to ``seconds`` for the end of the attempt that holds the key.
@@ -265,7 +274,10 @@
         sending = asyncio.ensure_future(self._update_holders(update, majority))
         self._updates.add(sending)
         sending.add_done_callback(self._updates.discard)
-        return asyncio.ensure_future(_wait(majority))
+        report = asyncio.ensure_future(_wait(majority))
+        self._reports.add(report)
+        report.add_done_callback(self._reports.discard)
+        return report
 
     async def _update_holders(
         self, update: ClaimUpdate, majority: asyncio.Event
--- a/poplarlug/entry/at_most_once.py
+++ b/poplarlug/entry/at_most_once.py
@@ -55,7 +55,7 @@
             journal=journal,
             trust_empty_zone=settings.trust_empty_zone,
         )
-        owner = ClaimOwner(
+        self.owner = ClaimOwner(
             incarnation=incarnation,
             topology=topology,
             transport=transport,
@@ -63,4 +63,4 @@
             clock=clock,
             rng=rng,
         )
-        self.executor = AtMostOnce(owner=owner, topology=topology, rng=rng)
+        self.executor = AtMostOnce(owner=self.owner, topology=topology, rng=rng)
--- a/poplarlug/entry/entry.py
+++ b/poplarlug/entry/entry.py
@@ -46,7 +46,8 @@
 DRAIN_TIMEOUT_SECONDS = 120.0
 
 END_SECONDS = 5.0
-"""How long callers and peers may take to be told the end of what outlasts the drain."""
+"""How long callers and peers may take to be told the end of what outlasts the drain, and
+holders of claims to be told outcomes."""
 
 _log = ComponentLogger(prefix="entry")
 
@@ -198,6 +199,7 @@
             if not await self._wait_until_idle(END_SECONDS):
                 _log.warning("some callers are not told")
         await self.guard.stop_listening()
+        await self.at_most_once.owner.wait_until_reported(END_SECONDS)
 
     async def _wait_until_idle(self, seconds: Seconds) -> bool:
         """Wait until all requests are answered; return whether they are."""
--- a/tests/serving/test_at_most_once.py
+++ b/tests/serving/test_at_most_once.py
@@ -11,6 +11,7 @@
 
 KEY = "quito-a:late-release"
 DELAYED = LinkQuality(min_delay=0.3, max_delay=0.3)
+HEALS_SECONDS = 0.5
 STARTED_SECONDS = 4.0
 ATTEMPTED_SECONDS = 1.0
 
@@ -43,3 +44,29 @@
         await first
         await cluster.send(others[0], KEY, "second")
         return cluster
+
+    # Guards against bookings that ran, and whose key says "may have run" for ever.
+    def test_answer_is_kept_when_its_entry_ends(self) -> None:
+        """It waits until a majority of the holders has the outcome."""
+        cluster = run_virtual(self.end_behind_a_cut())
+        first, repeated = cluster.outcomes
+        self.assertEqual((first.error, repeated.error), (None, None))
+        self.assertEqual(repeated.body, first.body)
+        self.assertEqual([run.send_id for run in cluster.ledger], ["first"])
+
+    async def end_behind_a_cut(self) -> ClaimsCluster:
+        cluster = ClaimsCluster(rng=Random(1), entries=3)
+        cluster.network.duplicate_share = 0.0
+        await asyncio.sleep(STARTED_SECONDS)
+        owner, *others = [vm.name for vm in cluster.topology.entries]
+        booking = asyncio.ensure_future(cluster.send(owner, KEY, "first"))
+        while not cluster.ledger:  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+        for other in others:
+            cluster.network.cut(owner, other)
+        await booking
+        asyncio.get_running_loop().call_later(HEALS_SECONDS, cluster.network.heal)
+        await cluster.entries[owner].owner.wait_until_reported(ATTEMPTED_SECONDS)
+        cluster.crash(owner)
+        await cluster.send(others[0], KEY, "second")
+        return cluster
