Take nothing of an upstream from what this process closed

An attempt that this process ended by a close of its own was counted as a failed one of its upstream, made once more, and watched as a silent send: had the upstream ended within 8 s, its request would have been marked.

Cause: only "connection lost" told such an end from the upstream's, and without it a send that may have run counts as silent.

Such an outcome now says so. It is no failure of the upstream, it isn't watched, and it ends its request, as there is no client to send it through. The test failed before for a head and for a body: two sends instead of one.

--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -209,9 +209,10 @@
 def _broke_off(make_error: Callable[[str], GatewayError], error: Exception) -> Outcome:
     """Return the outcome of an attempt whose answer broke off."""
     failed = make_error(f"the answer broke off: {error!r}")
-    # What this process closed shows nothing of the upstream.
-    is_lost = not isinstance(error, ClosedHereError)
-    return Outcome(failed, connection_lost=is_lost)
+    is_ended_here = isinstance(error, ClosedHereError)
+    return Outcome(
+        failed, connection_lost=not is_ended_here, is_ended_here=is_ended_here
+    )
 
 
 def _ended_within_event() -> Outcome:
--- a/poplarlug/relay/send_results.py
+++ b/poplarlug/relay/send_results.py
@@ -104,7 +104,7 @@
             return Outcome(GatewayError(504, "timed_out", message, None, None))
         if error.kind is SendErrorKind.CLOSED_HERE:
             message = "this entry closed the connection before an answer"
-            return Outcome(outcome_unknown(message))
+            return Outcome(outcome_unknown(message), is_ended_here=True)
         failed = outcome_unknown("the connection was lost before an answer")
         return Outcome(failed, connection_lost=True)
 
--- a/tests/relay/test_lost_callers.py
+++ b/tests/relay/test_lost_callers.py
@@ -5,14 +5,14 @@
 from unittest.mock import Mock, patch
 
 from multidict import CIMultiDict
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from poplarlug.callers import http_sink
 from poplarlug.callers.http_sink import HttpSink
 from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.relay.budgets import RetryBudget
-from poplarlug.relay.client import SendError
-from poplarlug.relay.connections import ResponseSource
+from poplarlug.relay.client import SendError, SendErrorKind
+from poplarlug.relay.connections import ClosedHereError, ResponseSource
 from poplarlug.relay.crash_watch import CrashWatch
 from poplarlug.relay.dispatcher import LocalTarget
 from poplarlug.relay.trace import RelayTrace
@@ -22,7 +22,9 @@
 from tests.relay.test_passing import PausingContent
 from tests.relay.test_view import make_request
 
+PLAIN = make_request(route=ROUTE._replace(kind="safe", resumable=False), deadline=9.0)
 STREAM = make_request(route=ROUTE, deadline=9.0)
+CLOSED = SendError(SendErrorKind.CLOSED_HERE, "closed")
 
 
 class LostSink(HttpSink):
@@ -40,6 +42,15 @@
         self.started = True
 
 
+class ClosingContent(PausingContent):
+    """Yields one event, then is closed by this process."""
+
+    async def readany(self) -> bytes:
+        if len(self._left) == 1:
+            raise ClosedHereError("closed")
+        return await super().readany()
+
+
 class LostCallerTests(GatewayTestCase):
     def serve(self, request: Any, sink: Any, sent: Result[Any, SendError]) -> None:
         """Fail if a request is sent again, or tells something of its upstream."""
@@ -102,3 +113,16 @@
             with self.subTest(is_gone=is_gone):
                 content = PausingContent(0.0)
                 self.serve(STREAM, LostSink(is_gone=is_gone), self.response(content))
+
+    # Guards against upstreams that are watched for a crash as this process closed.
+    def test_own_close_is_no_lost_upstream(self) -> None:
+        """Before the head of an answer, or within its body."""
+        sent = (self.response(ClosingContent(0.0)), Failure(CLOSED))
+        for request, result in zip((STREAM, PLAIN), sent, strict=True):
+            with self.subTest(result):
+                sink = Mock(started=False, start=_nothing, write=_nothing)
+                self.serve(request, sink, result)
+
+
+async def _nothing(_: Any) -> None:
+    """Take any part of an answer."""
