Take an order as done only by a reply that its upstream has ended

An order counted as done, for good and for every resend, when its upstream was reset or ended within a reply of status 200 that has neither length nor chunks.

Cause: orders went through a connector of their own without the checks that all other paths have, so any end of the connection was the reply's.

They go through the same connector now, and a reply that only its connection ends counts if its upstream still listens, as on other paths. The test failed before: "done" after a reset.

--- a/poplarlug/control/order_endpoint.py
+++ b/poplarlug/control/order_endpoint.py
@@ -8,6 +8,9 @@
 import msgspec
 
 from poplarlug.control.orders import FencingNumber, OrderRequest, OrderStatus
+from poplarlug.relay.answer_end import Framing, framing_of
+from poplarlug.relay.connections import CheckedConnector
+from poplarlug.relay.probing import is_listening
 from poplarlug.types import Address, Seconds
 
 MAX_REPLY_BYTES = 64 * 1024
@@ -78,7 +81,7 @@
         )
         timeout = aiohttp.ClientTimeout(total=timeout_seconds)
         # A new connection per order, because a pooled one may be dead unnoticed.
-        connector = aiohttp.TCPConnector(force_close=True)
+        connector = CheckedConnector(header_names=None, force_close=True)
         try:
             async with (
                 aiohttp.ClientSession(timeout=timeout, connector=connector) as session,
@@ -89,7 +92,12 @@
                 ) as response,
             ):
                 data = await _read_whole(response.content)
-                return _to_reply(response.status, data)
+                is_unframed = framing_of(response, "POST") is Framing.CONNECTION
+                status = response.status
+            if is_unframed and not await is_listening(address):
+                message = "the connection ended, and its upstream is gone"
+                return OrderReply(OrderStatus.UNKNOWN, message)
+            return _to_reply(status, data)
         except (aiohttp.ClientError, OSError, TimeoutError, _NotSentError) as error:
             return OrderReply(OrderStatus.UNKNOWN, f"no answer: {error!r}")
 
--- a/tests/control/test_order_endpoint.py
+++ b/tests/control/test_order_endpoint.py
@@ -1,33 +1,48 @@
 """Tests of upstreams' replies to orders that their connection ends too early."""
 
 import asyncio
+from contextlib import suppress
+from typing import Any
 from unittest import TestCase
 
 from poplarlug.control.order_endpoint import HttpOrderEndpoint, OrderReply
 from poplarlug.control.orders import FencingNumber, OrderRequest, OrderStatus
+from poplarlug.sockets import reset_connection
 
 ORDER = OrderRequest("o-1", "quito-a", "u-1", "load", "corn-7b")
 LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 class OrderReplyTests(TestCase):
-    def send(self, *parts: bytes) -> OrderReply:
+    def send(self, *parts: bytes, end: str = "closes") -> OrderReply:
         """Return the reply to an order that is answered with ``parts`` and the end."""
 
         async def talk(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            await reader.readuntil(b"0\r\n\r\n")
+            try:
+                await reader.readuntil(b"0\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                # Only looks whether somebody listens.
+                writer.close()
+                return
             for part in parts:
                 writer.write(part)
                 await writer.drain()
                 await asyncio.sleep(0.02)
+            if end == "ends":
+                server.close()
+            if end == "resets":
+                reset_connection(writer.transport)
             writer.close()
-            await writer.wait_closed()
+            with suppress(ConnectionError):
+                await writer.wait_closed()
             ended.set()
 
         async def main() -> OrderReply:
+            nonlocal server
             server = await asyncio.start_server(talk, "127.0.0.1", 0)
             host, port = server.sockets[0].getsockname()
             async with server:
@@ -39,8 +54,11 @@
                     timeout_seconds=5.0,
                 )
                 await ended.wait()
+                # The probe of the address ends, too.
+                await asyncio.sleep(0.01)
             return reply
 
+        server: Any = None
         ended = asyncio.Event()
         return asyncio.run(main())
 
@@ -62,3 +80,13 @@
             (CHUNKED, b"5\r\nhalf \r\n"),
         ):
             self.assertIs(self.send(*parts).status, OrderStatus.UNKNOWN, parts)
+
+    # Guards against orders that count as done as their upstream ended in its reply.
+    def test_reply_without_framing_needs_its_upstream(self) -> None:
+        """Only its connection ends it: by a reset, by its end, or by its upstream."""
+        for end, status in (
+            ("resets", OrderStatus.UNKNOWN),
+            ("ends", OrderStatus.UNKNOWN),
+            ("closes", OrderStatus.DONE),
+        ):
+            self.assertIs(self.send(UNFRAMED, b"half", end=end).status, status, end)
