End a stopping control replica within its grace period

A control replica was still there 10.2 s after a stop began, if somebody had sent half of a document: its grace period is 8 s, so it is killed with its log, its transport and its replies in progress.

Cause: its HTTP servers were closed one after the other, each of which waits up to 60 s for handlers, as accounts' entries need.

They are closed together, and wait 5 s: a change is decided in 4.25 s, and what waits longer is a body that doesn't come, of which nothing has run.

--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -42,6 +42,10 @@
 """A replica heard from within this time may join the group."""
 
 GRPC_STOP_SECONDS = 1.0
+
+HANDLER_SHUTDOWN_SECONDS = 5.0
+"""How long requests in progress may take in a stop; a change is decided in less."""
+
 EXIT_DAMAGED_DATA = 3
 
 _log = ComponentLogger(prefix="control")
@@ -170,7 +174,12 @@
     ]
     guard = ConnectionGuard(limits=HttpLimits())
     control.supervisor.add_child("connections", guard.run)
-    runners = [await guard.serve(site.app, site.address) for site in sites]
+    runners = [
+        await guard.serve(
+            site.app, site.address, shutdown_seconds=HANDLER_SHUTDOWN_SECONDS
+        )
+        for site in sites
+    ]
     server = _operators_server(control, settings, settings_file.parent)
     if server is not None:
         await server.start()
@@ -187,8 +196,7 @@
     await guard.stop_listening()
     if server is not None:
         await server.stop(GRPC_STOP_SECONDS)
-    for runner in runners:
-        await runner.cleanup()
+    await asyncio.gather(*(runner.cleanup() for runner in runners))
     running.cancel()
     await asyncio.gather(running, return_exceptions=True)
     _log.info("stopped", name=settings.name)
