Avoid no entry or region for this machine's lack of descriptors

Cause: whatever keeps a connect from being made counted as the target's refusal.

The failure of a send now says whether this machine caused it. The test failed before, for EMFILE and EADDRNOTAVAIL; ECONNREFUSED still counts.

--- a/poplarlug/relay/client.py
+++ b/poplarlug/relay/client.py
@@ -1,6 +1,7 @@
 """HTTP client for upstreams and other entries with pooled connections."""
 
 import asyncio
+import errno
 import socket
 from collections.abc import Sequence
 from enum import Enum
@@ -35,6 +36,13 @@
 """Maximum time that sent data may remain unacknowledged by the peer's TCP stack."""
 
 
+LOCAL_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+)
+"""Errors of a connect that this machine has caused: it has no descriptor, memory or port
+left."""
+
+
 class SendErrorKind(Enum):
     """
     Reason why there is no response.
@@ -50,8 +58,18 @@
 
 
 class SendError(NamedTuple):
+    """
+    Why there is no response.
+
+    Parameters
+    ----------
+    is_own : bool
+        Whether this process or its machine caused it, which tells nothing of the target.
+    """
+
     kind: SendErrorKind
     message: str
+    is_own: bool = False
 
 
 class RelayClient:
@@ -123,7 +141,8 @@
         """
         assert self._session is not None
         if self._session.closed:
-            return Failure(SendError(SendErrorKind.NOT_SENT, "this client is closed"))
+            message = "this client is closed"
+            return Failure(SendError(SendErrorKind.NOT_SENT, message, is_own=True))
         try:
             # Parsed as part of an URL, an empty query would be dropped.
             url = URL(f"http://{target}").with_path(path, encoded=True)
@@ -141,13 +160,17 @@
                     allow_redirects=False,
                 )
                 return Success(cast(RelayResponse, response))
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except aiohttp.ConnectionTimeoutError as error:
             return Failure(SendError(SendErrorKind.NOT_SENT, repr(error)))
+        except aiohttp.ClientConnectorError as error:
+            is_own = error.os_error.errno in LOCAL_ERRORS
+            return Failure(SendError(SendErrorKind.NOT_SENT, repr(error), is_own))
         except TimeoutError:
             message = f"no answer in {timeout_seconds:.3f} s"
             return Failure(SendError(SendErrorKind.TIMEOUT, message))
         except ClosedHereError as error:
-            return Failure(SendError(SendErrorKind.CLOSED_HERE, repr(error)))
+            message = repr(error)
+            return Failure(SendError(SendErrorKind.CLOSED_HERE, message, is_own=True))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Failure(SendError(SendErrorKind.BROKEN, repr(error)))
 
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -465,7 +465,7 @@
         now = self._clock()
         if isinstance(sent, Failure):
             error = sent.failure()
-            if error.kind is SendErrorKind.NOT_SENT:
+            if error.kind is SendErrorKind.NOT_SENT and not error.is_own:
                 self._suspects.note_unreachable(target.upstream)
             return self._results.note_failed("upstream", error, trace, now)
         response = sent.unwrap()
@@ -545,9 +545,9 @@
         now = self._clock()
         if isinstance(sent, Failure):
             error = sent.failure()
-            if error.kind is not SendErrorKind.CLOSED_HERE:
+            if not error.is_own:
                 self._view.avoid_entry(entry.name, ENTRY_BACKOFF_SECONDS)
-            if error.kind in (SendErrorKind.NOT_SENT, SendErrorKind.BROKEN):
+            if not error.is_own and error.kind is not SendErrorKind.TIMEOUT:
                 self._view.note_entry_failed(request.service, entry.region)
             return self._results.note_failed("entry", error, trace, now)
         response = sent.unwrap()
--- a/tests/relay/test_lost_callers.py
+++ b/tests/relay/test_lost_callers.py
@@ -1,5 +1,7 @@
-"""Tests of answers that end here: the caller is lost, or this process closes."""
+"""Tests of ends that tell nothing of an upstream: the caller's and this process's."""
 
+import asyncio
+from errno import EADDRNOTAVAIL, ECONNREFUSED, EMFILE
 from types import SimpleNamespace
 from typing import Any, cast
 from unittest.mock import Mock, patch
@@ -13,12 +15,13 @@
 from poplarlug.relay.budgets import RetryBudget
 from poplarlug.relay.client import SendError, SendErrorKind
 from poplarlug.relay.connections import ClosedHereError, ResponseSource
+from poplarlug.relay.context import RequestContext
 from poplarlug.relay.crash_watch import CrashWatch
-from poplarlug.relay.dispatcher import LocalTarget
+from poplarlug.relay.dispatcher import LocalTarget, RemoteTarget
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.serving.answers import AnswerHead
 from poplarlug.virtualtime import run_virtual
-from tests.relay.test_gateway import ROUTE, SERVICE, UPSTREAMS, GatewayTestCase
+from tests.relay.test_gateway import ENTRY, ROUTE, SERVICE, UPSTREAMS, GatewayTestCase
 from tests.relay.test_passing import PausingContent
 from tests.relay.test_view import make_request
 
@@ -123,6 +126,28 @@
                 sink = Mock(started=False, start=_nothing, write=_nothing)
                 self.serve(request, sink, result)
 
+    # Guards against regions that are avoided as this machine has no descriptor left.
+    def test_own_lack_of_means_tells_nothing_of_an_entry(self) -> None:
+        """It may be the best one a moment later; one that refuses is avoided."""
+        for code, calls in ((EMFILE, 0), (EADDRNOTAVAIL, 0), (ECONNREFUSED, 1)):
+
+            async def main(error: OSError = OSError(code, "failed")) -> None:
+                with patch("poplarlug.relay.client._make_socket", side_effect=error):
+                    await self.gateway._forward_client.open()
+                trace = RelayTrace(request_id="r-1", started=0.0)
+                context = RequestContext(request=STREAM, sink=Mock(), trace=trace)
+                target = RemoteTarget(ENTRY, 0.1, 0.0)
+                outcome = await self.gateway._run_remote(context, target, 1.0)
+                await self.gateway._forward_client.close()
+                self.assertFalse(outcome.arrived)
+
+            with (
+                patch.object(self.view, "avoid_entry") as avoid,
+                patch.object(self.view, "note_entry_failed") as fail,
+            ):
+                asyncio.run(main())
+            self.assertEqual((avoid.call_count, fail.call_count), (calls, calls), code)
+
 
 async def _nothing(_: Any) -> None:
     """Take any part of an answer."""
