Count a send through a closed accounts' client as not sent

A request that an accounts' entry sent through its closed client ended in a traceback, "Session is closed", and a status 500 of the HTTP library.

The client now says that nothing was sent, as that of routes does.

--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -136,6 +136,8 @@
     ) -> AttemptOutcome:
         session = self._pooled if request.repeatable else self._single
         assert session is not None
+        if session.closed:
+            return AttemptOutcome(AttemptStatus.NOT_SENT, "this client is closed")
         headers = {
             "Content-Type": request.content_type,
             "X-Request-Id": request.id,
--- a/tests/serving/test_ended_connections.py
+++ b/tests/serving/test_ended_connections.py
@@ -1,12 +1,26 @@
 """Tests of answers on the accounts' path that only the end of a connection ends."""
 
 import asyncio
+from functools import partial
 from typing import Any
 from unittest import TestCase
 
-from poplarlug.serving.attempts import AttemptStatus
-from tests.serving.test_attempts import LAST, TOKEN, attempt_once, writes
-from tests.serving.upstream import Answer, MemorySink, ScriptedUpstream
+from poplarlug.serving.attempts import AttemptStatus, UpstreamClient
+from tests.serving.test_attempts import (
+    LAST,
+    TOKEN,
+    attempt_once,
+    request,
+    with_upstream,
+    writes,
+)
+from tests.serving.upstream import (
+    CHUNKED_HEAD,
+    Answer,
+    MemorySink,
+    ScriptedUpstream,
+    chunk,
+)
 
 PLAIN_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
 EVENTS_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -102,6 +116,34 @@
             crash = crashes_after(JSON_HEAD + body)
             self.check(crash, AttemptStatus.BROKEN, **BOOKING)
 
+    async def close_within(
+        self, fields: dict[str, Any], upstream: ScriptedUpstream, client: UpstreamClient
+    ) -> None:
+        async def attempt() -> AttemptStatus:
+            outcome = await client.attempt(
+                request=request(**fields), address=upstream.address, sink=MemorySink()
+            )
+            return outcome.status
+
+        first = asyncio.ensure_future(attempt())
+        await upstream.request_received.wait()
+        await asyncio.sleep(0.05)
+        await client.close()
+        self.assertIs(await first, AttemptStatus.BROKEN, fields)
+        self.assertIs(await attempt(), AttemptStatus.NOT_SENT, fields)
+
+    # Guards against answers that are kept as whole because their entry closed them.
+    def test_answer_that_its_entry_closes_is_broken(self) -> None:
+        """Whatever its framing; what is sent through a closed client has not run."""
+        for fields in ALL_KINDS:
+            for answer in (
+                writes(PLAIN_HEAD + b"booked"),
+                writes(JSON_HEAD + b"12"),
+                writes(EVENTS_HEAD + TOKEN),
+                writes(CHUNKED_HEAD + chunk(TOKEN)),
+            ):
+                asyncio.run(with_upstream(answer, partial(self.close_within, fields)))
+
     # Guards against streams whose framing announces other bytes than are passed on.
     def test_stream_announces_no_length_that_it_may_not_reach(self) -> None:
         """A byte order mark and half a line are dropped, and another may resume it."""
