--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -225,8 +225,8 @@
                     self._can_resume_elsewhere, context, budget, target
                 )
                 outcome = await self._run(context, target, timeout_seconds)
-            if outcome.error is None:
-                return None
+            if outcome.error is None or outcome.is_ended_here:
+                return outcome.error
             if outcome.error.type == QUARANTINED:
                 return context.refuse(outcome.error)
             if outcome.error.type == HELD_APART or (
@@ -427,6 +427,7 @@
                 outcome.error is not None
                 and outcome.error.ran is None
                 and not outcome.is_uncertain
+                and not outcome.is_ended_here
             )
             return outcome
         except asyncio.CancelledError:
@@ -464,7 +465,7 @@
         now = self._clock()
         if isinstance(sent, Failure):
             error = sent.failure()
-            if error.kind is SendErrorKind.NOT_SENT:
+            if error.kind is SendErrorKind.NOT_SENT and not error.is_own:
                 self._suspects.note_unreachable(target.upstream)
             return self._results.note_failed("upstream", error, trace, now)
         response = sent.unwrap()
@@ -544,9 +545,9 @@
         now = self._clock()
         if isinstance(sent, Failure):
             error = sent.failure()
-            if error.kind is not SendErrorKind.CLOSED_HERE:
+            if not error.is_own:
                 self._view.avoid_entry(entry.name, ENTRY_BACKOFF_SECONDS)
-            if error.kind in (SendErrorKind.NOT_SENT, SendErrorKind.BROKEN):
+            if not error.is_own and error.kind is not SendErrorKind.TIMEOUT:
                 self._view.note_entry_failed(request.service, entry.region)
             return self._results.note_failed("entry", error, trace, now)
         response = sent.unwrap()
