Believe no look at an upstream that a pause has drawn out

Cause: the upstream ended 0.22 s after the start, which looks like the end of an unframed answer. Its entry looked for it: the first probe was refused, and before the second one, 0.1 s later, the entry was paused for 1.2 s. The upstream's successor, at the same address since 1.49 s, accepted the second probe at 1.52 s. Whether the process stood still was asked only before the look, and only for pauses of 1.5 s and longer.

A probe counts only if it is accepted within 0.5 s of the start of the look, which takes 0.43 s at most; no successor starts in that time. The same look serves the accounts' face. The test failed before: the look said True.

--- a/poplarlug/relay/probing.py
+++ b/poplarlug/relay/probing.py
@@ -15,6 +15,10 @@
 PROBE_SECONDS = 0.3
 """Probe timeout; connecting within the region takes far less."""
 
+MAX_LOOK_SECONDS = 0.5
+"""Time within which a probe must be accepted. Later, as after a pause of this process,
+a successor may have the address; the start of a process takes longer."""
+
 _log = ComponentLogger(prefix="relay")
 
 
@@ -47,9 +51,11 @@
 
     A process that ends stops listening about when its connections end.
     """
+    loop = asyncio.get_running_loop()
+    accepts_until = loop.time() + MAX_LOOK_SECONDS
     for delay in (FIRST_PROBE_SECONDS, SECOND_PROBE_SECONDS):
         await asyncio.sleep(delay)
         result = await probe(address)
         if result is not ProbeResult.REFUSED:
-            return result is ProbeResult.ACCEPTED
+            return result is ProbeResult.ACCEPTED and loop.time() <= accepts_until
     return False
--- /dev/null
+++ b/tests/relay/test_probing.py
@@ -0,0 +1,26 @@
+"""Tests of looks at the address of a connection that has ended."""
+
+import asyncio
+import socket
+import time
+from unittest import IsolatedAsyncioTestCase
+
+from poplarlug.relay.probing import MAX_LOOK_SECONDS, is_listening
+
+PAUSE_AFTER_SECONDS = 0.06
+"""Behind the first probe, and before the second one."""
+
+
+class ListeningTests(IsolatedAsyncioTestCase):
+    # Guards against half an answer that counts as whole as its upstream was replaced.
+    async def test_successor_behind_a_pause_does_not_vouch(self) -> None:
+        """The process stands still during its look, and a successor starts meanwhile."""
+        for pause_seconds, expected in ((0.0, True), (MAX_LOOK_SECONDS, False)):
+            with self.subTest(pause_seconds), socket.socket() as listener:
+                listener.bind(("127.0.0.1", 0))
+                host, port = listener.getsockname()
+                look = asyncio.ensure_future(is_listening(f"{host}:{port}"))
+                await asyncio.sleep(PAUSE_AFTER_SECONDS)
+                time.sleep(pause_seconds)
+                listener.listen()
+                self.assertEqual(await look, expected)
