Mind short pauses right before a look at an upstream

A pause of 0.5 to 1.5 s hides when a connection ended: what is read right behind it may have happened before it, and a successor may have the address since. Such a pause, known for a moment, now counts like a longer one; the end of an unframed answer that is read behind it is then not believed.

The test failed before.

--- a/poplarlug/discovery/pauses.py
+++ b/poplarlug/discovery/pauses.py
@@ -16,6 +16,10 @@
 """A process paused for this long may have missed a departure or an evacuation; the
 event loop of a busy VM lags by less."""
 
+MIN_LAG_SECONDS = 0.5
+"""A connection that ended during a shorter pause, and a look for its peer, take less
+time together than the start of a successor at the same address."""
+
 FRESH_VIEW_TIMEOUT_SECONDS = 1.0
 """How long a request waits for a view newer than the pause. A replica of the own zone
 answers within 0.3 s; a zone that is cut off continues with its current view."""
@@ -52,6 +56,7 @@
         self._last_tick = uptime()
         self._resumed_at: Seconds | None = None
         self._last_resumed_at = -math.inf
+        self._last_lag_at = -math.inf
 
     async def run(self) -> None:
         """Check for pauses periodically until cancelled."""
@@ -78,14 +83,22 @@
             self._resumed_at = None
 
     def stood_still_since(self, at: Seconds) -> bool:
-        """Return whether the process stood still after ``at``, a time of the clock."""
+        """
+        Return whether the process stood still after ``at``, a time of the clock.
+
+        A pause that has just ended counts even if it was short: what is read now may
+        have happened before it.
+        """
         self._check_for_pause()
-        return self._last_resumed_at > at
+        has_just_lagged = self._clock() - self._last_lag_at < CHECK_INTERVAL_SECONDS
+        return self._last_resumed_at > at or has_just_lagged
 
     def _check_for_pause(self) -> None:
         now = self._uptime()
         paused = now - self._last_tick
         self._last_tick = now
+        if paused >= MIN_LAG_SECONDS:
+            self._last_lag_at = self._clock()
         if paused >= MIN_PAUSE_SECONDS:
             self._resumed_at = self._last_resumed_at = self._clock()
             _PAUSES.inc()
--- a/tests/discovery/test_pauses.py
+++ b/tests/discovery/test_pauses.py
@@ -5,7 +5,9 @@
 from poplarlug.discovery.deployment import Deployment
 from poplarlug.discovery.messages import PollReply
 from poplarlug.discovery.pauses import (
+    CHECK_INTERVAL_SECONDS,
     FRESH_VIEW_TIMEOUT_SECONDS,
+    MIN_LAG_SECONDS,
     MIN_PAUSE_SECONDS,
     PauseWatch,
 )
@@ -96,3 +98,26 @@
             self.assertFalse(watch.stood_still_since(loop.time()))
 
         run_virtual(main())
+
+    # Guards against ends of connections that a short pause hid, and a successor since.
+    def test_short_pause_is_known_right_behind_it(self) -> None:
+        """What is read right behind a short pause may have happened before it."""
+
+        async def main() -> None:
+            loop = asyncio.get_running_loop()
+            uptime = 0.0
+            watch = PauseWatch(
+                deployment=Deployment(
+                    own_region="east", regions_by_zone={"a": "east"}, clock=loop.time
+                ),
+                uptime=lambda: uptime,
+                clock=loop.time,
+            )
+            uptime = MIN_LAG_SECONDS - 0.01
+            self.assertFalse(watch.stood_still_since(loop.time()))
+            uptime += MIN_LAG_SECONDS
+            self.assertTrue(watch.stood_still_since(loop.time()))
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            self.assertFalse(watch.stood_still_since(loop.time()))
+
+        run_virtual(main())
