--- a/tests/relay/test_probing.py
+++ b/tests/relay/test_probing.py
@@ -19,8 +19,8 @@
             with self.subTest(pause_seconds), socket.socket() as listener:
                 listener.bind(("127.0.0.1", 0))
                 host, port = listener.getsockname()
-                look = asyncio.ensure_future(is_listening(f"{host}:{port}"))
-                await asyncio.sleep(PAUSE_AFTER_SECONDS)
-                time.sleep(pause_seconds)
-                listener.listen()
+                loop = asyncio.get_running_loop()
+                loop.call_later(PAUSE_AFTER_SECONDS, time.sleep, pause_seconds)
+                loop.call_later(PAUSE_AFTER_SECONDS, listener.listen)
+                look = is_listening(f"{host}:{port}")
                 self.assertEqual(await look, expected)
