Stop entries in series beside answers that outlast their drains in the soak

Nobody read the logs of its processes either.

What entries or upstreams have seen must get an answer. In all runs, each line of each log must be a log line, and none an error of a library or with a traceback.

--- a/poplarlug/soak/main.py
+++ b/poplarlug/soak/main.py
@@ -20,6 +20,7 @@
     deadly: bool = False,
     deadly_part: bool = False,
     limits: bool = False,
+    drains: bool = False,
     entries: int = len(ENTRY_ZONES),
 ) -> None:
     """
@@ -43,6 +44,9 @@
         part that crashes their upstreams.
     limits : bool
         Whether some upstreams announce rate limits for a while.
+    drains : bool
+        Whether entries are only stopped as planned, also in series, while upstreams
+        work on answers for longer than the drains take.
     entries : int
         Number of entries, spread over the zones. Each takes some 50 MB; all processes
         together should take no more than half of the memory.
@@ -59,6 +63,7 @@
             deadly=deadly,
             deadly_part=deadly_part,
             limits=limits,
+            drains=drains,
             entries=entries,
         )
         report = run.execute()
--- a/poplarlug/soak/promises.py
+++ b/poplarlug/soak/promises.py
@@ -1,8 +1,10 @@
 """Checks of the gateway's guarantees against records of callers and upstreams."""
 
+import json
 from bisect import bisect_right
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
+from pathlib import Path
 from typing import NamedTuple
 
 from poplarlug.soak.callers import Call
@@ -29,6 +31,14 @@
 LIMIT_SLACK = 5
 """Any window may hold ``LIMIT_OVERAGE`` times the limit plus ``LIMIT_SLACK`` requests."""
 
+REQUEST_EVENT = "relay: request ended"
+ERROR_LEVELS = ("error", "critical")
+LIBRARIES = ("aiohttp", "asyncio", "concurrent", "grpc", "process:", "py.warnings")
+"""Beginnings of the events that libraries, or Python itself, report."""
+
+MAX_SHOWN_CHARACTERS = 160
+"""Maximum length of the part of a log line that is quoted in a violation."""
+
 EVENT_END = b"\n\n"
 EVENTS = b"".join(encode_event(number, "x") for number in range(STREAM_EVENTS))
 
@@ -57,6 +67,65 @@
     return broken
 
 
+def check_answered(calls: Sequence[Call], reached_ids: Container[str]) -> list[str]:
+    """
+    Return a description of each request that got not even the head of an answer.
+
+    Parameters
+    ----------
+    reached_ids : container of str
+        Ids of the requests that entries or upstreams have seen.
+    """
+    return [
+        f"{call.kind} {call.id} at {call.entry}: got no answer"
+        for call in calls
+        if not call.status and not call.answered_id and call.id in reached_ids
+    ]
+
+
+class ProcessLogs(NamedTuple):
+    """
+    What the logs of all processes show.
+
+    Parameters
+    ----------
+    request_ids : frozenset of str
+        Requests whose end an entry has logged.
+    broken : tuple of str
+        Lines that are no log lines, and errors that a library or a traceback reports.
+    """
+
+    request_ids: frozenset[str]
+    broken: tuple[str, ...]
+
+
+def read_logs(folder: Path) -> ProcessLogs:
+    """Read the logs of a run's processes."""
+    request_ids, broken = set(), []
+    for path in sorted(folder.glob("*.log")):
+        foreign_lines = []
+        for line in path.read_text(errors="replace").splitlines():
+            try:
+                fields = json.loads(line)
+                event, level = str(fields["event"]), fields["level"]
+            except (ValueError, TypeError, KeyError):
+                foreign_lines.append(line[:MAX_SHOWN_CHARACTERS])
+                continue
+            if event == REQUEST_EVENT:
+                request_ids.add(fields["request_id"])
+            elif level in ERROR_LEVELS and (
+                "exception" in fields or event.startswith(LIBRARIES)
+            ):
+                broken.append(f"{path.stem} logged {event[:MAX_SHOWN_CHARACTERS]!r}")
+        if foreign_lines:
+            first, last = foreign_lines[0], foreign_lines[-1]
+            broken.append(
+                f"{path.stem} wrote {len(foreign_lines)} lines that are no log lines,"
+                f" from {first!r} to {last!r}"
+            )
+    return ProcessLogs(frozenset(request_ids), tuple(broken))
+
+
 class LimitPeriod(NamedTuple):
     """Period in which an upstream announced a rate limit, in monotonic time."""
 
--- a/poplarlug/soak/run.py
+++ b/poplarlug/soak/run.py
@@ -40,25 +40,32 @@
 from poplarlug.soak.promises import (
     MAX_REQUEST_CRASHES,
     LimitPeriod,
+    check_answered,
     check_calls,
     check_limits,
+    read_logs,
 )
 from poplarlug.soak.proxy import FaultProxy, LinkMode
 from poplarlug.soak.schedule import (
+    SLOW_PART_SECONDS,
     Fault,
     ScheduledLimit,
     draw_limits,
     draw_schedule,
     draw_series,
+    draw_slowness,
+    draw_stops,
     draw_storage_faults,
 )
-from poplarlug.soak.upstream import Arrival, Upstream
+from poplarlug.soak.upstream import PART_SECONDS, Arrival, Upstream
 from poplarlug.types import Seconds
 
 ENTRY_ZONES = ("quito-a", "quito-a", "cuenca-a", "guayaquil-a")
 UPSTREAM_ZONES = ("quito-a", "quito-a", "cuenca-a", "guayaquil-a")
 CALLERS = 8
+CALLERS_BESIDE_DRAINS = 16
 UNFRAMED_SHARE = 0.4
+UNFRAMED_SHARE_BESIDE_DRAINS = 0.8
 """Fraction of the upstreams' answers that have neither a length nor chunks."""
 
 BEAT_SECONDS = 0.6
@@ -130,6 +137,9 @@
         part that crashes their upstreams.
     limits : bool
         Whether some upstreams announce rate limits for a while.
+    drains : bool
+        Whether entries are only stopped as planned, also in series, while upstreams
+        work on answers for longer than the drains take.
     entries : int
         Number of entries, spread over the zones.
     """
@@ -143,6 +153,7 @@
         deadly: bool = False,
         deadly_part: bool = False,
         limits: bool = False,
+        drains: bool = False,
         entries: int = len(ENTRY_ZONES),
     ) -> None:
         self._seed = seed
@@ -155,6 +166,11 @@
         self._storage_rng = Random(f"{seed}/storage")
         storage = draw_storage_faults(self._storage_rng, seconds=seconds)
         series = draw_series(Random(f"{seed}/series"), seconds=seconds)
+        if drains:
+            stops_rng = Random(f"{seed}/stops")
+            series = draw_stops(stops_rng, seconds=seconds, entries=entries)
+            series += draw_slowness(Random(f"{seed}/slowness"), seconds=seconds)
+        self._drains = drains
         self.faults = tuple(
             sorted([*drawn, *storage, *series], key=lambda fault: fault.at)
         )
@@ -199,7 +215,7 @@
                 else "",
                 reconnect_share=RECONNECT_SHARE if number % 2 else 0.0,
             )
-            for number in range(CALLERS)
+            for number in range(CALLERS_BESIDE_DRAINS if self._drains else CALLERS)
         ]
         operator = self._operator()
         crash_caller = CrashCaller(
@@ -243,7 +259,11 @@
             for arrival in upstream.arrivals
             if arrival.request_id not in crash_ids
         ]
-        broken = check_calls(calls, arrivals) + operator.broken
+        logs = read_logs(self._deployment.folder)
+        broken = check_calls(calls, arrivals) + operator.broken + list(logs.broken)
+        if self._drains:
+            run_ids = {arrival.request_id for arrival in arrivals}
+            broken += check_answered(calls, run_ids | logs.request_ids)
         late = [call for call in calls if call.sent > recovered]
         served = sum(call.status == 200 for call in late)
         if not late or served < SERVED_SHARE * len(late):
@@ -344,10 +364,12 @@
         deployment = self._deployment
         names = [*deployment.entries, *deployment.control.values()]
         name = names[fault.target % len(names)]
-        number = signal.SIGKILL if fault.kind == "kill" else signal.SIGTERM
+        is_planned = self._drains and name in deployment.entries
+        is_kill = fault.kind == "kill" and not is_planned
+        number = signal.SIGKILL if is_kill else signal.SIGTERM
         if fault.kind == "hang_up":
             deployment.signal(name, signal.SIGHUP)
-        elif fault.kind == "pause":
+        elif fault.kind == "pause" and not is_planned:
             deployment.pause(name, fault.seconds)
         elif not deployment.is_running(name):
             deployment.signal(name, number)
@@ -391,6 +413,11 @@
             self._proxy.set_delay(0.0, matching=is_link_to_upstream)
         elif fault.kind == "end":
             upstream.crash(fault.seconds)
+        elif fault.kind == "slow":
+            choice = fault.target // len(self._upstreams) % len(SLOW_PART_SECONDS)
+            upstream.part_seconds = SLOW_PART_SECONDS[choice]
+            time.sleep(fault.seconds)
+            upstream.part_seconds = PART_SECONDS
         elif fault.kind == "leave":
             self._leaving.add(upstream.name)
             time.sleep(fault.seconds)
@@ -412,7 +439,9 @@
             )
             upstream.crash_body = CRASH_BODY
             upstream.crash_parts = frozenset({CRASH_PART})
-            upstream.unframed_share = UNFRAMED_SHARE
+            upstream.unframed_share = (
+                UNFRAMED_SHARE_BESIDE_DRAINS if self._drains else UNFRAMED_SHARE
+            )
             self._upstreams.append(upstream)
             link = self._proxy.link(LINK_SOURCE, name, upstream.address)
             upstream.on_listening = partial(
--- a/poplarlug/soak/schedule.py
+++ b/poplarlug/soak/schedule.py
@@ -26,6 +26,9 @@
 UpstreamEndKind: TypeAlias = Literal["end"]
 """An upstream ends as a killed process does, and comes back under a new id."""
 
+SlownessKind: TypeAlias = Literal["slow"]
+"""An upstream works long on each part of the answers that it sends in parts."""
+
 MEAN_GAP_SECONDS = 1.0
 """Mean time between the starts of two faults; faults may overlap."""
 
@@ -42,6 +45,20 @@
 END_SECONDS = (1.0, 3.0)
 """Bounds of the time until an upstream is back; a start of a process takes as long."""
 
+SLOW_PART_SECONDS = (0.24, 1.6)
+"""With one of these times a part a stream, or a plain answer, outlasts an entry's drain
+and ends within the time that its caller allows."""
+
+SLOW_SECONDS = (3.0, 8.0)
+SLOW_GAP_SECONDS = 1.0
+"""Bounds of a period of slowness, and the mean time between the starts of two."""
+
+STOP_SERIES_GAP_SECONDS = 4.0
+"""Mean time between the starts of two series of planned stops; they may overlap."""
+
+STOP_STEP_SECONDS = 1.5
+"""The most time between two planned stops of a series."""
+
 LIMITED_UPSTREAMS = 2
 
 _PROCESS_KINDS: tuple[FaultKind, ...] = ("kill", "stop", "pause", "hang_up")
@@ -62,7 +79,7 @@
     """
 
     at: Seconds
-    kind: FaultKind | StorageFaultKind | UpstreamEndKind
+    kind: FaultKind | StorageFaultKind | UpstreamEndKind | SlownessKind
     seconds: Seconds
     target: int
 
@@ -139,6 +156,32 @@
     )
 
 
+def draw_slowness(rng: Random, *, seconds: Seconds) -> tuple[Fault, ...]:
+    """Return the periods in which an upstream is slow; they may overlap."""
+    faults = []
+    at = 0.0
+    while at < seconds:
+        length = round(rng.uniform(*SLOW_SECONDS), 3)
+        faults.append(Fault(round(at, 3), "slow", length, rng.randrange(1000)))
+        at += rng.expovariate(1 / SLOW_GAP_SECONDS)
+    return tuple(faults)
+
+
+def draw_stops(rng: Random, *, seconds: Seconds, entries: int) -> tuple[Fault, ...]:
+    """Return series of planned stops of entries in turn, of two entries up to all."""
+    faults = []
+    at = rng.expovariate(1 / STOP_SERIES_GAP_SECONDS)
+    while at < seconds:
+        target, moment = rng.randrange(entries), at
+        for number in range(rng.randint(2, entries)):
+            length = round(rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS), 3)
+            stopped = (target + number) % entries
+            faults.append(Fault(round(moment, 3), "stop", length, stopped))
+            moment += rng.uniform(0.0, STOP_STEP_SECONDS)
+        at += rng.expovariate(1 / STOP_SERIES_GAP_SECONDS)
+    return tuple(faults)
+
+
 class ScheduledLimit(NamedTuple):
     """
     Period in which an upstream announces a rate limit.
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -1,12 +1,22 @@
 """Tests that the soak's checks detect violated guarantees."""
 
+import json
+import tempfile
+from pathlib import Path
 from random import Random
 from unittest import TestCase
 
 from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.soak.callers import Call
-from poplarlug.soak.promises import EVENTS, LimitPeriod, check_calls, check_limits
-from poplarlug.soak.schedule import draw_schedule, draw_series
+from poplarlug.soak.promises import (
+    EVENTS,
+    LimitPeriod,
+    check_answered,
+    check_calls,
+    check_limits,
+    read_logs,
+)
+from poplarlug.soak.schedule import draw_schedule, draw_series, draw_stops
 from poplarlug.soak.upstream import Arrival
 
 GOOD = Call("a1", "book", "127.0.0.1:1", 0.0, 200, b"answer to book a1", "a1")
@@ -104,6 +114,50 @@
         ]
         self.assertGreater(len(overlaps), len(ends) / 4)
 
+    def test_stops_are_of_entries_in_turn(self) -> None:
+        """All faults are planned stops, of more than one entry in a series."""
+        stops = draw_stops(Random(5), seconds=60.0, entries=4)
+        self.assertEqual({stop.kind for stop in stops}, {"stop"})
+        self.assertEqual({stop.target for stop in stops}, set(range(4)))
+
+
+class LogTests(TestCase):
+    def read(self, *lines: object) -> tuple[str, ...]:
+        with tempfile.TemporaryDirectory() as folder:
+            log = Path(folder) / "entry.log"
+            log.write_text("".join(f"{line}\n" for line in lines))
+            return read_logs(Path(folder)).broken
+
+    def line(self, event: str, level: str = "error", **fields: object) -> str:
+        return json.dumps({"event": event, "level": level} | fields)
+
+    def test_what_no_log_should_hold_is_told(self) -> None:
+        """Lines that are no log lines, and errors of libraries or with a traceback."""
+        sound = (
+            self.line("relay: request ended", "info", request_id="a1"),
+            self.line("claims: journal is damaged"),
+            self.line("asyncio: took long", "warning"),
+        )
+        self.assertEqual(self.read(*sound), ())
+        cases = {
+            "2 lines": ("Traceback (most recent call last):", "RuntimeError"),
+            "1 lines": (json.dumps(["no", "fields"]),),
+            "aiohttp.server": (self.line("aiohttp.server: Error handling request"),),
+            "failed to serve": (self.line("relay: failed to serve", exception="..."),),
+        }
+        for expected, lines in cases.items():
+            with self.subTest(expected):
+                (broken,) = self.read(*sound, *lines)
+                self.assertIn(expected, broken)
+
+    def test_requests_without_an_answer_are_told(self) -> None:
+        """What an entry or an upstream has seen gets the head of an answer at least."""
+        unanswered = GOOD._replace(status=0, body=b"", answered_id="")
+        answered = [GOOD, unanswered._replace(answered_id="a1")]
+        self.assertEqual(check_answered(answered, {"a1"}), [])
+        self.assertEqual(check_answered([unanswered], {"b1"}), [])
+        self.assertEqual(len(check_answered([unanswered], {"a1"})), 1)
+
 
 class LimitTests(TestCase):
     def test_more_than_a_limit_allows_is_told(self) -> None:
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -8,10 +8,17 @@
 
 SECONDS = 6.0
 SHORT_SEED = 11
+DRAIN_SECONDS = 8.0
+DRAIN_SEED = 1
+"""Stopping entries closed connections to upstreams that were answering: a stream of 3 of 20
+events ended as whole, and a traceback stood in a log."""
+
 WHOLE_SECONDS = 15.0
 PROXY_ORDER_SEED = 8
 """Events of a stream once arrived out of order. The proxy reordered bytes when a delay
-ended, which is consistent with the trace but was not confirmed as the cause."""
+ended, which is consistent with the trace but was not confirmed as the cause. Later, 6 of
+20 events came as a whole stream: its upstream had ended, its entry was paused while it
+looked for it, and found the successor."""
 
 BUSY_PROXY_SEED = 1604
 """Events of a stream arrived out of order: a delay ended during the stream, and the
@@ -28,6 +35,7 @@
         deadly: bool = False,
         deadly_part: bool = False,
         limits: bool = False,
+        drains: bool = False,
     ) -> None:
         with tempfile.TemporaryDirectory() as folder:
             run = SoakRun(
@@ -37,6 +45,7 @@
                 deadly=deadly,
                 deadly_part=deadly_part,
                 limits=limits,
+                drains=drains,
             )
             report = run.execute()
         self.assertGreater(report.calls, 100)
@@ -59,6 +68,11 @@
         paused."""
         self.execute(SHORT_SEED, WHOLE_SECONDS, limits=True)
 
+    # Guards against an entry's own close that is taken for the end of an answer.
+    def test_run_beside_answers_that_outlast_drains(self) -> None:
+        """Entries stop in series; what looks whole is whole, and all get answers."""
+        self.execute(DRAIN_SEED, DRAIN_SECONDS, drains=True)
+
     def test_stream_behind_a_delay_that_ends(self) -> None:
         """Events arrive once and in order while the delay of a link changes."""
         self.execute(PROXY_ORDER_SEED, WHOLE_SECONDS)
