--- a/poplarlug/soak/schedule.py
+++ b/poplarlug/soak/schedule.py
@@ -56,6 +56,7 @@
 STOP_SERIES_GAP_SECONDS = 4.0
 """Mean time between the starts of two series of planned stops; they may overlap."""
 
+MAX_SERIES_STOPS = 6
 STOP_STEP_SECONDS = 1.5
 """The most time between two planned stops of a series."""
 
@@ -168,12 +169,12 @@
 
 
 def draw_stops(rng: Random, *, seconds: Seconds, entries: int) -> tuple[Fault, ...]:
-    """Return series of planned stops of entries in turn, of two entries up to all."""
+    """Return series of planned stops of entries in turn, at least two in a series."""
     faults = []
     at = rng.expovariate(1 / STOP_SERIES_GAP_SECONDS)
     while at < seconds:
         target, moment = rng.randrange(entries), at
-        for number in range(rng.randint(2, entries)):
+        for number in range(rng.randint(2, min(entries, MAX_SERIES_STOPS))):
             length = round(rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS), 3)
             stopped = (target + number) % entries
             faults.append(Fault(round(moment, 3), "stop", length, stopped))
