Read the events of a stream in time proportional to its bytes

One upstream that sent empty lines without end in an answer to a streaming route stopped its entry: callers of other services got no answer in 10 s.

Cause: each empty line was matched from its start over all that follow, so that twice the bytes took four times as long. A byte at a time, the rest of an event that had been passed on in part was matched anew with each chunk, and what was held of an event was copied each time.

Now blocks without an event are passed over in one go, held bytes are added to in place, and an event that was passed on in part keeps at most a field's name back. So comments and events' names in such an event are passed on as they come, like data, and a line that is no field ends it at once.

--- a/poplarlug/relay/event_format.py
+++ b/poplarlug/relay/event_format.py
@@ -11,10 +11,13 @@
 
 _NEUTRAL_LINE = rb"(?::[^\r\n]*+|retry(?:: ?[0-9]*+)?+|event(?::[^\r\n]*+)?+)"
 _OTHER_LINE = rb"(?:" + _NEUTRAL_LINE + rb"|data(?::[^\r\n]*+)?+)"
-_NO_EVENT = re.compile(rb"(?:" + _NEUTRAL_LINE + rb"\r?\n)*+\r?\n")
+# All such blocks in a row, as an attempt to match an event goes over them as well.
+_NO_EVENTS = re.compile(rb"(?:(?:" + _NEUTRAL_LINE + rb"\r?\n)*+\r?\n)++")
 _LINES = re.compile(rb"(?:" + _OTHER_LINE + rb"\r?\n)*+")
 _BLANK_LINE = re.compile(rb"\r?\n")
-_DATA_PART = re.compile(rb"data:[^\r\n]*+")
+_TEXT_PART = re.compile(rb"(data:|event:|:)[^\r\n]*+")
+_NUMBER_PART = re.compile(rb"retry: ?[0-9]++")
+_LINE_START = re.compile(rb"[a-z]{0,5}+(?:: ?)?+\r?+")
 _FIELDS = (b"id:", b":") + tuple(
     name + end
     for name in (b"data", b"event", b"retry")
@@ -78,32 +81,32 @@
         self._head = re.compile(head + other_lines)
         self._fields = (*_FIELDS, first_field.lower().encode() + b":")
 
-    def next_event(self, data: bytes, start: int) -> Event | Foreign | int:
+    def next_event(self, data: bytes | bytearray, start: int) -> Event | Foreign | int:
         """
         Return the event at ``start`` of data that contains its end.
 
         Returns
         -------
         Event, Foreign or int
-            An ``int`` is the end of a block that is sound but no event, such as a
-            comment.
+            An ``int`` is the end of the blocks in a row that are sound but no event,
+            such as comments.
         """
         match = self._event.match(data, start)
         if match is None:
-            match = _NO_EVENT.match(data, start)
+            match = _NO_EVENTS.match(data, start)
             return Foreign.FIELDS if match is None else match.end()
         if not _is_utf8(data[start : match.end()]):
             return Foreign.ENCODING
         return Event(int(match.group(1)), match.end())
 
-    def may_begin_event(self, data: bytes) -> bool:
+    def may_begin_event(self, data: bytes | bytearray) -> bool:
         """Return whether an incomplete event begins with a field that events have."""
         line = data[:_LONGEST_FIELD_BYTES].lstrip(b"\r\n")
         return any(
             line.startswith(field) or field.startswith(line) for field in self._fields
         )
 
-    def partial_event(self, data: bytes) -> Event | Foreign:
+    def partial_event(self, data: bytes | bytearray) -> Event | Foreign:
         """Return the id and the whole lines of an event without its end, if sound."""
         match = self._head.match(data)
         if match is None:
@@ -137,7 +140,12 @@
         self._decoder = codecs.getincrementaldecoder("utf-8")()
 
     def split(self, data: bytes) -> tuple[bytes, bytes] | Foreign:
-        """Return what may be passed on of ``data``, and what may not yet."""
+        """
+        Return what may be passed on of ``data``, and what may not yet.
+
+        The latter is at most the name of a field and the end of a line, so that it
+        can be read again with the next data.
+        """
         skipped = len(self._passed_of_line)
         lines = self._passed_of_line + data
         match = _LINES.match(lines)
@@ -149,7 +157,9 @@
         elif b"\n" in lines[end:]:
             return Foreign.FIELDS
         else:
-            end = self._pass_data(lines, end)
+            end = self._pass_part(lines, end)
+            if _LINE_START.fullmatch(lines, end) is None:
+                return Foreign.FIELDS
         passed = lines[skipped : max(skipped, end)]
         try:
             self._decoder.decode(passed, final=self.is_complete)
@@ -157,13 +167,20 @@
             return Foreign.ENCODING
         return passed, lines[max(skipped, end) :]
 
-    def _pass_data(self, lines: bytes, end: int) -> int:
-        match = _DATA_PART.match(lines, end)
-        self._passed_of_line = b"" if match is None else b"data:"
+    def _pass_part(self, lines: bytes, end: int) -> int:
+        """Return the end of the part of a line that is sound whatever follows."""
+        self._passed_of_line = b""
+        match = _TEXT_PART.match(lines, end)
+        if match is not None:
+            self._passed_of_line = match.group(1)
+        else:
+            match = _NUMBER_PART.match(lines, end)
+            if match is not None:
+                self._passed_of_line = b"retry:0"
         return end if match is None else match.end()
 
 
-def _is_utf8(data: bytes) -> bool:
+def _is_utf8(data: bytes | bytearray) -> bool:
     if data.isascii():
         return True
     try:
--- a/poplarlug/relay/events.py
+++ b/poplarlug/relay/events.py
@@ -53,7 +53,7 @@
         self.last_id = last_id
         self.foreign: ForeignBytes | None = None
         self._format = event_format
-        self._partial = b""
+        self._partial = bytearray()
         self._at_start = True
         self._unconfirmed: tuple[int, bytes] | None = None
         self._has_steps = False
@@ -122,24 +122,25 @@
         if self.foreign is not None or not data:
             return b""
         scanned = max(0, len(self._partial) - _END_OVERLAP_BYTES)
-        buffered = self._partial + data
-        self._partial = b""
+        self._partial += data
         if self._at_start:
-            if len(buffered) < len(_BYTE_ORDER_MARK) and _BYTE_ORDER_MARK.startswith(
-                buffered
+            if _BYTE_ORDER_MARK.startswith(self._partial) and len(self._partial) < len(
+                _BYTE_ORDER_MARK
             ):
-                self._partial = buffered
                 return b""
             self._at_start = False
-            buffered = buffered.removeprefix(_BYTE_ORDER_MARK)
+            if self._partial.startswith(_BYTE_ORDER_MARK):
+                del self._partial[: len(_BYTE_ORDER_MARK)]
+            scanned = 0
         passed = b""
         if self._open is not None:
-            passed, buffered = self._pass_open(self._open, buffered)
+            rest = bytes(self._partial)
+            passed, rest = self._pass_open(self._open, rest)
+            self._partial = bytearray(rest)
             if self._open is not None:
-                self._partial = buffered
                 return passed
             scanned = 0
-        return passed + self._take_events(buffered, scanned)
+        return passed + self._take_events(scanned)
 
     def finish(self) -> bytes:
         """
@@ -169,9 +170,9 @@
         if self._open is not None or not self._partial:
             # What is left of an open event is the start of a line.
             if self.held_bytes > MAX_HEAD_BYTES:
-                self._refute(Foreign.SIZE, self._partial)
+                self._refute(Foreign.SIZE, bytes(self._partial))
             return b""
-        partial = self._partial
+        partial = bytes(self._partial)
         found = self._format.partial_event(partial)
         order = found if isinstance(found, Foreign) else self._check_order(found.id)
         if isinstance(found, Foreign) or order is not None:
@@ -180,7 +181,8 @@
                 self._refute(order, partial)
             return b""
         self._open = OpenEvent(number=found.id)
-        passed, self._partial = self._pass_open(self._open, partial[found.end :])
+        passed, rest = self._pass_open(self._open, partial[found.end :])
+        self._partial = bytearray(rest)
         return partial[: found.end] + passed
 
     def discard_partial(self, last_id: str | None = None) -> None:
@@ -192,7 +194,7 @@
         last_id : str, optional
             Id of the last event that was passed on, if later ones were not.
         """
-        self._partial = b""
+        self._partial = bytearray()
         self._at_start = True
         self._unconfirmed = None
         self.foreign = None
@@ -229,12 +231,15 @@
             return self.last_id
         return str(number - 1) if number > max(FIRST_IDS) else ""
 
-    def _take_events(self, buffered: bytes, scanned: int) -> bytes:
-        # The held data contains no delimiter, but may end with the start of one.
-        is_complete = DELIMITER.search(buffered, scanned) is not None
+    def _take_events(self, scanned: int) -> bytes:
+        # The data before contains no delimiter, but may end with the start of one.
+        if DELIMITER.search(self._partial, scanned) is None:
+            self._check_start()
+            return b""
+        buffered = bytes(self._partial)
         start = 0
         taken: list[bytes] = []
-        while is_complete and start < len(buffered):
+        while start < len(buffered):
             found = self._format.next_event(buffered, start)
             if isinstance(found, Event):
                 event = buffered[start : found.end]
@@ -249,11 +254,14 @@
                 self._refute(found, buffered[start:])
                 return b"".join(taken)
             start = found
-        self._partial = buffered[start:]
-        if self._partial and not self._format.may_begin_event(self._partial):
-            self._refute(Foreign.FIELDS, self._partial)
+        self._partial = bytearray(buffered[start:])
+        self._check_start()
         return b"".join(taken)
 
+    def _check_start(self) -> None:
+        if self._partial and not self._format.may_begin_event(self._partial):
+            self._refute(Foreign.FIELDS, bytes(self._partial))
+
     def _accept(self, number: int, event: bytes, taken: list[bytes]) -> Foreign | None:
         """Take an event, or hold it; return why it isn't one of the run."""
         if self._awaits_repeat:
@@ -312,7 +320,7 @@
         if reason is Foreign.JUMP and self._unconfirmed is not None:
             data = self._unconfirmed[1]
         self.foreign = ForeignBytes(reason, data)
-        self._partial = b""
+        self._partial = bytearray()
         self._unconfirmed = None
 
     def _pass_open(self, event: OpenEvent, data: bytes) -> tuple[bytes, bytes]:
