End a stream after 16 KB of blank lines and comments without an event

An upstream that sent nothing but comments or blank lines kept its caller, a connection and the entry's processor busy until the route's time was over.

Cause: such bytes are dropped, so no bound of held bytes applied to them.

They now count as foreign bytes once more than MAX_BYTES_WITHOUT_EVENT of them come before the next event: the connection is closed, the stream goes on at another upstream if it can be resumed, and the log and the metric name the reason "no_event". Sound streams send a few comments a minute.

The test failed before: such a stream was never refuted.

--- a/poplarlug/relay/event_format.py
+++ b/poplarlug/relay/event_format.py
@@ -41,6 +41,9 @@
     JUMP = "jump"
     """The id leaves others out, and the next event doesn't go on from it."""
 
+    NO_EVENT = "no_event"
+    """More blank lines and comments than a sound stream has between events."""
+
     SIZE = "size"
     """The event is too large to be held, and its id isn't known to be right yet."""
 
--- a/poplarlug/relay/events.py
+++ b/poplarlug/relay/events.py
@@ -18,6 +18,10 @@
 MAX_HEAD_BYTES = 1024
 """An incomplete event up to this size is held beyond any budget until its id is known."""
 
+MAX_BYTES_WITHOUT_EVENT = 16 * 1024
+"""Blank lines and comments up to the next event; sound streams send a few of them a
+minute."""
+
 FIRST_IDS = (0, 1)
 
 _END_OVERLAP_BYTES = 3
@@ -65,6 +69,7 @@
         self._has_repeat = False
         self._is_in_doubt = False
         self._open: OpenEvent | None = None
+        self._bytes_without_event = 0
 
     @property
     def is_resumable(self) -> bool:
@@ -196,6 +201,7 @@
         """
         self._partial = bytearray()
         self._at_start = True
+        self._bytes_without_event = 0
         self._unconfirmed = None
         self.foreign = None
         if last_id is not None:
@@ -246,10 +252,13 @@
                 refuted = self._accept(found.id, event, taken)
                 if refuted is None:
                     start = found.end
+                    self._bytes_without_event = 0
                     continue
                 found = refuted
             elif DELIMITER.search(buffered, start) is None:
                 break
+            else:
+                found = self._check_gap(found, start)
             if isinstance(found, Foreign):
                 self._refute(found, buffered[start:])
                 return b"".join(taken)
@@ -258,6 +267,15 @@
         self._check_start()
         return b"".join(taken)
 
+    def _check_gap(self, found: Foreign | int, start: int) -> Foreign | int:
+        """Count the bytes up to ``found``, which belong to no event."""
+        if isinstance(found, Foreign):
+            return found
+        self._bytes_without_event += found - start
+        if self._bytes_without_event > MAX_BYTES_WITHOUT_EVENT:
+            return Foreign.NO_EVENT
+        return found
+
     def _check_start(self) -> None:
         if self._partial and not self._format.may_begin_event(self._partial):
             self._refute(Foreign.FIELDS, bytes(self._partial))
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -4,7 +4,7 @@
 from unittest import TestCase
 
 from poplarlug.relay.event_format import EventFormat, Foreign
-from poplarlug.relay.events import EventProgress
+from poplarlug.relay.events import MAX_BYTES_WITHOUT_EVENT, EventProgress
 
 EVENTS = [b"id: %d\ndata: token\n\n" % number for number in range(30)]
 
@@ -136,6 +136,22 @@
             self.assertEqual(out, EVENTS[0] + EVENTS[1])
             self.assertTrue(progress.ends_with_event)
 
+    def test_comments_without_end_are_foreign(self) -> None:
+        """An event between them, or another upstream, starts the count again."""
+        for block in (b"\n\n", b"\r\n", b": open\n\n", b"retry: 1\n\n"):
+            most = block * (MAX_BYTES_WITHOUT_EVENT // len(block))
+            progress = make_progress()
+            for event in EVENTS[:3]:
+                self.assertEqual(progress.feed(most), b"")
+                self.assertEqual(progress.feed(event), event)
+            progress.feed(most)
+            progress.discard_partial()
+            progress.feed(most)
+            self.assertIsNone(progress.foreign)
+            progress.feed(block * 2)
+            assert progress.foreign is not None
+            self.assertIs(progress.foreign.reason, Foreign.NO_EVENT)
+
     def test_next_upstream_is_checked_anew(self) -> None:
         """What the former one spoiled doesn't count against it."""
         progress = make_progress()
