Bound the work of costly answers in a round of the event loop

Callers of other services waited for seconds beside 20 streams whose bytes are costly to read: comments, chunks of one byte, small events.

Cause: what a read brought, up to 256 KB, was parsed and checked before anybody else's turn, and each stream did so in each round of the loop.

Streams are checked in slices of 2 KB, and of all tasks that have more to check one has its turn in a round (Turns), so that its work doesn't grow with the number of streams.

Evidence: tests/platform_adapter/test_endless_answers, worst processor time of an entry until a caller beside 20 streams had its answer, resumable and other streams.

--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -5,6 +5,7 @@
 """
 
 import select
+import time
 from collections.abc import Callable
 from enum import Enum
 from functools import partial
@@ -15,6 +16,7 @@
 from aiohttp.connector import Connection
 
 from poplarlug.relay.header_names import HeaderNames
+from poplarlug.relay.read_size import ReadSize
 from poplarlug.sockets import reset_connection
 from poplarlug.types import RequestId
 
@@ -168,6 +170,7 @@
         self._has_early_bytes = False
         self._in_exchange = False
         self._heads = 0
+        self._read_size: ReadSize | None = None
 
     @property
     def is_new(self) -> bool:
@@ -248,7 +251,17 @@
         self._payload = None
         super().set_response_params(**options)
 
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        self._read_size = ReadSize(transport=transport)
+
     def data_received(self, data: bytes) -> None:
+        began = time.perf_counter()
+        self._parse(data)
+        if data and self._read_size is not None:
+            self._read_size.note_read(len(data), time.perf_counter() - began)
+
+    def _parse(self, data: bytes) -> None:
         # aiohttp calls this without data to resume its parser.
         if data and self._is_response_complete and self.response_source is not None:
             # Belongs to no request, even if it is only a part of a response so far.
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -22,7 +22,8 @@
 from poplarlug.relay.held_bytes import HeldBytesBudget, HeldBytesReservation
 from poplarlug.relay.hop_headers import SOFTWARE_VERSION, UPSTREAM, end_to_end
 from poplarlug.serving.answers import AnswerHead
-from poplarlug.serving.relay import BodyCheck, BodyRelay
+from poplarlug.serving.relay import CHECKED_SLICE_BYTES, BodyCheck, BodyRelay
+from poplarlug.serving.turns import current_turns
 from poplarlug.types import Seconds
 
 MAX_DRAINED_BYTES = 16 * 1024
@@ -229,10 +230,11 @@
     events.begin_answer()
     # Complete events that may not be passed on yet, and the id of the last one before.
     held, passed_id, has_passed = b"", events.last_id, False
+    reader = _SlicedReader(content=content, context=context)
     try:
         async with asyncio.timeout_at(request.deadline) as overall_timeout:
             while True:
-                data = await _read(content, context, stalls_at)
+                data = await reader.read(stalls_at)
                 is_end = not data and content.at_eof()
                 complete_events = events.finish() if is_end else events.feed(data)
                 has_room = reservation.resize(events.held_bytes + len(held))
@@ -307,6 +309,29 @@
     return Outcome(failed, is_foreign=True)
 
 
+class _SlicedReader:
+    """Reads a stream in slices between which other tasks get their turn."""
+
+    def __init__(
+        self, *, content: aiohttp.StreamReader, context: RequestContext
+    ) -> None:
+        self._content = content
+        self._context = context
+        self._data = b""
+        self._start = 0
+
+    async def read(self, stalls_at: Seconds) -> bytes:
+        """Return the next slice; see :func:`_read`."""
+        if self._start < len(self._data):
+            await current_turns().wait()
+        else:
+            self._data = await _read(self._content, self._context, stalls_at)
+            self._start = 0
+        start = self._start
+        self._start += CHECKED_SLICE_BYTES
+        return self._data[start : self._start]
+
+
 async def _read(
     content: aiohttp.StreamReader, context: RequestContext, stalls_at: Seconds
 ) -> bytes:
--- a/poplarlug/serving/relay.py
+++ b/poplarlug/serving/relay.py
@@ -7,12 +7,17 @@
 import aiohttp
 
 from poplarlug.serving.answers import AnswerSink
+from poplarlug.serving.turns import current_turns
 
 TAIL_BYTES = 32
 LAST_EVENT = b"data: [DONE]"
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 
 
+CHECKED_SLICE_BYTES = 2 * 1024
+"""Bytes of a body that are checked before other tasks get their turn."""
+
+
 class BodyCheck(ABC):
     """Decides which bytes of a body may be passed on."""
 
@@ -66,6 +71,7 @@
         self._transport: asyncio.Transport | None = None
         self._protocol: Any = None
         self._reads = 0
+        self._has_more = False
         connection = response.connection
         if connection is not None and connection.transport is not None:
             self._transport = connection.transport
@@ -91,6 +97,8 @@
                 elif self._content.at_eof():
                     await self._write_last()
                     return
+                elif self._has_more:
+                    await current_turns().wait()
                 else:
                     await self._wait()
         finally:
@@ -137,23 +145,28 @@
                 self._unsent = data
                 self._wake()
                 return
-            if not content.is_eof() and not self._is_refuted():
+            if not (self._has_more or content.is_eof() or self._is_refuted()):
                 return
         self._wake()
 
     def _next_unsent(self) -> bytes:
-        # Writes what the sink accepts at once; returns data that needs an awaited write.
+        """Write what the sink accepts at once; return what must be awaited."""
         data, self._unsent = self._unsent, b""
-        if data:
-            return data
-        data = self._read_checked()
-        if data and self._write_nowait(data):
-            return self._next_unsent()
+        while not data:
+            data = self._read_checked()
+            if not data or not self._write_nowait(data):
+                return data
+            data = b""
+            if self._has_more:
+                return b""
         return data
 
     def _read_checked(self) -> bytes:
-        data = self._content.read_nowait()
-        return data if self._check is None else self._check.feed(data)
+        if self._check is None:
+            return self._content.read_nowait()
+        data = self._content.read_nowait(CHECKED_SLICE_BYTES)
+        self._has_more = len(data) == CHECKED_SLICE_BYTES
+        return self._check.feed(data)
 
     def _is_refuted(self) -> bool:
         return self._check is not None and self._check.is_refuted
--- a/tests/platform_adapter/test_endless_answers.py
+++ b/tests/platform_adapter/test_endless_answers.py
@@ -6,6 +6,8 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from functools import cache
+from itertools import count
 from pathlib import Path
 
 from poplarlug.platform.names import HEADER_NAMES
@@ -26,12 +28,18 @@
 latency objective of most plain routes. Unlike wall time, it doesn't grow on a busy
 machine."""
 
+STREAMS = 20
+"""Streams at the same time in tests of CPU time."""
+
 CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
 OK = b"HTTP/1.1 200 OK\r\n"
 SIGNED = f"{HEADER_NAMES.signature}: signed\r\n".encode()
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 EVENTS = b"Content-Type: text/event-stream\r\n"
 
+EVENT = b"id: %d\n\n"
+EVENTS_PER_SEND = 5000
+
 ENDLESS_ANSWERS_BY_NAME = {
     "chunks": (OK + SIGNED + CHUNKED, CHUNK),
     "no-length": (OK + SIGNED + b"\r\n", b"x" * 65536),
@@ -49,9 +57,20 @@
     "fields": (OK, b"X-Many: x\r\n" * 6000),
     "chunk-size": (OK + SIGNED + CHUNKED, b"0" * 65536),
     "trailers": (OK + SIGNED + CHUNKED + b"1\r\nx\r\n0\r\n", b"X-Many: x\r\n" * 6000),
+    "newlines": (OK + SIGNED + EVENTS + b"\r\n", b"\n" * 65536),
+    "comments": (OK + SIGNED + EVENTS + b"\r\n", b":\n\n" * 20000),
+    "tiny-chunks": (OK + SIGNED + EVENTS + CHUNKED, b"1\r\n:\r\n" * 10000),
+    "events": (OK + SIGNED + EVENTS + b"\r\n", EVENT),
+    "long-event": (OK + SIGNED + EVENTS + b"\r\nid: 1\ndata: ", b"x" * 65536),
 }
 
 
+@cache
+def events_from(first: int) -> bytes:
+    """Return a part of a stream; made once, as the tests' own CPU time delays calls."""
+    return b"".join(EVENT % number for number in range(first, first + EVENTS_PER_SEND))
+
+
 class EndlessUpstream(threading.Thread):
     """Answer each request with a fixed prefix, then an endless repetition."""
 
@@ -91,8 +110,11 @@
                     prefix = prefix[:line_end] + echo + prefix[line_end:]
             try:
                 connection.sendall(prefix)
-                while True:
-                    connection.sendall(repetition)
+                for first in count(1, EVENTS_PER_SEND):
+                    if repetition == EVENT:
+                        connection.sendall(events_from(first))
+                    else:
+                        connection.sendall(repetition)
             except OSError:
                 # The entry closed the connection.
                 return
@@ -120,6 +142,7 @@
                 "route_kind": "streaming",
                 "resumable": True,
             },
+            stream={"service": "endless", "route_kind": "streaming"},
         )
         self.wait_served()
 
@@ -151,13 +174,13 @@
         line = next(row for row in status.splitlines() if row.startswith("VmHWM"))
         return int(line.split()[1]) * 1024
 
-    def check(self, name: str, *routes: str) -> None:
+    def check(self, name: str, *routes: str, callers: int = CALLERS) -> None:
         """Check the entry's CPU time and memory under calls of an endless upstream."""
         self.endless.answer_name = name
         for route in routes:
-            with ThreadPoolExecutor(CALLERS) as pool:
+            with ThreadPoolExecutor(callers) as pool:
                 calls = [
-                    pool.submit(self.read_part_and_stall, route) for _ in range(CALLERS)
+                    pool.submit(self.read_part_and_stall, route) for _ in range(callers)
                 ]
                 slowest = 0.0
                 while not all(call.done() for call in calls):
@@ -189,3 +212,9 @@
         """Concurrent requests are served during endless chunk sizes and trailers."""
         for name in ("chunk-size", "trailers"):
             self.check(name, "safe", "resume")
+
+    # Guards against streams that block the event loop while concurrent requests wait.
+    def test_streams_without_end_leave_time_to_others(self) -> None:
+        """Concurrent requests are served during costly streams."""
+        for name in ("newlines", "comments", "tiny-chunks", "events", "long-event"):
+            self.check(name, "resume", "stream", callers=STREAMS)
