Write no second answer to a request that was told its end

Suspected by the review, not seen in a deployment: a booking goes on in the background after its caller was told 502, and writes its answer to the same connection if that 502 waits there behind an earlier answer.

Cause: a sink only looked at whether its connection is closed.

A sink whose request gets another answer is given up: it writes nothing more. The test failed before: the caller's first answer was the booking's.

--- a/poplarlug/callers/http_sink.py
+++ b/poplarlug/callers/http_sink.py
@@ -52,12 +52,17 @@
         self._buffer: bytearray | None = None
         self._head: AnswerHead | None = None
         self._finished = False
+        self._is_given_up = False
         self.response: web.StreamResponse | None = None
 
     @property
     def closed(self) -> bool:
         transport = self._transport
-        return transport is None or transport.is_closing()
+        return self._is_given_up or transport is None or transport.is_closing()
+
+    def give_up(self) -> None:
+        """Write nothing more, as the request gets another answer."""
+        self._is_given_up = True
 
     async def start(self, head: AnswerHead) -> None:
         self.started = True
@@ -68,6 +73,8 @@
         ):
             self._buffer = bytearray()
             return
+        if self._is_given_up:
+            raise CallerLostError("the caller got another answer")
         response = web.StreamResponse(status=head.status, headers=self._headers(head))
         if head.content_length is not None:
             response.content_length = head.content_length
@@ -90,7 +97,7 @@
             self._buffer += data
             return True
         transport = self._transport
-        if transport is None or transport.is_closing():
+        if transport is None or self.closed:
             return False
         if transport.get_write_buffer_size() > HIGH_WATER_BYTES:
             return False
--- a/poplarlug/relay/endpoint.py
+++ b/poplarlug/relay/endpoint.py
@@ -226,6 +226,8 @@
             trace.note(error=failed.type, reason=failed.message)
             sink.break_off()
             return sink.response
+        # A booking may go on in the background, and must not answer once more.
+        sink.give_up()
         return self._refuse(request, failed, relayed.hops, trace)
 
     async def _parse(
--- a/tests/callers/test_http_sink.py
+++ b/tests/callers/test_http_sink.py
@@ -185,3 +185,36 @@
 
             asyncio.run(main())
             self.assertEqual(failures, [])
+
+
+class GivenUpTests(TestCase):
+    # Guards against a second answer behind the one that told a caller of a stop.
+    def test_sink_that_is_given_up_writes_nothing(self) -> None:
+        """Its request may go on in the background, with each kind of answer."""
+        for length in (5, None):
+            with self.subTest(length=length):
+                self.assertEqual(asyncio.run(self.fetch_given_up(length)), b"told")
+
+    async def fetch_given_up(self, length: int | None) -> bytes:
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            sink = HttpSink(request=request, request_id="r1")
+            sink.give_up()
+            try:
+                await sink.start(AnswerHead(200, "text/plain", length))
+                await sink.write(b"whole")
+                await sink.finish()
+            except CallerLostError:
+                self.assertIsNone(length)
+            return web.Response(status=502, body=b"told")
+
+        server = await asyncio.get_running_loop().create_server(
+            web.Server(handle), "127.0.0.1", 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+        writer.close()
+        server.close()
+        self.assertTrue(head.startswith(b"HTTP/1.1 502"), head)
+        return body
