Mark no upstream whose streams the end of a drain cut

A request that the end of a drain ended was watched like one whose caller leaves a silent upstream: had the upstream ended next, the request would have got a crash mark, which other entries keep.

The drain's end now counts as an end by this process, as a close does. The test failed before: the send was watched.

--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -17,6 +17,7 @@
     held_apart,
     leaving,
     outcome_unknown,
+    stopped,
 )
 from poplarlug.logs import ComponentLogger
 from poplarlug.relay.answer_end import ConfirmedEnds
@@ -432,6 +433,8 @@
             return outcome
         except asyncio.CancelledError:
             failed = False
+            if self._stop.has_drained:
+                outcome = Outcome(stopped(), is_ended_here=True)
             raise
         finally:
             self._dispatcher.release(target.in_flight_request, failed=failed)
--- a/tests/relay/test_lost_callers.py
+++ b/tests/relay/test_lost_callers.py
@@ -18,6 +18,7 @@
 from poplarlug.relay.context import RequestContext
 from poplarlug.relay.crash_watch import CrashWatch
 from poplarlug.relay.dispatcher import LocalTarget, RemoteTarget
+from poplarlug.relay.planned_stop import PlannedStop
 from poplarlug.relay.trace import RelayTrace
 from poplarlug.serving.answers import AnswerHead
 from poplarlug.virtualtime import run_virtual
@@ -55,9 +56,19 @@
 
 
 class LostCallerTests(GatewayTestCase):
-    def serve(self, request: Any, sink: Any, sent: Result[Any, SendError]) -> None:
-        """Fail if a request is sent again, or tells something of its upstream."""
+    def serve(
+        self, request: Any, sink: Any, sent: Result[Any, SendError] | None
+    ) -> None:
+        """
+        Fail if a request is sent again, or tells something of its upstream.
+
+        Parameters
+        ----------
+        sent : Result or None
+            What a send gives; ``None`` if it lasts until the end of the drain.
+        """
         sends = 0
+        self.gateway._stop = stop = PlannedStop(clock=lambda: 0.0)
 
         async def find(*_: Any) -> Success[LocalTarget]:
             in_flight_request = self.view.in_flight.note_started(
@@ -68,6 +79,10 @@
         async def send(**_: Any) -> Result[Any, SendError]:
             nonlocal sends
             sends += 1
+            if sent is None:
+                asyncio.get_running_loop().call_soon(stop.end_requests)
+                await asyncio.Event().wait()
+                raise AssertionError
             return sent
 
         async def main() -> None:
@@ -119,9 +134,9 @@
 
     # Guards against upstreams that are watched for a crash as this process closed.
     def test_own_close_is_no_lost_upstream(self) -> None:
-        """Before the head of an answer, or within its body."""
-        sent = (self.response(ClosingContent(0.0)), Failure(CLOSED))
-        for request, result in zip((STREAM, PLAIN), sent, strict=True):
+        """Before the head of an answer, within its body, or by the end of a drain."""
+        sent = (self.response(ClosingContent(0.0)), Failure(CLOSED), None)
+        for request, result in zip((STREAM, PLAIN, STREAM), sent, strict=True):
             with self.subTest(result):
                 sink = Mock(started=False, start=_nothing, write=_nothing)
                 self.serve(request, sink, result)
