Tell accounts' callers of an error that leaves a handler

A caller of an accounts' entry got a status 500 of the HTTP library, which doesn't say that its request may have run, and the record of a request whose handler was ended said that it ran, without an answer.

Cause: nothing caught what left the gateway, and a record took "no error" for an answer.

Such an error is a log line with the request's id and 502 "may have run", or a stream that breaks off, as by route; a record of a handler that was ended counts as abandoned, with an unknown outcome.

--- a/poplarlug/callers/application.py
+++ b/poplarlug/callers/application.py
@@ -29,8 +29,10 @@
     bad_request,
     claims_unreachable,
     not_run,
+    outcome_unknown,
     truncated_answer,
 )
+from poplarlug.logs import ComponentLogger
 from poplarlug.membership.sharing import Membership
 from poplarlug.serving.answers import CallerLostError
 from poplarlug.serving.gateway import Gateway
@@ -42,6 +44,8 @@
 
 _REQUEST_ID_PATTERN = re.compile(rf"[A-Za-z0-9._:-]{{1,{MAX_REQUEST_ID_LENGTH}}}")
 
+_log = ComponentLogger(prefix="callers")
+
 ParseRequest = Callable[[HttpRequest, Account], Result[GatewayRequest, GatewayError]]
 
 
@@ -163,6 +167,10 @@
         except CallerLostError as error:
             trace.abandoned = True
             failed = truncated_answer(str(error))
+        except Exception as error:
+            # The caller must be told that it may have run, or its stream broken off.
+            _log.error("failed to serve", request_id=request_id, exc_info=error)
+            failed = outcome_unknown(f"this entry failed: {error!r}")
         if failed is None and sink.started:
             await sink.finish()
             assert sink.response is not None
--- a/poplarlug/callers/observation.py
+++ b/poplarlug/callers/observation.py
@@ -63,6 +63,10 @@
         self._in_progress += 1
         try:
             yield trace
+        except BaseException:
+            # Its handler was ended, so its caller has no whole answer.
+            trace.abandoned = True
+            raise
         finally:
             self._in_progress -= 1
             reset_contextvars(**bound)
--- a/tests/callers/test_observation.py
+++ b/tests/callers/test_observation.py
@@ -1,6 +1,7 @@
 """Tests of the metrics and log records of requests."""
 
 import tempfile
+from asyncio import CancelledError
 from pathlib import Path
 from typing import Any
 from unittest import TestCase
@@ -91,6 +92,14 @@
             raise ValueError("broken")
         self.assertEqual(self.log.added[0].request_id, "r2")
 
+    # Guards against records of requests that "ran" though nobody got an answer.
+    def test_request_whose_handler_is_ended_has_no_known_outcome(self) -> None:
+        """Its entry stops, for example."""
+        with self.assertRaises(CancelledError), self.observer.observe("r1"):
+            raise CancelledError
+        [record] = self.log.added
+        self.assertEqual((record.status, record.ran), (0, None))
+
     def test_outcomes(self) -> None:
         """Each way that a request ends maps to its outcome."""
         answered = AnswerHead(200, "text/plain")
