--- a/tests/platform_adapter/test_control_handlers.py
+++ b/tests/platform_adapter/test_control_handlers.py
@@ -106,6 +106,7 @@
 
         self.assertEqual(self.phase(self.run_replica(main)), "serving")
 
+    # Guards against farewells that are taken after their sender has gone elsewhere.
     def test_farewell_whose_sender_left_ends_nothing(self) -> None:
         """Its bytes were held up on the way; another replica has got it."""
 
