Name refusing upstreams in refusals between entries only

A stream that broke off could no longer go on at an upstream that had had no room for its beginning. It may be repeated, so an old refusal of it costs no promise.

--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -558,10 +558,10 @@
             unreliable = self._results.check_source("entry", response)
             if unreliable is not None:
                 return unreliable
-            tried = response.headers.getall(TRIED, ())
-            context.tried = context.tried.with_upstreams(tried)
             refused = response.headers.get(REFUSED)
             if refused is not None:
+                tried = response.headers.getall(TRIED, ())
+                context.tried = context.tried.with_upstreams(tried)
                 refusal = decode_refusal(refused, f"refused by {entry.name}")
                 if refusal is None:
                     unknown = "the entry's refusal can't be read"
--- a/poplarlug/relay/hop_headers.py
+++ b/poplarlug/relay/hop_headers.py
@@ -18,11 +18,11 @@
 """In the response with a stream: the upstream that runs it."""
 
 TRIED = "X-Relay-Tried"
-"""In a request, one for each upstream that must not run it again; in its response, one
+"""In a request, one for each upstream that must not run it again; in its refusal, one
 for each that got it."""
 
 MAX_TRIED = 64
-"""Upstreams that a response names; limits the size of its head."""
+"""Upstreams that a refusal names; limits the size of its head."""
 
 REFUSED = "X-Relay-Refused"
 """Marks an error of the serving entry itself: status, type, ran, Retry-After."""
@@ -79,7 +79,7 @@
 
 
 def tried_headers(upstreams: Iterable[UpstreamId]) -> list[tuple[str, str]]:
-    """Return the headers of a response to an entry that name who got the request."""
+    """Return the headers of a refusal to an entry that name who got the request."""
     return [(TRIED, upstream) for upstream in sorted(upstreams)[:MAX_TRIED]]
 
 
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -20,12 +20,7 @@
 from poplarlug.relay.context import DONE, Outcome, RequestContext, write_full_response
 from poplarlug.relay.events import EventProgress
 from poplarlug.relay.held_bytes import HeldBytesBudget, HeldBytesReservation
-from poplarlug.relay.hop_headers import (
-    SOFTWARE_VERSION,
-    UPSTREAM,
-    end_to_end,
-    tried_headers,
-)
+from poplarlug.relay.hop_headers import SOFTWARE_VERSION, UPSTREAM, end_to_end
 from poplarlug.serving.answers import AnswerHead
 from poplarlug.serving.relay import BodyCheck, BodyRelay
 from poplarlug.types import Seconds
@@ -119,8 +114,7 @@
         if context.request.hops:
             version = (SOFTWARE_VERSION, context.upstream_version)
             upstream = (UPSTREAM, context.target)
-            tried = tried_headers(context.tried.upstreams)
-            head = head._replace(headers=(*head.headers, version, upstream, *tried))
+            head = head._replace(headers=(*head.headers, version, upstream))
         await sink.start(head)
     if progress is None:
         return await _relay_body(context, response)
