Let slow upstreams of the soak answer in chunks as well

Beside drains, plain answers that had a length came at once, so none of them was in progress when a stopping entry closed its clients. Those of slow upstreams now come in chunks, at the pace of the unframed ones, which are half of all answers there instead of 0.8.

What answers hold moves to a module of its own, as the upstream outgrew its file.

--- a/poplarlug/soak/promises.py
+++ b/poplarlug/soak/promises.py
@@ -7,8 +7,9 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from poplarlug.soak.answers import encode_event
 from poplarlug.soak.callers import Call
-from poplarlug.soak.upstream import STREAM_EVENTS, Arrival, encode_event
+from poplarlug.soak.upstream import STREAM_EVENTS, Arrival
 from poplarlug.types import Seconds
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
--- a/poplarlug/soak/run.py
+++ b/poplarlug/soak/run.py
@@ -57,7 +57,7 @@
     draw_stops,
     draw_storage_faults,
 )
-from poplarlug.soak.upstream import PART_SECONDS, Arrival, Upstream
+from poplarlug.soak.upstream import EVENT_SECONDS, PART_SECONDS, Arrival, Upstream
 from poplarlug.types import Seconds
 
 ENTRY_ZONES = ("quito-a", "quito-a", "cuenca-a", "guayaquil-a")
@@ -65,7 +65,7 @@
 CALLERS = 8
 CALLERS_BESIDE_DRAINS = 16
 UNFRAMED_SHARE = 0.4
-UNFRAMED_SHARE_BESIDE_DRAINS = 0.8
+UNFRAMED_SHARE_BESIDE_DRAINS = 0.5
 """Fraction of the upstreams' answers that have neither a length nor chunks."""
 
 BEAT_SECONDS = 0.6
@@ -416,8 +416,12 @@
         elif fault.kind == "slow":
             choice = fault.target // len(self._upstreams) % len(SLOW_PART_SECONDS)
             upstream.part_seconds = SLOW_PART_SECONDS[choice]
+            upstream.event_seconds = SLOW_PART_SECONDS[choice]
+            upstream.sends_chunks = True
             time.sleep(fault.seconds)
             upstream.part_seconds = PART_SECONDS
+            upstream.event_seconds = EVENT_SECONDS
+            upstream.sends_chunks = False
         elif fault.kind == "leave":
             self._leaving.add(upstream.name)
             time.sleep(fault.seconds)
--- a/poplarlug/soak/upstream.py
+++ b/poplarlug/soak/upstream.py
@@ -16,6 +16,13 @@
 from poplarlug.platform.encoding import encode_heartbeat
 from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.relay.events import LAST_EVENT_HEADER
+from poplarlug.soak.answers import (
+    encode_event,
+    first_event,
+    is_stream,
+    plain_parts,
+    unframed_head,
+)
 from poplarlug.sockets import NO_LINGER
 from poplarlug.types import Seconds
 
@@ -28,6 +35,9 @@
 PLAIN_BODY = b"an answer without a length"
 """Body of plain answers whose end is that of the connection."""
 
+EVENT_SECONDS = 0.01
+"""Default time between the events of a stream in chunks."""
+
 PART_SECONDS = 0.03
 """Default time that an upstream works on a part of an answer sent in parts."""
 
@@ -123,6 +133,8 @@
         Monotonic times of the crashes.
     part_seconds : float
         Time that it works on each part of an answer sent in parts.
+    sends_chunks : bool
+        Whether its other plain answers are sent in parts as well, in chunks.
     unframed_share : float
         Fraction of answers, of those without a fault or with ``cut``, that have neither
         a length nor chunks; they are sent in parts.
@@ -152,7 +164,7 @@
         self.retry_after = ""
         self.refused: list[Seconds] = []
         self.received: list[float] = []
-        self.event_seconds = 0.01
+        self.event_seconds = EVENT_SECONDS
         self.answer_seconds = 0.0
         self.arrivals: list[Arrival] = []
         self.abandoned = 0
@@ -165,6 +177,7 @@
         self.is_up = True
         self.crash_times: list[float] = []
         self.part_seconds = PART_SECONDS
+        self.sends_chunks = False
         self.unframed_share = 0.0
         self.on_listening: Callable[[bool], None] = lambda is_listening: None
         self.cut_unframed = 0
@@ -335,7 +348,7 @@
             return await self._send_unframed(request, headers)
         if self._fault_for(request) == "mute":
             await asyncio.sleep(MUTE_SECONDS)
-        if _is_stream(request):
+        if is_stream(request):
             last = (
                 first_event(request) + self.crash_after_events
                 if is_crash_request
@@ -344,6 +357,8 @@
             return await self._stream(request, headers, last)
         if self.answer_seconds:
             await asyncio.sleep(self.answer_seconds)
+        if self.sends_chunks:
+            return await self._send_chunks(request, headers, body)
         return web.Response(headers=headers, body=b"answer to " + body)
 
     def _fault_for(self, request: web.Request) -> str:
@@ -374,8 +389,8 @@
         """Send an answer whose end is that of the connection."""
         transport = request.transport
         assert transport is not None
-        body = self._unframed_body_for(request, _is_stream(request))
-        transport.write(_unframed_head(request, headers) + body)
+        body = self._unframed_body_for(request, is_stream(request))
+        transport.write(unframed_head(request, headers) + body)
         # The bytes arrive before the end of the connection.
         await asyncio.sleep(self.unframed_seconds)
         if self._fault_for(request) == "unframed crash":
@@ -392,9 +407,9 @@
         """Send an answer without a length or chunks as the upstream works on it."""
         transport = request.transport
         assert transport is not None
-        transport.write(_unframed_head(request, headers))
-        parts: Iterable[bytes] = (b"answer ", b"to ", body)
-        if _is_stream(request):
+        transport.write(unframed_head(request, headers))
+        parts: Iterable[bytes] = plain_parts(body)
+        if is_stream(request):
             parts = self._event_parts(request)
         try:
             for part in parts:
@@ -407,6 +422,18 @@
         transport.close()
         return web.Response()
 
+    async def _send_chunks(
+        self, request: web.Request, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
+        """Send a plain answer in chunks as the upstream works on it."""
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        for part in plain_parts(body):
+            await response.write(part)
+            await asyncio.sleep(self.part_seconds)
+        await response.write_eof()
+        return response
+
     def _event_parts(self, request: web.Request) -> Iterable[bytes]:
         first = first_event(request)
         for number in range(first, STREAM_EVENTS):
@@ -472,25 +499,3 @@
         elif self._fault_for(request) == "foreign framing":
             assert request.transport is not None
             request.transport.write(self.foreign_bytes)
-
-
-def encode_event(number: int, data: str) -> bytes:
-    return b"id: %d\ndata: %s\n\n" % (number, data.encode())
-
-
-def _is_stream(request: web.Request) -> bool:
-    return "/stream/" in request.path or "/resume/" in request.path
-
-
-def _unframed_head(request: web.Request, headers: dict[str, str]) -> bytes:
-    """Return the head of an answer whose end is that of the connection."""
-    content_type = "text/event-stream" if _is_stream(request) else "text/plain"
-    lines = [f"{name}: {value}" for name, value in headers.items()]
-    head = ["HTTP/1.1 200 OK", f"Content-Type: {content_type}", *lines, "", ""]
-    return "\r\n".join(head).encode()
-
-
-def first_event(request: web.Request) -> int:
-    """Return the number of the first event requested by a client."""
-    last = request.headers.get(LAST_EVENT_HEADER, "")
-    return int(last) + 1 if last.isascii() and last.isdecimal() else 0
--- a/tests/platform_adapter/test_ended_connections.py
+++ b/tests/platform_adapter/test_ended_connections.py
@@ -10,12 +10,12 @@
 
 from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.relay.events import LAST_EVENT_HEADER
+from poplarlug.soak.answers import encode_event
 from poplarlug.soak.deployment import wait_until
 from poplarlug.soak.upstream import (
     PLAIN_BODY,
     STREAM_EVENTS,
     Upstream,
-    encode_event,
 )
 from tests.platform_adapter.case import DeploymentTestCase
 
--- a/tests/platform_adapter/test_foreign_bytes.py
+++ b/tests/platform_adapter/test_foreign_bytes.py
@@ -6,11 +6,11 @@
 from typing import ClassVar, NamedTuple
 
 from poplarlug.platform.names import HEADER_NAMES
+from poplarlug.soak.answers import encode_event
 from poplarlug.soak.upstream import (
     CUT_AFTER_EVENTS,
     STREAM_EVENTS,
     Upstream,
-    encode_event,
 )
 from tests.platform_adapter.case import DeploymentTestCase
 
--- a/tests/platform_adapter/test_long_streams.py
+++ b/tests/platform_adapter/test_long_streams.py
@@ -10,7 +10,8 @@
 
 from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.relay.events import LAST_EVENT_HEADER
-from poplarlug.soak.upstream import STREAM_EVENTS, Upstream, encode_event
+from poplarlug.soak.answers import encode_event
+from poplarlug.soak.upstream import STREAM_EVENTS, Upstream
 from tests.platform_adapter.case import DeploymentTestCase
 
 STREAMS = 6
--- a/tests/platform_adapter/test_resumed_errors.py
+++ b/tests/platform_adapter/test_resumed_errors.py
@@ -9,11 +9,11 @@
 
 from poplarlug.platform.names import HEADER_NAMES
 from poplarlug.relay.events import LAST_EVENT_HEADER
+from poplarlug.soak.answers import encode_event
 from poplarlug.soak.upstream import (
     ERRORS_BY_FAULT,
     STREAM_EVENTS,
     Upstream,
-    encode_event,
 )
 from tests.platform_adapter.case import DeploymentTestCase
 
