Bound the work and the memory of long lines and events of completions

At the accounts' face an upstream that sent one line or one event in small pieces kept its entry from serving others, and many of them could together hold 1 MB of unchecked lines, 1 MB of events and 256 KB of JSON an answer.

Cause: each piece was joined to what was held, which was read anew; and each answer had a bound of its own, outside any common one.

All lines and copies together hold 8 MB, and so do all incomplete events; what finds no room passes as a line or event over 1 MB did before. Lines and events up to 1 KB wait for their end in any case.

--- a/poplarlug/relay/held_bytes.py
+++ b/poplarlug/relay/held_bytes.py
@@ -17,11 +17,26 @@
 """Limit for the bodies of all requests together. Each is kept for further attempts, and
 takes as much again while it is sent; the smallest entry VMs have 160 MB."""
 
+MAX_COMPLETION_BYTES = 1024 * 1024
+"""Limit for what is held of one answer at the accounts' face."""
+
+MIN_COMPLETION_BYTES = 1024
+"""An incomplete line or event up to this size is held beyond any budget."""
+
+MAX_HELD_COMPLETION_BYTES = 8 * 1024 * 1024
+"""Limit for all answers together, once for unchecked lines and once for events."""
+
 _HELD = Gauge(
     "poplarlug_relay_held_bytes",
     "Bytes of answers that are held until they are whole.",
     registry=REGISTRY,
 )
+_HELD_COMPLETIONS = Gauge(
+    "poplarlug_held_completion_bytes",
+    "Bytes of accounts' answers that are held, by what is awaited.",
+    ["part"],
+    registry=REGISTRY,
+)
 _HELD_REQUESTS = Gauge(
     "poplarlug_relay_held_request_bytes",
     "Bytes of the bodies of requests in progress.",
@@ -115,3 +130,22 @@
         max_total_bytes=MAX_HELD_REQUEST_BYTES,
         gauge=_HELD_REQUESTS,
     )
+
+
+def completions_budget(part: str) -> HeldBytesBudget:
+    """
+    Return a budget for answers at the accounts' face.
+
+    Load pattern: many answers with long lines or events. What exceeds the budget is
+    passed on without a check of its end.
+
+    Parameters
+    ----------
+    part : str
+        What is held, as a label of the gauge.
+    """
+    return HeldBytesBudget(
+        max_body_bytes=MAX_COMPLETION_BYTES,
+        max_total_bytes=MAX_HELD_COMPLETION_BYTES,
+        gauge=_HELD_COMPLETIONS.labels(part),
+    )
--- a/poplarlug/serving/attempts.py
+++ b/poplarlug/serving/attempts.py
@@ -11,6 +11,7 @@
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.answer_end import Framing, framing_of
 from poplarlug.relay.connections import CheckedConnector
+from poplarlug.relay.held_bytes import HeldBytesReservation, completions_budget
 from poplarlug.relay.probing import is_listening
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.completion_check import CompletionCheck
@@ -65,6 +66,7 @@
     def __init__(self, *, zone: str) -> None:
         self._zone = zone
         self._watchdog = Watchdog()
+        self._held_bytes = completions_budget("lines")
         self._pooled: aiohttp.ClientSession | None = None
         self._single: aiohttp.ClientSession | None = None
 
@@ -133,6 +135,17 @@
         address: Address,
         sink: AnswerSink,
         watched: WatchedAttempt,
+    ) -> AttemptOutcome:
+        with self._held_bytes.reserve() as reservation:
+            return await self._send(request, address, sink, watched, reservation)
+
+    async def _send(
+        self,
+        request: GatewayRequest,
+        address: Address,
+        sink: AnswerSink,
+        watched: WatchedAttempt,
+        reservation: HeldBytesReservation,
     ) -> AttemptOutcome:
         session = self._pooled if request.repeatable else self._single
         assert session is not None
@@ -156,7 +169,7 @@
                 head = head._replace(content_length=None)
             await sink.start(head)
             is_unframed = framing_of(response, request.method) is Framing.CONNECTION
-            check = _make_check(request, head, is_unframed)
+            check = _make_check(request, head, is_unframed, reservation)
             relay = BodyRelay(response=response, sink=sink, check=check)
             watched.count_reads = relay.count_reads
             await relay.run()
@@ -197,12 +210,15 @@
 
 
 def _make_check(
-    request: GatewayRequest, head: AnswerHead, is_unframed: bool
+    request: GatewayRequest,
+    head: AnswerHead,
+    is_unframed: bool,
+    reservation: HeldBytesReservation,
 ) -> BodyCheck | None:
     if _is_event_stream(request, head):
-        return CompletionCheck()
+        return CompletionCheck(reservation=reservation)
     is_json = head.content_type.lower().startswith(JSON_TYPE)
-    return JsonCopy() if is_unframed and is_json else None
+    return JsonCopy(reservation=reservation) if is_unframed and is_json else None
 
 
 async def _check_unframed_end(
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -12,6 +12,7 @@
 from poplarlug.latest import Latest
 from poplarlug.logs import ComponentLogger
 from poplarlug.membership.sharing import Membership, ZoneSummary
+from poplarlug.relay.held_bytes import completions_budget
 from poplarlug.routing import (
     Fleet,
     ForwardRoute,
@@ -69,6 +70,7 @@
         quarantine: Quarantine | None = None,
     ) -> None:
         self._quarantine = quarantine
+        self._held_bytes = completions_budget("events")
         self._at_most_once = at_most_once
         self._catalog = catalog
         self._membership = membership
@@ -101,8 +103,9 @@
             if refused is not None:
                 return refused
             if request.repeatable and request.stream:
-                progress = StreamProgress(target=sink)
-                return await self._attempt_all(request, account, progress)
+                with self._held_bytes.reserve() as reservation:
+                    progress = StreamProgress(target=sink, reservation=reservation)
+                    return await self._attempt_all(request, account, progress)
             if request.repeatable or request.hops > 0:
                 # For a forwarded request, the forwarding entry has claimed the key.
                 return await self._attempt_all(request, account, sink)
--- a/poplarlug/serving/json_end.py
+++ b/poplarlug/serving/json_end.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from poplarlug.relay.held_bytes import HeldBytesReservation
 from poplarlug.serving.relay import BodyCheck
 
 JSON_TYPE = "application/json"
@@ -23,9 +24,10 @@
 
 
 class JsonCopy(BodyCheck):
-    """Pass everything on, and keep a copy of a text to judge its end."""
+    """Pass everything on, and keep a copy of a text to judge its end, if it fits."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, reservation: HeldBytesReservation) -> None:
+        self._reservation = reservation
         self._kept = bytearray()
         self._is_too_long = False
 
@@ -34,9 +36,12 @@
         return False
 
     def feed(self, data: bytes) -> bytes:
-        self._is_too_long |= len(self._kept) + len(data) > MAX_KEPT_BYTES
+        count = len(self._kept) + len(data)
+        if count > MAX_KEPT_BYTES or not self._reservation.resize(count):
+            self._is_too_long = True
         if self._is_too_long:
             self._kept.clear()
+            self._reservation.resize(0)
         else:
             self._kept += data
         return data
--- a/poplarlug/serving/stream_progress.py
+++ b/poplarlug/serving/stream_progress.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from poplarlug.relay.held_bytes import MIN_COMPLETION_BYTES, HeldBytesReservation
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.requests import GatewayRequest
 
@@ -9,7 +10,9 @@
 EVENT_START = b"data:"
 LAST_EVENT = b"data: [DONE]\n\n"
 EVENT_STREAM = "text/event-stream"
-MAX_EVENT_BYTES = 1024 * 1024
+
+_END_OVERLAP_BYTES = 3
+"""Length of the longest end of an event minus one."""
 
 
 class NotResumedError(OSError):
@@ -27,12 +30,17 @@
     ----------
     target : AnswerSink
         Receives the single stream that all attempts together make.
+    reservation : HeldBytesReservation
+        For an incomplete event; one that exceeds it is passed on unchanged.
     """
 
-    def __init__(self, *, target: AnswerSink) -> None:
+    def __init__(
+        self, *, target: AnswerSink, reservation: HeldBytesReservation
+    ) -> None:
         super().__init__()
         self._target = target
-        self._pending = b""
+        self._reservation = reservation
+        self._pending = bytearray()
         self._is_event_stream = False
         self._is_unparsable = False
         self._first_token = 0
@@ -49,7 +57,7 @@
 
     def request_of_next_attempt(self, request: GatewayRequest) -> GatewayRequest:
         """Return ``request`` asking for the tokens after those already passed on."""
-        self._pending = b""
+        self._pending = bytearray()
         if self.tokens == 0:
             return request
         body = msgspec.json.decode(request.body)
@@ -99,24 +107,33 @@
 
     async def finish(self) -> None:
         if self._pending:
-            await self._target.write(self._pending)
-            self._pending = b""
+            await self._target.write(bytes(self._pending))
+            self._pending = bytearray()
         await self._target.finish()
 
     def _split(self, data: bytes) -> tuple[bytes, bytes]:
         if not self._pending and data.endswith(EVENT_END):
             return data, b""
-        data = self._pending + data
-        if len(data) > MAX_EVENT_BYTES or b"\r\n\r\n" in data:
+        # What is pending contains no end, but may end with the start of one.
+        overlap = bytes(self._pending[-_END_OVERLAP_BYTES:])
+        found = overlap + data
+        count = len(self._pending) + len(data)
+        has_room = self._reservation.resize(count) or count <= MIN_COMPLETION_BYTES
+        if b"\r\n\r\n" in found or not has_room:
             # Not events delimited by "\n\n": pass the data on unchanged.
             self._is_unparsable = True
-            return data, b""
-        end = data.rfind(EVENT_END)
-        whole_bytes = 0 if end < 0 else end + len(EVENT_END)
-        return data[:whole_bytes], data[whole_bytes:]
+            return bytes(self._pending) + data, b""
+        end = found.rfind(EVENT_END)
+        if end < 0:
+            return b"", data
+        start = end + len(EVENT_END) - len(overlap)
+        return bytes(self._pending) + data[:start], data[start:]
 
     def _count(self, whole: bytes, rest: bytes) -> None:
-        self._pending = rest
+        if whole:
+            self._pending.clear()
+        self._pending += rest
+        self._reservation.resize(len(self._pending))
         self.tokens += whole.count(EVENT_END + EVENT_START)
         self.tokens += whole.startswith(EVENT_START)
         self.tokens -= whole.endswith(LAST_EVENT)
--- a/tests/serving/test_completion_check.py
+++ b/tests/serving/test_completion_check.py
@@ -3,7 +3,11 @@
 from random import Random
 from unittest import TestCase
 
-from poplarlug.serving.completion_check import MAX_HELD_BYTES, CompletionCheck
+from poplarlug.relay.held_bytes import (
+    MAX_COMPLETION_BYTES,
+    completions_budget,
+)
+from poplarlug.serving.completion_check import CompletionCheck
 
 EVENTS = (
     b'data: {"a": "\xc3\xa9"}\n\n: alive\r\n\r\nevent: x\nid: 1\nretry: 5\ndata\n\n'
@@ -18,10 +22,15 @@
 )
 
 
+def make_check() -> CompletionCheck:
+    budget = completions_budget("lines")
+    return CompletionCheck(reservation=budget.reserve())
+
+
 class CompletionCheckTests(TestCase):
     def feed(self, data: bytes, rng: Random) -> tuple[bytes, bool]:
         """Return what passes of data in random parts, and whether it was refuted."""
-        check = CompletionCheck()
+        check = make_check()
         passed = b""
         while data:
             cut = rng.randint(1, 12)
@@ -50,12 +59,22 @@
 
     def test_long_line_passes_before_its_end(self) -> None:
         """No line fills an entry's memory."""
-        check = CompletionCheck()
-        line = b"data: " + b"x" * MAX_HELD_BYTES
+        check = make_check()
+        line = b"data: " + b"x" * MAX_COMPLETION_BYTES
         self.assertEqual(check.feed(line), line)
         self.assertEqual(check.feed(b"x\n\ndata: y\n"), b"x\n\ndata: y\n")
         self.assertEqual(check.feed(b"%PDF\n"), b"")
         self.assertTrue(check.is_refuted)
-        odd = CompletionCheck()
-        self.assertEqual(odd.feed(b"y" * (MAX_HELD_BYTES + 1)), b"")
+        odd = make_check()
+        self.assertEqual(odd.feed(b"y" * (MAX_COMPLETION_BYTES + 1)), b"")
         self.assertTrue(odd.is_refuted)
+
+    def test_all_lines_together_are_bounded(self) -> None:
+        """A short line waits for its end whatever the others hold."""
+        budget = completions_budget("lines")
+        line = b"data: " + b"x" * (MAX_COMPLETION_BYTES - 6)
+        checks = [CompletionCheck(reservation=budget.reserve()) for _ in range(10)]
+        passed = [check.feed(line) for check in checks]
+        self.assertEqual(passed, [b""] * 8 + [line] * 2)
+        short = CompletionCheck(reservation=budget.reserve())
+        self.assertEqual([short.feed(b"dat"), short.feed(b"a\n")], [b"", b"data\n"])
--- a/tests/serving/test_stream_progress.py
+++ b/tests/serving/test_stream_progress.py
@@ -3,6 +3,7 @@
 import json
 from unittest import IsolatedAsyncioTestCase
 
+from poplarlug.relay.held_bytes import completions_budget
 from poplarlug.serving.answers import AnswerHead
 from poplarlug.serving.requests import GatewayRequest
 from poplarlug.serving.stream_progress import NotResumedError, StreamProgress
@@ -21,7 +22,9 @@
 class StreamProgressTests(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.sink = MemorySink()
-        self.progress = StreamProgress(target=self.sink)
+        self.progress = StreamProgress(
+            target=self.sink, reservation=completions_budget("events").reserve()
+        )
         await self.progress.start(HEAD)
 
     async def test_part_of_an_event_is_dropped_with_its_attempt(self) -> None:
