Take an order's reply that goes on without end as unknown

An order whose upstream answered 200 with a body over 64 KB, or without end, counted as done by its first bytes, and interim replies without end were parsed and kept by the replica until the order's time was over.

Cause: at the limit the body was read with a size of 0, which looks like its end, and orders used the HTTP library's own connections.

A longer body is now an unknown outcome, and orders use the connections of upstreams, which end after MAX_HEADS heads.

--- a/poplarlug/control/order_endpoint.py
+++ b/poplarlug/control/order_endpoint.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from poplarlug.control.orders import FencingNumber, OrderRequest, OrderStatus
+from poplarlug.relay.connections import CheckedConnector
 from poplarlug.types import Address, Seconds
 
 MAX_REPLY_BYTES = 64 * 1024
@@ -78,7 +79,7 @@
         )
         timeout = aiohttp.ClientTimeout(total=timeout_seconds)
         # A new connection per order, because a pooled one may be dead unnoticed.
-        connector = aiohttp.TCPConnector(force_close=True)
+        connector = CheckedConnector(header_names=None, force_close=True)
         try:
             async with (
                 aiohttp.ClientSession(timeout=timeout, connector=connector) as session,
@@ -89,6 +90,9 @@
                 ) as response,
             ):
                 data = await _read_whole(response.content)
+                if data is None:
+                    message = f"the reply is longer than {MAX_REPLY_BYTES} bytes"
+                    return OrderReply(OrderStatus.UNKNOWN, message)
                 return _to_reply(response.status, data)
         except (aiohttp.ClientError, OSError, TimeoutError, _NotSentError) as error:
             return OrderReply(OrderStatus.UNKNOWN, f"no answer: {error!r}")
@@ -108,11 +112,13 @@
     yield data
 
 
-async def _read_whole(content: aiohttp.StreamReader) -> bytes:
-    """Return a body up to its end, or the first bytes of a long one."""
+async def _read_whole(content: aiohttp.StreamReader) -> bytes | None:
+    """Return a body up to its end, or ``None`` if it is too long."""
     data = b""
-    while part := await content.read(MAX_REPLY_BYTES - len(data)):
+    while part := await content.read(MAX_REPLY_BYTES + 1 - len(data)):
         data += part
+        if len(data) > MAX_REPLY_BYTES:
+            return None
     return data
 
 
--- a/tests/control/test_order_endpoint.py
+++ b/tests/control/test_order_endpoint.py
@@ -3,7 +3,11 @@
 import asyncio
 from unittest import TestCase
 
-from poplarlug.control.order_endpoint import HttpOrderEndpoint, OrderReply
+from poplarlug.control.order_endpoint import (
+    MAX_REPLY_BYTES,
+    HttpOrderEndpoint,
+    OrderReply,
+)
 from poplarlug.control.orders import FencingNumber, OrderRequest, OrderStatus
 
 ORDER = OrderRequest("o-1", "quito-a", "u-1", "load", "corn-7b")
@@ -19,13 +23,18 @@
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
             await reader.readuntil(b"0\r\n\r\n")
-            for part in parts:
-                writer.write(part)
-                await writer.drain()
-                await asyncio.sleep(0.02)
-            writer.close()
-            await writer.wait_closed()
-            ended.set()
+            try:
+                for part in parts:
+                    writer.write(part)
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
+                writer.close()
+                await writer.wait_closed()
+            except ConnectionError:
+                # The caller has closed the connection first.
+                pass
+            finally:
+                ended.set()
 
         async def main() -> OrderReply:
             server = await asyncio.start_server(talk, "127.0.0.1", 0)
@@ -62,3 +71,15 @@
             (CHUNKED, b"5\r\nhalf \r\n"),
         ):
             self.assertIs(self.send(*parts).status, OrderStatus.UNKNOWN, parts)
+
+    # Guards against replicas that read an upstream's bytes without end.
+    def test_reply_without_end_is_unknown(self) -> None:
+        """Interim replies, or a body that is too long; neither is read further."""
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+        for parts in (
+            (b"HTTP/1.1 100 Continue\r\n\r\n" * 1000, LENGTH, b"half whole"),
+            (whole % (MAX_REPLY_BYTES + 1) + b"x" * (MAX_REPLY_BYTES + 1),),
+        ):
+            self.assertIs(self.send(*parts).status, OrderStatus.UNKNOWN)
+        most = whole % MAX_REPLY_BYTES + b"x" * MAX_REPLY_BYTES
+        self.assertIs(self.send(most).status, OrderStatus.DONE)
