Bound the bytes of a scrape

A report's command kept all that an address sent as metrics, up to its time of 10 s.

Cause: the body was read whole, whatever its length. A scrape over 8 MB is now not stored and said to be no whole answer, and its connection is closed. The test failed before: the long scrape was stored.

--- a/poplarlug/reports/main.py
+++ b/poplarlug/reports/main.py
@@ -25,6 +25,10 @@
 
 EXIT_BAD_INPUT = 2
 SCRAPE_TIMEOUT_SECONDS = 10.0
+
+MAX_SCRAPE_BYTES = 8 * 1024 * 1024
+"""Limit for the metrics of one entry."""
+
 OUTPUTS = ("text", "json")
 
 
@@ -118,23 +122,33 @@
         for region, address in targets:
             try:
                 async with session.get(f"http://{address}/metrics") as response:
-                    text = await response.text()
-                    is_whole = framing_of(response, "GET") is not Framing.CONNECTION
+                    body = await _read_at_most(response.content, MAX_SCRAPE_BYTES)
+                    is_framed = framing_of(response, "GET") is not Framing.CONNECTION
             except (aiohttp.ClientError, TimeoutError) as error:
                 print(f"{address} not reached: {error!r}", file=sys.stderr)
                 continue
-            if response.status != 200 or not is_whole:
+            if response.status != 200 or not is_framed or body is None:
                 # It would look like an entry whose counters started again.
                 status = response.status
                 print(f"{address} gave no whole answer, {status}", file=sys.stderr)
                 continue
             scrape = parse_metrics(
-                text, time=wall_clock(), address=address, region=region
+                body.decode(), time=wall_clock(), address=address, region=region
             )
             lines.append(encode_scrape(scrape))
     return lines
 
 
+async def _read_at_most(content: aiohttp.StreamReader, count: int) -> bytes | None:
+    """Return a whole body, or ``None`` if it is longer."""
+    body = bytearray()
+    while part := await content.readany():
+        body += part
+        if len(body) > count:
+            return None
+    return bytes(body)
+
+
 def _plot(report: BurnReport, ranks: list[str], path: Path) -> None:
     try:
         from poplarlug.reports.plot import plot_burn
--- a/tests/reports/test_scrape.py
+++ b/tests/reports/test_scrape.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from unittest import TestCase
 
-from poplarlug.reports.main import Commands
+from poplarlug.reports.main import MAX_SCRAPE_BYTES, Commands
 
 METRICS = b"# TYPE poplarlug_requests_total counter\n"
 METRICS += b'poplarlug_requests_total{outcome="answered",rank="urgent"} 7.0\n'
@@ -22,8 +22,9 @@
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(answer)
-            await writer.drain()
+            with contextlib.suppress(ConnectionError):
+                writer.write(answer)
+                await writer.drain()
             writer.close()
 
         async def main(file: Path) -> None:
@@ -55,3 +56,11 @@
             failed + METRICS,
         ):
             self.assertEqual(self.scrape(answer), b"", answer)
+
+    # Guards against a report that keeps an endless scrape.
+    def test_scrape_that_is_too_long_is_not_stored(self) -> None:
+        """It is read up to the limit."""
+        comments = b"# x\n" * (MAX_SCRAPE_BYTES // 4)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+        body = METRICS + comments
+        self.assertEqual(self.scrape(head % len(body) + body), b"")
