--- a/poplarlug/control/order_endpoint.py
+++ b/poplarlug/control/order_endpoint.py
@@ -92,6 +92,9 @@
                 ) as response,
             ):
                 data = await _read_whole(response.content)
+                if data is None:
+                    message = f"the reply is longer than {MAX_REPLY_BYTES} bytes"
+                    return OrderReply(OrderStatus.UNKNOWN, message)
                 is_unframed = framing_of(response, "POST") is Framing.CONNECTION
                 status = response.status
             if is_unframed and not await is_listening(address):
@@ -116,11 +119,13 @@
     yield data
 
 
-async def _read_whole(content: aiohttp.StreamReader) -> bytes:
-    """Return a body up to its end, or the first bytes of a long one."""
+async def _read_whole(content: aiohttp.StreamReader) -> bytes | None:
+    """Return a body up to its end, or ``None`` if it is too long."""
     data = b""
-    while part := await content.read(MAX_REPLY_BYTES - len(data)):
+    while part := await content.read(MAX_REPLY_BYTES + 1 - len(data)):
         data += part
+        if len(data) > MAX_REPLY_BYTES:
+            return None
     return data
 
 
--- a/poplarlug/serving/gateway.py
+++ b/poplarlug/serving/gateway.py
@@ -14,6 +14,7 @@
 from poplarlug.latest import Latest
 from poplarlug.logs import ComponentLogger
 from poplarlug.membership.sharing import Membership, ZoneSummary
+from poplarlug.relay.held_bytes import completions_budget
 from poplarlug.relay.planned_stop import LEAVING_RETRY_SECONDS, PlannedStop
 from poplarlug.routing import (
     Fleet,
@@ -77,6 +78,7 @@
     ) -> None:
         self._stop = stop
         self._quarantine = quarantine
+        self._held_bytes = completions_budget("events")
         self._at_most_once = at_most_once
         self._catalog = catalog
         self._membership = membership
@@ -118,8 +120,9 @@
         if refused is not None:
             return refused
         if request.repeatable and request.stream:
-            progress = StreamProgress(target=sink)
-            return await self._attempt_all(request, account, progress)
+            with self._held_bytes.reserve() as reservation:
+                progress = StreamProgress(target=sink, reservation=reservation)
+                return await self._attempt_all(request, account, progress)
         if request.repeatable or request.hops > 0:
             # For a forwarded request, the forwarding entry has claimed the key.
             return await self._attempt_all(request, account, sink)
--- a/tests/control/test_order_endpoint.py
+++ b/tests/control/test_order_endpoint.py
@@ -5,7 +5,11 @@
 from typing import Any
 from unittest import TestCase
 
-from poplarlug.control.order_endpoint import HttpOrderEndpoint, OrderReply
+from poplarlug.control.order_endpoint import (
+    MAX_REPLY_BYTES,
+    HttpOrderEndpoint,
+    OrderReply,
+)
 from poplarlug.control.orders import FencingNumber, OrderRequest, OrderStatus
 from poplarlug.sockets import reset_connection
 
@@ -28,16 +32,17 @@
                 # Only looks whether somebody listens.
                 writer.close()
                 return
-            for part in parts:
-                writer.write(part)
-                await writer.drain()
-                await asyncio.sleep(0.02)
-            if end == "ends":
-                server.close()
-            if end == "resets":
-                reset_connection(writer.transport)
-            writer.close()
+            # The caller may close the connection first.
             with suppress(ConnectionError):
+                for part in parts:
+                    writer.write(part)
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
+                if end == "ends":
+                    server.close()
+                if end == "resets":
+                    reset_connection(writer.transport)
+                writer.close()
                 await writer.wait_closed()
             ended.set()
 
@@ -90,3 +95,15 @@
             ("closes", OrderStatus.DONE),
         ):
             self.assertIs(self.send(UNFRAMED, b"half", end=end).status, status, end)
+
+    # Guards against replicas that read an upstream's bytes without end.
+    def test_reply_without_end_is_unknown(self) -> None:
+        """Interim replies, or a body that is too long; neither is read further."""
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+        for parts in (
+            (b"HTTP/1.1 100 Continue\r\n\r\n" * 1000, LENGTH, b"half whole"),
+            (whole % (MAX_REPLY_BYTES + 1) + b"x" * (MAX_REPLY_BYTES + 1),),
+        ):
+            self.assertIs(self.send(*parts).status, OrderStatus.UNKNOWN)
+        most = whole % MAX_REPLY_BYTES + b"x" * MAX_REPLY_BYTES
+        self.assertIs(self.send(most).status, OrderStatus.DONE)
