Give the notice of dropped log lines a level and a time

A log held lines without a level and a time: the notice of lines that were dropped.

The notice has all fields of a log line now. The test failed before: no level.

--- a/poplarlug/log_writer.py
+++ b/poplarlug/log_writer.py
@@ -1,9 +1,11 @@
 """Writes log lines without blocking, and limits their rate."""
 
 import errno
+import json
 import os
 import time
 from collections.abc import Callable
+from datetime import UTC, datetime
 
 from poplarlug.types import Seconds
 
@@ -76,8 +78,7 @@
             self._dropped += 1
             return
         if self._dropped:
-            notice = b'{"event": "logs: dropped lines", "lines": %d}\n' % self._dropped
-            line = notice + line
+            line = _dropped_notice(self._dropped) + b"\n" + line
         if self._try_write(line):
             self._dropped = 0
         else:
@@ -102,3 +103,14 @@
             if error.errno not in _UNWRITABLE:
                 raise
             return False
+
+
+def _dropped_notice(count: int) -> bytes:
+    """Return a log line that tells how many were dropped."""
+    fields = {
+        "event": "logs: dropped lines",
+        "level": "warning",
+        "timestamp": datetime.now(UTC).isoformat(),
+        "lines": count,
+    }
+    return json.dumps(fields).encode()
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -1,5 +1,6 @@
 """Tests of writing log lines without blocking."""
 
+import json
 import os
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -31,7 +32,10 @@
         writer.write("after")
         lines = os.read(self.reader, 65536).decode().splitlines()
         self.assertEqual(lines[:5], [f"line {number}" for number in range(5)])
-        self.assertIn('"lines": 15', lines[5])
+        # Guards against a notice without a level and time, which no log line lacks.
+        notice = json.loads(lines[5])
+        self.assertEqual((notice["lines"], notice["level"]), (15, "warning"))
+        self.assertIn("timestamp", notice)
         self.assertEqual(lines[6:], ["after"])
 
     def test_stalled_reader_does_not_block(self) -> None:
