--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -145,7 +145,7 @@
         )
         failed: GatewayError | None = None
         async with self._stop.scope() as scope:
-            failed = await self._run_all(context, budget)
+            failed = await self._run_with_version(context, budget)
         if scope.expired():
             trace.step(
                 "drain ended",
@@ -163,7 +163,7 @@
         """Whether no request runs on whose caller has left."""
         return not self._background
 
-    async def _run_all(
+    async def _run_with_version(
         self, context: RequestContext, budget: RetryBudget
     ) -> GatewayError | None:
         refusal = await self._require_version(context)
