Review case 8: streams go on at a worker that is back at another software version

A worker crashes and is back under its id with another software version; an entry that sent it nothing meanwhile resumes streams there before its first heartbeat, as if it were at the version that was announced.

--- a/review/standins.py
+++ b/review/standins.py
@@ -97,6 +97,8 @@
     ----------
     controls : list of str
         Addresses for its heartbeats, the nearest first.
+    first_beat_seconds : float
+        How late its first heartbeat is.
     note : callable
         Takes a line for the record.
     """
@@ -114,6 +116,7 @@
         events: int = 80,
         event_seconds: float = 0.1,
         slots: int = 128,
+        first_beat_seconds: float = 0.0,
     ) -> None:
         self.id = worker_id
         self.address = address
@@ -126,6 +129,8 @@
         self.runs = 0
         self._controls = controls
         self._note = note
+        self._first_beat_seconds = first_beat_seconds
+        self._writers: set[asyncio.StreamWriter] = set()
         self._born = time.time_ns() // 1_000_000
         self._sequence = 0
         self._server: asyncio.Server | None = None
@@ -143,7 +148,15 @@
         if self._server is not None:
             self._server.close()
 
+    async def crash(self) -> None:
+        """End at once, with all connections and without a word."""
+        await self.stop()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self._note(f"worker {self.id}, version {self.version}, has crashed")
+
     async def _beat_on(self) -> None:
+        await asyncio.sleep(self._first_beat_seconds)
         while True:
             await self._beat()
             await asyncio.sleep(HEARTBEAT_SECONDS)
@@ -175,6 +188,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -184,6 +198,7 @@
             # The sender has closed the connection, or this worker ends.
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, head: Head, writer: asyncio.StreamWriter) -> None:
