--- a/review/standins.py
+++ b/review/standins.py
@@ -214,14 +214,16 @@
                 "X-Poplarlug-Not-Executed": "1",
             }
         else:
-            await self._stream(attempt, int(headers.get("last-event-id", "0")), writer)
+            await self._run(head, attempt, writer)
             return
         fields["Content-Length"] = "0"
-        await _write_head(writer, status, fields)
+        await write_head(writer, status, fields)
 
-    async def _stream(
-        self, attempt: str, last: int, writer: asyncio.StreamWriter
+    async def _run(
+        self, head: Head, attempt: str, writer: asyncio.StreamWriter
     ) -> None:
+        """Run a request that is meant for this worker."""
+        last = int(head.headers.get("last-event-id", "0"))
         self.runs += 1
         self._note(f"{self.id} ({self.version}) runs {attempt} after event {last}")
         fields = {
@@ -230,7 +232,7 @@
             "X-Poplarlug-Attempt-Id": attempt,
             "X-Poplarlug-Response-Stamp": f"{self.id}.{self.runs}",
         }
-        await _write_head(writer, "200 OK", fields)
+        await write_head(writer, "200 OK", fields)
         for number in range(last + 1, self.events + 1):
             await asyncio.sleep(self.event_seconds)
             event = f"id: {number}\ndata: {self.version} {self.id}\n\n".encode()
@@ -240,7 +242,7 @@
         await writer.drain()
 
 
-async def _write_head(
+async def write_head(
     writer: asyncio.StreamWriter, status: str, fields: Headers
 ) -> None:
     lines = [f"HTTP/1.1 {status}", *(f"{n}: {v}" for n, v in fields.items())]
