--- a/review/7/case.py
+++ b/review/7/case.py
@@ -97,7 +97,7 @@
 
 
 class Case:
-    """Core machines, an entry in each of three zones, and workers in one of them."""
+    """Core machines, two entries in each of three zones, and workers in one of them."""
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
@@ -105,12 +105,11 @@
             deployment.add(f"core-{zone}-1", "control", zone) for zone in sorted(ZONES)
         ]
         deployment.seeds = [node.control for node in self.core]
-        self.away = deployment.add(f"edge-{AWAY}-1", "entry", AWAY)
-        self.others = [
-            deployment.add(f"edge-{zone}-1", "entry", zone)
-            for zone in sorted(ZONES)
-            if zone != AWAY
-        ]
+        zones = [AWAY, *sorted(ZONES), *(zone for zone in ZONES if zone != AWAY)]
+        self.away, *self.others = (
+            deployment.add(f"edge-{zone}-{number}", "entry", zone)
+            for number, zone in enumerate(zones, 1)
+        )
         self.proxies = [self._proxy(node) for node in self.core]
         self.workers: list[Worker] = []
 
@@ -173,10 +172,7 @@
                 "X-Poplarlug-Prompt-Prefix": f"{number + 16:08x}:100,{number + 256:08x}:100",
             },
             body=b"what goes in the bin?",
-            entries=[
-                self.away.front,
-                *(entry.front for entry in self.others),
-            ],
+            entries=[self.away.front, *(entry.front for entry in self.others[:2])],
             deadline_seconds=DEADLINE_SECONDS,
             note=self.deployment.note,
         )
