--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,10 @@
-"""A worker is back under its id at another software version, not heard of yet."""
+"""All core machines and an entry are killed at once; clients take their streams up."""
 
 import asyncio
 import json
 import os
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -27,15 +28,18 @@
 SETTLE_SECONDS = 8.0
 """More than ``contact_ms``, and what replicas need to know all entries and workers."""
 
-STREAMS = 8
+STREAMS = 24
+NEW_STREAMS = 20
+EVENTS = 120
 DEADLINE_SECONDS = 15.0
-DOWN_SECONDS = 1.0
-LATE_SECONDS = 1.2
-"""When the worker that is back sends its first heartbeat: ``heartbeat_ms`` after its
-start."""
+DOWN_SECONDS = 0.5
+"""How long the core is down: it is "back within a second"."""
 
-ALLOWED = 2
-"""Streams that may hold events of two versions."""
+CONTACT_SECONDS = 5.0
+PAUSES = [0.0, 0.05, 2.5, 4.5]
+"""How long a client waits before each try: three more within its deadline."""
+
+MIN_TAKEN_UP = 12
 
 
 def configuration() -> bytes:
@@ -95,7 +99,7 @@
 
 
 class Case:
-    """Core machines, an entry in each of three zones, and workers in one of them."""
+    """Core machines, five entries in three zones, and workers of two versions."""
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
@@ -103,8 +107,10 @@
             deployment.add(f"core-{zone}-1", "control", zone) for zone in sorted(ZONES)
         ]
         deployment.seeds = [node.control for node in self.core]
+        zones = [HOME, HOME, *sorted(ZONES)]
         self.entries = [
-            deployment.add(f"edge-{zone}-1", "entry", zone) for zone in sorted(ZONES)
+            deployment.add(f"edge-{zone}-{number}", "entry", zone)
+            for number, zone in enumerate(zones, 1)
         ]
         self.workers: list[Worker] = []
 
@@ -117,54 +123,47 @@
             deployment.start(entry)
         if not await self._until(self._put):
             return False
-        for number in (1, 2):
-            await self.add_worker(f"i-{number}", "v1")
+        for version in ("v1", "v2"):
+            for number in (1, 2):
+                await self.add_worker(f"i-{version}-{number}", version)
         for entry in self.entries:
             if not await self._until(lambda entry=entry: self._is_ready(entry)):
                 return False
         await asyncio.sleep(SETTLE_SECONDS)
         return True
 
-    async def add_worker(
-        self,
-        worker_id: str,
-        version: str,
-        *,
-        address: str = "",
-        first_beat_seconds: float = 0.0,
-    ) -> None:
-        """Start a worker in the home region, at a new address if none is given."""
+    async def add_worker(self, worker_id: str, version: str) -> None:
+        """Start a worker in the home region."""
         near = sorted(self.core, key=lambda node: node.zone != HOME)
         worker = Worker(
             worker_id=worker_id,
-            address=address or f"{self.deployment.address(OTHER_GROUP)}:8300",
+            address=f"{self.deployment.address(OTHER_GROUP)}:8300",
             service="pool",
             zone=HOME,
             version=version,
             controls=[node.control for node in near],
             note=self.deployment.note,
-            first_beat_seconds=first_beat_seconds,
+            events=EVENTS,
         )
         self.workers.append(worker)
         await worker.start()
 
-    def stream(self, number: int) -> Stream:
-        """Return a stream at the entry at home; all prompts share their first part."""
-        home = [entry.front for entry in self.entries if entry.zone == HOME]
-        others = [entry.front for entry in self.entries if entry.zone != HOME]
+    def stream(self, number: int, entries: list[Machine]) -> Stream:
+        """Return a stream with a prompt of its own."""
         return Stream(
             name=f"stream-{number:02}",
             host=HOST,
             path=f"/chat/{number}",
             headers={
                 "X-Poplarlug-Model": "m",
-                "X-Poplarlug-Token-Count": "200,400",
-                "X-Poplarlug-Prompt-Prefix": f"5c1e07a2:100,{number + 16:08x}:100",
+                "X-Poplarlug-Token-Count": "200,600",
+                "X-Poplarlug-Prompt-Prefix": f"{number + 16:08x}:100,{number + 256:08x}:100",
             },
             body=b"what goes in the bin?",
-            entries=[*home, *others],
+            entries=[entry.front for entry in entries],
             deadline_seconds=DEADLINE_SECONDS,
             note=self.deployment.note,
+            pauses=PAUSES,
         )
 
     async def stop(self) -> None:
@@ -197,39 +196,48 @@
         if not await case.start():
             deployment.note("could not run: the deployment does not get ready")
             return 2
-        streams = [case.stream(number) for number in range(STREAMS)]
-        running = []
-        for stream in streams:
-            running.append(asyncio.ensure_future(stream.run()))
-            await asyncio.sleep(0.06)
-        await asyncio.sleep(0.5)
-        idle, busy = sorted(case.workers, key=lambda worker: worker.runs)
-        if idle.runs:
-            deployment.note("could not run: no worker is idle")
-            return 2
+        lost, other = case.entries[:2]
+        # Each try after the first one is at the other entry of the zone.
+        streams = [
+            case.stream(number, [lost, *[other] * (len(PAUSES) - 1)])
+            for number in range(STREAMS)
+        ]
+        running = [asyncio.ensure_future(stream.run()) for stream in streams]
+        await asyncio.sleep(2.0)
+        killed = [lost, *case.core] if HAS_TROUBLE else [lost]
+        for machine in killed:
+            deployment.kill(machine)
+        stable_at = time.monotonic()
+        await asyncio.sleep(DOWN_SECONDS)
+        for machine in killed:
+            deployment.start(machine)
         if HAS_TROUBLE:
-            await idle.crash()
-            await asyncio.sleep(DOWN_SECONDS)
-            await case.add_worker(
-                idle.id, "v2", address=idle.address, first_beat_seconds=LATE_SECONDS
-            )
-        await asyncio.sleep(0.5)
-        await busy.crash()
-        await asyncio.gather(*running)
-        return judge(deployment, streams)
+            stable_at = time.monotonic() + CONTACT_SECONDS
+        await asyncio.sleep(max(0.0, stable_at - time.monotonic()) + 1.0)
+        new = [case.stream(STREAMS + number, [other]) for number in range(NEW_STREAMS)]
+        await asyncio.gather(*running, *(stream.run() for stream in new))
+        return judge(deployment, streams, new, stable_at)
     finally:
         await case.stop()
 
 
-def judge(deployment: Deployment, streams: list[Stream]) -> int:
-    whole = [stream for stream in streams if stream.is_whole]
-    mixed = [stream for stream in streams if len(stream.versions) > 1]
-    for stream in mixed:
-        deployment.note(f"{stream.name} holds events of {sorted(stream.versions)}")
+def judge(
+    deployment: Deployment, streams: list[Stream], new: list[Stream], stable_at: float
+) -> int:
+    """Judge the tries at the other entry since it and the core are in touch."""
+    tries = [[one for one in s.tries[1:] if one.at >= stable_at] for s in streams]
+    taken_up = [of_stream for of_stream in tries if of_stream]
+    gone_on = [t for t in taken_up if any(one.events for one in t)]
+    begun = [stream for stream in new if stream.events]
     deployment.note(
-        f"{len(streams)} streams, {len(whole)} whole, {len(mixed)} of two versions"
+        f"{len(taken_up)} streams taken up in touch, {len(gone_on)} gone on;"
+        f" {len(new)} new ones, {len(begun)} begun"
     )
-    return int(len(mixed) > ALLOWED)
+    if len(taken_up) < MIN_TAKEN_UP or not begun:
+        deployment.note("could not run: too few streams")
+        return 2
+    is_broken = len(gone_on) / len(taken_up) < 0.5 * len(begun) / len(new)
+    return int(is_broken)
 
 
 def main() -> int:
