--- a/review/7/case.py
+++ b/review/7/case.py
@@ -36,6 +36,9 @@
 CUT_SECONDS = 5.5
 """The longest cut of single machines that the sheet's site file lists."""
 
+DOWN_SECONDS = 2.0
+"""Less than the site's day with a ``node_kill`` of entries lists."""
+
 ALLOWED = 2
 """Streams that may hold events of two versions."""
 
@@ -228,6 +231,8 @@
             await asyncio.sleep(0.06)
         await asyncio.sleep(1.0)
         deployment.kill(case.away)
+        await asyncio.sleep(DOWN_SECONDS)
+        deployment.start(case.away)
         await asyncio.gather(*running)
         return judge(deployment, streams)
     finally:
