Record streams begun at a version that the facing entry doesn't know

Cause: record_start took a view with one version for a service with one. A log line for each version that no upstream in the view has showed 12 such streams at the cut entry (view 1.7 s old) and none elsewhere, and 12 of 24 streams joined. Such streams are recorded now, and an entry whose records are late asks for the version that its view has, which needs none.

--- a/poplarlug/discovery/deployment.py
+++ b/poplarlug/discovery/deployment.py
@@ -23,6 +23,7 @@
     RegionName,
     Seconds,
     ServiceName,
+    SoftwareVersion,
     UpstreamId,
     VmName,
     ZoneName,
@@ -140,6 +141,7 @@
         self._serving_regions_by_service: dict[
             ServiceName, dict[UpstreamId, RegionName]
         ] = {}
+        self._single_version_by_service: dict[ServiceName, SoftwareVersion | None] = {}
         self._sharing_by_region: dict[RegionName, _SharingEntries] = {}
         self.changed: Latest[int] = Latest(initial=0)
 
@@ -173,6 +175,15 @@
             if stored.record.service == service
         ]
 
+    def single_version(self, service: ServiceName) -> SoftwareVersion | None:
+        """Return the version of all upstreams of a service, ``None`` if there is none."""
+        if service not in self._single_version_by_service:
+            versions = {upstream.version for upstream in self.upstreams_of(service)}
+            self._single_version_by_service[service] = (
+                versions.pop() if len(versions) == 1 else None
+            )
+        return self._single_version_by_service[service]
+
     def region_of(self, zone: ZoneName) -> RegionName | None:
         return self._regions_by_zone.get(zone)
 
@@ -319,6 +330,7 @@
             for region, sharing in self._sharing_by_region.items()
         }
         if reply.whole or reply.entries or reply.upstreams or reply.routing:
+            self._single_version_by_service.clear()
             self._serving_by_service.clear()
             self._serving_regions_by_service.clear()
         if reply.entries or reply.upstreams or reply.routing:
--- a/poplarlug/relay/resumption.py
+++ b/poplarlug/relay/resumption.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from enum import Enum
 
 from prometheus_client import Counter
 from returns.result import Failure, Result, Success
@@ -15,9 +16,10 @@
     stream_key,
 )
 from poplarlug.errors import GatewayError, not_run, version_gone
+from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import REGISTRY
 from poplarlug.relay.requests import RelayRequest
-from poplarlug.types import SoftwareVersion
+from poplarlug.types import ServiceName, SoftwareVersion
 
 MAX_REPORT_SECONDS = 0.3
 """Reports of streams that take longer can't be relied on; two round trips between
@@ -34,6 +36,34 @@
 )
 
 
+_STARTS = Counter(
+    "poplarlug_relay_stream_starts_total",
+    "Streams that began and may be resumed, by why they were recorded or not.",
+    ["reason"],
+    registry=REGISTRY,
+)
+
+_log = ComponentLogger(prefix="relay")
+
+
+class RecordReason(Enum):
+    """Why the start of a stream is recorded at control, or isn't."""
+
+    SINGLE = "single"
+    """Its version is the only one that this entry knows of."""
+    DEFAULT = "default"
+    """Its version began all streams without a record."""
+    OTHER = "other"
+    """Other versions than its own may be taken for the one that began it."""
+    UNSEEN = "unseen"
+    """No upstream that this entry knows of has its version, which is newer than the
+    view of the deployment."""
+
+    @property
+    def must_record(self) -> bool:
+        return self in (RecordReason.OTHER, RecordReason.UNSEEN)
+
+
 class Resumption:
     """
     Record which version begins a stream, and find it when a caller resumes the stream.
@@ -64,14 +94,37 @@
     async def record_start(
         self, request: RelayRequest, version: SoftwareVersion
     ) -> None:
-        """Record the version of a stream; return once a replica has it, if need be."""
+        """
+        Record the version of a stream; return once a replica has it, if need be.
+
+        Another entry, whose view is newer than that of this one, may have run it.
+        """
         key = stream_key(request.id)
-        versions = self._deployment.versions_by_service.get(request.service)
-        if versions is None or not versions.must_record(version):
+        reason = self._record_reason(request.service, version)
+        _STARTS.labels(reason.value).inc()
+        if not reason.must_record:
             self._streams.add([StreamStarts(version, (key,))])
             return
+        if reason is RecordReason.UNSEEN:
+            _log.info(
+                "a stream began at a version that the view lacks",
+                request_id=request.id,
+                service=request.service,
+                version=version,
+                view_age_ms=round(self._deployment.age_seconds * 1000),
+            )
         await asyncio.shield(self._streams.add_and_queue(key, version))
 
+    def _record_reason(
+        self, service: ServiceName, version: SoftwareVersion
+    ) -> RecordReason:
+        versions = self._deployment.versions_by_service.get(service)
+        if versions is not None:
+            is_recorded = versions.must_record(version)
+            return RecordReason.OTHER if is_recorded else RecordReason.DEFAULT
+        is_single = version == self._deployment.single_version(service)
+        return RecordReason.SINGLE if is_single else RecordReason.UNSEEN
+
     def preferred_version(self, request: RelayRequest) -> SoftwareVersion | None:
         """
         Return the version at which a new stream should begin, ``None`` for any.
@@ -79,19 +132,26 @@
         Load pattern: an entry is cut off from control while two versions serve, and its
         callers leave it. Streams of the default version need no record.
         """
-        versions = self._deployment.versions_by_service.get(request.service)
-        if versions is None or versions.must_record(versions.default):
-            return None
         if self._streams.pending_seconds <= MAX_REPORT_SECONDS:
             return None
+        default = self._unrecorded_version(request.service)
+        if default is None:
+            return None
         regions_by_id = self._deployment.serving_regions(request.service)
         has_upstream = any(
-            upstream.version == versions.default
+            upstream.version == default
             and upstream.id in regions_by_id
             and request.may_reach(regions_by_id[upstream.id])
             for upstream in self._deployment.upstreams_of(request.service)
         )
-        return versions.default if has_upstream else None
+        return default if has_upstream else None
+
+    def _unrecorded_version(self, service: ServiceName) -> SoftwareVersion | None:
+        """Return the version whose streams need no record, ``None`` if all do."""
+        versions = self._deployment.versions_by_service.get(service)
+        if versions is None:
+            return self._deployment.single_version(service)
+        return None if versions.must_record(versions.default) else versions.default
 
     async def find_version(
         self, request: RelayRequest
--- a/tests/relay/test_resumption.py
+++ b/tests/relay/test_resumption.py
@@ -116,6 +116,37 @@
         self.assertEqual((refusal.status, refusal.ran), (503, False))
         self.assertIsNotNone(refusal.retry_after_seconds)
 
+    # Guards against streams joined behind an entry whose view is older than that of
+    # the entry that ran them.
+    async def test_version_that_the_view_lacks_is_recorded(self) -> None:
+        """Another entry knew of the version and ran the stream."""
+        for upstreams in ((make_upstream(1, "v1"),), ()):
+            with self.subTest(upstreams=len(upstreams)):
+                reply = make_reply(*upstreams, versions=False)
+                self.deployment.apply_reply(reply)
+                recording = asyncio.ensure_future(
+                    self.resumption.record_start(self.request, "v2")
+                )
+                await asyncio.sleep(0.01)
+                self.assertFalse(recording.done())
+                starts = self.streams.take_pending()
+                key = stream_key(self.request.id)
+                self.assertEqual(starts, (StreamStarts("v2", (key,)),))
+                self.streams.confirm(starts)
+                await asyncio.wait_for(recording, 0.1)
+
+    async def test_entry_that_cannot_record_begins_at_its_single_version(self) -> None:
+        """Its streams at the version that it doesn't know would be held back."""
+        reply = make_reply(make_upstream(1, "v1"), versions=False)
+        self.deployment.apply_reply(reply)
+        self.assertIsNone(self.resumption.preferred_version(self.request))
+        recording = asyncio.ensure_future(
+            self.resumption.record_start(self.request, "v2")
+        )
+        self.addCleanup(recording.cancel)
+        await asyncio.sleep(2 * MAX_REPORT_SECONDS)
+        self.assertEqual(self.resumption.preferred_version(self.request), "v1")
+
     async def test_control_tells_the_default_version(self) -> None:
         """The default that this entry knows may have left since."""
         self.deployment.apply_reply(make_reply())
