Keep a stream at the version whose record is on its way

An attempt whose events were held until their record was there, and which broke off, let the next one begin the stream at any version. The record of the first one could still reach control and stayed in force, so a caller that resumed elsewhere would have gone on at a version that hadn't begun it.

Further attempts stay at that version now, and wait for the record too. test_broken_stream_is_begun_again_at_any_version expected the fault: nothing had been passed on, but the record was not withdrawn. It is replaced by one that expects the recorded version, which failed before (got None).

--- a/poplarlug/relay/context.py
+++ b/poplarlug/relay/context.py
@@ -174,6 +174,7 @@
         self.must_ask_again: Callable[[], bool] = lambda: True
         self.can_resume_elsewhere: Callable[[], bool] = lambda: False
         self._recording: asyncio.Future[None] | None = None
+        self._lacks_record = False
         self._attempts = 0
         self._asked_again: set[UpstreamId] = set()
         self._last_error: GatewayError | None = None
@@ -221,9 +222,10 @@
         Returns
         -------
         bool
-            Whether it is recorded, after a short wait in the first call.
+            Whether it is recorded, after a short wait in the first call of an attempt.
         """
-        if self.request.version is None:
+        if self.request.version is None or self._lacks_record:
+            self._lacks_record = False
             self.require_version(self.upstream_version)
             self._recording = asyncio.ensure_future(self.record_start())
             done, _ = await asyncio.wait({self._recording}, timeout=RECORD_WAIT_SECONDS)
@@ -236,21 +238,16 @@
                 )
         return self._recording is None or self._recording.done()
 
-    def stop_recording(self, *, has_passed_events: bool) -> None:
+    def stop_recording(self) -> None:
         """
         Stop waiting for the record of the stream, which is still sent.
 
-        Parameters
-        ----------
-        has_passed_events : bool
-            Whether events were passed on; else any version may begin the stream again.
+        The stream stays at its version even if no event was passed on: a replica may
+        have the record already.
         """
-        if self._recording is None:
-            return
-        if not self._recording.done():
+        if self._recording is not None and not self._recording.done():
             self._recording.cancel()
-            if not has_passed_events:
-                self.require_version(None)
+            self._lacks_record = True
         self._recording = None
 
     @property
--- a/poplarlug/relay/passing.py
+++ b/poplarlug/relay/passing.py
@@ -233,7 +233,7 @@
     stalls_at = loop.time() + STALL_SECONDS
     events.begin_answer()
     # Complete events that may not be passed on yet, and the id of the last one before.
-    held, passed_id, has_passed = b"", events.last_id, False
+    held, passed_id = b"", events.last_id
     reader = _SlicedReader(content=content, context=context)
     try:
         async with asyncio.timeout_at(request.deadline) as overall_timeout:
@@ -249,7 +249,7 @@
                     stalls_at = loop.time() + STALL_SECONDS
                 if held and (await context.may_pass_events() or not has_room):
                     await sink.write(held)
-                    held, passed_id, has_passed = b"", events.last_id, True
+                    held, passed_id = b"", events.last_id
                 if is_end or events.foreign is not None:
                     break
             outcome = _check_end(context, response, events)
@@ -267,7 +267,7 @@
     except (aiohttp.ClientError, OSError) as error:
         return _broke_off(truncated_answer, error)
     finally:
-        context.stop_recording(has_passed_events=has_passed)
+        context.stop_recording()
         if held:
             events.last_id = passed_id
     if outcome.error is None:
--- a/tests/relay/test_passing.py
+++ b/tests/relay/test_passing.py
@@ -183,13 +183,24 @@
         self.assertIsNone(outcome.error)
         self.assertEqual(sink.data, b"".join(EVENTS))
 
-    def test_broken_stream_is_begun_again_at_any_version(self) -> None:
-        """Its caller has got no event yet."""
+    # Guards against a record of a version at which the stream didn't begin.
+    def test_broken_stream_is_begun_again_at_its_version(self) -> None:
+        """Its caller has got no event yet, but its record is on its way."""
         outcome, sink, context = self.play(breaks=True)
         self.assertTrue(outcome.connection_lost)
         self.assertEqual(sink.data, b"")
         assert context.events is not None
-        self.assertEqual((context.events.last_id, context.request.version), ("", None))
+        self.assertEqual((context.events.last_id, context.request.version), ("", "v2"))
+
+    # Guards against events without a record from the attempt after a broken one.
+    def test_next_attempt_waits_for_the_record_too(self) -> None:
+        """The first one broke off before a replica had it."""
+        _, sink, context = self.play(breaks=True)
+        context.upstream_version = "v2"
+        self.assertFalse(run_virtual(context.may_pass_events()))
+        context.record_start = lambda: asyncio.sleep(0.0)
+        context.stop_recording()
+        self.assertTrue(run_virtual(context.may_pass_events()))
 
     def test_line_of_a_request_names_the_evidence_for_its_end(self) -> None:
         """It tells a stream that was framed from one that its connection ended."""
