Derive a voter's patience from the time that its successor has

A control VM that was killed without SIGTERM counted for longer than catch_up_s after its successor's start: 4 s of silence, counted from the new leader's own election, then a promotion and a removal a heartbeat apart. A disk lost meanwhile ended the group for good: configuration unreadable.

The patience is a quarter of catch_up_seconds now, the former leader's silence counts from its last heartbeat, and the steps follow at once.

--- a/poplarlug/control/raft/consensus_state.py
+++ b/poplarlug/control/raft/consensus_state.py
@@ -73,6 +73,7 @@
         self.lease = Lease()
         self.role = Role.FOLLOWER
         self.leader: VmName | None = None
+        self.followed: VmName | None = None
         self.last_contact: Seconds = 0.0
         self.started_at: Seconds = 0.0
         self.applied_index = 0
@@ -205,7 +206,7 @@
         if self.leader != leader:
             _log.info("following a leader", name=self.name, leader=leader, term=term)
         self.role = Role.FOLLOWER
-        self.leader = leader
+        self.leader = self.followed = leader
         self.last_contact = now
 
     def step_down(self, reason: str) -> None:
--- a/poplarlug/control/raft/membership.py
+++ b/poplarlug/control/raft/membership.py
@@ -21,6 +21,13 @@
 VOTER_REPLACEMENT_SECONDS = 4.0
 """A voter silent for this long is replaced if another replica can take its place."""
 
+REPLACEMENT_SHARE = 0.25
+"""Share of the time within which a replacement must be complete that a voter may be
+silent; the rest is for an election, the successor's start and three changes."""
+
+STEP_SECONDS = 0.05
+"""Interval of repair steps while a voter is being replaced."""
+
 LEARNER_REMOVAL_SECONDS = 30.0
 """A learner silent for this long is removed; it rejoins when it is back."""
 
@@ -41,9 +48,21 @@
     live_names : callable
         Returns the names of all control replicas heard from recently, except this
         replica's own.
+    catch_up_seconds : float, optional
+        Time after its start within which a successor should have taken over the vote of
+        a replica that is lost.
     """
 
     live_names: Callable[[], Iterable[VmName]]
+    catch_up_seconds: Seconds | None = None
+
+    @property
+    def replacement_seconds(self) -> Seconds:
+        """How long a voter may be silent before it is replaced."""
+        if self.catch_up_seconds is None:
+            return VOTER_REPLACEMENT_SECONDS
+        share = REPLACEMENT_SHARE * self.catch_up_seconds
+        return min(VOTER_REPLACEMENT_SECONDS, max(LEASE_SECONDS, share))
 
 
 class Membership:
@@ -80,16 +99,19 @@
 
     async def run(self) -> None:
         """Repair the membership while this replica is the leader."""
+        pause = HEARTBEAT_SECONDS
         while True:
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            await asyncio.sleep(pause)
             if not self._leadership.may_change_members:
                 continue
+            pause = HEARTBEAT_SECONDS
             members = self._next_members()
             if members is None and self._auto_join is not None:
                 members = await self._with_joining_learner(self._auto_join)
             if members is not None and self._leadership.may_change_members:
                 data = encode_members(members)
                 self._state.append_as_leader(EntryKind.MEMBERS, data)
+                pause = STEP_SECONDS
 
     async def change(self, action: str, name: VmName) -> ReplicaChangeOutcome:
         """Add or remove a replica, as the leader."""
@@ -170,11 +192,11 @@
     def _needs_voter(self, members: Members) -> bool:
         if self._auto_join is None:
             return True
-        lost = [voter for voter in members.voters if self._is_lost(voter)]
-        return len(members.voters) - len(lost) < _target_voter_count(members)
+        left = [voter for voter in members.voters if not self._is_lost(voter)]
+        return len(left) < _target_voter_count(members)
 
     def _without_lost(self, members: Members) -> Members | None:
-        """Return the members without one replaced lost voter or one lost learner."""
+        """Return the members without one replaced voter or one lost learner."""
         for voter in members.voters:
             remaining = members.without(voter.name)
             has_successor = len(remaining.voters) >= _target_voter_count(members)
@@ -192,13 +214,21 @@
         return None
 
     def _is_lost(self, voter: Member) -> bool:
-        if voter.name == self._state.name:
+        """Return whether a voter has been silent for too long."""
+        state = self._state
+        if voter.name == state.name:
             return False
-        silence = self._now() - self._state.lease.answered_at(voter.name)
-        return (
-            min(silence, self._now() - self._leadership.leader_since)
-            > VOTER_REPLACEMENT_SECONDS
+        patience = (
+            VOTER_REPLACEMENT_SECONDS
+            if self._auto_join is None
+            else self._auto_join.replacement_seconds
         )
+        silence = self._now() - state.lease.answered_at(voter.name)
+        leading_seconds = self._now() - self._leadership.leader_since
+        if voter.name == state.followed and leading_seconds > LEASE_SECONDS:
+            # The leader before this one was heard until the election was due.
+            return min(silence, self._now() - state.last_contact) > patience
+        return min(silence, leading_seconds) > patience
 
     def _may_replace(self, members: Members, name: VmName) -> bool:
         return self._has_responsive_quorum(members.without(name))
--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -91,7 +91,8 @@
             bootstrap=seeds if settings.bootstrap else (),
             clock=seconds_since_boot,
             auto_join=AutoJoin(
-                lambda: self.peers.recently_seen(AUTO_JOIN_LIVENESS_SECONDS)[1:]
+                lambda: self.peers.recently_seen(AUTO_JOIN_LIVENESS_SECONDS)[1:],
+                settings.catch_up_seconds,
             ),
         )
         self.proposer = Proposer(log=self.replica, transport=self.transport)
--- a/poplarlug/platform/settings.py
+++ b/poplarlug/platform/settings.py
@@ -29,7 +29,7 @@
 
 def translate_control_settings(tree: Any) -> Any:
     """Return a control replica's settings tree without the platform's names."""
-    return _translate(tree, _quotas)
+    return _translate(tree, _quotas, _catch_up)
 
 
 def _translate(tree: Any, *parts: Callable[[Mapping[str, Any]], Settings]) -> Any:
@@ -62,6 +62,12 @@
     return {"quotas": quotas}
 
 
+def _catch_up(bounds: Mapping[str, Any]) -> Settings:
+    if "catch_up_s" not in bounds:
+        return {}
+    return {"catch_up_seconds": bounds["catch_up_s"]}
+
+
 def _vm_size(limits: str) -> Settings:
     """Return the size of the VM; nothing if the platform doesn't tell all of it."""
     try:
--- a/poplarlug/seeded_settings.py
+++ b/poplarlug/seeded_settings.py
@@ -176,6 +176,9 @@
         Whether the seeds create a new control group when all of them are empty.
     beat_milliseconds : float
         Interval of upstreams' heartbeats.
+    catch_up_seconds : float or None
+        Time after its start within which a new replica should have taken over the vote
+        of a lost one; ``None`` for no such target.
     grpc : Address or None
         Listening address for operators' gRPC calls; ``None`` to not serve them.
     operator_key_hashes_file : str
@@ -198,6 +201,7 @@
     data_folder: str
     bootstrap: bool = False
     beat_milliseconds: Annotated[float, Meta(gt=0, le=3_600_000)] = 1200.0
+    catch_up_seconds: Annotated[float, Meta(gt=0, le=3600)] | None = None
     grpc: Address | None = None
     operator_key_hashes_file: str = ""
     quotas: QuotaSettings | None = None
--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -125,6 +125,8 @@
         Minimum one-way latency between any two replicas, in seconds.
     auto_join : bool
         Whether the group adds and removes replicas without operators.
+    catch_up_seconds : float, optional
+        Target for successors of lost replicas; see :class:`AutoJoin`.
     """
 
     def __init__(
@@ -138,8 +140,10 @@
         snapshot_entries: int = 16,
         snapshot_bytes: int = SNAPSHOT_BYTES,
         auto_join: bool = False,
+        catch_up_seconds: float | None = None,
     ) -> None:
         self._auto_join = auto_join
+        self._catch_up_seconds = catch_up_seconds
         self.rng = rng
         self.history: dict[int, tuple[int, int, bytes]] = {}
         self.leaders_by_term: dict[int, str] = {}
@@ -158,7 +162,10 @@
         """Return the auto-join configuration of a replica, if enabled."""
         if not self._auto_join:
             return None
-        return AutoJoin(lambda: [m.name for m in self.live() if m.name != name])
+        return AutoJoin(
+            lambda: [m.name for m in self.live() if m.name != name],
+            self._catch_up_seconds,
+        )
 
     def live(self) -> list[GroupMember]:
         return [m for m in self.members_by_name.values() if m.replica is not None]
--- a/tests/control/raft/test_recruiting.py
+++ b/tests/control/raft/test_recruiting.py
@@ -1,11 +1,13 @@
 """Tests of a control group that adds and removes replicas without operators."""
 
 import asyncio
+from itertools import permutations
 from random import Random
 
 from poplarlug.virtualtime import run_virtual
 from tests.control.group import SimulatedGroup
 from tests.control.quiet import QuietTestCase
+from tests.control.raft.replacement_case import CATCH_UP_SECONDS, ReplacementCase
 
 
 class AutoJoinTests(QuietTestCase):
@@ -86,3 +88,22 @@
             self.assertEqual(self.voters(group), voters)
 
         run_virtual(main())
+
+
+class LossTests(ReplacementCase):
+    # Guards against a dead voter that counts for longer than its successor needs.
+    def test_disk_may_be_lost_once_a_successor_had_its_time(self) -> None:
+        """It starts when its predecessor is killed, the likely leader or another one."""
+
+        async def main(removed: int, lost: int, seed: int) -> None:
+            group = self.group(seed=seed)
+            ranked = self.by_rank(group, await self.start_three(group))
+            group.members_by_name[ranked[removed]].crash()
+            group.members_by_name["d"].start()
+            await asyncio.sleep(CATCH_UP_SECONDS)
+            await self.lose_disk(group, ranked[lost])
+
+        for removed, lost in permutations(range(3), 2):
+            for seed in range(5):
+                with self.subTest(removed=removed, lost=lost, seed=seed):
+                    run_virtual(main(removed, lost, seed))
