Hand over the lead and the vote of a control replica that stops

Cause: a stopping replica told nobody. The log shows the successor added as learner 0.7 s after its start and no promotion in the 8 s before the stop, nor after it. Two of the three voters were then gone.

A stopping leader steps down and names a voter with the whole log, which may lead in the next term without waiting for the lease that was given up. A stopping voter asks the leader to let another replica vote in its place: one change adds the successor, the next removes the voter. Without a successor it ends at once as before.

--- a/poplarlug/control/control_group.py
+++ b/poplarlug/control/control_group.py
@@ -26,8 +26,8 @@
     Parameters
     ----------
     role : str
-        ``leader`` while its lease is valid, ``follower``, ``candidate``, or
-        ``unreachable``.
+        ``leader`` while its lease is valid, ``follower``, ``candidate``,
+        ``stopping``, or ``unreachable``.
     membership : str
         ``voter``, ``learner``, ``none``, or ``lost disk`` if it answers under an
         incarnation other than the group's members hold.
--- a/poplarlug/control/main.py
+++ b/poplarlug/control/main.py
@@ -31,6 +31,9 @@
 from poplarlug.transport import Transport, ZmqTransport
 
 GRPC_STOP_SECONDS = 5.0
+RETIREMENT_SECONDS = 3.0
+"""How long a replica that stops may take to hand over its lead."""
+
 EXIT_DAMAGED_DATA = 3
 
 _log = ComponentLogger(prefix="control")
@@ -166,11 +169,14 @@
     stopping = asyncio.ensure_future(stop_event().wait())
     await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
     _log.info("stopping", name=settings.name)
+    failed = running.done()
+    retiring = asyncio.ensure_future(control.replica.retire(RETIREMENT_SECONDS))
     await server.stop(GRPC_STOP_SECONDS)
     await runner.cleanup()
-    failed = running.done()
+    await asyncio.wait({retiring, running}, return_when=asyncio.FIRST_COMPLETED)
+    retiring.cancel()
     running.cancel()
-    await asyncio.gather(running, return_exceptions=True)
+    await asyncio.gather(running, retiring, return_exceptions=True)
     return 1 if failed else 0
 
 
--- a/poplarlug/control/raft/consensus_state.py
+++ b/poplarlug/control/raft/consensus_state.py
@@ -75,6 +75,7 @@
         self.leader: VmName | None = None
         self.followed: VmName | None = None
         self.last_contact: Seconds = 0.0
+        self.is_stopping = False
         self.started_at: Seconds = 0.0
         self.applied_index = 0
         self.started = asyncio.Event()
--- a/poplarlug/control/raft/identification.py
+++ b/poplarlug/control/raft/identification.py
@@ -17,6 +17,9 @@
 
 BOOTSTRAP_RETRY_SECONDS = 0.5
 
+STOPPING = "stopping"
+"""Role of a replica that will end soon; it doesn't join the group again."""
+
 _log = ComponentLogger(prefix="raft")
 
 
@@ -45,6 +48,8 @@
 
     def _role(self) -> str:
         state = self._state
+        if state.is_stopping:
+            return STOPPING
         if state.role is Role.LEADER and not self._leadership.has_lease:
             return Role.CANDIDATE.value
         return state.role.value
--- a/poplarlug/control/raft/leading.py
+++ b/poplarlug/control/raft/leading.py
@@ -45,6 +45,16 @@
         """Whether the last member change and an entry of this term are committed."""
         return self.has_lease and self._state.members_index <= self._state.commit_index
 
+    def caught_up_voters(self) -> list[VmName]:
+        """Return the other voters that hold the whole log."""
+        last_index = self._state.log.last_index
+        return [
+            voter.name
+            for voter in self._state.members.voters
+            if voter.name != self._state.name
+            and self._match_index(voter.name) == last_index
+        ]
+
     async def run(self) -> None:
         """Lead until a later term is seen, the lease ends or the disk fails."""
         state = self._state
--- a/poplarlug/control/raft/membership.py
+++ b/poplarlug/control/raft/membership.py
@@ -8,10 +8,10 @@
 
 from poplarlug.control.log_storage import EntryKind
 from poplarlug.control.raft.consensus_state import ConsensusState
-from poplarlug.control.raft.identification import Identification
+from poplarlug.control.raft.identification import STOPPING, Identification
 from poplarlug.control.raft.leading import Leadership
 from poplarlug.control.raft.members import Member, Members, encode_members
-from poplarlug.control.raft.messages import ReplicaChangeOutcome
+from poplarlug.control.raft.messages import ReplicaChangeOutcome, RetireReply
 from poplarlug.control.raft.proposals import append_and_wait
 from poplarlug.control.raft.timing import HEARTBEAT_SECONDS, LEASE_SECONDS
 from poplarlug.logs import ComponentLogger
@@ -28,6 +28,9 @@
 STEP_SECONDS = 0.05
 """Interval of repair steps while a voter is being replaced."""
 
+JOINING_SECONDS = 1.0
+"""How long a replica that isn't known to follow the log counts as a successor."""
+
 LEARNER_REMOVAL_SECONDS = 30.0
 """A learner silent for this long is removed; it rejoins when it is back."""
 
@@ -75,7 +78,7 @@
 
     With auto-join, every live replica joins as a learner. Learners are promoted until
     there are three voters, or five if at least five replicas exist, and to replace
-    lost voters. A lost voter is removed once its replacement votes.
+    voters that are lost or stop. Such a voter is removed once its replacement votes.
 
     Parameters
     ----------
@@ -96,12 +99,13 @@
         self._state = state
         self._leadership = leadership
         self._identification = identification
+        self._retiring: set[Member] = set()
 
     async def run(self) -> None:
         """Repair the membership while this replica is the leader."""
         pause = HEARTBEAT_SECONDS
         while True:
-            await asyncio.sleep(pause)
+            await asyncio.sleep(STEP_SECONDS if self._retiring else pause)
             if not self._leadership.may_change_members:
                 continue
             pause = HEARTBEAT_SECONDS
@@ -123,6 +127,49 @@
             return await self._remove(name)
         return _refused(f"got action {action!r}, expected add or remove")
 
+    async def retire(self, member: Member, seconds: Seconds) -> RetireReply:
+        """
+        Give a stopping replica's vote to another one, as the leader.
+
+        Load pattern: operators replace a VM, and the next one may be lost right after;
+        a voter that is gone would count until its silence is noticed. First the
+        successor becomes a voter, then the stopping replica is removed, so that each
+        change adds or removes one voter.
+
+        Returns
+        -------
+        RetireReply
+            ``no successor`` at once if no other replica could become a voter.
+        """
+        began = self._now()
+        self._retiring.add(member)
+        try:
+            while self._leadership.has_lease:
+                members = self._state.members
+                if member not in members.voters:
+                    if self._leadership.may_change_members:
+                        return RetireReply("replaced")
+                elif not self._has_successor(members, self._now() - began):
+                    return RetireReply("no successor")
+                if self._now() - began > seconds:
+                    return RetireReply("timeout")
+                await asyncio.sleep(STEP_SECONDS)
+            return RetireReply("not the leader")
+        finally:
+            self._retiring.discard(member)
+
+    def _has_successor(self, members: Members, waited: Seconds) -> bool:
+        """Return whether another replica may become a voter, or already is a spare one."""
+        if self._auto_join is None:
+            return False
+        if len(members.voters) > _target_voter_count(members):
+            return True
+        names = [learner.name for learner in members.learners]
+        if waited < JOINING_SECONDS:
+            live = self._auto_join.live_names()
+            return bool(names) or any(members.find(name) is None for name in live)
+        return any(self._is_responsive(name) for name in names)
+
     async def _add(self, name: VmName) -> ReplicaChangeOutcome:
         identity = await self._identification.ask(name)
         if identity is None:
@@ -169,6 +216,8 @@
                 _log.warning("re-adding a replica that lost its disk", name=name)
                 return members.with_learner(Member(name, other))
         for learner in members.learners:
+            if learner in self._retiring:
+                continue
             if self._has_caught_up(learner) and self._needs_voter(members):
                 _log.info("promoting a learner to voter", name=learner.name)
                 return members.with_voter(learner.name)
@@ -185,6 +234,8 @@
         if self._state.members != members:
             return None
         for name, identity in identities.items():
+            if identity.role == STOPPING:
+                continue
             _log.info("adding a replica as learner", name=name, empty=identity.is_empty)
             return members.with_learner(Member(name, identity.incarnation))
         return None
@@ -192,7 +243,7 @@
     def _needs_voter(self, members: Members) -> bool:
         if self._auto_join is None:
             return True
-        left = [voter for voter in members.voters if not self._is_lost(voter)]
+        left = [voter for voter in members.voters if not self._must_replace(voter)]
         return len(left) < _target_voter_count(members)
 
     def _without_lost(self, members: Members) -> Members | None:
@@ -200,10 +251,13 @@
         for voter in members.voters:
             remaining = members.without(voter.name)
             has_successor = len(remaining.voters) >= _target_voter_count(members)
-            if not self._is_lost(voter) or not has_successor:
+            if not self._must_replace(voter) or not has_successor:
                 continue
             if self._has_responsive_quorum(remaining):
-                _log.warning("votes out a lost replica", name=voter.name)
+                if voter in self._retiring:
+                    _log.info("votes out a stopping replica", name=voter.name)
+                else:
+                    _log.warning("votes out a lost replica", name=voter.name)
                 return remaining
         for learner in members.learners:
             silence = self._now() - self._state.lease.answered_at(learner.name)
@@ -213,6 +267,9 @@
                 return members.without(learner.name)
         return None
 
+    def _must_replace(self, voter: Member) -> bool:
+        return voter in self._retiring or self._is_lost(voter)
+
     def _is_lost(self, voter: Member) -> bool:
         """Return whether a voter has been silent for too long."""
         state = self._state
--- a/poplarlug/control/raft/messages.py
+++ b/poplarlug/control/raft/messages.py
@@ -3,12 +3,15 @@
 from typing import NamedTuple
 
 from poplarlug.control.log_storage import Entry
+from poplarlug.types import Seconds
 
 VOTE_TOPIC = "raft.vote"
 APPEND_TOPIC = "raft.append"
 INSTALL_TOPIC = "raft.install"
 IDENTITY_TOPIC = "raft.identity"
 CHANGE_REPLICA_TOPIC = "raft.change_replica"
+HAND_OVER_TOPIC = "raft.hand_over"
+RETIRE_TOPIC = "raft.retire"
 
 
 class VoteRequest(NamedTuple):
@@ -22,6 +25,8 @@
     pre_vote : bool
         Whether the candidate only asks if a vote would be granted; the voter then
         changes neither its term nor its vote.
+    is_handed_over : bool
+        Whether the leader of the term before gave up its lease for this candidate.
     """
 
     term: int
@@ -30,6 +35,7 @@
     last_index: int
     last_term: int
     pre_vote: bool
+    is_handed_over: bool = False
 
 
 class VoteReply(NamedTuple):
@@ -136,6 +142,44 @@
     commit_index: int
 
 
+class HandOver(NamedTuple):
+    """Ask a voter to lead after ``term``, whose leader has given up its lease."""
+
+    term: int
+
+
+class HandOverReply(NamedTuple):
+    accepted: bool
+
+
+class RetireRequest(NamedTuple):
+    """
+    Ask the leader to give a stopping replica's vote to another one.
+
+    Parameters
+    ----------
+    seconds : float
+        How long the replica waits for that.
+    """
+
+    incarnation: str
+    seconds: Seconds
+
+
+class RetireReply(NamedTuple):
+    """
+    What became of a :class:`RetireRequest`.
+
+    Parameters
+    ----------
+    outcome : str
+        ``replaced``, ``no successor``, ``timeout``, or ``not the leader``, which may
+        have changed.
+    """
+
+    outcome: str
+
+
 class ReplicaChange(NamedTuple):
     """Ask the leader to ``add`` or ``remove`` a replica."""
 
--- a/poplarlug/control/raft/replica.py
+++ b/poplarlug/control/raft/replica.py
@@ -17,6 +17,7 @@
 from poplarlug.control.raft.membership import AutoJoin, Membership
 from poplarlug.control.raft.proposals import append_and_wait
 from poplarlug.control.raft.recovery import recover_as_only_member
+from poplarlug.control.raft.retirement import Retirement
 from poplarlug.control.raft.snapshotting import (
     KEPT_ENTRIES,
     SNAPSHOT_BYTES,
@@ -34,7 +35,7 @@
     StateMachine,
 )
 from poplarlug.transport import Transport
-from poplarlug.types import VmName
+from poplarlug.types import Seconds, VmName
 
 MAX_PROPOSALS = 1024
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
@@ -104,6 +105,12 @@
             identification=self.identification,
             auto_join=auto_join,
         )
+        self._retirement = Retirement(
+            state=self.state,
+            leadership=self._leadership,
+            membership=self.membership,
+            transport=transport,
+        )
 
     def load(self) -> Result[None, str]:
         """
@@ -143,6 +150,19 @@
             return Failure(error)
         return await append_and_wait(state, EntryKind.COMMAND, command)
 
+    async def retire(self, seconds: Seconds) -> None:
+        """
+        Hand the lead and the vote of this replica over before a planned stop.
+
+        From then on it accepts no commands. :meth:`run` must go on meanwhile.
+
+        Parameters
+        ----------
+        seconds : float
+            Maximum time that this takes.
+        """
+        await self._retirement.run(seconds)
+
     async def run(self) -> None:
         state = self.state
         await recover_as_only_member(state, self._recover_incarnation)
@@ -183,6 +203,8 @@
 
     def _rejection_reason(self, command: bytes) -> str | None:
         state = self.state
+        if state.is_stopping:
+            return "this replica stops; ask another one"
         if state.role is not Role.LEADER:
             return f"{self.leader or 'no known replica'} is the leader"
         if len(state.waiters_by_index) >= MAX_PROPOSALS:
--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -54,6 +54,10 @@
 HANDLER_SHUTDOWN_SECONDS = 5.0
 """How long requests in progress may take in a stop; a change is decided in less."""
 
+RETIREMENT_SECONDS = 3.0
+"""How long a replica that stops may take to give its lead and vote to others: an
+election, the successor's first entries and three changes, each a few round trips."""
+
 HTTP_FILES_SHARE = 0.5
 """Share of the descriptors for operators and upstreams; others are for replicas."""
 
@@ -243,12 +247,15 @@
     _log.info("stopping", name=settings.name)
     failed = running.done()
     watching.cancel()
+    retiring = asyncio.ensure_future(control.replica.retire(RETIREMENT_SECONDS))
     await guard.stop_listening()
     if server is not None:
         await server.stop(GRPC_STOP_SECONDS)
     await asyncio.gather(*(runner.cleanup() for runner in runners))
+    await asyncio.wait({retiring, running}, return_when=asyncio.FIRST_COMPLETED)
+    retiring.cancel()
     running.cancel()
-    await asyncio.gather(running, return_exceptions=True)
+    await asyncio.gather(running, retiring, return_exceptions=True)
     _log.info("stopped", name=settings.name)
     return 1 if failed else 0
 
--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -91,6 +91,12 @@
             asyncio.ensure_future(self.replica.run()),
         ]
 
+    async def stop(self, seconds: float = 3.0) -> None:
+        """Stop as planned; the disk stays as it is."""
+        assert self.replica is not None
+        await self.replica.retire(seconds)
+        self.crash()
+
     def now(self) -> float:
         """Return the VM's clock, which includes the time spent suspended."""
         return asyncio.get_running_loop().time() + self.suspended_seconds
