Keep records of streams on the disks of the control replicas

Cause: which version began a stream, and whether a record may be missing, was in memory of that entry and of the replicas only; each try got 503 "nobody knows any more which version began the stream".

Each replica now writes a record before it acknowledges it, one write for all that wait, and with it whether it has all. While its disk refuses writes, the file is removed, so that it isn't taken for complete after a restart.

--- a/poplarlug/control/disk.py
+++ b/poplarlug/control/disk.py
@@ -48,6 +48,10 @@
     async def replace(self, name: str, data: bytes) -> None:
         """Replace the whole content of a file atomically and sync it."""
 
+    @abstractmethod
+    async def remove(self, name: str) -> None:
+        """Remove a file durably, if it exists."""
+
 
 class FileDisk(Disk):
     """
@@ -89,6 +93,9 @@
     async def replace(self, name: str, data: bytes) -> None:
         await asyncio.to_thread(self._replace, name, data)
 
+    async def remove(self, name: str) -> None:
+        await asyncio.to_thread(self._remove, name)
+
     def _append(self, name: str, data: bytes, offset: int) -> None:
         with (self._folder / name).open("r+b") as file:
             size = file.seek(0, os.SEEK_END)
@@ -116,6 +123,10 @@
             raise ContentUnchangedError(*error.args) from error
         self._sync_folder()
 
+    def _remove(self, name: str) -> None:
+        (self._folder / name).unlink(missing_ok=True)
+        self._sync_folder()
+
     def _sync_folder(self) -> None:
         descriptor = os.open(self._folder, os.O_RDONLY)
         try:
--- a/poplarlug/control/memory_disk.py
+++ b/poplarlug/control/memory_disk.py
@@ -87,6 +87,9 @@
     async def replace(self, name: str, data: bytes) -> None:
         await self._write(_Write(name, data, 0, False))
 
+    async def remove(self, name: str) -> None:
+        self.files_by_name.pop(name, None)
+
     async def _write(self, write: _Write) -> None:
         session = self._session
         self._last_id += 1
--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -29,6 +29,7 @@
 from poplarlug.discovery.registry import Registry
 from poplarlug.discovery.registry_file import RegistryFile
 from poplarlug.discovery.software_versions import SoftwareVersions
+from poplarlug.discovery.stream_records import StreamRecords
 from poplarlug.logs import ComponentLogger
 from poplarlug.metrics import sample_loop_lag
 from poplarlug.quotas import QuotaBounds, QuotaService
@@ -138,12 +139,14 @@
         self.registry_file = RegistryFile(
             disk=self.disk, registry=registry, marks=marks, versions=versions
         )
+        self.streams = StreamRecords(disk=self.disk, clock=clock)
         self.registrar = Registrar(
             zone=settings.zone,
             regions_by_zone=settings.regions_by_zone,
             registry=registry,
             marks=marks,
             versions=versions,
+            streams=self.streams,
             peers=self.peers,
             routing=self.state.routing,
             transport=self.transport,
@@ -162,6 +165,7 @@
         self.supervisor.add_child("registrar", self.registrar.run)
         self.supervisor.add_child("confirmed reading", self.reading.run)
         self.supervisor.add_child("registry file", self.registry_file.run)
+        self.supervisor.add_child("stream records", self.streams.run)
         self.supervisor.add_child("standstills", self.standstill.run)
         self.supervisor.add_child("quotas", self.quotas.run)
 
@@ -170,6 +174,7 @@
         loaded = self.disk.lock().bind(lambda _: self.replica.load())
         if isinstance(loaded, Success):
             has_records = self.registry_file.load()
+            self.streams.load()
             if self._is_bootstrap and not has_records:
                 self.registrar.note_first_start()
         return loaded
--- a/poplarlug/discovery/messages.py
+++ b/poplarlug/discovery/messages.py
@@ -319,10 +319,14 @@
         Tags in ``heard`` for which the receiver has no record.
     is_durable : bool
         Whether the departures in the message are on the receiver's disk.
+    has_streams : bool
+        Whether the receiver will have the records of streams in the message after a
+        restart, or know that it lacks some.
     """
 
     unknown: tuple[int, ...] = ()
     is_durable: bool = True
+    has_streams: bool = True
 
 
 class Tables(NamedTuple):
--- a/poplarlug/discovery/registrar.py
+++ b/poplarlug/discovery/registrar.py
@@ -42,7 +42,8 @@
 from poplarlug.discovery.records import RegionLoad, ServiceUpstream
 from poplarlug.discovery.region_loads import RegionLoads
 from poplarlug.discovery.registry import Records, Registry
-from poplarlug.discovery.software_versions import SoftwareVersions, StreamVersions
+from poplarlug.discovery.software_versions import SoftwareVersions
+from poplarlug.discovery.stream_records import StreamRecords
 from poplarlug.latest import Latest
 from poplarlug.logs import ComponentLogger
 from poplarlug.transport import Transport
@@ -117,6 +118,8 @@
         Returns whether this replica is connected to the group's leader.
     versions : SoftwareVersions
         Software versions of the services, restored from the disk.
+    streams : StreamRecords
+        Which versions began streams, restored likewise.
     flush : callable
         Writes the registry to this replica's disk; returns whether that succeeded.
     reading : ConfirmedReading, optional
@@ -131,6 +134,7 @@
         registry: Registry,
         marks: CrashMarks,
         versions: SoftwareVersions,
+        streams: StreamRecords,
         peers: ControlPeers,
         routing: RoutingState,
         transport: Transport,
@@ -144,7 +148,8 @@
         self.marks = marks
         self.limits = NamedLimits(clock=clock)
         self._versions = versions
-        self._streams = StreamVersions(clock=clock)
+        self._stream_records = streams
+        self._streams = streams.versions
         self.id = f"{rng.getrandbits(48):012x}"
         self._zone = zone
         self._region = regions_by_zone[zone]
@@ -265,6 +270,15 @@
                 pending.cancel()
         return copies
 
+    async def _sync_streams(self) -> bool:
+        """Write records of streams; return whether they outlive a restart in time."""
+        try:
+            async with asyncio.timeout(REPLICATION_TIMEOUT_SECONDS):
+                return await self._stream_records.sync()
+        except TimeoutError:
+            _log.warning("timed out writing streams to disk")
+            return False
+
     async def _flush_in_time(self) -> bool:
         """Write the current records; return whether they reached the disk in time."""
         try:
@@ -394,6 +408,8 @@
             response = reply.unwrap()
             if not response.is_durable:
                 outbox.requeue(departures(records))
+            if not response.has_streams:
+                outbox.requeue(Records(streams=records.streams))
             outbox.confirm()
             limits_sent = limits_revision
             if has_heard:
@@ -482,7 +498,7 @@
             self.limits.add(limit)
         for span in tables.versions:
             self._versions.add(span)
-        self._streams.add(tables.streams)
+        self._stream_records.add(tables.streams)
         if tables.has_all_streams:
             self._streams.set_complete()
         if tables.settled and not self._settled:
@@ -502,7 +518,7 @@
             self.marks.add(mark)
         for limit in message.limits:
             self.limits.add(limit)
-        self._streams.add(message.streams)
+        self._stream_records.add(message.streams)
         self._loads.record_regions(message.regions)
         own_entries = frozenset(self._own_entries())
         for loads in message.entry_loads:
@@ -514,7 +530,8 @@
         if departures(Records(upstreams=message.upstreams)).upstreams:
             # The replica that received the departure waits for this reply.
             is_durable = await self._flush_in_time()
-        return GossipReply(unknown, is_durable)
+        has_streams = not message.streams or await self._sync_streams()
+        return GossipReply(unknown, is_durable, has_streams)
 
     async def _serve_tables(self, sender: VmName, message: TablesRequest) -> Tables:
         own = self._tables()
@@ -556,7 +573,7 @@
     async def _serve_streams(
         self, sender: VmName, report: StreamsReport
     ) -> StreamsReceived:
-        self._streams.add(report.starts)
+        self._stream_records.add(report.starts)
         peers_by_copy = {
             outbox.add_streams(report.starts): peer
             for peer, outbox in self._outboxes_by_peer.items()
@@ -564,7 +581,8 @@
         reached: set[Address] = set()
         pending = set(peers_by_copy)
         deadline = self._clock() + REPLICATION_TIMEOUT_SECONDS
-        while not self._peers.is_majority(reached, with_own=True):
+        has_own = await self._sync_streams()
+        while not self._peers.is_majority(reached, with_own=has_own):
             if not pending or self._clock() >= deadline:
                 return StreamsReceived(is_recorded=False)
             done, pending = await asyncio.wait(
--- /dev/null
+++ b/poplarlug/discovery/stream_records.py
@@ -0,0 +1,186 @@
+"""Records of streams at a control replica, in memory and on its disk."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import msgspec
+from returns.result import Failure
+
+from poplarlug.control.coalescing import CoalescedWrite
+from poplarlug.control.disk import Disk
+from poplarlug.control.records import RecordReader, encode_record
+from poplarlug.discovery.software_versions import (
+    StreamKey,
+    StreamStarts,
+    StreamVersions,
+    group_by_version,
+)
+from poplarlug.logs import ComponentLogger
+from poplarlug.types import Seconds, SoftwareVersion
+
+FILE_NAME = "streams"
+MIN_SHORTENED_STREAMS = 4096
+"""A file with fewer streams, about 40 KB, isn't shortened."""
+
+CHECK_SECONDS = 0.5
+"""Interval of attempts to write what no caller waits for."""
+
+_log = ComponentLogger(prefix="discovery")
+
+
+class _Batch(NamedTuple):
+    """
+    Streams that were written together.
+
+    Parameters
+    ----------
+    is_complete : bool
+        Whether the file then held all streams that were recorded at this replica.
+    """
+
+    is_complete: bool
+    starts: tuple[StreamStarts, ...]
+
+
+class StreamRecords:
+    """
+    Streams that this replica has recorded, kept across its restarts.
+
+    Load pattern: all replicas are killed or lose power together with an entry, while
+    streams of several versions run; the entry's callers resume elsewhere at once. Only
+    the replicas' disks then tell which version began a stream, and whether one without
+    a record was never recorded.
+
+    Each record is on the disk before it is acknowledged. While the disk refuses writes,
+    the file is removed, so that this replica doesn't take its records for complete
+    after a restart.
+    """
+
+    def __init__(self, *, disk: Disk, clock: Callable[[], Seconds]) -> None:
+        self._disk = disk
+        self.versions = StreamVersions(clock=clock)
+        self._unwritten_by_key: dict[StreamKey, SoftwareVersion] = {}
+        self._revision = 0
+        self._durable_revision = 0
+        self._is_complete_on_disk = False
+        self._size = 0
+        self._written_streams = 0
+        self._is_removed = False
+        self._write = CoalescedWrite(write=self._write_pending)
+
+    def load(self) -> None:
+        """Read the file; what follows damage is dropped, and nothing then complete."""
+        file = self._disk.open(FILE_NAME)
+        if file is None:
+            return
+        is_complete = False
+        with file:
+            reader = RecordReader(file=file)
+            try:
+                for payload in reader.payloads():
+                    batch = msgspec.msgpack.decode(payload, type=_Batch)
+                    self.versions.add(batch.starts)
+                    is_complete = batch.is_complete
+                checked = reader.check_end()
+                problem = checked.failure() if isinstance(checked, Failure) else ""
+            except (ValueError, TypeError) as error:
+                problem = str(error)
+        if problem:
+            _log.warning("the file of streams is damaged", problem=problem)
+            is_complete = False
+        else:
+            self._size = reader.size
+        self._is_complete_on_disk = is_complete
+        if is_complete:
+            self.versions.set_complete()
+        self._written_streams = self._count()
+        _log.info(
+            "read streams from disk", streams=self._count(), is_complete=is_complete
+        )
+
+    def add(self, starts: Iterable[StreamStarts]) -> None:
+        """Record streams in memory; :meth:`sync` makes them durable."""
+        for version, keys in starts:
+            new = tuple(key for key in keys if self.versions.get(key) is None)
+            if new:
+                self.versions.add([StreamStarts(version, new)])
+                self._unwritten_by_key.update(dict.fromkeys(new, version))
+                self._revision += 1
+
+    async def sync(self) -> bool:
+        """
+        Make all streams recorded so far durable.
+
+        Returns
+        -------
+        bool
+            Whether they are, or this replica will know after a restart that it lacks
+            some.
+        """
+        revision = self._revision
+        if self._durable_revision < revision and not self._is_removed:
+            await self._write.run()
+        return self._durable_revision >= revision or self._is_removed
+
+    async def run(self) -> None:
+        """Note on the disk when the records become complete, until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            has_changed = self._is_complete_on_disk != self.versions.is_complete
+            if has_changed or self._durable_revision < self._revision:
+                await self._write.run()
+
+    def _count(self) -> int:
+        return sum(len(keys) for _, keys in self.versions.all())
+
+    async def _write_pending(self) -> None:
+        revision = self._revision
+        is_complete = self.versions.is_complete
+        pending, self._unwritten_by_key = self._unwritten_by_key, {}
+        try:
+            if self._must_replace():
+                await self._replace(_Batch(is_complete, self.versions.all()))
+            else:
+                await self._append(_Batch(is_complete, group_by_version(pending)))
+        except OSError as error:
+            self._size = 0
+            await self._remove(error)
+            return
+        if self._is_removed:
+            _log.info("streams are written again")
+        self._is_removed = False
+        self._is_complete_on_disk = is_complete
+        self._durable_revision = revision
+
+    def _must_replace(self) -> bool:
+        if not self._size:
+            return True
+        if self._written_streams < MIN_SHORTENED_STREAMS:
+            return False
+        return self._written_streams > 2 * self._count()
+
+    async def _replace(self, batch: _Batch) -> None:
+        record = encode_record(msgspec.msgpack.encode(batch), 0)
+        await self._disk.replace(FILE_NAME, record)
+        self._size = len(record)
+        self._written_streams = sum(len(keys) for _, keys in batch.starts)
+
+    async def _append(self, batch: _Batch) -> None:
+        record = encode_record(msgspec.msgpack.encode(batch), self._size)
+        await self._disk.append(FILE_NAME, record, offset=self._size)
+        self._size += len(record)
+        self._written_streams += sum(len(keys) for _, keys in batch.starts)
+
+    async def _remove(self, error: OSError) -> None:
+        """Remove the file after a failed write; it would be taken for complete."""
+        if not self._is_removed:
+            _log.warning("can't write streams to the disk", error=str(error))
+        try:
+            await self._disk.remove(FILE_NAME)
+        except OSError as remove_error:
+            _log.error("can't remove the file of streams", error=str(remove_error))
+            self._is_removed = False
+            return
+        self._is_removed = True
+        self._is_complete_on_disk = False
--- a/tests/discovery/fleet.py
+++ b/tests/discovery/fleet.py
@@ -18,6 +18,7 @@
 from poplarlug.discovery.registry import Registry
 from poplarlug.discovery.registry_file import RegistryFile
 from poplarlug.discovery.software_versions import SoftwareVersions, StreamVersions
+from poplarlug.discovery.stream_records import StreamRecords
 from poplarlug.discovery.subscriber import OwnLoads, Subscriber
 from poplarlug.relay.engine_memory import EngineMemories
 from poplarlug.teams import KeyFreshness
@@ -74,6 +75,7 @@
             marks=marks,
             versions=versions,
         )
+        streams = StreamRecords(disk=self.disks_by_zone[zone], clock=clock)
         control = self.make_control(zone, transport)
         registrar = Registrar(
             zone=zone,
@@ -81,6 +83,7 @@
             registry=registry,
             marks=marks,
             versions=versions,
+            streams=streams,
             peers=ControlPeers(
                 own=name,
                 seeds=REPLICAS,
@@ -99,8 +102,9 @@
         )
         self.registrars[zone] = registrar
         file.load()
-        runs = (transport.run(), registrar.run(), file.run(), *control.runs)
-        self._run(name, *runs)
+        streams.load()
+        runs = (transport.run(), registrar.run(), file.run(), streams.run())
+        self._run(name, *runs, *control.runs)
 
     def start_entry(self, zone: str) -> None:
         clock = asyncio.get_running_loop().time
--- a/tests/discovery/test_stream_sharing.py
+++ b/tests/discovery/test_stream_sharing.py
@@ -30,7 +30,61 @@
     return await fleet.subscribers_by_zone[zone].look_up_stream(lookup)
 
 
+async def restart_all(fleet: Fleet, *lost: str) -> None:
+    """Lose all replicas and other processes at once, and start the replicas again."""
+    for name in (*(f"control-{zone}" for zone in REGIONS_BY_ZONE), *lost):
+        fleet.stop(name)
+    await asyncio.sleep(0.5)
+    for zone in REGIONS_BY_ZONE:
+        fleet.start_replica(zone)
+    await announce(fleet)
+
+
 class StreamSharingTests(FleetTestCase):
+    # Guards against streams that nobody knew since their entry was lost with all
+    # replicas.
+    def test_replicas_know_streams_after_all_were_lost_with_an_entry(self) -> None:
+        """Their disks tell them, also that a stream was never recorded."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await announce(fleet)
+            await asyncio.sleep(65.0)
+            await announce(fleet)
+            await fleet.streams_by_zone["a"].add_and_queue(1, "v2")
+            await restart_all(fleet, "entry-a")
+            await asyncio.sleep(SPREAD_SECONDS)
+            # Lost again, before anything was written since.
+            await restart_all(fleet)
+            await asyncio.sleep(SPREAD_SECONDS)
+            for key, version in ((1, "v2"), (2, None)):
+                found = await look_up(fleet, "b", key)
+                assert found is not None and found.versions is not None
+                told = found.version, found.is_complete, found.versions.default
+                self.assertEqual(told, (version, True, "v1"))
+
+        self.run_scenario(scenario)
+
+    def test_replicas_whose_disks_were_full_know_that_they_lack_streams(self) -> None:
+        """Streams are recorded meanwhile, in memory."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await announce(fleet)
+            await asyncio.sleep(65.0)
+            await announce(fleet)
+            for disk in fleet.disks_by_zone.values():
+                disk.is_full = True
+            recorded = fleet.streams_by_zone["a"].add_and_queue(1, "v2")
+            await asyncio.wait_for(recorded, SPREAD_SECONDS)
+            for disk in fleet.disks_by_zone.values():
+                disk.is_full = False
+            await restart_all(fleet, "entry-a")
+            await asyncio.sleep(SPREAD_SECONDS)
+            found = await look_up(fleet, "b", 1)
+            assert found is not None
+            self.assertEqual((found.version, found.is_complete), (None, False))
+
+        self.run_scenario(scenario)
+
     # Guards against streams that nobody knew after a restart of all replicas.
     def test_entries_report_streams_again_after_all_replicas_restarted(self) -> None:
         """Each entry still holds those that it began, of the default version too."""
