Count a crash whatever its run's successor answers

Cause: a whole answer from a run's address withdrew the marks of its crash. After a refused connection that answer comes from the next run, of which control hasn't heard. Marks now say whether their run certainly ended, and then count whatever answers later; silence still proves nothing. The flags merge in any order, so the machine that saw the port closed decides. Crashes of runs that were never heard of count as other runs'.

--- a/poplarlug/discovery/crash_marks.py
+++ b/poplarlug/discovery/crash_marks.py
@@ -70,10 +70,16 @@
     alone : bool
         Whether it was, and no other upstream crashed at that time.
     withdrawn : bool
-        Whether the mark no longer counts: the upstream came back in the same run, the
-        request has had a complete answer since, or an operator released the request.
+        Whether the mark no longer counts: the request has had a complete answer since,
+        or an operator released it.
     age_seconds : float
         Time since the crash was noticed.
+    ended : bool
+        Whether the run certainly ended: nothing listened at its address any more, or a
+        later run was heard of. Silence proves nothing.
+    returned : bool
+        Whether the upstream answered again, which shows that the run didn't crash unless
+        it certainly ended; then a later run has answered.
     """
 
     fingerprint: Fingerprint
@@ -82,6 +88,13 @@
     alone: bool = False
     withdrawn: bool = False
     age_seconds: Seconds = 0.0
+    ended: bool = False
+    returned: bool = False
+
+    @property
+    def counts(self) -> bool:
+        """Whether the crash counts against the request, unless it is too long ago."""
+        return not self.withdrawn and (self.ended or not self.returned)
 
     @property
     def key(self) -> str:
@@ -129,7 +142,7 @@
     """
     Crash marks by request, with a queue of changes for the other VMs.
 
-    A mark is active if it is neither withdrawn nor expired. A request has at most one
+    A mark is active if it counts and has not expired. A request has at most one
     mark per run, so that a crash seen by two VMs counts once. When the store is full,
     requests with the fewest active marks are evicted first, and among them the oldest.
 
@@ -168,6 +181,8 @@
                 apart=mark.apart or stored.mark.apart,
                 alone=mark.alone or stored.mark.alone,
                 withdrawn=mark.withdrawn or stored.mark.withdrawn,
+                ended=mark.ended or stored.mark.ended,
+                returned=mark.returned or stored.mark.returned,
             )
             noticed_at = min(noticed_at, stored.noticed_at)
             if mark._replace(age_seconds=0.0) == stored.mark:
@@ -196,7 +211,7 @@
         return [
             stored.mark._replace(age_seconds=now - stored.noticed_at)
             for stored in self._stored_by_fingerprint.get(fingerprint, {}).values()
-            if not stored.mark.withdrawn and now - stored.noticed_at < MARK_TTL_SECONDS
+            if stored.mark.counts and now - stored.noticed_at < MARK_TTL_SECONDS
         ]
 
     def active_by_fingerprint(
@@ -214,11 +229,27 @@
         return len(marks)
 
     def withdraw_run(self, run: UpstreamRun) -> None:
-        """Withdraw the marks of a run that turned out not to have crashed."""
-        for by_run in list(self._stored_by_fingerprint.values()):
-            stored = by_run.get(run)
-            if stored is not None:
-                self.add_and_queue(stored.mark._replace(withdrawn=True))
+        """Withdraw the marks of a run that answered again, unless it has ended."""
+        for mark in self._marks_of(run):
+            self.add_and_queue(mark._replace(returned=True))
+
+    def note_ended(self, run: UpstreamRun) -> None:
+        """Note that a run certainly ended, whatever was taken for its return."""
+        for mark in self._marks_of(run):
+            self.add_and_queue(mark._replace(ended=True))
+
+    def runs_in_doubt(self) -> set[UpstreamRun]:
+        """Return the runs that seem to have returned, or whose successors have."""
+        return {
+            run
+            for by_run in self._stored_by_fingerprint.values()
+            for run, stored in by_run.items()
+            if stored.mark.returned and not stored.mark.ended
+        }
+
+    def _marks_of(self, run: UpstreamRun) -> list[CrashMark]:
+        by_runs = list(self._stored_by_fingerprint.values())
+        return [by_run[run].mark for by_run in by_runs if run in by_run]
 
     def changed_after(self, revision: int, limit: int) -> tuple[list[CrashMark], int]:
         """
@@ -304,7 +335,7 @@
         self.expire()
         rank_by_fingerprint = {
             fingerprint: (
-                sum(not stored.mark.withdrawn for stored in by_run.values()),
+                sum(stored.mark.counts for stored in by_run.values()),
                 max(stored.noticed_at for stored in by_run.values()),
             )
             for fingerprint, by_run in self._stored_by_fingerprint.items()
--- a/poplarlug/relay/crash_watch.py
+++ b/poplarlug/relay/crash_watch.py
@@ -37,6 +37,9 @@
 LISTED_PARTS = 16
 """Maximum number of prompt parts in one log line."""
 
+END_EVIDENCE = frozenset({ProbeResult.REFUSED.value, RunStatus.REPLACED.value})
+"""What proves the end of a run; one that is only lost may answer again."""
+
 _CRASHES = MetricCounter(
     "poplarlug_relay_upstream_crashes_total",
     "Upstreams that ended under requests of this entry, by what showed it.",
@@ -72,16 +75,33 @@
 
     Parameters
     ----------
+    run : UpstreamRun
+        The run that crashed. One that was never heard of, after the announced run had
+        ended, is numbered from the announced one.
+    has_ended : bool
+        Whether the run certainly ended, so that whatever answers there later is another
+        one.
     parts : frozenset of Fingerprint
         The shared parts of their prompts.
     """
 
     upstream: ServiceUpstream
+    run: UpstreamRun
     evidence: str
+    has_ended: bool
     fingerprints: tuple[Fingerprint, ...]
     parts: frozenset[Fingerprint] = frozenset()
 
 
+class KnownCrash(NamedTuple):
+    """The last crash that this entry noticed of an announced run or its successors."""
+
+    run: UpstreamRun
+    noticed_at: Seconds
+    has_ended: bool
+    has_successor: bool = False
+
+
 class _WatchedSend:
     def __init__(self, *, until: Seconds, parts: tuple[PartKey, ...]) -> None:
         self.until = until
@@ -108,7 +128,8 @@
     took over its id or address, or if its announcements expired, unless it announced
     its departure before. A lost response, a reset connection or a network partition
     alone doesn't prove a crash. An upstream that returns with the same run has not
-    crashed.
+    crashed, unless the run certainly ended; then it is a later run, though control may
+    not have heard of it yet.
 
     Parameters
     ----------
@@ -137,7 +158,7 @@
         self._unreachable: dict[UpstreamRun, asyncio.Task[None]] = {}
         self._watches_by_run: dict[UpstreamRun, _Watch] = {}
         self._lost_by_run: dict[UpstreamRun, ServiceUpstream] = {}
-        self._crashed_at_by_run: dict[UpstreamRun, Seconds] = {}
+        self._crashes_by_run: dict[UpstreamRun, KnownCrash] = {}
         deployment.changed.subject.subscribe(lambda _: self._check_all())
 
     def note_interrupted_send(self, send: InterruptedSend) -> "asyncio.Future[bool]":
@@ -160,7 +181,8 @@
             watched = _WatchedSend(until=now + limit, parts=send.parts)
             watch.sends_by_fingerprint[send.fingerprint] = watched
         watched.until = max(watched.until, now + limit)
-        if run in self._crashed_at_by_run:
+        known = self._crashes_by_run.get(run)
+        if known is not None and not known.has_successor:
             self._report_crash(watch, "known")
         elif self._count() > MAX_WATCHED:
             _log.warning(
@@ -192,10 +214,25 @@
             self._ended_runs.note(upstream)
 
     def note_response(self, upstream: ServiceUpstream) -> None:
-        """Record a complete response, which shows that the upstream has not crashed."""
-        if self._crashed_at_by_run.pop(upstream.run, None) is not None:
-            self._lost_by_run.pop(upstream.run, None)
-            self._on_return(upstream.run)
+        """
+        Record a complete response.
+
+        It shows that a silent upstream has not crashed, or that a run that has ended has
+        a successor.
+        """
+        known = self._crashes_by_run.get(upstream.run)
+        if known is None:
+            return
+        if known.has_ended:
+            self._crashes_by_run[upstream.run] = known._replace(has_successor=True)
+            return
+        del self._crashes_by_run[upstream.run]
+        self._lost_by_run.pop(upstream.run, None)
+        self._on_return(upstream.run)
+
+    def known_crash(self, upstream: ServiceUpstream) -> KnownCrash | None:
+        """Return the last crash that was noticed of an upstream's announced run."""
+        return self._crashes_by_run.get(upstream.run)
 
     def _count(self) -> int:
         return sum(
@@ -230,8 +267,7 @@
             for fingerprint, send in watch.sends_by_fingerprint.items()
             if send.until >= now
         )
-        is_new = upstream.run not in self._crashed_at_by_run
-        self._crashed_at_by_run.setdefault(upstream.run, now)
+        is_new, known = self._note_crash(upstream, evidence, now)
         self._drop_expired()
         if is_new:
             _CRASHES.labels(evidence).inc()
@@ -241,6 +277,7 @@
                 born=upstream.born,
                 service=upstream.service,
                 evidence=evidence,
+                is_announced=known.run == upstream.run,
                 requests=len(fingerprints),
                 fingerprints=[
                     format_fingerprint(f) for f in fingerprints[:LISTED_FINGERPRINTS]
@@ -253,9 +290,30 @@
                 for fingerprint in fingerprints
                 for part in watch.sends_by_fingerprint[fingerprint].parts
             )
-            self._on_crash(Crash(upstream, evidence, fingerprints, parts))
+            self._on_crash(
+                Crash(
+                    upstream, known.run, evidence, known.has_ended, fingerprints, parts
+                )
+            )
         self._stop_watch(watch, crashed=True)
 
+    def _note_crash(
+        self, upstream: ServiceUpstream, evidence: str, now: Seconds
+    ) -> tuple[bool, KnownCrash]:
+        """Return whether a crash is another one than the last, and what is known."""
+        known = self._crashes_by_run.get(upstream.run)
+        has_ended = evidence in END_EVIDENCE
+        if known is None:
+            is_new, known = True, KnownCrash(upstream.run, now, has_ended)
+        elif known.has_successor:
+            run = known.run._replace(born=known.run.born + 1)
+            is_new, known = True, KnownCrash(run, now, has_ended)
+        else:
+            is_new = False
+            known = known._replace(has_ended=known.has_ended or has_ended)
+        self._crashes_by_run[upstream.run] = known
+        return is_new, known
+
     def _stop_watch(self, watch: _Watch, *, crashed: bool) -> None:
         self._watches_by_run.pop(watch.upstream.run, None)
         if watch.probing is not None:
@@ -278,9 +336,9 @@
 
     def _drop_expired(self) -> None:
         oldest = self._clock() - SILENT_SECONDS
-        for run, at in list(self._crashed_at_by_run.items()):
-            if at < oldest and run not in self._lost_by_run:
-                del self._crashed_at_by_run[run]
+        for run, known in list(self._crashes_by_run.items()):
+            if known.noticed_at < oldest and run not in self._lost_by_run:
+                del self._crashes_by_run[run]
 
     async def _probe(self, watch: _Watch) -> None:
         await asyncio.sleep(FIRST_PROBE_SECONDS)
--- a/poplarlug/relay/suspects.py
+++ b/poplarlug/relay/suspects.py
@@ -16,7 +16,7 @@
     format_fingerprint,
 )
 from poplarlug.discovery.deployment import Deployment
-from poplarlug.discovery.records import ServiceUpstream
+from poplarlug.discovery.records import ServiceUpstream, UpstreamRun
 from poplarlug.errors import GatewayError, quarantined
 from poplarlug.latest import Latest
 from poplarlug.logs import ComponentLogger
@@ -183,9 +183,11 @@
             deployment=deployment,
             clock=clock,
             on_crash=self._note_crash,
-            on_return=marks.withdraw_run,
+            on_return=self._note_return,
             ended_runs=ended_runs,
         )
+        self._deployment = deployment
+        deployment.changed.subject.subscribe(lambda _: self._recheck_returns())
 
     def verdict(self, context: RequestContext) -> Verdict:
         """Return the verdict on a request, without hashing it if there are no marks."""
@@ -351,7 +353,13 @@
         """Mark an isolated suspect after a crash, as the cause if no others crashed."""
         if not await crashed:
             return
-        mark = CrashMark(fingerprint, upstream.run, apart=True)
+        known = self._watch.known_crash(upstream)
+        mark = CrashMark(
+            fingerprint,
+            upstream.run if known is None else known.run,
+            apart=True,
+            ended=known is not None and known.has_ended,
+        )
         self._marks.add_and_queue(mark)
         is_widespread = await self._scope.is_widespread(
             upstream,
@@ -404,7 +412,20 @@
                 left_out=len(parts) - MAX_PARTS_PER_CRASH,
             )
         for fingerprint in (*parts[:MAX_PARTS_PER_CRASH], *crash.fingerprints):
-            self._marks.add_and_queue(CrashMark(fingerprint, crash.upstream.run))
+            self._marks.add_and_queue(
+                CrashMark(fingerprint, crash.run, ended=crash.has_ended)
+            )
+
+    def _note_return(self, run: UpstreamRun) -> None:
+        _log.info("an upstream that seemed to crash answered again", upstream=run.id)
+        self._marks.withdraw_run(run)
+
+    def _recheck_returns(self) -> None:
+        """Count crashes again whose run was replaced before its successor answered."""
+        for run in self._marks.runs_in_doubt():
+            held = self._deployment.upstream(run.id)
+            if held is not None and held.born > run.born:
+                self._marks.note_ended(run)
 
 
 _LockKey: TypeAlias = Fingerprint | UpstreamId
--- a/tests/discovery/test_crash_marks.py
+++ b/tests/discovery/test_crash_marks.py
@@ -44,6 +44,31 @@
         self.marks.withdraw_run(UpstreamRun("u-1", 1))
         self.assertEqual([len(self.marks.active_for(f)) for f in (7, 8)], [1, 1])
 
+    # Guards against entries that take a successor's answer for that of a run which
+    # another one knows to have ended.
+    def test_run_that_certainly_ended_counts_whatever_answered_since(self) -> None:
+        """In whatever order the entries' marks arrive."""
+        run = UpstreamRun("u-1", 1)
+        self.marks.add(make_mark())
+        self.marks.withdraw_run(run)
+        self.assertEqual(self.marks.active_for(7), [])
+        self.assertEqual(self.marks.runs_in_doubt(), {run})
+        self.marks.add(make_mark(ended=True))
+        self.assertEqual(len(self.marks.active_for(7)), 1)
+        self.assertEqual(self.marks.runs_in_doubt(), set())
+        self.marks.withdraw_run(run)
+        self.assertEqual(len(self.marks.active_for(7)), 1)
+        self.marks.withdraw(7)
+        self.assertEqual(self.marks.active_for(7), [])
+
+    def test_run_that_is_heard_to_be_replaced_counts_again(self) -> None:
+        """Its successor had answered before control heard of it."""
+        run = UpstreamRun("u-1", 1)
+        self.marks.add(make_mark())
+        self.marks.withdraw_run(run)
+        self.marks.note_ended(run)
+        self.assertEqual(len(self.marks.active_for(7)), 1)
+
     def test_marks_expire_by_age(self) -> None:
         """Marks carry their age from VM to VM and expire accordingly."""
         self.marks.add(make_mark()._replace(age_seconds=100.0))
@@ -97,6 +122,8 @@
                 st.integers(1, 3),
                 alone=st.booleans(),
                 withdrawn=st.booleans(),
+                ended=st.booleans(),
+                returned=st.booleans(),
             )
         ),
         st.randoms(),
