Take a status outside 200 to 599 for a failed exchange

Callers got 600, 700 and 999 as answers, 24 of 24 requests on all kinds of routes, and 101 without having asked for an upgrade, 4 of 8.

Cause: the HTTP library takes any three digits for a status and 101 for the end of an exchange.

--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -26,6 +26,12 @@
 MAX_HEADS = 8
 """Response heads per exchange, including 1xx responses; servers send one or two."""
 
+INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
+"""Statuses that another response follows; 101 ends the exchange, for an upgrade."""
+
+FINAL_STATUSES = range(200, 600)
+"""Statuses of responses to requests that ask for no upgrade (RFC 9110, 15)."""
+
 MAX_REFUSALS = 100
 """Refusals after which a connection is closed; limits the ids that it remembers."""
 
@@ -146,7 +152,7 @@
     aiohttp treats any end of the connection as the end of a body without a length, even
     a reset or a close by this process. It also closes a connection gracefully when the
     exchange is abandoned, so that the rest of the request would still be sent and run
-    for a caller that has left. An endless series of interim responses is an error;
+    for a caller that has left. It takes any number for a status. An endless series of interim responses is an error;
     data is parsed in slices so that such a series can't block other exchanges.
     """
 
@@ -203,8 +209,11 @@
 
     async def read(self) -> tuple[Any, Any]:
         message, payload = await super().read()
-        if message.code >= 200 or message.code == 101:
-            self.response_source = self._note_response(message)
+        if message.code in INTERIM_STATUSES:
+            return message, payload
+        if message.code not in FINAL_STATUSES:
+            raise aiohttp.ClientPayloadError(f"{message.code} is no final status")
+        self.response_source = self._note_response(message)
         return message, payload
 
     def _note_response(self, message: Any) -> ResponseSource:
--- a/tests/serving/test_single_sends.py
+++ b/tests/serving/test_single_sends.py
@@ -64,6 +64,13 @@
         self.assertIs(await self.attempt(repeatable=False), AttemptStatus.BROKEN)
         self.assertEqual(self.requests, 2)
 
+    # Guards against statuses that callers can't read.
+    async def test_answer_without_a_status_is_broken(self) -> None:
+        """Nothing of it is passed on; the request may have run."""
+        for status in (b"101", b"600", b"999"):
+            self.answers = [OK.replace(b"200", status)]
+            self.assertIs(await self.attempt(repeatable=True), AttemptStatus.BROKEN)
+
     async def test_refused_connection_is_not_sent(self) -> None:
         """A request whose connection is refused counts as not sent."""
         self.address = "127.0.0.1:1"
