Don't take an answer for whole whose peer hadn't received the request

An upstream that answered an upload at once, without a length, and ended the connection while the upload was being written gave callers a part of its answer as a whole one, 16 of 16 (3.9 MB, all kinds of routes, two entries). One that only reset the connection didn't, 48 of 48.

Cause: the end of the connection was taken for the answer's, though the rest of the request still waited in the kernel's buffer. StrictHandler now asks the kernel what the peer has acknowledged, at the end of an unframed answer only.

The process test had 16 failures before and passes; the one for accounts' requests failed before (done instead of broken).

--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -17,7 +17,7 @@
 
 from poplarlug.relay.header_names import HeaderNames
 from poplarlug.relay.read_size import ReadSize
-from poplarlug.sockets import reset_connection
+from poplarlug.sockets import count_unreceived, reset_connection
 from poplarlug.types import RequestId
 
 HEAD_SLICE_BYTES = 8 * 1024
@@ -350,8 +350,18 @@
 
     def eof_received(self) -> None:
         self._note_end(ConnectionEnd.PEER)
+        payload = self._payload
+        if payload is not None and not payload.is_eof() and self._is_uploading:
+            # A sound peer may answer early, but says then where its answer ends.
+            message = "the connection ended before its peer had the request"
+            self._fail_response(payload, aiohttp.ClientPayloadError(message))
         super().eof_received()
 
+    @property
+    def _is_uploading(self) -> bool:
+        """Whether the peer has not received the whole request."""
+        return self.transport is not None and count_unreceived(self.transport) > 0
+
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
         self._note_end(ConnectionEnd.CLOSED_HERE if exc is None else ConnectionEnd.LOST)
--- a/tests/platform_adapter/test_early_answers.py
+++ b/tests/platform_adapter/test_early_answers.py
@@ -148,6 +148,17 @@
         finally:
             connection.close()
 
+    # Guards against a part of an answer that is taken for the whole, as the request was
+    # still being written when its connection was reset.
+    def test_part_of_an_answer_beside_an_upload_is_not_the_whole(self) -> None:
+        """Of a plain answer nothing has been sent on; a stream breaks off."""
+        for self.early.end in ENDS:
+            for entry in self.entries:
+                for route in ROUTES:
+                    for body in (UPLOAD, in_chunks()):
+                        with self.subTest(end=self.early.end, route=route, entry=entry):
+                            self.assertIn(self.ask(entry, route, body), (0, 502))
+
     # Guards against statuses that callers can't read.
     def test_answer_without_a_status_is_a_failure(self) -> None:
         """Whether the request has run is unknown."""
--- a/tests/serving/test_single_sends.py
+++ b/tests/serving/test_single_sends.py
@@ -1,11 +1,17 @@
 """Tests of requests that must be sent at most once."""
 
 import asyncio
+import socket
 from unittest import IsolatedAsyncioTestCase
 
 from poplarlug.serving.answers import AnswerHead, AnswerSink
 from poplarlug.serving.attempts import AttemptStatus, UpstreamClient
 from poplarlug.serving.requests import GatewayRequest
+from poplarlug.sockets import set_reset_at_close
+
+UPLOAD = b"u" * 3_900_000
+BUFFER_BYTES = 64 * 1024
+PART = b"HTTP/1.1 200 OK\r\n\r\npart"
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -49,9 +55,9 @@
         finally:
             writer.close()
 
-    async def attempt(self, *, repeatable: bool) -> AttemptStatus:
+    async def attempt(self, *, repeatable: bool, body: bytes = b"") -> AttemptStatus:
         request = GatewayRequest(
-            "id", "verde", "urgent", "PUT", "/bookings", b"", "text/plain", "e"
+            "id", "verde", "urgent", "PUT", "/bookings", body, "text/plain", "e"
         )._replace(repeatable=repeatable)
         outcome = await self.client.attempt(
             request=request, address=self.address, sink=NullSink()
@@ -64,6 +70,37 @@
         self.assertIs(await self.attempt(repeatable=False), AttemptStatus.BROKEN)
         self.assertEqual(self.requests, 2)
 
+    # Guards against a part of an answer that is taken for the whole, as its connection
+    # ended while the request was still being written.
+    async def test_part_of_an_answer_beside_an_upload_is_not_the_whole(self) -> None:
+        """Whether it is reset or not."""
+
+        async def accept_early(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            reader._transport.pause_reading()  # type: ignore[attr-defined]
+            writer.write(PART)
+            if is_reset:
+                set_reset_at_close(writer.transport, True)
+            else:
+                writer.write_eof()
+            await asyncio.sleep(0.05)
+            writer.close()
+            closed.release()
+
+        closed = asyncio.Semaphore(0)
+        server = await asyncio.start_server(accept_early, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        listener = server.sockets[0]
+        # Else the upload would fit into the buffers, and be written at once.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        self.address = f"127.0.0.1:{listener.getsockname()[1]}"
+        for is_reset in (True, False):
+            status = await self.attempt(repeatable=False, body=UPLOAD)
+            self.assertIs(status, AttemptStatus.BROKEN, is_reset)
+            await closed.acquire()
+
     # Guards against statuses that callers can't read.
     async def test_answer_without_a_status_is_broken(self) -> None:
         """Nothing of it is passed on; the request may have run."""
