--- a/poplarlug/control/raft/retirement.py
+++ b/poplarlug/control/raft/retirement.py
@@ -67,7 +67,7 @@
         """Step down and let a voter with the whole log lead, if this replica leads."""
         state = self._state
         term = state.term
-        if not state.leads(term):
+        if not state.leads(term) or len(state.members.voters) < 2:
             return
         loop = asyncio.get_running_loop()
         decided_by = loop.time() + MAX_DECISION_SECONDS
--- a/poplarlug/relay/connections.py
+++ b/poplarlug/relay/connections.py
@@ -152,8 +152,9 @@
     aiohttp treats any end of the connection as the end of a body without a length, even
     a reset or a close by this process. It also closes a connection gracefully when the
     exchange is abandoned, so that the rest of the request would still be sent and run
-    for a caller that has left. It takes any number for a status. An endless series of interim responses is an error;
-    data is parsed in slices so that such a series can't block other exchanges.
+    for a caller that has left. It takes any number for a status. An endless series of
+    interim responses is an error; data is parsed in slices so that such a series can't
+    block other exchanges.
     """
 
     def __init__(
--- a/poplarlug/relay/crash_watch.py
+++ b/poplarlug/relay/crash_watch.py
@@ -252,7 +252,12 @@
 
     def _check_run_status(self, watch: _Watch) -> None:
         status = self._deployment.run_status(watch.upstream)
-        if status is RunStatus.LEFT:
+        known = self._crashes_by_run.get(watch.upstream.run)
+        is_heard = (
+            known is not None and known.has_successor and status is RunStatus.REPLACED
+        )
+        if status is RunStatus.LEFT or is_heard:
+            # The sends are watched that the successor got before it was heard of.
             self._stop_watch(watch, crashed=False)
         elif status in (RunStatus.REPLACED, RunStatus.LOST):
             self._report_crash(watch, status.value)
--- a/tests/relay/test_crash_watch.py
+++ b/tests/relay/test_crash_watch.py
@@ -145,6 +145,17 @@
         self.watch.note_response(self.upstream)
         self.assertEqual(self.returned, [])
 
+    # Guards against marks of requests that ran at a sound successor.
+    async def test_successor_that_is_heard_of_has_not_crashed(self) -> None:
+        """A send to it had been broken before its first heartbeat."""
+        self.server.close()
+        await self.note_interrupted_send()
+        self.watch.note_response(self.upstream)
+        broken = self.note_interrupted_send(2, is_silent=True)
+        self.take(self.upstream._replace(born=20))
+        self.assertFalse(await broken)
+        self.assertEqual(len(self.crashes), 1)
+
     async def test_crash_of_an_unheard_successor_is_another_one(self) -> None:
         """Its heartbeats are late; sends that it interrupts need evidence of their own."""
         port = self.server.sockets[0].getsockname()[1]
