Let a resumed stream wait for control replicas that are back soon

The first try of a stream whose entry was killed together with all control replicas was refused at once, as none answered; its caller spent a retry and came back 2.5 s later.

The lookup is now repeated for as long as a caller waits for an event: three objectives, 1.5 s at least. An entry without a reply for 3 s takes itself for cut off and refuses at once, as before.

test_stream_waits_for_replicas_that_are_back_soon failed before.

--- a/poplarlug/relay/resumption.py
+++ b/poplarlug/relay/resumption.py
@@ -11,6 +11,7 @@
 from poplarlug.discovery.messages import StreamFound, StreamLookup
 from poplarlug.discovery.software_versions import (
     ServiceVersions,
+    StreamKey,
     StreamStarts,
     StreamVersions,
     stream_key,
@@ -28,6 +29,18 @@
 LOOKUP_RETRY_SECONDS = 0.3
 """Retry time while the records of streams can't be reached."""
 
+MIN_LOOKUP_WAIT_SECONDS = 1.5
+LOOKUP_WAIT_OBJECTIVES = 3.0
+"""How long a caller may wait for the version of its stream, at least, and in objectives
+of its route. Callers leave a stream without an event after two seconds or four
+objectives, whichever is longer."""
+
+LOOKUP_PAUSE_SECONDS = 0.1
+
+CONTROL_LOST_SECONDS = 3.0
+"""Without a reply for this long, an entry takes itself for cut off. Replicas that were
+killed are back and answer within two seconds."""
+
 _LOOKUPS = Counter(
     "poplarlug_relay_resumed_streams_total",
     "Streams that callers resumed, by what told the version that began them.",
@@ -174,8 +187,8 @@
         if known is not None:
             _LOOKUPS.labels("own").inc()
             return Success(known)
-        found = await self._look_up(StreamLookup(key, request.service))
-        if found is None or (found.version is None and found.versions is None):
+        found = await self._look_up_in_time(key, request)
+        if found is None:
             _LOOKUPS.labels("unreachable").inc()
             message = "the version that began the stream can't be looked up now"
             return Failure(not_run(message, LOOKUP_RETRY_SECONDS))
@@ -196,6 +209,28 @@
         _LOOKUPS.labels("default").inc()
         return Success(found.versions.default)
 
+    async def _look_up_in_time(
+        self, key: StreamKey, request: RelayRequest
+    ) -> StreamFound | None:
+        """
+        Return what control replicas tell of a stream, ``None`` if they don't in time.
+
+        Load pattern: all control replicas are killed together with entries, and are back
+        within a second or two; the callers of those entries come to this one at once,
+        and have few retries. An entry that is cut off refuses them at once.
+        """
+        clock = asyncio.get_running_loop().time
+        objectives = LOOKUP_WAIT_OBJECTIVES * request.route.objective_seconds
+        until = clock() + max(MIN_LOOKUP_WAIT_SECONDS, objectives)
+        while True:
+            found = await self._look_up(StreamLookup(key, request.service))
+            if found is not None and (found.version is not None or found.versions):
+                return found
+            is_cut_off = self._deployment.age_seconds >= CONTROL_LOST_SECONDS
+            if is_cut_off or clock() >= min(until, request.deadline):
+                return None
+            await asyncio.sleep(LOOKUP_PAUSE_SECONDS)
+
     def _is_mixed(self, versions: ServiceVersions) -> bool:
         """Return whether control or this entry knows of several versions."""
         return bool(versions.others) or (
--- a/tests/relay/test_resumption.py
+++ b/tests/relay/test_resumption.py
@@ -27,7 +27,11 @@
 from poplarlug.relay.ended_runs import HEARD_SECONDS
 from poplarlug.relay.in_flight import InFlightTracker
 from poplarlug.relay.requests import RelayRequest
-from poplarlug.relay.resumption import MAX_REPORT_SECONDS, Resumption
+from poplarlug.relay.resumption import (
+    CONTROL_LOST_SECONDS,
+    MAX_REPORT_SECONDS,
+    Resumption,
+)
 from poplarlug.relay.tried import Tried
 from poplarlug.relay.view import FleetView
 from poplarlug.routes import RoutedService, RouteTable
@@ -233,6 +237,29 @@
         self.assertEqual((refusal.status, refusal.ran), (503, False))
         self.assertIsNone(refusal.retry_after_seconds)
 
+    # Guards against retries that callers spend while control replicas restart.
+    async def test_stream_waits_for_replicas_that_are_back_soon(self) -> None:
+        """Its caller has few retries."""
+        self.deployment.apply_reply(make_reply())
+        self.found = None
+        request = self.request._replace(deadline=self.clock() + 30.0)
+        finding = asyncio.ensure_future(self.resumption.find_version(request))
+        await asyncio.sleep(0.5)
+        self.assertFalse(finding.done())
+        self.found = StreamFound("v2", True, MIXED)
+        self.assertEqual(await asyncio.wait_for(finding, 0.5), Success("v2"))
+
+    async def test_stream_is_refused_at_once_at_an_entry_that_is_cut_off(self) -> None:
+        """Other entries may reach a replica."""
+        self.deployment.apply_reply(make_reply())
+        self.deployment.last_reply_at -= CONTROL_LOST_SECONDS
+        self.found = None
+        request = self.request._replace(deadline=self.clock() + 30.0)
+        finding = self.resumption.find_version(request)
+        refusal = (await asyncio.wait_for(finding, 0.1)).failure()
+        self.assertEqual((refusal.status, refusal.ran), (503, False))
+        self.assertIsNotNone(refusal.retry_after_seconds)
+
     async def test_stream_is_refused_for_a_while_without_a_replica(self) -> None:
         """Its version may be found soon."""
         self.deployment.apply_reply(make_reply())
