Take a refused look for the end of an upstream

The log has another refused probe of that entry 115 ms before the look's yes.

A busy listener drops connections and refuses none, so the first refused probe decides now, and so does another connection refused since the request was sent.

test_successor_of_a_closed_port_does_not_vouch failed before. The older test of the module began to listen only after the first probe and so expected the fault without a pause; it listens before it now, and still checks both.

--- a/poplarlug/relay/ended_runs.py
+++ b/poplarlug/relay/ended_runs.py
@@ -62,6 +62,10 @@
         del self._noted_at_by_run[upstream.run]
         return False
 
+    def ended_since(self, upstream: ServiceUpstream, since: Seconds) -> bool:
+        """Return whether nothing listened at the address after a time of the clock."""
+        return self._noted_at_by_run.get(upstream.run, float("-inf")) >= since
+
     def forget_gone(self) -> None:
         """Drop the runs that are known to have ended, or are replaced by later ones."""
         known = self._deployment.upstream_runs()
--- a/poplarlug/relay/gateway.py
+++ b/poplarlug/relay/gateway.py
@@ -52,7 +52,7 @@
 from poplarlug.relay.view import FleetView
 from poplarlug.serving.answers import AnswerSink
 from poplarlug.teams import AUTHORIZATION
-from poplarlug.types import Address, Seconds, ServiceName, VmName
+from poplarlug.types import Seconds, ServiceName, VmName
 
 ENTRY_BACKOFF_SECONDS = 2.0
 """How long an entry is avoided after a forward to it failed."""
@@ -537,7 +537,7 @@
                 )
             context.upstream_version = target.upstream.version
             context.is_listening = partial(
-                self._is_still_listening, target.upstream.address, started
+                self._is_still_listening, target.upstream, started
             )
             if not request.hops:
                 context.record_start = partial(
@@ -548,15 +548,19 @@
         finally:
             response.close()
 
-    async def _is_still_listening(self, address: Address, since: Seconds) -> bool:
+    async def _is_still_listening(
+        self, upstream: ServiceUpstream, since: Seconds
+    ) -> bool:
         """
         Return whether an upstream accepts connections after one of them has ended.
 
-        If this process stood still meanwhile, its successor may have its address.
+        If this process stood still meanwhile, its successor may have its address; if
+        another connection was refused meanwhile, it has.
         """
         if self._stood_still_since(since):
             return False
-        return await is_listening(address)
+        is_accepted = await is_listening(upstream.address)
+        return is_accepted and not self._view.ended_runs.ended_since(upstream, since)
 
     async def _run_remote(
         self, context: RequestContext, target: RemoteTarget, timeout_seconds: Seconds
--- a/poplarlug/relay/probing.py
+++ b/poplarlug/relay/probing.py
@@ -10,7 +10,7 @@
 """Delay of the first probe; the port of a terminated process closes a moment later."""
 
 SECOND_PROBE_SECONDS = 0.1
-"""Delay before retrying a refused connection; a busy listener accepts it then."""
+"""Delay before a refused connection is tried again, to count a crash."""
 
 PROBE_SECONDS = 0.3
 """Probe timeout; connecting within the region takes far less."""
@@ -49,13 +49,11 @@
     """
     Return whether something listens at an address after a connection to it has ended.
 
-    A process that ends stops listening about when its connections end.
+    A process that ends stops listening about when its connections end. Once it has
+    refused a connection, whatever accepts the next one is its successor.
     """
     loop = asyncio.get_running_loop()
     accepts_until = loop.time() + MAX_LOOK_SECONDS
-    for delay in (FIRST_PROBE_SECONDS, SECOND_PROBE_SECONDS):
-        await asyncio.sleep(delay)
-        result = await probe(address)
-        if result is not ProbeResult.REFUSED:
-            return result is ProbeResult.ACCEPTED and loop.time() <= accepts_until
-    return False
+    await asyncio.sleep(FIRST_PROBE_SECONDS)
+    result = await probe(address)
+    return result is ProbeResult.ACCEPTED and loop.time() <= accepts_until
--- a/tests/relay/test_probing.py
+++ b/tests/relay/test_probing.py
@@ -5,10 +5,10 @@
 import time
 from unittest import IsolatedAsyncioTestCase
 
-from poplarlug.relay.probing import MAX_LOOK_SECONDS, is_listening
+from poplarlug.relay.probing import FIRST_PROBE_SECONDS, MAX_LOOK_SECONDS, is_listening
 
 PAUSE_AFTER_SECONDS = 0.06
-"""Behind the first probe, and before the second one."""
+"""Behind the first probe."""
 
 
 class ListeningTests(IsolatedAsyncioTestCase):
@@ -20,7 +20,21 @@
                 listener.bind(("127.0.0.1", 0))
                 host, port = listener.getsockname()
                 loop = asyncio.get_running_loop()
-                loop.call_later(PAUSE_AFTER_SECONDS, time.sleep, pause_seconds)
-                loop.call_later(PAUSE_AFTER_SECONDS, listener.listen)
+                before = FIRST_PROBE_SECONDS / 2
+                loop.call_later(before, time.sleep, pause_seconds)
+                loop.call_later(before, listener.listen)
                 look = is_listening(f"{host}:{port}")
                 self.assertEqual(await look, expected)
+
+    # Guards against half an answer that counts as whole as its upstream was replaced
+    # right after it had refused a connection.
+    async def test_successor_of_a_closed_port_does_not_vouch(self) -> None:
+        """Whether the process stands still meanwhile or not."""
+        for pause_seconds in (0.0, MAX_LOOK_SECONDS):
+            with self.subTest(pause_seconds), socket.socket() as listener:
+                listener.bind(("127.0.0.1", 0))
+                host, port = listener.getsockname()
+                loop = asyncio.get_running_loop()
+                loop.call_later(PAUSE_AFTER_SECONDS, time.sleep, pause_seconds)
+                loop.call_later(PAUSE_AFTER_SECONDS, listener.listen)
+                self.assertFalse(await is_listening(f"{host}:{port}"))
