--- a/poplarlug/control/raft/consensus_state.py
+++ b/poplarlug/control/raft/consensus_state.py
@@ -52,6 +52,16 @@
         Returns the time in seconds for leases and timeouts; the event loop's time by
         default. If the VM may be suspended, the clock must include the time spent
         suspended.
+
+    Attributes
+    ----------
+    followed : VmName or None
+        The leader that this replica followed last, even if it leads itself by now.
+    last_contact : float
+        Time on the clock at which that leader was heard from last.
+    is_stopping : bool
+        Whether this replica ends soon, so that it accepts no commands and doesn't run
+        for leader.
     """
 
     def __init__(
