--- a/poplarlug/control/main.py
+++ b/poplarlug/control/main.py
@@ -15,6 +15,7 @@
 from poplarlug.control.operations import ControlServices, OrderLimits
 from poplarlug.control.proposing import Proposer
 from poplarlug.control.raft.replica import Replica
+from poplarlug.control.raft.retirement import RETIREMENT_SECONDS
 from poplarlug.control.replicated_log import ReplicatedLog
 from poplarlug.control.state import ControlState
 from poplarlug.daemon import (
@@ -31,9 +32,6 @@
 from poplarlug.transport import Transport, ZmqTransport
 
 GRPC_STOP_SECONDS = 5.0
-RETIREMENT_SECONDS = 3.0
-"""How long a replica that stops may take to hand over its lead."""
-
 EXIT_DAMAGED_DATA = 3
 
 _log = ComponentLogger(prefix="control")
--- a/poplarlug/control/raft/retirement.py
+++ b/poplarlug/control/raft/retirement.py
@@ -21,6 +21,10 @@
 from poplarlug.transport import Transport
 from poplarlug.types import Seconds, VmName
 
+RETIREMENT_SECONDS = 3.0
+"""How long a replica that stops may take to give its lead and vote to others: an
+election, the successor's first entries and three changes, each a few round trips."""
+
 RETRY_SECONDS = 0.05
 
 MAX_DECISION_SECONDS = 0.5
--- a/poplarlug/control/seeded.py
+++ b/poplarlug/control/seeded.py
@@ -19,6 +19,7 @@
 from poplarlug.control.proposing import Proposer
 from poplarlug.control.raft.membership import AutoJoin
 from poplarlug.control.raft.replica import Replica
+from poplarlug.control.raft.retirement import RETIREMENT_SECONDS
 from poplarlug.control.routing_service import RoutingService
 from poplarlug.control.standstill import StandstillWatch
 from poplarlug.control.state import ControlState
@@ -55,10 +56,6 @@
 HANDLER_SHUTDOWN_SECONDS = 5.0
 """How long requests in progress may take in a stop; a change is decided in less."""
 
-RETIREMENT_SECONDS = 3.0
-"""How long a replica that stops may take to give its lead and vote to others: an
-election, the successor's first entries and three changes, each a few round trips."""
-
 HTTP_FILES_SHARE = 0.5
 """Share of the descriptors for operators and upstreams; others are for replicas."""
 
--- a/poplarlug/relay/resumption.py
+++ b/poplarlug/relay/resumption.py
@@ -39,7 +39,7 @@
 
 CONTROL_LOST_SECONDS = 3.0
 """Without a reply for this long, an entry takes itself for cut off. Replicas that were
-killed are back and answer within two seconds."""
+killed may be down for a second, and then have to start and connect."""
 
 _LOOKUPS = Counter(
     "poplarlug_relay_resumed_streams_total",
