--- a/review/model_worker.py
+++ b/review/model_worker.py
@@ -7,7 +7,8 @@
 - ``late_s``: how late its first heartbeat arrives;
 - ``cold_s``: how long it is cold from its start on;
 - ``events``, ``event_s``: the number of events of its streams, and the time of one;
-- ``crash_at``: requests in a second of its cold time at which it crashes; 0 for none.
+- ``crash_at``: requests in a second of its cold time at which it crashes; 0 for none;
+- ``deadly``: the part of a prompt, never the last one, under which it crashes.
 
 Its events hold its version. It writes what it runs to its standard output.
 """
@@ -29,6 +30,7 @@
     id: str
     expected: str
     last_event: int
+    parts: tuple[str, ...] = ()
 
 
 class Worker:
@@ -118,6 +120,10 @@
             headers.get("x-poplarlug-attempt-id", ""),
             headers.get("x-poplarlug-expect-instance", self._id),
             int(headers.get("last-event-id", "0")),
+            tuple(
+                part.strip().partition(":")[0]
+                for part in headers.get("x-poplarlug-prompt-prefix", "").split(",")
+            ),
         )
 
     def _answer(self, connection: socket.socket, request: Request) -> None:
@@ -128,6 +134,9 @@
             )
             return
         self._note_arrival(request)
+        if self._settings["deadly"] in request.parts[:-1]:
+            self._say(f"crashes as it begins to answer {request.id}")
+            os.kill(os.getpid(), signal.SIGKILL)
         connection.sendall(
             f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{echo}"
             f"X-Poplarlug-Response-Stamp: stamp-{self._id}\r\n"
--- a/review/model_workers.py
+++ b/review/model_workers.py
@@ -56,6 +56,7 @@
             "events": 50,
             "event_s": 0.15,
             "crash_at": 0,
+            "deadly": "none",
             **settings,
         }
         self._ips: dict[str, str] = {}
