--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -27,6 +28,9 @@
 HOST = "app.example"
 BEAT_SECONDS = 1.2
 START_SECONDS = 40.0
+PORTS = (7660, 7661, 8101, 8140, 8143, 8144, 8146, 9464)
+MAX_HOSTS = 60
+"""More addresses than a case takes."""
 
 BOUNDS = {
     "seed_lag_s": 3,
@@ -125,8 +129,9 @@
         self._bounds = {**BOUNDS, **(bounds or {})}
         self._limits = {**LIMITS, **(limits or {})}
         self._roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
-        rng = random.SystemRandom()
-        self._prefix = f"127.{rng.randrange(16, 250)}.{rng.randrange(1, 250)}"
+        # So that the processes are ended if this one is told to stop.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+        self._prefix = _free_prefix()
         self._last_host = 0
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.service_fields: dict[str, Any] = {}
@@ -265,6 +270,20 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def _free_prefix() -> str:
+    """Return the first three numbers of loopback addresses whose ports are free."""
+    rng = random.SystemRandom()
+    while True:
+        prefix = f"127.{rng.randrange(16, 250)}.{rng.randrange(1, 250)}"
+        try:
+            for host in range(1, MAX_HOSTS + 1):
+                for port in PORTS:
+                    socket.create_server((f"{prefix}.{host}", port)).close()
+        except OSError:
+            continue
+        return prefix
+
+
 def call(
     address: tuple[str, int],
     method: str,
