--- a/review/15/case.py
+++ b/review/15/case.py
@@ -193,8 +193,8 @@
     )
     try:
         return 1 if play(deployment, workers, record) > ALLOWED else 0
-    except RuntimeError as error:
-        record.note(f"the case could not run: {error}")
+    except Exception as error:
+        record.note(f"the case could not run: {error!r}")
         return 2
     finally:
         workers.close()
