--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -123,8 +123,10 @@
         entry_zones: tuple[str, ...] = ("quito-a", "cuenca-a", "guayaquil-a"),
         bounds: Mapping[str, Any] | None = None,
         limits: Mapping[str, Any] | None = None,
+        regions_by_zone: Mapping[str, str] = ZONES,
     ) -> None:
         self.record = record
+        self.regions_by_zone = dict(regions_by_zone)
         self.folder = Path(tempfile.mkdtemp())
         self._bounds = {**BOUNDS, **(bounds or {})}
         self._limits = {**LIMITS, **(limits or {})}
@@ -138,7 +140,7 @@
         self._started: set[str] = set()
         self.zones: dict[str, str] = {}
         self.ips: dict[str, str] = {}
-        self.control = {zone: f"core-{zone}" for zone in ZONES}
+        self.control = {zone: f"core-{zone}" for zone in self.regions_by_zone}
         self.entries = [f"edge-{zone}-{i}" for i, zone in enumerate(entry_zones)]
         for zone, name in self.control.items():
             self.zones[name] = zone
@@ -172,8 +174,8 @@
             "machine_class": kind,
             "ip": ip,
             "zone": zone,
-            "region": ZONES[zone],
-            "zones": ZONES,
+            "region": self.regions_by_zone[zone],
+            "zones": self.regions_by_zone,
             "listen": {
                 "frontend": f"{ip}:8144",
                 "readiness": f"{ip}:8140",
@@ -230,7 +232,7 @@
         """Send an order to control replicas in turn until one acknowledges it."""
         deadline = time.monotonic() + START_SECONDS
         while time.monotonic() < deadline:
-            for one in [zone] if zone else list(ZONES):
+            for one in [zone] if zone else list(self.regions_by_zone):
                 status, _, _ = call(self.control_address(one), method, path, body, {})
                 if 200 <= status < 300:
                     self.record.note(f"operator: {method} {path} got {status}")
@@ -381,7 +383,8 @@
     def run(self) -> None:
         rng = random.Random(self._id)
         while not self._stopped.is_set():
-            for zone in rng.sample(list(ZONES), len(ZONES)):
+            zones = list(self._deployment.regions_by_zone)
+            for zone in rng.sample(zones, len(zones)):
                 if self.beat(zone):
                     break
             self._stopped.wait(BEAT_SECONDS)
